runner: join the request pipeline from HTTP to endpoints

Cause: there was no code.

Change: a generation passes through receive, resolve, admit, claim, place, dispatch, verify and respond to a fake engine; a posting with an idempotency key runs once on a fake ledger; a signed bundle is validated and published.

--- /dev/null
+++ b/admitter/doc.go
@@ -0,0 +1,2 @@
+// Package admitter decides whether a request may enter, and when.
+package admitter
--- /dev/null
+++ b/asserter/doc.go
@@ -0,0 +1,2 @@
+// Package asserter checks the invariants of the system while it runs.
+package asserter
--- /dev/null
+++ b/bundler/differ.go
@@ -0,0 +1,54 @@
+package bundler
+
+import (
+	"reflect"
+	"slices"
+)
+
+// Subject is a part of a bundle that one request depends on: an AdapterSubject
+// or a ServiceSubject.
+type Subject interface{ subject() }
+
+// AdapterSubject is one adapter.
+type AdapterSubject struct{ name string }
+
+// NewAdapterSubject returns the subject of requests to an adapter.
+func NewAdapterSubject(name string) AdapterSubject { return AdapterSubject{name: name} }
+
+// ServiceSubject is one plain service.
+type ServiceSubject struct{ name string }
+
+// NewServiceSubject returns the subject of calls of a service.
+func NewServiceSubject(name string) ServiceSubject { return ServiceSubject{name: name} }
+
+func (AdapterSubject) subject() {}
+func (ServiceSubject) subject() {}
+
+// Differs reports whether two bundles state something else about a subject.
+func Differs(a, b *Snapshot, s Subject) bool {
+	switch s := s.(type) {
+	case AdapterSubject:
+		return adapterDiffers(a.adapters[s.name], b.adapters[s.name])
+	case ServiceSubject:
+		return serviceDiffers(a.services[s.name], b.services[s.name])
+	default:
+		return true
+	}
+}
+
+func adapterDiffers(a, b *Adapter) bool {
+	if a == nil || b == nil {
+		return a != b
+	}
+	return a.base != b.base ||
+		!slices.Equal(a.versions, b.versions) ||
+		!slices.Equal(a.regions, b.regions) ||
+		!slices.Equal(a.shares, b.shares)
+}
+
+func serviceDiffers(a, b *Service) bool {
+	if a == nil || b == nil {
+		return a != b
+	}
+	return !reflect.DeepEqual(a.calls, b.calls) || !reflect.DeepEqual(a.endpoints, b.endpoints)
+}
--- /dev/null
+++ b/bundler/doc.go
@@ -0,0 +1,2 @@
+// Package bundler reads, checks, signs and compares bundles.
+package bundler
--- /dev/null
+++ b/classifier/fault.go
@@ -0,0 +1,194 @@
+package classifier
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Fault is an error that says why a request has no answer and what became of
+// its work. The set of faults is closed; front ends translate each type.
+type Fault interface {
+	error
+	// Outcome tells whether the work ran.
+	Outcome() Outcome
+	// Detail is the explanation for the caller.
+	Detail() string
+	// RetryAfter is how long to wait before a retry; zero means that a retry is
+	// of no use or not known to be safe.
+	RetryAfter() time.Duration
+	Unwrap() error
+	fault()
+}
+
+// base carries what all faults share.
+type base struct {
+	outcome    Outcome
+	detail     string
+	retryAfter time.Duration
+	cause      error
+}
+
+func (b *base) fault()                    {}
+func (b *base) Outcome() Outcome          { return b.outcome }
+func (b *base) Detail() string            { return b.detail }
+func (b *base) RetryAfter() time.Duration { return b.retryAfter }
+func (b *base) Unwrap() error             { return b.cause }
+
+func (b *base) Error() string {
+	if b.cause == nil {
+		return b.detail
+	}
+	return b.detail + ": " + b.cause.Error()
+}
+
+// The faults of a request. All are used by pointer.
+type (
+	// Invalid reports a call that is malformed.
+	Invalid struct{ base }
+	// TooLarge reports a body or header past its limit.
+	TooLarge struct{ base }
+	// Unauthorized reports a call without the key that it needs.
+	Unauthorized struct{ base }
+	// NotOffered reports an adapter, version or service that the bundle in force
+	// does not offer.
+	NotOffered struct{ base }
+	// KeyMissing reports a non-idempotent call without an idempotency key.
+	KeyMissing struct{ base }
+	// KeyReused reports an idempotency key that came with another body before.
+	KeyReused struct{ base }
+	// InProgress reports a repeat of a key whose first attempt has not ended.
+	InProgress struct{ base }
+	// Overloaded reports that a limit of the node is reached.
+	Overloaded struct{ base }
+	// Unavailable reports that something the request needs cannot be reached.
+	Unavailable struct{ base }
+	// Withheld reports that the node does not know which of two bundles is in
+	// force and that they differ for this request.
+	Withheld struct{ base }
+	// Expired reports a deadline that passed.
+	Expired struct{ base }
+	// Canceled reports a caller that went away.
+	Canceled struct{ base }
+	// Stopped reports a request that crashed endpoints before.
+	Stopped struct{ base }
+	// Uncertain reports work that was sent and has no answer.
+	Uncertain struct{ base }
+)
+
+// Option sets an optional property of a fault.
+type Option func(*base)
+
+// RetryAfter says when a retry may succeed.
+func RetryAfter(d time.Duration) Option {
+	return func(b *base) { b.retryAfter = d }
+}
+
+// Cause records the error behind the fault.
+func Cause(err error) Option {
+	return func(b *base) { b.cause = err }
+}
+
+// MayHaveRun sets the outcome to Unknown.
+func MayHaveRun() Option {
+	return func(b *base) { b.outcome = Unknown{} }
+}
+
+func newBase(o Outcome, detail string, opts []Option) base {
+	b := base{outcome: o, detail: detail}
+	for _, opt := range opts {
+		opt(&b)
+	}
+	return b
+}
+
+// NewInvalid returns an Invalid fault; the work did not run.
+func NewInvalid(detail string, opts ...Option) *Invalid {
+	return &Invalid{newBase(NotRun{}, detail, opts)}
+}
+
+// NewTooLarge returns a TooLarge fault; the work did not run.
+func NewTooLarge(detail string, opts ...Option) *TooLarge {
+	return &TooLarge{newBase(NotRun{}, detail, opts)}
+}
+
+// NewUnauthorized returns an Unauthorized fault; the work did not run.
+func NewUnauthorized(detail string, opts ...Option) *Unauthorized {
+	return &Unauthorized{newBase(NotRun{}, detail, opts)}
+}
+
+// NewNotOffered returns a NotOffered fault; the work did not run.
+func NewNotOffered(detail string, opts ...Option) *NotOffered {
+	return &NotOffered{newBase(NotRun{}, detail, opts)}
+}
+
+// NewKeyMissing returns a KeyMissing fault; the work did not run.
+func NewKeyMissing(detail string, opts ...Option) *KeyMissing {
+	return &KeyMissing{newBase(NotRun{}, detail, opts)}
+}
+
+// NewKeyReused returns a KeyReused fault; the work of this body did not run.
+func NewKeyReused(detail string, opts ...Option) *KeyReused {
+	return &KeyReused{newBase(NotRun{}, detail, opts)}
+}
+
+// NewInProgress returns an InProgress fault; the first attempt may have run.
+func NewInProgress(detail string, opts ...Option) *InProgress {
+	return &InProgress{newBase(Unknown{}, detail, opts)}
+}
+
+// NewOverloaded returns an Overloaded fault; the work did not run.
+func NewOverloaded(detail string, opts ...Option) *Overloaded {
+	return &Overloaded{newBase(NotRun{}, detail, opts)}
+}
+
+// NewUnavailable returns an Unavailable fault; the work did not run unless
+// MayHaveRun says otherwise.
+func NewUnavailable(detail string, opts ...Option) *Unavailable {
+	return &Unavailable{newBase(NotRun{}, detail, opts)}
+}
+
+// NewWithheld returns a Withheld fault; the work did not run.
+func NewWithheld(detail string, opts ...Option) *Withheld {
+	return &Withheld{newBase(NotRun{}, detail, opts)}
+}
+
+// NewExpired returns an Expired fault; the work did not run unless MayHaveRun
+// says otherwise.
+func NewExpired(detail string, opts ...Option) *Expired {
+	return &Expired{newBase(NotRun{}, detail, opts)}
+}
+
+// NewCanceled returns a Canceled fault; the work did not run unless MayHaveRun
+// says otherwise.
+func NewCanceled(detail string, opts ...Option) *Canceled {
+	return &Canceled{newBase(NotRun{}, detail, opts)}
+}
+
+// NewStopped returns a Stopped fault; this attempt did not run.
+func NewStopped(detail string, opts ...Option) *Stopped {
+	return &Stopped{newBase(NotRun{}, detail, opts)}
+}
+
+// NewUncertain returns an Uncertain fault; the work may have run.
+func NewUncertain(detail string, opts ...Option) *Uncertain {
+	return &Uncertain{newBase(Unknown{}, detail, opts)}
+}
+
+// Of returns the fault in err's chain. An error that no stage has classified
+// becomes an Uncertain fault, because nothing vouches that the work did not
+// run.
+func Of(err error) Fault {
+	var f Fault
+	if errors.As(err, &f) {
+		return f
+	}
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return NewExpired("the deadline passed", Cause(err), MayHaveRun())
+	case errors.Is(err, context.Canceled):
+		return NewCanceled("the caller went away", Cause(err), MayHaveRun())
+	default:
+		return NewUncertain("internal error", Cause(err))
+	}
+}
--- /dev/null
+++ b/classifier/fault_test.go
@@ -0,0 +1,41 @@
+package classifier_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/classifier"
+)
+
+// Guards against an unclassified error being reported as work that did not run.
+func TestOf(t *testing.T) {
+	tests := []struct {
+		name string
+		err  error
+		want classifier.Outcome
+	}{
+		{"plain error", errors.New("boom"), classifier.Unknown{}},
+		{"deadline", context.DeadlineExceeded, classifier.Unknown{}},
+		{"cancel", context.Canceled, classifier.Unknown{}},
+		{"wrapped refusal", fmt.Errorf("admit: %w", classifier.NewOverloaded("full")), classifier.NotRun{}},
+		{"uncertain", classifier.NewUncertain("no answer"), classifier.Unknown{}},
+		{"unavailable after send", classifier.NewUnavailable("gone", classifier.MayHaveRun()), classifier.Unknown{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(classifier.Of(tt.err).Outcome(), tt.want)
+		})
+	}
+}
+
+func ExampleNewOverloaded() {
+	err := classifier.NewOverloaded("queue is full", classifier.RetryAfter(2*time.Second))
+	fmt.Println(err, err.Outcome(), err.RetryAfter())
+	// Output: queue is full not-run 2s
+}
--- /dev/null
+++ b/dispatcher/doc.go
@@ -0,0 +1,2 @@
+// Package dispatcher runs a placed request on its endpoint.
+package dispatcher
--- /dev/null
+++ b/placer/doc.go
@@ -0,0 +1,2 @@
+// Package placer chooses the endpoint for a request.
+package placer
--- /dev/null
+++ b/publisher/doc.go
@@ -0,0 +1,2 @@
+// Package publisher holds the snapshot in force and replaces it atomically.
+package publisher
--- /dev/null
+++ b/resolver/doc.go
@@ -0,0 +1,2 @@
+// Package resolver binds a request to one bundle epoch and finds what may serve it.
+package resolver
--- /dev/null
+++ b/responder/doc.go
@@ -0,0 +1,2 @@
+// Package responder turns the end of the pipeline into an answer free of encoding.
+package responder
--- /dev/null
+++ b/responder/responder.go
@@ -0,0 +1,83 @@
+package responder
+
+import (
+	"context"
+
+	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/dispatcher"
+	"github.com/dragonflyford/dragonflyford/resolver"
+	"github.com/dragonflyford/dragonflyford/retrier"
+)
+
+// Body is the content of an answer: a TokenBody or a ReplyBody.
+type Body interface{ body() }
+
+// TokenBody is an answer that arrives token by token.
+type TokenBody struct {
+	stream connector.Stream
+}
+
+// Stream returns the tokens.
+func (b *TokenBody) Stream() connector.Stream { return b.stream }
+
+// ReplyBody is the complete answer of a plain service.
+type ReplyBody struct {
+	reply    connector.Reply
+	replayed bool
+}
+
+// Reply returns the answer.
+func (b *ReplyBody) Reply() connector.Reply { return b.reply }
+
+// Replayed reports whether the answer is that of an earlier attempt.
+func (b *ReplyBody) Replayed() bool { return b.replayed }
+
+func (*TokenBody) body() {}
+func (*ReplyBody) body() {}
+
+// Answer is what a front end encodes for the caller.
+type Answer struct {
+	request string
+	model   connector.Model
+	epoch   uint64
+	body    Body
+}
+
+// RequestID returns the id of the request.
+func (a *Answer) RequestID() string { return a.request }
+
+// Model returns the adapter version that answers; it is empty for services.
+func (a *Answer) Model() connector.Model { return a.model }
+
+// Epoch returns the bundle epoch that the request was resolved against.
+func (a *Answer) Epoch() uint64 { return a.epoch }
+
+// Outcome returns the outcome, which is Done once the body is complete.
+func (a *Answer) Outcome() classifier.Outcome { return classifier.Done{} }
+
+// Body returns the content.
+func (a *Answer) Body() Body { return a.body }
+
+// Responder is the last stage of the request pipeline.
+type Responder struct{}
+
+// New returns a responder.
+func New() Responder { return Responder{} }
+
+// Apply turns a settled request into an answer.
+func (Responder) Apply(_ context.Context, s *retrier.Settled) (*Answer, error) {
+	a := &Answer{request: s.ID(), epoch: s.Snapshot().Epoch()}
+	if route, ok := s.Route().(*resolver.GenerationRoute); ok {
+		a.model = route.Model()
+	}
+	switch r := s.Result().(type) {
+	case *dispatcher.Streaming:
+		a.body = &TokenBody{stream: r.Stream()}
+	case *dispatcher.Replied:
+		a.body = &ReplyBody{reply: r.Reply(), replayed: r.Replayed()}
+	default:
+		return nil, classifier.NewUncertain("the request has no result")
+	}
+	return a, nil
+}
--- /dev/null
+++ b/retrier/doc.go
@@ -0,0 +1,2 @@
+// Package retrier runs the place, dispatch and verify stages once per attempt.
+package retrier
--- /dev/null
+++ b/runner/doc.go
@@ -0,0 +1,2 @@
+// Package runner assembles a node from its settings and dependencies.
+package runner
--- /dev/null
+++ b/server/doc.go
@@ -0,0 +1,2 @@
+// Package server is the HTTP front end for callers and operators.
+package server
--- /dev/null
+++ b/storer/storer.go
@@ -0,0 +1,175 @@
+package storer
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+// Errors of the platform interfaces.
+var (
+	// ErrNotFound reports a row or object that does not exist.
+	ErrNotFound = eris.New("not found")
+	// ErrConflict reports a commit whose condition did not hold; nothing was
+	// written.
+	ErrConflict = eris.New("row version conflict")
+	// ErrUnavailable reports a request that had no effect because the service is
+	// down.
+	ErrUnavailable = eris.New("service unavailable")
+	// ErrUncertain reports a write whose effect is not known.
+	ErrUncertain = eris.New("effect of write is not known")
+)
+
+// ConflictError names the row whose version differed.
+type ConflictError struct {
+	key string
+}
+
+// NewConflictError returns a conflict on key.
+func NewConflictError(key string) *ConflictError { return &ConflictError{key: key} }
+
+// Key returns the row's key.
+func (e *ConflictError) Key() string { return e.key }
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("row %q has another version", e.key)
+}
+
+// Is makes errors.Is(err, ErrConflict) hold.
+func (e *ConflictError) Is(target error) bool { return target == ErrConflict }
+
+// Version counts the writes of a row. Zero stands for a row that does not
+// exist.
+type Version uint64
+
+// Row is one row of the table.
+type Row struct {
+	key     string
+	value   []byte
+	version Version
+}
+
+// NewRow returns a row. The caller must not change value afterwards.
+func NewRow(key string, value []byte, version Version) Row {
+	return Row{key: key, value: value, version: version}
+}
+
+// Key returns the row's key.
+func (r Row) Key() string { return r.key }
+
+// Value returns the row's value; it must not be changed.
+func (r Row) Value() []byte { return r.value }
+
+// Version returns the row's version.
+func (r Row) Version() Version { return r.version }
+
+// Write is one part of a commit: Put, Delete or Check.
+type Write interface {
+	// Key returns the row that the write concerns.
+	Key() string
+	// Expected returns the version that the row must have.
+	Expected() Version
+	write()
+}
+
+type condition struct {
+	key      string
+	expected Version
+}
+
+func (c condition) Key() string       { return c.key }
+func (c condition) Expected() Version { return c.expected }
+func (condition) write()              {}
+
+// Put stores a value.
+type Put struct {
+	condition
+	value []byte
+}
+
+// NewPut returns a write that stores value if the row has the expected version.
+func NewPut(key string, value []byte, expected Version) Put {
+	return Put{condition: condition{key: key, expected: expected}, value: value}
+}
+
+// Value returns the value to store.
+func (p Put) Value() []byte { return p.value }
+
+// Delete removes a row.
+type Delete struct{ condition }
+
+// NewDelete returns a write that removes the row if it has the expected version.
+func NewDelete(key string, expected Version) Delete {
+	return Delete{condition{key: key, expected: expected}}
+}
+
+// Check writes nothing and only requires a version.
+type Check struct{ condition }
+
+// NewCheck returns a condition on a row.
+func NewCheck(key string, expected Version) Check {
+	return Check{condition{key: key, expected: expected}}
+}
+
+// Table is the transactional table service.
+type Table interface {
+	// Get returns a row, or ErrNotFound.
+	Get(ctx context.Context, key string) (Row, error)
+	// Scan returns up to limit rows whose keys start with prefix and come after
+	// the key after, in key order.
+	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
+	// Commit applies all writes or none. It fails with a ConflictError, with
+	// ErrUnavailable when nothing was written, or with ErrUncertain.
+	Commit(ctx context.Context, writes ...Write) error
+}
+
+// Objects is the object store. Objects are immutable: a second Put of a key
+// stores the same bytes.
+type Objects interface {
+	Put(ctx context.Context, key string, body []byte) error
+	Get(ctx context.Context, key string) ([]byte, error)
+	// List returns the keys that start with prefix, in order.
+	List(ctx context.Context, prefix string) ([]string, error)
+}
+
+// Host is an entry of the host list.
+type Host struct {
+	name    string
+	leaving bool
+}
+
+// NewHost returns a host list entry.
+func NewHost(name string, leaving bool) Host { return Host{name: name, leaving: leaving} }
+
+// Name returns the host's name.
+func (h Host) Name() string { return h.name }
+
+// Leaving reports whether the host is about to leave.
+func (h Host) Leaving() bool { return h.leaving }
+
+// Hosts is the lagging list of live and leaving hosts.
+type Hosts interface {
+	List(ctx context.Context) ([]Host, error)
+}
+
+// GetAll returns every row under prefix, page by page.
+func GetAll(ctx context.Context, t Table, prefix string) ([]Row, error) {
+	var (
+		all   []Row
+		after string
+	)
+	for {
+		rows, err := t.Scan(ctx, prefix, after, scanPage)
+		if err != nil {
+			return nil, fmt.Errorf("scan rows under %q: %w", prefix, err)
+		}
+		all = append(all, rows...)
+		if len(rows) < scanPage {
+			return all, nil
+		}
+		after = rows[len(rows)-1].Key()
+	}
+}
+
+const scanPage = 500 // rows per request
--- /dev/null
+++ b/verifier/doc.go
@@ -0,0 +1,2 @@
+// Package verifier checks that every part of an answer belongs to its request.
+package verifier
--- /dev/null
+++ b/viewer/doc.go
@@ -0,0 +1,2 @@
+// Package viewer holds what the node knows of each engine.
+package viewer
--- /dev/null
+++ b/viewer/viewer.go
@@ -0,0 +1,132 @@
+package viewer
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/connector"
+)
+
+// Residency tells how far an adapter version is on its way into an engine.
+type Residency int
+
+// Residencies of an adapter version.
+const (
+	Absent Residency = iota
+	Loading
+	Resident
+)
+
+// View is what its owner last said of one engine. It never changes.
+type View struct {
+	engine   string
+	owner    string
+	models   map[connector.Model]Residency
+	slots    int
+	batch    int
+	running  int
+	queued   int
+	taken    time.Time
+	accepted bool
+}
+
+// NewView returns a view. The map must not be changed afterwards. Accepted says
+// whether the engine takes new work.
+func NewView(engine, owner string, models map[connector.Model]Residency, slots, batch, running, queued int, taken time.Time, accepted bool) *View {
+	return &View{
+		engine:   engine,
+		owner:    owner,
+		models:   models,
+		slots:    slots,
+		batch:    batch,
+		running:  running,
+		queued:   queued,
+		taken:    taken,
+		accepted: accepted,
+	}
+}
+
+// Engine returns the engine's name.
+func (v *View) Engine() string { return v.engine }
+
+// Owner returns the node that owns the engine, or "".
+func (v *View) Owner() string { return v.owner }
+
+// Residency returns how far m is on its way into the engine.
+func (v *View) Residency(m connector.Model) Residency { return v.models[m] }
+
+// Models returns every adapter version that is loading or resident; the map
+// must not be changed.
+func (v *View) Models() map[connector.Model]Residency { return v.models }
+
+// Slots returns how many adapters the engine holds.
+func (v *View) Slots() int { return v.slots }
+
+// Batch returns how many jobs run together.
+func (v *View) Batch() int { return v.batch }
+
+// Running returns how many jobs run.
+func (v *View) Running() int { return v.running }
+
+// Queued returns how many jobs wait at the owner.
+func (v *View) Queued() int { return v.queued }
+
+// Taken returns when the node received the view.
+func (v *View) Taken() time.Time { return v.taken }
+
+// Accepts reports whether the engine takes new work.
+func (v *View) Accepts() bool { return v.accepted }
+
+// Views is an immutable set of views by engine.
+type Views struct {
+	byEngine map[string]*View
+}
+
+// Engine returns the view of an engine, or nil if the node knows nothing of it.
+func (v *Views) Engine(name string) *View { return v.byEngine[name] }
+
+// Len returns the number of engines known.
+func (v *Views) Len() int { return len(v.byEngine) }
+
+// Viewer holds the latest views. Load takes no lock.
+type Viewer struct {
+	views atomic.Pointer[Views]
+	mu    sync.Mutex // serialises writers
+}
+
+// New returns a viewer that knows no engine.
+func New() *Viewer {
+	v := &Viewer{}
+	v.views.Store(&Views{})
+	return v
+}
+
+// Load returns the latest views.
+func (v *Viewer) Load() *Views { return v.views.Load() }
+
+// Update replaces the views of the given engines.
+func (v *Viewer) Update(views ...*View) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	next := maps.Clone(v.views.Load().byEngine)
+	if next == nil {
+		next = make(map[string]*View, len(views))
+	}
+	for _, view := range views {
+		next[view.engine] = view
+	}
+	v.views.Store(&Views{byEngine: next})
+}
+
+// Remove forgets engines.
+func (v *Viewer) Remove(engines ...string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	next := maps.Clone(v.views.Load().byEngine)
+	for _, e := range engines {
+		delete(next, e)
+	}
+	v.views.Store(&Views{byEngine: next})
+}
--- /dev/null
+++ b/watcher/doc.go
@@ -0,0 +1,2 @@
+// Package watcher follows the accepted and the prepared bundle.
+package watcher
