emulator: add fakes of engines, weight store and platform with faults

The fakes answered at once and never failed, so no test could show load stalls, batches, lost answers or cold restarts.

Engines step their batches, cache prefixes, report late and load through one weight store whose loads share its bandwidth. Each fake acts out typed faults.

--- a/connector/endpoint.go
+++ b/connector/endpoint.go
@@ -19,6 +19,8 @@
 	ErrBroken = eris.New("connection broken")
 	// ErrNotResident reports a job for an adapter that the engine has not loaded.
 	ErrNotResident = eris.New("adapter is not resident")
+	// ErrLoadFailed reports a load that ended without the adapter in its slot.
+	ErrLoadFailed = eris.New("adapter could not be loaded")
 )
 
 // Model names one version of an adapter on its base model.
--- /dev/null
+++ b/connector/prefix.go
@@ -0,0 +1,46 @@
+package connector
+
+import (
+	"context"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PrefixBlock is the number of prompt bytes in one block of a prefix cache.
+const PrefixBlock = 64
+
+// Prefixes returns one hash for each whole block of a prompt. Each hash covers
+// the adapter version and all bytes up to the end of its block, so that equal
+// hashes mean equal prefixes. Engines publish these hashes in their reports.
+func Prefixes(m Model, prompt string) []uint64 {
+	n := len(prompt) / PrefixBlock
+	if n == 0 {
+		return nil
+	}
+	hashes := make([]uint64, 0, n)
+	d := xxhash.New()
+	_, _ = d.WriteString(m.String())
+	_, _ = d.WriteString("\x00")
+	for i := range n {
+		_, _ = d.WriteString(prompt[i*PrefixBlock : (i+1)*PrefixBlock])
+		hashes = append(hashes, d.Sum64())
+	}
+	return hashes
+}
+
+// PromptCache is an engine that hands its KV cache to other engines.
+type PromptCache interface {
+	// ExportCache returns the cached state of the prompt's longest known prefix.
+	ExportCache(ctx context.Context, m Model, prompt string) ([]byte, error)
+	// ImportCache takes the state that another engine exported.
+	ImportCache(ctx context.Context, state []byte) error
+}
+
+// FencedService is a plain service that can be told never to run an operation.
+type FencedService interface {
+	Service
+	// Revoke makes the service refuse the operation from now on and reports
+	// whether it ran before. After false and no error the operation has not run
+	// and will not run.
+	Revoke(ctx context.Context, operation string) (ran bool, err error)
+}
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"io"
+	"maps"
 	"sync"
 	"time"
 
@@ -16,26 +17,88 @@
 // version, the prompt, the seed and the index, so that any engine continues an
 // answer in the same way.
 type Engine struct {
-	slots     int
-	batch     int
-	tokenTime time.Duration
-	loadTime  time.Duration
+	settings *settings
+	link     *link
+	store    *WeightStore
+	steps    sync.WaitGroup // the step loop
 
 	mu       sync.Mutex
-	resident map[connector.Model]bool
-	running  map[connector.Model]int
+	restarts int
+	downTill time.Time
+	closed   bool
+	stop     chan struct{} // closed by Close
+	base     string
+	changing bool // a base model is being loaded
+	role     connector.Role
+	token    uint64
+	resident map[connector.Model]bool // false while the version is loading
+	running  []*stream
+	queued   []*stream // in the order in which they will start
+	stepping bool
+	crashes  map[string]time.Duration // delay of the restart by marker
+	cache    *prefixCache
+	lag      time.Duration
+	moments  []moment
+	counters EngineCounters
 }
 
-// NewEngine returns an engine with empty slots.
-func NewEngine(slots, batch int, tokenTime, loadTime time.Duration) *Engine {
-	return &Engine{
-		slots:     slots,
-		batch:     batch,
-		tokenTime: tokenTime,
-		loadTime:  loadTime,
-		resident:  make(map[connector.Model]bool),
-		running:   make(map[connector.Model]int),
+// EngineCounters tells what an engine has done since it was made; a restart
+// keeps them.
+type EngineCounters struct {
+	batch          int
+	steps          int
+	tokens         int
+	loads          int
+	unloads        int
+	brokenByUnload int
+	crashes        int
+}
+
+// Steps returns how many steps produced a token.
+func (c EngineCounters) Steps() int { return c.steps }
+
+// Tokens returns how many tokens were produced.
+func (c EngineCounters) Tokens() int { return c.tokens }
+
+// BatchEfficiency returns the share of batch places that produced a token, over
+// all steps that produced any.
+func (c EngineCounters) BatchEfficiency() float64 {
+	if c.steps == 0 {
+		return 0
 	}
+	return float64(c.tokens) / float64(c.steps*c.batch)
+}
+
+// Loads returns how many loads succeeded.
+func (c EngineCounters) Loads() int { return c.loads }
+
+// Unloads returns how many adapters were unloaded by order.
+func (c EngineCounters) Unloads() int { return c.unloads }
+
+// BrokenByUnload returns how many answers broke because their adapter was
+// unloaded. It stays zero when no adapter in use is evicted.
+func (c EngineCounters) BrokenByUnload() int { return c.brokenByUnload }
+
+// Crashes returns how often a job crashed the engine.
+func (c EngineCounters) Crashes() int { return c.crashes }
+
+// NewEngine returns an engine with empty slots that loads from store.
+func NewEngine(store *WeightStore, opts ...Option) *Engine {
+	s := newSettings(opts)
+	e := &Engine{
+		settings: s,
+		link:     newLink(s),
+		store:    store,
+		stop:     make(chan struct{}),
+		base:     s.base,
+		resident: make(map[connector.Model]bool),
+		crashes:  make(map[string]time.Duration),
+		cache:    newPrefixCache(s),
+		lag:      s.lag,
+		counters: EngineCounters{batch: s.batch},
+	}
+	e.remember()
+	return e
 }
 
 // Token returns the text of one token.
@@ -44,95 +107,378 @@
 	return fmt.Sprintf("%s-%04x ", m.Adapter(), h&0xffff)
 }
 
-// Generate starts a job.
-func (e *Engine) Generate(_ context.Context, job connector.Job) (connector.Stream, error) {
+// Inject adds a fault: Down, Slow, AnswerLost, RestartCold, CrashOn or Lag.
+func (e *Engine) Inject(f Fault) error {
+	switch f := f.(type) {
+	case Down:
+		e.link.inject(f)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.breakAll()
+	case Slow, AnswerLost:
+		e.link.inject(f)
+	case RestartCold:
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.restart(f.delay)
+	case CrashOn:
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.crashes[f.marker] = f.delay
+	case Lag:
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.lag = f.by
+	default:
+		return &UnsupportedFaultError{fake: "engine", fault: f}
+	}
+	return nil
+}
+
+// Clear ends all faults. A restart that has begun goes on.
+func (e *Engine) Clear() {
+	e.link.clear()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	clear(e.crashes)
+	e.lag = e.settings.lag
+}
+
+// Close breaks all streams and waits for the engine's goroutine.
+func (e *Engine) Close() {
+	e.mu.Lock()
+	if !e.closed {
+		e.closed = true
+		close(e.stop)
+		e.breakAll()
+	}
+	e.mu.Unlock()
+	e.steps.Wait()
+}
+
+// Counters returns what the engine has done so far.
+func (e *Engine) Counters() EngineCounters {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.counters
+}
+
+// Instance returns the present instance id.
+func (e *Engine) Instance() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.instance()
+}
+
+func (e *Engine) instance() string { return fmt.Sprintf("%s#%d", e.settings.name, e.restarts+1) }
+
+// Role returns the present role.
+func (e *Engine) Role() connector.Role {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.role
+}
+
+// Resident returns the adapter versions in the slots at this moment.
+func (e *Engine) Resident() []connector.Model {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.resident[job.Model()] {
-		return nil, connector.ErrNotResident
+	return e.loaded()
+}
+
+func (e *Engine) loaded() []connector.Model {
+	models := make([]connector.Model, 0, len(e.resident))
+	for m, ready := range e.resident {
+		if ready {
+			models = append(models, m)
+		}
+	}
+	return models
+}
+
+// check returns why the engine takes no request. The caller holds the mutex.
+func (e *Engine) check() error {
+	if e.closed {
+		return fmt.Errorf("engine %s is closed: %w", e.settings.name, connector.ErrRefused)
 	}
-	e.running[job.Model()]++
-	return &tokens{engine: e, job: job, index: job.Next()}, nil
+	if time.Now().Before(e.downTill) {
+		return fmt.Errorf("engine %s restarts: %w", e.settings.name, connector.ErrRefused)
+	}
+	return nil
 }
 
-// Order carries out an order.
+// restart makes the engine a new instance that is away for delay. The fencing
+// token is forgotten, because an engine keeps nothing on a disk. The caller
+// holds the mutex.
+func (e *Engine) restart(delay time.Duration) {
+	e.breakAll()
+	e.restarts++
+	e.downTill = time.Now().Add(delay)
+	e.token = 0
+	e.base = e.settings.base
+	e.changing = false
+	e.role = connector.RoleBoth
+	clear(e.resident)
+	e.cache.clear()
+	e.moments = nil
+	e.remember()
+}
+
+// breakAll ends every answer without its rest. The caller holds the mutex.
+func (e *Engine) breakAll() {
+	for _, s := range e.running {
+		s.finish(connector.ErrBroken)
+	}
+	for _, s := range e.queued {
+		s.finish(connector.ErrBroken)
+	}
+	e.running = nil
+	e.queued = nil
+	e.remember()
+}
+
+// Order carries out an order and returns when it is complete. An order past its
+// deadline is not sent.
 func (e *Engine) Order(ctx context.Context, order connector.Order) error {
+	if pastDeadline(order) {
+		return fmt.Errorf("deadline of the order has passed: %w", connector.ErrRefused)
+	}
+	return e.arrive(ctx, order)
+}
+
+func pastDeadline(order connector.Order) bool {
+	d := order.Deadline()
+	return !d.IsZero() && !time.Now().Before(d)
+}
+
+// arriver is an engine that takes an order which was sent before its deadline,
+// however late it arrives.
+type arriver interface {
+	arrive(ctx context.Context, order connector.Order) error
+}
+
+func (e *Engine) arrive(ctx context.Context, order connector.Order) error {
+	if err := e.link.arrive(ctx); err != nil {
+		if e.link.late(err) {
+			_ = e.obeyLate(order)
+		}
+		return fmt.Errorf("send order: %w: %w", undelivered(err), err)
+	}
+	if err := e.accept(order); err != nil {
+		return err
+	}
+	if err := e.execute(ctx, order); err != nil {
+		return err
+	}
+	if err := e.link.confirm(ctx); err != nil {
+		return fmt.Errorf("wait for the order's answer: %w: %w", connector.ErrBroken, err)
+	}
+	return nil
+}
+
+// obeyLate carries out an order whose sender has given up. A load that nobody
+// waits for is abandoned.
+func (e *Engine) obeyLate(order connector.Order) error {
+	if err := e.accept(order); err != nil {
+		return err
+	}
+	switch order.(type) {
+	case connector.UnloadAdapter, connector.ChangeRole:
+		return e.execute(context.Background(), order)
+	default:
+		return nil
+	}
+}
+
+// accept checks the fencing token of an order.
+func (e *Engine) accept(order connector.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.check(); err != nil {
+		return err
+	}
+	if e.settings.fencing && order.Token() < e.token {
+		return fmt.Errorf("token %d is below %d: %w", order.Token(), e.token, connector.ErrFenced)
+	}
+	e.token = max(e.token, order.Token())
+	return nil
+}
+
+func (e *Engine) execute(ctx context.Context, order connector.Order) error {
 	switch o := order.(type) {
+	case connector.LoadModel:
+		return e.loadModel(ctx, o.Base())
 	case connector.LoadAdapter:
-		return e.load(ctx, o.Model())
+		return e.loadAdapter(ctx, o.Model())
 	case connector.UnloadAdapter:
+		e.unload(o.Model())
+		return nil
+	case connector.ChangeRole:
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		delete(e.resident, o.Model())
+		e.role = o.Role()
 		return nil
 	default:
-		return connector.ErrRefused
+		return fmt.Errorf("unknown order %T: %w", order, connector.ErrRefused)
 	}
 }
 
-func (e *Engine) load(ctx context.Context, m connector.Model) error {
-	select {
-	case <-time.After(e.loadTime):
-	case <-ctx.Done():
-		return fmt.Errorf("load %s: %w", m, ctx.Err())
+// loadModel replaces the base model. All slots become empty.
+func (e *Engine) loadModel(ctx context.Context, base string) error {
+	e.mu.Lock()
+	e.breakAll()
+	clear(e.resident)
+	e.cache.clear()
+	e.changing = true
+	instance := e.restarts
+	e.remember()
+	e.mu.Unlock()
+	err := sleep(ctx, e.settings.modelLoadTime)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.restarts != instance {
+		return fmt.Errorf("engine restarted during the load of model %s: %w", base, connector.ErrBroken)
+	}
+	e.changing = false
+	if err != nil {
+		return fmt.Errorf("load model %s: %w: %w", base, connector.ErrBroken, err)
+	}
+	e.base = base
+	return nil
+}
+
+// loadAdapter takes a slot before it reads the weights.
+func (e *Engine) loadAdapter(ctx context.Context, m connector.Model) error {
+	instance, needed, err := e.takeSlot(m)
+	if err != nil || !needed {
+		return err
+	}
+	err = e.store.Load(ctx, m)
+	if err != nil && !errors.Is(err, connector.ErrLoadFailed) {
+		err = fmt.Errorf("%w: %w", connector.ErrBroken, err)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.resident) >= e.slots {
-		return fmt.Errorf("all %d slots are taken: %w", e.slots, connector.ErrRefused)
+	if e.restarts != instance || e.closed {
+		return fmt.Errorf("engine restarted during the load of %s: %w", m, connector.ErrBroken)
+	}
+	if _, taken := e.resident[m]; !taken {
+		return fmt.Errorf("%s was unloaded during its load: %w", m, connector.ErrLoadFailed)
+	}
+	if err != nil {
+		delete(e.resident, m)
+		return err
 	}
 	e.resident[m] = true
+	e.counters.loads++
+	e.remember()
 	return nil
 }
 
-// Report returns the engine's state.
-func (e *Engine) Report(context.Context) (connector.Report, error) {
+func (e *Engine) takeSlot(m connector.Model) (instance int, needed bool, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var resident []connector.Model
-	for m := range e.resident {
-		resident = append(resident, m)
-	}
-	running := make(map[connector.Model]int, len(e.running))
-	for m, n := range e.running {
-		if n > 0 {
-			running[m] = n
+	ready, taken := e.resident[m]
+	switch {
+	case taken && ready:
+		return 0, false, nil
+	case taken:
+		return 0, false, fmt.Errorf("%s is being loaded: %w", m, connector.ErrRefused)
+	case e.changing:
+		return 0, false, fmt.Errorf("a base model is being loaded: %w", connector.ErrRefused)
+	case e.base != "" && m.Base() != e.base:
+		return 0, false, fmt.Errorf("%s needs base %q, not %q: %w", m, m.Base(), e.base, connector.ErrRefused)
+	case len(e.resident) >= e.settings.slots:
+		return 0, false, fmt.Errorf("all %d slots are taken: %w", e.settings.slots, connector.ErrRefused)
+	}
+	e.resident[m] = false
+	return e.restarts, true, nil
+}
+
+// unload frees a slot. Answers that use the adapter break.
+func (e *Engine) unload(m connector.Model) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.resident[m]; !ok {
+		return
+	}
+	delete(e.resident, m)
+	e.counters.unloads++
+	e.running = e.breakUsers(e.running, m)
+	e.queued = e.breakUsers(e.queued, m)
+	e.remember()
+}
+
+func (e *Engine) breakUsers(streams []*stream, m connector.Model) []*stream {
+	var kept []*stream
+	for _, s := range streams {
+		if s.job.Model() != m {
+			kept = append(kept, s)
+			continue
 		}
+		s.finish(connector.ErrBroken)
+		e.counters.brokenByUnload++
 	}
-	return connector.NewReport("1", 0, resident, running, 0, e.batch, nil), nil
+	return kept
 }
 
-// tokens is the stream of one job.
-type tokens struct {
-	engine *Engine
-	job    connector.Job
-	index  int
-	once   sync.Once
+// moment is the state of an engine from a time on.
+type moment struct {
+	since   time.Time
+	loaded  []connector.Model
+	running map[connector.Model]int
+	queued  int
 }
 
-// Next waits for the next token.
-func (t *tokens) Next(ctx context.Context) (connector.Chunk, error) {
-	if t.index >= t.job.MaxTokens() {
-		return connector.Chunk{}, io.EOF
+// remember records the state for late reports and drops what no report will
+// show any more. The caller holds the mutex.
+func (e *Engine) remember() {
+	now := time.Now()
+	m := moment{since: now, loaded: e.loaded(), running: make(map[connector.Model]int, len(e.running)), queued: len(e.queued)}
+	for _, s := range e.running {
+		m.running[s.job.Model()]++
 	}
-	select {
-	case <-time.After(t.engine.tokenTime):
-	case <-ctx.Done():
-		return connector.Chunk{}, fmt.Errorf("wait for token %d: %w", t.index, ctx.Err())
+	if n := len(e.moments); n > 0 && e.moments[n-1].since.Equal(now) {
+		e.moments = e.moments[:n-1]
 	}
-	text := Token(t.job.Model(), t.job.Prompt(), t.job.Seed(), t.index)
-	last := t.index == t.job.MaxTokens()-1
-	c := connector.NewChunk(t.job.Attempt(), t.job.Model(), t.index, text, last)
-	t.index++
-	return c, nil
+	e.moments = append(e.moments, m)
+	drop := 0
+	for drop+1 < len(e.moments) && !e.moments[drop+1].since.After(now.Add(-e.lag)) {
+		drop++
+	}
+	e.moments = e.moments[drop:]
 }
 
-// Close ends the job.
-func (t *tokens) Close() error {
-	t.once.Do(func() {
-		t.engine.mu.Lock()
-		t.engine.running[t.job.Model()]--
-		t.engine.mu.Unlock()
-	})
-	return nil
+// Report returns the engine's state as it was one lag ago.
+func (e *Engine) Report(ctx context.Context) (connector.Report, error) {
+	if err := e.link.arrive(ctx); err != nil {
+		return connector.Report{}, fmt.Errorf("ask for the report: %w: %w", connector.ErrRefused, err)
+	}
+	r, err := e.report()
+	if err != nil {
+		return connector.Report{}, err
+	}
+	if err := e.link.answer(ctx); err != nil {
+		return connector.Report{}, fmt.Errorf("wait for the report: %w: %w", connector.ErrBroken, err)
+	}
+	return r, nil
+}
+
+func (e *Engine) report() (connector.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.check(); err != nil {
+		return connector.Report{}, err
+	}
+	now := time.Now()
+	shown := e.moments[0]
+	age := min(e.lag, now.Sub(shown.since))
+	for _, m := range e.moments {
+		if m.since.After(now.Add(-age)) {
+			break
+		}
+		shown = m
+	}
+	prefixes := e.cache.publish(now.Add(-age))
+	return connector.NewReport(e.instance(), age, shown.loaded, maps.Clone(shown.running), shown.queued, e.settings.batch, prefixes), nil
 }
--- a/emulator/service.go
+++ b/emulator/service.go
@@ -7,34 +7,102 @@
 	"maps"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/dragonflyford/dragonflyford/connector"
 )
 
 // Service is a fake of a plain service. It counts what it executed per operation
-// id.
+// id. An operation that has arrived runs, even when its caller gives up.
 type Service struct {
+	link     *link
+	duration time.Duration
+	fencing  bool
+
 	mu         sync.Mutex
 	executions map[string]int
+	revoked    map[string]struct{}
 }
 
 // NewService returns a service that has executed nothing.
-func NewService() *Service { return &Service{executions: make(map[string]int)} }
+func NewService(opts ...Option) *Service {
+	s := newSettings(opts)
+	return &Service{
+		link:       newLink(s),
+		duration:   s.duration,
+		fencing:    s.fencing,
+		executions: make(map[string]int),
+		revoked:    make(map[string]struct{}),
+	}
+}
+
+// Inject adds a fault: Down, Slow or AnswerLost.
+func (s *Service) Inject(f Fault) error {
+	if !s.link.inject(f) {
+		return &UnsupportedFaultError{fake: "service", fault: f}
+	}
+	return nil
+}
+
+// Clear ends all faults.
+func (s *Service) Clear() { s.link.clear() }
 
 // Call executes an operation.
-func (s *Service) Call(_ context.Context, op connector.Operation) (connector.Reply, error) {
-	s.mu.Lock()
-	s.executions[op.ID()]++
-	s.mu.Unlock()
+func (s *Service) Call(ctx context.Context, op connector.Operation) (connector.Reply, error) {
+	if err := s.link.arrive(ctx); err != nil {
+		if s.link.late(err) {
+			s.begin(op.ID())
+		}
+		return connector.Reply{}, fmt.Errorf("send operation: %w: %w", undelivered(err), err)
+	}
+	if !s.begin(op.ID()) {
+		return connector.Reply{}, fmt.Errorf("operation %q is revoked: %w", op.ID(), connector.ErrFenced)
+	}
+	if err := sleep(ctx, s.duration); err != nil {
+		return connector.Reply{}, fmt.Errorf("wait for the operation: %w: %w", connector.ErrBroken, err)
+	}
 	body, err := json.Marshal(struct {
 		Operation string `json:"operation"`
 	}{op.ID()})
 	if err != nil {
 		return connector.Reply{}, fmt.Errorf("encode reply: %w", err)
 	}
+	if err := s.link.confirm(ctx); err != nil {
+		return connector.Reply{}, fmt.Errorf("wait for the reply: %w: %w", connector.ErrBroken, err)
+	}
 	return connector.NewReply(op.Attempt(), http.StatusOK, "application/json", body), nil
 }
 
+// begin counts an execution unless the operation is revoked.
+func (s *Service) begin(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.revoked[id]; ok {
+		return false
+	}
+	s.executions[id]++
+	return true
+}
+
+// Revoke refuses an operation from now on and reports whether it ran before. A
+// service without fencing refuses to revoke.
+func (s *Service) Revoke(ctx context.Context, operation string) (bool, error) {
+	if err := s.link.arrive(ctx); err != nil {
+		return false, fmt.Errorf("send revocation: %w: %w", undelivered(err), err)
+	}
+	if !s.fencing {
+		return false, fmt.Errorf("the service does not revoke operations: %w", connector.ErrRefused)
+	}
+	s.mu.Lock()
+	s.revoked[operation] = struct{}{}
+	ran := s.executions[operation] > 0
+	s.mu.Unlock()
+	if err := s.link.confirm(ctx); err != nil {
+		return false, fmt.Errorf("wait for the revocation: %w: %w", connector.ErrBroken, err)
+	}
+	return ran, nil
+}
+
 // Executions returns how often each operation ran.
 func (s *Service) Executions() map[string]int {
 	s.mu.Lock()
--- /dev/null
+++ b/emulator/stepper.go
@@ -0,0 +1,289 @@
+package emulator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/dragonflyford/dragonflyford/connector"
+)
+
+var errStreamClosed = eris.New("stream is closed")
+
+// Generate starts a job. The end of ctx cancels it.
+func (e *Engine) Generate(ctx context.Context, job connector.Job) (connector.Stream, error) {
+	if err := e.link.arrive(ctx); err != nil {
+		return nil, fmt.Errorf("send job: %w: %w", undelivered(err), err)
+	}
+	s, err := e.enqueue(job)
+	if err != nil {
+		return nil, err
+	}
+	if err := e.link.confirm(ctx); err != nil {
+		_ = s.Close()
+		return nil, fmt.Errorf("wait for the job's answer: %w: %w", connector.ErrBroken, err)
+	}
+	stop := context.AfterFunc(ctx, func() { e.cancel(s, ctx.Err()) })
+	s.onClose(stop)
+	return s, nil
+}
+
+func (e *Engine) enqueue(job connector.Job) (*stream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.check(); err != nil {
+		return nil, err
+	}
+	if !e.resident[job.Model()] {
+		return nil, fmt.Errorf("job for %s: %w", job.Model(), connector.ErrNotResident)
+	}
+	if err := e.suits(job); err != nil {
+		return nil, err
+	}
+	s := &stream{engine: e, job: job, index: job.Next(), produced: job.Next(), wake: make(chan struct{}, 1)}
+	if job.Next() >= job.MaxTokens() {
+		s.finish(io.EOF)
+		return s, nil
+	}
+	i, _ := slices.BinarySearchFunc(e.queued, s, func(queued, added *stream) int {
+		if queued.job.Priority() >= added.job.Priority() {
+			return -1
+		}
+		return 1
+	})
+	e.queued = slices.Insert(e.queued, i, s)
+	e.admit()
+	e.startSteps()
+	return s, nil
+}
+
+// suits checks a job against the engine's role: a prefill engine produces the
+// first token only, and a decode engine takes only prompts whose state it was
+// given.
+func (e *Engine) suits(job connector.Job) error {
+	switch e.role {
+	case connector.RolePrefill:
+		if job.MaxTokens()-job.Next() > 1 {
+			return fmt.Errorf("a prefill engine produces one token: %w", connector.ErrRefused)
+		}
+	case connector.RoleDecode:
+		hashes := connector.Prefixes(job.Model(), job.Prompt())
+		if e.cache.match(hashes) < len(hashes) {
+			return fmt.Errorf("a decode engine needs the prompt's state: %w", connector.ErrRefused)
+		}
+	case connector.RoleBoth:
+	}
+	return nil
+}
+
+// startSteps starts the step loop if it does not run. The caller holds the
+// mutex.
+func (e *Engine) startSteps() {
+	if e.stepping {
+		return
+	}
+	e.stepping = true
+	e.steps.Go(e.loop)
+}
+
+// loop makes steps while there are jobs.
+func (e *Engine) loop() {
+	timer := time.NewTimer(e.settings.stepTime)
+	defer timer.Stop()
+	for {
+		timer.Reset(e.settings.stepTime + e.link.slowBy())
+		select {
+		case <-timer.C:
+		case <-e.stop:
+		}
+		if !e.step() {
+			return
+		}
+	}
+}
+
+// step produces one token for each running job that has its prompt processed.
+// It reports whether there is more to do.
+func (e *Engine) step() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if delay, crash := e.crashing(now); crash {
+		e.counters.crashes++
+		e.restart(delay)
+	}
+	tokens := 0
+	for _, s := range e.running {
+		if s.ready.After(now) {
+			continue
+		}
+		if s.produced == s.job.Next() {
+			e.cache.add(connector.Prefixes(s.job.Model(), s.job.Prompt()), now)
+		}
+		s.produce()
+		tokens++
+	}
+	if tokens > 0 {
+		e.counters.steps++
+		e.counters.tokens += tokens
+	}
+	before := len(e.running)
+	e.running = slices.DeleteFunc(e.running, (*stream).ended)
+	e.cache.apply(now.Add(-e.lag))
+	if len(e.running) != before || len(e.queued) > 0 {
+		e.admit()
+	}
+	e.stepping = len(e.running) > 0
+	return e.stepping
+}
+
+// crashing looks for a job in its first step that sets off a crash.
+func (e *Engine) crashing(now time.Time) (time.Duration, bool) {
+	for _, s := range e.running {
+		if s.ready.After(now) || s.produced > s.job.Next() {
+			continue
+		}
+		for marker, delay := range e.crashes {
+			if strings.Contains(s.job.Prompt(), marker) {
+				return delay, true
+			}
+		}
+	}
+	return 0, false
+}
+
+// admit moves jobs from the queue into free places of the batch. The caller
+// holds the mutex.
+func (e *Engine) admit() {
+	for len(e.queued) > 0 && len(e.running) < e.settings.batch {
+		s := e.queued[0]
+		e.queued = slices.Delete(e.queued, 0, 1)
+		hashes := connector.Prefixes(s.job.Model(), s.job.Prompt())
+		missing := len(hashes) - e.cache.match(hashes)
+		prefill := e.settings.prefill + time.Duration(missing)*e.settings.prefillBlock
+		s.ready = time.Now().Add(prefill)
+		e.running = append(e.running, s)
+	}
+	e.remember()
+}
+
+// cancel ends a job and frees its place.
+func (e *Engine) cancel(s *stream, reason error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s.err != nil {
+		return
+	}
+	s.finish(reason)
+	is := func(other *stream) bool { return other == s }
+	e.running = slices.DeleteFunc(e.running, is)
+	e.queued = slices.DeleteFunc(e.queued, is)
+	e.admit()
+}
+
+// stream is the answer of one job. It keeps the number of tokens produced, not
+// the tokens, so that a slow reader holds no memory. The engine's mutex guards
+// the fields below wake.
+type stream struct {
+	engine *Engine
+	job    connector.Job
+	index  int // next token for the reader
+	wake   chan struct{}
+
+	ready    time.Time // end of the prefill
+	produced int       // tokens up to here are available
+	err      error     // why no further token will be produced
+	stop     func() bool
+	once     sync.Once
+}
+
+func (s *stream) ended() bool { return s.err != nil }
+
+// produce makes the next token available. The caller holds the engine's mutex.
+func (s *stream) produce() {
+	s.produced++
+	if s.produced >= s.job.MaxTokens() {
+		s.finish(io.EOF)
+		return
+	}
+	s.signal()
+}
+
+// finish ends the answer. The caller holds the engine's mutex.
+func (s *stream) finish(err error) {
+	if s.err == nil {
+		s.err = err
+	}
+	s.signal()
+}
+
+func (s *stream) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *stream) onClose(stop func() bool) {
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	s.stop = stop
+}
+
+// Next waits for the next token.
+func (s *stream) Next(ctx context.Context) (connector.Chunk, error) {
+	for {
+		c, ok, err := s.take()
+		if ok || err != nil {
+			return c, err
+		}
+		select {
+		case <-s.wake:
+		case <-ctx.Done():
+			return connector.Chunk{}, fmt.Errorf("wait for token %d: %w", s.index, ctx.Err())
+		}
+	}
+}
+
+// take returns the next token if it is available.
+func (s *stream) take() (connector.Chunk, bool, error) {
+	available, err := s.state()
+	if err != nil && !errors.Is(err, io.EOF) {
+		return connector.Chunk{}, false, fmt.Errorf("token %d: %w", s.index, err)
+	}
+	if s.index >= available {
+		return connector.Chunk{}, false, err
+	}
+	text := Token(s.job.Model(), s.job.Prompt(), s.job.Seed(), s.index)
+	last := s.index == s.job.MaxTokens()-1
+	c := connector.NewChunk(s.job.Attempt(), s.job.Model(), s.index, text, last)
+	s.index++
+	return c, true, nil
+}
+
+func (s *stream) state() (available int, err error) {
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	return s.produced, s.err
+}
+
+// Close ends the job and frees its place in the batch.
+func (s *stream) Close() error {
+	s.once.Do(func() {
+		s.engine.cancel(s, errStreamClosed)
+		s.engine.mu.Lock()
+		stop := s.stop
+		s.engine.mu.Unlock()
+		if stop != nil {
+			stop()
+		}
+	})
+	return nil
+}
--- a/emulator/table.go
+++ b/emulator/table.go
@@ -2,71 +2,195 @@
 
 import (
 	"context"
-	"sort"
+	"fmt"
+	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
 // Table is a fake of the transactional table service.
 type Table struct {
-	mu   sync.Mutex
-	rows map[string]storer.Row
+	link *link
+
+	mu       sync.Mutex
+	rows     map[string]storer.Row
+	keys     []string // in order
+	reads    pacer
+	writes   pacer
+	counters TableCounters
+}
+
+// TableCounters tells how often a table was used.
+type TableCounters struct {
+	reads     int
+	commits   int
+	rows      int
+	conflicts int
 }
 
+// Reads returns how many reads and scans were served.
+func (c TableCounters) Reads() int { return c.reads }
+
+// Commits returns how many commits were applied.
+func (c TableCounters) Commits() int { return c.commits }
+
+// Rows returns how many rows were written or deleted.
+func (c TableCounters) Rows() int { return c.rows }
+
+// Conflicts returns how many commits failed because of a row version.
+func (c TableCounters) Conflicts() int { return c.conflicts }
+
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{rows: make(map[string]storer.Row)} }
+func NewTable(opts ...Option) *Table {
+	s := newSettings(opts)
+	return &Table{
+		link:   newLink(s),
+		rows:   make(map[string]storer.Row),
+		reads:  newPacer(s.readRate),
+		writes: newPacer(s.writeRate),
+	}
+}
 
-// Get returns a row.
-func (t *Table) Get(_ context.Context, key string) (storer.Row, error) {
+// Inject adds a fault: Down, Slow or AnswerLost.
+func (t *Table) Inject(f Fault) error {
+	if !t.link.inject(f) {
+		return &UnsupportedFaultError{fake: "table", fault: f}
+	}
+	return nil
+}
+
+// Clear ends all faults.
+func (t *Table) Clear() { t.link.clear() }
+
+// Counters returns how often the table was used.
+func (t *Table) Counters() TableCounters {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	row, ok := t.rows[key]
+	return t.counters
+}
+
+// Get returns a row.
+func (t *Table) Get(ctx context.Context, key string) (storer.Row, error) {
+	if err := t.begin(ctx, &t.reads); err != nil {
+		return storer.Row{}, fmt.Errorf("read row %q: %w: %w", key, storer.ErrUnavailable, err)
+	}
+	row, ok := t.row(key)
+	if err := t.link.answer(ctx); err != nil {
+		return storer.Row{}, fmt.Errorf("read row %q: %w: %w", key, storer.ErrUnavailable, err)
+	}
 	if !ok {
-		return storer.Row{}, storer.ErrNotFound
+		return storer.Row{}, fmt.Errorf("row %q: %w", key, storer.ErrNotFound)
 	}
 	return row, nil
 }
 
+func (t *Table) row(key string) (storer.Row, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counters.reads++
+	row, ok := t.rows[key]
+	return row, ok
+}
+
 // Scan returns rows in key order.
-func (t *Table) Scan(_ context.Context, prefix, after string, limit int) ([]storer.Row, error) {
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]storer.Row, error) {
+	if err := t.begin(ctx, &t.reads); err != nil {
+		return nil, fmt.Errorf("scan rows under %q: %w: %w", prefix, storer.ErrUnavailable, err)
+	}
+	rows := t.scan(prefix, after, limit)
+	if err := t.link.answer(ctx); err != nil {
+		return nil, fmt.Errorf("scan rows under %q: %w: %w", prefix, storer.ErrUnavailable, err)
+	}
+	return rows, nil
+}
+
+func (t *Table) scan(prefix, after string, limit int) []storer.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var keys []string
-	for k := range t.rows {
-		if strings.HasPrefix(k, prefix) && k > after {
-			keys = append(keys, k)
+	t.counters.reads++
+	i, found := slices.BinarySearch(t.keys, max(prefix, after))
+	if found && after >= prefix {
+		i++
+	}
+	var rows []storer.Row
+	for _, key := range t.keys[i:] {
+		if len(rows) >= limit || !strings.HasPrefix(key, prefix) {
+			break
 		}
+		rows = append(rows, t.rows[key])
 	}
-	sort.Strings(keys)
-	if len(keys) > limit {
-		keys = keys[:limit]
+	return rows
+}
+
+// Commit applies all writes or none.
+func (t *Table) Commit(ctx context.Context, writes ...storer.Write) error {
+	if err := t.begin(ctx, &t.writes); err != nil {
+		if t.link.late(err) {
+			_ = t.apply(writes)
+		}
+		return fmt.Errorf("commit: %w: %w", unwritten(err), err)
 	}
-	rows := make([]storer.Row, 0, len(keys))
-	for _, k := range keys {
-		rows = append(rows, t.rows[k])
+	err := t.apply(writes)
+	if lost := t.link.confirm(ctx); lost != nil {
+		return fmt.Errorf("commit: %w: %w", storer.ErrUncertain, lost)
 	}
-	return rows, nil
+	if err != nil {
+		return fmt.Errorf("commit: %w", err)
+	}
+	return nil
 }
 
-// Commit applies all writes or none.
-func (t *Table) Commit(_ context.Context, writes ...storer.Write) error {
+// begin carries a request to the table and waits for its turn.
+func (t *Table) begin(ctx context.Context, p *pacer) error {
+	if err := t.link.arrive(ctx); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	wait := p.reserve(time.Now())
+	t.mu.Unlock()
+	if wait == 0 {
+		return nil
+	}
+	if err := sleep(ctx, wait); err != nil {
+		return fmt.Errorf("wait in the table's queue: %w: %w", errAbandoned, err)
+	}
+	return nil
+}
+
+func (t *Table) apply(writes []storer.Write) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, w := range writes {
 		if t.rows[w.Key()].Version() != w.Expected() {
+			t.counters.conflicts++
 			return storer.NewConflictError(w.Key())
 		}
 	}
 	for _, w := range writes {
-		switch w := w.(type) {
-		case storer.Put:
-			t.rows[w.Key()] = storer.NewRow(w.Key(), w.Value(), w.Expected()+1)
-		case storer.Delete:
-			delete(t.rows, w.Key())
-		case storer.Check:
-		}
+		t.write(w)
 	}
+	t.counters.commits++
 	return nil
 }
+
+func (t *Table) write(w storer.Write) {
+	switch w := w.(type) {
+	case storer.Put:
+		if w.Expected() == 0 {
+			i, _ := slices.BinarySearch(t.keys, w.Key())
+			t.keys = slices.Insert(t.keys, i, w.Key())
+		}
+		t.rows[w.Key()] = storer.NewRow(w.Key(), slices.Clone(w.Value()), w.Expected()+1)
+		t.counters.rows++
+	case storer.Delete:
+		if i, found := slices.BinarySearch(t.keys, w.Key()); found {
+			t.keys = slices.Delete(t.keys, i, i+1)
+		}
+		delete(t.rows, w.Key())
+		t.counters.rows++
+	case storer.Check:
+	}
+}
--- a/runner/pipeline_test.go
+++ b/runner/pipeline_test.go
@@ -81,7 +81,10 @@
 	t.Helper()
 	asserts := asserter.New(func(v asserter.Violation) { t.Error(v) })
 	views := viewer.New()
-	engine := emulator.NewEngine(2, 4, time.Millisecond, time.Millisecond)
+	engine := emulator.NewEngine(emulator.NewWeightStore(emulator.WithLoadTime(time.Millisecond, 8)),
+		emulator.WithSlots(2), emulator.WithBatch(4), emulator.WithStepTime(time.Millisecond),
+		emulator.WithPrefill(time.Millisecond, 0))
+	t.Cleanup(engine.Close)
 	sched := scheduler.New("engine-1", "node-1", 2, 4, engine, lease{}, budget{}, asserts,
 		func(v *viewer.View) { views.Update(v) })
 	ledger := emulator.NewService()
