emulator: test time and order of the fakes

Figures on load stalls and batch efficiency depend on how long the fakes take. Tests in virtual time fix the shared bandwidth of the weight store, batch places, priorities, the prefix cache, lags, rates and cuts.

--- /dev/null
+++ b/emulator/behaviour_test.go
@@ -0,0 +1,286 @@
+package emulator_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/emulator"
+	"github.com/dragonflyford/dragonflyford/storer"
+)
+
+// Guards against a weight store whose loads cost the wrong time, which would
+// falsify every figure on load stalls.
+func TestWeightStoreTime(t *testing.T) {
+	cases := []struct {
+		name  string
+		loads int
+		rate  float64
+		want  time.Duration
+	}{
+		{"one", 1, 0, 250 * time.Millisecond},
+		{"full speed", 8, 0, 250 * time.Millisecond},
+		{"twice as many", 16, 0, 500 * time.Millisecond},
+		{"limited rate", 3, 2, 1250 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := emulator.NewWeightStore(emulator.WithLoadRate(c.rate))
+				start := time.Now()
+				var wg sync.WaitGroup
+				for range c.loads {
+					wg.Go(func() {
+						if err := store.Load(t.Context(), reading); err != nil {
+							t.Error(err)
+						}
+					})
+				}
+				wg.Wait()
+				is.Equal(time.Since(start).Round(time.Millisecond), c.want)
+				is.Equal(store.Loads(), c.loads)
+			})
+		})
+	}
+}
+
+// Guards against batch places and priorities that engines do not honour.
+func TestEngineBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngine(t, emulator.WithBatch(2), emulator.WithStepTime(10*time.Millisecond), emulator.WithPrefill(0, 0))
+		load(t, e, 1, reading)
+		start := time.Now()
+		var wg sync.WaitGroup
+		ended := make(map[string]time.Duration)
+		var mu sync.Mutex
+		for _, j := range []struct {
+			name     string
+			priority int
+		}{{"a", 0}, {"b", 0}, {"late", 0}, {"urgent", 5}} {
+			job := connector.NewJob(j.name, "r", reading, "p", 10, connector.WithPriority(j.priority))
+			s, err := e.Generate(t.Context(), job)
+			is.NoErr(err)
+			wg.Go(func() {
+				if err := drain(t, s); !errors.Is(err, io.EOF) {
+					t.Error(err)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				ended[j.name] = time.Since(start)
+			})
+		}
+		r, err := e.Report(t.Context())
+		is.NoErr(err)
+		is.Equal(r.Running(reading), 2)
+		is.Equal(r.Queued(), 2)
+		wg.Wait()
+		is.Equal(ended["a"], 100*time.Millisecond)
+		is.Equal(ended["urgent"], 200*time.Millisecond)
+		is.Equal(e.Counters().Tokens(), 40)
+		is.Equal(e.Counters().Steps(), 20)
+		is.Equal(e.Counters().BatchEfficiency(), 1.0)
+	})
+}
+
+// Guards against a prefix cache that saves no time, or that grows past its
+// bound.
+func TestPrefixCache(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngine(t, emulator.WithStepTime(time.Millisecond), emulator.WithPrefill(0, 10*time.Millisecond),
+			emulator.WithCacheBlocks(4), emulator.WithCacheEvents(time.Second, 0))
+		load(t, e, 1, reading)
+		firstToken := func(prompt string) time.Duration {
+			start := time.Now()
+			s, err := e.Generate(t.Context(), connector.NewJob("a", "r", reading, prompt, 1))
+			is.NoErr(err)
+			_, err = s.Next(t.Context())
+			is.NoErr(err)
+			return time.Since(start)
+		}
+		long := strings.Repeat("x", 4*connector.PrefixBlock)
+		other := strings.Repeat("y", 4*connector.PrefixBlock)
+		is.Equal(firstToken(long), 40*time.Millisecond)
+		is.Equal(firstToken(long), time.Millisecond)
+		r, err := e.Report(t.Context())
+		is.NoErr(err)
+		is.Equal(len(r.Prefixes()), 0) // the events are late
+		time.Sleep(time.Second)
+		r, err = e.Report(t.Context())
+		is.NoErr(err)
+		is.Equal(len(r.Prefixes()), 4)
+		is.Equal(firstToken(other), 40*time.Millisecond)
+		is.Equal(firstToken(long), 40*time.Millisecond) // evicted by the other prompt
+	})
+}
+
+// Guards against reports that show the present, which would hide every fault of
+// a policy that trusts them.
+func TestReportLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngine(t, emulator.WithLag(time.Second))
+		time.Sleep(5 * time.Second)
+		load(t, e, 1, reading)
+		r, err := e.Report(t.Context())
+		is.NoErr(err)
+		is.Equal(r.Age(), time.Second)
+		is.Equal(len(r.Resident()), 0)
+		time.Sleep(time.Second)
+		r, err = e.Report(t.Context())
+		is.NoErr(err)
+		is.Equal(len(r.Resident()), 1)
+		is.NoErr(e.Inject(emulator.NewRestartCold(time.Minute)))
+		_, err = e.Report(t.Context())
+		is.True(errors.Is(err, connector.ErrRefused))
+		time.Sleep(time.Minute)
+		r, err = e.Report(t.Context())
+		is.NoErr(err)
+		is.Equal(r.Instance(), "engine#2")
+		is.Equal(len(r.Resident()), 0)
+	})
+}
+
+// Guards against a table without queueing delay.
+func TestTableRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := emulator.NewTable(emulator.WithRates(100, 10), emulator.WithLatency(time.Millisecond))
+		start := time.Now()
+		var wg sync.WaitGroup
+		for i := range 5 {
+			wg.Go(func() {
+				if err := table.Commit(t.Context(), storer.NewPut(fmt.Sprint(i), nil, 0)); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wg.Wait()
+		is.Equal(time.Since(start), 402*time.Millisecond)
+		is.Equal(table.Counters().Commits(), 5)
+	})
+}
+
+// Guards against a host list that shows changes at once.
+func TestHostListLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		hosts := emulator.NewHostList(emulator.WithLag(10 * time.Second))
+		hosts.Set("a", emulator.HostLive)
+		got, err := hosts.List(t.Context())
+		is.NoErr(err)
+		is.Equal(len(got), 0)
+		time.Sleep(10 * time.Second)
+		got, err = hosts.List(t.Context())
+		is.NoErr(err)
+		is.Equal(len(got), 1)
+	})
+}
+
+// Guards against a cut that lets requests of the client through, or that cuts
+// off other clients.
+func TestCut(t *testing.T) {
+	cases := []struct {
+		name   string
+		cut    func(*emulator.Cut)
+		commit error
+		call   error
+		wait   time.Duration
+	}{
+		{"refuse", (*emulator.Cut).Refuse, storer.ErrUnavailable, connector.ErrRefused, 0},
+		{"hang", (*emulator.Cut).Hang, storer.ErrUncertain, connector.ErrBroken, time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				cut := emulator.NewCut()
+				fakeTable, fakeService, fakeEngine := emulator.NewTable(), emulator.NewService(), newEngine(t)
+				table, svc, engine := cut.Table(fakeTable), cut.Service(fakeService), cut.Engine(fakeEngine)
+				load(t, engine, 1, reading)
+				s, err := engine.Generate(t.Context(), connector.NewJob("a", "r", reading, "p", 1000))
+				is.NoErr(err)
+				cut.Refuse()
+				cut.Restore()
+				is.True(errors.Is(drain(t, s), connector.ErrBroken))
+				c.cut(cut)
+
+				start := time.Now()
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				is.True(errors.Is(table.Commit(ctx, storer.NewPut("a", nil, 0)), c.commit))
+				is.Equal(time.Since(start), c.wait)
+				_, err = svc.Call(ctx, connector.NewOperation("a", "1", "POST", "/", nil))
+				is.True(errors.Is(err, c.call))
+				is.Equal(len(fakeService.Executions()), 0)
+				is.NoErr(fakeTable.Commit(t.Context(), storer.NewPut("a", nil, 0)))
+				cut.Restore()
+				is.NoErr(table.Commit(t.Context(), storer.NewPut("b", nil, 0)))
+				is.NoErr(s.Close())
+			})
+		})
+	}
+}
+
+// Guards against an answer that is lost on the way being reported as a write
+// that was not made.
+func TestCutDuringWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cut := emulator.NewCut()
+		fake := emulator.NewTable(emulator.WithLatency(time.Second))
+		time.AfterFunc(500*time.Millisecond, cut.Refuse)
+		err := cut.Table(fake).Commit(t.Context(), storer.NewPut("a", nil, 0))
+		is.True(errors.Is(err, storer.ErrUncertain))
+		_, err = fake.Get(t.Context(), "a")
+		is.NoErr(err)
+	})
+}
+
+// Guards against a caller's end that is mistaken for a write that was not made:
+// over many seeds both outcomes happen, and both read as uncertain.
+func TestAbandonedWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		applied := 0
+		const seeds = 32
+		for seed := range uint64(seeds) {
+			table := emulator.NewTable(emulator.WithLatency(time.Second), emulator.WithSeed(seed))
+			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+			err := table.Commit(ctx, storer.NewPut("a", nil, 0))
+			cancel()
+			is.True(errors.Is(err, storer.ErrUncertain))
+			if _, err := table.Get(t.Context(), "a"); err == nil {
+				applied++
+			}
+		}
+		is.True(applied > 0 && applied < seeds)
+	})
+}
+
+// Guards against a delay that is missing in one direction.
+func TestDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := emulator.NewDelay(20 * time.Millisecond)
+		start := time.Now()
+		is.NoErr(d.Table(emulator.NewTable()).Commit(t.Context(), storer.NewPut("a", nil, 0)))
+		is.Equal(time.Since(start), 40*time.Millisecond)
+
+		// An order that was sent in time arrives, however late.
+		e := newEngine(t)
+		f := connector.NewFence(1, time.Now().Add(time.Millisecond))
+		is.NoErr(d.Engine(e).Order(t.Context(), connector.NewLoadAdapter(f, reading)))
+	})
+}
