connector, storer: add HTTP clients and their handlers in emulator

Nodes reach endpoints and the platform over HTTP only, and an at-most-once call needs to know whether a failed request can have arrived.

transporter sends requests and counts the writes of each one on its connection: ErrNotSent means that no byte was written and none will be. Orders fail each write past their deadline; the kernel gives up data that was not acknowledged for one second. The emulator serves each fake.

--- a/emulator/contract_test.go
+++ b/emulator/contract_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -42,7 +43,42 @@
 	}
 }
 
-func ways() []way { return []way{direct()} }
+// overHTTP reaches a fake through its handler and the HTTP client.
+func overHTTP() way {
+	return way{
+		name: "over HTTP",
+		table: func(t *testing.T, f *emulator.Table) storer.Table {
+			return closing(t, storer.NewHTTPTable(serve(t, emulator.PlatformHandler(f, nil, nil, nil))))
+		},
+		objects: func(t *testing.T, f *emulator.Objects) storer.Objects {
+			return closing(t, storer.NewHTTPObjects(serve(t, emulator.PlatformHandler(nil, f, nil, nil))))
+		},
+		hosts: func(t *testing.T, f *emulator.HostList) storer.Hosts {
+			return closing(t, storer.NewHTTPHosts(serve(t, emulator.PlatformHandler(nil, nil, f, nil))))
+		},
+		engine: func(t *testing.T, f *emulator.Engine) connector.Engine {
+			return closing(t, connector.NewHTTPEngine(serve(t, emulator.EngineHandler(f))))
+		},
+		service: func(t *testing.T, f *emulator.Service) connector.FencedService {
+			return closing(t, connector.NewHTTPService(serve(t, emulator.ServiceHandler(f))))
+		},
+		run: func(t *testing.T, run func(*testing.T)) { run(t) },
+	}
+}
+
+func serve(t *testing.T, h http.Handler) string {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	return srv.Listener.Addr().String()
+}
+
+func closing[C interface{ Close() }](t *testing.T, client C) C {
+	t.Cleanup(client.Close)
+	return client
+}
+
+func ways() []way { return []way{direct(), overHTTP()} }
 
 // each runs a case once for each way.
 func each(t *testing.T, name string, run func(*testing.T, way)) {
--- /dev/null
+++ b/storer/http.go
@@ -0,0 +1,228 @@
+package storer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/dragonflyford/dragonflyford/transporter"
+)
+
+const (
+	maxAnswer = 64 << 20 // bytes; a page of rows or one object
+	maxError  = 64 << 10 // bytes
+)
+
+// platform is what the HTTP clients of the platform share.
+type platform struct {
+	client *transporter.Client
+}
+
+// Close closes the idle connections.
+func (p platform) Close() { p.client.Close() }
+
+// read sends a request without an effect and returns the body of its answer.
+func (p platform) read(ctx context.Context, path string, query url.Values) ([]byte, error) {
+	r := transporter.NewRequest(http.MethodGet, path, nil)
+	r.SetQuery(query)
+	resp, err := p.client.Do(ctx, r)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, refusal(resp, ErrUnavailable)
+	}
+	body, err := transporter.ReadBody(resp, maxAnswer)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return body, nil
+}
+
+// write sends a request with an effect.
+func (p platform) write(ctx context.Context, r *transporter.Request) error {
+	resp, err := p.client.Do(ctx, r)
+	switch {
+	case errors.Is(err, transporter.ErrNotSent):
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	case err != nil:
+		return fmt.Errorf("%w: %w", ErrUncertain, err)
+	case resp.StatusCode == http.StatusNoContent:
+		_ = resp.Body.Close()
+		return nil
+	default:
+		return refusal(resp, ErrUncertain)
+	}
+}
+
+// refusal returns the error that an answer reports. An answer without a known
+// code comes from something other than the service, so that it proves nothing.
+func refusal(resp *http.Response, unknown error) error {
+	body, err := transporter.ReadBody(resp, maxError)
+	if err != nil {
+		return fmt.Errorf("%w: %w", unknown, err)
+	}
+	var doc ErrorDocument
+	if err := json.Unmarshal(body, &doc); err != nil {
+		return fmt.Errorf("status %d: %w", resp.StatusCode, unknown)
+	}
+	switch doc.Code {
+	case CodeNotFound:
+		return ErrNotFound
+	case CodeConflict:
+		return NewConflictError(doc.Key)
+	case CodeUnavailable, CodeMalformed:
+		return fmt.Errorf("%s: %w", doc.Message, ErrUnavailable)
+	default:
+		return fmt.Errorf("status %d with code %q: %w", resp.StatusCode, doc.Code, unknown)
+	}
+}
+
+func decode[T any](body []byte) (T, error) {
+	var doc T
+	if err := json.Unmarshal(body, &doc); err != nil {
+		return doc, fmt.Errorf("decode answer: %w: %w", ErrUnavailable, err)
+	}
+	return doc, nil
+}
+
+// HTTPTable is a client of the table service.
+type HTTPTable struct{ platform }
+
+// NewHTTPTable returns a client for a host and port.
+func NewHTTPTable(address string) *HTTPTable {
+	return &HTTPTable{platform{transporter.New(address)}}
+}
+
+// Get returns a row.
+func (t *HTTPTable) Get(ctx context.Context, key string) (Row, error) {
+	body, err := t.read(ctx, "/v1/row", url.Values{"key": {key}})
+	if err != nil {
+		return Row{}, fmt.Errorf("read row %q: %w", key, err)
+	}
+	doc, err := decode[RowDocument](body)
+	if err != nil {
+		return Row{}, fmt.Errorf("read row %q: %w", key, err)
+	}
+	return NewRow(doc.Key, doc.Value, Version(doc.Version)), nil
+}
+
+// Scan returns rows in key order.
+func (t *HTTPTable) Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+	query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
+	body, err := t.read(ctx, "/v1/rows", query)
+	if err != nil {
+		return nil, fmt.Errorf("scan rows under %q: %w", prefix, err)
+	}
+	doc, err := decode[RowsDocument](body)
+	if err != nil {
+		return nil, fmt.Errorf("scan rows under %q: %w", prefix, err)
+	}
+	rows := make([]Row, 0, len(doc.Rows))
+	for _, r := range doc.Rows {
+		rows = append(rows, NewRow(r.Key, r.Value, Version(r.Version)))
+	}
+	return rows, nil
+}
+
+// Commit applies all writes or none.
+func (t *HTTPTable) Commit(ctx context.Context, writes ...Write) error {
+	body, err := json.Marshal(encodeCommit(writes))
+	if err != nil {
+		return fmt.Errorf("encode commit: %w", err)
+	}
+	if err := t.write(ctx, transporter.NewRequest(http.MethodPost, "/v1/commits", body)); err != nil {
+		return fmt.Errorf("commit: %w", err)
+	}
+	return nil
+}
+
+func encodeCommit(writes []Write) CommitDocument {
+	doc := CommitDocument{Writes: make([]WriteDocument, 0, len(writes))}
+	for _, w := range writes {
+		d := WriteDocument{Key: w.Key(), Expected: uint64(w.Expected())}
+		switch w := w.(type) {
+		case Put:
+			d.Kind = KindPut
+			d.Value = w.Value()
+		case Delete:
+			d.Kind = KindDelete
+		case Check:
+			d.Kind = KindCheck
+		}
+		doc.Writes = append(doc.Writes, d)
+	}
+	return doc
+}
+
+// HTTPObjects is a client of the object store.
+type HTTPObjects struct{ platform }
+
+// NewHTTPObjects returns a client for a host and port.
+func NewHTTPObjects(address string) *HTTPObjects {
+	return &HTTPObjects{platform{transporter.New(address)}}
+}
+
+// Put stores an object.
+func (o *HTTPObjects) Put(ctx context.Context, key string, body []byte) error {
+	if body == nil {
+		body = []byte{}
+	}
+	r := transporter.NewRequest(http.MethodPut, "/v1/object", body)
+	r.SetQuery(url.Values{"key": {key}})
+	if err := o.write(ctx, r); err != nil {
+		return fmt.Errorf("put object %q: %w", key, err)
+	}
+	return nil
+}
+
+// Get returns an object.
+func (o *HTTPObjects) Get(ctx context.Context, key string) ([]byte, error) {
+	body, err := o.read(ctx, "/v1/object", url.Values{"key": {key}})
+	if err != nil {
+		return nil, fmt.Errorf("get object %q: %w", key, err)
+	}
+	return body, nil
+}
+
+// List returns the keys under prefix in order.
+func (o *HTTPObjects) List(ctx context.Context, prefix string) ([]string, error) {
+	body, err := o.read(ctx, "/v1/objects", url.Values{"prefix": {prefix}})
+	if err != nil {
+		return nil, fmt.Errorf("list objects under %q: %w", prefix, err)
+	}
+	doc, err := decode[KeysDocument](body)
+	if err != nil {
+		return nil, fmt.Errorf("list objects under %q: %w", prefix, err)
+	}
+	return doc.Keys, nil
+}
+
+// HTTPHosts is a client of the host list.
+type HTTPHosts struct{ platform }
+
+// NewHTTPHosts returns a client for a host and port.
+func NewHTTPHosts(address string) *HTTPHosts {
+	return &HTTPHosts{platform{transporter.New(address)}}
+}
+
+// List returns the live and the leaving hosts.
+func (h *HTTPHosts) List(ctx context.Context) ([]Host, error) {
+	body, err := h.read(ctx, "/v1/hosts", nil)
+	if err != nil {
+		return nil, fmt.Errorf("list hosts: %w", err)
+	}
+	doc, err := decode[HostsDocument](body)
+	if err != nil {
+		return nil, fmt.Errorf("list hosts: %w", err)
+	}
+	hosts := make([]Host, 0, len(doc.Hosts))
+	for _, d := range doc.Hosts {
+		hosts = append(hosts, NewHost(d.Name, d.Leaving))
+	}
+	return hosts, nil
+}
--- /dev/null
+++ b/transporter/client.go
@@ -0,0 +1,163 @@
+package transporter
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Errors of requests without an answer.
+var (
+	// ErrNotSent reports a request of which no byte was written and none will be.
+	ErrNotSent = eris.New("request was not sent")
+	// ErrNoAnswer reports a request that may have arrived.
+	ErrNoAnswer = eris.New("request has no answer")
+)
+
+const (
+	dialTimeout     = 2 * time.Second
+	idleConnections = 64
+	idleTime        = 30 * time.Second
+	// unacknowledgedTime is the guard that a successor waits before its first
+	// order, so that an order of its predecessor is not in a socket buffer any
+	// more.
+	unacknowledgedTime = time.Second
+)
+
+// Client sends requests to one address over connections that it keeps alive.
+type Client struct {
+	address   string
+	transport *http.Transport
+}
+
+// New returns a client for a host and port.
+func New(address string) *Client {
+	return &Client{address: address, transport: &http.Transport{
+		DialContext:         dial,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleTime,
+		DisableCompression:  true,
+	}}
+}
+
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, Control: control}
+	inner, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, fmt.Errorf("connect to %s: %w", address, err)
+	}
+	if tcp, ok := inner.(*net.TCPConn); ok {
+		// Closing the connection discards what was not transmitted.
+		if err := tcp.SetLinger(0); err != nil {
+			_ = inner.Close()
+			return nil, fmt.Errorf("set linger time: %w", err)
+		}
+	}
+	return &conn{Conn: inner}, nil
+}
+
+func control(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) { failed = limitUnacknowledged(fd, unacknowledgedTime) })
+	if err != nil {
+		return fmt.Errorf("reach socket: %w", err)
+	}
+	return failed
+}
+
+// Address returns the host and port.
+func (c *Client) Address() string { return c.address }
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Request is a request to be sent.
+type Request struct {
+	method   string
+	path     string
+	query    url.Values
+	header   http.Header
+	body     []byte
+	deadline time.Time
+}
+
+// NewRequest returns a request. The path may have a query.
+func NewRequest(method, path string, body []byte) *Request {
+	return &Request{method: method, path: path, body: body, header: make(http.Header)}
+}
+
+// SetHeader sets a header field.
+func (r *Request) SetHeader(name, value string) { r.header.Set(name, value) }
+
+// SetQuery replaces the query.
+func (r *Request) SetQuery(q url.Values) { r.query = q }
+
+// SetDeadline makes each write of the request fail past d.
+func (r *Request) SetDeadline(d time.Time) { r.deadline = d }
+
+// Do sends a request and returns the answer, whose body the caller closes. The
+// error wraps ErrNotSent or ErrNoAnswer.
+func (c *Client) Do(ctx context.Context, r *Request) (*http.Response, error) {
+	x := &exchange{deadline: r.deadline}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if used, ok := info.Conn.(*conn); ok {
+			used.attach(x)
+		}
+	}}
+	req, err := r.build(httptrace.WithClientTrace(ctx, trace), c.address)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	resp, err := c.transport.RoundTrip(req)
+	if err == nil {
+		return resp, nil
+	}
+	if x.seal() {
+		return nil, fmt.Errorf("%s %s at %s: %w: %w", r.method, r.path, c.address, ErrNoAnswer, err)
+	}
+	return nil, fmt.Errorf("%s %s at %s: %w: %w", r.method, r.path, c.address, ErrNotSent, err)
+}
+
+func (r *Request) build(ctx context.Context, address string) (*http.Request, error) {
+	u, err := url.ParseRequestURI(r.path)
+	if err != nil {
+		return nil, fmt.Errorf("path %q: %w", r.path, err)
+	}
+	u.Scheme = "http"
+	u.Host = address
+	if r.query != nil {
+		u.RawQuery = r.query.Encode()
+	}
+	var body io.Reader
+	if r.body != nil {
+		body = bytes.NewReader(r.body)
+	}
+	req, err := http.NewRequestWithContext(ctx, r.method, u.String(), body)
+	if err != nil {
+		return nil, fmt.Errorf("build request: %w", err)
+	}
+	req.Header = r.header
+	return req, nil
+}
+
+// ReadBody reads an answer's body of up to limit bytes and closes it.
+func ReadBody(resp *http.Response, limit int64) ([]byte, error) {
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, fmt.Errorf("read answer: %w: %w", ErrNoAnswer, err)
+	}
+	if int64(len(body)) > limit {
+		return nil, fmt.Errorf("answer is longer than %d bytes: %w", limit, ErrNoAnswer)
+	}
+	return body, nil
+}
