transporter: test what a failed request says about its bytes

An error of the wrong kind makes a posting run twice or get lost. The cases cover refused, cut and garbled connections, callers that give up, passed deadlines and kept connections.

--- /dev/null
+++ b/transporter/client_test.go
@@ -0,0 +1,178 @@
+package transporter_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/transporter"
+)
+
+// peer accepts connections and counts the bytes that reach it.
+type peer struct {
+	listener net.Listener
+	bytes    atomic.Int64
+	conns    atomic.Int64
+	done     chan struct{}
+}
+
+// newPeer answers each connection's first line with answer and then closes it.
+// With a nil answer it keeps silent until the client goes.
+func newPeer(t *testing.T, answer []byte) *peer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	p := &peer{listener: l, done: make(chan struct{})}
+	go p.serve(answer)
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-p.done
+	})
+	return p
+}
+
+func (p *peer) serve(answer []byte) {
+	defer close(p.done)
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		p.conns.Add(1)
+		r := bufio.NewReader(c)
+		line, _ := r.ReadString('\n')
+		p.bytes.Add(int64(len(line)))
+		if answer == nil {
+			_, _ = io.Copy(io.Discard, r)
+		}
+		_, _ = c.Write(answer)
+		_ = c.Close()
+	}
+}
+
+// Guards against a request that may have arrived being reported as not sent,
+// which would let a posting run twice, and against the reverse.
+func TestWhetherSent(t *testing.T) {
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	cases := []struct {
+		name     string
+		ctx      context.Context
+		answer   []byte
+		deadline time.Duration // from now; 0 means none
+		end      bool          // the caller gives up while it waits
+		want     error
+	}{
+		{name: "closed without an answer", answer: []byte{}, want: transporter.ErrNoAnswer},
+		{name: "garbage", answer: []byte("SSH-2.0\r\n"), want: transporter.ErrNoAnswer},
+		{name: "cut in the head", answer: []byte("HTTP/1.1 200 OK\r\nContent-Le"), want: transporter.ErrNoAnswer},
+		{name: "caller gives up", end: true, want: transporter.ErrNoAnswer},
+		{name: "caller gave up before", ctx: ended, answer: []byte{}, want: transporter.ErrNotSent},
+		{name: "deadline has passed", answer: []byte{}, deadline: -time.Nanosecond, want: transporter.ErrNotSent},
+		{name: "deadline ahead", answer: []byte{}, deadline: time.Hour, want: transporter.ErrNoAnswer},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPeer(t, c.answer)
+			client := transporter.New(p.listener.Addr().String())
+			t.Cleanup(client.Close)
+			ctx := c.ctx
+			if ctx == nil {
+				ctx = t.Context()
+			}
+			if c.end {
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithCancel(ctx)
+				go func() {
+					for p.bytes.Load() == 0 {
+						time.Sleep(time.Millisecond)
+					}
+					cancel()
+				}()
+			}
+			r := transporter.NewRequest(http.MethodPost, "/x", []byte("{}"))
+			if c.deadline != 0 {
+				r.SetDeadline(time.Now().Add(c.deadline))
+			}
+			_, err := client.Do(ctx, r)
+			is.True(errors.Is(err, c.want))
+			if errors.Is(c.want, transporter.ErrNotSent) {
+				client.Close()
+				is.Equal(p.bytes.Load(), int64(0))
+			}
+		})
+	}
+	t.Run("connection refused", func(t *testing.T) {
+		is := is.New(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		is.NoErr(l.Close())
+		_, err = transporter.New(l.Addr().String()).Do(t.Context(), transporter.NewRequest(http.MethodPost, "/x", nil))
+		is.True(errors.Is(err, transporter.ErrNotSent))
+	})
+}
+
+// Guards against a new connection for each request, and against a kept
+// connection on which the deadline of an earlier request still holds.
+func TestKeepAlive(t *testing.T) {
+	is := is.New(t)
+	var connections atomic.Int64
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(w, r.Body)
+	}))
+	srv.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	srv.Start()
+	t.Cleanup(srv.Close)
+	client := transporter.New(srv.Listener.Addr().String())
+	t.Cleanup(client.Close)
+	for i := range 5 {
+		r := transporter.NewRequest(http.MethodPost, "/x?a=b", []byte("body"))
+		if i == 0 {
+			r.SetDeadline(time.Now().Add(time.Hour))
+		}
+		resp, err := client.Do(t.Context(), r)
+		is.NoErr(err)
+		body, err := transporter.ReadBody(resp, 4)
+		is.NoErr(err)
+		is.Equal(string(body), "body")
+	}
+	is.Equal(connections.Load(), int64(1))
+
+	late := transporter.NewRequest(http.MethodPost, "/x", []byte("body"))
+	late.SetDeadline(time.Now().Add(-time.Hour))
+	_, err := client.Do(t.Context(), late)
+	is.True(errors.Is(err, transporter.ErrNotSent))
+	resp, err := client.Do(t.Context(), transporter.NewRequest(http.MethodPost, "/x", []byte("body")))
+	is.NoErr(err)
+	_, err = transporter.ReadBody(resp, 3)
+	is.True(errors.Is(err, transporter.ErrNoAnswer)) // longer than allowed
+}
+
+// Guards against a path from a caller that leads to another host.
+func TestPathStaysOnHost(t *testing.T) {
+	is := is.New(t)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
+	t.Cleanup(srv.Close)
+	client := transporter.New(srv.Listener.Addr().String())
+	t.Cleanup(client.Close)
+	for _, path := range []string{"//example.invalid/x", "http://example.invalid/x", "/x?u=http://example.invalid"} {
+		resp, err := client.Do(t.Context(), transporter.NewRequest(http.MethodGet, path, nil))
+		is.NoErr(err)
+		_ = resp.Body.Close()
+		is.Equal(resp.StatusCode, http.StatusNoContent)
+	}
+}
