--- a/connector/codec.go
+++ b/connector/codec.go
@@ -104,9 +104,11 @@
 	return d
 }
 
+const maxAge = 24 * time.Hour // an older report is a mistake of its engine
+
 // DecodeReport returns the report that a document describes.
 func DecodeReport(d ReportDocument) (Report, error) {
-	if d.Instance == "" || d.AgeUS < 0 || d.Queued < 0 || d.Batch < 0 {
+	if d.Instance == "" || d.AgeUS < 0 || d.AgeUS > maxAge.Microseconds() || d.Queued < 0 || d.Batch < 0 {
 		return Report{}, fmt.Errorf("report of instance %q has age %d, queue %d and batch %d", d.Instance, d.AgeUS, d.Queued, d.Batch)
 	}
 	resident := make([]Model, 0, len(d.Resident))
--- a/storer/http.go
+++ b/storer/http.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 
 	"github.com/dragonflyford/dragonflyford/transporter"
 )
@@ -108,9 +109,17 @@
 	if err != nil {
 		return Row{}, fmt.Errorf("read row %q: %w", key, err)
 	}
+	if doc.Key != key {
+		return Row{}, fmt.Errorf("read row %q: %w", key, foreignRow(doc.Key))
+	}
 	return NewRow(doc.Key, doc.Value, Version(doc.Version)), nil
 }
 
+// foreignRow reports an answer that belongs to another request.
+func foreignRow(key string) error {
+	return fmt.Errorf("answer holds row %q: %w", key, ErrUnavailable)
+}
+
 // Scan returns rows in key order.
 func (t *HTTPTable) Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
 	query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
@@ -124,6 +133,9 @@
 	}
 	rows := make([]Row, 0, len(doc.Rows))
 	for _, r := range doc.Rows {
+		if !strings.HasPrefix(r.Key, prefix) || r.Key <= after {
+			return nil, fmt.Errorf("scan rows under %q: %w", prefix, foreignRow(r.Key))
+		}
 		rows = append(rows, NewRow(r.Key, r.Value, Version(r.Version)))
 	}
 	return rows, nil
