--- a/emulator/deployment.go
+++ b/emulator/deployment.go
@@ -152,15 +152,11 @@
 
 // Deployment is a set of fakes of the size that one of the users runs.
 type Deployment struct {
-	name      string
-	plan      plan
-	settings  *settings // of the engines, for the bundle
-	table     *Table
-	objects   *Objects
-	hosts     *HostList
-	weights   *WeightStore
-	endpoints []*Endpoint
-	models    []connector.Model
+	set
+	name     string
+	plan     plan
+	settings *settings // of the engines, for the bundle
+	models   []connector.Model
 }
 
 // NewDeployment returns the fakes of the deployment with the name Clearing or
@@ -181,11 +177,13 @@
 		name:     name,
 		plan:     p,
 		settings: newSettings(s.engines),
-		table:    NewTable(platform...),
-		objects:  NewObjects(platform...),
-		hosts:    NewHostList(platform...),
-		weights:  NewWeightStore(platform...),
 		models:   p.models(s.adapters),
+		set: set{
+			table:   NewTable(platform...),
+			objects: NewObjects(platform...),
+			hosts:   NewHostList(platform...),
+			weights: NewWeightStore(platform...),
+		},
 	}
 	d.addEngines(s)
 	d.addServices(s)
@@ -240,13 +238,7 @@
 }
 
 // Close ends all engines.
-func (d *Deployment) Close() {
-	for _, e := range d.endpoints {
-		if e.engine != nil {
-			e.engine.Close()
-		}
-	}
-}
+func (d *Deployment) Close() { d.closeEngines() }
 
 // Name returns the deployment's name.
 func (d *Deployment) Name() string { return d.name }
@@ -254,32 +246,6 @@
 // Regions returns the regions.
 func (d *Deployment) Regions() []string { return slices.Clone(d.plan.regions) }
 
-// Table returns the table service.
-func (d *Deployment) Table() *Table { return d.table }
-
-// Objects returns the object store.
-func (d *Deployment) Objects() *Objects { return d.objects }
-
-// Hosts returns the host list.
-func (d *Deployment) Hosts() *HostList { return d.hosts }
-
-// Weights returns the weight store.
-func (d *Deployment) Weights() *WeightStore { return d.weights }
-
-// Endpoints returns all engines, then all services; the slice must not be
-// changed.
-func (d *Deployment) Endpoints() []*Endpoint { return d.endpoints }
-
-// Endpoint returns an endpoint by name, or nil.
-func (d *Deployment) Endpoint(name string) *Endpoint {
-	for _, e := range d.endpoints {
-		if e.name == name {
-			return e
-		}
-	}
-	return nil
-}
-
 // Models returns all adapter versions that the bundle offers; the slice must not
 // be changed.
 func (d *Deployment) Models() []connector.Model { return d.models }
@@ -300,20 +266,6 @@
 	return NewDelay(regionLatency)
 }
 
-// Executions returns how often each operation ran on any of the services.
-func (d *Deployment) Executions() map[string]int {
-	total := make(map[string]int)
-	for _, e := range d.endpoints {
-		if e.service == nil {
-			continue
-		}
-		for id, n := range e.service.Executions() {
-			total[id] += n
-		}
-	}
-	return total
-}
-
 // Document returns the bundle that describes the deployment. Address gives the
 // address of each endpoint by its name; nil stands for placeholders.
 func (d *Deployment) Document(version string, address func(endpoint string) string) *bundler.Document {
