emulator: add a fault that crosses answers

Promise P3 covers answers that arrive for another request, which no fake acted out. Engines send a token of another job and services repeat the reply to the operation before. Cut and Delay pass on revocations and cache state.

--- a/emulator/contract_test.go
+++ b/emulator/contract_test.go
@@ -504,6 +504,29 @@
 		is.True(r.Instance() != before)
 		is.Equal(len(r.Resident()), 0)
 	})
+	each(t, "crossed", func(t *testing.T, w way) {
+		is := is.New(t)
+		fake := newEngine(t, quick()...)
+		e := w.engine(t, fake)
+		load(t, e, 1, reading)
+		// The other job is started in process in both cases: a handler would read
+		// its tokens, and the fault might hit that stream.
+		_, err := fake.Generate(t.Context(), connector.NewJob("other", "s", reading, "q", 1<<30))
+		is.NoErr(err)
+		is.NoErr(fake.Inject(emulator.NewCrossed(1, 0)))
+		s, err := e.Generate(t.Context(), connector.NewJob("own", "r", reading, "p", 3))
+		is.NoErr(err)
+		var attempts []string
+		for {
+			c, err := s.Next(t.Context())
+			if errors.Is(err, io.EOF) {
+				break
+			}
+			is.NoErr(err)
+			attempts = append(attempts, c.Attempt())
+		}
+		is.Equal(attempts, []string{"other", "own", "own", "own"})
+	})
 	each(t, "crash on a prompt", func(t *testing.T, w way) {
 		is := is.New(t)
 		fake := newEngine(t, quick()...)
@@ -554,6 +577,19 @@
 			is.Equal(fake.Executions()["op 1"], c.runs)
 		})
 	}
+	each(t, "crossed", func(t *testing.T, w way) {
+		is := is.New(t)
+		fake := emulator.NewService()
+		svc := w.service(t, fake)
+		is.NoErr(fake.Inject(emulator.NewCrossed(1, 0)))
+		for i, want := range []string{"a0", "a0", "a2"} {
+			attempt := fmt.Sprintf("a%d", i)
+			r, err := svc.Call(t.Context(), connector.NewOperation(attempt, attempt, http.MethodPost, "/postings", nil))
+			is.NoErr(err)
+			is.Equal(r.Attempt(), want)
+		}
+		is.Equal(len(fake.Executions()), 3)
+	})
 	each(t, "revoked operation", func(t *testing.T, w way) {
 		is := is.New(t)
 		fake := emulator.NewService(emulator.WithFencing())
--- a/emulator/control.go
+++ b/emulator/control.go
@@ -22,12 +22,12 @@
 	// Target is the name of an endpoint, "table", "objects", "hosts" or
 	// "weights".
 	Target string `json:"target"`
-	// Kind is "down", "slow", "answer_lost", "load_fails", "restart_cold",
+	// Kind is "down", "slow", "answer_lost", "crossed", "load_fails", "restart_cold",
 	// "crash_on" or "lag".
 	Kind string `json:"kind"`
 	// ByMS is the delay of slow, or the lag.
 	ByMS float64 `json:"by_ms,omitempty"`
-	// Count and Share are for answer_lost and load_fails.
+	// Count and Share are for answer_lost, crossed and load_fails.
 	Count int     `json:"count,omitempty"`
 	Share float64 `json:"share,omitempty"`
 	// Marker is for crash_on.
@@ -53,6 +53,8 @@
 		return NewSlow(ms(d.ByMS)), nil
 	case "answer_lost":
 		return NewAnswerLost(d.Count, d.Share), d.checkChance()
+	case "crossed":
+		return NewCrossed(d.Count, d.Share), d.checkChance()
 	case "load_fails":
 		return NewLoadFails(d.Count, d.Share), d.checkChance()
 	case "restart_cold":
@@ -67,7 +69,7 @@
 	default:
 		return nil, &SettingError{
 			setting: "kind", value: strconv.Quote(d.Kind),
-			allowed: "down, slow, answer_lost, load_fails, restart_cold, crash_on or lag",
+			allowed: "down, slow, answer_lost, crossed, load_fails, restart_cold, crash_on or lag",
 		}
 	}
 }
--- a/emulator/cut.go
+++ b/emulator/cut.go
@@ -203,6 +203,21 @@
 	})
 }
 
+// Revoke reaches a fenced service; any other refuses.
+func (s *cutService) Revoke(ctx context.Context, operation string) (bool, error) {
+	return exchange(ctx, s.cut, connector.ErrRefused, connector.ErrBroken, func() (bool, error) {
+		return revoke(ctx, s.service, operation)
+	})
+}
+
+func revoke(ctx context.Context, s connector.Service, operation string) (bool, error) {
+	fenced, ok := s.(connector.FencedService)
+	if !ok {
+		return false, fmt.Errorf("the service does not revoke operations: %w", connector.ErrRefused)
+	}
+	return fenced.Revoke(ctx, operation)
+}
+
 // Engine returns e as the client sees it.
 func (c *Cut) Engine(e connector.Engine) connector.Engine { return &cutEngine{cut: c, engine: e} }
 
@@ -217,6 +232,37 @@
 	})
 }
 
+// ExportCache reaches an engine that exports its cache; any other refuses.
+func (e *cutEngine) ExportCache(ctx context.Context, m connector.Model, prompt string) ([]byte, error) {
+	return exchange(ctx, e.cut, connector.ErrRefused, connector.ErrBroken, func() ([]byte, error) {
+		cache, err := promptCache(e.engine)
+		if err != nil {
+			return nil, err
+		}
+		return cache.ExportCache(ctx, m, prompt)
+	})
+}
+
+// ImportCache reaches an engine that imports caches; any other refuses.
+func (e *cutEngine) ImportCache(ctx context.Context, state []byte) error {
+	_, err := exchange(ctx, e.cut, connector.ErrRefused, connector.ErrBroken, func() (none, error) {
+		cache, err := promptCache(e.engine)
+		if err != nil {
+			return none{}, err
+		}
+		return none{}, cache.ImportCache(ctx, state)
+	})
+	return err
+}
+
+func promptCache(e connector.Engine) (connector.PromptCache, error) {
+	cache, ok := e.(connector.PromptCache)
+	if !ok {
+		return nil, fmt.Errorf("the engine does not hand over its cache: %w", connector.ErrRefused)
+	}
+	return cache, nil
+}
+
 func (e *cutEngine) Order(ctx context.Context, order connector.Order) error {
 	if pastDeadline(order) {
 		return fmt.Errorf("deadline of the order has passed: %w", connector.ErrRefused)
--- a/emulator/delay.go
+++ b/emulator/delay.go
@@ -108,6 +108,13 @@
 	})
 }
 
+// Revoke reaches a fenced service; any other refuses.
+func (s *delayedService) Revoke(ctx context.Context, operation string) (bool, error) {
+	return travel(ctx, s.delay, connector.ErrRefused, connector.ErrBroken, func() (bool, error) {
+		return revoke(ctx, s.service, operation)
+	})
+}
+
 // Engine returns e behind the link.
 func (d Delay) Engine(e connector.Engine) connector.Engine {
 	return &delayedEngine{delay: d, engine: e}
@@ -124,6 +131,29 @@
 	})
 }
 
+// ExportCache reaches an engine that exports its cache; any other refuses.
+func (e *delayedEngine) ExportCache(ctx context.Context, m connector.Model, prompt string) ([]byte, error) {
+	return travel(ctx, e.delay, connector.ErrRefused, connector.ErrBroken, func() ([]byte, error) {
+		cache, err := promptCache(e.engine)
+		if err != nil {
+			return nil, err
+		}
+		return cache.ExportCache(ctx, m, prompt)
+	})
+}
+
+// ImportCache reaches an engine that imports caches; any other refuses.
+func (e *delayedEngine) ImportCache(ctx context.Context, state []byte) error {
+	_, err := travel(ctx, e.delay, connector.ErrRefused, connector.ErrBroken, func() (none, error) {
+		cache, err := promptCache(e.engine)
+		if err != nil {
+			return none{}, err
+		}
+		return none{}, cache.ImportCache(ctx, state)
+	})
+	return err
+}
+
 func (e *delayedEngine) Order(ctx context.Context, order connector.Order) error {
 	if pastDeadline(order) {
 		return fmt.Errorf("deadline of the order has passed: %w", connector.ErrRefused)
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -107,7 +107,8 @@
 	return fmt.Sprintf("%s-%04x ", m.Adapter(), h&0xffff)
 }
 
-// Inject adds a fault: Down, Slow, AnswerLost, RestartCold, CrashOn or Lag.
+// Inject adds a fault: Down, Slow, AnswerLost, Crossed, RestartCold, CrashOn or
+// Lag.
 func (e *Engine) Inject(f Fault) error {
 	switch f := f.(type) {
 	case Down:
@@ -115,7 +116,7 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.breakAll()
-	case Slow, AnswerLost:
+	case Slow, AnswerLost, Crossed:
 		e.link.inject(f)
 	case RestartCold:
 		e.mu.Lock()
--- a/emulator/fault.go
+++ b/emulator/fault.go
@@ -7,7 +7,7 @@
 )
 
 // Fault is a failure that a fake acts out from Inject until Clear: Down, Slow,
-// AnswerLost, LoadFails, RestartCold, CrashOn or Lag.
+// AnswerLost, Crossed, LoadFails, RestartCold, CrashOn or Lag.
 type Fault interface{ fault() }
 
 // Down makes a fake unreachable. Answers that are on their way are lost and
@@ -53,6 +53,18 @@
 	return AnswerLost{chance{share: share, count: count}}
 }
 
+// Crossed gives a client an answer that belongs to another request. An engine
+// sends a token of another job before one of the stream's own; a service sends
+// the reply to the operation before in place of the reply. Nothing is crossed
+// while there is no other request.
+type Crossed struct{ chance }
+
+// NewCrossed returns a fault that crosses the next count answers, and later ones
+// with the probability share.
+func NewCrossed(count int, share float64) Crossed {
+	return Crossed{chance{share: share, count: count}}
+}
+
 // LoadFails makes loads from the weight store fail.
 type LoadFails struct{ chance }
 
@@ -102,6 +114,7 @@
 func (Down) fault()        {}
 func (Slow) fault()        {}
 func (AnswerLost) fault()  {}
+func (Crossed) fault()     {}
 func (LoadFails) fault()   {}
 func (RestartCold) fault() {}
 func (CrashOn) fault()     {}
--- a/emulator/link.go
+++ b/emulator/link.go
@@ -50,6 +50,7 @@
 	down   bool
 	slow   time.Duration
 	lost   chance
+	cross  chance
 }
 
 func newLink(s *settings) *link {
@@ -68,6 +69,8 @@
 		l.slow = f.by
 	case AnswerLost:
 		l.lost = f.chance
+	case Crossed:
+		l.cross = f.chance
 	default:
 		return false
 	}
@@ -80,6 +83,7 @@
 	l.down = false
 	l.slow = 0
 	l.lost = chance{}
+	l.cross = chance{}
 }
 
 func (l *link) slowBy() time.Duration {
@@ -164,6 +168,13 @@
 	return l.answer(ctx)
 }
 
+// crosses reports whether the next answer is to be crossed with another.
+func (l *link) crosses() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cross.hit(l.random)
+}
+
 // pacer spaces events evenly. The zero value lets all pass.
 type pacer struct {
 	interval time.Duration
--- a/emulator/objects.go
+++ b/emulator/objects.go
@@ -25,10 +25,13 @@
 
 // Inject adds a fault: Down, Slow or AnswerLost.
 func (o *Objects) Inject(f Fault) error {
-	if !o.link.inject(f) {
+	switch f.(type) {
+	case Down, Slow, AnswerLost:
+		o.link.inject(f)
+		return nil
+	default:
 		return &UnsupportedFaultError{fake: "object store", fault: f}
 	}
-	return nil
 }
 
 // Clear ends all faults.
--- a/emulator/service.go
+++ b/emulator/service.go
@@ -22,6 +22,8 @@
 	mu         sync.Mutex
 	executions map[string]int
 	revoked    map[string]struct{}
+	previous   connector.Operation // the last one that was answered
+	answered   bool
 }
 
 // NewService returns a service that has executed nothing.
@@ -36,12 +38,15 @@
 	}
 }
 
-// Inject adds a fault: Down, Slow or AnswerLost.
+// Inject adds a fault: Down, Slow, AnswerLost or Crossed.
 func (s *Service) Inject(f Fault) error {
-	if !s.link.inject(f) {
+	switch f.(type) {
+	case Down, Slow, AnswerLost, Crossed:
+		s.link.inject(f)
+		return nil
+	default:
 		return &UnsupportedFaultError{fake: "service", fault: f}
 	}
-	return nil
 }
 
 // Clear ends all faults.
@@ -61,15 +66,27 @@
 	if err := sleep(ctx, s.duration); err != nil {
 		return connector.Reply{}, fmt.Errorf("wait for the operation: %w: %w", connector.ErrBroken, err)
 	}
+	if err := s.link.confirm(ctx); err != nil {
+		return connector.Reply{}, fmt.Errorf("wait for the reply: %w: %w", connector.ErrBroken, err)
+	}
+	return s.reply(op)
+}
+
+// reply answers an operation, or repeats the answer to the one before.
+func (s *Service) reply(op connector.Operation) (connector.Reply, error) {
+	s.mu.Lock()
+	if s.answered && s.link.crosses() {
+		op = s.previous
+	}
+	s.previous = op
+	s.answered = true
+	s.mu.Unlock()
 	body, err := json.Marshal(struct {
 		Operation string `json:"operation"`
 	}{op.ID()})
 	if err != nil {
 		return connector.Reply{}, fmt.Errorf("encode reply: %w", err)
 	}
-	if err := s.link.confirm(ctx); err != nil {
-		return connector.Reply{}, fmt.Errorf("wait for the reply: %w: %w", connector.ErrBroken, err)
-	}
 	return connector.NewReply(op.Attempt(), http.StatusOK, "application/json", body), nil
 }
 
--- a/emulator/stepper.go
+++ b/emulator/stepper.go
@@ -261,13 +261,32 @@
 	if s.index >= available {
 		return connector.Chunk{}, false, err
 	}
-	text := Token(s.job.Model(), s.job.Prompt(), s.job.Seed(), s.index)
-	last := s.index == s.job.MaxTokens()-1
-	c := connector.NewChunk(s.job.Attempt(), s.job.Model(), s.index, text, last)
+	if other, ok := s.engine.crossed(s); ok {
+		return chunk(other, other.Next()), true, nil
+	}
+	c := chunk(s.job, s.index)
 	s.index++
 	return c, true, nil
 }
 
+// chunk returns one token of a job.
+func chunk(job connector.Job, index int) connector.Chunk {
+	text := Token(job.Model(), job.Prompt(), job.Seed(), index)
+	return connector.NewChunk(job.Attempt(), job.Model(), index, text, index == job.MaxTokens()-1)
+}
+
+// crossed returns another running job when the answer of s is to be crossed.
+func (e *Engine) crossed(s *stream) (connector.Job, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, other := range e.running {
+		if other != s {
+			return other.job, e.link.crosses()
+		}
+	}
+	return connector.Job{}, false
+}
+
 func (s *stream) state() (available int, err error) {
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
--- a/emulator/table.go
+++ b/emulator/table.go
@@ -56,10 +56,13 @@
 
 // Inject adds a fault: Down, Slow or AnswerLost.
 func (t *Table) Inject(f Fault) error {
-	if !t.link.inject(f) {
+	switch f.(type) {
+	case Down, Slow, AnswerLost:
+		t.link.inject(f)
+		return nil
+	default:
 		return &UnsupportedFaultError{fake: "table", fault: f}
 	}
-	return nil
 }
 
 // Clear ends all faults.
