--- a/connector/endpoint.go
+++ b/connector/endpoint.go
@@ -142,7 +142,8 @@
 
 // Stream is an answer in progress.
 type Stream interface {
-	// Next returns the next chunk, and io.EOF after the last one.
+	// Next returns the next chunk, and io.EOF after the last one. The end of its
+	// context may end the stream.
 	Next(ctx context.Context) (Chunk, error)
 	// Close ends the stream and cancels what is left of the job. It may be called
 	// more than once.
--- a/emulator/behaviour_test.go
+++ b/emulator/behaviour_test.go
@@ -25,12 +25,13 @@
 		name  string
 		loads int
 		rate  float64
+		peak  int
 		want  time.Duration
 	}{
-		{"one", 1, 0, 250 * time.Millisecond},
-		{"full speed", 8, 0, 250 * time.Millisecond},
-		{"twice as many", 16, 0, 500 * time.Millisecond},
-		{"limited rate", 3, 2, 1250 * time.Millisecond},
+		{"one", 1, 0, 1, 250 * time.Millisecond},
+		{"full speed", 8, 0, 8, 250 * time.Millisecond},
+		{"twice as many", 16, 0, 16, 500 * time.Millisecond},
+		{"limited rate", 3, 2, 1, 1250 * time.Millisecond},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -49,6 +50,7 @@
 				wg.Wait()
 				is.Equal(time.Since(start).Round(time.Millisecond), c.want)
 				is.Equal(store.Loads(), c.loads)
+				is.Equal(store.PeakInFlight(), c.peak)
 			})
 		})
 	}
@@ -125,6 +127,23 @@
 	})
 }
 
+// Guards against cache events without gaps, which real engines have.
+func TestCacheEventGaps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngine(t, emulator.WithCacheEvents(0, 0.5), emulator.WithSeed(1))
+		load(t, e, 1, reading)
+		const blocks = 100
+		prompt := strings.Repeat("x", blocks*connector.PrefixBlock)
+		s, err := e.Generate(t.Context(), connector.NewJob("a", "r", reading, prompt, 1))
+		is.NoErr(err)
+		is.True(errors.Is(drain(t, s), io.EOF))
+		r, err := e.Report(t.Context())
+		is.NoErr(err)
+		is.True(len(r.Prefixes()) > 0 && len(r.Prefixes()) < blocks)
+	})
+}
+
 // Guards against reports that show the present, which would hide every fault of
 // a policy that trusts them.
 func TestReportLag(t *testing.T) {
