benchmarker: add an open-loop load generator and the callers' side of HTTP

Cause: the demo, the examples and operators need one load tool that measures from the time a request was due and checks answers.

Change: requester follows entries, resumes streams by token index and repeats idempotency keys; benchmarker draws a seeded Poisson workload and keeps HDR histograms.

--- /dev/null
+++ b/benchmarker/benchmarker.go
@@ -0,0 +1,141 @@
+package benchmarker
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/requester"
+)
+
+// Expectation returns the token that a correct answer has at an index. Runs
+// against the emulator check every answer with it.
+type Expectation func(g requester.Generation, index int) string
+
+// Benchmarker runs one workload.
+type Benchmarker struct {
+	doc       *Document
+	expect    Expectation
+	callers   []*requester.Requester
+	collector *collector
+	started   atomic.Int64
+	ended     atomic.Int64
+}
+
+// Option sets an optional property of a Benchmarker.
+type Option func(*Benchmarker)
+
+// WithExpectation checks every token.
+func WithExpectation(e Expectation) Option { return func(b *Benchmarker) { b.expect = e } }
+
+// New returns a run of a checked workload.
+func New(doc *Document, opts ...Option) *Benchmarker {
+	b := &Benchmarker{doc: doc, collector: newCollector(doc.Seed)}
+	for _, opt := range opts {
+		opt(b)
+	}
+	for i := range doc.Callers {
+		// Callers start at different addresses, as callers in different places do.
+		entries := rotate(doc.Entries, i)
+		b.callers = append(b.callers, requester.New(CallerName(i), entries, doc.Seed+uint64(i)))
+	}
+	return b
+}
+
+// CallerName returns the name of the i-th caller.
+func CallerName(i int) string { return fmt.Sprintf("caller-%d", i) }
+
+func rotate(list []string, n int) []string {
+	n %= len(list)
+	return append(append([]string(nil), list[n:]...), list[:n]...)
+}
+
+// Run starts every request at its time and waits for all answers. A cancelled
+// context stops new requests and ends those in flight.
+func (b *Benchmarker) Run(ctx context.Context) *Result {
+	var requests sync.WaitGroup
+	start := time.Now()
+	g := newGenerator(b.doc)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for i := 0; ; i++ {
+		w, ok := g.next()
+		if !ok || !waitUntil(ctx, timer, start.Add(w.At())) {
+			break
+		}
+		b.started.Add(1)
+		requests.Go(func() {
+			defer b.ended.Add(1)
+			b.send(ctx, i%len(b.callers), w, start.Add(w.At()))
+		})
+	}
+	requests.Wait()
+	for _, c := range b.callers {
+		c.Close()
+	}
+	return b.collector.summary(time.Since(start))
+}
+
+func waitUntil(ctx context.Context, timer *time.Timer, t time.Time) bool {
+	timer.Reset(time.Until(t))
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Progress returns how many requests have started and ended.
+func (b *Benchmarker) Progress() (started, ended int) {
+	return int(b.started.Load()), int(b.ended.Load())
+}
+
+// Postings returns what callers were told of each non-idempotent call.
+func (b *Benchmarker) Postings() []Posting {
+	b.collector.mu.Lock()
+	defer b.collector.mu.Unlock()
+	return append([]Posting(nil), b.collector.postings...)
+}
+
+func (b *Benchmarker) send(ctx context.Context, caller int, w Work, due time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, b.doc.timeout())
+	defer cancel()
+	r := b.callers[caller]
+	switch w := w.(type) {
+	case GenerationWork:
+		text := r.Generate(ctx, w.Request())
+		b.collector.addText(text, due, b.wrong(w.Request(), text))
+	case PostingWork:
+		reply := r.Call(ctx, w.Call())
+		b.collector.addReply(reply, due)
+		b.collector.addPosting(Posting{caller: CallerName(caller), key: w.Call().Key(), outcomes: reply.Outcomes()})
+	case LookupWork:
+		b.collector.addReply(r.Call(ctx, w.Call()), due)
+	}
+}
+
+// wrong reports whether an answer differs from what the named adapter version
+// must say. A part of an answer must be correct as well.
+func (b *Benchmarker) wrong(g requester.Generation, t *requester.Text) bool {
+	_, done := t.Outcome().(classifier.Done)
+	if done && len(t.Tokens()) != g.MaxTokens() {
+		return true
+	}
+	if t.Adapter() != "" && t.Adapter()+"@"+t.Version() != g.Model() && strings.Contains(g.Model(), "@") {
+		return true
+	}
+	if b.expect == nil {
+		return false
+	}
+	for i, token := range t.Tokens() {
+		if token != b.expect(g, i) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/benchmarker/document.go
@@ -0,0 +1,119 @@
+package benchmarker
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Document is a workload as it stands in a settings file.
+type Document struct {
+	// Entries are addresses to ask for entries first, as host:port.
+	Entries []string `json:"entries"`
+	// Seed fixes the requests and their start times.
+	Seed uint64 `json:"seed"`
+	// DurationS is how long new requests start, in seconds.
+	DurationS float64 `json:"duration_s"`
+	// Rate is the mean number of requests per second.
+	Rate float64 `json:"rate"`
+	// Mix gives the share of each kind of request; only proportions count.
+	Mix MixDocument `json:"mix"`
+	// Adapters says which adapters are asked.
+	Adapters AdaptersDocument `json:"adapters"`
+	// PromptBytes is the length of prompts.
+	PromptBytes int `json:"prompt_bytes"`
+	// MaxTokens is the largest length of an answer.
+	MaxTokens int `json:"max_tokens"`
+	// TimeoutMS is how long a caller waits, in milliseconds.
+	TimeoutMS int `json:"timeout_ms"`
+	// Service, PostingPath and LookupPath name the calls; LookupPath holds one
+	// %d for the account or item.
+	Service     string `json:"service"`
+	PostingPath string `json:"posting_path"`
+	LookupPath  string `json:"lookup_path"`
+	// Callers is the number of callers that share the load.
+	Callers int `json:"callers"`
+}
+
+// MixDocument gives the proportions of requests.
+type MixDocument struct {
+	Generation float64 `json:"generation"`
+	Posting    float64 `json:"posting"`
+	Lookup     float64 `json:"lookup"`
+}
+
+// AdaptersDocument names the adapters under load.
+type AdaptersDocument struct {
+	// Format holds one %d verb for the adapter's number, from 0.
+	Format string `json:"format"`
+	Count  int    `json:"count"`
+	// Skew is the exponent of the Zipf distribution, above 1.
+	Skew     float64  `json:"skew"`
+	Versions []string `json:"versions"`
+}
+
+func (d *Document) duration() time.Duration {
+	return time.Duration(d.DurationS * float64(time.Second))
+}
+
+func (d *Document) timeout() time.Duration {
+	return time.Duration(d.TimeoutMS) * time.Millisecond
+}
+
+// Parse reads a workload strictly and fills in defaults.
+func Parse(data []byte) (*Document, error) {
+	d := &Document{
+		Seed:        1,
+		DurationS:   20,
+		Rate:        20,
+		Mix:         MixDocument{Generation: 0.7, Posting: 0.15, Lookup: 0.15},
+		Adapters:    AdaptersDocument{Format: "adapter-%05d", Count: 3000, Skew: 1.1, Versions: []string{"v1"}},
+		PromptBytes: 200,
+		MaxTokens:   16,
+		TimeoutMS:   15_000,
+		Service:     "ledger",
+		PostingPath: "/postings",
+		LookupPath:  "/balances/%d",
+		Callers:     8,
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(d); err != nil {
+		return nil, fmt.Errorf("decode workload: %w", err)
+	}
+	if err := d.Check(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Check names every setting that is out of range.
+func (d *Document) Check() error {
+	var errs []error
+	require := func(holds bool, name string, value any, allowed string) {
+		if !holds {
+			errs = append(errs, fmt.Errorf("%s is %v; allowed is %s", name, value, allowed))
+		}
+	}
+	require(len(d.Entries) > 0, "entries", d.Entries, "at least one address")
+	require(d.DurationS > 0 && d.DurationS <= maxDurationS, "duration_s", d.DurationS, "above 0 and up to 86400")
+	require(d.Rate > 0 && d.Rate <= maxRate, "rate", d.Rate, "above 0 and up to 100000")
+	require(d.Mix.Generation >= 0 && d.Mix.Posting >= 0 && d.Mix.Lookup >= 0, "mix", d.Mix, "no negative share")
+	require(d.Mix.Generation+d.Mix.Posting+d.Mix.Lookup > 0, "mix", d.Mix, "at least one share above 0")
+	require(strings.Count(d.Adapters.Format, "%") == 1, "adapters.format", d.Adapters.Format, "one verb such as %05d")
+	require(d.Adapters.Count >= 2, "adapters.count", d.Adapters.Count, "2 or more")
+	require(d.Adapters.Skew > 1, "adapters.skew", d.Adapters.Skew, "above 1")
+	require(d.MaxTokens >= 1, "max_tokens", d.MaxTokens, "1 or more")
+	require(d.TimeoutMS >= 1, "timeout_ms", d.TimeoutMS, "1 or more")
+	require(strings.Count(d.LookupPath, "%d") == 1, "lookup_path", d.LookupPath, "one %d")
+	require(d.Callers >= 1, "callers", d.Callers, "1 or more")
+	return errors.Join(errs...)
+}
+
+const (
+	maxDurationS = 86_400  // one day
+	maxRate      = 100_000 // requests per second
+)
--- /dev/null
+++ b/benchmarker/result.go
@@ -0,0 +1,157 @@
+package benchmarker
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/requester"
+)
+
+// Quantiles summarises a distribution in milliseconds.
+type Quantiles struct {
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+// Result is what a run measured. It is a document for the JSON codec.
+type Result struct {
+	Seed         uint64         `json:"seed"`
+	DurationS    float64        `json:"duration_s"`
+	Requests     int            `json:"requests"`
+	Completed    int            `json:"completed"`
+	NotRun       int            `json:"not_run"`
+	Unknown      int            `json:"unknown"`
+	Resumed      int            `json:"resumed"`
+	Tokens       int            `json:"tokens"`
+	WrongAnswers int            `json:"wrong_answers"`
+	Problems     map[string]int `json:"problems"`
+	FirstTokenMS Quantiles      `json:"first_token_ms"`
+	TokenGapMS   Quantiles      `json:"token_gap_ms"`
+	CallMS       Quantiles      `json:"call_ms"`
+}
+
+// The histograms hold 10 µs to 10 minutes with three digits.
+const (
+	lowestMicros  = 10
+	highestMicros = 600_000_000
+	digits        = 3
+)
+
+// collector gathers the results of concurrent requests.
+type collector struct {
+	mu         sync.Mutex
+	result     Result
+	firstToken *hdrhistogram.Histogram
+	tokenGap   *hdrhistogram.Histogram
+	call       *hdrhistogram.Histogram
+	postings   []Posting
+}
+
+// Posting is what callers were told of one non-idempotent call.
+type Posting struct {
+	caller   string
+	key      string
+	outcomes []classifier.Outcome
+}
+
+// Caller returns who sent the call.
+func (p Posting) Caller() string { return p.caller }
+
+// Key returns the idempotency key.
+func (p Posting) Key() string { return p.key }
+
+// Outcomes returns the outcome of every exchange in order.
+func (p Posting) Outcomes() []classifier.Outcome { return p.outcomes }
+
+// Last returns the outcome that the caller ended with.
+func (p Posting) Last() classifier.Outcome { return p.outcomes[len(p.outcomes)-1] }
+
+func newCollector(seed uint64) *collector {
+	return &collector{
+		result:     Result{Seed: seed, Problems: make(map[string]int)},
+		firstToken: hdrhistogram.New(lowestMicros, highestMicros, digits),
+		tokenGap:   hdrhistogram.New(lowestMicros, highestMicros, digits),
+		call:       hdrhistogram.New(lowestMicros, highestMicros, digits),
+	}
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), lowestMicros), highestMicros))
+}
+
+func (c *collector) count(o classifier.Outcome, p *requester.Problem) {
+	c.result.Requests++
+	switch o.(type) {
+	case classifier.Done:
+		c.result.Completed++
+	case classifier.NotRun:
+		c.result.NotRun++
+	default:
+		c.result.Unknown++
+	}
+	if p != nil {
+		c.result.Problems[p.Kind()]++
+	}
+}
+
+// addText records a generation. Its first token counts from the time at which
+// the request was due.
+func (c *collector) addText(t *requester.Text, due time.Time, wrong bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.count(t.Outcome(), t.Problem())
+	c.result.Tokens += len(t.Tokens())
+	if t.Resumes() > 0 {
+		c.result.Resumed++
+	}
+	if wrong {
+		c.result.WrongAnswers++
+	}
+	if len(t.Tokens()) > 0 {
+		record(c.firstToken, t.Timing().FirstToken().Sub(due))
+	}
+	for _, g := range t.Timing().Gaps() {
+		record(c.tokenGap, g)
+	}
+}
+
+func (c *collector) addReply(r *requester.Reply, due time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.count(r.Outcome(), r.Problem())
+	if _, done := r.Outcome().(classifier.Done); done {
+		record(c.call, r.Timing().Ended().Sub(due))
+	}
+}
+
+func (c *collector) addPosting(p Posting) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.postings = append(c.postings, p)
+}
+
+func (c *collector) summary(elapsed time.Duration) *Result {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.result
+	r.DurationS = elapsed.Seconds()
+	r.FirstTokenMS = quantiles(c.firstToken)
+	r.TokenGapMS = quantiles(c.tokenGap)
+	r.CallMS = quantiles(c.call)
+	return &r
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	ms := func(micros int64) float64 { return float64(micros) / 1000 }
+	return Quantiles{
+		P50: ms(h.ValueAtQuantile(50)),
+		P95: ms(h.ValueAtQuantile(95)),
+		P99: ms(h.ValueAtQuantile(99)),
+		Max: ms(h.Max()),
+	}
+}
--- /dev/null
+++ b/requester/call.go
@@ -0,0 +1,112 @@
+package requester
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/classifier"
+)
+
+// Call is one call of a plain service.
+type Call struct {
+	service string
+	method  string
+	path    string
+	key     string
+	body    []byte
+}
+
+// NewCall returns a call. The key is the idempotency key, or "" for calls that
+// may be repeated.
+func NewCall(service, method, path, key string, body []byte) Call {
+	return Call{service: service, method: method, path: path, key: key, body: body}
+}
+
+// Key returns the idempotency key.
+func (c Call) Key() string { return c.key }
+
+// Reply is what became of a call.
+type Reply struct {
+	outcome  classifier.Outcome
+	outcomes []classifier.Outcome
+	status   int
+	body     []byte
+	problem  *Problem
+	timing   Timing
+}
+
+// Outcome returns the outcome of the last exchange.
+func (r *Reply) Outcome() classifier.Outcome { return r.outcome }
+
+// Outcomes returns the outcomes of all exchanges in order.
+func (r *Reply) Outcomes() []classifier.Outcome { return r.outcomes }
+
+// Status returns the HTTP status.
+func (r *Reply) Status() int { return r.status }
+
+// Body returns the body of the answer.
+func (r *Reply) Body() []byte { return r.body }
+
+// Problem returns why there is no answer, or nil.
+func (r *Reply) Problem() *Problem { return r.problem }
+
+// Timing returns when the answer arrived.
+func (r *Reply) Timing() Timing { return r.timing }
+
+// Call sends a call until it is done, refused for good, or out of attempts. The
+// same key goes with every exchange.
+func (r *Requester) Call(ctx context.Context, c Call) *Reply {
+	reply := &Reply{outcome: classifier.NotRun{}, timing: Timing{started: time.Now()}}
+	for n := range r.attempts {
+		a := r.callOnce(ctx, c, n, reply)
+		reply.outcome, reply.problem = a.outcome, a.problem
+		reply.outcomes = append(reply.outcomes, a.outcome)
+		if !a.mayRepeat() || n == r.attempts-1 {
+			break
+		}
+		if err := r.pause(ctx, n, a.problem); err != nil {
+			break
+		}
+	}
+	reply.timing.ended = time.Now()
+	return reply
+}
+
+func (r *Requester) callOnce(ctx context.Context, c Call, n int, reply *Reply) attempt {
+	address, err := r.address(ctx, n)
+	if err != nil {
+		return attempt{outcome: classifier.NotRun{}, problem: connectionProblem(err)}
+	}
+	path, query, _ := strings.Cut(c.path, "?")
+	u := url.URL{Scheme: "http", Host: address, Path: "/v1/services/" + c.service + path, RawQuery: query}
+	req, err := http.NewRequestWithContext(ctx, c.method, u.String(), bytes.NewReader(c.body))
+	if err != nil {
+		return attempt{outcome: classifier.NotRun{}, problem: connectionProblem(fmt.Errorf("make request: %w", err))}
+	}
+	if c.key != "" {
+		req.Header.Set("Idempotency-Key", c.key)
+		req.Header.Set("Idempotency-Attempt", strconv.Itoa(n+1))
+	}
+	resp, err := r.do(req, "")
+	if err != nil {
+		return attempt{outcome: classifier.Unknown{}, problem: connectionProblem(err)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	reply.status = resp.StatusCode
+	outcome := classifier.ParseOutcome(resp.Header.Get("X-Outcome"))
+	if _, done := outcome.(classifier.Done); !done {
+		return attempt{outcome: outcome, problem: readProblem(resp)}
+	}
+	reply.body, err = io.ReadAll(resp.Body)
+	if err != nil {
+		return attempt{outcome: classifier.Unknown{}, problem: connectionProblem(fmt.Errorf("read answer: %w", err))}
+	}
+	return attempt{outcome: outcome}
+}
--- /dev/null
+++ b/requester/requester.go
@@ -0,0 +1,183 @@
+package requester
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/classifier"
+)
+
+// Requester sends requests on behalf of one caller.
+type Requester struct {
+	directory *directory
+	http      *http.Client
+	caller    string
+	attempts  int
+	mu        sync.Mutex // guards rng
+	rng       *rand.Rand
+}
+
+// Option sets an optional property of a Requester.
+type Option func(*Requester)
+
+// WithAttempts sets how often a request is sent at most. The default is 4.
+func WithAttempts(n int) Option { return func(r *Requester) { r.attempts = n } }
+
+// WithTransport sets the HTTP transport.
+func WithTransport(t http.RoundTripper) Option {
+	return func(r *Requester) { r.http.Transport = t }
+}
+
+const defaultAttempts = 4
+
+// New returns a requester that starts with the given entry addresses. The seed
+// drives the jitter between attempts.
+func New(caller string, entries []string, seed uint64, opts ...Option) *Requester {
+	client := &http.Client{}
+	r := &Requester{
+		directory: &directory{seeds: entries, http: client},
+		http:      client,
+		caller:    caller,
+		attempts:  defaultAttempts,
+		rng:       rand.New(rand.NewPCG(seed, seed)),
+	}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
+}
+
+// Close drops idle connections.
+func (r *Requester) Close() { r.http.CloseIdleConnections() }
+
+// Timing says when parts of an answer arrived.
+type Timing struct {
+	started    time.Time
+	firstToken time.Time
+	ended      time.Time
+	gaps       []time.Duration
+}
+
+// Started returns when the request was sent first.
+func (t Timing) Started() time.Time { return t.started }
+
+// FirstToken returns when the first token arrived; it is zero without tokens.
+func (t Timing) FirstToken() time.Time { return t.firstToken }
+
+// Ended returns when the answer or the last failure arrived.
+func (t Timing) Ended() time.Time { return t.ended }
+
+// Gaps returns the times between tokens.
+func (t Timing) Gaps() []time.Duration { return t.gaps }
+
+// Problem is why a request has no answer.
+type Problem struct {
+	kind       string
+	detail     string
+	status     int
+	retryAfter time.Duration
+}
+
+// Kind returns the problem's type, or "connection" when no answer arrived.
+func (p *Problem) Kind() string { return p.kind }
+
+// Detail returns the explanation.
+func (p *Problem) Detail() string { return p.detail }
+
+// Status returns the HTTP status, or 0 when no answer arrived.
+func (p *Problem) Status() int { return p.status }
+
+func (p *Problem) Error() string {
+	return fmt.Sprintf("%s (status %d): %s", p.kind, p.status, p.detail)
+}
+
+// kindConnection stands for a request without any answer.
+const kindConnection = "connection"
+
+func connectionProblem(err error) *Problem {
+	return &Problem{kind: kindConnection, detail: err.Error()}
+}
+
+// attempt is what one HTTP exchange has come to.
+type attempt struct {
+	outcome classifier.Outcome
+	problem *Problem
+}
+
+// mayRepeat reports whether another exchange can help. Refusals that say nothing
+// of a retry are final, and so is a finished answer.
+func (a attempt) mayRepeat() bool {
+	switch a.outcome.(type) {
+	case classifier.Done:
+		return false
+	case classifier.NotRun:
+		return a.problem != nil && a.problem.retryAfter > 0
+	default:
+		return true
+	}
+}
+
+// pause waits before the next exchange: as long as the answer asks for, else a
+// short time that grows, with jitter so that callers don't return together.
+func (r *Requester) pause(ctx context.Context, n int, p *Problem) error {
+	d := firstPause << n
+	if p != nil && p.retryAfter > 0 {
+		d = p.retryAfter
+	}
+	r.mu.Lock()
+	d += time.Duration(r.rng.Int64N(int64(d)/2 + 1))
+	r.mu.Unlock()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("wait before the next attempt: %w", ctx.Err())
+	}
+}
+
+const firstPause = 50 * time.Millisecond
+
+// address returns the entry address for the n-th exchange of a request.
+func (r *Requester) address(ctx context.Context, n int) (string, error) {
+	list := r.directory.addresses(ctx)
+	if len(list) == 0 {
+		return "", fmt.Errorf("no entry address is known")
+	}
+	return list[n%len(list)], nil
+}
+
+// do sends one HTTP request with the headers that all share.
+func (r *Requester) do(req *http.Request, requestID string) (*http.Response, error) {
+	req.Header.Set("Authorization", "Bearer "+r.caller)
+	if requestID != "" {
+		req.Header.Set("X-Request-Id", requestID)
+	}
+	if deadline, ok := req.Context().Deadline(); ok {
+		ms := time.Until(deadline).Milliseconds()
+		req.Header.Set("X-Timeout-Ms", fmt.Sprint(max(ms, 1)))
+	}
+	resp, err := r.http.Do(req)
+	if err != nil {
+		r.directory.forget()
+		return nil, fmt.Errorf("send request: %w", err)
+	}
+	return resp, nil
+}
+
+// readProblem turns an answer with an error status into a Problem.
+func readProblem(resp *http.Response) *Problem {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxProblem))
+	if err != nil {
+		return connectionProblem(err)
+	}
+	return parseProblem(resp.StatusCode, resp.Header.Get("Retry-After"), body)
+}
+
+const maxProblem = 64 << 10 // bytes
