receiver: check ids, names, paths, priorities and chats

Cause: a request id, model or path with control characters reached headers and table rows, an answer that ended early looked complete, and a refused request did not tell its caller the epoch.

--- a/receiver/call.go
+++ b/receiver/call.go
@@ -17,6 +17,7 @@
 type generationContent struct {
 	model     string
 	prompt    string
+	messages  []Message
 	maxTokens int
 	next      int
 }
@@ -54,6 +55,27 @@
 	return newCall(generationContent{model: model, prompt: prompt, maxTokens: maxTokens, next: next}, opts)
 }
 
+// Message is one turn of a chat.
+type Message struct {
+	role    string
+	content string
+}
+
+// NewMessage returns a turn of a chat. The role is "system", "user" or
+// "assistant".
+func NewMessage(role, content string) Message { return Message{role: role, content: content} }
+
+// Role returns who speaks.
+func (m Message) Role() string { return m.role }
+
+// Content returns the text.
+func (m Message) Content() string { return m.content }
+
+// NewChat returns a call for the next turn of a chat.
+func NewChat(model string, messages []Message, maxTokens, next int, opts ...CallOption) *Call {
+	return newCall(generationContent{model: model, messages: messages, maxTokens: maxTokens, next: next}, opts)
+}
+
 // NewServiceCall returns a call of a plain service. KeyAttempt counts how often
 // the caller has sent the key, from 1.
 func NewServiceCall(service, method, path string, body []byte, key string, keyAttempt int, opts ...CallOption) *Call {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -2,16 +2,16 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"crypto/sha256"
 	"encoding/binary"
-	"encoding/hex"
 	"fmt"
 	"hash"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/recorder"
 )
 
 // Limits bounds what a call may ask for.
@@ -40,32 +40,42 @@
 // New returns a receiver.
 func New(limits Limits) *Receiver { return &Receiver{limits: limits} }
 
-// Largest ids and keys that callers may send, in bytes.
-const (
-	maxID  = 128
-	maxKey = 256
-)
-
 // Apply checks a call.
-func (r *Receiver) Apply(_ context.Context, c *Call) (*Request, error) {
-	id, err := requestID(c.requestID)
+func (r *Receiver) Apply(ctx context.Context, c *Call) (*Request, error) {
+	req, err := r.check(c)
 	if err != nil {
+		recorder.From(ctx).Note(recorder.StageReceiver, "refused", err.Error())
 		return nil, err
 	}
-	timeout := c.timeout
-	if timeout == 0 {
-		timeout = r.limits.defaultTimeout
+	return req, nil
+}
+
+func (r *Receiver) check(c *Call) (*Request, error) {
+	if c.requestID != "" {
+		if err := CheckID(c.requestID); err != nil {
+			return nil, err
+		}
+	}
+	if c.priority < MinPriority || c.priority > MaxPriority {
+		return nil, classifier.NewInvalid(fmt.Sprintf("priority is %d; allowed is %d to %d", c.priority, MinPriority, MaxPriority))
 	}
-	if timeout < 0 || timeout > r.limits.maxTimeout {
-		return nil, classifier.NewInvalid(fmt.Sprintf("timeout is %v; allowed is up to %v", timeout, r.limits.maxTimeout))
+	timeout, err := r.timeout(c.timeout)
+	if err != nil {
+		return nil, err
 	}
 	target, err := r.target(c.content)
 	if err != nil {
 		return nil, err
 	}
+	instance := NewID()
+	id := c.requestID
+	if id == "" {
+		id = instance
+	}
 	now := time.Now()
 	return &Request{
 		id:          id,
+		instance:    instance,
 		caller:      c.caller,
 		target:      target,
 		priority:    c.priority,
@@ -75,18 +85,14 @@
 	}, nil
 }
 
-func requestID(given string) (string, error) {
-	if len(given) > maxID {
-		return "", classifier.NewInvalid(fmt.Sprintf("request id has %d bytes; allowed are %d", len(given), maxID))
-	}
-	if given != "" {
-		return given, nil
+func (r *Receiver) timeout(given time.Duration) (time.Duration, error) {
+	if given == 0 {
+		return r.limits.defaultTimeout, nil
 	}
-	var b [12]byte
-	if _, err := rand.Read(b[:]); err != nil {
-		return "", classifier.NewUnavailable("no request id could be made", classifier.Cause(err))
+	if given < 0 || given > r.limits.maxTimeout {
+		return 0, classifier.NewInvalid(fmt.Sprintf("timeout is %v; allowed is up to %v", given, r.limits.maxTimeout))
 	}
-	return hex.EncodeToString(b[:]), nil
+	return given, nil
 }
 
 func (r *Receiver) target(c content) (Target, error) {
@@ -101,31 +107,65 @@
 }
 
 func (r *Receiver) generation(c generationContent) (Target, error) {
-	adapter, version, _ := strings.Cut(c.model, "@")
+	adapter, version, err := splitModel(c.model)
+	if err != nil {
+		return nil, err
+	}
+	prompt, err := c.text()
+	if err != nil {
+		return nil, err
+	}
 	switch {
-	case adapter == "":
-		return nil, classifier.NewInvalid(fmt.Sprintf("model is %q; it must be adapter@version", c.model))
+	case prompt == "":
+		return nil, classifier.NewInvalid("the prompt is empty")
+	case len(prompt) > r.limits.maxPrompt:
+		return nil, classifier.NewTooLarge(fmt.Sprintf("prompt has %d bytes; allowed are %d", len(prompt), r.limits.maxPrompt))
+	case !utf8.ValidString(prompt):
+		return nil, classifier.NewInvalid("the prompt is not UTF-8")
 	case c.maxTokens < 1 || c.maxTokens > r.limits.maxTokens:
 		return nil, classifier.NewInvalid(fmt.Sprintf("max_tokens is %d; allowed is 1 to %d", c.maxTokens, r.limits.maxTokens))
-	case len(c.prompt) > r.limits.maxPrompt:
-		return nil, classifier.NewTooLarge(fmt.Sprintf("prompt has %d bytes; allowed are %d", len(c.prompt), r.limits.maxPrompt))
 	case c.next < 0 || c.next > c.maxTokens:
 		return nil, classifier.NewInvalid(fmt.Sprintf("resume position is %d; allowed is 0 to %d", c.next, c.maxTokens))
 	}
 	return &GenerationTarget{
 		adapter:   adapter,
 		version:   version,
-		prompt:    c.prompt,
+		prompt:    prompt,
 		maxTokens: c.maxTokens,
 		next:      c.next,
 	}, nil
 }
 
+func (c generationContent) text() (string, error) {
+	if c.messages == nil {
+		return c.prompt, nil
+	}
+	return joinMessages(c.messages)
+}
+
+// splitModel separates the adapter and the version of a model name. A name
+// without "@" leaves the version to the bundle.
+func splitModel(model string) (adapter, version string, err error) {
+	adapter, version, versioned := strings.Cut(model, "@")
+	if !isName(adapter) || versioned && !isName(version) {
+		return "", "", classifier.NewInvalid(fmt.Sprintf("model is %.80q; it must be adapter@version", model))
+	}
+	return adapter, version, nil
+}
+
 func service(c serviceContent) (Target, error) {
-	if len(c.key) > maxKey {
+	switch {
+	case !isName(c.service):
+		return nil, classifier.NewInvalid(fmt.Sprintf("service is %.80q; it must be a name", c.service))
+	case !isToken(c.method):
+		return nil, classifier.NewInvalid(fmt.Sprintf("method is %.80q; it must be an HTTP method", c.method))
+	case !isPath(c.path):
+		return nil, classifier.NewInvalid(fmt.Sprintf("path is %.80q; it must start with a slash and hold no dot segments", c.path))
+	case len(c.key) > maxKey:
 		return nil, classifier.NewInvalid(fmt.Sprintf("idempotency key has %d bytes; allowed are %d", len(c.key), maxKey))
-	}
-	if c.keyAttempt < 1 {
+	case !isPrintable(c.key):
+		return nil, classifier.NewInvalid("the idempotency key holds control characters")
+	case c.keyAttempt < 1:
 		return nil, classifier.NewInvalid(fmt.Sprintf("idempotency attempt is %d; it counts from 1", c.keyAttempt))
 	}
 	return &ServiceTarget{
--- a/receiver/request.go
+++ b/receiver/request.go
@@ -71,6 +71,7 @@
 // Request is a checked call. It does not change after Receiver made it.
 type Request struct {
 	id          string
+	instance    string
 	caller      string
 	target      Target
 	priority    int
@@ -82,6 +83,10 @@
 // ID returns the request's id.
 func (r *Request) ID() string { return r.id }
 
+// Instance returns an id that no other request has. Callers choose request ids and
+// may use one twice, at the same time and at several nodes.
+func (r *Request) Instance() string { return r.instance }
+
 // Caller returns who sent the request.
 func (r *Request) Caller() string { return r.caller }
 
--- a/resolver/resolver.go
+++ b/resolver/resolver.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/publisher"
 	"github.com/dragonflyford/dragonflyford/receiver"
+	"github.com/dragonflyford/dragonflyford/recorder"
 )
 
 // Route is what a request resolves to: a GenerationRoute or a ServiceRoute.
@@ -61,6 +62,9 @@
 	*receiver.Request
 	snapshot *bundler.Snapshot
 	route    Route
+	// The route points to one of these, so that a request costs one allocation.
+	generation GenerationRoute
+	service    ServiceRoute
 }
 
 // Snapshot returns the bundle that the request is bound to.
@@ -97,74 +101,98 @@
 const retryWithoutBundle = time.Second
 
 // Apply binds a request to the bundle in force.
-func (r *Resolver) Apply(_ context.Context, req *receiver.Request) (*Resolved, error) {
+func (r *Resolver) Apply(ctx context.Context, req *receiver.Request) (*Resolved, error) {
+	trail := recorder.From(ctx)
+	resolved, err := r.resolve(trail, req)
+	if err != nil {
+		trail.Note(recorder.StageResolver, "refused", err.Error())
+		return nil, err
+	}
+	return resolved, nil
+}
+
+func (r *Resolver) resolve(trail *recorder.Trail, req *receiver.Request) (*Resolved, error) {
 	state := r.source.Load()
 	current := state.Current()
 	if current == nil {
 		return nil, classifier.NewUnavailable("no bundle is in force yet", classifier.RetryAfter(retryWithoutBundle))
 	}
-	route, err := resolve(current, req)
-	if err != nil {
+	trail.BindEpoch(current.Epoch())
+	resolved := &Resolved{Request: req, snapshot: current}
+	if err := resolved.bind(trail); err != nil {
 		return nil, err
 	}
-	if prepared := state.Prepared(); prepared != nil && !state.Informed() {
-		if bundler.Differs(current, prepared, subject(route)) {
-			return nil, classifier.NewWithheld(
-				fmt.Sprintf("epoch %d may have replaced epoch %d, and they differ for this request", prepared.Epoch(), current.Epoch()),
-				classifier.RetryAfter(retryWithoutBundle))
-		}
+	if err := withheld(state, resolved.route); err != nil {
+		return nil, err
+	}
+	return resolved, nil
+}
+
+// withheld returns a fault when a prepared bundle may be in force already and
+// differs for the route.
+func withheld(state *publisher.State, route Route) error {
+	current, prepared := state.Current(), state.Prepared()
+	if prepared == nil || state.Informed() || !bundler.Differs(current, prepared, subject(route)) {
+		return nil
 	}
-	return &Resolved{Request: req, snapshot: current, route: route}, nil
+	return classifier.NewWithheld(
+		fmt.Sprintf("epoch %d may have replaced epoch %d, and they differ for this request", prepared.Epoch(), current.Epoch()),
+		classifier.RetryAfter(retryWithoutBundle))
 }
 
-func resolve(s *bundler.Snapshot, req *receiver.Request) (Route, error) {
-	switch t := req.Target().(type) {
+func (r *Resolved) bind(trail *recorder.Trail) error {
+	switch t := r.Target().(type) {
 	case *receiver.GenerationTarget:
-		return resolveGeneration(s, req, t)
+		return r.bindGeneration(trail, t)
 	case *receiver.ServiceTarget:
-		return resolveService(s, t)
+		return r.bindService(t)
 	default:
-		return nil, classifier.NewInvalid("the request has no target")
+		return classifier.NewInvalid("the request has no target")
 	}
 }
 
-func resolveGeneration(s *bundler.Snapshot, req *receiver.Request, t *receiver.GenerationTarget) (Route, error) {
-	adapter, ok := s.Adapter(t.Adapter())
+func (r *Resolved) bindGeneration(trail *recorder.Trail, t *receiver.GenerationTarget) error {
+	adapter, ok := r.snapshot.Adapter(t.Adapter())
 	if !ok {
-		return nil, classifier.NewNotOffered(fmt.Sprintf("adapter %q is not offered", t.Adapter()))
+		return classifier.NewNotOffered(fmt.Sprintf("adapter %q is not offered", t.Adapter()))
 	}
 	version := t.Version()
 	if version == "" {
-		f := req.Fingerprint()
+		f := r.Fingerprint()
 		version, ok = adapter.Split(binary.BigEndian.Uint64(f[:8]))
 		if !ok {
-			return nil, classifier.NewInvalid(fmt.Sprintf("model %q names no version; it must be adapter@version", t.Adapter()))
+			return classifier.NewInvalid(fmt.Sprintf("model %q names no version; it must be adapter@version", t.Adapter()))
 		}
 	}
 	if !adapter.Offers(version) {
-		return nil, classifier.NewNotOffered(fmt.Sprintf("version %q of adapter %q is not offered", version, t.Adapter()))
+		return classifier.NewNotOffered(fmt.Sprintf("version %q of adapter %q is not offered", version, t.Adapter()))
 	}
-	return &GenerationRoute{
+	r.generation = GenerationRoute{
 		target:  t,
 		model:   connector.NewModel(adapter.Base(), adapter.Name(), version),
 		adapter: adapter,
-		engines: s.Engines(adapter.Base()),
-	}, nil
+		engines: r.snapshot.Engines(adapter.Base()),
+	}
+	r.route = &r.generation
+	trail.BindModel(&r.generation.model)
+	return nil
 }
 
-func resolveService(s *bundler.Snapshot, t *receiver.ServiceTarget) (Route, error) {
-	svc, ok := s.Service(t.Service())
+func (r *Resolved) bindService(t *receiver.ServiceTarget) error {
+	svc, ok := r.snapshot.Service(t.Service())
 	if !ok {
-		return nil, classifier.NewNotOffered(fmt.Sprintf("service %q is not offered", t.Service()))
+		return classifier.NewNotOffered(fmt.Sprintf("service %q is not offered", t.Service()))
 	}
 	call, ok := svc.Call(t.Method(), t.Path())
 	if !ok {
-		return nil, classifier.NewNotOffered(fmt.Sprintf("service %q has no call %s %s", t.Service(), t.Method(), t.Path()))
+		return classifier.NewNotOffered(fmt.Sprintf("service %q has no call %s %s", t.Service(), t.Method(), t.Path()))
 	}
 	if !call.Idempotent() && t.Key() == "" {
-		return nil, classifier.NewKeyMissing(fmt.Sprintf("call %s %s is not idempotent and needs an idempotency key", t.Method(), t.Path()))
+		return classifier.NewKeyMissing(fmt.Sprintf("call %s %s is not idempotent and needs an idempotency key", t.Method(), t.Path()))
 	}
-	return &ServiceRoute{target: t, call: call, service: svc}, nil
+	r.service = ServiceRoute{target: t, call: call, service: svc}
+	r.route = &r.service
+	return nil
 }
 
 // subject names what bundles may state differently for a route.
--- a/verifier/verifier.go
+++ b/verifier/verifier.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
+	"strings"
 	"sync/atomic"
 
 	"github.com/dragonflyford/dragonflyford/asserter"
 	"github.com/dragonflyford/dragonflyford/classifier"
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/dispatcher"
+	"github.com/dragonflyford/dragonflyford/receiver"
 )
 
 // Verified is an attempt whose answer is checked as it arrives.
@@ -37,7 +41,7 @@
 func (v *Verifier) Apply(_ context.Context, d *dispatcher.Dispatched) (*Verified, error) {
 	switch r := d.Result().(type) {
 	case *dispatcher.Streaming:
-		s := &checked{Stream: r.Stream(), verifier: v, attempt: d.AttemptID(), model: r.Model(), next: d.Next()}
+		s := v.check(d, r)
 		return &Verified{Dispatched: d, result: dispatcher.NewStreaming(s, r.Model())}, nil
 	case *dispatcher.Replied:
 		if !r.Replayed() && r.Reply().Attempt() != d.AttemptID() {
@@ -50,20 +54,46 @@
 	}
 }
 
+func (v *Verifier) check(d *dispatcher.Dispatched, r *dispatcher.Streaming) *checked {
+	c := &checked{
+		Stream:   r.Stream(),
+		verifier: v,
+		request:  d.ID(),
+		instance: d.Instance(),
+		attempt:  d.AttemptID(),
+		model:    r.Model(),
+		next:     d.Next(),
+	}
+	if t, ok := d.Target().(*receiver.GenerationTarget); ok {
+		c.target = t
+		c.ended = c.next >= t.MaxTokens()
+	}
+	return c
+}
+
 // checked is a stream that passes on only the chunks of its own attempt, in
 // order and from the adapter version asked for.
 type checked struct {
 	connector.Stream
 	verifier *Verifier
+	request  string
+	instance string
 	attempt  string
 	model    connector.Model
+	target   *receiver.GenerationTarget
 	next     int
+	ended    bool
 }
 
-// Next returns the next chunk that belongs to the attempt.
+// Next returns the next chunk that belongs to the attempt, and io.EOF after the
+// last one. An answer that ends earlier is broken, because the caller could not
+// tell it from a complete one.
 func (c *checked) Next(ctx context.Context) (connector.Chunk, error) {
-	for {
+	for !c.ended {
 		chunk, err := c.Stream.Next(ctx)
+		if errors.Is(err, io.EOF) {
+			return connector.Chunk{}, fmt.Errorf("the answer ends before token %d: %w", c.next, connector.ErrBroken)
+		}
 		if err != nil {
 			return connector.Chunk{}, err
 		}
@@ -71,10 +101,35 @@
 			c.verifier.dropped.Add(1)
 			continue
 		}
-		if chunk.Index() > c.next {
-			return connector.Chunk{}, fmt.Errorf("token %d is missing: %w", c.next, connector.ErrBroken)
-		}
-		c.next++
-		return chunk, nil
+		return c.accept(chunk)
+	}
+	return connector.Chunk{}, io.EOF
+}
+
+func (c *checked) accept(chunk connector.Chunk) (connector.Chunk, error) {
+	if chunk.Index() > c.next {
+		return connector.Chunk{}, fmt.Errorf("token %d is missing: %w", c.next, connector.ErrBroken)
+	}
+	if !c.assert(chunk) {
+		return connector.Chunk{}, classifier.NewUncertain("the answer does not belong to the request")
+	}
+	c.next++
+	c.ended = chunk.Last()
+	return chunk, nil
+}
+
+// assert compares the chunk with the request itself, not with what the stages
+// between derived from it, so that a fault in one of them is seen.
+func (c *checked) assert(chunk connector.Chunk) bool {
+	if c.target == nil {
+		return true
 	}
+	m := chunk.Model()
+	named := m.Adapter() == c.target.Adapter() && (c.target.Version() == "" || m.Version() == c.target.Version())
+	own := strings.HasPrefix(chunk.Attempt(), c.request) || strings.HasPrefix(chunk.Attempt(), c.instance)
+	asserts := c.verifier.asserts
+	named = asserts.Check(asserter.AdapterNamed, named, "request %q asks for %s@%s and got a token of %s",
+		c.request, c.target.Adapter(), c.target.Version(), m)
+	own = asserts.Check(asserter.OwnAnswer, own, "request %q got a token of attempt %q", c.request, chunk.Attempt())
+	return named && own
 }
