scheduler: schedule loads, jobs and evictions of one engine

The first version evicted the adapter that was unused for longest, failed when all slots were pinned, sent any number of jobs and did not notice restarts. Now requests wait in a bounded queue by priority and deadline, the batch bounds what is sent, loads wait for a slot without a pin, failed loads back off per adapter, and a report loop rebuilds residency after a restart and settles adapters that a previous owner's jobs may use. The views carry what the placer needs for loads: room, cost of the next eviction and cached prefixes.

--- a/runner/pipeline_test.go
+++ b/runner/pipeline_test.go
@@ -57,7 +57,7 @@
 
 type budget struct{}
 
-func (budget) Acquire(context.Context) (func(), error) { return func() {}, nil }
+func (budget) Acquire(context.Context, func() int) (func(), error) { return func() {}, nil }
 
 func publish(t *testing.T) *publisher.Publisher {
 	t.Helper()
@@ -84,6 +84,7 @@
 	engine := emulator.NewEngine(2, 4, time.Millisecond, time.Millisecond)
 	sched := scheduler.New("engine-1", "node-1", 2, 4, engine, lease{}, budget{}, asserts,
 		func(v *viewer.View) { views.Update(v) })
+	t.Cleanup(sched.Close)
 	ledger := emulator.NewService()
 	stages := runner.NewStages(receiver.NewLimits(100, 1000, time.Minute, time.Minute), publish(t), 10,
 		emulator.NewTable(), "node-1", "lj", views, directory{executor: sched, service: ledger}, asserts, 3)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -22,12 +22,14 @@
 
 // Budget shares the weight store among all nodes.
 type Budget interface {
-	// Acquire waits for permission to start one load. The returned function gives
-	// it back.
-	Acquire(ctx context.Context) (release func(), err error)
+	// Acquire waits for permission to start one load. Demand returns how many
+	// requests wait for the load; it may be called at any time and takes no lock.
+	// The returned function gives the permission back.
+	Acquire(ctx context.Context, demand func() int) (release func(), err error)
 }
 
-// Scheduler runs one engine: it loads and evicts adapters and starts jobs.
+// Scheduler runs one engine: it loads and evicts adapters and starts jobs. All
+// decisions are made under one mutex that is never held during a wait.
 type Scheduler struct {
 	name    string
 	owner   string
@@ -39,60 +41,118 @@
 	asserts *asserter.Asserter
 	publish func(*viewer.View)
 
-	mu      sync.Mutex
-	entries map[connector.Model]*entry
-	running int
-	queued  int
+	crashes     CrashSink
+	seed        uint64
+	reportEvery time.Duration
+	guard       time.Duration
+	queueLimit  int
+	allowance   int
+
+	ctx     context.Context // ends with Close
+	cancel  context.CancelFunc
+	work    sync.WaitGroup
+	changed chan struct{} // wakes the publishing goroutine
+
+	mu           sync.Mutex
+	entries      map[connector.Model]*entry
+	queue        []*waiter
+	running      map[*waiter]struct{}
+	suspects     int // running jobs that are suspect
+	sequence     uint64
+	rand         *rand.Rand
+	instance     string
+	reported     bool // a report has arrived
+	failedInARow int  // reports
+	prefixes     []uint64
+	leaving      bool
+	leavingSince time.Time
+	closed       bool
+	idle         []chan struct{} // closed when nothing runs
+	models       map[connector.Model]viewer.Residency
+	stale        bool // models must be rebuilt
+}
+
+// New returns the scheduler of an engine and starts its report loop. Publish
+// receives views from one goroutine at a time, never under a lock. The caller
+// must call Close.
+func New(name, owner string, slots, batch int, engine connector.Engine, lease Lease, budget Budget, asserts *asserter.Asserter, publish func(*viewer.View), opts ...Option) *Scheduler {
+	s := &Scheduler{
+		name:        name,
+		owner:       owner,
+		slots:       slots,
+		batch:       batch,
+		engine:      engine,
+		lease:       lease,
+		budget:      budget,
+		asserts:     asserts,
+		publish:     publish,
+		reportEvery: defaultReportEvery,
+		guard:       defaultGuard,
+		queueLimit:  defaultQueueBatches * batch,
+		allowance:   max(1, batch/allowanceShare),
+		changed:     make(chan struct{}, 1),
+		entries:     make(map[connector.Model]*entry),
+		running:     make(map[*waiter]struct{}),
+		stale:       true,
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.rand = rand.New(rand.NewPCG(s.seed, 0))
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.publish(s.view())
+	s.work.Add(2)
+	go s.reportLoop()
+	go s.publishLoop()
+	return s
 }
 
-// entry is the state of one adapter version in the engine.
-type entry struct {
-	pins     int           // requests that use or wait for the version
-	ready    chan struct{} // closed when the load has ended
-	err      error         // result of the load
-	resident bool
-	lastUse  time.Time
+// Close refuses all waiting requests, cancels orders and waits for the
+// scheduler's goroutines. Streams that run belong to their callers.
+func (s *Scheduler) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.refuseQueue(classifier.NewUnavailable("the node no longer runs the engine", classifier.RetryAfter(retryElsewhere)))
+	s.mu.Unlock()
+	s.cancel()
+	s.work.Wait()
 }
 
-// New returns the scheduler of an engine. Publish receives a view after each
-// change.
-func New(name, owner string, slots, batch int, engine connector.Engine, lease Lease, budget Budget, asserts *asserter.Asserter, publish func(*viewer.View)) *Scheduler {
-	s := &Scheduler{
-		name:    name,
-		owner:   owner,
-		slots:   slots,
-		batch:   batch,
-		engine:  engine,
-		lease:   lease,
-		budget:  budget,
-		asserts: asserts,
-		publish: publish,
-		entries: make(map[connector.Model]*entry),
-	}
-	s.publishView()
-	return s
-}
+// retryElsewhere is how long a caller should wait when the engine takes no work:
+// by then the views of all nodes show it.
+const retryElsewhere = time.Second
 
-// Run starts a job when its adapter is resident. The adapter is not evicted
-// before the returned stream is closed.
+// Run starts a job when its adapter is resident and the batch has room. The
+// adapter is not evicted before the returned stream is closed.
 func (s *Scheduler) Run(ctx context.Context, job connector.Job) (connector.Stream, error) {
-	if err := s.pin(ctx, job.Model()); err != nil {
+	w, err := s.enqueue(ctx, job)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case err = <-w.granted:
+	case <-ctx.Done():
+		err = s.abandon(ctx, w)
+	}
+	if err != nil {
 		return nil, err
 	}
+	return s.dispatch(ctx, w)
+}
+
+// dispatch sends a granted job to the engine.
+func (s *Scheduler) dispatch(ctx context.Context, w *waiter) (connector.Stream, error) {
+	s.checkNotLeaving()
 	if _, err := s.lease.Fence(); err != nil {
-		s.unpin(job.Model())
+		s.release(w)
 		return nil, classifier.NewUnavailable("the node does not own the engine", classifier.Cause(err))
 	}
-	stream, err := s.engine.Generate(ctx, job)
+	stream, err := s.engine.Generate(ctx, w.job)
 	if err != nil {
-		s.unpin(job.Model())
-		return nil, fmt.Errorf("start job on engine %q: %w", s.name, err)
+		s.notStarted(w, err)
+		return nil, fmt.Errorf("start job on engine %q: %w", s.name, startFault(err))
 	}
-	s.addRunning(1)
-	return &pinned{Stream: stream, release: sync.OnceFunc(func() {
-		s.addRunning(-1)
-		s.unpin(job.Model())
-	})}, nil
+	return &pinned{Stream: stream, release: sync.OnceFunc(func() { s.release(w) })}, nil
 }
 
 // pinned is a stream that holds its adapter in the engine.
@@ -108,145 +168,61 @@
 	return err
 }
 
-// pin makes m resident and keeps it so. Requests that wait for the same adapter
-// share one load.
-func (s *Scheduler) pin(ctx context.Context, m connector.Model) error {
+// InUse returns the adapter versions that jobs of this owner may use. A new
+// owner asks for them.
+func (s *Scheduler) InUse() []connector.Model {
 	s.mu.Lock()
-	e, ok := s.entries[m]
-	if !ok {
-		e = &entry{ready: make(chan struct{})}
-		s.entries[m] = e
-		go s.load(context.WithoutCancel(ctx), m, e)
-	}
-	e.pins++
-	e.lastUse = time.Now()
-	s.queued++
-	s.mu.Unlock()
-	s.publishView()
-
-	defer func() {
-		s.mu.Lock()
-		s.queued--
-		s.mu.Unlock()
-	}()
-	select {
-	case <-e.ready:
-	case <-ctx.Done():
-		s.unpin(m)
-		return fmt.Errorf("wait for adapter %s: %w", m, ctx.Err())
-	}
-	if e.err != nil {
-		s.unpin(m)
-		return classifier.NewUnavailable(fmt.Sprintf("adapter %s could not be loaded", m), classifier.Cause(e.err))
+	defer s.mu.Unlock()
+	var models []connector.Model
+	for m, e := range s.entries {
+		if e.running > 0 || e.unsettled {
+			models = append(models, m)
+		}
 	}
-	return nil
+	return models
 }
 
-func (s *Scheduler) unpin(m connector.Model) {
+// SetLeaving makes the engine refuse new work, or accept it again. Requests that
+// wait are refused and go elsewhere.
+func (s *Scheduler) SetLeaving(leaving bool) {
 	s.mu.Lock()
-	if e := s.entries[m]; e != nil {
-		e.pins--
-		e.lastUse = time.Now()
+	defer s.mu.Unlock()
+	if leaving == s.leaving {
+		return
 	}
-	s.mu.Unlock()
-	s.publishView()
-}
-
-func (s *Scheduler) addRunning(n int) {
-	s.mu.Lock()
-	s.running += n
-	s.mu.Unlock()
-	s.publishView()
+	s.leaving = leaving
+	s.leavingSince = time.Now()
+	if leaving {
+		s.refuseQueue(leavingFault())
+	}
+	s.touch()
 }
 
-// load frees a slot if it must and loads m.
-func (s *Scheduler) load(ctx context.Context, m connector.Model, e *entry) {
-	err := s.loadOnce(ctx, m)
+// Drain refuses new work and waits until nothing runs.
+func (s *Scheduler) Drain(ctx context.Context) error {
+	s.SetLeaving(true)
 	s.mu.Lock()
-	e.err = err
-	e.resident = err == nil
-	if err != nil {
-		delete(s.entries, m)
+	if len(s.running) == 0 {
+		s.mu.Unlock()
+		return nil
 	}
-	close(e.ready)
+	idle := make(chan struct{})
+	s.idle = append(s.idle, idle)
 	s.mu.Unlock()
-	s.publishView()
-}
-
-func (s *Scheduler) loadOnce(ctx context.Context, m connector.Model) error {
-	if err := s.makeRoom(ctx); err != nil {
-		return err
-	}
-	release, err := s.budget.Acquire(ctx)
-	if err != nil {
-		return fmt.Errorf("wait for the weight store: %w", err)
-	}
-	defer release()
-	fence, err := s.lease.Fence()
-	if err != nil {
-		return fmt.Errorf("order load: %w", err)
-	}
-	if err := s.engine.Order(ctx, connector.NewLoadAdapter(fence, m)); err != nil {
-		return fmt.Errorf("order load of %s: %w", m, err)
-	}
-	return nil
-}
-
-var errNoSlot = errors.New("every slot holds an adapter in use")
-
-// makeRoom evicts the adapter that was unused for longest if all slots are
-// taken.
-func (s *Scheduler) makeRoom(ctx context.Context) error {
-	victim, found, err := s.victim()
-	if err != nil || !found {
-		return err
-	}
-	fence, err := s.lease.Fence()
-	if err != nil {
-		return fmt.Errorf("order eviction: %w", err)
-	}
-	if err := s.engine.Order(ctx, connector.NewUnloadAdapter(fence, victim)); err != nil {
-		return fmt.Errorf("order eviction of %s: %w", victim, err)
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("drain engine %q: %w", s.name, ctx.Err())
 	}
-	return nil
 }
 
-func (s *Scheduler) victim() (connector.Model, bool, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.entries) <= s.slots {
-		return connector.Model{}, false, nil
-	}
-	var (
-		victim connector.Model
-		oldest *entry
-	)
-	for m, e := range s.entries {
-		if e.pins > 0 || !e.resident {
-			continue
-		}
-		if oldest == nil || e.lastUse.Before(oldest.lastUse) {
-			victim, oldest = m, e
-		}
-	}
-	if oldest == nil {
-		return connector.Model{}, false, errNoSlot
-	}
-	s.asserts.Check(asserter.NoEvictionInUse, oldest.pins == 0, "adapter %s has %d pins", victim, oldest.pins)
-	delete(s.entries, victim)
-	return victim, true, nil
-}
+// leavingGrace is the few seconds of promise P6.
+const leavingGrace = 2 * time.Second
 
-func (s *Scheduler) publishView() {
+func (s *Scheduler) checkNotLeaving() {
 	s.mu.Lock()
-	models := make(map[connector.Model]viewer.Residency, len(s.entries))
-	for m, e := range s.entries {
-		models[m] = viewer.Loading
-		if e.resident {
-			models[m] = viewer.Resident
-		}
-	}
-	v := viewer.NewView(s.name, s.owner, models, s.slots, s.batch, s.running, s.queued, time.Now(), true)
+	late := s.leaving && time.Since(s.leavingSince) > leavingGrace
 	s.mu.Unlock()
-	s.publish(v)
+	s.asserts.Check(asserter.NoWorkWhenLeaving, !late, "engine %s gets a job while it leaves", s.name)
 }
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -30,12 +30,30 @@
 	queued   int
 	taken    time.Time
 	accepted bool
+	room     int
+	eviction float64
+	prefixes []uint64
+}
+
+// Option sets an optional property of a View.
+type Option func(*View)
+
+// WithRoom says how many more adapters the engine can load now and how many
+// requests per second the adapter gets that would make room for the next one.
+func WithRoom(room int, evictionCost float64) Option {
+	return func(v *View) { v.room, v.eviction = room, evictionCost }
+}
+
+// WithPrefixes adds hashes of the prompt prefixes that the engine has cached.
+// The slice must not be changed afterwards.
+func WithPrefixes(hashes []uint64) Option {
+	return func(v *View) { v.prefixes = hashes }
 }
 
 // NewView returns a view. The map must not be changed afterwards. Accepted says
 // whether the engine takes new work.
-func NewView(engine, owner string, models map[connector.Model]Residency, slots, batch, running, queued int, taken time.Time, accepted bool) *View {
-	return &View{
+func NewView(engine, owner string, models map[connector.Model]Residency, slots, batch, running, queued int, taken time.Time, accepted bool, opts ...Option) *View {
+	v := &View{
 		engine:   engine,
 		owner:    owner,
 		models:   models,
@@ -46,6 +64,10 @@
 		taken:    taken,
 		accepted: accepted,
 	}
+	for _, opt := range opts {
+		opt(v)
+	}
+	return v
 }
 
 // Engine returns the engine's name.
@@ -76,6 +98,18 @@
 // Taken returns when the node received the view.
 func (v *View) Taken() time.Time { return v.taken }
 
+// Room returns how many more adapters the engine can load now, into free slots
+// or in place of adapters that nobody uses.
+func (v *View) Room() int { return v.room }
+
+// EvictionCost returns the requests per second for the adapter that makes room
+// for the next load; it is 0 while a slot is free.
+func (v *View) EvictionCost() float64 { return v.eviction }
+
+// Prefixes returns hashes of cached prompt prefixes; the slice must not be
+// changed.
+func (v *View) Prefixes() []uint64 { return v.prefixes }
+
 // Accepts reports whether the engine takes new work.
 func (v *View) Accepts() bool { return v.accepted }
 
