scheduler: test the owner's decisions and its invariants

The first run showed that the jitter of the backoff was wide enough to shorten the wait after a second failure; it is now a quarter, so that each wait is longer than the one before.

--- /dev/null
+++ b/scheduler/engine_test.go
@@ -0,0 +1,208 @@
+package scheduler_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/connector"
+)
+
+// engine is a fake whose faults a test sets. It records what it was asked to do
+// and every state that no engine may get into.
+type engine struct {
+	slots    int
+	loadTime time.Duration
+
+	mu        sync.Mutex
+	instance  int
+	resident  map[connector.Model]bool
+	running   map[connector.Model]int
+	foreign   map[connector.Model]int // jobs of a previous owner
+	failLoads map[connector.Model]bool
+	silent    bool // gives no report
+	loads     []string
+	started   []string
+	suspects  int
+	faults    []string
+}
+
+func newEngine(slots int) *engine {
+	return &engine{
+		slots:     slots,
+		loadTime:  250 * time.Millisecond,
+		resident:  make(map[connector.Model]bool),
+		running:   make(map[connector.Model]int),
+		foreign:   make(map[connector.Model]int),
+		failLoads: make(map[connector.Model]bool),
+	}
+}
+
+func (e *engine) Generate(_ context.Context, job connector.Job) (connector.Stream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.resident[job.Model()] {
+		return nil, connector.ErrNotResident
+	}
+	e.running[job.Model()]++
+	e.started = append(e.started, job.Request())
+	if job.Suspect() {
+		if e.suspects++; e.suspects > 1 {
+			e.faults = append(e.faults, "two suspect jobs run together")
+		}
+	}
+	return &stream{engine: e, job: job, instance: e.instance}, nil
+}
+
+func (e *engine) Order(ctx context.Context, order connector.Order) error {
+	switch o := order.(type) {
+	case connector.LoadAdapter:
+		return e.load(ctx, o.Model())
+	case connector.UnloadAdapter:
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.running[o.Model()]+e.foreign[o.Model()] > 0 {
+			e.faults = append(e.faults, fmt.Sprintf("%s is evicted in use", o.Model()))
+		}
+		delete(e.resident, o.Model())
+		return nil
+	default:
+		return connector.ErrRefused
+	}
+}
+
+func (e *engine) load(ctx context.Context, m connector.Model) error {
+	e.mu.Lock()
+	e.loads = append(e.loads, m.Adapter())
+	e.mu.Unlock()
+	select {
+	case <-time.After(e.loadTime):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.failLoads[m] {
+		return errors.New("store refused")
+	}
+	if len(e.resident) >= e.slots {
+		e.faults = append(e.faults, "a load finds no free slot")
+		return connector.ErrRefused
+	}
+	e.resident[m] = true
+	return nil
+}
+
+func (e *engine) Report(context.Context) (connector.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.silent {
+		return connector.Report{}, connector.ErrBroken
+	}
+	var residents []connector.Model
+	for m := range e.resident {
+		residents = append(residents, m)
+	}
+	running := make(map[connector.Model]int)
+	for m := range e.resident {
+		running[m] = e.running[m] + e.foreign[m]
+	}
+	return connector.NewReport(strconv.Itoa(e.instance), 0, residents, running, 0, 8, nil), nil
+}
+
+func (e *engine) restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.instance++
+	clear(e.resident)
+	clear(e.running)
+	e.suspects = 0
+}
+
+// set changes the fake under its lock.
+func (e *engine) set(change func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change()
+}
+
+func (e *engine) seenLoads() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.loads)
+}
+
+func (e *engine) seenStarts() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.started)
+}
+
+type stream struct {
+	engine   *engine
+	job      connector.Job
+	instance int
+	once     sync.Once
+}
+
+func (s *stream) Next(context.Context) (connector.Chunk, error) { return connector.Chunk{}, io.EOF }
+
+func (s *stream) Close() error {
+	s.once.Do(func() {
+		e := s.engine
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if s.instance != e.instance {
+			return
+		}
+		e.running[s.job.Model()]--
+		if s.job.Suspect() {
+			e.suspects--
+		}
+	})
+	return nil
+}
+
+// lease can be lost and regained.
+type lease struct {
+	mu   sync.Mutex
+	lost bool
+}
+
+func (l *lease) Fence() (connector.Fence, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lost {
+		return connector.Fence{}, errors.New("lease expired")
+	}
+	return connector.NewFence(1, time.Now().Add(time.Minute)), nil
+}
+
+func (l *lease) set(lost bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lost = lost
+}
+
+type budget struct{}
+
+func (budget) Acquire(context.Context, func() int) (func(), error) { return func() {}, nil }
+
+// crashes records reported jobs.
+type crashes struct {
+	mu   sync.Mutex
+	jobs []string
+}
+
+func (c *crashes) Crashed(_ string, jobs []connector.Job) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, j := range jobs {
+		c.jobs = append(c.jobs, j.Request())
+	}
+}
--- a/scheduler/loader.go
+++ b/scheduler/loader.go
@@ -214,7 +214,7 @@
 	d := firstBackoff << min(e.failures, 10)
 	e.failures++
 	d = min(d, lastBackoff)
-	return d/2 + time.Duration(s.rand.Int64N(int64(d)))
+	return d*3/4 + time.Duration(s.rand.Int64N(int64(d/2)))
 }
 
 // sortedModels returns models in a fixed order.
--- /dev/null
+++ b/scheduler/scheduler_test.go
@@ -0,0 +1,333 @@
+package scheduler_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/asserter"
+	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/scheduler"
+	"github.com/dragonflyford/dragonflyford/viewer"
+)
+
+func model(name string) connector.Model { return connector.NewModel("base", name, "v1") }
+
+func job(id, adapter string, opts ...connector.JobOption) connector.Job {
+	return connector.NewJob(id, id, model(adapter), "prompt", 1, opts...)
+}
+
+// rig is a scheduler with its fakes.
+type rig struct {
+	*scheduler.Scheduler
+	engine  *engine
+	lease   *lease
+	crashes *crashes
+	view    atomic.Pointer[viewer.View]
+}
+
+func newRig(t *testing.T, slots, batch int, opts ...scheduler.Option) *rig {
+	t.Helper()
+	r := &rig{engine: newEngine(slots), lease: &lease{}, crashes: &crashes{}}
+	r.start(t, slots, batch, opts...)
+	return r
+}
+
+func (r *rig) start(t *testing.T, slots, batch int, opts ...scheduler.Option) {
+	t.Helper()
+	asserts := asserter.New(func(v asserter.Violation) { t.Error(v) })
+	opts = append([]scheduler.Option{scheduler.WithCrashSink(r.crashes), scheduler.WithAllowance(0)}, opts...)
+	r.Scheduler = scheduler.New("engine-1", "node-1", slots, batch, r.engine, r.lease, budget{}, asserts, r.view.Store, opts...)
+	synctest.Wait()
+}
+
+// run starts a job and returns where its result arrives.
+func (r *rig) run(ctx context.Context, j connector.Job) <-chan result {
+	c := make(chan result, 1)
+	go func() {
+		s, err := r.Run(ctx, j)
+		c <- result{s, err}
+	}()
+	synctest.Wait()
+	return c
+}
+
+type result struct {
+	connector.Stream
+	err error
+}
+
+// done returns a result that must have arrived.
+func done(t *testing.T, c <-chan result) result {
+	t.Helper()
+	select {
+	case r := <-c:
+		return r
+	default:
+		t.Fatal("the request still waits")
+		return result{}
+	}
+}
+
+func started(t *testing.T, c <-chan result) connector.Stream {
+	t.Helper()
+	r := done(t, c)
+	if r.err != nil {
+		t.Fatal(r.err)
+	}
+	return r.Stream
+}
+
+func waits(t *testing.T, c <-chan result) {
+	t.Helper()
+	synctest.Wait()
+	select {
+	case r := <-c:
+		t.Fatalf("the request did not wait: %v", r.err)
+	default:
+	}
+}
+
+func sleep(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// Guards against faults of one engine's owner; each case names one.
+func TestScheduler(t *testing.T) {
+	tests := []struct {
+		name string
+		run  func(t *testing.T, is *is.I)
+	}{
+		{"requests for one adapter load it more than once", sharedLoad},
+		{"a load fails when all slots are pinned", pinnedSlots},
+		{"an abandoned request keeps its pin", abandoned},
+		{"a later request with higher priority waits behind earlier ones", priorities},
+		{"a popular adapter is evicted for a rare one", reuse},
+		{"a failing adapter is loaded again at once or delays others", backoff},
+		{"a restart goes unnoticed", restart},
+		{"a new owner evicts an adapter that the old owner's job uses", settling},
+		{"two suspect jobs run together", suspects},
+		{"a draining engine takes work or cuts it", drain},
+		{"an order is sent without the lease", lost},
+		{"work is queued for an engine that does not report", silent},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { tt.run(t, is.New(t)) })
+		})
+	}
+}
+
+func sharedLoad(t *testing.T, is *is.I) {
+	r := newRig(t, 2, 8)
+	defer r.Close()
+	var waiting []<-chan result
+	for i := range 5 {
+		waiting = append(waiting, r.run(t.Context(), job(fmt.Sprint(i), "a")))
+	}
+	sleep(time.Second)
+	for _, w := range waiting {
+		is.NoErr(started(t, w).Close())
+	}
+	is.Equal(r.engine.seenLoads(), []string{"a"})
+	sleep(time.Second) // views are coalesced
+	is.Equal(r.view.Load().Residency(model("a")), viewer.Resident)
+	is.Equal(r.view.Load().Room(), 2)
+}
+
+func pinnedSlots(t *testing.T, is *is.I) {
+	r := newRig(t, 1, 8)
+	defer r.Close()
+	first := r.run(t.Context(), job("1", "a"))
+	sleep(time.Second)
+	s := started(t, first)
+	second := r.run(t.Context(), job("2", "b"))
+	sleep(10 * time.Second)
+	waits(t, second)
+	is.Equal(r.view.Load().Room(), 0)
+	is.NoErr(s.Close())
+	sleep(time.Second)
+	is.NoErr(started(t, second).Close())
+	is.Equal(len(r.engine.faults), 0)
+}
+
+func abandoned(t *testing.T, is *is.I) {
+	r := newRig(t, 1, 1)
+	defer r.Close()
+	first := r.run(t.Context(), job("1", "a"))
+	sleep(time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	second := r.run(ctx, job("2", "a"))
+	sleep(2 * time.Second)
+	var expired *classifier.Expired
+	is.True(errors.As(done(t, second).err, &expired))
+	is.NoErr(started(t, first).Close())
+	third := r.run(t.Context(), job("3", "b"))
+	sleep(time.Second)
+	is.NoErr(started(t, third).Close())
+}
+
+func priorities(t *testing.T, is *is.I) {
+	r := newRig(t, 1, 1)
+	defer r.Close()
+	first := r.run(t.Context(), job("first", "a"))
+	sleep(time.Second)
+	low := r.run(t.Context(), job("low", "a"))
+	soon, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	urgent := r.run(soon, job("deadline", "a"))
+	high := r.run(t.Context(), job("high", "a", connector.WithPriority(1)))
+	for _, w := range []<-chan result{first, high, urgent, low} {
+		is.NoErr(started(t, w).Close())
+		synctest.Wait()
+	}
+	is.Equal(r.engine.seenStarts(), []string{"first", "high", "deadline", "low"})
+}
+
+func reuse(t *testing.T, is *is.I) {
+	r := newRig(t, 2, 8)
+	defer r.Close()
+	for i, adapter := range []string{"popular", "popular", "popular", "rare", "other", "popular"} {
+		w := r.run(t.Context(), job(fmt.Sprint(i), adapter))
+		sleep(time.Second)
+		is.NoErr(started(t, w).Close())
+	}
+	is.Equal(r.engine.seenLoads(), []string{"popular", "rare", "other"})
+}
+
+func backoff(t *testing.T, is *is.I) {
+	r := newRig(t, 2, 8)
+	defer r.Close()
+	r.engine.set(func() { r.engine.failLoads[model("bad")] = true })
+	var last time.Duration
+	for range 4 {
+		w := r.run(t.Context(), job("1", "bad"))
+		sleep(time.Second)
+		var fault *classifier.Unavailable
+		is.True(errors.As(done(t, w).err, &fault))
+		is.Equal(fault.Outcome(), classifier.NotRun{})
+		is.True(fault.RetryAfter() > last) // doubles, with a jitter of a quarter
+		last = fault.RetryAfter()
+		again := r.run(t.Context(), job("2", "bad"))
+		if last > time.Second {
+			is.True(done(t, again).err != nil) // refused at once
+		}
+		good := r.run(t.Context(), job("3", "good"))
+		sleep(time.Second)
+		is.NoErr(started(t, good).Close())
+		sleep(last)
+	}
+	r.engine.set(func() { r.engine.failLoads[model("bad")] = false })
+	sleep(time.Minute)
+	w := r.run(t.Context(), job("4", "bad"))
+	sleep(time.Second)
+	is.NoErr(started(t, w).Close())
+}
+
+func restart(t *testing.T, is *is.I) {
+	r := newRig(t, 2, 8)
+	defer r.Close()
+	first := r.run(t.Context(), job("1", "a"))
+	sleep(time.Second)
+	s := started(t, first)
+	r.engine.restart()
+	sleep(time.Second)
+	is.Equal(r.crashes.jobs, []string{"1"})
+	is.Equal(r.view.Load().Residency(model("a")), viewer.Absent)
+	is.NoErr(s.Close())
+	second := r.run(t.Context(), job("2", "a"))
+	sleep(time.Second)
+	is.NoErr(started(t, second).Close())
+	is.Equal(r.engine.seenLoads(), []string{"a", "a"})
+}
+
+func settling(t *testing.T, is *is.I) {
+	r := &rig{engine: newEngine(1), lease: &lease{}, crashes: &crashes{}}
+	r.engine.resident[model("old")] = true
+	r.engine.foreign[model("old")] = 1
+	r.start(t, 1, 8)
+	defer r.Close()
+	is.Equal(r.Settling(), []connector.Model{model("old")})
+	use := r.run(t.Context(), job("1", "old"))
+	is.NoErr(started(t, use).Close()) // may be used
+	w := r.run(t.Context(), job("2", "new"))
+	sleep(time.Minute)
+	waits(t, w)
+	r.engine.set(func() { r.engine.foreign[model("old")] = 0 })
+	sleep(time.Second)
+	is.NoErr(started(t, w).Close())
+	is.Equal(len(r.engine.faults), 0)
+}
+
+func suspects(t *testing.T, is *is.I) {
+	r := newRig(t, 1, 8)
+	defer r.Close()
+	first := r.run(t.Context(), job("1", "a", connector.Suspect()))
+	second := r.run(t.Context(), job("2", "a", connector.Suspect()))
+	other := r.run(t.Context(), job("3", "a"))
+	sleep(time.Second)
+	s := started(t, first)
+	is.NoErr(started(t, other).Close())
+	waits(t, second)
+	is.NoErr(s.Close())
+	synctest.Wait()
+	is.NoErr(started(t, second).Close())
+	is.Equal(len(r.engine.faults), 0)
+}
+
+func drain(t *testing.T, is *is.I) {
+	r := newRig(t, 1, 1)
+	defer r.Close()
+	first := r.run(t.Context(), job("1", "a"))
+	sleep(time.Second)
+	queued := r.run(t.Context(), job("2", "a"))
+	drained := make(chan error, 1)
+	go func() { drained <- r.Drain(t.Context()) }()
+	sleep(time.Minute)
+	is.True(done(t, queued).err != nil)
+	is.True(done(t, r.run(t.Context(), job("3", "a"))).err != nil)
+	is.Equal(len(drained), 0)
+	is.True(!r.view.Load().Accepts())
+	is.NoErr(started(t, first).Close())
+	is.NoErr(<-drained)
+}
+
+func lost(t *testing.T, is *is.I) {
+	r := newRig(t, 1, 8)
+	defer r.Close()
+	first := r.run(t.Context(), job("1", "a"))
+	sleep(time.Second)
+	is.NoErr(started(t, first).Close())
+	r.lease.set(true)
+	resident := r.run(t.Context(), job("2", "a"))
+	is.True(done(t, resident).err != nil)
+	missing := r.run(t.Context(), job("3", "b"))
+	is.True(done(t, missing).err != nil)
+	is.Equal(r.engine.seenLoads(), []string{"a"})
+	is.Equal(r.engine.seenStarts(), []string{"1"})
+	r.lease.set(false)
+	again := r.run(t.Context(), job("4", "b"))
+	sleep(time.Second)
+	is.NoErr(started(t, again).Close())
+}
+
+func silent(t *testing.T, is *is.I) {
+	r := newRig(t, 1, 8)
+	defer r.Close()
+	r.engine.set(func() { r.engine.silent = true })
+	sleep(5 * time.Second)
+	is.True(!r.view.Load().Accepts())
+	is.True(done(t, r.run(t.Context(), job("1", "a"))).err != nil)
+	r.engine.set(func() { r.engine.silent = false })
+	sleep(time.Second)
+	is.True(r.view.Load().Accepts())
+}
