retrier: bound retries by a budget and keep postings alive

Any failed attempt of idempotent work was tried again at once, an early end of a stream passed as the end of the answer, and a posting was cancelled with its caller, so that its answer was lost. Retries now need a token of a budget that is a share of the traffic, wait with jitter, stop at the deadline and skip faults that speak of the request itself; an endpoint that failed is avoided while another one is left. The dispatcher names the endpoint of a failed attempt, bounds attempts by the caller's deadline, and finishes postings whose callers have gone.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -2,16 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-
-	"github.com/cespare/xxhash/v2"
+	"sync"
+	"time"
 
 	"github.com/dragonflyford/dragonflyford/claimer"
 	"github.com/dragonflyford/dragonflyford/classifier"
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/placer"
-	"github.com/dragonflyford/dragonflyford/resolver"
 )
 
 // Executor runs jobs on one engine: the engine's scheduler, or a peer that owns
@@ -72,13 +70,67 @@
 // Result returns the attempt's result.
 func (d *Dispatched) Result() Result { return d.result }
 
+// AttemptError reports an attempt that failed on an endpoint.
+type AttemptError struct {
+	endpoint string
+	cause    error
+}
+
+// NewAttemptError returns an error of an attempt on endpoint.
+func NewAttemptError(endpoint string, cause error) *AttemptError {
+	return &AttemptError{endpoint: endpoint, cause: cause}
+}
+
+// Endpoint returns the endpoint that the attempt ran on.
+func (e *AttemptError) Endpoint() string { return e.endpoint }
+
+func (e *AttemptError) Error() string {
+	return fmt.Sprintf("attempt on endpoint %q: %v", e.endpoint, e.cause)
+}
+
+// Unwrap returns why the attempt failed.
+func (e *AttemptError) Unwrap() error { return e.cause }
+
+// defaultPostingTimeout bounds a posting whose caller has gone away. Ledger
+// workers answer within seconds; past this their answer is not expected.
+const defaultPostingTimeout = 30 * time.Second
+
+// Option sets an optional property of a Dispatcher.
+type Option func(*Dispatcher)
+
+// WithPostingTimeout bounds how long a posting may go on after its caller has
+// gone away.
+func WithPostingTimeout(d time.Duration) Option {
+	return func(r *Dispatcher) { r.postingTimeout = d }
+}
+
 // Dispatcher runs attempts.
 type Dispatcher struct {
-	directory Directory
+	directory      Directory
+	postingTimeout time.Duration
+
+	mu       sync.Mutex // orders new postings and Close
+	closed   bool
+	postings sync.WaitGroup
+}
+
+// New returns a dispatcher. The caller must call Close.
+func New(d Directory, opts ...Option) *Dispatcher {
+	r := &Dispatcher{directory: d, postingTimeout: defaultPostingTimeout}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
 }
 
-// New returns a dispatcher.
-func New(d Directory) *Dispatcher { return &Dispatcher{directory: d} }
+// Close refuses new postings and waits for those under way, so that their
+// answers are stored. It takes no longer than the posting timeout.
+func (d *Dispatcher) Close() {
+	d.mu.Lock()
+	d.closed = true
+	d.mu.Unlock()
+	d.postings.Wait()
+}
 
 // Apply runs an attempt on the endpoint that was chosen for it.
 func (d *Dispatcher) Apply(ctx context.Context, p *placer.Placed) (*Dispatched, error) {
@@ -92,9 +144,11 @@
 func (d *Dispatcher) run(ctx context.Context, p *placer.Placed) (Result, error) {
 	switch choice := p.Choice().(type) {
 	case *placer.OnEngine:
-		return d.generate(ctx, p, choice)
+		result, err := d.generate(ctx, p, choice)
+		return result, failedOn(choice.Engine().Name(), err)
 	case *placer.OnService:
-		return d.call(ctx, p, choice)
+		result, err := d.call(ctx, p, choice)
+		return result, failedOn(choice.Endpoint().Name(), err)
 	case placer.Nowhere:
 		return replay(p)
 	default:
@@ -102,6 +156,13 @@
 	}
 }
 
+func failedOn(endpoint string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return NewAttemptError(endpoint, err)
+}
+
 func replay(p *placer.Placed) (Result, error) {
 	r, ok := p.Claim().(*claimer.Replay)
 	if !ok {
@@ -110,69 +171,10 @@
 	return &Replied{reply: r.Reply(), replayed: true}, nil
 }
 
-func (d *Dispatcher) generate(ctx context.Context, p *placer.Placed, choice *placer.OnEngine) (Result, error) {
-	route, ok := p.Route().(*resolver.GenerationRoute)
-	if !ok {
-		return nil, classifier.NewInvalid("the request is not a generation")
-	}
-	exec, err := d.directory.Executor(choice.Engine().Name(), choice.Owner())
-	if err != nil {
-		return nil, fmt.Errorf("find owner of engine %q: %w", choice.Engine().Name(), err)
-	}
-	t := route.Target()
-	job := connector.NewJob(p.AttemptID(), p.ID(), route.Model(), t.Prompt(), t.MaxTokens(),
-		connector.ResumeAt(p.Next()), connector.WithSeed(Seed(p.ID())), connector.WithPriority(p.Priority()))
-	stream, err := exec.Run(ctx, job)
-	if err != nil {
-		return nil, fmt.Errorf("run on engine %q: %w", choice.Engine().Name(), err)
-	}
-	return NewStreaming(stream, route.Model()), nil
-}
-
-// Seed returns the sampling seed of a request. It depends on the id alone, so
-// that any engine continues an answer with the same tokens.
-func Seed(requestID string) uint64 {
-	return xxhash.Sum64String(requestID)
-}
-
-func (d *Dispatcher) call(ctx context.Context, p *placer.Placed, choice *placer.OnService) (Result, error) {
-	route, ok := p.Route().(*resolver.ServiceRoute)
-	if !ok {
-		return nil, classifier.NewInvalid("the request is not a service call")
-	}
-	svc, err := d.directory.Service(choice.Endpoint().Name())
-	if err != nil {
-		return nil, fmt.Errorf("find service endpoint %q: %w", choice.Endpoint().Name(), err)
-	}
-	t := route.Target()
-	held, isHeld := p.Claim().(*claimer.Held)
-	id := p.ID()
-	if isHeld {
-		id = held.Attempt()
-		if err := held.MarkSent(ctx); err != nil {
-			return nil, err
-		}
-	}
-	reply, err := svc.Call(ctx, connector.NewOperation(p.AttemptID(), id, t.Method(), t.Path(), t.Body()))
-	if err != nil {
-		return nil, d.callFailed(ctx, held, err)
-	}
-	if isHeld {
-		// The caller gets the answer even if it cannot be stored; a repeat of the
-		// key is then told that the outcome is not known.
-		_ = held.Finish(ctx, reply)
-	}
-	return &Replied{reply: reply}, nil
-}
-
-func (d *Dispatcher) callFailed(ctx context.Context, held *claimer.Held, err error) error {
-	if !errors.Is(err, connector.ErrRefused) {
-		return classifier.NewUncertain("the endpoint did not answer", classifier.Cause(err))
-	}
-	if held != nil {
-		if releaseErr := held.Release(ctx); releaseErr != nil {
-			return classifier.NewUncertain("the endpoint refused, and the claim could not be released", classifier.Cause(releaseErr))
-		}
+// until returns a context that ends with the caller's deadline.
+func until(ctx context.Context, p *placer.Placed) (context.Context, context.CancelFunc) {
+	if p.Deadline().IsZero() {
+		return context.WithCancel(ctx)
 	}
-	return classifier.NewUnavailable("the endpoint refused the call", classifier.Cause(err))
+	return context.WithDeadline(ctx, p.Deadline())
 }
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -4,12 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
+	"math/rand/v2"
+	"slices"
+	"time"
 
 	"github.com/dragonflyford/dragonflyford/chainer"
 	"github.com/dragonflyford/dragonflyford/claimer"
 	"github.com/dragonflyford/dragonflyford/classifier"
-	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/dispatcher"
 	"github.com/dragonflyford/dragonflyford/placer"
 	"github.com/dragonflyford/dragonflyford/receiver"
@@ -34,15 +35,17 @@
 type Retrier struct {
 	inner    Inner
 	attempts int
+	budget   *budget
 }
 
 // New returns a retrier that makes up to attempts attempts per request.
 func New(inner Inner, attempts int) *Retrier {
-	return &Retrier{inner: inner, attempts: attempts}
+	return &Retrier{inner: inner, attempts: attempts, budget: newBudget()}
 }
 
 // Apply runs attempts until one has a result.
 func (r *Retrier) Apply(ctx context.Context, c *claimer.Claimed) (*Settled, error) {
+	r.budget.deposit(c.Snapshot().Limits().RetryShare())
 	run := &run{retrier: r, claimed: c}
 	first := firstToken(c)
 	result, err := run.start(ctx, first)
@@ -50,8 +53,7 @@
 		return nil, err
 	}
 	if s, ok := result.(*dispatcher.Streaming); ok {
-		resumed := &resuming{run: run, current: s.Stream(), next: first}
-		result = dispatcher.NewStreaming(resumed, s.Model())
+		result = dispatcher.NewStreaming(newResuming(run, s, first), s.Model())
 	}
 	return &Settled{Claimed: c, result: result}, nil
 }
@@ -79,68 +81,112 @@
 	for {
 		r.made++
 		id := fmt.Sprintf("%s.%d", r.claimed.ID(), r.made)
-		a := placer.NewAttempt(r.claimed, id, next, r.excluded)
+		a := placer.NewAttempt(r.claimed, id, next, slices.Clone(r.excluded))
 		v, err := r.retrier.inner.Apply(ctx, a)
 		if err == nil {
 			r.exclude(v.Placed)
 			return v.Result(), nil
 		}
-		if !r.mayRetry(ctx) {
+		if r.readmit(err) {
+			continue
+		}
+		if !r.again(ctx, err, next > firstToken(r.claimed)) {
 			return nil, err
 		}
 	}
 }
 
+// exclude keeps a resumed answer away from the engine that broke it off.
 func (r *run) exclude(p *placer.Placed) {
 	if on, ok := p.Choice().(*placer.OnEngine); ok {
 		r.excluded = append(r.excluded, on.Engine().Name())
 	}
 }
 
-func (r *run) mayRetry(ctx context.Context) bool {
-	if _, free := r.claimed.Claim().(claimer.Free); !free {
+// again decides whether to make another attempt after err, and waits for it.
+func (r *run) again(ctx context.Context, err error, resumes bool) bool {
+	if !r.repeatable() || !helps(err) || ctx.Err() != nil {
+		return false
+	}
+	delay := r.delay(err)
+	if deadline, ok := r.deadline(ctx); ok && time.Until(deadline) <= delay {
+		return false
+	}
+	if !r.retrier.budget.withdraw(resumes) {
+		return false
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
 		return false
 	}
-	return ctx.Err() == nil && r.made < r.retrier.attempts
 }
 
-// resuming continues a broken answer on another engine.
-type resuming struct {
-	run     *run
-	current connector.Stream
-	next    int
+// repeatable reports whether the work may run more than once and has attempts
+// left.
+func (r *run) repeatable() bool {
+	_, free := r.claimed.Claim().(claimer.Free)
+	return free && r.made < r.retrier.attempts
 }
 
-// Next returns the next chunk, from a new attempt if the current one broke.
-func (s *resuming) Next(ctx context.Context) (connector.Chunk, error) {
-	for {
-		chunk, err := s.current.Next(ctx)
-		if err == nil {
-			s.next = chunk.Index() + 1
-			return chunk, nil
-		}
-		if errors.Is(err, io.EOF) || !s.run.mayRetry(ctx) {
-			return connector.Chunk{}, err
-		}
-		if err := s.restart(ctx); err != nil {
-			return connector.Chunk{}, err
-		}
+func (r *run) deadline(ctx context.Context) (time.Time, bool) {
+	end, ok := ctx.Deadline()
+	own := r.claimed.Deadline()
+	if !own.IsZero() && (!ok || own.Before(end)) {
+		return own, true
 	}
+	return end, ok
 }
 
-func (s *resuming) restart(ctx context.Context) error {
-	_ = s.current.Close()
-	result, err := s.run.start(ctx, s.next)
-	if err != nil {
-		return err
+// Bounds of the wait before a retry. The first retry goes to another endpoint,
+// so that it need not wait for the failed one to recover.
+const (
+	firstDelay = 10 * time.Millisecond
+	lastDelay  = 500 * time.Millisecond
+)
+
+// readmit allows the endpoints that failed again when no other one is left. An
+// attempt without an endpoint does not count.
+func (r *run) readmit(err error) bool {
+	var failed *dispatcher.AttemptError
+	var unavailable *classifier.Unavailable
+	if len(r.excluded) == 0 || errors.As(err, &failed) || !errors.As(err, &unavailable) {
+		return false
 	}
-	streaming, ok := result.(*dispatcher.Streaming)
-	if !ok {
-		return classifier.NewUncertain("the resumed answer is not a stream")
+	r.excluded = nil
+	r.made--
+	return true
+}
+
+// delay notes which endpoint failed and returns how long to wait. When no
+// endpoint takes work, it is as long as the placer asks for.
+func (r *run) delay(err error) time.Duration {
+	wait := min(firstDelay<<min(r.made-1, 10), lastDelay)
+	var failed *dispatcher.AttemptError
+	if errors.As(err, &failed) {
+		r.excluded = append(r.excluded, failed.Endpoint())
+		return jitter(wait)
 	}
-	s.current = streaming.Stream()
-	return nil
+	return jitter(max(wait, classifier.Of(err).RetryAfter()))
 }
 
-// Close ends the current attempt.
-func (s *resuming) Close() error { return s.current.Close() }
+// jitter returns between a half and the whole of d.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
+
+// helps reports whether another attempt can end better. A fault that speaks of
+// the request itself stays the same wherever the request runs.
+func helps(err error) bool {
+	var f classifier.Fault
+	if !errors.As(err, &f) {
+		return true
+	}
+	switch f.(type) {
+	case *classifier.Unavailable, *classifier.Overloaded, *classifier.Uncertain:
+		return true
+	default:
+		return false
+	}
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -51,3 +51,6 @@
 	leave := chainer.Join(retrier.New(perAttempt, s.attempts), responder.New())
 	return chainer.Join(enter, leave)
 }
+
+// Close waits for the stages' postings, so that their answers are stored.
+func (s *Stages) Close() { s.dispatcher.Close() }
