--- /dev/null
+++ b/logger/logger_test.go
@@ -0,0 +1,73 @@
+package logger_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/logger"
+)
+
+func newLogger(t *testing.T, lowest string) (*logger.Logger, *bytes.Buffer) {
+	t.Helper()
+	var out bytes.Buffer
+	l, err := logger.New(&out, "node-1", lowest)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l, &out
+}
+
+// Guards against a key outside the fixed set and against a credential in a line.
+func TestLine(t *testing.T) {
+	is := is.New(t)
+	l, out := newLogger(t, "info")
+	l.Component("server").Debug("hidden")
+	l.Component("server").Warn("request-failed", logger.Request("r-1"),
+		logger.Err(errors.New("Authorization: Bearer s3cret, key=s3cret password: s3cret")), logger.Err(nil))
+	var line map[string]string
+	is.NoErr(json.Unmarshal(out.Bytes(), &line))
+	_, err := time.Parse(time.RFC3339Nano, line["ts"])
+	is.NoErr(err)
+	is.True(!strings.Contains(out.String(), "s3cret"))
+	delete(line, "ts")
+	delete(line, "err")
+	is.Equal(line, map[string]string{
+		"level": "warn", "node": "node-1", "component": "server", "event": "request-failed", "request_id": "r-1",
+	})
+}
+
+// Guards against a flood of one event that fills the log and hides the others.
+func TestFlood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l, out := newLogger(t, "debug")
+		for range 1000 {
+			l.Info("flood")
+		}
+		l.Info("other")
+		is.Equal(strings.Count(out.String(), "flood"), 20)
+		is.Equal(strings.Count(out.String(), "other"), 1)
+		time.Sleep(time.Second)
+		l.Info("flood")
+		is.True(strings.Contains(out.String(), "980 lines of event flood"))
+		for i := range 5000 {
+			l.Info(fmt.Sprint("made-", i))
+		}
+		is.True(strings.Count(out.String(), "made-") < 1024)
+	})
+}
+
+// Guards against a misspelt level that silently means another one.
+func TestUnknownLevel(t *testing.T) {
+	is := is.New(t)
+	_, err := logger.New(&bytes.Buffer{}, "n", "verbose")
+	is.True(err != nil)
+}
