server: serve callers and operators over HTTP

Cause: the front end answered every fault with 503, had no streams, no chats, no entries and no operator routes, and named callers by their raw credentials.

Change: OpenAI-compatible completions and chats, whole or as server-sent events whose ids are token indices; resume with Last-Event-ID and X-Request-Id; services with Idempotency-Attempt; entries nearest first; problem documents by type switch over the faults; X-Outcome, X-Request-Id and the binding on every answer; limits and timeouts that do not cut long streams; health, readiness, metrics; operator routes behind keys on a handler of their own; TLS certificates that are reloaded; Serve finishes what is in flight.

--- a/responder/responder.go
+++ b/responder/responder.go
@@ -18,6 +18,9 @@
 	stream connector.Stream
 }
 
+// NewTokenBody returns a body of tokens.
+func NewTokenBody(s connector.Stream) *TokenBody { return &TokenBody{stream: s} }
+
 // Stream returns the tokens.
 func (b *TokenBody) Stream() connector.Stream { return b.stream }
 
@@ -27,6 +30,11 @@
 	replayed bool
 }
 
+// NewReplyBody returns a body with a complete answer.
+func NewReplyBody(r connector.Reply, replayed bool) *ReplyBody {
+	return &ReplyBody{reply: r, replayed: replayed}
+}
+
 // Reply returns the answer.
 func (b *ReplyBody) Reply() connector.Reply { return b.reply }
 
@@ -44,6 +52,11 @@
 	body    Body
 }
 
+// NewAnswer returns an answer. The model is empty for services.
+func NewAnswer(request string, m connector.Model, epoch uint64, b Body) *Answer {
+	return &Answer{request: request, model: m, epoch: epoch, body: b}
+}
+
 // RequestID returns the id of the request.
 func (a *Answer) RequestID() string { return a.request }
 
@@ -67,17 +80,24 @@
 
 // Apply turns a settled request into an answer.
 func (Responder) Apply(_ context.Context, s *retrier.Settled) (*Answer, error) {
-	a := &Answer{request: s.ID(), epoch: s.Snapshot().Epoch()}
+	body, err := bodyOf(s.Result())
+	if err != nil {
+		return nil, err
+	}
+	var m connector.Model
 	if route, ok := s.Route().(*resolver.GenerationRoute); ok {
-		a.model = route.Model()
+		m = route.Model()
 	}
-	switch r := s.Result().(type) {
+	return NewAnswer(s.ID(), m, s.Snapshot().Epoch(), body), nil
+}
+
+func bodyOf(r dispatcher.Result) (Body, error) {
+	switch r := r.(type) {
 	case *dispatcher.Streaming:
-		a.body = &TokenBody{stream: r.Stream()}
+		return NewTokenBody(r.Stream()), nil
 	case *dispatcher.Replied:
-		a.body = &ReplyBody{reply: r.Reply(), replayed: r.Replayed()}
+		return NewReplyBody(r.Reply(), r.Replayed()), nil
 	default:
 		return nil, classifier.NewUncertain("the request has no result")
 	}
-	return a, nil
 }
--- /dev/null
+++ b/server/health.go
@@ -0,0 +1,44 @@
+package server
+
+import (
+	"net/http"
+
+	"github.com/dragonflyford/dragonflyford/classifier"
+)
+
+// healthDocument is the answer of the health routes.
+type healthDocument struct {
+	Status string `json:"status"`
+}
+
+func (s *Server) healthy(w http.ResponseWriter, r *http.Request) {
+	stamp(w, r, classifier.Done{})
+	writeJSON(w, typeJSON, http.StatusOK, healthDocument{Status: "ok"})
+}
+
+func (s *Server) ready(w http.ResponseWriter, r *http.Request) {
+	if err := s.Ready(); err != nil {
+		s.writeFault(w, r, err)
+		return
+	}
+	stamp(w, r, classifier.Done{})
+	writeJSON(w, typeJSON, http.StatusOK, healthDocument{Status: "ready"})
+}
+
+// Ready returns why the node should get no new requests, or nil.
+func (s *Server) Ready() error {
+	if s.draining.Load() {
+		return classifier.NewUnavailable("the node is draining")
+	}
+	if s.bundles != nil && s.bundles.Load().Current() == nil {
+		return classifier.NewUnavailable("no bundle is in force yet")
+	}
+	return nil
+}
+
+// Drain makes the server not ready and asks callers to leave their connections.
+// Calls are still answered.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Draining reports whether the server is draining.
+func (s *Server) Draining() bool { return s.draining.Load() }
--- /dev/null
+++ b/server/reloader.go
@@ -0,0 +1,77 @@
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Reloader serves the certificate in two files and follows their changes, so
+// that a renewed certificate needs no restart.
+type Reloader struct {
+	certFile string
+	keyFile  string
+	current  atomic.Pointer[tls.Certificate]
+	stop     context.CancelFunc
+	done     sync.WaitGroup
+}
+
+// NewReloader loads the files and reads them again every interval. A pair that
+// cannot be used is reported to onError and leaves the old one in place.
+func NewReloader(certFile, keyFile string, interval time.Duration, onError func(error)) (*Reloader, error) {
+	r := &Reloader{certFile: certFile, keyFile: keyFile}
+	if err := r.load(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	r.done.Go(func() { r.follow(ctx, interval, onError) })
+	return r, nil
+}
+
+// Config returns a TLS configuration that uses the latest certificate. HTTP/2 is
+// left out: one connection would carry all streams of a caller, and a broken one
+// would break them all.
+func (r *Reloader) Config() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		NextProtos: []string{"http/1.1"},
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return r.current.Load(), nil
+		},
+	}
+}
+
+// Close stops following the files.
+func (r *Reloader) Close() error {
+	r.stop()
+	r.done.Wait()
+	return nil
+}
+
+func (r *Reloader) load() error {
+	pair, err := tls.LoadX509KeyPair(r.certFile, r.keyFile)
+	if err != nil {
+		return fmt.Errorf("load certificate %q: %w", r.certFile, err)
+	}
+	r.current.Store(&pair)
+	return nil
+}
+
+func (r *Reloader) follow(ctx context.Context, interval time.Duration, onError func(error)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if err := r.load(); err != nil && onError != nil {
+			onError(err)
+		}
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -2,19 +2,18 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
-	"io"
 	"net/http"
-	"strconv"
-	"strings"
+	"sync/atomic"
+	"time"
 
 	"github.com/gorilla/mux"
 
 	"github.com/dragonflyford/dragonflyford/chainer"
 	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/meter"
 	"github.com/dragonflyford/dragonflyford/receiver"
+	"github.com/dragonflyford/dragonflyford/recorder"
 	"github.com/dragonflyford/dragonflyford/responder"
 )
 
@@ -24,100 +23,96 @@
 // Server translates between HTTP and the request pipeline.
 type Server struct {
 	pipeline Pipeline
-	maxBody  int64
-}
-
-// New returns a server that reads bodies of up to maxBody bytes.
-func New(p Pipeline, maxBody int64) *Server { return &Server{pipeline: p, maxBody: maxBody} }
-
-// Handler returns the routes for callers.
-func (s *Server) Handler() http.Handler {
-	r := mux.NewRouter()
-	r.HandleFunc("/v1/completions", s.completions).Methods(http.MethodPost)
-	r.PathPrefix("/v1/services/{service}/").HandlerFunc(s.service)
-	return r
-}
+	options
 
-type completionRequest struct {
-	Model     string `json:"model"`
-	Prompt    string `json:"prompt"`
-	MaxTokens int    `json:"max_tokens"`
-	Stream    bool   `json:"stream"`
+	inFlight atomic.Int64
+	draining atomic.Bool
+	answers  *meter.Counters
 }
 
-func (s *Server) completions(w http.ResponseWriter, r *http.Request) {
-	var body completionRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, s.maxBody)).Decode(&body); err != nil {
-		writeFault(w, classifier.NewInvalid("the body is not a completion request", classifier.Cause(err)))
-		return
+// New returns a server in front of a pipeline.
+func New(p Pipeline, opts ...Option) *Server {
+	s := &Server{pipeline: p, options: defaults()}
+	for _, opt := range opts {
+		opt(&s.options)
 	}
-	call := receiver.NewGeneration(body.Model, body.Prompt, body.MaxTokens, 0,
-		receiver.WithRequestID(r.Header.Get("X-Request-Id")), receiver.WithCaller(r.Header.Get("Authorization")))
-	s.answer(w, r, call)
+	s.answers = meter.NewCounters(s.scope, "answers", "outcome",
+		classifier.Done{}.String(), classifier.NotRun{}.String(), classifier.Unknown{}.String())
+	return s
 }
 
-func (s *Server) service(w http.ResponseWriter, r *http.Request) {
-	name := mux.Vars(r)["service"]
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.maxBody))
-	if err != nil {
-		writeFault(w, classifier.NewTooLarge("the body cannot be read", classifier.Cause(err)))
-		return
-	}
-	path := strings.TrimPrefix(r.URL.RequestURI(), "/v1/services/"+name)
-	call := receiver.NewServiceCall(name, r.Method, path, body, r.Header.Get("Idempotency-Key"), 1,
-		receiver.WithRequestID(r.Header.Get("X-Request-Id")), receiver.WithCaller(r.Header.Get("Authorization")))
-	s.answer(w, r, call)
+// Routes of callers.
+const (
+	routeEntries     = "/v1/entries"
+	routeCompletions = "/v1/completions"
+	routeChat        = "/v1/chat/completions"
+	routeServices    = "/v1/services/"
+	routeHealth      = "/healthz"
+	routeReady       = "/readyz"
+	routeMetrics     = "/metrics"
+)
+
+// Handler returns the routes for callers.
+func (s *Server) Handler() http.Handler {
+	r := s.router()
+	r.Handle(routeEntries, handle(s, readEntriesQuery, s.findEntries, s.writeEntries)).Methods(http.MethodGet)
+	r.Handle(routeCompletions, s.limited(handle(s, s.readCompletion, s.generate, s.writeGeneration))).Methods(http.MethodPost)
+	r.Handle(routeChat, s.limited(handle(s, s.readChat, s.generate, s.writeGeneration))).Methods(http.MethodPost)
+	r.PathPrefix(routeServices).Handler(s.limited(handle(s, s.readService, s.apply, s.writeReply)))
+	return s.exchange(r)
 }
 
-func (s *Server) answer(w http.ResponseWriter, r *http.Request, call *receiver.Call) {
-	ctx, cancel := context.WithCancel(r.Context())
-	defer cancel()
-	a, err := s.pipeline.Apply(ctx, call)
-	if err != nil {
-		writeFault(w, classifier.Of(err))
-		return
-	}
-	h := w.Header()
-	h.Set("X-Request-Id", a.RequestID())
-	h.Set("X-Outcome", a.Outcome().String())
-	h.Set("X-Adapter", a.Model().Adapter())
-	h.Set("X-Version", a.Model().Version())
-	h.Set("X-Bundle-Epoch", strconv.FormatUint(a.Epoch(), 10))
-	switch b := a.Body().(type) {
-	case *responder.TokenBody:
-		writeTokens(ctx, w, b)
-	case *responder.ReplyBody:
-		h.Set("Content-Type", b.Reply().ContentType())
-		w.WriteHeader(b.Reply().Status())
-		_, _ = w.Write(b.Reply().Body())
+// router returns a router with the routes that every listener has. Paths are
+// matched as they were sent, because a cleaned path is answered with a redirect
+// that clients do not follow with a body.
+func (s *Server) router() *mux.Router {
+	r := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	r.NotFoundHandler = http.HandlerFunc(s.routeUnknown)
+	r.MethodNotAllowedHandler = http.HandlerFunc(s.methodUnknown)
+	r.HandleFunc(routeHealth, s.healthy).Methods(http.MethodGet, http.MethodHead)
+	r.HandleFunc(routeReady, s.ready).Methods(http.MethodGet, http.MethodHead)
+	if s.metrics != nil {
+		r.Handle(routeMetrics, s.metrics).Methods(http.MethodGet)
 	}
+	return r
 }
 
-func writeTokens(ctx context.Context, w http.ResponseWriter, b *responder.TokenBody) {
-	defer func() { _ = b.Stream().Close() }()
-	var text strings.Builder
-	for {
-		chunk, err := b.Stream().Next(ctx)
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			writeFault(w, classifier.Of(err))
+// retryWhenFull is how long a caller should wait when the node has too many
+// requests open.
+const retryWhenFull = time.Second
+
+// limited bounds the number of open requests, including those whose body is
+// still being read.
+func (s *Server) limited(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer s.inFlight.Add(-1)
+		if n := s.inFlight.Add(1); s.concurrency > 0 && n > int64(s.concurrency) {
+			s.writeFault(w, r, classifier.NewOverloaded("the node has too many open requests", classifier.RetryAfter(retryWhenFull)))
 			return
 		}
-		text.WriteString(chunk.Text())
+		next.ServeHTTP(w, r)
+	})
+}
+
+// InFlight returns how many requests for work are open.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+
+// apply runs the pipeline and notes how it ended.
+func (s *Server) apply(ctx context.Context, call *receiver.Call) (*responder.Answer, error) {
+	answer, err := s.pipeline.Apply(ctx, call)
+	if err != nil {
+		return nil, err
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"choices": []map[string]any{{"text": text.String()}}})
+	recorder.From(ctx).Note(recorder.StageServer, "answering", "")
+	return answer, nil
 }
 
-func writeFault(w http.ResponseWriter, f classifier.Fault) {
-	w.Header().Set("Content-Type", "application/problem+json")
-	w.Header().Set("X-Outcome", f.Outcome().String())
-	status := http.StatusServiceUnavailable
-	if f.RetryAfter() > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(f.RetryAfter().Seconds())))
+// note records the end of an exchange.
+func (s *Server) note(r *http.Request, outcome classifier.Outcome, err error) {
+	s.answers.Inc(outcome.String())
+	if err == nil {
+		return
 	}
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(map[string]any{"title": fmt.Sprintf("%T", f), "detail": f.Detail()})
+	recorder.From(r.Context()).Note(recorder.StageServer, "fault", err.Error())
+	s.log.Debug("request-failed", logger.Request(requestID(r.Context())), logger.Err(err))
 }
