--- a/emulator/contract_test.go
+++ b/emulator/contract_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -42,7 +43,42 @@
 	}
 }
 
-func ways() []way { return []way{direct()} }
+// overHTTP reaches a fake through its handler and the HTTP client.
+func overHTTP() way {
+	return way{
+		name: "over HTTP",
+		table: func(t *testing.T, f *emulator.Table) storer.Table {
+			return closing(t, storer.NewHTTPTable(serve(t, emulator.PlatformHandler(f, nil, nil, nil))))
+		},
+		objects: func(t *testing.T, f *emulator.Objects) storer.Objects {
+			return closing(t, storer.NewHTTPObjects(serve(t, emulator.PlatformHandler(nil, f, nil, nil))))
+		},
+		hosts: func(t *testing.T, f *emulator.HostList) storer.Hosts {
+			return closing(t, storer.NewHTTPHosts(serve(t, emulator.PlatformHandler(nil, nil, f, nil))))
+		},
+		engine: func(t *testing.T, f *emulator.Engine) connector.Engine {
+			return closing(t, connector.NewHTTPEngine(serve(t, emulator.EngineHandler(f))))
+		},
+		service: func(t *testing.T, f *emulator.Service) connector.FencedService {
+			return closing(t, connector.NewHTTPService(serve(t, emulator.ServiceHandler(f))))
+		},
+		run: func(t *testing.T, run func(*testing.T)) { run(t) },
+	}
+}
+
+func serve(t *testing.T, h http.Handler) string {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	return srv.Listener.Addr().String()
+}
+
+func closing[C interface{ Close() }](t *testing.T, client C) C {
+	t.Cleanup(client.Close)
+	return client
+}
+
+func ways() []way { return []way{direct(), overHTTP()} }
 
 // each runs a case once for each way.
 func each(t *testing.T, name string, run func(*testing.T, way)) {
@@ -468,6 +504,29 @@
 		is.True(r.Instance() != before)
 		is.Equal(len(r.Resident()), 0)
 	})
+	each(t, "crossed", func(t *testing.T, w way) {
+		is := is.New(t)
+		fake := newEngine(t, quick()...)
+		e := w.engine(t, fake)
+		load(t, e, 1, reading)
+		// The other job is started in process in both cases: a handler would read
+		// its tokens, and the fault might hit that stream.
+		_, err := fake.Generate(t.Context(), connector.NewJob("other", "s", reading, "q", 1<<30))
+		is.NoErr(err)
+		is.NoErr(fake.Inject(emulator.NewCrossed(1, 0)))
+		s, err := e.Generate(t.Context(), connector.NewJob("own", "r", reading, "p", 3))
+		is.NoErr(err)
+		var attempts []string
+		for {
+			c, err := s.Next(t.Context())
+			if errors.Is(err, io.EOF) {
+				break
+			}
+			is.NoErr(err)
+			attempts = append(attempts, c.Attempt())
+		}
+		is.Equal(attempts, []string{"other", "own", "own", "own"})
+	})
 	each(t, "crash on a prompt", func(t *testing.T, w way) {
 		is := is.New(t)
 		fake := newEngine(t, quick()...)
@@ -518,6 +577,19 @@
 			is.Equal(fake.Executions()["op 1"], c.runs)
 		})
 	}
+	each(t, "crossed", func(t *testing.T, w way) {
+		is := is.New(t)
+		fake := emulator.NewService()
+		svc := w.service(t, fake)
+		is.NoErr(fake.Inject(emulator.NewCrossed(1, 0)))
+		for i, want := range []string{"a0", "a0", "a2"} {
+			attempt := fmt.Sprintf("a%d", i)
+			r, err := svc.Call(t.Context(), connector.NewOperation(attempt, attempt, http.MethodPost, "/postings", nil))
+			is.NoErr(err)
+			is.Equal(r.Attempt(), want)
+		}
+		is.Equal(len(fake.Executions()), 3)
+	})
 	each(t, "revoked operation", func(t *testing.T, w way) {
 		is := is.New(t)
 		fake := emulator.NewService(emulator.WithFencing())
