placer: choose engines by estimated cost under a named policy

The first score knew only residency and load. The weighted policy estimates milliseconds: load, price of the load and of the eviction, queue, batch fill by the bundle's weights, distance and bytes, age of the view, cached prefixes. It counts its own placements since the last view and remembers where prefixes went. LeastLoaded, Random and AdapterHash serve for comparison. Services go to the instance with the fewest outstanding calls, own region first.

--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -13,28 +13,34 @@
 )
 
 func (d *Dispatcher) call(ctx context.Context, p *placer.Placed, choice *placer.OnService) (Result, error) {
+	ctx, cancel := until(ctx, p)
+	defer cancel()
 	route, ok := p.Route().(*resolver.ServiceRoute)
 	if !ok {
+		p.Ended()
 		return nil, classifier.NewInvalid("the request is not a service call")
 	}
 	svc, err := d.directory.Service(choice.Endpoint().Name())
 	if err != nil {
+		p.Ended()
 		return nil, fmt.Errorf("find service endpoint %q: %w", choice.Endpoint().Name(), err)
 	}
-	ctx, cancel := until(ctx, p)
-	defer cancel()
-	t := route.Target()
 	if held, ok := p.Claim().(*claimer.Held); ok {
-		op := connector.NewOperation(p.AttemptID(), held.Attempt(), t.Method(), t.Path(), t.Body())
-		return d.post(ctx, svc, held, op)
+		return d.post(ctx, svc, p, held, operation(p, route, held.Attempt()))
 	}
-	reply, err := svc.Call(ctx, connector.NewOperation(p.AttemptID(), p.ID(), t.Method(), t.Path(), t.Body()))
+	defer p.Ended()
+	reply, err := svc.Call(ctx, operation(p, route, p.ID()))
 	if err != nil {
 		return nil, callFault(err)
 	}
 	return &Replied{reply: reply}, nil
 }
 
+func operation(p *placer.Placed, route *resolver.ServiceRoute, id string) connector.Operation {
+	t := route.Target()
+	return connector.NewOperation(p.AttemptID(), id, t.Method(), t.Path(), t.Body())
+}
+
 // posted is the end of a posting.
 type posted struct {
 	reply connector.Reply
@@ -43,24 +49,26 @@
 
 // post runs a non-idempotent call. Once it has begun, it goes on without its
 // caller, so that the answer is stored for a repeat of the key.
-func (d *Dispatcher) post(ctx context.Context, svc connector.Service, held *claimer.Held, op connector.Operation) (Result, error) {
+func (d *Dispatcher) post(ctx context.Context, svc connector.Service, p *placer.Placed, held *claimer.Held, op connector.Operation) (Result, error) {
 	if !d.begin(ctx) {
+		p.Ended()
 		return nil, classifier.NewUnavailable("the node is closing or the request has ended")
 	}
 	ended := make(chan posted, 1)
 	go func() {
 		defer d.postings.Done()
+		defer p.Ended()
 		own, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.postingTimeout)
 		defer cancel()
 		reply, err := runPosting(own, svc, held, op)
 		ended <- posted{reply, err}
 	}()
 	select {
-	case p := <-ended:
-		if p.err != nil {
-			return nil, p.err
+	case end := <-ended:
+		if end.err != nil {
+			return nil, end.err
 		}
-		return &Replied{reply: p.reply}, nil
+		return &Replied{reply: end.reply}, nil
 	case <-ctx.Done():
 		return nil, gaveUp(ctx)
 	}
--- /dev/null
+++ b/placer/attempt.go
@@ -0,0 +1,80 @@
+package placer
+
+import (
+	"slices"
+	"sync/atomic"
+
+	"github.com/dragonflyford/dragonflyford/bundler"
+	"github.com/dragonflyford/dragonflyford/claimer"
+)
+
+// Attempt is one try at a claimed request.
+type Attempt struct {
+	*claimer.Claimed
+	id       string
+	next     int
+	excluded []string
+}
+
+// NewAttempt returns an attempt that starts at the token with index next and
+// avoids the excluded endpoints.
+func NewAttempt(c *claimer.Claimed, id string, next int, excluded []string) *Attempt {
+	return &Attempt{Claimed: c, id: id, next: next, excluded: excluded}
+}
+
+// AttemptID returns the id that every part of the answer must carry.
+func (a *Attempt) AttemptID() string { return a.id }
+
+// Next returns the index of the first token to produce.
+func (a *Attempt) Next() int { return a.next }
+
+// Excludes reports whether the attempt avoids an endpoint.
+func (a *Attempt) Excludes(endpoint string) bool { return slices.Contains(a.excluded, endpoint) }
+
+// Choice is where an attempt runs: OnEngine, OnService or Nowhere.
+type Choice interface{ choice() }
+
+// OnEngine runs the attempt on a model engine through the engine's owner.
+type OnEngine struct {
+	engine *bundler.EngineEndpoint
+	owner  string
+}
+
+// Engine returns the engine.
+func (c *OnEngine) Engine() *bundler.EngineEndpoint { return c.engine }
+
+// Owner returns the node that owns the engine.
+func (c *OnEngine) Owner() string { return c.owner }
+
+// OnService runs the attempt on an instance of a plain service.
+type OnService struct {
+	endpoint *bundler.ServiceEndpoint
+}
+
+// Endpoint returns the instance.
+func (c *OnService) Endpoint() *bundler.ServiceEndpoint { return c.endpoint }
+
+// Nowhere needs no endpoint, because the answer exists already.
+type Nowhere struct{}
+
+func (*OnEngine) choice()  {}
+func (*OnService) choice() {}
+func (Nowhere) choice()    {}
+
+// Placed is an attempt with its endpoint.
+type Placed struct {
+	*Attempt
+	choice Choice
+	calls  *atomic.Int64 // outstanding calls of the service instance
+}
+
+// Choice returns where the attempt runs.
+func (p *Placed) Choice() Choice { return p.choice }
+
+// Ended tells that the call of a plain service has ended. It is called once for
+// each attempt that was placed on a service.
+func (p *Placed) Ended() {
+	if p.calls != nil {
+		p.calls.Add(-1)
+	}
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/dragonflyford/dragonflyford/bundler"
 	"github.com/dragonflyford/dragonflyford/claimer"
@@ -10,89 +13,52 @@
 	"github.com/dragonflyford/dragonflyford/viewer"
 )
 
-// Attempt is one try at a claimed request.
-type Attempt struct {
-	*claimer.Claimed
-	id       string
-	next     int
-	excluded []string
-}
-
-// NewAttempt returns an attempt that starts at the token with index next and
-// avoids the excluded endpoints.
-func NewAttempt(c *claimer.Claimed, id string, next int, excluded []string) *Attempt {
-	return &Attempt{Claimed: c, id: id, next: next, excluded: excluded}
-}
-
-// AttemptID returns the id that every part of the answer must carry.
-func (a *Attempt) AttemptID() string { return a.id }
-
-// Next returns the index of the first token to produce.
-func (a *Attempt) Next() int { return a.next }
-
-// Excludes reports whether the attempt avoids an endpoint.
-func (a *Attempt) Excludes(endpoint string) bool {
-	for _, e := range a.excluded {
-		if e == endpoint {
-			return true
-		}
-	}
-	return false
+// Source gives the latest views by one atomic load.
+type Source interface {
+	Load() *viewer.Views
 }
 
-// Choice is where an attempt runs: OnEngine, OnService or Nowhere.
-type Choice interface{ choice() }
-
-// OnEngine runs the attempt on a model engine through the engine's owner.
-type OnEngine struct {
-	engine *bundler.EngineEndpoint
-	owner  string
+// Leaving tells which endpoints take no new work. It is asked for every
+// candidate of every request and takes no lock.
+type Leaving interface {
+	Leaving(endpoint string) bool
 }
 
-// Engine returns the engine.
-func (c *OnEngine) Engine() *bundler.EngineEndpoint { return c.engine }
-
-// Owner returns the node that owns the engine.
-func (c *OnEngine) Owner() string { return c.owner }
-
-// OnService runs the attempt on an instance of a plain service.
-type OnService struct {
-	endpoint *bundler.ServiceEndpoint
+// Placer chooses endpoints.
+type Placer struct {
+	views   Source
+	region  string
+	policy  Policy
+	leaving Leaving
+	random  atomic.Uint64
+	recent  recent
+	history history
+	calls   [counters]atomic.Int64 // outstanding calls by hash of the instance
 }
 
-// Endpoint returns the instance.
-func (c *OnService) Endpoint() *bundler.ServiceEndpoint { return c.endpoint }
+// counters is the size of the tables that count by hash of an endpoint's name.
+// A collision makes two endpoints look busier than they are.
+const counters = 1 << 10
 
-// Nowhere needs no endpoint, because the answer exists already.
-type Nowhere struct{}
+// Option sets an optional property of a Placer.
+type Option func(*Placer)
 
-func (*OnEngine) choice()  {}
-func (*OnService) choice() {}
-func (Nowhere) choice()    {}
+// WithPolicy sets how engines are chosen; Weighted is the default.
+func WithPolicy(policy Policy) Option { return func(p *Placer) { p.policy = policy } }
 
-// Placed is an attempt with its endpoint.
-type Placed struct {
-	*Attempt
-	choice Choice
-}
+// WithLeaving keeps new work away from endpoints that leave.
+func WithLeaving(l Leaving) Option { return func(p *Placer) { p.leaving = l } }
 
-// Choice returns where the attempt runs.
-func (p *Placed) Choice() Choice { return p.choice }
-
-// Source gives the latest views by one atomic load.
-type Source interface {
-	Load() *viewer.Views
-}
-
-// Placer chooses endpoints.
-type Placer struct {
-	views  Source
-	region string
-}
+// WithSeed fixes the random choices.
+func WithSeed(seed uint64) Option { return func(p *Placer) { p.random.Store(seed) } }
 
 // New returns a placer for a node in region.
-func New(views Source, region string) *Placer {
-	return &Placer{views: views, region: region}
+func New(views Source, region string, opts ...Option) *Placer {
+	p := &Placer{views: views, region: region, policy: Weighted{}}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
 }
 
 // Apply chooses the endpoint of an attempt.
@@ -100,63 +66,69 @@
 	if _, ok := a.Claim().(*claimer.Replay); ok {
 		return &Placed{Attempt: a, choice: Nowhere{}}, nil
 	}
-	choice, err := p.choose(a)
-	if err != nil {
-		return nil, err
-	}
-	return &Placed{Attempt: a, choice: choice}, nil
-}
-
-func (p *Placer) choose(a *Attempt) (Choice, error) {
 	switch route := a.Route().(type) {
 	case *resolver.GenerationRoute:
-		return p.chooseEngine(a, route)
+		return p.placeGeneration(a, route)
 	case *resolver.ServiceRoute:
-		return p.chooseService(a, route)
+		return p.placeCall(a, route)
 	default:
 		return nil, classifier.NewInvalid("the request has no route")
 	}
 }
 
-func (p *Placer) chooseEngine(a *Attempt, route *resolver.GenerationRoute) (Choice, error) {
-	views := p.views.Load()
+func (p *Placer) placeGeneration(a *Attempt, route *resolver.GenerationRoute) (*Placed, error) {
+	q := NewQuery(route.Model(), route.Adapter(), route.Target().Prompt(), route.Target().MaxTokens(), a.Snapshot().Weights(), a.excluded)
+	engine, owner := p.Decide(&q, route.Engines())
+	if engine == nil {
+		return nil, classifier.NewUnavailable("no engine for the adapter takes work", classifier.RetryAfter(retryWhenNone))
+	}
+	return &Placed{Attempt: a, choice: &OnEngine{engine: engine, owner: owner}}, nil
+}
+
+func (p *Placer) placeCall(a *Attempt, route *resolver.ServiceRoute) (*Placed, error) {
+	endpoint, calls := p.leastCalls(a, route.Service().Endpoints())
+	if endpoint == nil {
+		return nil, classifier.NewUnavailable("no instance of the service takes work", classifier.RetryAfter(retryWhenNone))
+	}
+	calls.Add(1)
+	return &Placed{Attempt: a, choice: &OnService{endpoint: endpoint}, calls: calls}, nil
+}
+
+// leastCalls returns the instance with the fewest outstanding calls, in the
+// node's own region if one there takes work.
+func (p *Placer) leastCalls(a *Attempt, endpoints []*bundler.ServiceEndpoint) (*bundler.ServiceEndpoint, *atomic.Int64) {
 	var (
-		best      *bundler.EngineEndpoint
-		bestOwner string
-		bestScore = -1 << 30
+		best  *bundler.ServiceEndpoint
+		calls *atomic.Int64
+		local bool
 	)
-	for _, e := range route.Engines() {
-		view := views.Engine(e.Name())
-		if view == nil || !view.Accepts() || a.Excludes(e.Name()) || !route.Adapter().OfferedIn(e.Region()) {
+	for _, e := range endpoints {
+		if a.Excludes(e.Name()) || p.leaves(e.Name()) {
 			continue
 		}
-		score := 100*int(view.Residency(route.Model())) - view.Running() - view.Queued()
-		if e.Region() != p.region {
-			score -= 50
+		here := e.Region() == p.region
+		if local && !here {
+			continue
 		}
-		if score > bestScore {
-			best, bestOwner, bestScore = e, view.Owner(), score
+		n := &p.calls[xxhash.Sum64String(e.Name())%counters]
+		if best == nil || here && !local || n.Load() < calls.Load() {
+			best, calls, local = e, n, here
 		}
 	}
-	if best == nil {
-		return nil, classifier.NewUnavailable("no engine for the adapter takes work", classifier.RetryAfter(retryWhenNone))
-	}
-	return &OnEngine{engine: best, owner: bestOwner}, nil
+	return best, calls
 }
 
-func (p *Placer) chooseService(a *Attempt, route *resolver.ServiceRoute) (Choice, error) {
-	var remote *bundler.ServiceEndpoint
-	for _, e := range route.Service().Endpoints() {
-		if a.Excludes(e.Name()) {
-			continue
-		}
-		if e.Region() == p.region {
-			return &OnService{endpoint: e}, nil
-		}
-		remote = e
-	}
-	if remote == nil {
-		return nil, classifier.NewUnavailable("no instance of the service takes work", classifier.RetryAfter(retryWhenNone))
-	}
-	return &OnService{endpoint: remote}, nil
+func (p *Placer) leaves(endpoint string) bool {
+	return p.leaving != nil && p.leaving.Leaving(endpoint)
+}
+
+// next returns a random number.
+func (p *Placer) next() uint64 { return mix(p.random.Add(0x9e3779b97f4a7c15)) }
+
+// mix is the finaliser of SplitMix64. It spreads a counter or two combined
+// hashes over all bits.
+func mix(z uint64) uint64 {
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
 }
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,234 @@
+package placer_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/bundler"
+	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/placer"
+	"github.com/dragonflyford/dragonflyford/viewer"
+)
+
+var regions = []string{"lj", "mb", "kp"}
+
+func model(i int) connector.Model {
+	return connector.NewModel("base", fmt.Sprintf("adapter-%05d", i), "v1")
+}
+
+// deployment returns a snapshot with engines over three regions.
+func deployment(adapters, engines int, w bundler.WeightsDocument) *bundler.Snapshot {
+	doc := &bundler.Document{Bases: []bundler.BaseDocument{{Name: "base"}}, Weights: w}
+	for i := range adapters {
+		doc.Adapters = append(doc.Adapters, bundler.AdapterDocument{Name: model(i).Adapter(), Base: "base", Versions: []string{"v1"}})
+	}
+	for i := range engines {
+		doc.Endpoints = append(doc.Endpoints, bundler.EndpointDocument{
+			Name: fmt.Sprintf("engine-%d", i), Kind: bundler.KindEngine, Base: "base", Region: regions[i%len(regions)], Slots: 4, Batch: 8,
+		})
+	}
+	return bundler.NewSnapshot(1, doc)
+}
+
+func query(s *bundler.Snapshot, i int, prompt string, excluded ...string) *placer.Query {
+	a, _ := s.Adapter(model(i).Adapter())
+	q := placer.NewQuery(model(i), a, prompt, 50, s.Weights(), excluded)
+	return &q
+}
+
+// state is what a case says of one engine.
+type state struct {
+	has      map[int]viewer.Residency
+	running  int
+	room     int
+	eviction float64
+	age      time.Duration
+	prefixes []uint64
+	closed   bool
+}
+
+func view(i int, s state) *viewer.View {
+	models := make(map[connector.Model]viewer.Residency)
+	for m, r := range s.has {
+		models[model(m)] = r
+	}
+	return viewer.NewView(fmt.Sprintf("engine-%d", i), "owner", models, 4, 8, s.running, 0, time.Now().Add(-s.age), !s.closed,
+		viewer.WithRoom(s.room, s.eviction), viewer.WithPrefixes(viewer.NewPrefixes(s.prefixes)))
+}
+
+type leaving string
+
+func (l leaving) Leaving(endpoint string) bool { return endpoint == string(l) }
+
+// Guards against a choice that pays for a load, a distance or a wait that
+// another engine spares. The node is in region lj, as engine 0 and engine 3.
+func TestWeighted(t *testing.T) {
+	resident := map[int]viewer.Residency{7: viewer.Resident}
+	loading := map[int]viewer.Residency{7: viewer.Loading}
+	prompt := strings.Repeat("x", 1024)
+	balanced := bundler.WeightsDocument{LoadStall: 1, BatchEfficiency: 1, CrossRegion: 1}
+	tests := []struct {
+		name     string
+		weights  bundler.WeightsDocument
+		engines  []state
+		prompt   string
+		excluded []string
+		leaving  leaving
+		want     string
+	}{
+		{"resident elsewhere beats a load at home", balanced, []state{{room: 4}, {has: resident, running: 7}}, "", nil, "", "engine-1"},
+		{"loading elsewhere beats a second load", balanced, []state{{room: 4}, {has: loading}}, "", nil, "", "engine-1"},
+		{"resident beats loading", balanced, []state{{has: loading}, {has: resident}}, "", nil, "", "engine-1"},
+		{"a long queue pays for a copy", balanced, []state{{has: resident, running: 30}, {room: 4}}, "", nil, "", "engine-1"},
+		{"a short queue does not", balanced, []state{{has: resident, running: 8}, {room: 4}}, "", nil, "", "engine-0"},
+		{"the less used adapter is evicted", balanced, []state{{room: 1, eviction: 2}, {room: 1, eviction: 0.1}}, "", nil, "", "engine-1"},
+		{"an engine without a free slot is last", balanced, []state{{room: 0}, {room: 1, eviction: 1}}, "", nil, "", "engine-1"},
+		{"own region is cheaper", balanced, []state{{has: resident}, {has: resident}}, "", nil, "", "engine-0"},
+		{"a large bill for traffic keeps requests at home", bundler.WeightsDocument{CrossRegion: 5000}, []state{{room: 4}, {has: resident}}, prompt, nil, "", "engine-0"},
+		{"an old view is worth less", balanced, []state{{has: resident, age: 10 * time.Second}, {has: resident}}, "", nil, "", "engine-1"},
+		{"stall weight spreads jobs", bundler.WeightsDocument{LoadStall: 1}, []state{{has: resident, running: 6}, {}, {}, {has: resident}}, "", nil, "", "engine-3"},
+		{"batch weight packs jobs", bundler.WeightsDocument{BatchEfficiency: 1}, []state{{has: resident}, {}, {}, {has: resident, running: 6}}, "", nil, "", "engine-3"},
+		{"a cached prefix attracts", balanced, []state{{has: resident}, {}, {}, {has: resident, prefixes: prefixes(7, prompt)}}, prompt, nil, "", "engine-3"},
+		{"an excluded engine is avoided", balanced, []state{{has: resident}, {room: 4}}, "", []string{"engine-0"}, "", "engine-1"},
+		{"a leaving engine is avoided at once", balanced, []state{{has: resident}, {room: 4}}, "", nil, "engine-0", "engine-1"},
+		{"an engine that takes no work is avoided", balanced, []state{{has: resident, closed: true}, {room: 4}}, "", nil, "", "engine-1"},
+		{"no engine is left", balanced, []state{{closed: true}}, "", nil, "", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := deployment(10, len(tt.engines), tt.weights)
+				views := viewer.New()
+				for i, e := range tt.engines {
+					views.Update(view(i, e))
+				}
+				p := placer.New(views, "lj", placer.WithLeaving(tt.leaving))
+				e, _ := p.Decide(query(s, 7, tt.prompt, tt.excluded...), s.Engines("base"))
+				if tt.want == "" {
+					is.True(e == nil)
+					return
+				}
+				is.Equal(e.Name(), tt.want)
+			})
+		})
+	}
+}
+
+// prefixes returns the hashes that an engine publishes for a prompt.
+func prefixes(m int, prompt string) []uint64 {
+	var hashes []uint64
+	for n := 64; n <= len(prompt); n += 64 {
+		hashes = append(hashes, hash(model(m).String()+"\x00"+prompt[:n]))
+	}
+	return hashes
+}
+
+// Guards against all requests between two views going to one engine, and
+// against a prompt whose prefix is cached going elsewhere before the engine has
+// published it.
+func TestMemory(t *testing.T) {
+	is := is.New(t)
+	s := deployment(10, 6, bundler.WeightsDocument{LoadStall: 1})
+	views := viewer.New()
+	for i := range 6 {
+		views.Update(view(i, state{has: map[int]viewer.Residency{7: viewer.Resident}}))
+	}
+	p := placer.New(views, "lj")
+	count := make(map[string]int)
+	for range 16 {
+		e, _ := p.Decide(query(s, 7, ""), s.Engines("base"))
+		count[e.Name()]++
+	}
+	for _, n := range count {
+		is.True(n <= 8) // no engine gets more than its batch while others are empty
+	}
+	is.True(count["engine-0"] > count["engine-1"]) // own region first
+	is.True(count["engine-3"] > count["engine-4"])
+
+	prompt := strings.Repeat("y", 1024)
+	p = placer.New(views, "lj")
+	first, _ := p.Decide(query(s, 7, prompt), s.Engines("base"))
+	again, _ := p.Decide(query(s, 7, prompt+"more"), s.Engines("base"))
+	is.Equal(again.Name(), first.Name())
+}
+
+// Guards against a policy that cannot be named in settings and against one that
+// does not do what its name says.
+func TestPolicies(t *testing.T) {
+	s := deployment(100, 6, bundler.WeightsDocument{})
+	for _, policy := range placer.Policies() {
+		t.Run(policy.String(), func(t *testing.T) {
+			is := is.New(t)
+			parsed, err := placer.ParsePolicy(policy.String())
+			is.NoErr(err)
+			is.Equal(parsed, policy)
+			views := viewer.New()
+			for i := range 6 {
+				views.Update(view(i, state{room: 4, running: 5 - i}))
+			}
+			p := placer.New(views, "lj", placer.WithPolicy(policy), placer.WithSeed(1))
+			chosen := make(map[string]bool)
+			for i := range 100 {
+				e, _ := p.Decide(query(s, i, ""), s.Engines("base"))
+				chosen[e.Name()] = true
+				if i == 0 && policy == (placer.LeastLoaded{}) {
+					is.Equal(e.Name(), "engine-5")
+				}
+				if policy == (placer.AdapterHash{}) {
+					same, _ := p.Decide(query(s, i, ""), s.Engines("base"))
+					is.Equal(same.Name(), e.Name())
+				}
+			}
+			is.Equal(len(chosen), 6)
+		})
+	}
+	_, err := placer.ParsePolicy("best")
+	if err == nil {
+		t.Error("an unknown policy is accepted")
+	}
+}
+
+// Guards against a decision that costs more than 2 µs or allocates, on the
+// request path of a deployment with 29,000 adapters.
+func BenchmarkDecide(b *testing.B) {
+	for _, engines := range []int{12, 3700} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			s := deployment(29_000, engines, bundler.WeightsDocument{LoadStall: 1, BatchEfficiency: 1, CrossRegion: 1})
+			views := viewer.New()
+			var all []*viewer.View
+			for i := range engines {
+				has := map[int]viewer.Residency{i: viewer.Resident, 100 + i: viewer.Resident, 200 + i: viewer.Resident, 300 + i: viewer.Loading}
+				all = append(all, view(i, state{has: has, running: i % 8, room: 1, eviction: 0.1}))
+			}
+			views.Update(all...)
+			p := placer.New(views, "lj")
+			q := query(s, 205, strings.Repeat("prompt ", 50))
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Decide(q, s.Engines("base"))
+			}
+		})
+	}
+}
+
+// Guards against an allocation per decision.
+func TestDecideAllocatesNothing(t *testing.T) {
+	is := is.New(t)
+	s := deployment(100, 12, bundler.WeightsDocument{})
+	views := viewer.New()
+	for i := range 12 {
+		views.Update(view(i, state{has: map[int]viewer.Residency{i: viewer.Resident}, room: 1}))
+	}
+	p := placer.New(views, "lj")
+	q := query(s, 5, strings.Repeat("prompt ", 50))
+	is.Equal(testing.AllocsPerRun(100, func() { p.Decide(q, s.Engines("base")) }), 0.0)
+}
+
+func hash(s string) uint64 { return xxhash.Sum64String(s) }
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -7,6 +7,7 @@
 
 	"github.com/dragonflyford/dragonflyford/classifier"
 	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/viewer"
 )
 
 // reportLoop compares the engine's reports with what the owner believes.
@@ -53,7 +54,7 @@
 	s.mu.Lock()
 	crashed := s.noteInstance(r, at)
 	s.failedInARow = 0
-	s.prefixes = r.Prefixes()
+	s.prefixes = viewer.NewPrefixes(r.Prefixes())
 	s.takeResidency(r, at)
 	s.settle(r, at)
 	s.reported = true
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -63,7 +63,7 @@
 	instance     string
 	reported     bool // a report has arrived
 	failedInARow int  // reports
-	prefixes     []uint64
+	prefixes     *viewer.Prefixes
 	leaving      bool
 	leavingSince time.Time
 	closed       bool
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dragonflyford/dragonflyford/connector"
 )
 
@@ -24,6 +26,7 @@
 	engine   string
 	owner    string
 	models   map[connector.Model]Residency
+	hashes   []uint64 // of models, in any order
 	slots    int
 	batch    int
 	running  int
@@ -32,7 +35,7 @@
 	accepted bool
 	room     int
 	eviction float64
-	prefixes []uint64
+	prefixes *Prefixes
 }
 
 // Option sets an optional property of a View.
@@ -44,10 +47,53 @@
 	return func(v *View) { v.room, v.eviction = room, evictionCost }
 }
 
-// WithPrefixes adds hashes of the prompt prefixes that the engine has cached.
-// The slice must not be changed afterwards.
-func WithPrefixes(hashes []uint64) Option {
-	return func(v *View) { v.prefixes = hashes }
+// WithPrefixes adds the prompt prefixes that the engine has cached.
+func WithPrefixes(p *Prefixes) Option {
+	return func(v *View) { v.prefixes = p }
+}
+
+// Prefixes is an immutable set of hashes of prompt prefixes. A nil set is empty.
+type Prefixes struct {
+	set  map[uint64]struct{}
+	list []uint64
+}
+
+// NewPrefixes returns a set. The slice must not be changed afterwards.
+func NewPrefixes(hashes []uint64) *Prefixes {
+	p := &Prefixes{set: make(map[uint64]struct{}, len(hashes)), list: hashes}
+	for _, h := range hashes {
+		p.set[h] = struct{}{}
+	}
+	return p
+}
+
+// Has reports whether the set holds a hash.
+func (p *Prefixes) Has(hash uint64) bool {
+	if p == nil {
+		return false
+	}
+	_, ok := p.set[hash]
+	return ok
+}
+
+// Hashes returns the set; the slice must not be changed.
+func (p *Prefixes) Hashes() []uint64 {
+	if p == nil {
+		return nil
+	}
+	return p.list
+}
+
+// HashModel returns the hash that ResidencyOf expects.
+func HashModel(m connector.Model) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(m.Base())
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(m.Adapter())
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(m.Version())
+	return d.Sum64()
 }
 
 // NewView returns a view. The map must not be changed afterwards. Accepted says
@@ -67,6 +113,10 @@
 	for _, opt := range opts {
 		opt(v)
 	}
+	v.hashes = make([]uint64, 0, len(models))
+	for m := range models {
+		v.hashes = append(v.hashes, HashModel(m))
+	}
 	return v
 }
 
@@ -79,6 +129,17 @@
 // Residency returns how far m is on its way into the engine.
 func (v *View) Residency(m connector.Model) Residency { return v.models[m] }
 
+// ResidencyOf is Residency for a model whose hash is known. An engine has few
+// slots, so that a scan of the hashes costs less than hashing three strings.
+func (v *View) ResidencyOf(hash uint64, m connector.Model) Residency {
+	for _, h := range v.hashes {
+		if h == hash {
+			return v.models[m]
+		}
+	}
+	return Absent
+}
+
 // Models returns every adapter version that is loading or resident; the map
 // must not be changed.
 func (v *View) Models() map[connector.Model]Residency { return v.models }
@@ -106,9 +167,8 @@
 // for the next load; it is 0 while a slot is free.
 func (v *View) EvictionCost() float64 { return v.eviction }
 
-// Prefixes returns hashes of cached prompt prefixes; the slice must not be
-// changed.
-func (v *View) Prefixes() []uint64 { return v.prefixes }
+// Prefixes returns the cached prompt prefixes.
+func (v *View) Prefixes() *Prefixes { return v.prefixes }
 
 // Accepts reports whether the engine takes new work.
 func (v *View) Accepts() bool { return v.accepted }
