--- /dev/null
+++ b/configurer/checker.go
@@ -0,0 +1,264 @@
+package configurer
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// checker finds what is wrong with a document that has the right types.
+type checker struct {
+	*decoder
+	doc *nodeDocument
+}
+
+func (c *checker) check() {
+	c.checkPlace()
+	c.checkAddresses()
+	c.checkPlatform()
+	c.checkBundle()
+	c.checkLimits()
+	c.checkTimes()
+	c.checkTLS()
+	c.checkKeys("callers", c.doc.Callers)
+	c.checkKeys("operators", c.doc.Operators)
+	if !slices.Contains(levels, c.doc.Log.Level) {
+		c.refuse("log.level", strings.Join(levels, ", "))
+	}
+}
+
+var levels = []string{"debug", "info", "warn", "error"}
+
+// names are parts of table rows and labels of metrics.
+var names = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+const allowedName = "up to 63 letters, digits, dots, dashes and underscores"
+
+func (c *checker) checkPlace() {
+	for field, v := range map[string]string{
+		"node.name":        c.doc.Node.Name,
+		"node.region":      c.doc.Node.Region,
+		"node.data_centre": c.doc.Node.DataCentre,
+	} {
+		if !names.MatchString(v) {
+			c.refuse(field, allowedName)
+		}
+	}
+}
+
+// checkAddresses checks where the node listens and what it tells others. Nodes
+// know each other by IP address; a listener on all addresses must say which one
+// others are to use.
+func (c *checker) checkAddresses() {
+	l, a := &c.doc.Listen, &c.doc.Advertise
+	used := make(map[netip.AddrPort]string)
+	c.checkAddress("callers", l.Callers, &a.Callers, used)
+	c.checkAddress("peers", l.Peers, &a.Peers, used)
+	c.checkAddress("operators", l.Operators, &a.Operators, used)
+	if len(c.doc.Operators) == 0 && l.Operators != "" {
+		c.refuse("operators", "at least one key while listen.operators is set")
+	}
+}
+
+func (c *checker) checkAddress(name, listen string, advertise *string, used map[netip.AddrPort]string) {
+	field := "listen." + name
+	if listen == "" && name == "operators" && *advertise == "" {
+		return // a node without an operator address
+	}
+	addr, err := netip.ParseAddrPort(listen)
+	if err != nil || addr.Port() == 0 {
+		c.refuse(field, "an IP address and port such as 10.0.0.1:8443")
+		return
+	}
+	if other, ok := used[addr]; ok {
+		c.refuse(field, "another address than listen."+other)
+	}
+	used[addr] = name
+	if *advertise == "" && !addr.Addr().IsUnspecified() {
+		*advertise = listen
+		return
+	}
+	seen, err := netip.ParseAddrPort(*advertise)
+	if err != nil || seen.Port() == 0 || seen.Addr().IsUnspecified() {
+		c.refuse("advertise."+name, "the IP address and port that others use, because listen."+name+" is "+listen)
+	}
+}
+
+func (c *checker) checkPlatform() {
+	for field, v := range map[string]string{
+		"platform.table":   c.doc.Platform.Table,
+		"platform.objects": c.doc.Platform.Objects,
+		"platform.hosts":   c.doc.Platform.Hosts,
+	} {
+		u, err := url.Parse(v)
+		if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" || u.User != nil {
+			c.refuse(field, "an http or https URL without credentials")
+		}
+	}
+}
+
+// minSigners is how many keys a bundle needs: that of the author and that of the
+// reviewer.
+const minSigners = 2
+
+func (c *checker) checkBundle() {
+	var known []string
+	for i, k := range c.doc.Bundle.Keys {
+		field := fmt.Sprintf("bundle.keys[%d]", i)
+		if !names.MatchString(k.Name) || slices.Contains(known, k.Name) {
+			c.refuse(field+".name", "a name that no other key has, of "+allowedName)
+		}
+		if _, ok := publicKey(k.PublicKey); !ok {
+			c.refuse(field+".public_key", "an Ed25519 public key of 32 bytes in base64")
+		}
+		known = append(known, k.Name)
+	}
+	valid := len(known)
+	for i, name := range c.doc.Bundle.Revoked {
+		if !slices.Contains(known, name) {
+			c.refuse(fmt.Sprintf("bundle.revoked[%d]", i), "the name of a key in bundle.keys")
+			continue
+		}
+		valid--
+	}
+	if valid < minSigners {
+		c.refuse("bundle.keys", fmt.Sprintf("at least %d keys that are not revoked, for author and reviewer", minSigners))
+	}
+}
+
+func publicKey(text string) (ed25519.PublicKey, bool) {
+	raw, err := base64.StdEncoding.DecodeString(text)
+	return raw, err == nil && len(raw) == ed25519.PublicKeySize
+}
+
+// atLeast refuses numbers below a bound.
+func (c *checker) atLeast(field string, v, lowest int64) {
+	if v < lowest {
+		c.refuse(field, fmt.Sprintf("%d or more", lowest))
+	}
+}
+
+// atMost refuses a field that must not be larger than another.
+func (c *checker) atMost(field string, v int64, other string, bound int64) {
+	if v <= bound {
+		return
+	}
+	if !c.has(field) {
+		field, other = other, field
+		c.refuse(field, "not less than "+other)
+		return
+	}
+	c.refuse(field, "not more than "+other)
+}
+
+// Smallest sizes that leave room for an ordinary call.
+const (
+	minBody   = 1 << 10
+	minHeader = 1 << 10
+)
+
+func (c *checker) checkLimits() {
+	l := &c.doc.Limits
+	c.atLeast("limits.body_bytes", l.BodyBytes, minBody)
+	c.atLeast("limits.header_bytes", l.HeaderBytes, minHeader)
+	c.atLeast("limits.prompt_bytes", l.PromptBytes, 1)
+	c.atLeast("limits.max_tokens", l.MaxTokens, 1)
+	c.atLeast("limits.default_tokens", l.DefaultTokens, 1)
+	c.atLeast("limits.running", l.Running, 1)
+	c.atLeast("limits.waiting", l.Waiting, 0)
+	c.atLeast("limits.open_requests", l.OpenRequests, 1)
+	c.atLeast("limits.attempts", l.Attempts, 1)
+	c.atLeast("limits.decisions", l.Decisions, 1)
+	c.atMost("limits.prompt_bytes", l.PromptBytes, "limits.body_bytes", l.BodyBytes)
+	c.atMost("limits.default_tokens", l.DefaultTokens, "limits.max_tokens", l.MaxTokens)
+	c.atMost("limits.running", l.Running, "limits.open_requests", l.OpenRequests)
+}
+
+// minTime is the shortest time that a setting may name; shorter ones would keep
+// the node busy with timers.
+const minTime = 10 * time.Millisecond
+
+func (c *checker) checkTimes() {
+	times := []struct {
+		field string
+		value duration
+	}{
+		{"limits.default_timeout", c.doc.Limits.DefaultTimeout},
+		{"limits.max_timeout", c.doc.Limits.MaxTimeout},
+		{"limits.read_timeout", c.doc.Limits.ReadTimeout},
+		{"limits.write_timeout", c.doc.Limits.WriteTimeout},
+		{"limits.idle_timeout", c.doc.Limits.IdleTimeout},
+		{"lease.time", c.doc.Lease.Time},
+		{"lease.guard", c.doc.Lease.Guard},
+		{"lease.renew", c.doc.Lease.Renew},
+		{"entries.ttl", c.doc.Entries.TTL},
+		{"tls.reload_interval", c.doc.TLS.ReloadInterval},
+	}
+	for _, t := range times {
+		if time.Duration(t.value) < minTime {
+			c.refuse(t.field, fmt.Sprintf("a duration of %v or more", minTime))
+		}
+	}
+	if c.doc.Entries.DrainGrace < 0 {
+		c.refuse("entries.drain_grace", "a duration of 0s or more")
+	}
+	c.atMost("limits.default_timeout", int64(c.doc.Limits.DefaultTimeout), "limits.max_timeout", int64(c.doc.Limits.MaxTimeout))
+	// Callers use an address until its time to live ends.
+	c.atMost("entries.ttl", int64(c.doc.Entries.TTL), "entries.drain_grace", int64(c.doc.Entries.DrainGrace))
+	c.checkRenewal()
+}
+
+// checkRenewal makes sure that one lost renewal does not end the lease.
+func (c *checker) checkRenewal() {
+	if 2*c.doc.Lease.Renew <= c.doc.Lease.Time {
+		return
+	}
+	if c.has("lease.renew") {
+		c.refuse("lease.renew", "not more than half of lease.time")
+		return
+	}
+	c.refuse("lease.time", fmt.Sprintf("at least twice lease.renew, which is %v", time.Duration(c.doc.Lease.Renew)))
+}
+
+func (c *checker) checkTLS() {
+	t := &c.doc.TLS
+	if (t.CertificateFile == "") == (t.KeyFile == "") {
+		return
+	}
+	if t.KeyFile == "" {
+		c.refuse("tls.key_file", "a file, because tls.certificate_file is set")
+		return
+	}
+	c.refuse("tls.certificate_file", "a file, because tls.key_file is set")
+}
+
+func (c *checker) checkKeys(list string, keys []keyDocument) {
+	var known []string
+	for i, k := range keys {
+		field := fmt.Sprintf("%s[%d]", list, i)
+		if !names.MatchString(k.Name) || slices.Contains(known, k.Name) {
+			c.refuse(field+".name", "a name that no other key has, of "+allowedName)
+		}
+		if _, ok := keyHash(k.KeySHA256); !ok {
+			c.refuse(field+".key_sha256", "the SHA-256 of the key in 64 hexadecimal digits")
+		}
+		known = append(known, k.Name)
+	}
+}
+
+func keyHash(text string) (hash [sha256.Size]byte, ok bool) {
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != len(hash) {
+		return hash, false
+	}
+	copy(hash[:], raw)
+	return hash, true
+}
--- /dev/null
+++ b/configurer/decoder.go
@@ -0,0 +1,202 @@
+package configurer
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// duration is written as a string such as "1.5s".
+type duration time.Duration
+
+// decoder fills a document from JSON and remembers where each field stands.
+type decoder struct {
+	src    []byte
+	values map[string]value
+	faults []Fault
+	// unreadable says that the source is not JSON, so that no field is known.
+	unreadable bool
+}
+
+// decode fills doc, whose fields keep their values where the source names none.
+func decode[T any](src []byte, doc *T) *decoder {
+	d := &decoder{src: src, values: make(map[string]value)}
+	v, err := parse(src)
+	var syntax *syntaxError
+	if errors.As(err, &syntax) {
+		line, column := position(src, syntax.offset)
+		d.faults = append(d.faults, Fault{line: line, column: column, allowed: syntax.reason})
+		d.unreadable = true
+		return d
+	}
+	d.fill("", v, reflect.ValueOf(doc).Elem())
+	return d
+}
+
+// maxShown bounds how much of a value a fault shows, in bytes.
+const maxShown = 60
+
+// refuse adds a fault about a field, unless the field or what holds it has one
+// already. A field that the source does not hold is reported at the object that
+// lacks it.
+func (d *decoder) refuse(field, allowed string) {
+	if d.refused(field) {
+		return
+	}
+	v, ok := d.values[field]
+	shown := "missing"
+	if ok {
+		shown = d.text(v)
+	}
+	for parent := field; !ok; {
+		parent = holder(parent)
+		v, ok = d.values[parent]
+	}
+	d.add(v.start(), field, shown, allowed)
+}
+
+// refused reports whether there is a fault about a field or what holds it.
+func (d *decoder) refused(field string) bool {
+	for {
+		if slices.ContainsFunc(d.faults, func(f Fault) bool { return f.field == field }) {
+			return true
+		}
+		if field == "" {
+			return false
+		}
+		field = holder(field)
+	}
+}
+
+// holder returns the path of the object or list that holds a field.
+func holder(field string) string { return field[:max(strings.LastIndexAny(field, ".["), 0)] }
+
+func (d *decoder) text(v value) string {
+	text := string(d.src[v.start():v.end()])
+	if len(text) > maxShown {
+		return strings.ToValidUTF8(text[:maxShown], "") + "..."
+	}
+	return text
+}
+
+func (d *decoder) add(offset int, field, shown, allowed string) {
+	line, column := position(d.src, offset)
+	d.faults = append(d.faults, Fault{line: line, column: column, field: field, value: shown, allowed: allowed})
+}
+
+// has reports whether the source holds a field.
+func (d *decoder) has(field string) bool {
+	_, ok := d.values[field]
+	return ok
+}
+
+func (d *decoder) fill(field string, v value, into reflect.Value) {
+	d.values[field] = v
+	switch v := v.(type) {
+	case *object:
+		d.fillObject(field, v, into)
+	case *list:
+		d.fillList(field, v, into)
+	case *scalar:
+		if !setScalar(v.token, into) {
+			d.refuse(field, describe(into))
+		}
+	}
+}
+
+func (d *decoder) fillObject(field string, o *object, into reflect.Value) {
+	if into.Kind() != reflect.Struct {
+		d.refuse(field, describe(into))
+		return
+	}
+	names, seen := fieldNames(into.Type()), make(map[string]bool)
+	for _, m := range o.members {
+		path := m.name
+		if field != "" {
+			path = field + "." + m.name
+		}
+		i := slices.Index(names, m.name)
+		switch {
+		case i < 0:
+			d.add(m.offset, path, "an unknown field", strings.Join(names, ", "))
+		case seen[m.name]:
+			d.add(m.offset, path, "repeated", "one value")
+		default:
+			d.fill(path, m.value, into.Field(i))
+		}
+		seen[m.name] = true
+	}
+}
+
+// fieldNames returns the JSON names of a document's fields in their order.
+func fieldNames(t reflect.Type) []string {
+	names := make([]string, t.NumField())
+	for i := range names {
+		names[i] = t.Field(i).Tag.Get("json")
+	}
+	return names
+}
+
+func (d *decoder) fillList(field string, l *list, into reflect.Value) {
+	if into.Kind() != reflect.Slice {
+		d.refuse(field, describe(into))
+		return
+	}
+	into.Set(reflect.MakeSlice(into.Type(), len(l.items), len(l.items)))
+	for i, item := range l.items {
+		d.fill(fmt.Sprintf("%s[%d]", field, i), item, into.Index(i))
+	}
+}
+
+// setScalar stores a token and reports whether it has the type of the field.
+func setScalar(token json.Token, into reflect.Value) bool {
+	switch t := token.(type) {
+	case string:
+		return setString(t, into)
+	case json.Number:
+		n, err := strconv.ParseInt(t.String(), 10, 64)
+		if err != nil || into.Kind() != reflect.Int64 || into.Type() == reflect.TypeFor[duration]() {
+			return false
+		}
+		into.SetInt(n)
+		return true
+	default:
+		return false
+	}
+}
+
+func setString(s string, into reflect.Value) bool {
+	if into.Type() == reflect.TypeFor[duration]() {
+		parsed, err := time.ParseDuration(s)
+		if err == nil {
+			into.SetInt(int64(parsed))
+		}
+		return err == nil
+	}
+	if into.Kind() != reflect.String {
+		return false
+	}
+	into.SetString(s)
+	return true
+}
+
+// describe says what a field may hold.
+func describe(into reflect.Value) string {
+	switch {
+	case into.Type() == reflect.TypeFor[duration]():
+		return `a duration such as "1.5s"`
+	case into.Kind() == reflect.Struct:
+		return "an object with " + strings.Join(fieldNames(into.Type()), ", ")
+	case into.Kind() == reflect.Slice:
+		return "a list"
+	case into.Kind() == reflect.Int64:
+		return "a whole number"
+	default:
+		return "a string"
+	}
+}
--- /dev/null
+++ b/configurer/node.go
@@ -0,0 +1,214 @@
+package configurer
+
+import (
+	"cmp"
+	"crypto/ed25519"
+	"crypto/sha256"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+)
+
+// Node holds the settings of a node. They do not change while it runs.
+type Node struct {
+	doc nodeDocument
+}
+
+// ReadNode reads the settings in a file. Settings that are wrong give an *Error.
+func ReadNode(path string) (*Node, error) {
+	src, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return parseNode(path, src)
+}
+
+// ParseNode reads settings. Settings that are wrong give an *Error.
+func ParseNode(src []byte) (*Node, error) { return parseNode("", src) }
+
+func parseNode(path string, src []byte) (*Node, error) {
+	n := &Node{doc: defaultNode()}
+	d := decode(src, &n.doc)
+	if !d.unreadable {
+		c := &checker{decoder: d, doc: &n.doc}
+		c.check()
+	}
+	if len(d.faults) == 0 {
+		return n, nil
+	}
+	slices.SortStableFunc(d.faults, func(a, b Fault) int {
+		return cmp.Or(cmp.Compare(a.line, b.line), cmp.Compare(a.column, b.column), cmp.Compare(a.field, b.field))
+	})
+	return nil, &Error{path: path, faults: d.faults}
+}
+
+// Name returns the node's name, which no other node of the deployment has.
+func (n *Node) Name() string { return n.doc.Node.Name }
+
+// Region returns the node's region.
+func (n *Node) Region() string { return n.doc.Node.Region }
+
+// DataCentre returns the node's data centre.
+func (n *Node) DataCentre() string { return n.doc.Node.DataCentre }
+
+// Addresses are the addresses of a node by who uses them.
+type Addresses struct {
+	doc listenDocument
+}
+
+// Callers returns the address for callers.
+func (a Addresses) Callers() string { return a.doc.Callers }
+
+// Peers returns the address for other nodes.
+func (a Addresses) Peers() string { return a.doc.Peers }
+
+// Operators returns the address for operators, or "".
+func (a Addresses) Operators() string { return a.doc.Operators }
+
+// Listen returns where the node listens.
+func (n *Node) Listen() Addresses { return Addresses{n.doc.Listen} }
+
+// Advertise returns the addresses that others use.
+func (n *Node) Advertise() Addresses { return Addresses{n.doc.Advertise} }
+
+// Table returns the URL of the table service.
+func (n *Node) Table() string { return n.doc.Platform.Table }
+
+// Objects returns the URL of the object store.
+func (n *Node) Objects() string { return n.doc.Platform.Objects }
+
+// Hosts returns the URL of the host list.
+func (n *Node) Hosts() string { return n.doc.Platform.Hosts }
+
+// BundleKeys returns the public keys that may sign bundles, without the revoked
+// ones.
+func (n *Node) BundleKeys() map[string]ed25519.PublicKey {
+	keys := make(map[string]ed25519.PublicKey)
+	for _, k := range n.doc.Bundle.Keys {
+		if key, ok := publicKey(k.PublicKey); ok && !slices.Contains(n.doc.Bundle.Revoked, k.Name) {
+			keys[k.Name] = key
+		}
+	}
+	return keys
+}
+
+// RevokedKeys returns the names of the keys that may not sign any more.
+func (n *Node) RevokedKeys() []string { return slices.Clone(n.doc.Bundle.Revoked) }
+
+// Limits bound what the node takes on.
+type Limits struct {
+	doc limitsDocument
+}
+
+// Limits returns the node's limits.
+func (n *Node) Limits() Limits { return Limits{n.doc.Limits} }
+
+// BodyBytes returns the largest body of a call.
+func (l Limits) BodyBytes() int64 { return l.doc.BodyBytes }
+
+// HeaderBytes returns the largest size of a call's headers.
+func (l Limits) HeaderBytes() int { return int(l.doc.HeaderBytes) }
+
+// PromptBytes returns the largest prompt.
+func (l Limits) PromptBytes() int { return int(l.doc.PromptBytes) }
+
+// MaxTokens returns the longest answer.
+func (l Limits) MaxTokens() int { return int(l.doc.MaxTokens) }
+
+// DefaultTokens returns the length limit of calls that name none.
+func (l Limits) DefaultTokens() int { return int(l.doc.DefaultTokens) }
+
+// Running returns how many requests run at a time.
+func (l Limits) Running() int { return int(l.doc.Running) }
+
+// Waiting returns how many requests wait for a place.
+func (l Limits) Waiting() int { return int(l.doc.Waiting) }
+
+// OpenRequests returns how many requests may be open, including those whose body
+// is still being read.
+func (l Limits) OpenRequests() int { return int(l.doc.OpenRequests) }
+
+// Attempts returns how many attempts an idempotent request gets.
+func (l Limits) Attempts() int { return int(l.doc.Attempts) }
+
+// Decisions returns how many decisions the recorder keeps.
+func (l Limits) Decisions() int { return int(l.doc.Decisions) }
+
+// DefaultTimeout returns how long a call may take whose caller does not say.
+func (l Limits) DefaultTimeout() time.Duration { return time.Duration(l.doc.DefaultTimeout) }
+
+// MaxTimeout returns the longest time that a caller may ask for.
+func (l Limits) MaxTimeout() time.Duration { return time.Duration(l.doc.MaxTimeout) }
+
+// ReadTimeout returns how long headers and body may take to arrive.
+func (l Limits) ReadTimeout() time.Duration { return time.Duration(l.doc.ReadTimeout) }
+
+// WriteTimeout returns how long one write to a caller may take.
+func (l Limits) WriteTimeout() time.Duration { return time.Duration(l.doc.WriteTimeout) }
+
+// IdleTimeout returns how long a connection stays open without a request.
+func (l Limits) IdleTimeout() time.Duration { return time.Duration(l.doc.IdleTimeout) }
+
+// LeaseTime returns how long a node's lease lasts without a renewal.
+func (n *Node) LeaseTime() time.Duration { return time.Duration(n.doc.Lease.Time) }
+
+// LeaseGuard returns how long others wait after the end of a lease.
+func (n *Node) LeaseGuard() time.Duration { return time.Duration(n.doc.Lease.Guard) }
+
+// LeaseRenew returns the time between renewals.
+func (n *Node) LeaseRenew() time.Duration { return time.Duration(n.doc.Lease.Renew) }
+
+// EntryTTL returns how long callers keep entry addresses.
+func (n *Node) EntryTTL() time.Duration { return time.Duration(n.doc.Entries.TTL) }
+
+// DrainGrace returns how long a stopping node still accepts calls.
+func (n *Node) DrainGrace() time.Duration { return time.Duration(n.doc.Entries.DrainGrace) }
+
+// TLS names the files of a certificate.
+type TLS struct {
+	doc tlsDocument
+}
+
+// TLS returns the certificate for callers and operators, and false without one.
+func (n *Node) TLS() (TLS, bool) { return TLS{n.doc.TLS}, n.doc.TLS.CertificateFile != "" }
+
+// CertificateFile returns the file with the certificate chain.
+func (t TLS) CertificateFile() string { return t.doc.CertificateFile }
+
+// KeyFile returns the file with the private key.
+func (t TLS) KeyFile() string { return t.doc.KeyFile }
+
+// ReloadInterval returns how often the files are read again.
+func (t TLS) ReloadInterval() time.Duration { return time.Duration(t.doc.ReloadInterval) }
+
+// Key is the hash of a key that a caller or operator holds.
+type Key struct {
+	name string
+	hash [sha256.Size]byte
+}
+
+// Name returns who holds the key.
+func (k Key) Name() string { return k.name }
+
+// Hash returns the SHA-256 of the key.
+func (k Key) Hash() [sha256.Size]byte { return k.hash }
+
+// CallerKeys returns the keys of callers; without any, callers need none.
+func (n *Node) CallerKeys() []Key { return newKeys(n.doc.Callers) }
+
+// OperatorKeys returns the keys of operators.
+func (n *Node) OperatorKeys() []Key { return newKeys(n.doc.Operators) }
+
+func newKeys(docs []keyDocument) []Key {
+	keys := make([]Key, 0, len(docs))
+	for _, d := range docs {
+		if hash, ok := keyHash(d.KeySHA256); ok {
+			keys = append(keys, Key{name: d.Name, hash: hash})
+		}
+	}
+	return keys
+}
+
+// LogLevel returns the lowest level that is logged.
+func (n *Node) LogLevel() string { return n.doc.Log.Level }
--- /dev/null
+++ b/configurer/node_document.go
@@ -0,0 +1,122 @@
+package configurer
+
+import "time"
+
+// nodeDocument holds the settings of a node as operators write them.
+type nodeDocument struct {
+	Node      placeDocument    `json:"node"`
+	Listen    listenDocument   `json:"listen"`
+	Advertise listenDocument   `json:"advertise"`
+	Platform  platformDocument `json:"platform"`
+	Bundle    bundleDocument   `json:"bundle"`
+	Limits    limitsDocument   `json:"limits"`
+	Lease     leaseDocument    `json:"lease"`
+	Entries   entriesDocument  `json:"entries"`
+	TLS       tlsDocument      `json:"tls"`
+	Callers   []keyDocument    `json:"callers"`
+	Operators []keyDocument    `json:"operators"`
+	Log       logDocument      `json:"log"`
+}
+
+type placeDocument struct {
+	Name       string `json:"name"`
+	Region     string `json:"region"`
+	DataCentre string `json:"data_centre"`
+}
+
+type listenDocument struct {
+	Callers   string `json:"callers"`
+	Peers     string `json:"peers"`
+	Operators string `json:"operators"`
+}
+
+type platformDocument struct {
+	Table   string `json:"table"`
+	Objects string `json:"objects"`
+	Hosts   string `json:"hosts"`
+}
+
+type bundleDocument struct {
+	Keys    []publicKeyDocument `json:"keys"`
+	Revoked []string            `json:"revoked"`
+}
+
+type publicKeyDocument struct {
+	Name      string `json:"name"`
+	PublicKey string `json:"public_key"`
+}
+
+type limitsDocument struct {
+	BodyBytes      int64    `json:"body_bytes"`
+	HeaderBytes    int64    `json:"header_bytes"`
+	PromptBytes    int64    `json:"prompt_bytes"`
+	MaxTokens      int64    `json:"max_tokens"`
+	DefaultTokens  int64    `json:"default_tokens"`
+	Running        int64    `json:"running"`
+	Waiting        int64    `json:"waiting"`
+	OpenRequests   int64    `json:"open_requests"`
+	Attempts       int64    `json:"attempts"`
+	Decisions      int64    `json:"decisions"`
+	DefaultTimeout duration `json:"default_timeout"`
+	MaxTimeout     duration `json:"max_timeout"`
+	ReadTimeout    duration `json:"read_timeout"`
+	WriteTimeout   duration `json:"write_timeout"`
+	IdleTimeout    duration `json:"idle_timeout"`
+}
+
+type leaseDocument struct {
+	Time  duration `json:"time"`
+	Guard duration `json:"guard"`
+	Renew duration `json:"renew"`
+}
+
+type entriesDocument struct {
+	TTL        duration `json:"ttl"`
+	DrainGrace duration `json:"drain_grace"`
+}
+
+type tlsDocument struct {
+	CertificateFile string   `json:"certificate_file"`
+	KeyFile         string   `json:"key_file"`
+	ReloadInterval  duration `json:"reload_interval"`
+}
+
+type keyDocument struct {
+	Name      string `json:"name"`
+	KeySHA256 string `json:"key_sha256"`
+}
+
+type logDocument struct {
+	Level string `json:"level"`
+}
+
+// defaultNode returns the settings that a document need not name.
+func defaultNode() nodeDocument {
+	return nodeDocument{
+		Limits: limitsDocument{
+			BodyBytes:      1 << 20,
+			HeaderBytes:    16 << 10,
+			PromptBytes:    512 << 10,
+			MaxTokens:      8192,
+			DefaultTokens:  256,
+			Running:        1024,
+			Waiting:        1024,
+			OpenRequests:   4096,
+			Attempts:       3,
+			Decisions:      16384,
+			DefaultTimeout: duration(2 * time.Minute),
+			MaxTimeout:     duration(time.Hour),
+			ReadTimeout:    duration(10 * time.Second),
+			WriteTimeout:   duration(30 * time.Second),
+			IdleTimeout:    duration(2 * time.Minute),
+		},
+		Lease: leaseDocument{
+			Time:  duration(6 * time.Second),
+			Guard: duration(time.Second),
+			Renew: duration(2 * time.Second),
+		},
+		Entries: entriesDocument{TTL: duration(5 * time.Second), DrainGrace: duration(10 * time.Second)},
+		TLS:     tlsDocument{ReloadInterval: duration(time.Minute)},
+		Log:     logDocument{Level: "info"},
+	}
+}
