--- a/asserter/asserter.go
+++ b/asserter/asserter.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync/atomic"
 )
 
@@ -35,6 +36,9 @@
 // String returns the invariant's name.
 func (i Invariant) String() string { return names[i] }
 
+// Names returns the names of all invariants, in the order of the promises.
+func Names() []string { return slices.Clone(names[:]) }
+
 // Violation is one broken invariant.
 type Violation struct {
 	invariant Invariant
--- a/runner/pipeline_test.go
+++ b/runner/pipeline_test.go
@@ -161,3 +161,40 @@
 	_, err = signed.Verify(bundler.Keys{"a": public, "r": public})
 	is.True(eris.Is(err, bundler.ErrSignature))
 }
+
+// Guards against an answer that changes when its caller resumes it at another
+// node: the seed depends on the request id alone.
+func TestResumeAtAnotherNode(t *testing.T) {
+	is := is.New(t)
+	stream := func(lastEvent string) string {
+		srv, _ := newNode(t)
+		req, err := http.NewRequest(http.MethodPost, srv.URL+"/v1/completions",
+			strings.NewReader(`{"model":"reading@v1","prompt":"cheque","max_tokens":5,"stream":true}`))
+		is.NoErr(err)
+		req.Header.Set("X-Request-Id", "r-1")
+		req.Header.Set("Last-Event-ID", lastEvent)
+		resp, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		defer func() { _ = resp.Body.Close() }()
+		body, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.Equal(resp.Header.Get("X-Request-Id"), "r-1")
+		_, text, _ := strings.Cut(string(body), "id: ")
+		return text
+	}
+	whole := stream("")
+	is.True(strings.HasSuffix(whole, "data: [DONE]\n\n"))
+	_, rest, _ := strings.Cut(whole, "id: 3\n")
+	_, resumed, _ := strings.Cut(stream("2"), "\n")
+	text := func(events string) string {
+		var b strings.Builder
+		for _, part := range strings.Split(events, `"text":"`)[1:] {
+			token, _, _ := strings.Cut(part, `"`)
+			b.WriteString(token)
+		}
+		return b.String()
+	}
+	is.True(text(rest) != "")
+	is.Equal(text(resumed), text(rest))
+}
--- a/server/completion.go
+++ b/server/completion.go
@@ -69,7 +69,7 @@
 	}
 	messages := make([]receiver.Message, len(doc.Messages))
 	for i, m := range doc.Messages {
-		messages[i] = receiver.NewMessage(m.Role, m.Content)
+		messages[i] = receiver.NewMessage(m.Role, string(m.Content))
 	}
 	g.form = chatForm{}
 	g.call = receiver.NewChat(doc.Model, messages, g.maxTokens, g.next, opts...)
--- a/server/completion_document.go
+++ b/server/completion_document.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"strings"
 
 	"github.com/dragonflyford/dragonflyford/classifier"
 )
@@ -75,8 +76,37 @@
 }
 
 type messageDocument struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+	Role    string          `json:"role"`
+	Content contentDocument `json:"content"`
+}
+
+// contentDocument is the content of a message: a string, or a list of parts that
+// are all text.
+type contentDocument string
+
+// UnmarshalJSON reads either form.
+func (c *contentDocument) UnmarshalJSON(raw []byte) error {
+	var one string
+	if err := json.Unmarshal(raw, &one); err == nil {
+		*c = contentDocument(one)
+		return nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return classifier.NewInvalid("content must be a string or a list of text parts")
+	}
+	var text strings.Builder
+	for _, p := range parts {
+		if p.Type != "text" {
+			return classifier.NewInvalid(fmt.Sprintf("content has a part of type %.40q; only text is supported", p.Type))
+		}
+		text.WriteString(p.Text)
+	}
+	*c = contentDocument(text.String())
+	return nil
 }
 
 // check refuses a field that would change the answer in a way that engines are
--- a/server/server.go
+++ b/server/server.go
@@ -114,5 +114,10 @@
 		return
 	}
 	recorder.From(r.Context()).Note(recorder.StageServer, "fault", err.Error())
-	s.log.Debug("request-failed", logger.Request(requestID(r.Context())), logger.Err(err))
+	fields := []logger.Field{logger.Request(requestID(r.Context())), logger.Err(err)}
+	if outcome == (classifier.Unknown{}) {
+		s.log.Warn("request-uncertain", fields...)
+		return
+	}
+	s.log.Debug("request-refused", fields...)
 }
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -94,6 +94,8 @@
 		{"usage", "POST", text, `{` + valid + `}`, "", 200, `"completion_tokens":2,"total_tokens":2`},
 		{"version", "POST", text, `{` + valid + `}`, "", 200, `"model":"reading@v1"`},
 		{"chat", "POST", chat, `{` + turns + `}`, "X-Request-Id: r", 200, `"message":{"role":"assistant","content":"r-0 r-1 "}`},
+		{"chat in parts", "POST", chat, `{"model":"reading@v1","max_tokens":1,"messages":[{"role":"user","content":[{"type":"text","text":"a"}]}]}`, "", 200, "-0 "},
+		{"chat with image", "POST", chat, `{"model":"reading@v1","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, "", 400, "only text"},
 		{"newer limit", "POST", chat, `{` + turns + `,"max_completion_tokens":1}`, "X-Request-Id: r", 200, `"content":"r-0 "`},
 		{"chat without messages", "POST", chat, `{"model":"reading@v1"}`, "", 400, "chat has no messages"},
 		{"prompt in a list", "POST", text, `{"model":"reading@v1","prompt":["p"],"max_tokens":1}`, "", 200, "-0 "},
--- a/server/stream_test.go
+++ b/server/stream_test.go
@@ -211,3 +211,16 @@
 	send(t, "POST", operators.URL+"/operator/drain", "", key)
 	is.True(d.drained)
 }
+
+// BenchmarkStream measures what one token costs from the pipeline to the
+// connection.
+func BenchmarkStream(b *testing.B) {
+	h := server.New(&pipeline{}).Handler()
+	const tokens = 256
+	body := fmt.Sprintf(`{"model":"reading@v1","prompt":"p","max_tokens":%d,"stream":true}`, tokens)
+	b.ReportAllocs()
+	for b.Loop() {
+		h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("POST", "/v1/completions", strings.NewReader(body)))
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*tokens), "ns/token")
+}
--- a/server/transcript.go
+++ b/server/transcript.go
@@ -68,7 +68,7 @@
 func (t *transcript) whole(text string) any {
 	switch t.generation.form.(type) {
 	case chatForm:
-		message := messageDocument{Role: roleAssistant, Content: text}
+		message := messageDocument{Role: roleAssistant, Content: contentDocument(text)}
 		doc := newAnswer(t, objectChat, chatChoice{Message: message, FinishReason: t.finish()})
 		doc.Usage = t.usage()
 		return doc
--- a/verifier/verifier.go
+++ b/verifier/verifier.go
@@ -48,6 +48,8 @@
 			v.dropped.Add(1)
 			return nil, classifier.NewUncertain(fmt.Sprintf("the reply is for attempt %q", r.Reply().Attempt()))
 		}
+		v.asserts.Check(asserter.OwnAnswer, r.Replayed() || ownedBy(d.Request, r.Reply().Attempt()),
+			"request %q got the reply to attempt %q", d.ID(), r.Reply().Attempt())
 		return &Verified{Dispatched: d, result: r}, nil
 	default:
 		return nil, classifier.NewUncertain("the attempt has no result")
@@ -58,8 +60,7 @@
 	c := &checked{
 		Stream:   r.Stream(),
 		verifier: v,
-		request:  d.ID(),
-		instance: d.Instance(),
+		request:  d.Request,
 		attempt:  d.AttemptID(),
 		model:    r.Model(),
 		next:     d.Next(),
@@ -76,8 +77,7 @@
 type checked struct {
 	connector.Stream
 	verifier *Verifier
-	request  string
-	instance string
+	request  *receiver.Request
 	attempt  string
 	model    connector.Model
 	target   *receiver.GenerationTarget
@@ -126,10 +126,16 @@
 	}
 	m := chunk.Model()
 	named := m.Adapter() == c.target.Adapter() && (c.target.Version() == "" || m.Version() == c.target.Version())
-	own := strings.HasPrefix(chunk.Attempt(), c.request) || strings.HasPrefix(chunk.Attempt(), c.instance)
+	own := ownedBy(c.request, chunk.Attempt())
 	asserts := c.verifier.asserts
 	named = asserts.Check(asserter.AdapterNamed, named, "request %q asks for %s@%s and got a token of %s",
-		c.request, c.target.Adapter(), c.target.Version(), m)
-	own = asserts.Check(asserter.OwnAnswer, own, "request %q got a token of attempt %q", c.request, chunk.Attempt())
+		c.request.ID(), c.target.Adapter(), c.target.Version(), m)
+	own = asserts.Check(asserter.OwnAnswer, own, "request %q got a token of attempt %q", c.request.ID(), chunk.Attempt())
 	return named && own
 }
+
+// ownedBy reports whether an attempt id was made from a request. Attempts are
+// named after the request's id or its instance.
+func ownedBy(r *receiver.Request, attempt string) bool {
+	return strings.HasPrefix(attempt, r.ID()) || strings.HasPrefix(attempt, r.Instance())
+}
