emulator: describe deployments as the bundle parser requires

The parser refused the documents of the deployments: they listed no regions, and names of service levels held spaces. The documents list regions and data centres, and the test parses them.

--- a/emulator/deployment.go
+++ b/emulator/deployment.go
@@ -284,10 +284,13 @@
 			RetryShare:          0.2,
 		},
 		ServiceLevels: []bundler.ServiceLevelDocument{
-			{Name: "first token", Measure: "first_token", ThresholdMS: 900, Objective: 0.95},
-			{Name: "token gap", Measure: "token_gap", ThresholdMS: 53, Objective: 0.95},
+			{Name: "first-token", Measure: "first_token", ThresholdMS: 900, Objective: 0.95},
+			{Name: "token-gap", Measure: "token_gap", ThresholdMS: 53, Objective: 0.95},
 		},
 	}
+	for _, r := range d.plan.regions {
+		doc.Regions = append(doc.Regions, bundler.RegionDocument{Name: r, DataCentres: []string{DataCentre(r)}})
+	}
 	for _, m := range d.models {
 		last := len(doc.Adapters) - 1
 		if last >= 0 && doc.Adapters[last].Name == m.Adapter() {
--- a/emulator/deployment_test.go
+++ b/emulator/deployment_test.go
@@ -1,6 +1,7 @@
 package emulator_test
 
 import (
+	"encoding/json"
 	"testing"
 
 	"github.com/matryer/is"
@@ -29,7 +30,10 @@
 			d, err := emulator.NewDeployment(c.name, emulator.WithEngines(emulator.WithSlots(5)))
 			is.NoErr(err)
 			t.Cleanup(d.Close)
-			doc := d.Document("1", nil)
+			text, err := json.Marshal(d.Document("1", nil))
+			is.NoErr(err)
+			doc, err := bundler.Parse(text)
+			is.NoErr(err)
 			snapshot := bundler.NewSnapshot(1, doc)
 			is.Equal(snapshot.Adapters(), 3000)
 			is.Equal(len(snapshot.Engines(doc.Bases[0].Name)), c.engines)
