watcher, roller: follow epochs and roll bundles out in two steps

Cause: nothing fetched bundles, and nothing put one in force everywhere at once.

Change: the watcher polls bundle/next, which changes with bundle/current, so that one read per poll suffices; it hears of epochs from peers, fetches content from the object store or peers by hash, and keeps only the bundles in force and prepared. The validator and publisher follow as filters. The publisher checks the age of the last contact at each load, so that a node that wakes from a pause is uninformed before any timer runs; the age travels with the answers of peers, so that nodes without the table cannot keep each other informed. A bundle that fails verification is reported once and not tried again at its epoch.

The roller prepares a bundle at epoch n+1, waits for every live node, and accepts with one commit of current, next, history and version rows. Each prepared bundle gets its own epoch, because a node's lease row names what it prepared by epoch. An unfinished roll-out of another operator is not replaced unless asked. A lost answer is resolved by repeating the conditional write and reading back the random id in the row.

--- /dev/null
+++ b/roller/cluster_test.go
@@ -0,0 +1,274 @@
+package roller_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/asserter"
+	"github.com/dragonflyford/dragonflyford/bundler"
+	"github.com/dragonflyford/dragonflyford/emulator"
+	"github.com/dragonflyford/dragonflyford/publisher"
+	"github.com/dragonflyford/dragonflyford/roller"
+	"github.com/dragonflyford/dragonflyford/storer"
+	"github.com/dragonflyford/dragonflyford/watcher"
+)
+
+const (
+	leaseTime = 6 * time.Second
+	inForceIn = 6 * time.Second // target of the design page
+)
+
+var regions = []string{"lj", "mb", "kp"}
+
+// cluster is a deployment with two nodes per region around one table and one
+// object store.
+type cluster struct {
+	t        *testing.T
+	table    *emulator.Table
+	objects  *emulator.Objects
+	author   ed25519.PrivateKey
+	reviewer ed25519.PrivateKey
+	keys     bundler.Keys
+	asserts  *asserter.Asserter
+	mu       sync.Mutex
+	nodes    []*node
+}
+
+type node struct {
+	cluster  *cluster
+	name     string
+	region   string
+	cut      *emulator.Cut
+	cutAt    atomic.Pointer[time.Time]
+	process  atomic.Pointer[process]
+	inForce  atomic.Uint64
+	prepared atomic.Uint64
+	failures atomic.Int64
+}
+
+// process is what a restart replaces.
+type process struct {
+	bundles *publisher.Publisher
+	watcher *watcher.Watcher
+}
+
+func (n *node) bundles() *publisher.Publisher { return n.process.Load().bundles }
+func (n *node) watcher() *watcher.Watcher     { return n.process.Load().watcher }
+
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	authorKey, author, _ := ed25519.GenerateKey(nil)
+	reviewerKey, reviewer, _ := ed25519.GenerateKey(nil)
+	c := &cluster{
+		t: t, table: emulator.NewTable(emulator.WithLatency(10 * time.Millisecond)),
+		objects: emulator.NewObjects(emulator.WithLatency(10 * time.Millisecond)),
+		author:  author, reviewer: reviewer,
+		keys:    bundler.NewKeys(map[string]ed25519.PublicKey{"a": authorKey, "r": reviewerKey}),
+		asserts: asserter.New(func(v asserter.Violation) { t.Error(v) }),
+	}
+	for _, region := range regions {
+		c.start(region+"-1", region)
+		c.start(region+"-2", region)
+	}
+	t.Cleanup(func() {
+		for _, n := range c.all() {
+			n.watcher().Close()
+		}
+	})
+	return c
+}
+
+func (c *cluster) all() []*node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*node(nil), c.nodes...)
+}
+
+// start adds an empty node.
+func (c *cluster) start(name, region string) *node {
+	n := &node{cluster: c, name: name, region: region, cut: emulator.NewCut()}
+	n.run(n.cut.Table(c.table))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes = append(c.nodes, n)
+	return n
+}
+
+func (n *node) run(table storer.Table) {
+	c := n.cluster
+	bundles := publisher.New(publisher.WithAsserter(c.asserts), publisher.WithContactLimit(publisher.ContactLimit))
+	w := watcher.New(table, n.cut.Objects(c.objects), peers{n}, c.keys, bundles,
+		watcher.WithFailures(func(watcher.Failure) { n.failures.Add(1) }),
+		watcher.WithEpochs(func(inForce, prepared uint64) {
+			n.inForce.Store(inForce)
+			n.prepared.Store(prepared)
+		}))
+	n.process.Store(&process{bundles: bundles, watcher: w})
+}
+
+// restart replaces the node's process by an empty one.
+func (n *node) restart() {
+	n.watcher().Close()
+	n.inForce.Store(0)
+	n.prepared.Store(0)
+	n.run(n.cut.Table(n.cluster.table))
+}
+
+func (n *node) disconnect() {
+	if n.cutAt.Load() != nil {
+		return
+	}
+	now := time.Now()
+	n.cutAt.Store(&now)
+	n.cut.Refuse()
+}
+
+func (n *node) reconnect() {
+	n.cutAt.Store(nil)
+	n.cut.Restore()
+}
+
+func (n *node) live() bool {
+	at := n.cutAt.Load()
+	return at == nil || time.Since(*at) < leaseTime
+}
+
+// epoch returns the epoch in force at the node.
+func (n *node) epoch() uint64 {
+	if s := n.bundles().Load().Current(); s != nil {
+		return s.Epoch()
+	}
+	return 0
+}
+
+// List is the operators' view of the lease rows.
+func (c *cluster) List(context.Context) ([]roller.Node, error) {
+	var list []roller.Node
+	for _, n := range c.all() {
+		list = append(list, roller.NewNode(n.name, n.region, n.prepared.Load(), n.inForce.Load(), n.live()))
+	}
+	return list, nil
+}
+
+// peers leads from one node to the others that are not cut off.
+type peers struct{ node *node }
+
+func (p peers) reachable() []*node {
+	var reachable []*node
+	for _, n := range p.node.cluster.all() {
+		if n != p.node && n.process.Load() != nil && n.cutAt.Load() == nil && p.node.cutAt.Load() == nil {
+			reachable = append(reachable, n)
+		}
+	}
+	return reachable
+}
+
+func (p peers) Latest(context.Context) ([]watcher.Latest, error) {
+	var all []watcher.Latest
+	for _, n := range p.reachable() {
+		encoded, err := n.watcher().Latest().Encode()
+		if err != nil {
+			return nil, err
+		}
+		l, err := watcher.DecodeLatest(encoded)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, l)
+	}
+	return all, nil
+}
+
+func (p peers) Part(_ context.Context, h bundler.Hash) ([]byte, error) {
+	for _, n := range p.reachable() {
+		if b, ok := n.watcher().Part(h); ok {
+			return b, nil
+		}
+	}
+	return nil, storer.ErrNotFound
+}
+
+// document returns the example with another version of one adapter.
+func document(t *testing.T, version, adapterVersion string) *bundler.Content {
+	t.Helper()
+	text, err := os.ReadFile("../docs/bundle.example.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := strings.Replace(string(text), "2026-12-04.1", version, 1)
+	s = strings.Replace(s, `["v3"]`, fmt.Sprintf("[%q]", adapterVersion), 1)
+	doc, err := bundler.Parse([]byte(s))
+	if err != nil {
+		t.Fatal(err)
+	}
+	content, err := bundler.Split(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return content
+}
+
+func (c *cluster) plan(version string) roller.Plan {
+	content := document(c.t, version, version)
+	m := content.Manifest()
+	signed := bundler.NewSigned(m, bundler.Sign(bundler.RoleAuthor, "a", c.author, m), bundler.Sign(bundler.RoleReviewer, "r", c.reviewer, m))
+	return roller.NewPlan(signed, content.Part)
+}
+
+func (c *cluster) operator(name string, options ...roller.Option) *roller.Roller {
+	return c.operatorOn(c.table, name, options...)
+}
+
+func (c *cluster) operatorOn(table storer.Table, name string, options ...roller.Option) *roller.Roller {
+	options = append([]roller.Option{roller.WithPatience(10 * time.Second)}, options...)
+	return roller.New(table, c.objects, c, c.keys, name, options...)
+}
+
+// mustWin rolls a bundle out and returns its record.
+func (c *cluster) mustWin(version string) bundler.Record {
+	c.t.Helper()
+	result, err := c.operator("ana").RollOut(c.t.Context(), c.plan(version))
+	won, ok := result.(roller.Won)
+	if err != nil || !ok {
+		c.t.Fatalf("roll-out of %s: %v, %v", version, result, err)
+	}
+	return won.Record()
+}
+
+// mustServe fails unless all nodes serve an epoch in the target time.
+func (c *cluster) mustServe(epoch uint64) {
+	c.t.Helper()
+	began := time.Now()
+	for _, n := range c.all() {
+		for n.epoch() != epoch {
+			if time.Since(began) > inForceIn {
+				c.t.Fatalf("node %s serves epoch %d after %s, want %d", n.name, n.epoch(), inForceIn, epoch)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	c.t.Logf("epoch %d in force everywhere after %s of virtual time", epoch, time.Since(began))
+}
+
+// scripted is an operator's connection on which commits meet faults.
+type scripted struct {
+	storer.Table
+	commits int
+	at      map[int]func(apply func() error) error // by number of the commit, from 1
+}
+
+func (s *scripted) Commit(ctx context.Context, writes ...storer.Write) error {
+	s.commits++
+	apply := func() error { return s.Table.Commit(ctx, writes...) }
+	if fault, ok := s.at[s.commits]; ok {
+		return fault(apply)
+	}
+	return apply()
+}
--- /dev/null
+++ b/roller/roller_test.go
@@ -0,0 +1,400 @@
+package roller_test
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dragonflyford/dragonflyford/asserter"
+	"github.com/dragonflyford/dragonflyford/bundler"
+	"github.com/dragonflyford/dragonflyford/emulator"
+	"github.com/dragonflyford/dragonflyford/roller"
+	"github.com/dragonflyford/dragonflyford/storer"
+)
+
+// Guards against an accepted bundle that does not reach every region in the
+// target time, and against a repeated roll-out that makes a new epoch.
+func TestInForceEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t)
+		is.Equal(c.mustWin("1").Epoch(), uint64(1))
+		c.mustServe(1)
+		is.Equal(c.mustWin("2").Epoch(), uint64(2))
+		c.mustServe(2)
+		again, err := c.operator("ana").RollOut(t.Context(), c.plan("2"))
+		is.NoErr(err)
+		in, ok := again.(roller.AlreadyInForce)
+		is.True(ok)
+		is.Equal(in.Record().Epoch(), uint64(2))
+		status, err := c.operator("ana").Status(t.Context())
+		is.NoErr(err)
+		is.True(status.Everywhere())
+		is.True(c.asserts.Checks(asserter.EpochNeverFalls) > 0)
+	})
+}
+
+// Guards against a rollback that reuses an epoch, that takes a version that was
+// never accepted, or that a revoked key signed.
+func TestRollBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t)
+		c.mustWin("1")
+		c.mustWin("2")
+		result, err := c.operator("ana").RollBack(t.Context(), "1")
+		is.NoErr(err)
+		won, ok := result.(roller.Won)
+		is.True(ok)
+		is.Equal(won.Record().Epoch(), uint64(3))
+		c.mustServe(3)
+		is.Equal(c.nodes[0].bundles().Load().Current().Version(), "1")
+
+		_, err = c.operator("ana").RollBack(t.Context(), "9")
+		is.True(errors.Is(err, roller.ErrNoVersion))
+		revoked := roller.New(c.table, c.objects, c, bundler.NewKeys(nil, "a"), "ana")
+		_, err = revoked.RollBack(t.Context(), "2")
+		is.True(errors.Is(err, bundler.ErrRevoked))
+
+		history, err := c.operator("ana").History(t.Context(), 2)
+		is.NoErr(err)
+		is.Equal(len(history), 2)
+		is.Equal(history[0].Version()+history[1].Version(), "12")
+	})
+}
+
+// Guards against one version that stands for two contents, which would make a
+// rollback to it ambiguous, and against a misspelt region.
+func TestRefusedPlans(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t)
+		c.mustWin("1")
+		content := document(t, "1", "other")
+		m := content.Manifest()
+		signed := bundler.NewSigned(m, bundler.Sign(bundler.RoleAuthor, "a", c.author, m), bundler.Sign(bundler.RoleReviewer, "r", c.reviewer, m))
+		_, err := c.operator("ana").RollOut(t.Context(), roller.NewPlan(signed, content.Part))
+		is.True(errors.Is(err, roller.ErrVersionTaken))
+		_, err = c.operator("ana").RollOut(t.Context(), c.plan("2").Excluding("xx"))
+		is.True(errors.Is(err, roller.ErrUnknownRegion))
+	})
+}
+
+// Guards against a lost answer that makes the operator report a wrong outcome,
+// or the bundle come into force twice.
+func TestAnswerLost(t *testing.T) {
+	lost := func(apply func() error) error {
+		_ = apply()
+		return storer.ErrUncertain
+	}
+	never := func(func() error) error { return storer.ErrUncertain }
+	down := func(func() error) error { return storer.ErrUnavailable }
+	late := func(apply func() error) error {
+		go func() {
+			time.Sleep(time.Second)
+			_ = apply()
+		}()
+		return storer.ErrUncertain
+	}
+	type fault = func(apply func() error) error
+	cases := []struct {
+		name   string
+		faults map[int]fault
+	}{
+		{"prepared, answer lost", map[int]fault{1: lost}},
+		{"not prepared, answer lost", map[int]fault{1: never}},
+		{"prepared late", map[int]fault{1: late}},
+		{"table down at prepare", map[int]fault{1: down}},
+		{"accepted, answer lost", map[int]fault{2: lost}},
+		{"not accepted, answer lost", map[int]fault{2: never}},
+		{"accepted late", map[int]fault{2: late}},
+		{"table down at acceptance", map[int]fault{2: down}},
+		{"both answers lost", map[int]fault{1: lost, 3: lost}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t)
+				operator := c.operatorOn(&scripted{Table: c.table, at: tc.faults}, "ana")
+				result, err := operator.RollOut(t.Context(), c.plan("1"))
+				is.NoErr(err)
+				_, won := result.(roller.Won)
+				is.True(won)
+				c.mustServe(1)
+				time.Sleep(5 * time.Second) // late writes arrive
+				history, err := operator.History(t.Context(), 10)
+				is.NoErr(err)
+				is.Equal(len(history), 1)
+				c.mustServe(1)
+			})
+		})
+	}
+}
+
+// Guards against two operators who are both told that they won, and against a
+// loser who is not told whose bundle won.
+func TestTwoOperators(t *testing.T) {
+	for i := range 20 {
+		t.Run(fmt.Sprintf("offset %d ms", i*5), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t)
+				c.mustWin("0")
+				var group sync.WaitGroup
+				results := make([]roller.Result, 2)
+				for k, name := range []string{"ana", "bor"} {
+					group.Go(func() {
+						time.Sleep(time.Duration(k*i) * 5 * time.Millisecond)
+						results[k], _ = c.operator(name).RollOut(t.Context(), c.plan(name))
+					})
+				}
+				group.Wait()
+				winner := slices.IndexFunc(results, func(r roller.Result) bool { _, ok := r.(roller.Won); return ok })
+				is.True(winner >= 0)
+				lost, ok := results[1-winner].(roller.Lost)
+				is.True(ok)
+				is.Equal(lost.Winner().Operator(), []string{"ana", "bor"}[winner])
+				is.True(strings.Contains(lost.String(), "is not in force"))
+				c.mustServe(2)
+			})
+		})
+	}
+}
+
+// Guards against a roll-out whose operator's process ended and that blocks all
+// others for ever, and against one that comes into force after it was replaced.
+func TestReplaceUnfinished(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t)
+		c.mustWin("0")
+		for _, n := range c.nodes[4:] { // region kp blocks the first roll-out
+			n.disconnect()
+		}
+		time.Sleep(leaseTime)
+		first := make(chan roller.Result, 1)
+		go func() {
+			result, _ := c.operator("ana", roller.WithPatience(time.Minute)).RollOut(t.Context(), c.plan("1"))
+			first <- result
+		}()
+		time.Sleep(5 * time.Second)
+		second, err := c.operator("bor").RollOut(t.Context(), c.plan("2").Excluding("kp"))
+		is.NoErr(err)
+		_, lost := second.(roller.Lost)
+		is.True(lost)
+		second, err = c.operator("bor").RollOut(t.Context(), c.plan("2").Excluding("kp").Replacing())
+		is.NoErr(err)
+		_, won := second.(roller.Won)
+		is.True(won)
+		for _, n := range c.nodes[4:] {
+			n.reconnect()
+		}
+		told, ok := (<-first).(roller.Lost)
+		is.True(ok)
+		is.Equal(told.Winner().Operator(), "bor")
+		c.mustServe(3)
+	})
+}
+
+// Guards against a roll-out that passes over a region without live nodes, and
+// against its remains keeping the next one from starting.
+func TestRegionMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t)
+		c.mustWin("1")
+		c.mustServe(1)
+		for _, n := range c.nodes[4:] {
+			n.disconnect()
+		}
+		time.Sleep(leaseTime)
+		result, err := c.operator("ana").RollOut(t.Context(), c.plan("2"))
+		is.NoErr(err)
+		not, ok := result.(roller.NotPrepared)
+		is.True(ok)
+		is.Equal(not.Regions(), []string{"kp"})
+		time.Sleep(2 * time.Second)
+		is.Equal(c.nodes[0].bundles().Load().Prepared(), nil) // the withdrawn bundle is dropped
+		result, err = c.operator("bor").RollOut(t.Context(), c.plan("3").Excluding("kp"))
+		is.NoErr(err)
+		is.True(strings.Contains(result.String(), "regions not waited for, which may serve the bundle before: kp"))
+		is.Equal(c.nodes[4].epoch(), uint64(1))
+		for _, n := range c.nodes[4:] {
+			n.reconnect()
+		}
+		c.mustServe(3)
+	})
+}
+
+// Guards against a region that is cut off between preparation and acceptance and
+// goes on serving what the acceptance withdrew.
+func TestRegionCutOffWhilePrepared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t)
+		c.mustWin("1")
+		c.mustServe(1)
+		cut := func(apply func() error) error {
+			for _, n := range c.nodes[4:] {
+				n.disconnect()
+			}
+			return apply()
+		}
+		operator := c.operatorOn(&scripted{Table: c.table, at: map[int]func(func() error) error{2: cut}}, "ana")
+		result, err := operator.RollOut(t.Context(), c.plan("2"))
+		is.NoErr(err)
+		_, won := result.(roller.Won)
+		is.True(won)
+		time.Sleep(4 * time.Second)
+		for _, n := range c.nodes[4:] {
+			state := n.bundles().Load()
+			is.True(!state.Informed())
+			is.Equal(state.Current().Epoch(), uint64(1))
+			is.Equal(state.Prepared().Epoch(), uint64(2))
+			is.True(bundler.Differs(state.Current(), state.Prepared(), bundler.NewAdapterSubject("signature-reading")))
+			is.True(!bundler.Differs(state.Current(), state.Prepared(), bundler.NewAdapterSubject("amount-reading")))
+		}
+		is.True(c.nodes[0].bundles().Load().Informed())
+		for _, n := range c.nodes[4:] {
+			n.reconnect()
+		}
+		c.mustServe(2)
+		is.True(c.nodes[5].bundles().Load().Informed())
+	})
+}
+
+// Guards against nodes that become uninformed during a table outage one after
+// the other although a peer is in contact, and against nodes that keep each
+// other informed when nobody is.
+func TestInformedByPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t)
+		c.mustWin("1")
+		c.mustServe(1)
+		n := c.nodes[0]
+		n.cut.Refuse() // only the platform; peers are reachable
+		time.Sleep(20 * time.Second)
+		is.True(n.bundles().Load().Informed())
+		is.NoErr(c.table.Inject(emulator.Down{}))
+		time.Sleep(4 * time.Second)
+		for _, n := range c.nodes {
+			is.True(!n.bundles().Load().Informed())
+		}
+	})
+}
+
+// Guards against an empty node that cannot start while the platform is down.
+func TestEmptyNodeWithoutStore(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(c *cluster) error
+	}{
+		{"object store down", func(c *cluster) error { return c.objects.Inject(emulator.Down{}) }},
+		{"object store hangs", func(c *cluster) error { return c.objects.Inject(emulator.NewSlow(time.Hour)) }},
+		{"table and object store down", func(c *cluster) error {
+			return errors.Join(c.table.Inject(emulator.Down{}), c.objects.Inject(emulator.Down{}))
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t)
+				c.mustWin("1")
+				c.mustServe(1)
+				is.NoErr(tc.fault(c))
+				c.start("lj-3", "lj")
+				c.mustServe(1)
+			})
+		})
+	}
+}
+
+// Guards against an epoch that falls at a node under any order of roll-outs,
+// rollbacks, outages, cuts and restarts, and against nodes that disagree when
+// all is well again.
+func TestEpochNeverFalls(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Uint64(), 5, 25).Draw(rt, "steps")
+		var fault string
+		synctest.Test(t, func(t *testing.T) { fault = randomRun(t, steps) })
+		if fault != "" {
+			rt.Fatal(fault)
+		}
+	})
+}
+
+func randomRun(t *testing.T, steps []uint64) string {
+	c := newCluster(t)
+	c.mustWin("0")
+	seen := make(map[*node]uint64)
+	var group sync.WaitGroup
+	for i, s := range steps {
+		n := c.nodes[s/16%6]
+		switch s % 16 {
+		case 0, 1, 2, 3, 4:
+			group.Go(func() {
+				plan := c.plan(fmt.Sprintf("s%d", i))
+				if s/96%2 == 0 {
+					plan = plan.Replacing()
+				}
+				if s/192%2 == 0 {
+					plan = plan.Excluding(n.region)
+				}
+				_, _ = c.operator(fmt.Sprintf("o%d", i)).RollOut(t.Context(), plan)
+			})
+		case 5, 6:
+			group.Go(func() { _, _ = c.operator(fmt.Sprintf("o%d", i)).RollBack(t.Context(), "0") })
+		case 7, 8:
+			n.disconnect()
+		case 9, 10:
+			n.reconnect()
+		case 11:
+			_ = c.table.Inject(emulator.Down{})
+		case 12:
+			_ = c.objects.Inject(emulator.Down{})
+		case 13:
+			c.table.Clear()
+			c.objects.Clear()
+			_ = c.table.Inject(emulator.NewAnswerLost(2, 0.1))
+		case 14:
+			n.restart()
+			seen[n] = 0
+		}
+		time.Sleep(time.Duration(s/1000%4000) * time.Millisecond)
+		for _, n := range c.nodes {
+			if e := n.epoch(); e < seen[n] {
+				return fmt.Sprintf("node %s fell from epoch %d to %d", n.name, seen[n], e)
+			} else {
+				seen[n] = e
+			}
+		}
+	}
+	c.table.Clear()
+	c.objects.Clear()
+	for _, n := range c.nodes {
+		n.reconnect()
+	}
+	group.Wait()
+	record, _, err := c.operator("last").InForce(t.Context())
+	if err != nil {
+		return err.Error()
+	}
+	time.Sleep(inForceIn)
+	for _, n := range c.nodes {
+		if n.epoch() != record.Epoch() || !n.bundles().Load().Informed() {
+			return fmt.Sprintf("node %s serves epoch %d, want %d", n.name, n.epoch(), record.Epoch())
+		}
+	}
+	return ""
+}
