commander: add the operators' commands and dragonflyctl

Cause: operators had no way to sign, review and roll out bundles, or to drain.

Change: dragonflyctl has key new, bundle check, sign, review, roll-out, roll-back, status and history, and drain and undrain of nodes and endpoints. Exit codes are 0 done, 1 failed, 2 usage; errors name the setting, its value and what is allowed. Review shows the difference to the bundle in force, asks, and refuses the author's key.

--- /dev/null
+++ b/commander/commander.go
@@ -0,0 +1,202 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/dragonflyford/dragonflyford/roller"
+	"github.com/dragonflyford/dragonflyford/storer"
+)
+
+// Exit codes.
+const (
+	ExitDone   = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// Platform is what the commands work on.
+type Platform struct {
+	table   storer.Table
+	objects storer.Objects
+	nodes   roller.Nodes
+}
+
+// NewPlatform returns a platform.
+func NewPlatform(table storer.Table, objects storer.Objects, nodes roller.Nodes) *Platform {
+	return &Platform{table: table, objects: objects, nodes: nodes}
+}
+
+// Connect opens the platform that the settings name.
+type Connect func(s *Settings) (*Platform, error)
+
+// Commander runs command lines.
+type Commander struct {
+	version string
+	connect Connect
+	in      io.Reader
+	out     io.Writer
+	errs    io.Writer
+}
+
+// New returns a commander.
+func New(version string, connect Connect, in io.Reader, out, errs io.Writer) *Commander {
+	return &Commander{version: version, connect: connect, in: in, out: out, errs: errs}
+}
+
+// session is one run of a command line.
+type session struct {
+	*Commander
+	ctx    context.Context
+	config string
+}
+
+// globals are the options of all commands.
+type globals struct {
+	Config  string `long:"config" value-name:"FILE" description:"JSON settings: operator, table, objects, key_file, keys, revoked"`
+	Version bool   `long:"version" description:"print the version and exit"`
+}
+
+// Run runs one command line and returns its exit code.
+func (c *Commander) Run(ctx context.Context, args []string) int {
+	var g globals
+	s := &session{Commander: c, ctx: ctx}
+	parser := flags.NewNamedParser("dragonflyctl", flags.HelpFlag|flags.PassDoubleDash)
+	parser.SubcommandsOptional = true // --version stands alone
+	if _, err := parser.AddGroup("Options", "", &g); err != nil {
+		return c.report(err)
+	}
+	if err := s.addCommands(parser); err != nil {
+		return c.report(err)
+	}
+	parser.CommandHandler = func(command flags.Commander, rest []string) error {
+		if g.Version {
+			_, err := fmt.Fprintln(c.out, "dragonflyctl "+c.version)
+			return err
+		}
+		if command == nil {
+			return &flags.Error{Type: flags.ErrCommandRequired, Message: "no command given; see --help"}
+		}
+		if len(rest) > 0 {
+			return &SettingError{setting: "argument", value: rest[0], allowed: "absent"}
+		}
+		s.config = g.Config
+		return command.Execute(rest)
+	}
+	_, err := parser.ParseArgs(args)
+	return c.report(err)
+}
+
+// report prints an error and returns the exit code.
+func (c *Commander) report(err error) int {
+	if err == nil {
+		return ExitDone
+	}
+	var usage *flags.Error
+	if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+		_, _ = fmt.Fprintln(c.out, usage.Message)
+		return ExitDone
+	}
+	_, _ = fmt.Fprintln(c.errs, "dragonflyctl: "+err.Error())
+	var setting *SettingError
+	if usage != nil || errors.As(err, &setting) {
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+func (s *session) addCommands(parser *flags.Parser) error {
+	groups := []struct {
+		name, short string
+		commands    []subcommand
+	}{
+		{"key", "manage keys", []subcommand{
+			{"new", "create a key pair", &keyNew{session: s}},
+		}},
+		{"bundle", "check, sign and roll out bundles", []subcommand{
+			{"check", "check a bundle file", &bundleCheck{session: s}},
+			{"sign", "sign a bundle file as its author", &bundleSign{session: s}},
+			{"review", "show what a bundle changes and sign it as reviewer", &bundleReview{session: s}},
+			{"roll-out", "put a signed bundle in force everywhere", &bundleRollOut{session: s}},
+			{"roll-back", "put an earlier accepted bundle in force at a new epoch", &bundleRollBack{session: s}},
+			{"status", "show what is in force by region and node", &bundleStatus{session: s}},
+			{"history", "list accepted bundles, newest first", &bundleHistory{session: s}},
+		}},
+		{"drain", "ask for a planned stop", drains(s, false)},
+		{"undrain", "end a planned stop", drains(s, true)},
+	}
+	for _, g := range groups {
+		group, err := parser.AddCommand(g.name, g.short, "", &struct{}{})
+		if err != nil {
+			return fmt.Errorf("add command %s: %w", g.name, err)
+		}
+		for _, c := range g.commands {
+			if _, err := group.AddCommand(c.name, c.short, "", c.command); err != nil {
+				return fmt.Errorf("add command %s %s: %w", g.name, c.name, err)
+			}
+		}
+	}
+	return nil
+}
+
+type subcommand struct {
+	name, short string
+	command     flags.Commander
+}
+
+// open reads the settings and connects to the platform.
+func (s *session) open() (*Settings, *Platform, error) {
+	settings, err := readSettings(s.config)
+	if err != nil {
+		return nil, nil, err
+	}
+	platform, err := s.connect(settings)
+	if err != nil {
+		return nil, nil, fmt.Errorf("connect to the platform: %w", err)
+	}
+	return settings, platform, nil
+}
+
+func (s *session) roller(options ...roller.Option) (*Settings, *roller.Roller, error) {
+	settings, p, err := s.open()
+	if err != nil {
+		return nil, nil, err
+	}
+	return settings, roller.New(p.table, p.objects, p.nodes, settings.Keys(), settings.operator, options...), nil
+}
+
+// output says how a command prints.
+type output struct {
+	JSON bool `long:"json" description:"print JSON"`
+}
+
+// print writes data as JSON if asked for, and text otherwise.
+func (s *session) print(o output, data any, text string) error {
+	if o.JSON {
+		encoded, err := json.Marshal(data)
+		if err != nil {
+			return fmt.Errorf("encode output: %w", err)
+		}
+		text = string(encoded)
+	}
+	if _, err := fmt.Fprintln(s.out, text); err != nil {
+		return fmt.Errorf("write output: %w", err)
+	}
+	return nil
+}
+
+// sleep waits for d or the end of the session, and reports whether to go on.
+func (s *session) sleep(d time.Duration) bool {
+	select {
+	case <-s.ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/commander/files.go
@@ -0,0 +1,153 @@
+package commander
+
+import (
+	"crypto/ed25519"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/dragonflyford/dragonflyford/bundler"
+)
+
+// Errors of commands.
+var (
+	// ErrChanged reports a bundle file that was changed after it was signed.
+	ErrChanged = eris.New("the bundle was changed after it was signed; sign it again")
+	// ErrUnsigned reports a bundle file without the signatures that a command
+	// needs.
+	ErrUnsigned = eris.New("signature is missing")
+	// ErrNotDone reports a roll-out whose bundle is not in force.
+	ErrNotDone = eris.New("the bundle is not in force")
+	// ErrDeclined reports a review that the operator did not confirm.
+	ErrDeclined = eris.New("review is not confirmed; nothing was signed")
+)
+
+func keyNames(keys map[string]ed25519.PublicKey) []string {
+	return slices.Sorted(maps.Keys(keys))
+}
+
+// signaturesDocument is the file next to a bundle that holds its signatures.
+type signaturesDocument struct {
+	Manifest string             `json:"manifest"`
+	Author   *signatureDocument `json:"author,omitempty"`
+	Reviewer *signatureDocument `json:"reviewer,omitempty"`
+}
+
+type signatureDocument struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+}
+
+func newSignatureDocument(s bundler.Signature) *signatureDocument {
+	return &signatureDocument{Key: s.Key(), Value: s.Value()}
+}
+
+func (d *signatureDocument) signature() bundler.Signature {
+	return bundler.NewSignature(d.Key, d.Value)
+}
+
+// file is a bundle file and the signatures next to it.
+type file struct {
+	path       string
+	doc        *bundler.Document
+	content    *bundler.Content
+	signatures signaturesDocument
+}
+
+// openFile reads and checks a bundle file. Its signatures may be missing.
+func openFile(path string) (*file, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &SettingError{setting: "FILE", value: path, allowed: "a readable bundle file: " + err.Error()}
+	}
+	doc, err := bundler.Parse(data)
+	if err != nil {
+		return nil, &fileError{path: path, err: err}
+	}
+	content, err := bundler.Split(doc)
+	if err != nil {
+		return nil, err
+	}
+	f := &file{path: path, doc: doc, content: content}
+	return f, f.readSignatures()
+}
+
+func (f *file) signaturesPath() string { return f.path + ".signatures" }
+
+func (f *file) readSignatures() error {
+	data, err := os.ReadFile(f.signaturesPath())
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("read signatures: %w", err)
+	}
+	if err := json.Unmarshal(data, &f.signatures); err != nil {
+		return fmt.Errorf("read %s: %w", f.signaturesPath(), err)
+	}
+	return nil
+}
+
+func (f *file) writeSignatures() error {
+	data, err := json.MarshalIndent(f.signatures, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode signatures: %w", err)
+	}
+	if err := os.WriteFile(f.signaturesPath(), append(data, '\n'), 0o644); err != nil {
+		return fmt.Errorf("write signatures: %w", err)
+	}
+	return nil
+}
+
+// authored returns the author's signature after checking it.
+func (f *file) authored(keys bundler.Keys) (bundler.Signature, error) {
+	if f.signatures.Author == nil {
+		return bundler.Signature{}, fmt.Errorf("author of %s: %w", f.path, ErrUnsigned)
+	}
+	if f.signatures.Manifest != f.content.Manifest().Digest().String() {
+		return bundler.Signature{}, fmt.Errorf("%s: %w", f.path, ErrChanged)
+	}
+	author := f.signatures.Author.signature()
+	return author, keys.Verify(bundler.RoleAuthor, author, f.content.Manifest())
+}
+
+// signed returns the manifest with both signatures, verified.
+func (f *file) signed(keys bundler.Keys) (*bundler.Signed, error) {
+	author, err := f.authored(keys)
+	if err != nil {
+		return nil, err
+	}
+	if f.signatures.Reviewer == nil {
+		return nil, fmt.Errorf("reviewer of %s: %w", f.path, ErrUnsigned)
+	}
+	signed := bundler.NewSigned(f.content.Manifest(), author, f.signatures.Reviewer.signature())
+	return signed, signed.Verify(keys)
+}
+
+// fileError prints each fault with the file's name, as compilers do.
+type fileError struct {
+	path string
+	err  error
+}
+
+func (e *fileError) Unwrap() error { return e.err }
+
+func (e *fileError) Error() string {
+	var parse *bundler.ParseError
+	if !errors.As(e.err, &parse) {
+		return e.path + ": " + e.err.Error()
+	}
+	text := ""
+	for i, f := range parse.Faults() {
+		if i > 0 {
+			text += "\n"
+		}
+		text += e.path + ":" + f.String()
+	}
+	return text
+}
