--- a/configurer/node.go
+++ b/configurer/node.go
@@ -8,6 +8,8 @@
 	"os"
 	"slices"
 	"time"
+
+	"github.com/dragonflyford/dragonflyford/bundler"
 )
 
 // Node holds the settings of a node. They do not change while it runs.
@@ -81,16 +83,15 @@
 // Hosts returns the URL of the host list.
 func (n *Node) Hosts() string { return n.doc.Platform.Hosts }
 
-// BundleKeys returns the public keys that may sign bundles, without the revoked
-// ones.
-func (n *Node) BundleKeys() map[string]ed25519.PublicKey {
+// BundleKeys returns the public keys that may sign bundles.
+func (n *Node) BundleKeys() bundler.Keys {
 	keys := make(map[string]ed25519.PublicKey)
 	for _, k := range n.doc.Bundle.Keys {
-		if key, ok := publicKey(k.PublicKey); ok && !slices.Contains(n.doc.Bundle.Revoked, k.Name) {
+		if key, ok := publicKey(k.PublicKey); ok {
 			keys[k.Name] = key
 		}
 	}
-	return keys
+	return bundler.NewKeys(keys, n.doc.Bundle.Revoked...)
 }
 
 // RevokedKeys returns the names of the keys that may not sign any more.
--- a/configurer/node_document.go
+++ b/configurer/node_document.go
@@ -90,6 +90,10 @@
 	Level string `json:"level"`
 }
 
+// defaultTimeout leaves room for the longest default answer: 8192 tokens at the
+// design target of 53 ms between tokens take 7.3 minutes.
+const defaultTimeout = 10 * time.Minute
+
 // defaultNode returns the settings that a document need not name.
 func defaultNode() nodeDocument {
 	return nodeDocument{
@@ -104,7 +108,7 @@
 			OpenRequests:   4096,
 			Attempts:       3,
 			Decisions:      16384,
-			DefaultTimeout: duration(2 * time.Minute),
+			DefaultTimeout: duration(defaultTimeout),
 			MaxTimeout:     duration(time.Hour),
 			ReadTimeout:    duration(10 * time.Second),
 			WriteTimeout:   duration(30 * time.Second),
--- a/server/completion.go
+++ b/server/completion.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/dragonflyford/dragonflyford/classifier"
 	"github.com/dragonflyford/dragonflyford/receiver"
@@ -27,6 +28,7 @@
 type generation struct {
 	call         *receiver.Call
 	form         form
+	model        string
 	stream       bool
 	includeUsage bool
 	maxTokens    int
@@ -47,7 +49,7 @@
 		return nil, err
 	}
 	g.form = textForm{}
-	g.call = receiver.NewGeneration(doc.Model, string(doc.Prompt), g.maxTokens, g.next, opts...)
+	g.call = receiver.NewGeneration(g.model, string(doc.Prompt), g.maxTokens, g.next, opts...)
 	return g, nil
 }
 
@@ -72,7 +74,7 @@
 		messages[i] = receiver.NewMessage(m.Role, string(m.Content))
 	}
 	g.form = chatForm{}
-	g.call = receiver.NewChat(doc.Model, messages, g.maxTokens, g.next, opts...)
+	g.call = receiver.NewChat(g.model, messages, g.maxTokens, g.next, opts...)
 	return g, nil
 }
 
@@ -85,11 +87,16 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	model, err := pinModel(r, doc.Model, next)
+	if err != nil {
+		return nil, nil, err
+	}
 	opts, err := s.callOptions(r, doc.Priority)
 	if err != nil {
 		return nil, nil, err
 	}
 	g := &generation{
+		model:        model,
 		stream:       doc.Stream,
 		includeUsage: doc.StreamOptions != nil && doc.StreamOptions.IncludeUsage,
 		maxTokens:    s.maxTokens,
@@ -121,6 +128,21 @@
 	return last + 1, nil
 }
 
+// pinModel returns the adapter version of a resumed call. The bundle may have
+// changed since the first answer; without the version that answered, the rest
+// could come from another one.
+func pinModel(r *http.Request, model string, next int) (string, error) {
+	if next == 0 || strings.Contains(model, "@") {
+		return model, nil
+	}
+	version := r.Header.Get(headerVersion)
+	if version == "" {
+		return "", classifier.NewInvalid(
+			headerLastEvent + " needs the version in the model or the " + headerVersion + " of the first answer")
+	}
+	return model + "@" + version, nil
+}
+
 func (s *Server) generate(ctx context.Context, g *generation) (*responder.Answer, error) {
 	return s.apply(ctx, g.call)
 }
--- a/server/entries.go
+++ b/server/entries.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 
 	"github.com/dragonflyford/dragonflyford/classifier"
 )
@@ -34,7 +35,7 @@
 }
 
 // NewEntryList groups entries as seen from a node: same data centre, same region,
-// others. The entries must not include hosts that are known to be leaving.
+// others. The entries must not include nodes that are known to be leaving.
 func NewEntryList(region, dataCentre string, entries []Entry) *EntryList {
 	groups := make([][]Entry, 3)
 	for _, e := range entries {
@@ -94,13 +95,21 @@
 			preferred = node
 		}
 	}
-	entries := list.ordered(preferred)
+	entries := s.staying(list.ordered(preferred))
 	if len(entries) == 0 {
 		return nil, classifier.NewUnavailable("all entries are leaving", classifier.RetryAfter(s.entryTTL))
 	}
 	return entries, nil
 }
 
+// staying leaves out the entries that are about to leave.
+func (s *Server) staying(entries []Entry) []Entry {
+	if s.stops == nil {
+		return entries
+	}
+	return slices.DeleteFunc(entries, func(e Entry) bool { return s.stops.Leaving(e.node) })
+}
+
 // entriesDocument is the answer to a call for entries.
 type entriesDocument struct {
 	Entries []entryDocument `json:"entries"`
--- a/server/options.go
+++ b/server/options.go
@@ -23,6 +23,11 @@
 	Owner(adapter string) (node string, ok bool)
 }
 
+// Stops knows which nodes are about to leave.
+type Stops interface {
+	Leaving(node string) bool
+}
+
 // StatusSource describes the node for operators.
 type StatusSource interface {
 	Status() StatusDocument
@@ -54,6 +59,7 @@
 
 	entries      Entries
 	owners       Owners
+	stops        Stops
 	bundles      resolver.Source
 	status       StatusSource
 	explainer    Explainer
@@ -133,6 +139,10 @@
 // WithOwners puts the owner of an adapter first among the entries.
 func WithOwners(p Owners) Option { return func(o *options) { o.owners = p } }
 
+// WithStops leaves out entries that are about to leave, also while the list still
+// names them.
+func WithStops(p Stops) Option { return func(o *options) { o.stops = p } }
+
 // WithBundles makes the server ready only while a bundle is in force.
 func WithBundles(b resolver.Source) Option { return func(o *options) { o.bundles = b } }
 
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -12,8 +12,11 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dragonflyford/dragonflyford/bundler"
 	"github.com/dragonflyford/dragonflyford/classifier"
 	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/meter"
+	"github.com/dragonflyford/dragonflyford/publisher"
 	"github.com/dragonflyford/dragonflyford/server"
 )
 
@@ -120,6 +123,7 @@
 		{"resume without stream", "POST", text, `{` + valid + `}`, "Last-Event-ID: 0", 400, "streams only"},
 		{"resume without id", "POST", text, `{` + valid + `,"stream":true}`, "Last-Event-ID: 0", 400, "needs the X-Request-Id"},
 		{"bad event id", "POST", text, `{` + valid + `,"stream":true}`, "Last-Event-ID: -1", 400, "id of an event"},
+		{"resume without version", "POST", text, `{"model":"reading","prompt":"p","stream":true}`, "Last-Event-ID: 0", 400, "X-Request-Id"},
 		{"no key", "POST", text, `{` + valid + `}`, "Authorization: Bearer k3", 401, "no valid key"},
 		{"service", "POST", "/v1/services/ledger/postings/a%2Fb?x=1", "b", "Idempotency-Key: k", 200, "ledger POST /postings/a%2Fb?x=1 b k 1"},
 		{"other method", "PATCH", "/v1/services/ledger/a//b", "", "", 200, "ledger PATCH /a//b   1"},
@@ -192,7 +196,31 @@
 
 func (owners) Owner(adapter string) (string, bool) { return "far", adapter == "reading" }
 
-// Guards against callers that are sent across regions, or all to one node.
+// stops says that every node leaves but one.
+type stops struct{ stays string }
+
+func (s stops) Leaving(node string) bool { return node != s.stays }
+
+// Guards against a node that takes calls before it has a bundle, and against
+// answers that are not counted.
+func TestReadyAndMetrics(t *testing.T) {
+	is := is.New(t)
+	bundles := publisher.New()
+	m := meter.New("n", "lj", "lj1", func(err error) { t.Error(err) })
+	srv := node(t, &pipeline{}, server.WithBundles(bundles), server.WithMetrics(m.Handler(), m.Scope()))
+	resp, body := send(t, "GET", srv.URL+"/readyz", "")
+	is.Equal(resp.StatusCode, 503)
+	is.True(strings.Contains(body, "no bundle is in force yet"))
+	bundles.Publish(bundler.NewSnapshot(1, &bundler.Document{}))
+	resp, _ = send(t, "GET", srv.URL+"/readyz", "")
+	is.Equal(resp.StatusCode, 200)
+	is.NoErr(m.Close())
+	_, body = send(t, "GET", srv.URL+"/metrics", "")
+	is.True(strings.Contains(body, `dragonflyford_answers{data_centre="lj1",node="n",outcome="not-run",region="lj"} 1`))
+}
+
+// Guards against callers that are sent across regions, all to one node, or to a
+// node that leaves.
 func TestEntries(t *testing.T) {
 	is := is.New(t)
 	list := server.NewEntryList("lj", "lj1", []server.Entry{
@@ -224,6 +252,12 @@
 	is.Equal(get("?adapter=reading")[0], "far:1")
 	is.Equal(len(get("?adapter=reading")), 4)
 
+	for _, stays := range []string{"far", "near-2"} {
+		only := node(t, &pipeline{}, server.WithEntries(entries{list}, time.Second), server.WithStops(stops{stays}))
+		_, body := send(t, "GET", only.URL+"/v1/entries?adapter=reading", "")
+		is.True(strings.Contains(body, `"entries":[{"address":"`+stays+`:1",`) && strings.Count(body, "address") == 1)
+	}
+
 	resp, _ := send(t, "GET", node(t, &pipeline{}, server.WithEntries(entries{}, time.Second)).URL+"/v1/entries", "")
 	is.Equal(resp.StatusCode, 503)
 	is.Equal(resp.Header.Get("Retry-After"), "1")
--- a/server/stream_test.go
+++ b/server/stream_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dragonflyford/dragonflyford/receiver"
 	"github.com/dragonflyford/dragonflyford/recorder"
 	"github.com/dragonflyford/dragonflyford/server"
 )
@@ -73,6 +74,20 @@
 	}
 }
 
+// Guards against a resumed answer whose rest comes from another version, because
+// the bundle's traffic shares changed in between.
+func TestResumePinsVersion(t *testing.T) {
+	is := is.New(t)
+	p := &pipeline{}
+	srv := node(t, p)
+	body := strings.Replace(streamed, "@v1", "", 1)
+	resp, answer := send(t, "POST", srv.URL+"/v1/completions", body, "X-Request-Id: r", "Last-Event-ID: 1")
+	is.Equal(resp.StatusCode, 400)
+	is.True(strings.Contains(answer, "X-Version of the first answer"))
+	send(t, "POST", srv.URL+"/v1/completions", body, "X-Request-Id: r", "Last-Event-ID: 1", "X-Version: v2")
+	is.Equal(p.request.Load().Target().(*receiver.GenerationTarget).Version(), "v2")
+}
+
 // Guards against a broken answer that looks complete.
 func TestBrokenStream(t *testing.T) {
 	is := is.New(t)
