admitter: test turns and measure a contended queue

Cause: fairness had one fixed case, and no figure for a long queue existed.

Change: a randomised test checks that callers who wait get equal turns; a benchmark keeps up to 10,000 requests in one caller's queue; operators' drains are logged.

--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -162,6 +162,49 @@
 	})
 }
 
+// Guards against unequal turns: while two callers both wait, neither gets more
+// than one turn more than the other, however many requests they have.
+func TestTurns(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		counts := rapid.SliceOfN(rapid.IntRange(1, 12), 2, 5).Draw(rt, "counts")
+		var order []int
+		synctest.Test(t, func(t *testing.T) {
+			a := admitter.New(1, admitter.WithQueue(1000))
+			go func() { _ = hold(a, resolved(t, "first", 0, time.Hour), time.Second) }()
+			synctest.Wait()
+			for caller, n := range counts {
+				for range n {
+					go func() {
+						ctx, cancel := context.WithCancel(context.Background())
+						defer cancel()
+						if _, err := a.Apply(ctx, resolved(t, fmt.Sprint(caller), 0, time.Hour)); err != nil {
+							t.Error(err)
+							return
+						}
+						order = append(order, caller) // the limit is 1
+						time.Sleep(time.Second)
+					}()
+				}
+			}
+			time.Sleep(time.Hour)
+		})
+		turns := make([]int, len(counts))
+		for _, caller := range order {
+			turns[caller]++
+			for other, n := range turns {
+				if n < counts[other] && turns[caller] > n+1 {
+					rt.Fatalf("caller %d had %d turns while caller %d had %d: %v", caller, turns[caller], other, n, order)
+				}
+			}
+		}
+		for caller, n := range turns {
+			if n != counts[caller] {
+				rt.Fatalf("caller %d had %d turns of %d", caller, n, counts[caller])
+			}
+		}
+	})
+}
+
 // Guards against a caller that fills the queue and locks the others out.
 func TestQueueShare(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -270,3 +313,16 @@
 		}
 	})
 }
+
+// BenchmarkContended measures a decision with thousands of waiting requests.
+func BenchmarkContended(b *testing.B) {
+	a := admitter.New(8, admitter.WithQueue(1<<20))
+	r := resolved(b, "c", 0, time.Hour)
+	b.ReportAllocs()
+	b.SetParallelism(1000)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			_ = hold(a, r, 0)
+		}
+	})
+}
--- a/server/operator.go
+++ b/server/operator.go
@@ -9,6 +9,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/recorder"
 )
 
@@ -119,6 +120,7 @@
 	if err := s.drainer.Drain(ctx); err != nil {
 		return healthDocument{}, classifier.NewUnavailable("the stop could not be started", classifier.Cause(err))
 	}
+	s.log.Info("drain-requested", logger.Request(requestID(ctx)))
 	return healthDocument{Status: "draining"}, nil
 }
 
