breaker: stop requests that crash endpoints

Cause: one request can crash every engine that runs it, and its caller sends it again elsewhere.

Two crashes stop a request; a second unconfirmed one makes the caller wait.

Conclusion: the culprit is stopped after two crashes with either the table or the peers gone; innocents of both batches go on.

--- /dev/null
+++ b/breaker/breaker_test.go
@@ -0,0 +1,186 @@
+package breaker_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/breaker"
+	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/emulator"
+	"github.com/dragonflyford/dragonflyford/receiver"
+)
+
+// group connects the breakers of a test; cut ones hear nothing.
+type group struct {
+	members []*breaker.Breaker
+	cut     bool
+}
+
+func (g *group) Crash(_ context.Context, marks []byte) error {
+	if g.cut {
+		return errors.New("cut")
+	}
+	for _, m := range g.members {
+		if err := m.Learn(marks); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func request(n byte) receiver.Fingerprint { return receiver.Fingerprint{n} }
+
+var (
+	culprit  = request(1)
+	innocent = request(2)
+	other    = request(3)
+)
+
+// settle lets the background work end, but no mark expire.
+const settle = 6 * time.Second
+
+func stopped(err error) bool {
+	var s *classifier.Stopped
+	return errors.As(err, &s)
+}
+
+// Guards against a request that goes on crashing endpoints at other nodes, and
+// against innocents of the same batches that are stopped with it.
+func TestSecondCrashStops(t *testing.T) {
+	tests := []struct {
+		name       string
+		tableDown  bool
+		peersCut   bool
+		wantRemote bool // the other node stops the culprit too
+	}{
+		{name: "table and peers", wantRemote: true},
+		{name: "table down", tableDown: true, wantRemote: true},
+		{name: "peers cut", peersCut: true, wantRemote: true},
+		{name: "both gone", tableDown: true, peersCut: true, wantRemote: false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				table := emulator.NewTable()
+				if tt.tableDown {
+					is.NoErr(table.Inject(emulator.Down{}))
+				}
+				peers := &group{cut: tt.peersCut}
+				a := breaker.New("a", table, peers, breaker.DefaultLife)
+				defer a.Close()
+				b := breaker.New("b", table, peers, breaker.DefaultLife)
+				defer b.Close()
+				peers.members = []*breaker.Breaker{a, b}
+
+				a.Crashed("engine-1", []receiver.Fingerprint{culprit, innocent})
+				is.NoErr(a.Blocked(culprit))
+				is.True(a.Suspect(culprit))
+				is.True(a.Suspect(innocent))
+
+				a.Crashed("engine-2", []receiver.Fingerprint{culprit, other})
+				time.Sleep(settle)
+				is.True(stopped(a.Blocked(culprit)))
+				is.NoErr(a.Blocked(innocent))
+				is.NoErr(a.Blocked(other))
+				is.Equal(stopped(b.Blocked(culprit)), tt.wantRemote)
+				is.NoErr(b.Blocked(innocent))
+			})
+		})
+	}
+}
+
+// Guards against one crash that counts twice because it arrives by several ways:
+// as a broken stream, from the owner, from a peer and from the table.
+func TestOneCrashCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := emulator.NewTable()
+		peers := &group{}
+		a := breaker.New("a", table, peers, breaker.DefaultLife)
+		defer a.Close()
+		b := breaker.New("b", table, peers, breaker.DefaultLife)
+		defer b.Close()
+		peers.members = []*breaker.Breaker{a, b}
+
+		b.Broken(culprit, "engine-1")
+		a.Crashed("engine-1", []receiver.Fingerprint{culprit})
+		time.Sleep(settle)
+		a.Broken(culprit, "engine-1")
+		b.Broken(culprit, "engine-1")
+		is.NoErr(a.Blocked(culprit))
+		is.NoErr(b.Blocked(culprit))
+	})
+}
+
+// Guards against a third crash while the second one is not confirmed yet, and
+// against a cut connection that stops a request for good.
+func TestUnconfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := breaker.New("a", emulator.NewTable(), &group{}, breaker.DefaultLife)
+		defer b.Close()
+		b.Broken(culprit, "engine-1")
+		is.NoErr(b.Blocked(culprit))
+		is.True(b.Suspect(culprit))
+		b.Broken(culprit, "engine-2")
+		err := b.Blocked(culprit)
+		var later *classifier.Unavailable
+		is.True(errors.As(err, &later))
+		is.True(later.RetryAfter() > 0)
+		time.Sleep(11 * time.Second)
+		is.NoErr(b.Blocked(culprit))
+		is.True(!b.Suspect(culprit))
+	})
+}
+
+// Guards against marks that outlive a completed request or their time to live.
+func TestMarksEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := emulator.NewTable()
+		b := breaker.New("a", table, &group{}, time.Minute)
+		defer b.Close()
+		b.Crashed("engine-1", []receiver.Fingerprint{culprit, innocent})
+		time.Sleep(settle)
+		b.Completed(innocent)
+		is.True(!b.Suspect(innocent))
+		time.Sleep(2 * time.Minute)
+		is.True(!b.Suspect(culprit))
+		rows, err := table.Scan(context.Background(), "crash/", "", 10)
+		is.NoErr(err)
+		is.Equal(len(rows), 0)
+	})
+}
+
+// Guards against memory that grows with the number of marked requests.
+func TestBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := emulator.NewTable()
+		is.NoErr(table.Inject(emulator.Down{}))
+		b := breaker.New("a", table, &group{}, breaker.DefaultLife)
+		defer b.Close()
+		for i := range 5000 {
+			b.Broken(receiver.Fingerprint{byte(i), byte(i >> 8), 1}, "engine-1")
+		}
+		is.Equal(b.Marked(), 4096)
+	})
+}
+
+// Guards against a peer's message that crashes the decoder.
+func FuzzLearn(f *testing.F) {
+	f.Add([]byte{0xa1, 0x01, 0x80})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		synctest.Test(t, func(*testing.T) {
+			br := breaker.New("a", emulator.NewTable(), &group{}, breaker.DefaultLife)
+			defer br.Close()
+			_ = br.Learn(b)
+		})
+	})
+}
