--- a/bundler/parts_test.go
+++ b/bundler/parts_test.go
@@ -145,6 +145,18 @@
 	is.Equal(testing.AllocsPerRun(100, func() { _, _ = b.Adapter("branch-00009-amounts") }), 0.0)
 }
 
+// Guards against a manifest of zeros that passes for that of a missing snapshot.
+func TestRebuildZeroManifest(t *testing.T) {
+	is := is.New(t)
+	m, err := bundler.DecodeManifest(make([]byte, (bundler.AdapterParts+1)*len(bundler.Hash{})))
+	is.NoErr(err)
+	none := func(bundler.Hash) ([]byte, bool) { return nil, false }
+	for _, previous := range []*bundler.Snapshot{nil, bundler.NewSnapshot(1, parse(t, example(t)))} {
+		_, err = bundler.Rebuild(previous, 2, m, none)
+		is.True(errors.Is(err, bundler.ErrMissing))
+	}
+}
+
 type signers struct {
 	keys             bundler.Keys
 	author, reviewer ed25519.PrivateKey
--- a/bundler/snapshot.go
+++ b/bundler/snapshot.go
@@ -294,13 +294,15 @@
 // result is the same as that of a check of the whole document, because a name
 // always falls in the same part.
 func Rebuild(previous *Snapshot, epoch uint64, m Manifest, lookup Lookup) (*Snapshot, error) {
-	if previous == nil || len(previous.manifest.hashes) == 0 {
-		previous = &Snapshot{manifest: Manifest{hashes: make([]Hash, AdapterParts+1)}}
+	if previous != nil && len(previous.manifest.hashes) == 0 {
+		previous = nil // built from a document, so its parts have no hashes
 	}
-	s := &Snapshot{epoch: epoch, manifest: m, head: previous.head}
+	s := &Snapshot{epoch: epoch, manifest: m}
 	c := &checker{}
-	sameHead := previous.manifest.Hash(headPart) == m.Hash(headPart)
-	if !sameHead {
+	sameHead := previous.hasPart(headPart, m)
+	if sameHead {
+		s.head = previous.head
+	} else {
 		doc, err := lookupHead(m, lookup)
 		if err != nil {
 			return nil, err
@@ -319,8 +321,14 @@
 	return s, nil
 }
 
+// hasPart reports whether part i of a manifest is that of the snapshot, which may
+// be nil.
+func (s *Snapshot) hasPart(i int, m Manifest) bool {
+	return s != nil && s.manifest.Hash(i) == m.Hash(i)
+}
+
 func (s *Snapshot) rebuildPart(c *checker, previous *Snapshot, i int, sameHead bool, lookup Lookup) error {
-	if previous.manifest.Hash(i) == s.manifest.Hash(i) {
+	if previous.hasPart(i, s.manifest) {
 		index := previous.parts[i]
 		if !sameHead {
 			index.checkReferences(c, s.names)
--- a/roller/cluster_test.go
+++ b/roller/cluster_test.go
@@ -234,7 +234,9 @@
 // mustWin rolls a bundle out and returns its record.
 func (c *cluster) mustWin(version string) bundler.Record {
 	c.t.Helper()
+	began := time.Now()
 	result, err := c.operator("ana").RollOut(c.t.Context(), c.plan(version))
+	c.t.Logf("roll-out of %s took %s of virtual time", version, time.Since(began))
 	won, ok := result.(roller.Won)
 	if err != nil || !ok {
 		c.t.Fatalf("roll-out of %s: %v, %v", version, result, err)
