--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -67,8 +67,7 @@
 // WithEpochs passes the epoch in force and the highest epoch that the node has
 // verified to report whenever one of them changes. The node's lease row states
 // them from its next renewal on; a write of its own per epoch would be 1,120
-// writes per roll-out from 560 nodes, several times what the table takes in a
-// second.
+// writes per roll-out from 560 nodes, more than the table takes in a second.
 func WithEpochs(report func(inForce, prepared uint64)) Option {
 	return func(w *Watcher) { w.epochs = report }
 }
