forwarder: add the in-process peer

Cause: node assembly needs peers that work without sockets and under synctest, and that a test can part.

Change: NewLocal carries errors and views in their wire form, so that what arrives is what a connection would deliver.

--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,280 @@
+package forwarder_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/forwarder"
+	"github.com/dragonflyford/dragonflyford/storer"
+	"github.com/dragonflyford/dragonflyford/viewer"
+)
+
+var reading = connector.NewModel("base-7b", "reading", "v3")
+
+func jobOf(tokens int) connector.Job {
+	return connector.NewJob("attempt-1", "request-1", reading, "read \xff this", tokens,
+		connector.ResumeAt(2), connector.WithSeed(1<<63), connector.WithPriority(-1), connector.Suspect())
+}
+
+// node is a Handler of which a test sets what it needs.
+type node struct {
+	run    func(ctx context.Context, engine string, job connector.Job) (connector.Stream, error)
+	err    error // of every method
+	state  forwarder.State
+	blob   []byte
+	called chan string // receives the arguments, if set
+}
+
+func (n *node) note(format string, args ...any) {
+	if n.called != nil {
+		n.called <- fmt.Sprintf(format, args...)
+	}
+}
+
+func (n *node) Run(ctx context.Context, engine string, job connector.Job) (connector.Stream, error) {
+	n.note("run %s %+v", engine, job)
+	if n.err != nil || n.run == nil {
+		return nil, n.err
+	}
+	return n.run(ctx, engine, job)
+}
+
+func (n *node) State(_ context.Context, since uint64) (forwarder.State, error) {
+	n.note("state %d", since)
+	return n.state, n.err
+}
+
+func (n *node) Extend(_ context.Context, from string) (forwarder.Extension, error) {
+	n.note("extend %s", from)
+	return forwarder.NewExtension(true, 7*time.Second), n.err
+}
+
+func (n *node) InUse(_ context.Context, engine string, token uint64) ([]connector.Model, error) {
+	n.note("in use %s %d", engine, token)
+	return []connector.Model{reading}, n.err
+}
+
+func (n *node) Latest(context.Context) ([]byte, error) {
+	n.note("latest")
+	return n.blob, n.err
+}
+
+func (n *node) Part(_ context.Context, hash []byte) ([]byte, error) {
+	n.note("part %x", hash)
+	return n.blob, n.err
+}
+
+func (n *node) Crash(_ context.Context, marks []byte) error {
+	n.note("crash %x", marks)
+	return n.err
+}
+
+// tokens answers a job with n chunks and then err.
+type tokens struct {
+	job    connector.Job
+	next   int
+	n      int
+	err    error
+	pause  time.Duration
+	block  bool // after the chunks, until the context ends
+	read   atomic.Int64
+	closed chan struct{}
+}
+
+func newTokens(n int, err error) *tokens {
+	return &tokens{n: n, err: err, closed: make(chan struct{}, 8)}
+}
+
+func (s *tokens) start(_ context.Context, _ string, job connector.Job) (connector.Stream, error) {
+	s.job = job
+	return s, nil
+}
+
+func (s *tokens) Next(ctx context.Context) (connector.Chunk, error) {
+	if s.next == s.n {
+		if s.block {
+			<-ctx.Done()
+			return connector.Chunk{}, ctx.Err()
+		}
+		return connector.Chunk{}, s.err
+	}
+	time.Sleep(s.pause)
+	s.next++
+	s.read.Add(1)
+	return s.chunk(s.next - 1), nil
+}
+
+func (s *tokens) chunk(i int) connector.Chunk {
+	return connector.NewChunk(s.job.Attempt(), s.job.Model(), i, fmt.Sprintf("t%d\xff", i), i == s.n-1)
+}
+
+func (s *tokens) Close() error {
+	s.closed <- struct{}{}
+	return nil
+}
+
+// connect makes a peer of a handler; stop ends the node of the handler at once.
+type connect func(t testing.TB, h forwarder.Handler) (p forwarder.Peer, stop func())
+
+// each runs a test against every transport.
+func each(t *testing.T, test func(t *testing.T, c connect)) {
+	for name, c := range transports {
+		t.Run(name, func(t *testing.T) { test(t, c) })
+	}
+}
+
+var transports = map[string]connect{
+	"local": func(t testing.TB, h forwarder.Handler) (forwarder.Peer, func()) {
+		cut := forwarder.NewCut()
+		p := forwarder.NewLocal(h, forwarder.WithCut(cut))
+		t.Cleanup(func() { _ = p.Close() })
+		return p, cut.Refuse
+	},
+}
+
+// Guards against arguments or results that change on the way.
+func TestMethods(t *testing.T) {
+	each(t, func(t *testing.T, c connect) {
+		is := is.New(t)
+		n := &node{blob: []byte{0, 1, 0xff}, called: make(chan string, 1)}
+		p, _ := c(t, n)
+		ctx := t.Context()
+		ext, err := p.Extend(ctx, "node-2")
+		is.NoErr(err)
+		is.Equal(ext, forwarder.NewExtension(true, 7*time.Second))
+		is.Equal(<-n.called, "extend node-2")
+		used, err := p.InUse(ctx, "engine-1", 1<<60)
+		is.NoErr(err)
+		is.Equal(used, []connector.Model{reading})
+		is.Equal(<-n.called, fmt.Sprintf("in use engine-1 %d", 1<<60))
+		latest, err := p.Latest(ctx)
+		is.NoErr(err)
+		is.Equal(latest, n.blob)
+		is.Equal(<-n.called, "latest")
+		part, err := p.Part(ctx, []byte{0xab})
+		is.NoErr(err)
+		is.Equal(part, n.blob)
+		is.Equal(<-n.called, "part ab")
+		is.NoErr(p.Crash(ctx, []byte{1, 2}))
+		is.Equal(<-n.called, "crash 0102")
+		sent, received := p.Transferred()
+		is.True(sent > 0 && received > 0)
+	})
+}
+
+// Guards against views that look fresher or staler than they are, and against
+// lost fields.
+func TestState(t *testing.T) {
+	each(t, func(t *testing.T, c connect) {
+		is := is.New(t)
+		models := map[connector.Model]viewer.Residency{
+			reading: viewer.Resident,
+			connector.NewModel("base-7b", "notes", "v1"): viewer.Loading,
+		}
+		full := viewer.NewView("engine-1", "node-1", models, 4, 8, 3, 2, time.Now().Add(-time.Minute), true,
+			viewer.WithRoom(2, 0.25), viewer.WithPrefixes(viewer.NewPrefixes([]uint64{1, 1 << 63})))
+		bare := viewer.NewView("engine-2", "", nil, 0, 0, 0, 0, time.Now().Add(time.Hour), false)
+		n := &node{state: forwarder.NewState(9, true, []*viewer.View{full, bare}), called: make(chan string, 1)}
+		p, _ := c(t, n)
+		s, err := p.State(t.Context(), 8)
+		is.NoErr(err)
+		is.Equal(<-n.called, "state 8")
+		is.Equal(s.Version(), uint64(9))
+		is.True(s.Full())
+		is.Equal(len(s.Views()), 2)
+		v := s.Views()[0]
+		is.Equal(v.Models(), models)
+		is.Equal([]any{v.Engine(), v.Owner(), v.Slots(), v.Batch(), v.Running(), v.Queued(), v.Accepts(), v.Room(), v.EvictionCost()},
+			[]any{"engine-1", "node-1", 4, 8, 3, 2, true, 2, 0.25})
+		is.Equal(v.Prefixes().Hashes(), []uint64{1, 1 << 63})
+		is.True(v.Taken().Sub(full.Taken()).Abs() < 10*time.Second) // the age crosses, not the time
+		is.True(!s.Views()[1].Taken().After(time.Now()))
+		is.True(!s.Views()[1].Accepts())
+	})
+}
+
+var kinds = []error{
+	connector.ErrNotResident, connector.ErrRefused, connector.ErrFenced, connector.ErrBroken,
+	storer.ErrNotFound, io.EOF, context.Canceled, context.DeadlineExceeded,
+}
+
+func failures() []error {
+	all := []error{
+		errors.New("plain \xff"),
+		fmt.Errorf("start: %w", classifier.NewUnavailable("no slot", classifier.Cause(connector.ErrNotResident))),
+		classifier.NewUnavailable("gone", classifier.MayHaveRun()),
+		classifier.NewOverloaded("full", classifier.RetryAfter(1500*time.Millisecond)),
+		classifier.NewInvalid("a"), classifier.NewTooLarge("b"), classifier.NewUnauthorized("c"),
+		classifier.NewNotOffered("d"), classifier.NewKeyMissing("e"), classifier.NewKeyReused("f"),
+		classifier.NewInProgress("g"), classifier.NewWithheld("h"), classifier.NewExpired("i"),
+		classifier.NewCanceled("j"), classifier.NewStopped("k"), classifier.NewUncertain("l"),
+	}
+	for _, kind := range kinds {
+		all = append(all, kind, fmt.Errorf("engine %q: %w", "e", kind))
+	}
+	return all
+}
+
+// same checks that an error arrived as what was returned.
+func same(is *is.I, got, want error) {
+	is.Helper()
+	is.True(got != nil)
+	for _, kind := range kinds {
+		is.Equal(errors.Is(got, kind), errors.Is(want, kind))
+	}
+	var g, w classifier.Fault
+	is.Equal(errors.As(got, &g), errors.As(want, &w))
+	if w == nil {
+		return
+	}
+	is.Equal(fmt.Sprintf("%T", g), fmt.Sprintf("%T", w))
+	is.Equal(g.Outcome(), w.Outcome())
+	is.Equal(g.Detail(), w.Detail())
+	is.Equal(g.RetryAfter(), w.RetryAfter())
+}
+
+// Guards against a caller that retries what ran, or gives up on what did not,
+// because an error lost its kind.
+func TestFailures(t *testing.T) {
+	each(t, func(t *testing.T, c connect) {
+		n := &node{}
+		p, _ := c(t, n)
+		for _, want := range failures() {
+			t.Run(want.Error(), func(t *testing.T) {
+				is := is.New(t)
+				ctx := t.Context()
+				n.err = want
+				_, err := p.State(ctx, 0)
+				same(is, err, want)
+				_, err = p.Part(ctx, nil)
+				same(is, err, want)
+				same(is, p.Crash(ctx, nil), want)
+				_, err = p.Run(ctx, "e", jobOf(1))
+				same(is, err, want)
+				n.err = nil
+				n.run = newTokens(3, want).start
+				s, err := p.Run(ctx, "e", jobOf(3))
+				is.NoErr(err)
+				for i := range 3 {
+					chunk, err := s.Next(ctx)
+					is.NoErr(err)
+					is.Equal(chunk.Index(), i)
+				}
+				_, err = s.Next(ctx)
+				same(is, err, want)
+				_, again := s.Next(ctx)
+				is.Equal(again, err)
+				is.NoErr(s.Close())
+			})
+		}
+	})
+}
