--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -139,6 +140,31 @@
 		t.Cleanup(func() { _ = p.Close() })
 		return p, cut.Refuse
 	},
+	"drpc": func(t testing.TB, h forwarder.Handler) (forwarder.Peer, func()) {
+		return dial(t, h, nil, nil)
+	},
+}
+
+// dial starts a server on the loopback device.
+func dial(t testing.TB, h forwarder.Handler, so []forwarder.ServerOption, do []forwarder.DialOption) (forwarder.Peer, func()) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := forwarder.NewServer(h, so...)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(context.Background(), listener) }()
+	p := forwarder.Dial(listener.Addr().String(), do...)
+	stop := func() { _ = s.Abort() }
+	t.Cleanup(func() {
+		_ = p.Close()
+		stop()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+	return p, stop
 }
 
 // Guards against arguments or results that change on the way.
