scheduler: keep evidence of broken streams until the next report

Cause: an engine's restart shows in its report up to half a second after its streams broke. By then the streams are closed, so the jobs that ran were no longer known and the crash marked nobody; the retry crashed the next engine.

Change: the scheduler keeps jobs whose streams broke for 15 s and passes them to the crash sink when the instance changes. The dispatcher asks the evidence before each attempt, runs marked requests as suspects and reports broken streams at once. Attempt ids come from the request's instance, because callers choose request ids. The scheduler also reports load stalls.

--- a/connector/endpoint.go
+++ b/connector/endpoint.go
@@ -17,6 +17,9 @@
 	// ErrBroken reports an exchange that ended without an answer; the effect is
 	// not known.
 	ErrBroken = eris.New("connection broken")
+	// ErrOwnerLost reports a job whose connection to the node that owns the engine
+	// broke; whether the engine still runs is not known. It comes with ErrBroken.
+	ErrOwnerLost = eris.New("connection to the engine's owner broken")
 	// ErrNotResident reports a job for an adapter that the engine has not loaded.
 	ErrNotResident = eris.New("adapter is not resident")
 	// ErrLoadFailed reports a load that ended without the adapter in its slot.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -10,6 +10,7 @@
 	"github.com/dragonflyford/dragonflyford/classifier"
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/placer"
+	"github.com/dragonflyford/dragonflyford/receiver"
 )
 
 // Executor runs jobs on one engine: the engine's scheduler, or a peer that owns
@@ -104,9 +105,36 @@
 	return func(r *Dispatcher) { r.postingTimeout = d }
 }
 
+// Suspects keeps evidence against requests that crash endpoints. It is asked
+// before every attempt and takes no lock.
+type Suspects interface {
+	// Blocked returns why a request must not run, or nil.
+	Blocked(f receiver.Fingerprint) error
+	// Suspect reports whether the request ran on an engine when it crashed.
+	Suspect(f receiver.Fingerprint) bool
+	// Broken hears of a request whose stream broke on an engine.
+	Broken(f receiver.Fingerprint, engine string)
+	// Completed hears of a request that ran to its end.
+	Completed(f receiver.Fingerprint)
+}
+
+// WithSuspects keeps requests that crash endpoints from crashing more.
+func WithSuspects(s Suspects) Option {
+	return func(r *Dispatcher) { r.suspects = s }
+}
+
+// noSuspects suspects no request.
+type noSuspects struct{}
+
+func (noSuspects) Blocked(receiver.Fingerprint) error  { return nil }
+func (noSuspects) Suspect(receiver.Fingerprint) bool   { return false }
+func (noSuspects) Broken(receiver.Fingerprint, string) {}
+func (noSuspects) Completed(receiver.Fingerprint)      {}
+
 // Dispatcher runs attempts.
 type Dispatcher struct {
 	directory      Directory
+	suspects       Suspects
 	postingTimeout time.Duration
 
 	mu       sync.Mutex // orders new postings and Close
@@ -116,7 +144,7 @@
 
 // New returns a dispatcher. The caller must call Close.
 func New(d Directory, opts ...Option) *Dispatcher {
-	r := &Dispatcher{directory: d, postingTimeout: defaultPostingTimeout}
+	r := &Dispatcher{directory: d, suspects: noSuspects{}, postingTimeout: defaultPostingTimeout}
 	for _, opt := range opts {
 		opt(r)
 	}
--- a/dispatcher/generation.go
+++ b/dispatcher/generation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,6 +10,7 @@
 	"github.com/dragonflyford/dragonflyford/classifier"
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/placer"
+	"github.com/dragonflyford/dragonflyford/receiver"
 	"github.com/dragonflyford/dragonflyford/resolver"
 )
 
@@ -21,19 +23,52 @@
 	if err != nil {
 		return nil, fmt.Errorf("find owner of engine %q: %w", choice.Engine().Name(), err)
 	}
+	w := &witness{suspects: d.suspects, fingerprint: p.Fingerprint(), engine: choice.Engine().Name()}
+	if err := d.suspects.Blocked(w.fingerprint); err != nil {
+		return nil, fmt.Errorf("check crash evidence: %w", err)
+	}
 	ctx, cancel := until(ctx, p)
-	stream, err := exec.Run(ctx, newJob(p, route))
+	stream, err := exec.Run(ctx, d.newJob(p, route))
 	if err != nil {
 		cancel()
+		w.failed(err)
 		return nil, fmt.Errorf("run on engine %q: %w", choice.Engine().Name(), err)
 	}
-	return NewStreaming(&bounded{Stream: stream, cancel: cancel}, route.Model()), nil
+	return NewStreaming(&bounded{Stream: stream, cancel: cancel, witness: w}, route.Model()), nil
+}
+
+// witness tells how a job ended on its engine.
+type witness struct {
+	suspects    Suspects
+	fingerprint receiver.Fingerprint
+	engine      string
+}
+
+// failed reports a job that broke on its engine. The loss of the engine's owner
+// says nothing about the engine.
+func (w *witness) failed(err error) {
+	if errors.Is(err, connector.ErrBroken) && !errors.Is(err, connector.ErrOwnerLost) {
+		w.suspects.Broken(w.fingerprint, w.engine)
+	}
 }
 
 // bounded is a stream that ends with the caller's deadline.
 type bounded struct {
 	connector.Stream
-	cancel context.CancelFunc
+	cancel  context.CancelFunc
+	witness *witness
+}
+
+// Next returns the next chunk and tells the witness how the job ended.
+func (b *bounded) Next(ctx context.Context) (connector.Chunk, error) {
+	chunk, err := b.Stream.Next(ctx)
+	switch {
+	case err != nil:
+		b.witness.failed(err)
+	case chunk.Last():
+		b.witness.suspects.Completed(b.witness.fingerprint)
+	}
+	return chunk, err
 }
 
 // Close ends the stream before its context.
@@ -42,17 +77,14 @@
 	return b.Stream.Close()
 }
 
-// suspicious is a request that may have run on an engine when it crashed.
-type suspicious interface{ Suspect() bool }
-
-func newJob(p *placer.Placed, route *resolver.GenerationRoute) connector.Job {
+func (d *Dispatcher) newJob(p *placer.Placed, route *resolver.GenerationRoute) connector.Job {
 	t := route.Target()
 	opts := []connector.JobOption{
 		connector.ResumeAt(p.Next()),
 		connector.WithSeed(Seed(p.ID())),
 		connector.WithPriority(p.Priority()),
 	}
-	if s, ok := any(p.Admitted).(suspicious); ok && s.Suspect() {
+	if d.suspects.Suspect(p.Fingerprint()) {
 		opts = append(opts, connector.Suspect())
 	}
 	return connector.NewJob(p.AttemptID(), p.ID(), route.Model(), t.Prompt(), t.MaxTokens(), opts...)
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -80,7 +80,9 @@
 func (r *run) start(ctx context.Context, next int) (dispatcher.Result, error) {
 	for {
 		r.made++
-		id := fmt.Sprintf("%s.%d", r.claimed.ID(), r.made)
+		// The instance tells two requests with the same id apart, which a caller
+		// may send at the same time.
+		id := fmt.Sprintf("%s.%d", r.claimed.Instance(), r.made)
 		a := placer.NewAttempt(r.claimed, id, next, slices.Clone(r.excluded))
 		v, err := r.retrier.inner.Apply(ctx, a)
 		if err == nil {
--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -206,3 +206,9 @@
 		c.jobs = append(c.jobs, j.Request())
 	}
 }
+
+func (c *crashes) seen() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.jobs...)
+}
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -42,6 +42,12 @@
 // WithCrashSink reports the jobs of a crashed engine to sink.
 func WithCrashSink(sink CrashSink) Option { return func(s *Scheduler) { s.crashes = sink } }
 
+// WithStalls passes the time that each job waited for its adapter to be loaded;
+// it is 0 for a job that found the adapter resident.
+func WithStalls(record func(time.Duration)) Option {
+	return func(s *Scheduler) { s.stalls = record }
+}
+
 // WithSeed fixes the jitter of retries.
 func WithSeed(seed uint64) Option { return func(s *Scheduler) { s.seed = seed } }
 
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -17,8 +17,10 @@
 	entry    *entry
 	deadline time.Time
 	sequence uint64
+	arrived  time.Time
 	started  time.Time
-	granted  chan error // receives once: nil when the job may start
+	stall    time.Duration // waited for the adapter
+	granted  chan error    // receives once: nil when the job may start
 }
 
 // before reports whether w is served before o: by priority, then by deadline,
@@ -52,7 +54,7 @@
 	e.heat.add(now)
 	e.waiting.Add(1)
 	s.sequence++
-	w := &waiter{job: job, entry: e, deadline: deadline, sequence: s.sequence, granted: make(chan error, 1)}
+	w := &waiter{job: job, entry: e, deadline: deadline, sequence: s.sequence, arrived: now, granted: make(chan error, 1)}
 	s.queue = append(s.queue, w)
 	s.advance()
 	return w, nil
@@ -150,6 +152,7 @@
 
 func (s *Scheduler) start(w *waiter) {
 	w.started = time.Now()
+	w.stall = max(w.entry.since.Sub(w.arrived), 0) // the entry is resident since then
 	w.entry.running++
 	s.running[w] = struct{}{}
 	if w.job.Suspect() {
@@ -186,6 +189,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stop(w)
+	if errors.Is(err, connector.ErrBroken) {
+		s.addBroken(w.job)
+	}
 	if errors.Is(err, connector.ErrNotResident) && w.entry.state == resident && w.entry.since.Before(w.started) {
 		s.setState(w.entry, absent)
 	}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/classifier"
@@ -74,15 +75,52 @@
 	if !restarted {
 		return nil
 	}
-	var jobs []connector.Job
+	jobs := make([]connector.Job, 0, len(s.broken))
+	known := make(map[string]bool, len(s.broken))
+	for _, b := range s.broken {
+		if time.Since(b.at) < brokenMemory && !known[b.job.Attempt()] {
+			jobs = append(jobs, b.job)
+			known[b.job.Attempt()] = true
+		}
+	}
+	s.broken = nil
 	for w := range s.running {
-		if w.started.Before(at) {
+		if w.started.Before(at) && !known[w.job.Attempt()] {
 			jobs = append(jobs, w.job)
 		}
 	}
 	return jobs
 }
 
+// brokenJob is a job whose stream broke.
+type brokenJob struct {
+	job connector.Job
+	at  time.Time
+}
+
+const (
+	// brokenMemory is how long a broken stream is kept for the report that shows
+	// a restart; a cold start takes a few seconds.
+	brokenMemory = 15 * time.Second
+	// maxBroken bounds the broken jobs; a crash breaks about one batch.
+	maxBroken = 1024
+)
+
+func (s *Scheduler) noteBroken(job connector.Job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addBroken(job)
+}
+
+// addBroken keeps a broken job until the next restart. The caller holds mu.
+func (s *Scheduler) addBroken(job connector.Job) {
+	now := time.Now()
+	s.broken = slices.DeleteFunc(s.broken, func(b brokenJob) bool { return now.Sub(b.at) >= brokenMemory })
+	if len(s.broken) < maxBroken {
+		s.broken = append(s.broken, brokenJob{job: job, at: now})
+	}
+}
+
 // takeResidency corrects the owner's belief where the report is newer. It covers
 // cold restarts and orders whose response was lost.
 func (s *Scheduler) takeResidency(r connector.Report, at time.Time) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -42,6 +43,7 @@
 	publish func(*viewer.View)
 
 	crashes     CrashSink
+	stalls      func(time.Duration)
 	seed        uint64
 	reportEvery time.Duration
 	guard       time.Duration
@@ -61,8 +63,9 @@
 	sequence     uint64
 	rand         *rand.Rand
 	instance     string
-	reported     bool // a report has arrived
-	failedInARow int  // reports
+	broken       []brokenJob // may have ended with a crash that is not reported yet
+	reported     bool        // a report has arrived
+	failedInARow int         // reports
 	prefixes     *viewer.Prefixes
 	leaving      bool
 	leavingSince time.Time
@@ -94,6 +97,7 @@
 		entries:     make(map[connector.Model]*entry),
 		running:     make(map[*waiter]struct{}),
 		stale:       true,
+		stalls:      func(time.Duration) {},
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -137,6 +141,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.stalls(w.stall)
 	return s.dispatch(ctx, w)
 }
 
@@ -152,13 +157,28 @@
 		s.notStarted(w, err)
 		return nil, fmt.Errorf("start job on engine %q: %w", s.name, startFault(err))
 	}
-	return &pinned{Stream: stream, release: sync.OnceFunc(func() { s.release(w) })}, nil
+	return &pinned{
+		Stream:  stream,
+		release: sync.OnceFunc(func() { s.release(w) }),
+		broke:   sync.OnceFunc(func() { s.noteBroken(w.job) }),
+	}, nil
 }
 
 // pinned is a stream that holds its adapter in the engine.
 type pinned struct {
 	connector.Stream
 	release func()
+	broke   func()
+}
+
+// Next returns the next chunk and notes a stream that breaks, because a crash
+// of the engine shows in its report only later.
+func (p *pinned) Next(ctx context.Context) (connector.Chunk, error) {
+	chunk, err := p.Stream.Next(ctx)
+	if errors.Is(err, connector.ErrBroken) {
+		p.broke()
+	}
+	return chunk, err
 }
 
 // Close ends the job before the adapter loses its pin.
