--- /dev/null
+++ b/deployer/deployer.go
@@ -0,0 +1,252 @@
+package deployer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/asserter"
+	"github.com/dragonflyford/dragonflyford/emulator"
+	"github.com/dragonflyford/dragonflyford/forwarder"
+	"github.com/dragonflyford/dragonflyford/roller"
+	"github.com/dragonflyford/dragonflyford/runner"
+)
+
+const (
+	// platformLatency is the one-way latency between nodes and the platform, that
+	// of a neighbouring data centre.
+	platformLatency = time.Millisecond
+	// nodesPerRegion gives six entry hosts in three regions.
+	nodesPerRegion = 2
+)
+
+// Option sets an optional property of a Fleet.
+type Option func(*Fleet)
+
+// WithSockets makes nodes and endpoints talk over loopback sockets.
+func WithSockets() Option { return func(f *Fleet) { f.sockets = true } }
+
+// WithAsserter counts the invariants of all nodes in a.
+func WithAsserter(a *asserter.Asserter) Option { return func(f *Fleet) { f.asserts = a } }
+
+// WithNodes adds options to each node; the function gets the node's name.
+func WithNodes(options func(name string) []runner.Option) Option {
+	return func(f *Fleet) { f.options = options }
+}
+
+// Fleet is a deployment in one process.
+type Fleet struct {
+	deployment  *emulator.Deployment
+	sockets     bool
+	running     *emulator.Running // only with sockets
+	platformURL string
+	asserts     *asserter.Asserter
+	options     func(name string) []runner.Option
+	operators   operators
+	cuts        cuts
+	hosts       []*Host
+
+	mu      sync.Mutex
+	crossed int64 // bytes over region boundaries of nodes that have ended
+	dropped int64
+}
+
+// New prepares a deployment with two hosts in each region. The seed fixes the
+// operators' keys.
+func New(ctx context.Context, d *emulator.Deployment, seed uint64, opts ...Option) (*Fleet, error) {
+	f := &Fleet{
+		deployment:  d,
+		platformURL: "http://127.0.0.1:1", // in process nothing connects to it
+		asserts:     asserter.New(nil),
+		options:     func(string) []runner.Option { return nil },
+		operators:   newOperators(seed),
+		cuts:        cuts{pairs: make(map[[2]string]*forwarder.Cut)},
+	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	if f.sockets {
+		running, err := d.Serve(ctx)
+		if err != nil {
+			return nil, fmt.Errorf("serve the fakes: %w", err)
+		}
+		f.running, f.platformURL = running, "http://"+running.PlatformAddress()
+	}
+	for _, region := range d.Regions() {
+		for i := range nodesPerRegion {
+			if err := f.addHost(ctx, region, i); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) addHost(ctx context.Context, region string, i int) error {
+	n := len(f.hosts)
+	h := &Host{
+		fleet:     f,
+		name:      fmt.Sprintf("%s-entry-%d", region, i+1),
+		region:    region,
+		platform:  emulator.NewCut(),
+		endpoints: make(map[string]*emulator.Cut),
+		callers:   fmt.Sprintf("127.0.0.1:%d", 8100+n),
+		peers:     fmt.Sprintf("127.0.0.1:%d", 9100+n),
+	}
+	if f.sockets {
+		var err error
+		if h.callers, err = freePort(ctx); err != nil {
+			return err
+		}
+		if h.peers, err = freePort(ctx); err != nil {
+			return err
+		}
+	}
+	f.hosts = append(f.hosts, h)
+	return nil
+}
+
+// rollOutTime bounds the start of a deployment.
+const rollOutTime = 30 * time.Second
+
+// Start starts a node on every host, rolls the first bundle out and waits until
+// every node serves it and every engine has an owner.
+func (f *Fleet) Start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, rollOutTime)
+	defer cancel()
+	for _, h := range f.hosts {
+		if err := h.Start(ctx); err != nil {
+			return err
+		}
+	}
+	if err := f.waitFor(ctx, "leases", func() bool { return f.leased(ctx) }); err != nil {
+		return err
+	}
+	result, err := f.RollOut(ctx, "operator-1", f.deployment.Document("1", f.address()))
+	if err != nil {
+		return fmt.Errorf("roll the first bundle out: %w", err)
+	}
+	if _, won := result.(roller.Won); !won {
+		return fmt.Errorf("roll the first bundle out: %v", result)
+	}
+	return f.waitFor(ctx, "owners of all engines", f.Owned)
+}
+
+func (f *Fleet) address() func(string) string {
+	if f.running == nil {
+		return nil
+	}
+	return f.running.Address
+}
+
+func (f *Fleet) leased(ctx context.Context) bool {
+	rows, err := f.deployment.Table().Scan(ctx, "node/", "", len(f.hosts))
+	return err == nil && len(rows) == len(f.hosts)
+}
+
+// Owned reports whether every engine has an owner.
+func (f *Fleet) Owned() bool {
+	engines, owned := 0, 0
+	for _, e := range f.deployment.Endpoints() {
+		if e.Engine() != nil {
+			engines++
+		}
+	}
+	for _, h := range f.hosts {
+		if node := h.node.Load(); node != nil {
+			owned += len(node.Owned())
+		}
+	}
+	return owned == engines
+}
+
+const waitPoll = 50 * time.Millisecond
+
+func (f *Fleet) waitFor(ctx context.Context, what string, holds func() bool) error {
+	ticker := time.NewTicker(waitPoll)
+	defer ticker.Stop()
+	for !holds() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("wait for %s: %w", what, ctx.Err())
+		}
+	}
+	return nil
+}
+
+// Hosts returns all hosts.
+func (f *Fleet) Hosts() []*Host { return slices.Clone(f.hosts) }
+
+// Deployment returns the fakes.
+func (f *Fleet) Deployment() *emulator.Deployment { return f.deployment }
+
+// Cut returns the switch between two hosts. It works in process only.
+func (f *Fleet) Cut(a, b *Host) *forwarder.Cut { return f.cutBetween(a, b) }
+
+func (f *Fleet) cutBetween(a, b *Host) *forwarder.Cut { return f.cuts.between(a.name, b.name) }
+
+func (f *Fleet) hostAt(address string) *Host {
+	for _, h := range f.hosts {
+		if h.peers == address {
+			return h
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) latency(from, to string) time.Duration {
+	if from == to {
+		return 0
+	}
+	return regionLatency
+}
+
+// regionLatency is the one-way latency between regions.
+const regionLatency = 20 * time.Millisecond
+
+func (f *Fleet) nodeOptions(name string) []runner.Option {
+	return append([]runner.Option{runner.WithAsserter(f.asserts)}, f.options(name)...)
+}
+
+// retire keeps the counters of a node that has ended.
+func (f *Fleet) retire(node *runner.Node) {
+	_, crossed := node.Transferred()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crossed += crossed
+	f.dropped += node.Dropped()
+}
+
+// CrossRegionBytes returns the bytes that nodes exchanged over region
+// boundaries, each counted at one end.
+func (f *Fleet) CrossRegionBytes() int64 {
+	f.mu.Lock()
+	total := f.crossed
+	f.mu.Unlock()
+	for _, h := range f.hosts {
+		if node := h.node.Load(); node != nil {
+			_, crossed := node.Transferred()
+			total += crossed
+		}
+	}
+	return total
+}
+
+// Close ends all nodes by a planned stop, and then the fakes.
+func (f *Fleet) Close(ctx context.Context) error {
+	errs := make([]error, len(f.hosts))
+	var stops sync.WaitGroup
+	for i, h := range f.hosts {
+		stops.Go(func() { errs[i] = h.Stop(ctx) })
+	}
+	stops.Wait()
+	if f.running != nil {
+		f.running.Close()
+	}
+	f.deployment.Close()
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/deployer/host.go
@@ -0,0 +1,222 @@
+package deployer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/dragonflyford/dragonflyford/configurer"
+	"github.com/dragonflyford/dragonflyford/emulator"
+	"github.com/dragonflyford/dragonflyford/runner"
+)
+
+// Host is an entry host: a place where one node after the other runs.
+type Host struct {
+	fleet     *Fleet
+	name      string
+	region    string
+	callers   string
+	peers     string
+	platform  *emulator.Cut
+
+	mu        sync.Mutex
+	endpoints map[string]*emulator.Cut
+	life      context.Context // ends with the node's process
+	kill      context.CancelFunc
+	served    chan error // the end of the node's Serve; only with sockets
+	stop      context.CancelFunc
+
+	node atomic.Pointer[runner.Node]
+}
+
+// Name returns the name of the host, which is also that of its node.
+func (h *Host) Name() string { return h.name }
+
+// Region returns the host's region.
+func (h *Host) Region() string { return h.region }
+
+// Address returns where callers connect to.
+func (h *Host) Address() string { return h.callers }
+
+// Node returns the node that runs on the host, or nil.
+func (h *Host) Node() *runner.Node { return h.node.Load() }
+
+// Platform returns the switch between the host and the platform.
+func (h *Host) Platform() *emulator.Cut { return h.platform }
+
+// death returns a context that ends when the node's process is killed.
+func (h *Host) death() context.Context {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.life
+}
+
+// Death returns a context that ends when the node's process is killed. Requests
+// of callers that are connected to the node end with it.
+func (h *Host) Death() context.Context { return h.death() }
+
+// endpointCut returns the switch between the host and an endpoint.
+func (h *Host) endpointCut(name string) *emulator.Cut {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.endpoints[name] == nil {
+		h.endpoints[name] = emulator.NewCut()
+	}
+	return h.endpoints[name]
+}
+
+// settings returns the settings of the host's node.
+func (h *Host) settings() (*configurer.Node, error) {
+	type object = map[string]any
+	author, reviewer := h.fleet.operators.encodedKeys()
+	src, err := json.Marshal(object{
+		"node":     object{"name": h.name, "region": h.region, "data_centre": emulator.DataCentre(h.region)},
+		"listen":   object{"callers": h.callers, "peers": h.peers},
+		"platform": object{"table": h.fleet.platformURL, "objects": h.fleet.platformURL, "hosts": h.fleet.platformURL},
+		"bundle": object{"keys": []object{
+			{"name": authorKey, "public_key": author},
+			{"name": reviewerKey, "public_key": reviewer},
+		}},
+		"entries": object{"ttl": "1s", "drain_grace": "2s"},
+	})
+	if err != nil {
+		return nil, fmt.Errorf("encode settings of %s: %w", h.name, err)
+	}
+	s, err := configurer.ParseNode(src)
+	if err != nil {
+		return nil, fmt.Errorf("settings of %s: %w", h.name, err)
+	}
+	return s, nil
+}
+
+func (h *Host) environment() runner.Environment {
+	d := h.fleet.deployment
+	var network runner.Network = localNetwork{fleet: h.fleet, from: h}
+	if h.fleet.running != nil {
+		network = socketNetwork{fleet: h.fleet, from: h}
+	}
+	delay := emulator.NewDelay(platformLatency)
+	return runner.NewEnvironment(
+		h.platform.Table(delay.Table(d.Table())),
+		h.platform.Objects(delay.Objects(d.Objects())),
+		h.platform.Hosts(d.Hosts()),
+		endpoints{fleet: h.fleet, from: h},
+		network)
+}
+
+// Start starts a node on the host.
+func (h *Host) Start(ctx context.Context) error {
+	settings, err := h.settings()
+	if err != nil {
+		return err
+	}
+	h.fleet.deployment.Hosts().Set(h.name, emulator.HostLive)
+	life, kill := context.WithCancel(context.WithoutCancel(ctx))
+	node := runner.New(settings, h.environment(), h.fleet.nodeOptions(h.name)...)
+	h.mu.Lock()
+	h.life, h.kill = life, kill
+	h.mu.Unlock()
+	h.node.Store(node)
+	if h.fleet.running == nil {
+		return nil
+	}
+	return h.serve(life, node, settings)
+}
+
+// serve runs the node's listeners until the node is stopped.
+func (h *Host) serve(life context.Context, node *runner.Node, settings *configurer.Node) error {
+	l, err := runner.Listen(life, settings.Listen())
+	if err != nil {
+		node.Abandon()
+		return fmt.Errorf("start %s: %w", h.name, err)
+	}
+	ctx, stop := context.WithCancel(life)
+	served := make(chan error, 1)
+	h.mu.Lock()
+	h.stop, h.served = stop, served
+	h.mu.Unlock()
+	go func() { served <- node.Serve(ctx, l) }()
+	return nil
+}
+
+// Stop ends the host's node by a planned stop.
+func (h *Host) Stop(ctx context.Context) error {
+	node := h.node.Load()
+	if node == nil {
+		return nil
+	}
+	err := h.drain(ctx, node)
+	h.node.Store(nil)
+	h.kill()
+	h.fleet.retire(node)
+	if err != nil {
+		return fmt.Errorf("stop %s: %w", h.name, err)
+	}
+	return nil
+}
+
+func (h *Host) drain(ctx context.Context, node *runner.Node) error {
+	if h.fleet.running != nil {
+		h.stop()
+		select {
+		case err := <-h.served:
+			return err
+		case <-ctx.Done():
+			return fmt.Errorf("wait for the node: %w", ctx.Err())
+		}
+	}
+	if err := node.Drain(ctx); err != nil {
+		return err
+	}
+	return node.Close(ctx)
+}
+
+// Kill ends the host's node at once: its connections break, nothing is handed
+// over. It returns when the process's goroutines are gone.
+func (h *Host) Kill() {
+	node := h.node.Swap(nil)
+	if node == nil {
+		return
+	}
+	h.Isolate()
+	h.kill()
+	node.Abandon()
+	h.fleet.retire(node)
+	h.Reconnect()
+}
+
+// Isolate cuts the host off from the platform and from all endpoints.
+func (h *Host) Isolate() { h.eachCut((*emulator.Cut).Refuse) }
+
+// Freeze lets nothing through between the host and anything else, without an
+// error, as a paused process does.
+func (h *Host) Freeze() { h.eachCut((*emulator.Cut).Hang) }
+
+// Reconnect ends Isolate and Freeze.
+func (h *Host) Reconnect() { h.eachCut((*emulator.Cut).Restore) }
+
+func (h *Host) eachCut(do func(*emulator.Cut)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	do(h.platform)
+	for _, c := range h.endpoints {
+		do(c)
+	}
+}
+
+// freePort returns a loopback address that is free at the moment.
+func freePort(ctx context.Context) (string, error) {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("find a free port: %w", err)
+	}
+	address := l.Addr().String()
+	if err := l.Close(); err != nil {
+		return "", fmt.Errorf("free port %s: %w", address, err)
+	}
+	return address, nil
+}
--- /dev/null
+++ b/deployer/network.go
@@ -0,0 +1,229 @@
+package deployer
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/bundler"
+	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/emulator"
+	"github.com/dragonflyford/dragonflyford/forwarder"
+	"github.com/dragonflyford/dragonflyford/runner"
+)
+
+// localNetwork leads to nodes in the same process.
+type localNetwork struct {
+	fleet *Fleet
+	from  *Host
+}
+
+// Peer returns the way to whatever node runs at an address when it is used.
+func (n localNetwork) Peer(address string) forwarder.Peer {
+	to := n.fleet.hostAt(address)
+	if to == nil {
+		return forwarder.NewLocal(absent{})
+	}
+	return forwarder.NewLocal(current{host: to},
+		forwarder.WithLatency(n.fleet.latency(n.from.region, to.region)),
+		forwarder.WithCut(n.fleet.cutBetween(n.from, to)))
+}
+
+// current answers with the node that runs on a host at the moment.
+type current struct {
+	host *Host
+}
+
+func (c current) handler() forwarder.Handler {
+	if node := c.host.node.Load(); node != nil {
+		return node.Handler()
+	}
+	return absent{}
+}
+
+func (c current) Run(ctx context.Context, engine string, job connector.Job) (connector.Stream, error) {
+	s, err := c.handler().Run(ctx, engine, job)
+	if err != nil {
+		return nil, err
+	}
+	return &hosted{Stream: s, dead: c.host.death()}, nil
+}
+
+// hosted is a stream that breaks when the process at its other end is killed.
+type hosted struct {
+	connector.Stream
+	dead context.Context
+}
+
+// Next returns the next chunk while the process lives.
+func (h *hosted) Next(ctx context.Context) (connector.Chunk, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(h.dead, cancel)
+	defer stop()
+	c, err := h.Stream.Next(ctx)
+	if h.dead.Err() != nil {
+		return connector.Chunk{}, fmt.Errorf("the node was killed: %w: %w", connector.ErrBroken, connector.ErrOwnerLost)
+	}
+	return c, err
+}
+
+func (c current) State(ctx context.Context, since uint64) (forwarder.State, error) {
+	return c.handler().State(ctx, since)
+}
+
+func (c current) Extend(ctx context.Context, from string) (forwarder.Extension, error) {
+	return c.handler().Extend(ctx, from)
+}
+
+func (c current) InUse(ctx context.Context, engine string, token uint64) ([]connector.Model, error) {
+	return c.handler().InUse(ctx, engine, token)
+}
+
+func (c current) Latest(ctx context.Context) ([]byte, error) { return c.handler().Latest(ctx) }
+
+func (c current) Part(ctx context.Context, hash []byte) ([]byte, error) {
+	return c.handler().Part(ctx, hash)
+}
+
+func (c current) Crash(ctx context.Context, marks []byte) error { return c.handler().Crash(ctx, marks) }
+
+// absent refuses everything, as a host without a process does.
+type absent struct{}
+
+func (absent) Run(context.Context, string, connector.Job) (connector.Stream, error) {
+	return nil, connector.ErrRefused
+}
+
+func (absent) State(context.Context, uint64) (forwarder.State, error) {
+	return forwarder.State{}, connector.ErrRefused
+}
+
+func (absent) Extend(context.Context, string) (forwarder.Extension, error) {
+	return forwarder.Extension{}, connector.ErrRefused
+}
+
+func (absent) InUse(context.Context, string, uint64) ([]connector.Model, error) {
+	return nil, connector.ErrRefused
+}
+func (absent) Latest(context.Context) ([]byte, error)       { return nil, connector.ErrRefused }
+func (absent) Part(context.Context, []byte) ([]byte, error) { return nil, connector.ErrRefused }
+func (absent) Crash(context.Context, []byte) error          { return connector.ErrRefused }
+
+// socketNetwork leads to nodes over loopback and adds the latency between
+// regions.
+type socketNetwork struct {
+	fleet *Fleet
+	from  *Host
+}
+
+// Peer returns a drpc client with latency.
+func (n socketNetwork) Peer(address string) forwarder.Peer {
+	p := forwarder.Dial(address)
+	to := n.fleet.hostAt(address)
+	if to == nil {
+		return p
+	}
+	return &delayed{Peer: p, latency: n.fleet.latency(n.from.region, to.region)}
+}
+
+// delayed adds a one-way latency to jobs and to the start of their answers.
+// Control messages are not delayed: they are not on the path of a request.
+type delayed struct {
+	forwarder.Peer
+	latency time.Duration
+}
+
+// Run starts a job after the latency.
+func (d *delayed) Run(ctx context.Context, engine string, job connector.Job) (connector.Stream, error) {
+	if err := wait(ctx, d.latency); err != nil {
+		return nil, err
+	}
+	s, err := d.Peer.Run(ctx, engine, job)
+	if err != nil {
+		return nil, err
+	}
+	return &late{Stream: s, latency: d.latency}, nil
+}
+
+// late is a stream whose first chunk takes longer.
+type late struct {
+	connector.Stream
+	latency time.Duration
+	begun   bool
+}
+
+// Next returns the next chunk.
+func (l *late) Next(ctx context.Context) (connector.Chunk, error) {
+	c, err := l.Stream.Next(ctx)
+	if err == nil && !l.begun {
+		l.begun = true
+		err = wait(ctx, l.latency)
+	}
+	return c, err
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("cross the link: %w", ctx.Err())
+	}
+}
+
+// endpoints leads from one host to the fakes, with the latency between regions
+// and through the cuts of the host.
+type endpoints struct {
+	fleet *Fleet
+	from  *Host
+}
+
+// Engine returns the way to an engine.
+func (e endpoints) Engine(of *bundler.EngineEndpoint) connector.Engine {
+	var engine connector.Engine
+	if e.fleet.running != nil {
+		engine = connector.NewHTTPEngine(of.Address())
+	} else {
+		engine = e.fleet.deployment.Endpoint(of.Name()).Engine()
+	}
+	return e.from.endpointCut(of.Name()).Engine(e.delay(of.Region()).Engine(engine))
+}
+
+// Service returns the way to an instance of a service.
+func (e endpoints) Service(of *bundler.ServiceEndpoint) connector.Service {
+	var service connector.Service
+	if e.fleet.running != nil {
+		service = connector.NewHTTPService(of.Address())
+	} else {
+		service = e.fleet.deployment.Endpoint(of.Name()).Service()
+	}
+	return e.from.endpointCut(of.Name()).Service(e.delay(of.Region()).Service(service))
+}
+
+func (e endpoints) delay(region string) emulator.Delay {
+	return e.fleet.deployment.Delay(e.from.region, region)
+}
+
+var _ runner.Endpoints = endpoints{}
+
+// cuts keeps the switch of each pair of hosts.
+type cuts struct {
+	mu    sync.Mutex
+	pairs map[[2]string]*forwarder.Cut
+}
+
+func (c *cuts) between(a, b string) *forwarder.Cut {
+	if a > b {
+		a, b = b, a
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pairs[[2]string{a, b}] == nil {
+		c.pairs[[2]string{a, b}] = forwarder.NewCut()
+	}
+	return c.pairs[[2]string{a, b}]
+}
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"time"
@@ -32,6 +33,12 @@
 	context.DeadlineExceeded,
 }
 
+// lost is the error of an exchange whose connection broke. The peer, and what it
+// was doing, may still be running.
+func lost(cause error) error {
+	return fmt.Errorf("%w: %w: %w", connector.ErrBroken, connector.ErrOwnerLost, cause)
+}
+
 // failureDocument is an error on the wire. Text is empty when the error is the
 // fault itself.
 type failureDocument struct {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -56,7 +56,7 @@
 
 func (n *node) Extend(_ context.Context, from string) (forwarder.Extension, error) {
 	n.note("extend %s", from)
-	return forwarder.NewExtension(true, 7*time.Second), n.err
+	return forwarder.NewExtension(true, 7*time.Second, 5), n.err
 }
 
 func (n *node) InUse(_ context.Context, engine string, token uint64) ([]connector.Model, error) {
@@ -176,7 +176,7 @@
 		ctx := t.Context()
 		ext, err := p.Extend(ctx, "node-2")
 		is.NoErr(err)
-		is.Equal(ext, forwarder.NewExtension(true, 7*time.Second))
+		is.Equal(ext, forwarder.NewExtension(true, 7*time.Second, 5))
 		is.Equal(<-n.called, "extend node-2")
 		used, err := p.InUse(ctx, "engine-1", 1<<60)
 		is.NoErr(err)
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -63,14 +63,16 @@
 
 // Extension is a member's answer during an outage of the table.
 type Extension struct {
-	granted bool
-	lasts   time.Duration
+	granted    bool
+	lasts      time.Duration
+	assignment uint64
 }
 
 // NewExtension returns an answer. Lasts is how long the member will not take
-// over, counted from when it received the question.
-func NewExtension(granted bool, lasts time.Duration) Extension {
-	return Extension{granted: granted, lasts: lasts}
+// over, counted from when it received the question; assignment is the version of
+// the data centre's assignment that the member knows.
+func NewExtension(granted bool, lasts time.Duration, assignment uint64) Extension {
+	return Extension{granted: granted, lasts: lasts, assignment: assignment}
 }
 
 // Granted reports whether the member agrees.
@@ -78,3 +80,6 @@
 
 // Lasts returns how long the member will not take over.
 func (e Extension) Lasts() time.Duration { return e.lasts }
+
+// Assignment returns the version of the assignment that the member knows.
+func (e Extension) Assignment() uint64 { return e.assignment }
--- a/forwarder/local.go
+++ b/forwarder/local.go
@@ -14,7 +14,10 @@
 	"github.com/dragonflyford/dragonflyford/encoder"
 )
 
-var errClosed = eris.New("peer is closed")
+var (
+	errClosed = eris.New("peer is closed")
+	errCut    = eris.New("peer is cut off")
+)
 
 // local is a peer in the same process. Everything crosses as it would on the
 // wire: errors and views in their wire form, and no context values.
@@ -95,7 +98,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.ctx.Err() != nil {
-		return nil, fmt.Errorf("%w: %w", connector.ErrBroken, errClosed)
+		return nil, lost(errClosed)
 	}
 	l.calls.Add(1)
 	if bounded {
@@ -176,7 +179,7 @@
 	for {
 		s := c.local.cut.load()
 		if s.refusals != c.refusals {
-			return v, false, fmt.Errorf("wait for peer: %w", connector.ErrBroken)
+			return v, false, lost(errCut)
 		}
 		in := ready
 		if s.mode == cutHanging {
@@ -191,7 +194,7 @@
 		case <-c.caller.Done():
 			return v, false, fmt.Errorf("wait for peer: %w", c.caller.Err())
 		case <-c.local.ctx.Done():
-			return v, false, fmt.Errorf("%w: %w", connector.ErrBroken, errClosed)
+			return v, false, lost(errClosed)
 		}
 	}
 }
@@ -380,7 +383,7 @@
 		return connector.Chunk{}, err
 	}
 	if !ok {
-		return connector.Chunk{}, fmt.Errorf("%w: %w", connector.ErrBroken, errNoEnd)
+		return connector.Chunk{}, lost(errNoEnd)
 	}
 	if err := s.call.travel(ctx, a.at); err != nil {
 		return connector.Chunk{}, err
--- a/forwarder/peer.go
+++ b/forwarder/peer.go
@@ -63,7 +63,7 @@
 			return fmt.Errorf("call %s: %w", p.address, ctx.Err())
 		}
 	}
-	return fmt.Errorf("call %s: %w: %w", p.address, connector.ErrBroken, hidden(err))
+	return fmt.Errorf("call %s: %w", p.address, lost(hidden(err)))
 }
 
 // hidden keeps the text of an error and not its identity: a transport that ends
--- a/forwarder/wire.go
+++ b/forwarder/wire.go
@@ -172,18 +172,19 @@
 }
 
 type extensionDocument struct {
-	Granted bool  `cbor:"1,keyasint,omitempty"`
-	LastsUS int64 `cbor:"2,keyasint,omitempty"`
+	Granted    bool   `cbor:"1,keyasint,omitempty"`
+	LastsUS    int64  `cbor:"2,keyasint,omitempty"`
+	Assignment uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // encodeExtension rounds the duration down, because the caller relies on it.
 func encodeExtension(e Extension) extensionDocument {
-	return extensionDocument{Granted: e.granted, LastsUS: e.lasts.Microseconds()}
+	return extensionDocument{Granted: e.granted, LastsUS: e.lasts.Microseconds(), Assignment: e.assignment}
 }
 
 func decodeExtension(d extensionDocument) Extension {
 	lasts := min(max(d.LastsUS, 0), maxRemaining.Microseconds())
-	return NewExtension(d.Granted, time.Duration(lasts)*time.Microsecond)
+	return NewExtension(d.Granted, time.Duration(lasts)*time.Microsecond, d.Assignment)
 }
 
 // batch is a message of chunks with consecutive indexes. Attempt and model are
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -178,6 +178,12 @@
 	}, nil
 }
 
+// FingerprintOf returns the fingerprint of requests that ask an adapter to
+// continue a prompt.
+func FingerprintOf(adapter, prompt string) Fingerprint {
+	return fingerprint(&GenerationTarget{adapter: adapter, prompt: prompt})
+}
+
 func fingerprint(t Target) Fingerprint {
 	h := sha256.New()
 	switch t := t.(type) {
--- /dev/null
+++ b/runner/node.go
@@ -0,0 +1,367 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/admitter"
+	"github.com/dragonflyford/dragonflyford/asserter"
+	"github.com/dragonflyford/dragonflyford/breaker"
+	"github.com/dragonflyford/dragonflyford/budgeter"
+	"github.com/dragonflyford/dragonflyford/bundler"
+	"github.com/dragonflyford/dragonflyford/claimer"
+	"github.com/dragonflyford/dragonflyford/configurer"
+	"github.com/dragonflyford/dragonflyford/dispatcher"
+	"github.com/dragonflyford/dragonflyford/drainer"
+	"github.com/dragonflyford/dragonflyford/forwarder"
+	"github.com/dragonflyford/dragonflyford/leaser"
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/placer"
+	"github.com/dragonflyford/dragonflyford/publisher"
+	"github.com/dragonflyford/dragonflyford/receiver"
+	"github.com/dragonflyford/dragonflyford/recorder"
+	"github.com/dragonflyford/dragonflyford/resolver"
+	"github.com/dragonflyford/dragonflyford/scheduler"
+	"github.com/dragonflyford/dragonflyford/verifier"
+	"github.com/dragonflyford/dragonflyford/viewer"
+	"github.com/dragonflyford/dragonflyford/watcher"
+)
+
+// options are the optional properties of a node.
+type options struct {
+	asserts *asserter.Asserter
+	log     *logger.Logger
+	policy  placer.Policy
+	seed    uint64
+	stalls  func(time.Duration)
+}
+
+// Option sets an optional property of a node.
+type Option func(*options)
+
+// WithAsserter counts checks and violations in a. Without it the node logs
+// violations.
+func WithAsserter(a *asserter.Asserter) Option { return func(o *options) { o.asserts = a } }
+
+// WithLogger sets where the node logs to; the default is nowhere.
+func WithLogger(l *logger.Logger) Option { return func(o *options) { o.log = l } }
+
+// WithPolicy sets how engines are chosen.
+func WithPolicy(p placer.Policy) Option { return func(o *options) { o.policy = p } }
+
+// WithSeed fixes the node's random choices.
+func WithSeed(seed uint64) Option { return func(o *options) { o.seed = seed } }
+
+// WithStalls passes the time that each job waited for its adapter to record.
+func WithStalls(record func(time.Duration)) Option { return func(o *options) { o.stalls = record } }
+
+// Node is one process of the system. It works from New to Close; Serve adds the
+// listeners.
+type Node struct {
+	settings *configurer.Node
+	options
+
+	bundles    *publisher.Publisher
+	views      *viewer.Viewer
+	journal    *journal
+	recorder   *recorder.Recorder
+	peers      *peers
+	leaser     *leaser.Leaser
+	watcher    *watcher.Watcher
+	drainer    *drainer.Drainer
+	gossiper   *gossiper
+	owners     *owners
+	endpoints  *endpoints
+	breaker    *breaker.Breaker
+	budget     *budgeter.Budgeter
+	admitter   *admitter.Admitter
+	claimer    *claimer.Claimer
+	dispatcher *dispatcher.Dispatcher
+	verifier   *verifier.Verifier
+	pipeline   Pipeline
+
+	draining   atomic.Bool
+	drainAsked chan struct{} // receives when an operator drains the node
+	ctx        context.Context
+	cancel     context.CancelFunc
+	work       sync.WaitGroup
+	closeOnce  sync.Once
+}
+
+// New starts a node. The caller must end it with Close or Abandon.
+func New(settings *configurer.Node, env Environment, opts ...Option) *Node {
+	n := &Node{
+		settings:   settings,
+		options:    options{log: logger.Nop(), policy: placer.Weighted{}, stalls: func(time.Duration) {}},
+		views:      viewer.New(),
+		journal:    newJournal(),
+		recorder:   recorder.New(settings.Limits().Decisions()),
+		drainAsked: make(chan struct{}, 1),
+	}
+	for _, opt := range opts {
+		opt(&n.options)
+	}
+	if n.asserts == nil {
+		n.asserts = asserter.New(func(v asserter.Violation) { n.log.Error(v.String()) })
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.startControl(env)
+	n.startEngines(env)
+	n.startRequests(env)
+	n.work.Go(n.supervise)
+	return n
+}
+
+// startControl starts what a node knows: bundles, members and planned stops.
+func (n *Node) startControl(env Environment) {
+	s := n.settings
+	n.bundles = publisher.New(publisher.WithAsserter(n.asserts), publisher.WithContactLimit(publisher.ContactLimit))
+	n.peers = newPeers(s.Name(), s.Region(), env.network)
+	identity := leaser.NewIdentity(s.Name(), s.Advertise().Callers(), s.Advertise().Peers(), s.Region(), s.DataCentre())
+	n.leaser = leaser.New(identity, env.table, env.hosts,
+		leaser.WithPeers(extender{peers: n.peers}),
+		leaser.WithEngines(n.engines),
+		leaser.WithSettings(leaser.Settings{Lease: s.LeaseTime(), Guard: s.LeaseGuard(), Renew: s.LeaseRenew()}),
+		leaser.WithFailures(func(err error) { n.log.Component("leaser").Warn("exchange with the table failed", logger.Err(err)) }))
+	n.watcher = watcher.New(env.table, env.objects, n.peers, s.BundleKeys(), n.bundles,
+		watcher.WithEpochs(n.leaser.SetEpochs),
+		watcher.WithFailures(func(f watcher.Failure) {
+			n.log.Component("watcher").Warn("bundle could not be taken over", logger.Err(f.Err()))
+		}))
+	n.drainer = drainer.New(env.table, env.hosts, drainer.DefaultEvery, n.stopped)
+	n.gossiper = newGossiper(n.peers, n.views, s.DataCentre())
+}
+
+// engines returns the engines of the node's data centre for the assignment.
+func (n *Node) engines() leaser.Engines {
+	current := n.bundles.Load().Current()
+	if current == nil {
+		return leaser.NewEngines(0, nil)
+	}
+	var names []string
+	for _, e := range current.EnginesIn(n.settings.DataCentre()) {
+		names = append(names, e.Name())
+	}
+	return leaser.NewEngines(current.Epoch(), names)
+}
+
+// startEngines starts what the node does for the engines that it owns.
+func (n *Node) startEngines(env Environment) {
+	n.endpoints = newEndpoints(env.endpoints, n.bundles.Load)
+	n.breaker = breaker.New(n.leaser.ID(), env.table, n.peers, breaker.DefaultLife)
+	n.budget = budgeter.New(env.table, n.leaser.ID(), n.limits, n.position, n.seed)
+	n.owners = newOwners(n.newScheduler, n.askInUse)
+}
+
+func (n *Node) limits() bundler.Limits {
+	current := n.bundles.Load().Current()
+	if current == nil {
+		return bundler.Limits{}
+	}
+	return current.Limits()
+}
+
+// position returns where the node stands among all nodes, for its part of the
+// weight store's budget.
+func (n *Node) position() (position, nodes int) {
+	members := n.leaser.Membership().Members()
+	for i, m := range members {
+		if m.Name() == n.settings.Name() {
+			return i, len(members)
+		}
+	}
+	return len(members), len(members) + 1
+}
+
+func (n *Node) newScheduler(own Ownership, e *bundler.EngineEndpoint, retired *atomic.Bool) *scheduler.Scheduler {
+	publish := func(v *viewer.View) {
+		if !retired.Load() {
+			n.views.Update(v)
+			n.journal.put(v)
+		}
+	}
+	return scheduler.New(e.Name(), n.settings.Name(), e.Slots(), e.Batch(), n.endpoints.engine(e), own, n.budget, n.asserts,
+		publish,
+		scheduler.WithCrashSink(crashSink{breaker: n.breaker}),
+		scheduler.WithGuard(n.settings.LeaseGuard()),
+		scheduler.WithStalls(n.stalls),
+		scheduler.WithSeed(n.seed))
+}
+
+// startRequests joins the request pipeline.
+func (n *Node) startRequests(env Environment) {
+	limits := n.settings.Limits()
+	receive := receiver.New(receiver.NewLimits(limits.MaxTokens(), limits.PromptBytes(), limits.DefaultTimeout(), limits.MaxTimeout()))
+	n.admitter = admitter.New(limits.Running(), admitter.WithQueue(limits.Waiting()), admitter.WithScreen(n.breaker))
+	n.claimer = claimer.New(env.table, n.leaser.ID(), n.asserts, claimer.WithLiveness(n.leaser))
+	place := placer.New(n.views, n.settings.Region(), placer.WithPolicy(n.policy), placer.WithLeaving(n.drainer), placer.WithSeed(n.seed))
+	n.dispatcher = dispatcher.New(
+		&directory{self: n.settings.Name(), owners: n.owners, peers: n.peers, endpoints: n.endpoints},
+		dispatcher.WithSuspects(n.breaker))
+	n.verifier = verifier.New(n.asserts)
+	n.pipeline = NewStages(receive, resolver.New(n.bundles), n.admitter, n.claimer, place, n.dispatcher, n.verifier, limits.Attempts()).Join()
+}
+
+// superviseEvery bounds how late a change of the bundle, which gives no signal,
+// reaches the schedulers.
+const superviseEvery = 500 * time.Millisecond
+
+// supervise makes peers and schedulers follow what the control pipeline knows.
+func (n *Node) supervise() {
+	ticker := time.NewTicker(superviseEvery)
+	defer ticker.Stop()
+	for {
+		n.follow()
+		select {
+		case <-n.leaser.Changed():
+		case <-ticker.C:
+		case <-n.ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Node) follow() {
+	members := n.leaser.Membership().Members()
+	n.peers.update(members)
+	n.claimer.SetInterval(claimInterval(len(members)))
+	var owned []Ownership
+	for _, e := range n.leaser.Owned() {
+		owned = append(owned, ownership{EngineLease: n.leaser.Engine(e.Engine()), entry: e})
+	}
+	n.owners.reconcile(owned, n.bundles.Load().Current(), n.drainer.Leaving)
+	n.forgetViews()
+}
+
+// forgetViews drops the views of engines that the node no longer owns.
+func (n *Node) forgetViews() {
+	for _, gone := range n.journal.engines() {
+		if _, err := n.owners.find(gone); err == nil {
+			continue
+		}
+		n.journal.remove(gone)
+		if v := n.views.Load().Engine(gone); v != nil && v.Owner() == n.settings.Name() {
+			n.views.Remove(gone)
+		}
+	}
+}
+
+// claimCommits is the part of the table's writes per second that claims may
+// take; leases, assignments, permits and bundles share the rest.
+const claimCommits = 200
+
+// claimInterval is the shortest time between two claim commits of one node.
+func claimInterval(nodes int) time.Duration {
+	return time.Duration(max(nodes, 1)) * time.Second / claimCommits
+}
+
+// stopped follows planned stops.
+func (n *Node) stopped(stops *drainer.Stops) {
+	if stops.Node(n.settings.Name()) {
+		n.askDrain()
+	}
+}
+
+// Pipeline returns the request pipeline.
+func (n *Node) Pipeline() Pipeline { return n.pipeline }
+
+// Handler returns what the node answers to its peers.
+func (n *Node) Handler() forwarder.Handler { return handler{node: n} }
+
+// Asserter returns the node's invariants.
+func (n *Node) Asserter() *asserter.Asserter { return n.asserts }
+
+// Bundles returns the bundle that the node serves.
+func (n *Node) Bundles() *publisher.Publisher { return n.bundles }
+
+// Name returns the node's name.
+func (n *Node) Name() string { return n.settings.Name() }
+
+// Owned returns the engines that the node runs.
+func (n *Node) Owned() []string { return n.owners.names() }
+
+// Entries returns the addresses for callers.
+func (n *Node) Entries() *leaser.Entries { return n.leaser.Entries() }
+
+// Transferred returns the bytes exchanged with other nodes, and those of them
+// that crossed a region boundary.
+func (n *Node) Transferred() (all, crossed int64) { return n.peers.transferred() }
+
+// Dropped returns how many chunks and replies were dropped because they belong
+// to another attempt.
+func (n *Node) Dropped() int64 { return n.verifier.Dropped() }
+
+// DrainAsked receives a value when an operator asks the node to stop.
+func (n *Node) DrainAsked() <-chan struct{} { return n.drainAsked }
+
+// Drain begins a planned stop: the node is no longer advertised, gives its
+// engines to other members, and waits until everything in flight has ended.
+func (n *Node) Drain(ctx context.Context) error {
+	n.draining.Store(true)
+	if err := n.leaser.Drain(ctx); err != nil {
+		return fmt.Errorf("hand engines over: %w", err)
+	}
+	n.follow()
+	if err := n.owners.drain(ctx); err != nil {
+		return err
+	}
+	return n.waitIdle(ctx)
+}
+
+// idlePoll is how often a draining node looks for requests in flight.
+const idlePoll = 50 * time.Millisecond
+
+func (n *Node) waitIdle(ctx context.Context) error {
+	ticker := time.NewTicker(idlePoll)
+	defer ticker.Stop()
+	for n.admitter.Running()+n.admitter.Waiting() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("wait for %d requests in flight: %w", n.admitter.Running(), ctx.Err())
+		}
+	}
+	return nil
+}
+
+// Close ends the node and its lease. Requests in flight are cut; Drain first to
+// avoid that.
+func (n *Node) Close(ctx context.Context) error {
+	var err error
+	n.end(func() { err = n.leaser.Close(ctx) })
+	if err != nil {
+		return fmt.Errorf("end lease: %w", err)
+	}
+	return nil
+}
+
+// Abandon ends the node without any further write, as a kill does.
+func (n *Node) Abandon() {
+	n.end(n.leaser.Abandon)
+}
+
+// end stops all parts, those that use others first.
+func (n *Node) end(endLease func()) {
+	n.closeOnce.Do(func() {
+		n.cancel()
+		n.work.Wait()
+		n.dispatcher.Close()
+		n.claimer.Close()
+		n.owners.close()
+		n.budget.Close()
+		n.breaker.Close()
+		n.drainer.Close()
+		n.watcher.Close()
+		endLease()
+		n.gossiper.close()
+		n.peers.close()
+		n.endpoints.close()
+	})
+}
+
+// errClosing reports a peer's question to a node that ends.
+var errClosing = errors.New("the node is closing")
--- a/runner/owners.go
+++ b/runner/owners.go
@@ -31,13 +31,14 @@
 	ownership Ownership
 	endpoint  *bundler.EngineEndpoint
 	scheduler *scheduler.Scheduler
+	retired   atomic.Bool // its views are of no use any more
 }
 
 // owners runs one scheduler for each engine that the node owns. Requests find it
 // by one atomic load; an engine that the node gives up leaves the map at once
 // and its scheduler ends when its last request has.
 type owners struct {
-	make    func(Ownership, *bundler.EngineEndpoint) *scheduler.Scheduler
+	start   newScheduler
 	inUse   func(ctx context.Context, node, engine string, token uint64) ([]connector.Model, error)
 	current atomic.Pointer[map[string]*ownedEngine]
 
@@ -51,16 +52,20 @@
 	work   sync.WaitGroup
 }
 
+// newScheduler starts the scheduler of an engine. It publishes no view once
+// retired is true.
+type newScheduler func(own Ownership, e *bundler.EngineEndpoint, retired *atomic.Bool) *scheduler.Scheduler
+
 func newOwners(
-	newScheduler func(Ownership, *bundler.EngineEndpoint) *scheduler.Scheduler,
+	start newScheduler,
 	inUse func(ctx context.Context, node, engine string, token uint64) ([]connector.Model, error),
 ) *owners {
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &owners{
-		make:    newScheduler,
+		start:   start,
 		inUse:   inUse,
-		retired: make(map[*ownedEngine]struct{}),
-		yielded: make(map[string]uint64),
+		retired: map[*ownedEngine]struct{}{},
+		yielded: map[string]uint64{},
 		ctx:     ctx,
 		cancel:  cancel,
 	}
@@ -98,7 +103,8 @@
 		}
 		e := old[own.Engine()]
 		if e == nil || e.ownership.Token() != own.Token() || e.endpoint.Address() != endpoint.Address() {
-			e = &ownedEngine{ownership: own, endpoint: endpoint, scheduler: o.make(own, endpoint)}
+			e = &ownedEngine{ownership: own, endpoint: endpoint}
+			e.scheduler = o.start(own, endpoint, &e.retired)
 			o.settle(e)
 		}
 		e.scheduler.SetLeaving(leaving(own.Engine()))
@@ -127,6 +133,7 @@
 // retire ends a scheduler after its last request. The caller holds mu.
 func (o *owners) retire(e *ownedEngine) {
 	o.retired[e] = struct{}{}
+	e.retired.Store(true)
 	e.scheduler.SetLeaving(true)
 	o.work.Go(func() {
 		// An error means that the node is closing; Close then ends the scheduler.
@@ -187,13 +194,26 @@
 		o.retire(e)
 	}
 	o.yielded[engine] = max(o.yielded[engine], token)
+	return o.retiredInUse(engine), nil
+}
+
+// yieldedInUse returns what requests of earlier ownerships of this node still
+// use on an engine.
+func (o *owners) yieldedInUse(engine string) []connector.Model {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.retiredInUse(engine)
+}
+
+// retiredInUse is called with mu held.
+func (o *owners) retiredInUse(engine string) []connector.Model {
 	var inUse []connector.Model
 	for e := range o.retired {
 		if e.endpoint.Name() == engine {
 			inUse = append(inUse, e.scheduler.InUse()...)
 		}
 	}
-	return inUse, nil
+	return inUse
 }
 
 // names returns the engines that the node owns.
--- a/runner/pipeline_test.go
+++ b/runner/pipeline_test.go
@@ -13,17 +13,22 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dragonflyford/dragonflyford/admitter"
 	"github.com/dragonflyford/dragonflyford/asserter"
 	"github.com/dragonflyford/dragonflyford/bundler"
+	"github.com/dragonflyford/dragonflyford/claimer"
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/dispatcher"
 	"github.com/dragonflyford/dragonflyford/emulator"
+	"github.com/dragonflyford/dragonflyford/placer"
 	"github.com/dragonflyford/dragonflyford/publisher"
 	"github.com/dragonflyford/dragonflyford/receiver"
+	"github.com/dragonflyford/dragonflyford/resolver"
 	"github.com/dragonflyford/dragonflyford/runner"
 	"github.com/dragonflyford/dragonflyford/scheduler"
 	"github.com/dragonflyford/dragonflyford/server"
 	"github.com/dragonflyford/dragonflyford/validator"
+	"github.com/dragonflyford/dragonflyford/verifier"
 	"github.com/dragonflyford/dragonflyford/viewer"
 )
 
@@ -104,9 +109,14 @@
 		func(v *viewer.View) { views.Update(v) })
 	t.Cleanup(sched.Close)
 	ledger := emulator.NewService()
-	stages := runner.NewStages(receiver.NewLimits(100, 1000, time.Minute, time.Minute), publish(t), 10,
-		emulator.NewTable(), "node-1", "lj", views, directory{executor: sched, service: ledger}, asserts, 3)
-	t.Cleanup(stages.Close)
+	table := emulator.NewTable()
+	claim := claimer.New(table, "node-1", asserts)
+	t.Cleanup(claim.Close)
+	dispatch := dispatcher.New(directory{executor: sched, service: ledger})
+	t.Cleanup(dispatch.Close)
+	stages := runner.NewStages(
+		receiver.New(receiver.NewLimits(100, 1000, time.Minute, time.Minute)),
+		resolver.New(publish(t)), admitter.New(10), claim, placer.New(views, "lj"), dispatch, verifier.New(asserts), 3)
 	srv := httptest.NewServer(server.New(stages.Join()).Handler())
 	t.Cleanup(srv.Close)
 	return srv, ledger
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/dragonflyford/dragonflyford/admitter"
-	"github.com/dragonflyford/dragonflyford/asserter"
 	"github.com/dragonflyford/dragonflyford/chainer"
 	"github.com/dragonflyford/dragonflyford/claimer"
 	"github.com/dragonflyford/dragonflyford/dispatcher"
@@ -11,14 +10,13 @@
 	"github.com/dragonflyford/dragonflyford/resolver"
 	"github.com/dragonflyford/dragonflyford/responder"
 	"github.com/dragonflyford/dragonflyford/retrier"
-	"github.com/dragonflyford/dragonflyford/storer"
 	"github.com/dragonflyford/dragonflyford/verifier"
 )
 
 // Pipeline is the request pipeline of a node.
 type Pipeline = chainer.Filter[*receiver.Call, *responder.Answer]
 
-// Stages are the parts that a pipeline is made of.
+// Stages are the filters that the request pipeline is made of, in its order.
 type Stages struct {
 	receiver   *receiver.Receiver
 	resolver   *resolver.Resolver
@@ -30,16 +28,26 @@
 	attempts   int
 }
 
-// NewStages returns the stages of a node.
-func NewStages(limits receiver.Limits, bundles resolver.Source, concurrency int, table storer.Table, node, region string, views placer.Source, directory dispatcher.Directory, asserts *asserter.Asserter, attempts int) *Stages {
+// NewStages returns the stages of a pipeline. Attempts is how often idempotent
+// work is tried.
+func NewStages(
+	receive *receiver.Receiver,
+	resolve *resolver.Resolver,
+	admit *admitter.Admitter,
+	claim *claimer.Claimer,
+	place *placer.Placer,
+	dispatch *dispatcher.Dispatcher,
+	verify *verifier.Verifier,
+	attempts int,
+) *Stages {
 	return &Stages{
-		receiver:   receiver.New(limits),
-		resolver:   resolver.New(bundles),
-		admitter:   admitter.New(concurrency),
-		claimer:    claimer.New(table, node),
-		placer:     placer.New(views, region),
-		dispatcher: dispatcher.New(directory),
-		verifier:   verifier.New(asserts),
+		receiver:   receive,
+		resolver:   resolve,
+		admitter:   admit,
+		claimer:    claim,
+		placer:     place,
+		dispatcher: dispatch,
+		verifier:   verify,
 		attempts:   attempts,
 	}
 }
@@ -51,6 +59,3 @@
 	leave := chainer.Join(retrier.New(perAttempt, s.attempts), responder.New())
 	return chainer.Join(enter, leave)
 }
-
-// Close waits for the stages' postings, so that their answers are stored.
-func (s *Stages) Close() { s.dispatcher.Close() }
--- /dev/null
+++ b/runner/serve.go
@@ -0,0 +1,231 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+
+	"github.com/dragonflyford/dragonflyford/configurer"
+	"github.com/dragonflyford/dragonflyford/forwarder"
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/meter"
+	"github.com/dragonflyford/dragonflyford/server"
+)
+
+// Listeners are the sockets of a node by who uses them.
+type Listeners struct {
+	callers   net.Listener
+	peers     net.Listener
+	operators net.Listener // may be nil
+}
+
+// NewListeners returns open sockets. Operators may be nil.
+func NewListeners(callers, peers, operators net.Listener) Listeners {
+	return Listeners{callers: callers, peers: peers, operators: operators}
+}
+
+// Listen opens the sockets that settings name.
+func Listen(ctx context.Context, a configurer.Addresses) (Listeners, error) {
+	var (
+		l   Listeners
+		lc  net.ListenConfig
+		err error
+	)
+	open := func(address string) net.Listener {
+		if err != nil || address == "" {
+			return nil
+		}
+		var opened net.Listener
+		if opened, err = lc.Listen(ctx, "tcp", address); err != nil {
+			err = fmt.Errorf("listen on %s: %w", address, err)
+			return nil
+		}
+		return opened
+	}
+	l.callers, l.peers, l.operators = open(a.Callers()), open(a.Peers()), open(a.Operators())
+	if err != nil {
+		l.close()
+		return Listeners{}, err
+	}
+	return l, nil
+}
+
+func (l Listeners) close() {
+	for _, s := range []net.Listener{l.callers, l.peers, l.operators} {
+		if s != nil {
+			_ = s.Close()
+		}
+	}
+}
+
+// Serve answers callers, peers and operators until ctx ends or an operator
+// drains the node. It then finishes everything in flight, hands its engines over
+// and closes the node.
+func (n *Node) Serve(ctx context.Context, l Listeners) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	metrics := meter.New(n.settings.Name(), n.settings.Region(), n.settings.DataCentre(), func(err error) {
+		n.log.Component("meter").Warn("metric could not be registered", logger.Err(err))
+	})
+	defer func() { _ = metrics.Close() }()
+	front, release, err := n.newServer(metrics)
+	if err != nil {
+		l.close()
+		return errors.Join(err, n.Close(context.WithoutCancel(ctx)))
+	}
+	defer release()
+	s := &serving{node: n, stop: stop, peers: forwarder.NewServer(n.Handler())}
+	s.start(ctx, "callers", func(ctx context.Context) error { return front.Serve(ctx, l.callers, front.Handler()) })
+	if l.operators != nil {
+		s.start(ctx, "operators", func(ctx context.Context) error {
+			return front.Serve(ctx, l.operators, front.OperatorHandler())
+		})
+	}
+	s.startPeers(ctx, l.peers)
+	n.log.Info("node serves")
+	select {
+	case <-ctx.Done():
+	case <-n.drainAsked:
+		stop()
+	}
+	return s.finish(context.WithoutCancel(ctx))
+}
+
+// serving is the set of listeners of a node.
+type serving struct {
+	node   *Node
+	stop   context.CancelFunc
+	fronts sync.WaitGroup
+	peers  *forwarder.Server
+	links  sync.WaitGroup
+	mu     sync.Mutex
+	errs   []error
+}
+
+func (s *serving) failed(err error) {
+	if err == nil {
+		return
+	}
+	s.mu.Lock()
+	s.errs = append(s.errs, err)
+	s.mu.Unlock()
+	s.stop()
+}
+
+// start runs a front end. If it fails, the whole node drains, because callers
+// cannot tell half a node from a whole one.
+func (s *serving) start(ctx context.Context, name string, serve func(context.Context) error) {
+	s.fronts.Go(func() {
+		if err := serve(ctx); err != nil {
+			s.failed(fmt.Errorf("serve %s: %w", name, err))
+		}
+	})
+}
+
+// startPeers keeps the way for peers open longer than ctx: requests that other
+// nodes run on engines of this one must end first.
+func (s *serving) startPeers(ctx context.Context, l net.Listener) {
+	s.links.Go(func() {
+		if err := s.peers.Serve(context.WithoutCancel(ctx), l); err != nil {
+			s.failed(fmt.Errorf("serve peers: %w", err))
+		}
+	})
+}
+
+// finish ends in the order that cuts no request: first no new work, then what is
+// in flight, then the listeners, then the node.
+func (s *serving) finish(ctx context.Context) error {
+	n := s.node
+	n.log.Info("node drains")
+	if err := n.Drain(ctx); err != nil {
+		s.failed(fmt.Errorf("drain: %w", err))
+	}
+	s.fronts.Wait()
+	if err := s.peers.Close(); err != nil {
+		s.failed(fmt.Errorf("close the listener for peers: %w", err))
+	}
+	s.links.Wait()
+	if err := n.Close(ctx); err != nil {
+		s.failed(err)
+	}
+	n.log.Info("node stopped")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return errors.Join(s.errs...)
+}
+
+// newServer returns the HTTP front end, and what releases its resources.
+func (n *Node) newServer(metrics *meter.Meter) (*server.Server, func(), error) {
+	limits := n.settings.Limits()
+	opts := []server.Option{
+		server.WithEntries(n.leaser.Entries(), n.settings.EntryTTL()),
+		server.WithStops(n),
+		server.WithBundles(n.bundles),
+		server.WithStatus(n),
+		server.WithRecorder(n.recorder),
+		server.WithDrainer(n.operatorDrain()),
+		server.WithLogger(n.log.Component("server")),
+		server.WithMetrics(metrics.Handler(), metrics.Scope()),
+		server.WithMaxBody(limits.BodyBytes()),
+		server.WithMaxHeader(limits.HeaderBytes()),
+		server.WithConcurrency(limits.OpenRequests()),
+		server.WithDefaultTokens(limits.DefaultTokens()),
+		server.WithTimeout(limits.DefaultTimeout()),
+		server.WithReadTimeout(limits.ReadTimeout()),
+		server.WithWriteTimeout(limits.WriteTimeout()),
+		server.WithIdleTimeout(limits.IdleTimeout()),
+		server.WithDrainGrace(n.settings.DrainGrace()),
+		server.WithOperatorKeys(keys(n.settings.OperatorKeys())),
+	}
+	if k := n.settings.CallerKeys(); len(k) > 0 {
+		opts = append(opts, server.WithCallerKeys(keys(k)))
+	}
+	release := func() {}
+	if t, ok := n.settings.TLS(); ok {
+		reloader, err := server.NewReloader(t.CertificateFile(), t.KeyFile(), t.ReloadInterval(), func(err error) {
+			n.log.Component("tls").Error("certificate could not be reloaded", logger.Err(err))
+		})
+		if err != nil {
+			return nil, nil, fmt.Errorf("load certificate: %w", err)
+		}
+		release = func() { _ = reloader.Close() }
+		opts = append(opts, server.WithCertificates(reloader))
+	}
+	return server.New(n.pipeline, opts...), release, nil
+}
+
+func keys(configured []configurer.Key) server.Keys {
+	var k server.Keys
+	for _, c := range configured {
+		k = k.Add(c.Name(), c.Hash())
+	}
+	return k
+}
+
+// Leaving reports whether callers must not be sent to a node.
+func (n *Node) Leaving(node string) bool {
+	if node == n.settings.Name() && n.draining.Load() {
+		return true
+	}
+	return n.drainer.Load().Node(node)
+}
+
+// drainFunc begins a planned stop.
+type drainFunc func()
+
+// Drain begins the planned stop and does not wait for its end.
+func (f drainFunc) Drain(context.Context) error {
+	f()
+	return nil
+}
+
+func (n *Node) operatorDrain() server.Drainer { return drainFunc(n.askDrain) }
+
+func (n *Node) askDrain() {
+	select {
+	case n.drainAsked <- struct{}{}:
+	default: // asked already
+	}
+}
