claimer: keep calls at most once under faults

The first version wrote claims one by one, could not resolve a lost answer and never took a claim over. Claims are now grouped into one commit per flush, a lost answer is read back by attempt id, claims are taken over after their hold and a guard or when their node is gone, and finished claims are swept. Requests that fail settle their claim, so that not-run is passed on only while no other attempt can hold the row. A claim whose write is in doubt answers unknown.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -2,51 +2,38 @@
 
 import (
 	"context"
-	"crypto/sha256"
+	"crypto/rand"
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
 
-	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
 
 	"github.com/dragonflyford/dragonflyford/admitter"
-	"github.com/dragonflyford/dragonflyford/classifier"
-	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/asserter"
 	"github.com/dragonflyford/dragonflyford/receiver"
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
-// Claim is the right to run a request: Free for idempotent work, Held for a
-// claim in the table, Replay for work that an earlier attempt has done.
-type Claim interface{ claim() }
-
-// Free needs no claim, because the work may run more than once.
-type Free struct{}
-
-// Held is a claim that this attempt wrote to the table.
-type Held struct {
-	claimer *Claimer
-	key     string
-	attempt string
-	version storer.Version
-	record  record
+// Liveness tells which nodes still exist.
+type Liveness interface {
+	// Gone reports that the lease of the node that wrote a claim has expired, with
+	// the guard, or that another instance has taken its name.
+	Gone(node string) bool
+	// InForce reports that the lease of this node has not expired by its own
+	// clock, so that no other node can see it as gone.
+	InForce() bool
 }
 
-// Replay is the stored answer of an earlier attempt.
-type Replay struct {
-	reply connector.Reply
-}
-
-// Reply returns the stored answer.
-func (r *Replay) Reply() connector.Reply { return r.reply }
-
-// Attempt returns the id of the attempt that holds the claim.
-func (h *Held) Attempt() string { return h.attempt }
+// alone is the liveness of a node without leases: attempts are only taken over
+// after their hold.
+type alone struct{}
 
-func (Free) claim()    {}
-func (*Held) claim()   {}
-func (*Replay) claim() {}
+func (alone) Gone(string) bool { return false }
+func (alone) InForce() bool    { return true }
 
 // Claimed is a request with the right to run.
 type Claimed struct {
@@ -59,132 +46,201 @@
 
 // Claimer is the fourth stage of the request pipeline.
 type Claimer struct {
-	table storer.Table
-	node  string
+	table    storer.Table
+	node     string
+	process  string // differs for each claimer, also for two lives of one node
+	attempts atomic.Uint64
+	settings Settings
+	live     Liveness
+	asserts  *asserter.Asserter
+	flusher  *flusher
+	memory   *memory
+	settler  *settler
+	sweeper  *sweeper
+
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// Option sets an optional property of a Claimer.
+type Option func(*Claimer)
+
+// WithSettings replaces the default settings.
+func WithSettings(s Settings) Option { return func(c *Claimer) { c.settings = s.withDefaults() } }
+
+// WithLiveness lets claims of expired nodes be taken over at once.
+func WithLiveness(l Liveness) Option { return func(c *Claimer) { c.live = l } }
+
+// New returns a claimer that writes claims in the name of node, which is the
+// identity that Liveness knows. Close ends it.
+func New(table storer.Table, node string, asserts *asserter.Asserter, opts ...Option) *Claimer {
+	c := &Claimer{
+		table:    table,
+		node:     node,
+		process:  processID(),
+		settings: Settings{}.withDefaults(),
+		live:     alone{},
+		asserts:  asserts,
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	c.flusher = newFlusher(table, c.settings)
+	c.memory = newMemory(c.settings.MaxMemory, c.settings.Retention)
+	c.settler = newSettler(c)
+	c.sweeper = &sweeper{table: table, settings: c.settings}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	c.done.Go(func() { c.settler.run(ctx) })
+	if c.settings.SweepInterval > 0 {
+		c.done.Go(func() { c.sweeper.run(ctx) })
+	}
+	return c
 }
 
-// New returns a claimer that writes claims in the name of node.
-func New(table storer.Table, node string) *Claimer {
-	return &Claimer{table: table, node: node}
+func processID() string {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails; see crypto/rand
+	return hex.EncodeToString(b[:])
 }
 
+// Close ends the claimer's goroutines. Writes that are not committed yet fail.
+func (c *Claimer) Close() {
+	c.cancel()
+	c.flusher.close()
+	c.done.Wait()
+}
+
+// SetInterval sets the shortest time between two commits of this node. The
+// commits of all nodes share the table.
+func (c *Claimer) SetInterval(d time.Duration) { c.flusher.interval.Store(int64(d)) }
+
+// Commits returns how many commits the claimer made.
+func (c *Claimer) Commits() int64 { return c.flusher.commits.Load() }
+
+// Rows returns how many row writes the commits carried.
+func (c *Claimer) Rows() int64 { return c.flusher.rows.Load() }
+
 // Apply claims the work of a non-idempotent request.
 func (c *Claimer) Apply(ctx context.Context, a *admitter.Admitted) (*Claimed, error) {
 	target, ok := a.Target().(*receiver.ServiceTarget)
 	if !ok || a.Idempotent() {
 		return &Claimed{Admitted: a, claim: Free{}}, nil
 	}
-	claim, err := c.acquire(ctx, a.Request, target)
+	claim, err := c.Acquire(ctx, a.Request, target)
 	if err != nil {
 		return nil, err
 	}
 	return &Claimed{Admitted: a, claim: claim}, nil
 }
 
-// state is how far a claim has come.
-type state string
-
-const (
-	stateClaimed state = "claimed"
-	stateSent    state = "sent"
-	stateDone    state = "done"
-	stateNotRun  state = "not-run"
-)
-
-// record is the stored form of a claim.
-type record struct {
-	State       state  `cbor:"1,keyasint"`
-	Attempt     string `cbor:"2,keyasint"`
-	Node        string `cbor:"3,keyasint"`
-	BodyHash    []byte `cbor:"4,keyasint"`
-	Status      int    `cbor:"5,keyasint,omitempty"`
-	ContentType string `cbor:"6,keyasint,omitempty"`
-	Body        []byte `cbor:"7,keyasint,omitempty"`
-}
-
-// Key returns the claim row of a caller's idempotency key. Caller and key are
-// hashed, because both may hold any byte.
-func Key(caller, service, key string) string {
-	hashed := func(s string) string {
-		sum := sha256.Sum256([]byte(s))
-		return hex.EncodeToString(sum[:12])
+// Acquire claims one call of a plain service. It returns a Held claim or the
+// Replay of an earlier answer.
+func (c *Claimer) Acquire(ctx context.Context, r *receiver.Request, t *receiver.ServiceTarget) (Claim, error) {
+	s := &seeker{
+		claimer: c,
+		request: r,
+		target:  t,
+		key:     Key(r.Caller(), t.Service(), t.Key()),
+		poll:    firstPoll,
 	}
-	return strings.Join([]string{"claim", hashed(caller), service, hashed(key)}, "/")
+	return s.seek(ctx)
 }
 
-func (c *Claimer) acquire(ctx context.Context, r *receiver.Request, t *receiver.ServiceTarget) (Claim, error) {
-	fingerprint := r.Fingerprint()
-	h := &Held{
+func (c *Claimer) newHeld(key string, hash receiver.Fingerprint) *Held {
+	attempt := fmt.Sprintf("%s/%s/%d", c.node, c.process, c.attempts.Add(1))
+	return &Held{
 		claimer: c,
-		key:     Key(r.Caller(), t.Service(), t.Key()),
-		attempt: c.node + "/" + r.ID(),
-		record:  record{State: stateClaimed, Node: c.node, BodyHash: fingerprint[:]},
-	}
-	h.record.Attempt = h.attempt
-	row, err := c.table.Get(ctx, h.key)
-	switch {
-	case errors.Is(err, storer.ErrNotFound):
-		if err := h.store(ctx, h.record); err != nil {
-			return nil, classifier.NewUnavailable("the claim could not be stored", classifier.Cause(err))
-		}
-		return h, nil
-	case err != nil:
-		return nil, classifier.NewUnavailable("the claim could not be read", classifier.Cause(err))
+		key:     key,
+		attempt: attempt,
+		started: time.Now(),
+		record: record{
+			State:    stateClaimed,
+			Attempt:  attempt,
+			Node:     c.node,
+			BodyHash: hash[:],
+			Hold:     int64(c.settings.Hold),
+		},
 	}
-	return existing(row, fingerprint)
 }
 
-func existing(row storer.Row, f receiver.Fingerprint) (Claim, error) {
-	var rec record
-	if err := cbor.Unmarshal(row.Value(), &rec); err != nil {
-		return nil, classifier.NewUncertain("the claim cannot be read", classifier.Cause(err))
-	}
-	if string(rec.BodyHash) != string(f[:]) {
-		return nil, classifier.NewKeyReused("the idempotency key came with another request before")
+// get reads a row with a limit on the time.
+func (c *Claimer) get(ctx context.Context, key string) (storer.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.CommitTimeout)
+	defer cancel()
+	row, err := c.table.Get(ctx, key)
+	if err != nil {
+		return storer.Row{}, fmt.Errorf("read claim: %w", err)
 	}
-	if rec.State == stateDone {
-		return &Replay{reply: connector.NewReply(rec.Attempt, rec.Status, rec.ContentType, rec.Body)}, nil
+	return row, nil
+}
+
+// errContended reports a write that met a conflict whose other side could not be
+// read; an earlier try of the same write may have been the other side.
+var errContended = eris.New("the claim was written by another attempt or an earlier try")
+
+// noEffect reports whether a failed write certainly was not applied.
+func noEffect(err error) bool {
+	for _, known := range []error{storer.ErrConflict, storer.ErrUnavailable, errFull, errClosed, errWithdrawn} {
+		if errors.Is(err, known) {
+			return true
+		}
 	}
-	return nil, classifier.NewInProgress("an earlier attempt with this key has not ended")
+	return false
 }
 
-func (h *Held) store(ctx context.Context, rec record) error {
-	value, err := cbor.Marshal(rec)
+// put stores rec as the value of key if the row has the expected version, and
+// returns the new version. The effect of a lost answer is looked up by the
+// attempt id in rec. An error is ErrConflict only if the row was seen to have
+// another version.
+func (c *Claimer) put(ctx context.Context, key string, rec record, expected storer.Version) (storer.Version, error) {
+	value, err := encodeRecord(rec)
 	if err != nil {
-		return fmt.Errorf("encode claim: %w", err)
+		return 0, err
 	}
-	if err := h.claimer.table.Commit(ctx, storer.NewPut(h.key, value, h.version)); err != nil {
-		return fmt.Errorf("store claim %q as %s: %w", h.key, rec.State, err)
+	var doubt error // what earlier tries leave open
+	for range maxWriteTries {
+		err = c.flusher.commit(ctx, storer.NewPut(key, value, expected))
+		if err == nil {
+			return expected + 1, nil
+		}
+		conflict := errors.Is(err, storer.ErrConflict)
+		if noEffect(err) && !conflict {
+			return 0, doubtful(rec, doubt, err)
+		}
+		if conflict {
+			doubt = errContended
+		} else if doubt == nil {
+			doubt = storer.ErrUncertain
+		}
+		found, readErr := c.get(ctx, key)
+		if readErr != nil && !errors.Is(readErr, storer.ErrNotFound) {
+			return 0, doubtful(rec, doubt, readErr)
+		}
+		if isOwn(found, rec) {
+			return found.Version(), nil
+		}
+		if found.Version() != expected {
+			return 0, fmt.Errorf("store claim as %s: %w", rec.State, storer.NewConflictError(key))
+		}
 	}
-	h.version++
-	h.record = rec
-	return nil
+	return 0, doubtful(rec, doubt, err)
 }
 
-// MarkSent records that the call may have been sent. Nothing may be sent before
-// it returns nil.
-func (h *Held) MarkSent(ctx context.Context) error {
-	rec := h.record
-	rec.State = stateSent
-	if err := h.store(ctx, rec); err != nil {
-		return classifier.NewUnavailable("the claim could not be marked as sent", classifier.Cause(err))
+// doubtful describes a write that failed after tries that left doubt. The cause
+// keeps its type only if there is none.
+func doubtful(rec record, doubt, cause error) error {
+	if doubt == nil {
+		return fmt.Errorf("store claim as %s: %w", rec.State, cause)
 	}
-	return nil
+	return fmt.Errorf("store claim as %s: %w: %s", rec.State, doubt, cause)
 }
 
-// Finish stores the answer, so that a repeat of the key gets it.
-func (h *Held) Finish(ctx context.Context, reply connector.Reply) error {
-	rec := h.record
-	rec.State = stateDone
-	rec.Status = reply.Status()
-	rec.ContentType = reply.ContentType()
-	rec.Body = reply.Body()
-	return h.store(ctx, rec)
-}
-
-// Release records that the call was not run, after the endpoint refused it.
-func (h *Held) Release(ctx context.Context) error {
-	rec := h.record
-	rec.State = stateNotRun
-	return h.store(ctx, rec)
+// isOwn reports whether the row holds what rec's attempt meant to write.
+func isOwn(row storer.Row, rec record) bool {
+	if row.Version() == 0 {
+		return false
+	}
+	found, err := decodeRecord(row.Value())
+	return err == nil && found.Attempt == rec.Attempt && found.State == rec.State
 }
--- /dev/null
+++ b/claimer/faults_test.go
@@ -0,0 +1,251 @@
+package claimer_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/asserter"
+	"github.com/dragonflyford/dragonflyford/claimer"
+	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/emulator"
+	"github.com/dragonflyford/dragonflyford/receiver"
+	"github.com/dragonflyford/dragonflyford/storer"
+)
+
+// fault is what the table does with one commit.
+type fault int
+
+const (
+	healthy        fault = iota
+	downBefore           // nothing is written, and the table is down from then on
+	conflict             // the commit conflicts once
+	answerLost           // written, the answer is lost
+	writeLost            // not written, and the answer is lost too
+	writeLate            // the answer is lost, and the write is applied seconds later
+	lostAndDown          // written, the answer is lost, and the table is down from then on
+	writtenAndDown       // written and answered; the table is down from then on
+)
+
+// faultyTable fails the n-th commit in a given way.
+type faultyTable struct {
+	*emulator.Table
+	mu      sync.Mutex
+	down    bool
+	fail    map[int]fault // by number of the commit, from 1
+	commits int
+	late    sync.WaitGroup
+}
+
+const (
+	tableLatency = 2 * time.Millisecond
+	lateness     = 3 * time.Second
+)
+
+func newFaultyTable() *faultyTable {
+	return &faultyTable{Table: emulator.NewTable(), fail: make(map[int]fault)}
+}
+
+func (t *faultyTable) setDown(down bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.down = down
+}
+
+func (t *faultyTable) isDown() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.down
+}
+
+func (t *faultyTable) Get(ctx context.Context, key string) (storer.Row, error) {
+	time.Sleep(tableLatency)
+	if t.isDown() {
+		return storer.Row{}, storer.ErrUnavailable
+	}
+	return t.Table.Get(ctx, key)
+}
+
+func (t *faultyTable) next() fault {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return downBefore
+	}
+	t.commits++
+	f := t.fail[t.commits]
+	t.down = f == downBefore || f == lostAndDown || f == writtenAndDown
+	return f
+}
+
+func (t *faultyTable) Commit(ctx context.Context, writes ...storer.Write) error {
+	time.Sleep(tableLatency)
+	switch t.next() {
+	case downBefore:
+		return storer.ErrUnavailable
+	case conflict:
+		return storer.NewConflictError(writes[0].Key())
+	case writeLost:
+		return storer.ErrUncertain
+	case writeLate:
+		t.late.Go(func() {
+			time.Sleep(lateness)
+			_ = t.Table.Commit(context.Background(), writes...)
+		})
+		return storer.ErrUncertain
+	case answerLost, lostAndDown:
+		if err := t.Table.Commit(ctx, writes...); err != nil {
+			return err
+		}
+		return storer.ErrUncertain
+	default:
+		return t.Table.Commit(ctx, writes...)
+	}
+}
+
+// ledger counts executions per key.
+type ledger struct {
+	mu   sync.Mutex
+	runs map[string][]string
+}
+
+func (l *ledger) run(key, attempt string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[key] = append(l.runs[key], attempt)
+}
+
+func (l *ledger) count(key string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.runs[key])
+}
+
+// leases is a Liveness in which nodes are gone on command.
+type leases struct {
+	mu   sync.Mutex
+	gone map[string]bool
+}
+
+func (l *leases) lose(node string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.gone[node] = true
+}
+
+func (l *leases) Gone(node string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.gone[node]
+}
+
+// ofNode is the liveness as one node sees it.
+type ofNode struct {
+	*leases
+	node string
+}
+
+func (l ofNode) InForce() bool { return !l.Gone(l.node) }
+
+// cluster is several claimers on one table in front of one service.
+type cluster struct {
+	t       testing.TB
+	table   *faultyTable
+	ledger  *ledger
+	leases  *leases
+	asserts *asserter.Asserter
+	opened  []*claimer.Claimer
+}
+
+func newCluster(t testing.TB) *cluster {
+	return &cluster{
+		t:       t,
+		table:   newFaultyTable(),
+		ledger:  &ledger{runs: make(map[string][]string)},
+		leases:  &leases{gone: make(map[string]bool)},
+		asserts: asserter.New(func(v asserter.Violation) { t.Errorf("%s", v) }),
+	}
+}
+
+func (c *cluster) node(name string) *claimer.Claimer {
+	n := claimer.New(c.table, name, c.asserts, claimer.WithLiveness(ofNode{c.leases, name}),
+		claimer.WithSettings(claimer.Settings{SweepInterval: -1}))
+	c.opened = append(c.opened, n)
+	return n
+}
+
+func (c *cluster) close() {
+	for _, n := range c.opened {
+		n.Close()
+	}
+	c.table.late.Wait()
+}
+
+// call is one attempt of a caller.
+type call struct {
+	key      string
+	body     string
+	attempt  int
+	timeout  time.Duration
+	pause    time.Duration // between claim and mark
+	pauseOwn func()        // runs in that pause
+	refuse   bool          // the endpoint refuses
+	dead     func() bool   // the process was killed
+}
+
+func request(t testing.TB, c call) (*receiver.Request, *receiver.ServiceTarget) {
+	is := is.New(t)
+	limits := receiver.NewLimits(1, 1, time.Minute, time.Minute)
+	r, err := receiver.New(limits).Apply(context.Background(), receiver.NewServiceCall("ledger", "POST", "/postings",
+		[]byte(c.body), c.key, max(c.attempt, 1), receiver.WithCaller("bank"), receiver.WithTimeout(c.timeout)))
+	is.NoErr(err)
+	target, ok := r.Target().(*receiver.ServiceTarget)
+	is.True(ok)
+	return r, target
+}
+
+// post does what the dispatcher does with a claim, and returns the outcome.
+func (c *cluster) post(n *claimer.Claimer, k call) (classifier.Outcome, error) {
+	r, target := request(c.t, k)
+	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline())
+	defer cancel()
+	claim, err := n.Acquire(ctx, r, target)
+	if err != nil {
+		return classifier.Of(err).Outcome(), err
+	}
+	held, ok := claim.(*claimer.Held)
+	if !ok {
+		return classifier.Done{}, nil
+	}
+	err = claimer.Settle(ctx, claim, c.send(ctx, held, k))
+	if err != nil {
+		return classifier.Of(err).Outcome(), err
+	}
+	return classifier.Done{}, nil
+}
+
+func (c *cluster) send(ctx context.Context, held *claimer.Held, k call) error {
+	if k.pauseOwn != nil {
+		k.pauseOwn()
+	}
+	time.Sleep(k.pause)
+	if err := held.MarkSent(ctx); err != nil {
+		return err
+	}
+	if k.dead != nil && k.dead() {
+		return classifier.NewUncertain("the process was killed")
+	}
+	if k.refuse {
+		if err := held.Release(ctx); err != nil {
+			return classifier.NewUncertain("not released", classifier.Cause(err))
+		}
+		return classifier.NewUnavailable("refused")
+	}
+	c.ledger.run(k.key, held.Attempt())
+	_ = held.Finish(ctx, connector.NewReply(held.Attempt(), 200, "text/plain", []byte("ok")))
+	return nil
+}
--- /dev/null
+++ b/claimer/random_test.go
@@ -0,0 +1,182 @@
+package claimer_test
+
+import (
+	"flag"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/dragonflyford/dragonflyford/asserter"
+	"github.com/dragonflyford/dragonflyford/claimer"
+	"github.com/dragonflyford/dragonflyford/classifier"
+)
+
+// TestMain fixes the seed of random tests, so that every run reaches the same
+// verdict. The flag -rapid.seed chooses another.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	m.Run()
+}
+
+// life is one life of a node.
+type life struct {
+	id      string
+	claimer *claimer.Claimer
+	mu      sync.Mutex
+	dead    bool
+}
+
+func (l *life) isDead() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dead
+}
+
+// model drives several nodes over one table. Callers repeat a key as soon as they
+// give up, so that attempts overlap.
+type model struct {
+	*cluster
+	lives    []*life
+	births   int
+	attempts map[string]int
+	calls    sync.WaitGroup
+
+	mu     sync.Mutex
+	faults []string
+}
+
+func (m *model) violate(format string, args ...any) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.faults = append(m.faults, fmt.Sprintf(format, args...))
+}
+
+func (m *model) bear(i int) {
+	m.births++
+	id := fmt.Sprintf("n%d@%d", i, m.births)
+	m.lives[i] = &life{id: id, claimer: m.node(id)}
+}
+
+// kill ends a process: nothing it does afterwards reaches the table or the
+// service. Its lease expires later.
+func (m *model) kill(i int) {
+	l := m.lives[i]
+	l.mu.Lock()
+	l.dead = true
+	l.mu.Unlock()
+	l.claimer.Close()
+	m.calls.Go(func() {
+		time.Sleep(7 * time.Second)
+		m.leases.lose(l.id)
+	})
+	m.bear(i)
+}
+
+// pause freezes one attempt at a node whose lease expires if the pause is long.
+func (m *model) call(l *life, k call) {
+	if k.pause > 7*time.Second {
+		k.pauseOwn = func() {
+			time.Sleep(7 * time.Second)
+			m.leases.lose(l.id)
+		}
+	}
+	k.dead = l.isDead
+	m.calls.Go(func() {
+		outcome, _ := m.post(l.claimer, k)
+		if _, ok := outcome.(classifier.NotRun); !ok || l.isDead() {
+			return
+		}
+		if n := m.ledger.count(k.key); n > 0 {
+			m.violate("attempt %d of key %s at %s is not-run, and the key ran %d times", k.attempt, k.key, l.id, n)
+		}
+	})
+}
+
+// step is one drawn event. The whole script is drawn first, because rapid ends
+// a draw by a panic, which may not cross the border of a synctest bubble.
+type step struct {
+	Node, Action, Ahead int
+	Fault               fault
+	Key                 string
+	Idle, Gap, Pause    time.Duration
+	Timeout             time.Duration
+	Refuse              bool
+}
+
+func drawStep(t *rapid.T) step {
+	pauses := []int{0, 0, 0, 10, 1000, 4990, 5990, 6010, 7500, 12000}
+	return step{
+		Node:    rapid.IntRange(0, 2).Draw(t, "node"),
+		Action:  rapid.IntRange(0, 9).Draw(t, "action"),
+		Ahead:   rapid.IntRange(1, 4).Draw(t, "ahead"),
+		Fault:   fault(rapid.IntRange(int(healthy), int(writtenAndDown)).Draw(t, "fault")),
+		Key:     rapid.SampledFrom([]string{"x", "y"}).Draw(t, "key"),
+		Idle:    time.Duration(rapid.IntRange(1, 8000).Draw(t, "idle")) * time.Millisecond,
+		Gap:     time.Duration(rapid.IntRange(0, 200).Draw(t, "gap")) * time.Millisecond,
+		Pause:   time.Duration(rapid.SampledFrom(pauses).Draw(t, "pause")) * time.Millisecond,
+		Timeout: time.Duration(rapid.IntRange(1, 30).Draw(t, "timeout")) * time.Second,
+		Refuse:  rapid.IntRange(0, 9).Draw(t, "refuse") == 0,
+	}
+}
+
+func (m *model) step(s step) {
+	switch s.Action {
+	case 0:
+		m.kill(s.Node)
+	case 1:
+		m.table.setDown(!m.table.isDown())
+	case 2, 3:
+		m.table.mu.Lock()
+		m.table.fail[m.table.commits+s.Ahead] = s.Fault
+		m.table.mu.Unlock()
+	case 4:
+		time.Sleep(s.Idle)
+	default:
+		m.attempts[s.Key]++
+		m.call(m.lives[s.Node], call{key: s.Key, attempt: m.attempts[s.Key], timeout: s.Timeout, pause: s.Pause, refuse: s.Refuse})
+		time.Sleep(s.Gap)
+	}
+}
+
+// run plays a script in virtual time and returns the broken promises.
+func run(t *testing.T, script []step) []string {
+	m := &model{cluster: newCluster(t), lives: make([]*life, 3), attempts: make(map[string]int)}
+	m.asserts = asserter.New(func(v asserter.Violation) { m.violate("%s", v) })
+	for i := range m.lives {
+		m.bear(i)
+	}
+	for _, s := range script {
+		m.step(s)
+	}
+	m.table.setDown(false)
+	m.calls.Wait()
+	m.close()
+	for _, key := range []string{"x", "y"} {
+		if n := m.ledger.count(key); n > 1 {
+			m.violate("key %s ran %d times", key, n)
+		}
+	}
+	return m.faults
+}
+
+// Guards against a call that runs twice, or that is reported as not run after it
+// ran, under random faults of the table, pauses, killed and replaced nodes, and
+// overlapping repeats at several nodes.
+func TestRandom(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		script := rapid.SliceOfN(rapid.Custom(drawStep), 5, 40).Draw(rt, "script")
+		var broken []string
+		synctest.Test(t, func(t *testing.T) { broken = run(t, script) })
+		for _, b := range broken {
+			rt.Error(b)
+		}
+	})
+}
--- /dev/null
+++ b/claimer/sweeper.go
@@ -0,0 +1,62 @@
+package claimer
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/storer"
+)
+
+// sweeper deletes finished claims past their retention, one page at a time.
+// Nodes start at different places and need not agree: a page that two nodes
+// delete at once fails for one of them.
+type sweeper struct {
+	table    storer.Table
+	settings Settings
+	after    string
+}
+
+func (s *sweeper) run(ctx context.Context) {
+	s.after = fmt.Sprintf("%s%08x", keyPrefix, rand.Uint32())
+	ticker := time.NewTicker(s.settings.SweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.sweep(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *sweeper) sweep(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.settings.CommitTimeout)
+	defer cancel()
+	rows, err := s.table.Scan(ctx, keyPrefix, s.after, s.settings.SweepPage)
+	if err != nil {
+		return
+	}
+	s.after = ""
+	if len(rows) == s.settings.SweepPage {
+		s.after = rows[len(rows)-1].Key()
+	}
+	if deletes := s.expired(rows); len(deletes) > 0 {
+		// A failed page is met again in the next round.
+		_ = s.table.Commit(ctx, deletes...)
+	}
+}
+
+func (s *sweeper) expired(rows []storer.Row) []storer.Write {
+	limit := time.Now().Add(-s.settings.Retention).Unix()
+	var deletes []storer.Write
+	for _, row := range rows {
+		rec, err := decodeRecord(row.Value())
+		if err == nil && rec.finished() && rec.Finished < limit {
+			deletes = append(deletes, storer.NewDelete(row.Key(), row.Version()))
+		}
+	}
+	return deletes
+}
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -47,7 +47,7 @@
 	first := firstToken(c)
 	result, err := run.start(ctx, first)
 	if err != nil {
-		return nil, err
+		return nil, claimer.Settle(ctx, c.Claim(), err)
 	}
 	if s, ok := result.(*dispatcher.Streaming); ok {
 		resumed := &resuming{run: run, current: s.Stream(), next: first}
--- a/runner/pipeline_test.go
+++ b/runner/pipeline_test.go
@@ -87,6 +87,7 @@
 	ledger := emulator.NewService()
 	stages := runner.NewStages(receiver.NewLimits(100, 1000, time.Minute, time.Minute), publish(t), 10,
 		emulator.NewTable(), "node-1", "lj", views, directory{executor: sched, service: ledger}, asserts, 3)
+	t.Cleanup(stages.Close)
 	srv := httptest.NewServer(server.New(stages.Join(), 1<<20).Handler())
 	t.Cleanup(srv.Close)
 	return srv, ledger
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -36,7 +36,7 @@
 		receiver:   receiver.New(limits),
 		resolver:   resolver.New(bundles),
 		admitter:   admitter.New(concurrency),
-		claimer:    claimer.New(table, node),
+		claimer:    claimer.New(table, node, asserts),
 		placer:     placer.New(views, region),
 		dispatcher: dispatcher.New(directory),
 		verifier:   verifier.New(asserts),
@@ -51,3 +51,6 @@
 	leave := chainer.Join(retrier.New(perAttempt, s.attempts), responder.New())
 	return chainer.Join(enter, leave)
 }
+
+// Close ends the goroutines of the stages.
+func (s *Stages) Close() { s.claimer.Close() }
