--- a/claimer/held.go
+++ b/claimer/held.go
@@ -221,13 +221,19 @@
 }
 
 func (h *Held) fail(ctx context.Context, err error) error {
-	h.mu.Lock()
+	_, notRun := classifier.Of(err).Outcome().(classifier.NotRun)
+	if !h.mu.TryLock() {
+		// A step goes on without its caller, and its end is not known yet.
+		if notRun {
+			return classifier.NewUncertain("the call was being sent", classifier.Cause(err))
+		}
+		return err
+	}
 	defer h.mu.Unlock()
 	if h.phase == phaseClaimed || h.abandoned {
 		h.phase = phaseStopped
 		return h.failUnsent(ctx, err)
 	}
-	_, notRun := classifier.Of(err).Outcome().(classifier.NotRun)
 	if !h.claimer.asserts.Check(asserter.NotRunTrue, !notRun || h.phase == phaseStopped, "attempt %s may have run and failed as not-run", h.attempt) {
 		return classifier.NewUncertain("the call was sent and has no answer", classifier.Cause(err))
 	}
--- a/runner/pipeline_test.go
+++ b/runner/pipeline_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/rotisserie/eris"
 
 	"github.com/dragonflyford/dragonflyford/asserter"
 	"github.com/dragonflyford/dragonflyford/bundler"
@@ -31,13 +30,16 @@
 // The bundle of a deployment with one engine and one ledger.
 const document = `{
 	"format": 1, "version": "1",
+	"regions": [{"name": "lj", "data_centres": ["lj1"]}],
 	"bases": [{"name": "base"}],
 	"adapters": [{"name": "reading", "base": "base", "versions": ["v1"]}],
 	"services": [{"name": "ledger", "calls": [{"method": "POST", "path": "/postings"}]}],
 	"endpoints": [
-		{"name": "engine-1", "kind": "engine", "base": "base", "region": "lj", "data_centre": "lj1", "slots": 2, "batch": 4},
-		{"name": "ledger-1", "kind": "service", "service": "ledger", "region": "lj", "data_centre": "lj1"}
-	]
+		{"name": "engine-1", "kind": "engine", "base": "base", "address": "127.0.0.1:1", "region": "lj", "data_centre": "lj1", "slots": 2, "batch": 4},
+		{"name": "ledger-1", "kind": "service", "service": "ledger", "address": "127.0.0.1:2", "region": "lj", "data_centre": "lj1"}
+	],
+	"weights": {"load_stall": 1, "batch_efficiency": 1, "cross_region": 1},
+	"limits": {"store_loads_per_second": 2, "store_loads_in_flight": 8, "retry_share": 0.1}
 }`
 
 // directory leads to the endpoints of one node.
@@ -57,7 +59,17 @@
 
 type budget struct{}
 
-func (budget) Acquire(context.Context) (func(), error) { return func() {}, nil }
+func (budget) Acquire(context.Context, func() int) (func(), error) { return func() {}, nil }
+
+func split(t *testing.T) *bundler.Content {
+	t.Helper()
+	is := is.New(t)
+	doc, err := bundler.Parse([]byte(document))
+	is.NoErr(err)
+	content, err := bundler.Split(doc)
+	is.NoErr(err)
+	return content
+}
 
 func publish(t *testing.T) *publisher.Publisher {
 	t.Helper()
@@ -66,14 +78,17 @@
 	is.NoErr(err)
 	reviewerKey, reviewer, err := ed25519.GenerateKey(nil)
 	is.NoErr(err)
-	signed := bundler.NewSigned([]byte(document),
-		bundler.Sign(bundler.RoleAuthor, "a", author, []byte(document)),
-		bundler.Sign(bundler.RoleReviewer, "r", reviewer, []byte(document)))
-	snapshot, err := validator.New(bundler.Keys{"a": authorKey, "r": reviewerKey}).
-		Apply(context.Background(), validator.NewCandidate(1, signed))
+	content := split(t)
+	m := content.Manifest()
+	signed := bundler.NewSigned(m,
+		bundler.Sign(bundler.RoleAuthor, "a", author, m),
+		bundler.Sign(bundler.RoleReviewer, "r", reviewer, m))
+	keys := bundler.NewKeys(map[string]ed25519.PublicKey{"a": authorKey, "r": reviewerKey})
+	verified, err := validator.New(keys).
+		Apply(context.Background(), validator.NewCandidate(1, true, signed, content.Part, nil))
 	is.NoErr(err)
 	p := publisher.New()
-	is.True(p.Publish(snapshot))
+	is.True(p.Publish(verified.Snapshot()))
 	return p
 }
 
@@ -81,14 +96,18 @@
 	t.Helper()
 	asserts := asserter.New(func(v asserter.Violation) { t.Error(v) })
 	views := viewer.New()
-	engine := emulator.NewEngine(2, 4, time.Millisecond, time.Millisecond)
+	engine := emulator.NewEngine(emulator.NewWeightStore(emulator.WithLoadTime(time.Millisecond, 8)),
+		emulator.WithSlots(2), emulator.WithBatch(4), emulator.WithStepTime(time.Millisecond),
+		emulator.WithPrefill(time.Millisecond, 0))
+	t.Cleanup(engine.Close)
 	sched := scheduler.New("engine-1", "node-1", 2, 4, engine, lease{}, budget{}, asserts,
 		func(v *viewer.View) { views.Update(v) })
+	t.Cleanup(sched.Close)
 	ledger := emulator.NewService()
 	stages := runner.NewStages(receiver.NewLimits(100, 1000, time.Minute, time.Minute), publish(t), 10,
 		emulator.NewTable(), "node-1", "lj", views, directory{executor: sched, service: ledger}, asserts, 3)
 	t.Cleanup(stages.Close)
-	srv := httptest.NewServer(server.New(stages.Join(), 1<<20).Handler())
+	srv := httptest.NewServer(server.New(stages.Join()).Handler())
 	t.Cleanup(srv.Close)
 	return srv, ledger
 }
@@ -149,16 +168,39 @@
 	is.Equal(total, 1)
 }
 
-// Guards against a bundle that was changed after its review.
-func TestTamperedBundle(t *testing.T) {
+// Guards against an answer that changes when its caller resumes it at another
+// node: the seed depends on the request id alone.
+func TestResumeAtAnotherNode(t *testing.T) {
 	is := is.New(t)
-	_, key, err := ed25519.GenerateKey(nil)
-	is.NoErr(err)
-	signed := bundler.NewSigned([]byte(document+" "),
-		bundler.Sign(bundler.RoleAuthor, "a", key, []byte(document)),
-		bundler.Sign(bundler.RoleReviewer, "r", key, []byte(document)))
-	public, ok := key.Public().(ed25519.PublicKey)
-	is.True(ok)
-	_, err = signed.Verify(bundler.Keys{"a": public, "r": public})
-	is.True(eris.Is(err, bundler.ErrSignature))
+	stream := func(lastEvent string) string {
+		srv, _ := newNode(t)
+		req, err := http.NewRequest(http.MethodPost, srv.URL+"/v1/completions",
+			strings.NewReader(`{"model":"reading@v1","prompt":"cheque","max_tokens":5,"stream":true}`))
+		is.NoErr(err)
+		req.Header.Set("X-Request-Id", "r-1")
+		req.Header.Set("Last-Event-ID", lastEvent)
+		resp, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		defer func() { _ = resp.Body.Close() }()
+		body, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.Equal(resp.Header.Get("X-Request-Id"), "r-1")
+		_, text, _ := strings.Cut(string(body), "id: ")
+		return text
+	}
+	whole := stream("")
+	is.True(strings.HasSuffix(whole, "data: [DONE]\n\n"))
+	_, rest, _ := strings.Cut(whole, "id: 3\n")
+	_, resumed, _ := strings.Cut(stream("2"), "\n")
+	text := func(events string) string {
+		var b strings.Builder
+		for _, part := range strings.Split(events, `"text":"`)[1:] {
+			token, _, _ := strings.Cut(part, `"`)
+			b.WriteString(token)
+		}
+		return b.String()
+	}
+	is.True(text(rest) != "")
+	is.Equal(text(resumed), text(rest))
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -52,5 +52,9 @@
 	return chainer.Join(enter, leave)
 }
 
-// Close ends the goroutines of the stages.
-func (s *Stages) Close() { s.claimer.Close() }
+// Close waits for the stages' postings, so that their answers are stored, and
+// ends the claimer.
+func (s *Stages) Close() {
+	s.dispatcher.Close()
+	s.claimer.Close()
+}
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dragonflyford/dragonflyford/connector"
 )
 
@@ -24,18 +26,80 @@
 	engine   string
 	owner    string
 	models   map[connector.Model]Residency
+	hashes   []uint64 // of models, in any order
 	slots    int
 	batch    int
 	running  int
 	queued   int
 	taken    time.Time
 	accepted bool
+	room     int
+	eviction float64
+	prefixes *Prefixes
+}
+
+// Option sets an optional property of a View.
+type Option func(*View)
+
+// WithRoom says how many more adapters the engine can load now and how many
+// requests per second the adapter gets that would make room for the next one.
+func WithRoom(room int, evictionCost float64) Option {
+	return func(v *View) { v.room, v.eviction = room, evictionCost }
+}
+
+// WithPrefixes adds the prompt prefixes that the engine has cached.
+func WithPrefixes(p *Prefixes) Option {
+	return func(v *View) { v.prefixes = p }
+}
+
+// Prefixes is an immutable set of hashes of prompt prefixes. A nil set is empty.
+type Prefixes struct {
+	set  map[uint64]struct{}
+	list []uint64
+}
+
+// NewPrefixes returns a set. The slice must not be changed afterwards.
+func NewPrefixes(hashes []uint64) *Prefixes {
+	p := &Prefixes{set: make(map[uint64]struct{}, len(hashes)), list: hashes}
+	for _, h := range hashes {
+		p.set[h] = struct{}{}
+	}
+	return p
+}
+
+// Has reports whether the set holds a hash.
+func (p *Prefixes) Has(hash uint64) bool {
+	if p == nil {
+		return false
+	}
+	_, ok := p.set[hash]
+	return ok
+}
+
+// Hashes returns the set; the slice must not be changed.
+func (p *Prefixes) Hashes() []uint64 {
+	if p == nil {
+		return nil
+	}
+	return p.list
+}
+
+// HashModel returns the hash that ResidencyOf expects.
+func HashModel(m connector.Model) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(m.Base())
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(m.Adapter())
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(m.Version())
+	return d.Sum64()
 }
 
 // NewView returns a view. The map must not be changed afterwards. Accepted says
 // whether the engine takes new work.
-func NewView(engine, owner string, models map[connector.Model]Residency, slots, batch, running, queued int, taken time.Time, accepted bool) *View {
-	return &View{
+func NewView(engine, owner string, models map[connector.Model]Residency, slots, batch, running, queued int, taken time.Time, accepted bool, opts ...Option) *View {
+	v := &View{
 		engine:   engine,
 		owner:    owner,
 		models:   models,
@@ -46,6 +110,14 @@
 		taken:    taken,
 		accepted: accepted,
 	}
+	for _, opt := range opts {
+		opt(v)
+	}
+	v.hashes = make([]uint64, 0, len(models))
+	for m := range models {
+		v.hashes = append(v.hashes, HashModel(m))
+	}
+	return v
 }
 
 // Engine returns the engine's name.
@@ -57,6 +129,17 @@
 // Residency returns how far m is on its way into the engine.
 func (v *View) Residency(m connector.Model) Residency { return v.models[m] }
 
+// ResidencyOf is Residency for a model whose hash is known. An engine has few
+// slots, so that a scan of the hashes costs less than hashing three strings.
+func (v *View) ResidencyOf(hash uint64, m connector.Model) Residency {
+	for _, h := range v.hashes {
+		if h == hash {
+			return v.models[m]
+		}
+	}
+	return Absent
+}
+
 // Models returns every adapter version that is loading or resident; the map
 // must not be changed.
 func (v *View) Models() map[connector.Model]Residency { return v.models }
@@ -76,6 +159,17 @@
 // Taken returns when the node received the view.
 func (v *View) Taken() time.Time { return v.taken }
 
+// Room returns how many more adapters the engine can load now, into free slots
+// or in place of adapters that nobody uses.
+func (v *View) Room() int { return v.room }
+
+// EvictionCost returns the requests per second for the adapter that makes room
+// for the next load; it is 0 while a slot is free.
+func (v *View) EvictionCost() float64 { return v.eviction }
+
+// Prefixes returns the cached prompt prefixes.
+func (v *View) Prefixes() *Prefixes { return v.prefixes }
+
 // Accepts reports whether the engine takes new work.
 func (v *View) Accepts() bool { return v.accepted }
 
