--- a/budgeter/private.go
+++ b/budgeter/private.go
@@ -7,6 +7,10 @@
 	"golang.org/x/time/rate"
 )
 
+// poolGrace is the time in which the pool answers while the table is up. Only
+// loads that it did not grant use the private rate.
+const poolGrace = 50 * time.Millisecond
+
 // privateLoop grants loads from the node's own part of the rate. It needs no
 // table.
 func (b *Budgeter) privateLoop(ctx context.Context) {
@@ -22,9 +26,13 @@
 // grantPrivate grants one load if the node's turn has come, and returns when to
 // look again; a negative time means not before a load waits.
 func (b *Budgeter) grantPrivate(now time.Time) time.Duration {
-	if b.queue.empty() {
+	waited, ok := b.queue.oldest(now)
+	if !ok {
 		return -1
 	}
+	if waited < poolGrace {
+		return poolGrace - waited
+	}
 	position, nodes := b.members()
 	total := b.limits().StoreRate() * privateShare
 	if total <= 0 || nodes <= 0 {
--- a/budgeter/queue.go
+++ b/budgeter/queue.go
@@ -63,6 +63,17 @@
 	return len(q.waiters) == 0
 }
 
+// oldest returns the longest wait, and false if no load waits.
+func (q *queue) oldest(now time.Time) (time.Duration, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	longest := time.Duration(-1)
+	for w := range q.waiters {
+		longest = max(longest, now.Sub(w.since))
+	}
+	return longest, longest >= 0
+}
+
 // grant gives a permit to the most urgent load, and reports false if none waits.
 func (q *queue) grant(release func()) bool {
 	q.mu.Lock()
