reporter: count service levels by minute and report their burn

The bundle names service levels, but nothing measured them and no history survived a node.

Settled minutes go to objects that hold an hour so far; the newest of a run replaces the earlier ones, so that lost answers and repeated writes count nothing twice. A reader merges all nodes, computes burn rates over 5 min, 1 h, 6 h and 3 d, and raises an alarm when two windows agree.

The object store clients and the emulator gain Delete for retention.

--- a/emulator/contract_test.go
+++ b/emulator/contract_test.go
@@ -196,6 +196,15 @@
 		keys, err := objects.List(t.Context(), "bundle/")
 		is.NoErr(err)
 		is.Equal(keys, []string{"bundle/a%2F ?", "bundle/b"})
+		d, ok := objects.(interface {
+			Delete(ctx context.Context, key string) error
+		})
+		is.True(ok)
+		is.NoErr(d.Delete(t.Context(), "bundle/a%2F ?"))
+		is.NoErr(d.Delete(t.Context(), "bundle/a%2F ?")) // already gone
+		keys, err = objects.List(t.Context(), "bundle/")
+		is.NoErr(err)
+		is.Equal(keys, []string{"bundle/b"})
 	})
 	each(t, "faults", func(t *testing.T, w way) {
 		is := is.New(t)
--- a/emulator/objects.go
+++ b/emulator/objects.go
@@ -58,6 +58,27 @@
 	o.bodies[key] = slices.Clone(body)
 }
 
+// Delete removes an object, if it exists.
+func (o *Objects) Delete(ctx context.Context, key string) error {
+	if err := o.link.arrive(ctx); err != nil {
+		if o.link.late(err) {
+			o.remove(key)
+		}
+		return fmt.Errorf("delete object %q: %w: %w", key, unwritten(err), err)
+	}
+	o.remove(key)
+	if err := o.link.confirm(ctx); err != nil {
+		return fmt.Errorf("delete object %q: %w: %w", key, storer.ErrUncertain, err)
+	}
+	return nil
+}
+
+func (o *Objects) remove(key string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.bodies, key)
+}
+
 // Get returns an object.
 func (o *Objects) Get(ctx context.Context, key string) ([]byte, error) {
 	if err := o.link.arrive(ctx); err != nil {
--- a/emulator/platformhandler.go
+++ b/emulator/platformhandler.go
@@ -118,6 +118,13 @@
 		}
 		w.WriteHeader(http.StatusNoContent)
 	}).Methods(http.MethodPut)
+	router.HandleFunc("/v1/object", func(w http.ResponseWriter, r *http.Request) {
+		if err := o.Delete(r.Context(), r.URL.Query().Get("key")); err != nil {
+			platformFailed(w, err)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}).Methods(http.MethodDelete)
 	router.HandleFunc("/v1/objects", func(w http.ResponseWriter, r *http.Request) {
 		keys, err := o.List(r.Context(), r.URL.Query().Get("prefix"))
 		if err != nil {
--- /dev/null
+++ b/reporter/codec.go
@@ -0,0 +1,170 @@
+package reporter
+
+import (
+	"fmt"
+	"regexp"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/dragonflyford/dragonflyford/encoder"
+)
+
+// objectFormat is the format of stored objects. Readers refuse others.
+const objectFormat = 1
+
+// objectDocument is a stored object.
+type objectDocument struct {
+	Format int              `cbor:"1,keyasint"`
+	Region string           `cbor:"2,keyasint"`
+	Levels []levelDocument  `cbor:"3,keyasint"`
+	Series []seriesDocument `cbor:"4,keyasint"`
+}
+
+type levelDocument struct {
+	Name      string  `cbor:"1,keyasint"`
+	Measure   string  `cbor:"2,keyasint"`
+	Threshold int64   `cbor:"3,keyasint"` // nanoseconds
+	Objective float64 `cbor:"4,keyasint"`
+}
+
+// seriesDocument holds the counts of consecutive minutes from First on.
+type seriesDocument struct {
+	Level   int      `cbor:"1,keyasint"` // index of Levels
+	Kind    int      `cbor:"2,keyasint"`
+	Adapter string   `cbor:"3,keyasint,omitempty"`
+	First   int      `cbor:"4,keyasint"`
+	Good    []uint64 `cbor:"5,keyasint"`
+	Bad     []uint64 `cbor:"6,keyasint"`
+}
+
+// Kinds of subjects in a seriesDocument.
+const (
+	kindServices = iota
+	kindOthers
+	kindAdapter
+)
+
+func encodeHour(region string, h *hour) ([]byte, error) {
+	doc := objectDocument{Format: objectFormat, Region: region}
+	for _, s := range h.sorted() {
+		last := len(doc.Levels) - 1
+		level := levelDocument{s.level.name, s.level.measure, int64(s.level.threshold), s.level.objective}
+		if last < 0 || doc.Levels[last] != level {
+			doc.Levels = append(doc.Levels, level)
+			last++
+		}
+		doc.Series = append(doc.Series, newSeriesDocument(last, s.subject, h.series[s]))
+	}
+	return encoder.Marshal(doc)
+}
+
+func newSeriesDocument(level int, subject Subject, counts *[minutesPerHour]count) seriesDocument {
+	d := seriesDocument{Level: level}
+	switch s := subject.(type) {
+	case Services:
+		d.Kind = kindServices
+	case Others:
+		d.Kind = kindOthers
+	case Adapter:
+		d.Kind, d.Adapter = kindAdapter, s.name
+	}
+	end := minutesPerHour
+	for end > 0 && counts[end-1].total() == 0 {
+		end--
+	}
+	for d.First < end && counts[d.First].total() == 0 {
+		d.First++
+	}
+	for _, c := range counts[d.First:end] {
+		d.Good = append(d.Good, c.good)
+		d.Bad = append(d.Bad, c.bad)
+	}
+	return d
+}
+
+// ErrObject reports an object that does not hold what a node writes.
+var ErrObject = eris.New("report object is not valid")
+
+// maxCount bounds the events of one minute, so that sums cannot overflow.
+const maxCount = 1 << 40
+
+// validName is the rule for names in bundles. Names end up in pages and terminals.
+var validName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._/-]{0,127}$`)
+
+// decodeHour calls add for each sample of an object.
+func decodeHour(data []byte, start time.Time, add func(region string, s sample)) error {
+	doc, err := encoder.Unmarshal[objectDocument](data)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrObject, err)
+	}
+	levels, err := doc.check()
+	if err != nil {
+		return err
+	}
+	for _, d := range doc.Series {
+		s := series{level: levels[d.Level], subject: d.subject()}
+		for i := range d.Good {
+			c := count{good: d.Good[i], bad: d.Bad[i]}
+			if c.total() > 0 {
+				add(doc.Region, sample{series: s, count: c, minute: start.Add(time.Duration(d.First+i) * time.Minute)})
+			}
+		}
+	}
+	return nil
+}
+
+func (d *objectDocument) check() ([]Level, error) {
+	if d.Format != objectFormat {
+		return nil, fmt.Errorf("%w: format is %d; expected %d", ErrObject, d.Format, objectFormat)
+	}
+	if !validName.MatchString(d.Region) {
+		return nil, fmt.Errorf("%w: region %.200q is not a name", ErrObject, d.Region)
+	}
+	if len(d.Series) > maxSeries || len(d.Levels) > maxSeries {
+		return nil, fmt.Errorf("%w: %d series and %d levels are too many", ErrObject, len(d.Series), len(d.Levels))
+	}
+	levels := make([]Level, len(d.Levels))
+	for i, l := range d.Levels {
+		// The comparison is written so that it also refuses NaN.
+		if !validName.MatchString(l.Name) || !validName.MatchString(l.Measure) || !(l.Objective > 0 && l.Objective < 1) || l.Threshold < 0 {
+			return nil, fmt.Errorf("%w: level %d is out of range", ErrObject, i)
+		}
+		levels[i] = Level{name: l.Name, measure: l.Measure, threshold: time.Duration(l.Threshold), objective: l.Objective}
+	}
+	for i, s := range d.Series {
+		if err := s.check(len(levels)); err != nil {
+			return nil, fmt.Errorf("series %d: %w", i, err)
+		}
+	}
+	return levels, nil
+}
+
+func (d *seriesDocument) check(levels int) error {
+	if d.Level < 0 || d.Level >= levels {
+		return fmt.Errorf("%w: level %d does not exist", ErrObject, d.Level)
+	}
+	if d.Kind < kindServices || d.Kind > kindAdapter || (d.Kind == kindAdapter) != validName.MatchString(d.Adapter) {
+		return fmt.Errorf("%w: kind %d with adapter %.200q", ErrObject, d.Kind, d.Adapter)
+	}
+	if len(d.Good) != len(d.Bad) || d.First < 0 || d.First > minutesPerHour || d.First+len(d.Good) > minutesPerHour {
+		return fmt.Errorf("%w: %d and %d counts from minute %d", ErrObject, len(d.Good), len(d.Bad), d.First)
+	}
+	for i := range d.Good {
+		if max(d.Good[i], d.Bad[i]) > maxCount {
+			return fmt.Errorf("%w: count %d is above %d", ErrObject, max(d.Good[i], d.Bad[i]), uint64(maxCount))
+		}
+	}
+	return nil
+}
+
+func (d *seriesDocument) subject() Subject {
+	switch d.Kind {
+	case kindServices:
+		return Services{}
+	case kindAdapter:
+		return NewAdapter(d.Adapter)
+	default:
+		return Others{}
+	}
+}
--- /dev/null
+++ b/reporter/pruner.go
@@ -0,0 +1,54 @@
+package reporter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/dragonflyford/dragonflyford/storer"
+)
+
+// Deleter is an object store that can remove objects. History in a store that
+// cannot stays there; readers look only at the hours they need.
+type Deleter interface {
+	Delete(ctx context.Context, key string) error
+}
+
+// ErrNoDelete reports an object store that cannot remove objects.
+var ErrNoDelete = eris.New("the object store cannot remove objects")
+
+// PruneAll removes the expired objects of all nodes, also of those that are gone.
+func PruneAll(ctx context.Context, objects storer.Objects, before time.Time) (int, error) {
+	if _, ok := objects.(Deleter); !ok {
+		return 0, ErrNoDelete
+	}
+	return Prune(ctx, objects, prefix, before)
+}
+
+// Prune removes objects under a prefix whose hour ended before a time, and returns
+// how many. It does nothing in a store that cannot remove objects.
+func Prune(ctx context.Context, objects storer.Objects, prefix string, before time.Time) (int, error) {
+	d, ok := objects.(Deleter)
+	if !ok {
+		return 0, nil
+	}
+	keys, err := objects.List(ctx, prefix)
+	if err != nil {
+		return 0, fmt.Errorf("list history: %w", err)
+	}
+	removed := 0
+	for _, text := range keys {
+		k, ok := parseKey(text)
+		if !ok || k.hour.Add(time.Hour).After(before) {
+			continue
+		}
+		if err := d.Delete(ctx, text); err != nil && !errors.Is(err, storer.ErrNotFound) {
+			return removed, fmt.Errorf("remove expired history: %w", err)
+		}
+		removed++
+	}
+	return removed, nil
+}
--- /dev/null
+++ b/reporter/report.go
@@ -0,0 +1,265 @@
+package reporter
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// maxSubjects bounds the adapters that a report lists for each level.
+const maxSubjects = 10
+
+// maxFaults bounds the unreadable objects that a report names.
+const maxFaults = 20
+
+// Line is the burn of one level in one scope.
+type Line struct {
+	level Level
+	scope Scope
+	rates []Rate
+}
+
+// Level returns the level.
+func (l *Line) Level() Level { return l.level }
+
+// Scope returns what the line covers.
+func (l *Line) Scope() Scope { return l.scope }
+
+// Rates returns the rates from the shortest to the longest window.
+func (l *Line) Rates() []Rate { return l.rates }
+
+// Alarm returns the most pressing alarm, or nil.
+func (l *Line) Alarm() Alarm { return alarmOf(l.rates) }
+
+// Point is the burn rate in a part of the covered time.
+type Point struct {
+	at   time.Time
+	rate Rate
+}
+
+// At returns the start of the part.
+func (p Point) At() time.Time { return p.at }
+
+// Burn returns the burn rate.
+func (p Point) Burn() float64 { return p.rate.Burn() }
+
+// Course is how the burn rate of a level developed in a scope.
+type Course struct {
+	scope  Scope
+	points []Point
+}
+
+// Scope returns what the course covers.
+func (c *Course) Scope() Scope { return c.scope }
+
+// Points returns the burn rates in order of time, without gaps.
+func (c *Course) Points() []Point { return c.points }
+
+// Report is the burn of all levels.
+type Report struct {
+	from    time.Time
+	until   time.Time
+	nodes   int
+	objects int
+	faults  []error
+	failed  int
+	lines   []*Line
+	courses map[string][]*Course
+}
+
+// From returns the start of the longest window.
+func (r *Report) From() time.Time { return r.from }
+
+// Until returns the end of all windows.
+func (r *Report) Until() time.Time { return r.until }
+
+// Nodes returns how many nodes the report has counts of.
+func (r *Report) Nodes() int { return r.nodes }
+
+// Objects returns how many objects were merged.
+func (r *Report) Objects() int { return r.objects }
+
+// Failed returns how many objects could not be read; their counts are missing.
+func (r *Report) Failed() int { return r.failed }
+
+// Faults returns the first of the objects that could not be read.
+func (r *Report) Faults() []error { return r.faults }
+
+// Lines returns the lines by level, from wide scopes to narrow ones.
+func (r *Report) Lines() []*Line { return r.lines }
+
+// Courses returns the development of a level by name, first everywhere and then
+// by region.
+func (r *Report) Courses(level string) []*Course { return r.courses[level] }
+
+// place is where counts of a report go.
+type place struct {
+	level string
+	scope Scope
+}
+
+// history sums samples up. It holds a bounded number of sums and no samples, so
+// that a report over all nodes fits in memory.
+type history struct {
+	from    time.Time
+	until   time.Time
+	windows []Window
+	step    time.Duration
+
+	mu      sync.Mutex // guards what follows; objects are read by several goroutines
+	nodes   map[string]bool
+	objects int
+	faults  []error
+	failed  int
+	levels  map[string]newestLevel
+	rates   map[place][]Rate
+	steps   map[place][]Rate
+}
+
+// newestLevel is a level as it stood last.
+type newestLevel struct {
+	Level
+	at time.Time
+}
+
+// coursePoints is how many parts a course has.
+const coursePoints = 72
+
+func newHistory(until time.Time, longest Window) *history {
+	h := &history{
+		from:   until.Add(-longest.length),
+		until:  until,
+		step:   max(longest.length/coursePoints, time.Minute),
+		nodes:  make(map[string]bool),
+		levels: make(map[string]newestLevel),
+		rates:  make(map[place][]Rate),
+		steps:  make(map[place][]Rate),
+	}
+	for _, w := range Windows() {
+		if w.length <= longest.length {
+			h.windows = append(h.windows, w)
+		}
+	}
+	return h
+}
+
+// take adds what was read of an object.
+func (h *history) take(k objectKey, o object) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if o.err != nil {
+		h.failed++
+		if len(h.faults) < maxFaults {
+			h.faults = append(h.faults, o.err)
+		}
+		return
+	}
+	h.objects++
+	h.nodes[k.node] = true
+	for _, s := range o.samples {
+		if s.minute.Before(h.until) && !s.minute.Before(h.from) {
+			h.add(s)
+		}
+	}
+}
+
+func (h *history) add(s located) {
+	name := s.level.name
+	if last, ok := h.levels[name]; !ok || last.at.Before(s.minute) {
+		h.levels[name] = newestLevel{Level: s.level, at: s.minute}
+	}
+	everywhere, region := place{name, Everywhere{}}, place{name, InRegion{s.region}}
+	for _, p := range []place{everywhere, region, {name, OfSubject{s.subject}}} {
+		rates := h.rates[p]
+		if rates == nil {
+			rates = newRates(h.windows)
+			h.rates[p] = rates
+		}
+		for i, w := range h.windows {
+			if !s.minute.Before(h.until.Add(-w.length)) {
+				rates[i].add(s.level, s.count)
+			}
+		}
+	}
+	for _, p := range []place{everywhere, region} {
+		steps := h.steps[p]
+		if steps == nil {
+			steps = make([]Rate, h.until.Sub(h.from)/h.step)
+			h.steps[p] = steps
+		}
+		steps[min(int(s.minute.Sub(h.from)/h.step), len(steps)-1)].add(s.level, s.count)
+	}
+}
+
+func newRates(windows []Window) []Rate {
+	rates := make([]Rate, len(windows))
+	for i, w := range windows {
+		rates[i].window = w
+	}
+	return rates
+}
+
+func (h *history) report() *Report {
+	r := &Report{
+		from:    h.from,
+		until:   h.until,
+		nodes:   len(h.nodes),
+		objects: h.objects,
+		faults:  h.faults,
+		failed:  h.failed,
+		courses: make(map[string][]*Course),
+	}
+	byLevel := make(map[string][]*Line)
+	for p, rates := range h.rates {
+		byLevel[p.level] = append(byLevel[p.level], &Line{level: h.levels[p.level].Level, scope: p.scope, rates: rates})
+	}
+	for p, steps := range h.steps {
+		r.courses[p.level] = append(r.courses[p.level], h.course(p.scope, steps))
+	}
+	for _, name := range slices.Sorted(maps.Keys(byLevel)) {
+		r.lines = append(r.lines, worst(byLevel[name])...)
+		slices.SortFunc(r.courses[name], func(a, b *Course) int { return compareScopes(a.scope, b.scope) })
+	}
+	return r
+}
+
+// worst keeps the wide scopes and the subjects with the most bad events in the
+// longest window.
+func worst(lines []*Line) []*Line {
+	slices.SortFunc(lines, func(a, b *Line) int {
+		return cmp.Or(
+			cmp.Compare(rank(a.scope), rank(b.scope)),
+			cmp.Compare(a.narrowBad(), b.narrowBad()),
+			compareScopes(a.scope, b.scope),
+		)
+	})
+	wide := slices.IndexFunc(lines, func(l *Line) bool { return l.narrow() })
+	if wide < 0 {
+		return lines
+	}
+	return lines[:min(wide+maxSubjects, len(lines))]
+}
+
+func (l *Line) narrow() bool {
+	_, ok := l.scope.(OfSubject)
+	return ok
+}
+
+// narrowBad orders narrow scopes by falling number of bad events, and leaves the
+// others to their names.
+func (l *Line) narrowBad() int64 {
+	if !l.narrow() {
+		return 0
+	}
+	return -int64(l.rates[len(l.rates)-1].Bad())
+}
+
+func (h *history) course(s Scope, steps []Rate) *Course {
+	c := &Course{scope: s, points: make([]Point, len(steps))}
+	for i, rate := range steps {
+		c.points[i] = Point{at: h.from.Add(time.Duration(i) * h.step), rate: rate}
+	}
+	return c
+}
--- a/storer/http.go
+++ b/storer/http.go
@@ -192,6 +192,16 @@
 	return nil
 }
 
+// Delete removes an object, if it exists.
+func (o *HTTPObjects) Delete(ctx context.Context, key string) error {
+	r := transporter.NewRequest(http.MethodDelete, "/v1/object", nil)
+	r.SetQuery(url.Values{"key": {key}})
+	if err := o.write(ctx, r); err != nil {
+		return fmt.Errorf("delete object %q: %w", key, err)
+	}
+	return nil
+}
+
 // Get returns an object.
 func (o *HTTPObjects) Get(ctx context.Context, key string) ([]byte, error) {
 	body, err := o.read(ctx, "/v1/object", url.Values{"key": {key}})
