--- a/benchmarker/benchmarker.go
+++ b/benchmarker/benchmarker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,7 @@
 type Benchmarker struct {
 	doc       *Document
 	expect    Expectation
+	transport func() http.RoundTripper
 	callers   []*requester.Requester
 	collector *collector
 	started   atomic.Int64
@@ -32,6 +34,11 @@
 // WithExpectation checks every token.
 func WithExpectation(e Expectation) Option { return func(b *Benchmarker) { b.expect = e } }
 
+// WithTransport makes each caller use an HTTP transport of its own.
+func WithTransport(newTransport func() http.RoundTripper) Option {
+	return func(b *Benchmarker) { b.transport = newTransport }
+}
+
 // New returns a run of a checked workload.
 func New(doc *Document, opts ...Option) *Benchmarker {
 	b := &Benchmarker{doc: doc, collector: newCollector(doc.Seed)}
@@ -41,11 +48,18 @@
 	for i := range doc.Callers {
 		// Callers start at different addresses, as callers in different places do.
 		entries := rotate(doc.Entries, i)
-		b.callers = append(b.callers, requester.New(CallerName(i), entries, doc.Seed+uint64(i)))
+		b.callers = append(b.callers, requester.New(CallerName(i), entries, doc.Seed+uint64(i), b.callerOptions()...))
 	}
 	return b
 }
 
+func (b *Benchmarker) callerOptions() []requester.Option {
+	if b.transport == nil {
+		return nil
+	}
+	return []requester.Option{requester.WithTransport(b.transport())}
+}
+
 // CallerName returns the name of the i-th caller.
 func CallerName(i int) string { return fmt.Sprintf("caller-%d", i) }
 
--- a/benchmarker/result.go
+++ b/benchmarker/result.go
@@ -42,6 +42,31 @@
 	digits        = 3
 )
 
+// Distribution gathers durations from many goroutines.
+type Distribution struct {
+	mu        sync.Mutex
+	histogram *hdrhistogram.Histogram
+}
+
+// NewDistribution returns an empty distribution.
+func NewDistribution() *Distribution {
+	return &Distribution{histogram: hdrhistogram.New(lowestMicros, highestMicros, digits)}
+}
+
+// Record adds a duration.
+func (d *Distribution) Record(v time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	record(d.histogram, v)
+}
+
+// Quantiles summarises the distribution.
+func (d *Distribution) Quantiles() Quantiles {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return quantiles(d.histogram)
+}
+
 // collector gathers the results of concurrent requests.
 type collector struct {
 	mu         sync.Mutex
--- a/deployer/host.go
+++ b/deployer/host.go
@@ -15,12 +15,12 @@
 
 // Host is an entry host: a place where one node after the other runs.
 type Host struct {
-	fleet     *Fleet
-	name      string
-	region    string
-	callers   string
-	peers     string
-	platform  *emulator.Cut
+	fleet    *Fleet
+	name     string
+	region   string
+	callers  string
+	peers    string
+	platform *emulator.Cut
 
 	mu        sync.Mutex
 	endpoints map[string]*emulator.Cut
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -111,12 +111,14 @@
 	bundles := publisher.New()
 	bundles.Publish(bundler.NewSnapshot(1, doc))
 	asserts := asserter.New(func(v asserter.Violation) { t.Error(v) })
+	claims := claimer.New(emulator.NewTable(), "node-1", asserts)
+	t.Cleanup(claims.Close)
 	d := dispatcher.New(s, dispatcher.WithPostingTimeout(10*time.Second))
 	t.Cleanup(d.Close)
 	inner := chainer.Join(chainer.Join(placer.New(views, "lj"), d), verifier.New(asserts))
 	limits := receiver.NewLimits(100, 1000, 30*time.Second, time.Minute)
 	enter := chainer.Join(chainer.Join(receiver.New(limits), resolver.New(bundles)), admitter.New(1000))
-	return chainer.Join(chainer.Join(enter, claimer.New(emulator.NewTable(), "node-1")), retrier.New(inner, 4))
+	return chainer.Join(chainer.Join(enter, claims), retrier.New(inner, 4))
 }
 
 func generation() *receiver.Call { return receiver.NewGeneration("a@v1", "prompt", 5, 0) }
