--- /dev/null
+++ b/leaser/entries.go
@@ -0,0 +1,130 @@
+package leaser
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/roller"
+	"github.com/dragonflyford/dragonflyford/server"
+	"github.com/dragonflyford/dragonflyford/storer"
+)
+
+// Entries gives the addresses of the nodes that callers may use.
+type Entries struct {
+	leaser *Leaser
+	cached atomic.Pointer[entryCache]
+}
+
+type entryCache struct {
+	view *Membership
+	list *server.EntryList
+}
+
+// Entries returns the entry list of the server.
+func (l *Leaser) Entries() *Entries { return &Entries{leaser: l} }
+
+// Load returns the live nodes that do not leave, grouped by distance, or nil
+// before the first scan. The list is built once per scan.
+func (e *Entries) Load() *server.EntryList {
+	view := e.leaser.view.Load()
+	if view.readAt.IsZero() {
+		return nil
+	}
+	if c := e.cached.Load(); c != nil && c.view == view {
+		return c.list
+	}
+	var entries []server.Entry
+	for _, m := range view.members {
+		if !m.leaving && m.caller != "" {
+			entries = append(entries, server.NewEntry(m.name, m.caller, m.region, m.dataCentre))
+		}
+	}
+	self := e.leaser.self
+	list := server.NewEntryList(self.region, self.dataCentre, entries)
+	e.cached.Store(&entryCache{view: view, list: list})
+	return list
+}
+
+// List returns the nodes of the last scan for a roll-out.
+func (l *Leaser) List(context.Context) ([]roller.Node, error) {
+	v := l.view.Load()
+	if v.readAt.IsZero() {
+		return nil, errors.New("the lease rows have not been read yet")
+	}
+	return rollerNodes(v.members, v.expired), nil
+}
+
+func rollerNodes(live, expired []Member) []roller.Node {
+	var nodes []roller.Node
+	for _, m := range live {
+		nodes = append(nodes, roller.NewNode(m.name, m.region, m.prepared, m.inForce, true))
+	}
+	for _, m := range expired {
+		nodes = append(nodes, roller.NewNode(m.name, m.region, m.prepared, m.inForce, false))
+	}
+	return nodes
+}
+
+// Reader lists nodes for an operator's tool, which holds no lease itself.
+type Reader struct {
+	table    storer.Table
+	settings Settings
+
+	mu       sync.Mutex // held while the rows are read
+	observer *observer
+	started  time.Time
+}
+
+// NewReader returns a reader of the lease rows. Settings must be those of the
+// nodes.
+func NewReader(table storer.Table, s Settings) *Reader {
+	s = s.withDefaults()
+	return &Reader{table: table, settings: s, observer: newObserver(s.Lease, s.Guard)}
+}
+
+// ReadNodes returns the nodes of a deployment with default settings.
+func ReadNodes(ctx context.Context, table storer.Table) ([]roller.Node, error) {
+	return NewReader(table, Settings{}).List(ctx)
+}
+
+// List returns the nodes. One scan does not tell whether a lease is valid, so the
+// first call goes on until each row has changed or has stayed unchanged for the
+// time of a lease and the guard.
+func (r *Reader) List(ctx context.Context) ([]roller.Node, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for {
+		rows, err := storer.GetAll(ctx, r.table, nodePrefix)
+		if err != nil {
+			return nil, fmt.Errorf("read lease rows: %w", err)
+		}
+		now := time.Now()
+		if r.started.IsZero() {
+			r.started = now
+		}
+		r.observer.observe(rows, now)
+		if r.certain(now) {
+			live, expired := r.observer.members(now)
+			return rollerNodes(live, expired), nil
+		}
+		select {
+		case <-time.After(r.settings.Scan):
+		case <-ctx.Done():
+			return nil, fmt.Errorf("watch lease rows: %w", context.Cause(ctx))
+		}
+	}
+}
+
+// certain reports whether each row is known to be renewed or to be expired.
+func (r *Reader) certain(now time.Time) bool {
+	for _, s := range r.observer.rows {
+		if !s.since.After(r.started) && !r.observer.dead(s, now) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/leaser/gone.go
@@ -0,0 +1,36 @@
+package leaser
+
+import (
+	"strings"
+	"time"
+)
+
+// maxMissing bounds how many ids without a row are remembered.
+const maxMissing = 4096
+
+// Gone reports that the lease of a process has expired, with the guard, or that
+// another process has taken its name. Node is a Member's ID; a bare name stands for
+// any process of that name. It answers from the last scan.
+func (l *Leaser) Gone(node string) bool {
+	name, instance, whole := strings.Cut(node, idSeparator)
+	v := l.view.Load()
+	if m, ok := v.Member(name); ok {
+		return whole && m.instance != instance
+	}
+	if _, ok := findMember(v.expired, name); ok {
+		return true
+	}
+	return l.stillMissing(node, v.readAt)
+}
+
+// stillMissing reports whether a node without a row has had none for the time of a
+// lease. The row of a node that has just joined may be newer than the scan.
+func (l *Leaser) stillMissing(id string, readAt time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	since, ok := l.missing[id]
+	if !ok && len(l.missing) < maxMissing {
+		l.missing[id] = time.Now()
+	}
+	return ok && readAt.Sub(since) >= l.settings.Lease+l.settings.Guard
+}
