--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -177,6 +177,7 @@
 		br.Crashed("e", fmt.Sprint(i), nil, list(fingerprint(i)))
 	}
 	b.ReportAllocs()
+	b.ResetTimer()
 	b.RunParallel(func(pb *testing.PB) {
 		for i := 0; pb.Next(); i++ {
 			_ = br.Blocked(fingerprint(i))
--- /dev/null
+++ b/leaser/plan_test.go
@@ -0,0 +1,253 @@
+package leaser_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dragonflyford/dragonflyford/emulator"
+	"github.com/dragonflyford/dragonflyford/leaser"
+	"github.com/dragonflyford/dragonflyford/roller"
+	"github.com/dragonflyford/dragonflyford/server"
+)
+
+var (
+	_ roller.Nodes   = (*leaser.Leaser)(nil)
+	_ roller.Nodes   = (*leaser.Reader)(nil)
+	_ server.Entries = (*leaser.Entries)(nil)
+)
+
+// Guards against plans that move engines for no reason, leave them without an
+// owner, share them unevenly, take them from a live owner or reuse a token.
+func TestPlan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		current := &leaser.Assignment{}
+		terms := make([]uint64, 6)
+		for range rapid.IntRange(1, 10).Draw(t, "rounds") {
+			var live []leaser.Candidate
+			alive := make(map[leaser.Holder]bool)
+			receivers := 0
+			for i := range terms {
+				state := rapid.IntRange(0, 5).Draw(t, "state") // 0 dead, 1 leaving, 2 back with a new lease
+				h := leaser.NewHolder(fmt.Sprint(i), "x", terms[i])
+				if state == 2 {
+					terms[i]++
+					h = leaser.NewHolder(fmt.Sprint(i), "x", terms[i])
+				}
+				if state > 0 {
+					live = append(live, leaser.NewCandidate(h, state == 1))
+					alive[h] = state > 1
+				}
+				if state > 1 {
+					receivers++
+				}
+			}
+			var names []string
+			for i := range rapid.IntRange(0, 12).Draw(t, "engines") {
+				names = append(names, fmt.Sprint("e", i))
+			}
+			engines := leaser.NewEngines(current.Epoch()+1, names)
+			next, changed := leaser.Plan(current, live, engines, func(leaser.Holder) bool { return true })
+			again, more := leaser.Plan(next, live, engines, func(leaser.Holder) bool { return true })
+			if more {
+				t.Fatalf("a second plan differs: %v, then %v", next, again)
+			}
+			check(t, current, next, alive, receivers, len(names))
+			kept, _ := leaser.Plan(current, live, engines, func(leaser.Holder) bool { return false })
+			for _, e := range current.Entries() {
+				if after, ok := kept.Entry(e.Engine()); !e.Owner().IsZero() && (!ok || after != e) {
+					t.Fatalf("%v was taken from its owner", e)
+				}
+			}
+			if changed {
+				encoded, err := next.Encode()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if current, err = leaser.DecodeAssignment(encoded); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	})
+}
+
+func check(t *rapid.T, current, next *leaser.Assignment, alive map[leaser.Holder]bool, receivers, engines int) {
+	if len(next.Entries()) != engines {
+		t.Fatalf("%d entries for %d engines", len(next.Entries()), engines)
+	}
+	count := make(map[leaser.Holder]int)
+	for _, e := range next.Entries() {
+		old, ok := current.Entry(e.Engine())
+		if ok && old.Owner() != e.Owner() && e.Token() <= old.Token() {
+			t.Fatalf("the token of %v does not grow from %v", e, old)
+		}
+		if receivers > 0 && !alive[e.Owner()] {
+			t.Fatalf("%v has no live owner", e)
+		}
+		count[e.Owner()]++
+	}
+	for h, n := range count {
+		if receivers > 0 && n > (engines+receivers-1)/receivers {
+			t.Fatalf("%v owns %d of %d engines with %d nodes", h, n, engines, receivers)
+		}
+	}
+	for _, e := range current.Entries() {
+		after, ok := next.Entry(e.Engine())
+		if ok && receivers > 0 && alive[e.Owner()] && after.Owner() != e.Owner() && count[e.Owner()] < engines/receivers {
+			t.Fatalf("%v moved although its owner has too few", e)
+		}
+	}
+}
+
+// Guards against an older bundle at one node that undoes the engines of a newer.
+func TestPlanEpochs(t *testing.T) {
+	is := is.New(t)
+	live := []leaser.Candidate{leaser.NewCandidate(leaser.NewHolder("a", "x", 1), false)}
+	all := func(leaser.Holder) bool { return true }
+	a, _ := leaser.Plan(&leaser.Assignment{}, live, leaser.NewEngines(5, []string{"e1", "e2"}), all)
+	_, changed := leaser.Plan(a, live, leaser.NewEngines(4, []string{"e1"}), all)
+	is.True(!changed)
+	b, changed := leaser.Plan(a, live, leaser.NewEngines(6, []string{"e1"}), all)
+	is.True(changed)
+	is.Equal(len(b.Entries()), 1)
+}
+
+// Guards against rows that crash the node that reads them.
+func FuzzDecodeAssignment(f *testing.F) {
+	live := []leaser.Candidate{leaser.NewCandidate(leaser.NewHolder("a", "x", 1), false)}
+	a, _ := leaser.Plan(&leaser.Assignment{}, live, leaser.NewEngines(5, []string{"e1", "e2"}), func(leaser.Holder) bool { return true })
+	seed, err := a.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, value []byte) {
+		a, err := leaser.DecodeAssignment(value)
+		if err != nil {
+			if !errors.Is(err, leaser.ErrMalformed) {
+				t.Error(err)
+			}
+			return
+		}
+		if _, err := a.Encode(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// Guards against callers that are sent to leaving or dead nodes, and against a
+// roll-out that waits for dead nodes or overlooks live ones.
+func TestViews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, 2, "a", "b", "c", "d")
+		defer r.close()
+		nodes := r.all()
+		nodes[0].SetEpochs(7, 8)
+		time.Sleep(5 * time.Second)
+		is.NoErr(nodes[1].Drain(t.Context()))
+		nodes[2].kill()
+		is.NoErr(nodes[3].Close(t.Context()))
+		time.Sleep(4 * lease) // past the time in which newcomers take nothing over
+		m := nodes[0].Membership()
+		is.Equal(len(m.Members()), 2)
+		b, ok := m.Member("b")
+		is.True(ok && b.Leaving() && b.InContact())
+		owner, ok := m.Owner("e0")
+		is.True(ok && owner.Name() == "a")
+		is.Equal(owner.PeerAddress(), "a:2")
+		is.True(nodes[0].Gone(nodes[2].ID()) && nodes[0].Gone(nodes[3].ID()) && !nodes[0].Gone(nodes[1].ID()))
+		list := nodes[0].Entries().Load()
+		is.Equal(list, server.NewEntryList("lj", "lj1", []server.Entry{server.NewEntry("a", "a:1", "lj", "lj1")}))
+
+		seen, err := nodes[0].List(t.Context())
+		is.NoErr(err)
+		read, err := leaser.ReadNodes(t.Context(), r.table)
+		is.NoErr(err)
+		is.Equal(seen, read)
+		first := slices.IndexFunc(read, func(n roller.Node) bool { return n.Name() == "a" })
+		is.Equal(read[first], roller.NewNode("a", "lj", 8, 7, true))
+		live := 0
+		for _, n := range read {
+			if n.Live() {
+				live++
+			}
+		}
+		is.Equal(live, 2)
+	})
+}
+
+// Guards against a changed epoch that waits for the next renewal, which would
+// hold up a roll-out, and against a write for each of many changes.
+func TestEpochs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, 1, "a", "b")
+		defer r.close()
+		time.Sleep(10 * time.Second)
+		n := r.all()[0]
+		before := r.table.Counters().Commits()
+		for i := range uint64(100) {
+			n.SetEpochs(i, i+1)
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(r.table.Counters().Commits()-before <= 6) // four a second, and the renewals of b
+		time.Sleep(2 * leaser.DefaultScan)
+		m, _ := r.all()[1].Membership().Member("a")
+		is.Equal(m.Prepared(), uint64(100))
+		began := time.Now()
+		n.SetEpochs(200, 200)
+		r.until(300*time.Millisecond+leaser.DefaultScan*11/10, "the new epoch at the other node", func() bool {
+			m, _ := r.all()[1].Membership().Member("a")
+			return m.InForce() == 200
+		})
+		is.True(time.Since(began) < leaser.DefaultLease/3)
+	})
+}
+
+// Guards against two processes of one name, for example after a faulty
+// replacement: the second must wait until the first is gone.
+func TestNameInUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, 2, "a")
+		defer r.close()
+		r.settle(2, "a")
+		first, second := r.all()[0], r.start("a")
+		time.Sleep(time.Minute)
+		is.Equal(len(first.Owned()), 2)
+		is.True(!second.InForce())
+		is.NoErr(first.Close(context.Background()))
+		took := r.until(2*leaser.DefaultScan, "the second process", func() bool { return len(second.Owned()) == 2 })
+		is.True(took < 2*leaser.DefaultScan)
+		is.True(second.Gone(first.ID()) && !second.Gone(second.ID()))
+		is.NoErr(r.table.Inject(emulator.Down{}))
+	})
+}
+
+func BenchmarkFence(b *testing.B) {
+	l := leaser.New(leaser.NewIdentity("a", "", "", "lj", "lj1"), emulator.NewTable(), emulator.NewHostList(),
+		leaser.WithEngines(func() leaser.Engines { return leaser.NewEngines(1, []string{"e0"}) }))
+	defer l.Abandon()
+	for len(l.Owned()) == 0 {
+		<-l.Changed()
+	}
+	engine := l.Engine("e0")
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, err := engine.Fence(); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
--- a/leaser/rig_test.go
+++ b/leaser/rig_test.go
@@ -42,6 +42,7 @@
 	cut  *emulator.Cut
 	gate *gate
 
+	began  time.Time
 	mu     sync.Mutex
 	apart  bool // no peer reaches it
 	killed bool
@@ -68,7 +69,7 @@
 }
 
 func (r *rig) start(name string) *node {
-	n := &node{rig: r, name: name, cut: emulator.NewCut(), gate: newGate()}
+	n := &node{rig: r, name: name, cut: emulator.NewCut(), gate: newGate(), began: time.Now()}
 	r.hosts.Set(name, emulator.HostLive)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -313,7 +314,9 @@
 func (t gatedTable) Commit(ctx context.Context, writes ...storer.Write) error {
 	if t.gate.isShut() {
 		_ = t.gate.pass(ctx)
-		ctx = context.WithoutCancel(ctx)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+		defer cancel()
 	}
 	err := t.Table.Commit(ctx, writes...)
 	_ = t.gate.pass(ctx)
