leaser: let waits for the row end with their context

Drain and Close waited for a write under way for up to a renewal time past their own deadline. The turn now honours the context.

--- a/leaser/keeper.go
+++ b/leaser/keeper.go
@@ -24,11 +24,17 @@
 	rival    *observed // another process that holds the name
 }
 
-// Lock waits for the turn to use the row.
-func (k *keeper) Lock() { k.turn <- struct{}{} }
+// lock waits for the turn to use the row, or for the end of ctx.
+func (k *keeper) lock(ctx context.Context) error {
+	select {
+	case k.turn <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("wait for the lease row: %w", context.Cause(ctx))
+	}
+}
 
-// Unlock ends the turn.
-func (k *keeper) Unlock() { <-k.turn }
+func (k *keeper) unlock() { <-k.turn }
 
 // attempt is a write whose answer has not come.
 type attempt struct {
@@ -67,8 +73,10 @@
 }
 
 func (l *Leaser) renew(ctx context.Context) error {
-	l.keeper.Lock()
-	defer l.keeper.Unlock()
+	if err := l.keeper.lock(ctx); err != nil {
+		return err
+	}
+	defer l.keeper.unlock()
 	err := l.prepare(ctx)
 	if err == nil {
 		err = l.commit(ctx, nil)
@@ -307,8 +315,10 @@
 
 // release ends the lease in the table.
 func (l *Leaser) release(ctx context.Context) error {
-	l.keeper.Lock()
-	defer l.keeper.Unlock()
+	if err := l.keeper.lock(ctx); err != nil {
+		return err
+	}
+	defer l.keeper.unlock()
 	for {
 		done, err := l.tryRelease(ctx)
 		if done {
--- a/leaser/machine_test.go
+++ b/leaser/machine_test.go
@@ -63,12 +63,10 @@
 		time.Sleep(tick)
 	}
 	if !r.allHeld(4)() {
-		r.fault("after a minute without faults, only these engines are held: %v", r.held())
+		unheld := r.held()
+		r.note("after a minute without faults, only these engines are held: %v", unheld)
 	}
-	faults := r.faults
-	r.faults = nil
-	r.close()
-	return faults
+	return r.stop()
 }
 
 // act brings one fault about. A node that starts reaches the others at first: a
--- a/leaser/rig_test.go
+++ b/leaser/rig_test.go
@@ -30,8 +30,10 @@
 	mu      sync.Mutex
 	engines leaser.Engines
 	nodes   []*node // every process that was ever started
-	tokens  map[string]uint64
-	faults  []string
+
+	checking sync.Mutex // never held during a wait
+	tokens   map[string]uint64
+	faults   []string
 }
 
 // node is one process.
@@ -88,15 +90,26 @@
 
 // close stops all nodes, and fails the test if a fence was held twice.
 func (r *rig) close() {
+	for _, f := range r.stop() {
+		r.t.Error(f)
+	}
+}
+
+// stop ends all nodes and returns what the checks found.
+func (r *rig) stop() []string {
 	r.cancel()
 	r.watcher.Wait()
 	for _, n := range r.all() {
 		n.gate.open()
 		n.Abandon()
 	}
-	for _, f := range r.faults {
-		r.t.Error(f)
-	}
+	return r.faults
+}
+
+func (r *rig) note(format string, args ...any) {
+	r.checking.Lock()
+	defer r.checking.Unlock()
+	r.fault(format, args...)
 }
 
 func (r *rig) all() []*node {
@@ -116,9 +129,12 @@
 	}
 }
 
-// check notes engines with two holders and tokens that fall.
+// check notes engines with two holders and tokens that fall. The watching
+// goroutine and the test both call it.
 func (r *rig) check() {
 	nodes := r.all()
+	r.checking.Lock()
+	defer r.checking.Unlock()
 	for _, engine := range engineNames() {
 		holder := ""
 		for _, n := range nodes {
@@ -137,6 +153,7 @@
 	}
 }
 
+// fault records a finding. The caller holds checking.
 func (r *rig) fault(format string, args ...any) {
 	if len(r.faults) < 3 {
 		r.faults = append(r.faults, fmt.Sprintf(format, args...))
--- a/leaser/watch.go
+++ b/leaser/watch.go
@@ -141,8 +141,10 @@
 
 // manage writes the assignment that follows from the last scan, if it differs.
 func (l *Leaser) manage(ctx context.Context) {
-	l.keeper.Lock()
-	defer l.keeper.Unlock()
+	if l.keeper.lock(ctx) != nil {
+		return
+	}
+	defer l.keeper.unlock()
 	if !l.keeper.joined || l.keeper.doubt {
 		return
 	}
