--- a/leaser/keeper.go
+++ b/leaser/keeper.go
@@ -9,10 +9,10 @@
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
-// keeper is the state of the node's own row. Its mutex is held during exchanges
-// with the table, so that the node has one write under way at a time.
+// keeper is the state of the node's own row. It is locked during exchanges with
+// the table, so that the node has one write under way at a time.
 type keeper struct {
-	turn
+	turn     chan struct{} // a channel, because the holder waits for the network
 	term     uint64
 	joined   bool // the row belongs to this process as far as it knows
 	version  storer.Version
@@ -24,6 +24,18 @@
 	rival    *observed // another process that holds the name
 }
 
+// lock waits for the turn to use the row, or for the end of ctx.
+func (k *keeper) lock(ctx context.Context) error {
+	select {
+	case k.turn <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("wait for the lease row: %w", context.Cause(ctx))
+	}
+}
+
+func (k *keeper) unlock() { <-k.turn }
+
 // attempt is a write whose answer has not come.
 type attempt struct {
 	sequence uint64
@@ -61,8 +73,10 @@
 }
 
 func (l *Leaser) renew(ctx context.Context) error {
-	l.keeper.Lock()
-	defer l.keeper.Unlock()
+	if err := l.keeper.lock(ctx); err != nil {
+		return err
+	}
+	defer l.keeper.unlock()
 	err := l.prepare(ctx)
 	if err == nil {
 		err = l.commit(ctx, nil)
@@ -301,8 +315,10 @@
 
 // release ends the lease in the table.
 func (l *Leaser) release(ctx context.Context) error {
-	l.keeper.Lock()
-	defer l.keeper.Unlock()
+	if err := l.keeper.lock(ctx); err != nil {
+		return err
+	}
+	defer l.keeper.unlock()
 	for {
 		done, err := l.tryRelease(ctx)
 		if done {
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -91,10 +91,10 @@
 		changed:  make(chan struct{}, 1),
 		wake:     make(chan struct{}, 1),
 		cancel:   cancel,
+		keeper:   keeper{turn: make(chan struct{}, 1)},
 		known:    make(map[string]version),
 		dropped:  make(map[string]bool),
 		missing:  make(map[string]time.Time),
-		keeper:   keeper{turn: newTurn()},
 		promises: make(map[string]time.Time),
 		heard:    make(map[string]time.Time),
 	}
