forwarder: test faults and measure both transports

Cause: the contract table lacked cancel, deadline, dead nodes, slow readers, large and malformed messages, pooling, TLS and stops. It found three faults: a connection went back to the pool before drpc had finished its stream, and the end of the caller's context then closed it under the next call; a stopping node closed a connection right after a call while its peer already used it again; and a local stream reported a passed deadline as a broken connection.

Change: A connection is free once its stream is finished. Run of a local peer returns with the first chunk, as it does over drpc.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -86,7 +86,10 @@
 	n      int
 	err    error
 	pause  time.Duration
-	block  bool // after the chunks, until the context ends
+	text   string            // of every chunk
+	fixed  []connector.Chunk // instead of n chunks
+	turn   chan struct{}     // received from before each chunk, if set
+	block  bool              // after the chunks, until the context ends
 	read   atomic.Int64
 	closed chan struct{}
 }
@@ -101,13 +104,24 @@
 }
 
 func (s *tokens) Next(ctx context.Context) (connector.Chunk, error) {
-	if s.next == s.n {
+	if s.next < len(s.fixed) {
+		s.next++
+		return s.fixed[s.next-1], nil
+	}
+	if s.next >= s.n {
 		if s.block {
 			<-ctx.Done()
 			return connector.Chunk{}, ctx.Err()
 		}
 		return connector.Chunk{}, s.err
 	}
+	if s.turn != nil {
+		select {
+		case <-s.turn:
+		case <-ctx.Done():
+			return connector.Chunk{}, ctx.Err()
+		}
+	}
 	time.Sleep(s.pause)
 	s.next++
 	s.read.Add(1)
@@ -115,7 +129,7 @@
 }
 
 func (s *tokens) chunk(i int) connector.Chunk {
-	return connector.NewChunk(s.job.Attempt(), s.job.Model(), i, fmt.Sprintf("t%d\xff", i), i == s.n-1)
+	return connector.NewChunk(s.job.Attempt(), s.job.Model(), i, s.text+"\xff", i == s.n-1)
 }
 
 func (s *tokens) Close() error {
--- a/forwarder/local.go
+++ b/forwarder/local.go
@@ -1,9 +1,11 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -200,13 +202,18 @@
 type answer[T any] struct {
 	value   T
 	failure *failureDocument
+	ended   bool // the failure is the regular end of a stream
 	at      time.Time
 }
 
 // invoke carries out a unary call.
 func invoke[T any](ctx context.Context, l *local, request any, handle func(ctx context.Context) (T, error)) (T, error) {
 	var zero T
-	c, err := l.begin(ctx, messageSize(request))
+	size, err := messageSize(request)
+	if err != nil {
+		return zero, tooLargeToSend(err)
+	}
+	c, err := l.begin(ctx, size)
 	if err != nil {
 		return zero, err
 	}
@@ -226,10 +233,14 @@
 	if err := c.travel(ctx, a.at); err != nil {
 		return zero, err
 	}
-	l.received.Add(int64(messageSize(a.value)))
+	size, err = messageSize(a.value)
+	l.received.Add(int64(size))
 	if a.failure != nil {
 		return zero, decodeFailure(a.failure)
 	}
+	if err != nil {
+		return zero, tooLargeToAnswer(err)
+	}
 	return a.value, nil
 }
 
@@ -238,17 +249,15 @@
 	frameSize  = 5  // bytes of a drpc frame header
 	invokeSize = 30 // bytes of the frames that name the method and end the call
 	tokenSize  = 2  // bytes of a text's header
-	batchSize  = 10 // bytes of a message of chunks without the texts
+	batchSize  = 7  // bytes of a message of chunks without the texts
 	jobSize    = 40 // bytes of a job's headers and numbers
 )
 
-// messageSize returns the bytes of a unary message.
-func messageSize(v any) int {
+// messageSize returns the bytes of a unary message, and an error for one that a
+// connection would not carry.
+func messageSize(v any) (int, error) {
 	data, err := encoder.Marshal(v)
-	if err != nil {
-		return 0 // a message that cannot be sent costs nothing
-	}
-	return len(data) + frameSize + invokeSize
+	return len(data) + frameSize + invokeSize, err
 }
 
 // State implements Handler.
@@ -299,58 +308,58 @@
 
 // window is how many chunks may wait for a slow reader before the job's stream
 // is no longer read.
-const window = 64
+const window = 16
 
-// Run implements Handler.
+// Run implements Handler. It returns with the first chunk, or with the error that
+// came instead.
 func (l *local) Run(ctx context.Context, engine string, job connector.Job) (connector.Stream, error) {
 	size := invokeSize + frameSize + jobSize + len(engine) + len(job.Attempt()) + len(job.Request()) + len(job.Model().String()) + len(job.Prompt())
+	if size > encoder.MaxSize {
+		return nil, tooLargeToSend(encoder.ErrTooLarge)
+	}
 	c, err := l.begin(ctx, size)
 	if err != nil {
 		return nil, err
 	}
 	s := &localStream{call: c, items: make(chan answer[connector.Chunk], window)}
-	started := make(chan answer[struct{}], 1)
-	go s.serve(engine, job, started)
-	a, _, err := wait(ctx, c, started)
-	if err == nil {
-		err = c.travel(ctx, a.at)
-	}
-	if err == nil {
-		l.received.Add(invokeSize)
-		err = decodeFailure(a.failure)
-	}
-	if err != nil {
+	go s.serve(engine, job)
+	s.first, s.err = s.receive(ctx)
+	l.received.Add(invokeSize)
+	if s.err != nil || s.first.failure != nil && !s.first.ended {
 		_ = s.Close()
-		return nil, err
+		return nil, cmp.Or(s.err, decodeFailure(s.first.failure))
 	}
+	s.peeked = true
 	return s, nil
 }
 
 // localStream is the caller's end of a job.
 type localStream struct {
-	call  *call
-	items chan answer[connector.Chunk]
-	sent  time.Time // of the latest chunk
-	err   error
-	once  sync.Once
+	call   *call
+	items  chan answer[connector.Chunk]
+	first  answer[connector.Chunk] // valid while peeked
+	peeked bool
+	sent   time.Time // of the latest chunk
+	err    error
+	once   sync.Once
 }
 
 // serve runs the job as the peer does.
-func (s *localStream) serve(engine string, job connector.Job, started chan<- answer[struct{}]) {
+func (s *localStream) serve(engine string, job connector.Job) {
 	l := s.call.local
 	defer l.calls.Done()
 	defer s.call.cancel()
 	defer close(s.items)
 	stream, err := l.handler.Run(s.call.ctx, engine, job)
-	started <- answer[struct{}]{failure: encodeFailure(err), at: time.Now().Add(l.latency)}
 	if err != nil {
+		s.items <- answer[connector.Chunk]{failure: encodeFailure(err), at: time.Now().Add(l.latency)}
 		return
 	}
 	defer func() { _ = stream.Close() }()
 	for err == nil {
 		var chunk connector.Chunk
 		chunk, err = stream.Next(s.call.ctx)
-		a := answer[connector.Chunk]{value: chunk, failure: encodeFailure(err), at: time.Now().Add(l.latency)}
+		a := answer[connector.Chunk]{value: chunk, failure: encodeFailure(err), ended: err == io.EOF, at: time.Now().Add(l.latency)}
 		select {
 		case s.items <- a:
 		case <-s.call.ctx.Done():
@@ -375,16 +384,14 @@
 var errNoEnd = errors.New("stream ended before its end")
 
 func (s *localStream) next(ctx context.Context) (connector.Chunk, error) {
-	a, ok, err := wait(ctx, s.call, s.items)
-	if err != nil {
-		return connector.Chunk{}, err
-	}
-	if !ok {
-		return connector.Chunk{}, fmt.Errorf("%w: %w", connector.ErrBroken, errNoEnd)
-	}
-	if err := s.call.travel(ctx, a.at); err != nil {
-		return connector.Chunk{}, err
+	a := s.first
+	if !s.peeked {
+		var err error
+		if a, err = s.receive(ctx); err != nil {
+			return connector.Chunk{}, err
+		}
 	}
+	s.peeked = false
 	s.count(a)
 	if a.failure != nil {
 		return connector.Chunk{}, decodeFailure(a.failure)
@@ -392,6 +399,20 @@
 	return a.value, nil
 }
 
+// receive waits for the next chunk or the end to arrive.
+func (s *localStream) receive(ctx context.Context) (answer[connector.Chunk], error) {
+	a, ok, err := wait(ctx, s.call, s.items)
+	switch {
+	case err != nil:
+		return a, err
+	case !ok && errors.Is(s.call.ctx.Err(), context.DeadlineExceeded):
+		return a, fmt.Errorf("wait for peer: %w", s.call.ctx.Err())
+	case !ok:
+		return a, fmt.Errorf("%w: %w", connector.ErrBroken, errNoEnd)
+	}
+	return a, s.call.travel(ctx, a.at)
+}
+
 // count adds a chunk to the received bytes. Chunks of the same instant share a
 // message.
 func (s *localStream) count(a answer[connector.Chunk]) {
--- a/forwarder/peer.go
+++ b/forwarder/peer.go
@@ -11,7 +11,6 @@
 	"github.com/fxamacker/cbor/v2"
 	"storj.io/drpc"
 
-	"github.com/dragonflyford/dragonflyford/classifier"
 	"github.com/dragonflyford/dragonflyford/connector"
 )
 
@@ -56,7 +55,7 @@
 // tell why the call ended, if they did.
 func (p *peer) explain(err error, contexts ...context.Context) error {
 	if errors.Is(err, errUnsent) {
-		return classifier.NewTooLarge("request exceeds the message size", classifier.Cause(err))
+		return tooLargeToSend(err)
 	}
 	for _, ctx := range contexts {
 		if ctx.Err() != nil {
@@ -70,6 +69,38 @@
 // with io.EOF must not look like the end of a stream.
 func hidden(err error) error { return &remoteError{text: err.Error()} }
 
+// open sends a request and its end in one packet.
+func (p *peer) open(ctx context.Context, c *pooled, method string, in request) (drpc.Stream, error) {
+	stream, err := c.NewStream(ctx, method, p.codec)
+	if err != nil {
+		return nil, err
+	}
+	if err := stream.MsgSend(in, p.codec); err != nil {
+		return nil, err
+	}
+	return stream, stream.CloseSend()
+}
+
+// drainTime bounds the wait for the end of a stream whose last message is here.
+const drainTime = 100 * time.Millisecond
+
+// finished waits for the end of a stream, which the peer writes with the last
+// message, and reports whether the connection is free. Until then the end of
+// ctx, which cancel causes, would close the connection, perhaps under the next
+// call.
+func finished(ctx context.Context, cancel context.CancelFunc, stream drpc.Stream, c codec) bool {
+	defer time.AfterFunc(drainTime, cancel).Stop()
+	if err := stream.MsgRecv(&batch{}, c); !errors.Is(err, io.EOF) {
+		return false
+	}
+	select {
+	case <-stream.Context().Done():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // exchange carries out a unary call.
 func exchange[T any](ctx context.Context, p *peer, method string, in request) (T, error) {
 	var (
@@ -84,11 +115,21 @@
 		p.release(c)
 		return zero, err
 	}
-	if err := c.Invoke(ctx, method, p.codec, in, &out); err != nil {
+	inner, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := p.open(inner, c, method, in)
+	if err == nil {
+		err = stream.MsgRecv(&out, p.codec)
+	}
+	if err != nil {
 		p.discard(c)
 		return zero, p.explain(err, ctx)
 	}
-	p.release(c)
+	if finished(inner, cancel, stream, p.codec) {
+		p.release(c)
+	} else {
+		p.discard(c)
+	}
 	if out.Failure != nil {
 		return zero, decodeFailure(out.Failure)
 	}
@@ -146,7 +187,7 @@
 		s.finish(true)
 		return nil, err
 	}
-	if err := s.start(in); err != nil {
+	if s.stream, err = p.open(s.ctx, c, methodRun, in); err != nil {
 		s.finish(false)
 		return nil, p.explain(err, ctx)
 	}
@@ -176,18 +217,6 @@
 	once   sync.Once
 }
 
-// start sends the request and its end in one packet.
-func (s *remoteStream) start(in *runRequest) error {
-	var err error
-	if s.stream, err = s.conn.NewStream(s.ctx, methodRun, s.peer.codec); err != nil {
-		return err
-	}
-	if err := s.stream.MsgSend(in, s.peer.codec); err != nil {
-		return err
-	}
-	return s.stream.CloseSend()
-}
-
 // Next implements connector.Stream. The end of its context ends the stream.
 func (s *remoteStream) Next(ctx context.Context) (connector.Chunk, error) {
 	for s.err == nil {
@@ -223,38 +252,23 @@
 	return s.peer.explain(err, ctx, s.caller)
 }
 
-// drainTime bounds the wait for the end of an answer whose last chunk is here.
-const drainTime = 100 * time.Millisecond
-
 // Close implements connector.Stream. A complete answer leaves its connection for
 // the next call.
 func (s *remoteStream) Close() error {
-	s.once.Do(func() {
-		clean := s.batch.ends() || s.batch.Last
-		if clean {
-			timer := time.AfterFunc(drainTime, s.cancel)
-			clean = s.drain()
-			timer.Stop()
-		}
-		s.end(clean)
-	})
+	s.once.Do(func() { s.end((s.batch.ends() || s.ending()) && finished(s.ctx, s.cancel, s.stream, s.peer.codec)) })
 	return nil
 }
 
-// drain reads the end of the stream, which the peer writes with the message that
-// ends the answer.
-func (s *remoteStream) drain() bool {
-	for ended := s.batch.ends(); ; {
-		b := batch{}
-		err := s.stream.MsgRecv(&b, s.peer.codec)
-		if err != nil {
-			return ended && errors.Is(err, io.EOF)
-		}
-		if ended || len(b.Texts) > 0 {
-			return false
-		}
-		ended = b.ends()
+// ending waits for the end of an answer after its last chunk. The end follows
+// when the owner's engine has sent it, mostly in the same packet.
+func (s *remoteStream) ending() bool {
+	if !s.batch.Last {
+		return false
 	}
+	defer time.AfterFunc(drainTime, s.cancel).Stop()
+	var b batch
+	err := s.stream.MsgRecv(&b, s.peer.codec)
+	return err == nil && b.ends()
 }
 
 // finish ends the stream after an error.
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -15,10 +15,6 @@
 	"github.com/dragonflyford/dragonflyford/connector"
 )
 
-// keepAlive finds dead hosts within 8 seconds, which is in the order of the
-// lease time of 6 seconds.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}
-
 // pooled is a connection of a peer. It carries one call at a time.
 type pooled struct {
 	*drpcconn.Conn
@@ -103,11 +99,15 @@
 	ctx, cancel := context.WithTimeout(caller, p.dialTime)
 	defer cancel()
 	defer context.AfterFunc(p.ctx, cancel)()
-	dialer := net.Dialer{KeepAliveConfig: keepAlive}
+	var dialer net.Dialer
 	raw, err := dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, p.refuse(caller, err)
 	}
+	if err := detectDeath(raw); err != nil {
+		_ = raw.Close()
+		return nil, p.refuse(caller, err)
+	}
 	conn := net.Conn(&countedConn{Conn: raw, writeTime: p.writeTime, sent: &p.sent, received: &p.received})
 	if p.tls != nil {
 		secure := tls.Client(conn, p.tlsConfig())
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -116,7 +116,7 @@
 func (s *Server) accept(conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing || len(s.sessions) >= s.maxConns {
+	if s.closing || len(s.sessions) >= s.maxConns || detectDeath(conn) != nil {
 		_ = conn.Close()
 		return
 	}
@@ -209,14 +209,14 @@
 			return
 		}
 		if err := ss.server.mux.HandleRPC(stream, rpc); err != nil {
-			err = stream.SendError(err)
-			if err != nil {
+			if err := stream.SendError(err); err != nil {
 				return
 			}
 		}
-		if err := stream.CloseSend(); err != nil || !ss.end() {
+		if err := stream.CloseSend(); err != nil {
 			return
 		}
+		ss.end()
 	}
 }
 
@@ -242,22 +242,24 @@
 	return ss.busy
 }
 
-// end marks the session as idle and reports whether to read another call.
-func (ss *session) end() bool {
+// end marks the session as idle. While the server closes, the connection then
+// stays open for the linger time, because the peer may already use it again.
+func (ss *session) end() {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
 	ss.busy = false
-	ss.done = ss.done || ss.server.service.closing.Load()
-	return !ss.done
+	if ss.server.service.closing.Load() {
+		time.AfterFunc(linger, ss.closeIdle)
+	}
 }
 
-// closeIdle closes the connection unless a call runs; then the session ends with
-// the call.
+// closeIdle closes the connection unless a call runs; then end takes care of it.
 func (ss *session) closeIdle() {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	ss.done = true
-	if !ss.busy {
-		_ = ss.conn.Close()
+	if ss.busy {
+		return
 	}
+	ss.done = true
+	_ = ss.conn.Close()
 }
--- a/forwarder/wire.go
+++ b/forwarder/wire.go
@@ -270,6 +270,14 @@
 // errUnsent reports a message that did not reach the connection.
 var errUnsent = eris.New("message cannot be sent")
 
+func tooLargeToSend(err error) error {
+	return classifier.NewTooLarge("request exceeds the message size", classifier.Cause(err))
+}
+
+func tooLargeToAnswer(err error) error {
+	return classifier.NewTooLarge("answer exceeds the message size", classifier.Cause(err), classifier.MayHaveRun())
+}
+
 // replaceable is an answer that can be replaced by an error when it is too
 // large.
 type replaceable interface {
@@ -283,8 +291,7 @@
 		return data, nil
 	}
 	if r, ok := msg.(replaceable); ok {
-		fault := classifier.NewTooLarge("answer exceeds the message size", classifier.Cause(err), classifier.MayHaveRun())
-		return c.marshal(r.replace(encodeFailure(fault)))
+		return c.marshal(r.replace(encodeFailure(tooLargeToAnswer(err))))
 	}
 	return nil, fmt.Errorf("%w: %w", errUnsent, err)
 }
