--- /dev/null
+++ b/launcher/doc.go
@@ -0,0 +1,2 @@
+// Package launcher runs the command lines of dragonflyford.
+package launcher
--- a/server/keys.go
+++ b/server/keys.go
@@ -66,12 +66,17 @@
 		}
 		return name, nil
 	}
-	given := r.Header.Get("Authorization")
-	if given == "" {
-		return anonymous, nil
+	return CallerName(r.Header.Get("Authorization")), nil
+}
+
+// CallerName returns the name of the caller that sends an Authorization header,
+// when no caller keys are configured.
+func CallerName(authorization string) string {
+	if authorization == "" {
+		return anonymous
 	}
-	sum := sha256.Sum256([]byte(given))
-	return "key-" + hex.EncodeToString(sum[:callerHash]), nil
+	sum := sha256.Sum256([]byte(authorization))
+	return "key-" + hex.EncodeToString(sum[:callerHash])
 }
 
 // operatorsOnly refuses everyone without an operator key.
