claimer: bound not-run by the lease that the claim was written under

A node whose lease lapsed and came back within the hold answered not-run without the table, although another node may have seen it as gone and run the key. The attempt now keeps the earlier end of its hold and of the lease known at the claim. Liveness gives LeaseEnd instead of InForce, and leaser gets the accessor.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -23,17 +23,17 @@
 	// Gone reports that the lease of the node that wrote a claim has expired, with
 	// the guard, or that another instance has taken its name.
 	Gone(node string) bool
-	// InForce reports that the lease of this node has not expired by its own
-	// clock, so that no other node can see it as gone.
-	InForce() bool
+	// LeaseEnd returns the end of this node's lease by its own clock, as far as it
+	// is known now. No other node sees this one as gone before it.
+	LeaseEnd() time.Time
 }
 
 // alone is the liveness of a node without leases: attempts are only taken over
 // after their hold.
 type alone struct{}
 
-func (alone) Gone(string) bool { return false }
-func (alone) InForce() bool    { return true }
+func (alone) Gone(string) bool    { return false }
+func (alone) LeaseEnd() time.Time { return time.Now().Add(time.Hour) }
 
 // Claimed is a request with the right to run.
 type Claimed struct {
@@ -153,7 +153,7 @@
 		claimer: c,
 		key:     key,
 		attempt: attempt,
-		started: time.Now(),
+		sure:    earlier(time.Now().Add(c.settings.Hold), c.live.LeaseEnd()),
 		record: record{
 			State:    stateClaimed,
 			Attempt:  attempt,
@@ -164,6 +164,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // get reads a row with a limit on the time.
 func (c *Claimer) get(ctx context.Context, key string) (storer.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.settings.CommitTimeout)
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -123,6 +123,7 @@
 				wg.Go(func() {
 					k := call{key: "k", timeout: time.Minute, pause: tt.pause}
 					if tt.lose {
+						c.leases.stall("a", 0)
 						k.pauseOwn = func() { c.leases.lose("a") }
 					}
 					first, _ := c.post(a, k)
@@ -149,6 +150,7 @@
 		defer c.close()
 		k := call{key: "k", timeout: time.Minute}
 		r, target := request(t, k)
+		c.leases.stall("a", 0)
 		claim, err := c.node("a").Acquire(t.Context(), r, target)
 		is.NoErr(err)
 		c.leases.lose("a")
@@ -160,6 +162,28 @@
 	})
 }
 
+// Guards against not-run because the node has a lease again, after another node
+// saw it as gone and ran the key.
+func TestLeaseRegained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t)
+		defer c.close()
+		c.leases.stall("a", 100*time.Millisecond)
+		r, target := request(t, call{key: "k", timeout: time.Minute})
+		claim, err := c.node("a").Acquire(t.Context(), r, target)
+		is.NoErr(err)
+		time.Sleep(100*time.Millisecond + leaseGuard)
+		c.leases.lose("a")
+		repeat, err := c.post(c.node("b"), call{key: "k", attempt: 2, timeout: time.Second})
+		is.NoErr(err)
+		is.Equal(repeat, classifier.Done{})
+		c.leases.renew("a")
+		err = claimer.Settle(t.Context(), claim, classifier.NewUnavailable("no endpoint"))
+		is.Equal(classifier.Of(err).Outcome(), classifier.Unknown{})
+	})
+}
+
 // Guards against not-run after the request ended and gave its row back, and a
 // repeat ran the key within the hold.
 func TestAbandoned(t *testing.T) {
@@ -357,7 +381,7 @@
 		lose  bool
 		want  classifier.Outcome
 	}{
-		{"within the hold", 4 * time.Second, false, classifier.NotRun{}},
+		{"within the hold", 3 * time.Second, false, classifier.NotRun{}},
 		{"past the hold", 6 * time.Second, false, classifier.Unknown{}},
 		{"within the hold, own lease expired", time.Second, true, classifier.Unknown{}},
 	}
@@ -366,11 +390,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t)
 				defer c.close()
+				if tt.lose {
+					c.leases.stall("a", 500*time.Millisecond)
+				}
 				outcome, _ := c.post(c.node("a"), call{key: "k", timeout: 20 * time.Second, pause: tt.pause, pauseOwn: func() {
 					c.table.setDown(true)
-					if tt.lose {
-						c.leases.lose("a")
-					}
 				}})
 				is.New(t).Equal(outcome, tt.want)
 			})
--- a/claimer/doc.go
+++ b/claimer/doc.go
@@ -13,8 +13,8 @@
 // A row stores how long its attempt may stay in claimed, its hold. The attempt
 // counts the hold from before it wrote the row; others take the row over only
 // after they saw it unchanged for the hold and a guard, each on its own clock,
-// or after the lease of the attempt's node expired. While the hold and the
-// node's own lease last, an attempt that has not sent answers not-run without
+// or after the lease of the attempt's node expired. While the hold lasts, and
+// the lease that the node had when it wrote the row, an attempt that has not sent answers not-run without
 // the table. Later it first writes not-run to the row, and answers unknown if it
 // cannot.
 //
--- a/claimer/faults_test.go
+++ b/claimer/faults_test.go
@@ -129,14 +129,50 @@
 type leases struct {
 	mu   sync.Mutex
 	gone map[string]bool
+	ends map[string]time.Time // of nodes that cannot renew
 }
 
+// Times of a lease that is renewed.
+const (
+	leaseLeft  = 4 * time.Second // at least
+	leaseGuard = time.Second
+)
+
 func (l *leases) lose(node string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.gone[node] = true
 }
 
+// stall keeps a node from renewing a lease that ends after left. It returns false
+// if the node cannot renew already.
+func (l *leases) stall(node string, left time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.ends[node]; ok {
+		return false
+	}
+	l.ends[node] = time.Now().Add(left)
+	return true
+}
+
+// renew gives a node a lease again.
+func (l *leases) renew(node string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.ends, node)
+	delete(l.gone, node)
+}
+
+func (l *leases) end(node string) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if end, ok := l.ends[node]; ok {
+		return end
+	}
+	return time.Now().Add(leaseLeft)
+}
+
 func (l *leases) Gone(node string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -149,7 +185,7 @@
 	node string
 }
 
-func (l ofNode) InForce() bool { return !l.Gone(l.node) }
+func (l ofNode) LeaseEnd() time.Time { return l.end(l.node) }
 
 // cluster is several claimers on one table in front of one service.
 type cluster struct {
@@ -166,7 +202,7 @@
 		t:       t,
 		table:   newFaultyTable(),
 		ledger:  &ledger{runs: make(map[string][]string)},
-		leases:  &leases{gone: make(map[string]bool)},
+		leases:  &leases{gone: make(map[string]bool), ends: make(map[string]time.Time)},
 		asserts: asserter.New(func(v asserter.Violation) { t.Errorf("%s", v) }),
 	}
 }
--- a/claimer/held.go
+++ b/claimer/held.go
@@ -27,7 +27,10 @@
 	claimer *Claimer
 	key     string
 	attempt string
-	started time.Time // before the row was written
+	// sure is the end of the hold, counted from before the row was written, or of
+	// the lease that the node had then. A later lease does not move it: the node
+	// may have been seen as gone between the two.
+	sure    time.Time
 	unwatch func() bool
 
 	mu    sync.Mutex
@@ -144,7 +147,7 @@
 // exclusive reports whether no other attempt can have taken the row over. An
 // abandoned attempt has given its row back.
 func (h *Held) exclusive() bool {
-	return !h.abandoned && time.Since(h.started) < h.claimer.settings.Hold && h.claimer.live.InForce()
+	return !h.abandoned && time.Now().Before(h.sure)
 }
 
 // settle writes not-run to a row that still names this attempt.
--- a/claimer/random_test.go
+++ b/claimer/random_test.go
@@ -83,13 +83,26 @@
 	m.bear(i)
 }
 
-// pause freezes one attempt at a node whose lease expires if the pause is long.
+// lapse lets the lease of a node end and gives it back later.
+func (m *model) lapse(l *life, left, lost time.Duration) {
+	if !m.leases.stall(l.id, left) {
+		return
+	}
+	m.calls.Go(func() {
+		time.Sleep(left + leaseGuard)
+		m.leases.lose(l.id)
+		time.Sleep(lost)
+		if !l.isDead() {
+			m.leases.renew(l.id)
+		}
+	})
+}
+
+// call starts an attempt. The lease of its node lapses if the attempt pauses for
+// long.
 func (m *model) call(l *life, k call) {
 	if k.pause > 7*time.Second {
-		k.pauseOwn = func() {
-			time.Sleep(7 * time.Second)
-			m.leases.lose(l.id)
-		}
+		k.pauseOwn = func() { m.lapse(l, leaseLeft, time.Second) }
 	}
 	k.dead = l.isDead
 	m.calls.Go(func() {
@@ -142,6 +155,8 @@
 		m.table.mu.Unlock()
 	case 4:
 		time.Sleep(s.Idle)
+	case 5:
+		m.lapse(m.lives[s.Node], s.Idle%leaseLeft, s.Pause)
 	default:
 		m.attempts[s.Key]++
 		m.call(m.lives[s.Node], call{key: s.Key, attempt: m.attempts[s.Key], timeout: s.Timeout, pause: s.Pause, refuse: s.Refuse})
--- a/leaser/fence.go
+++ b/leaser/fence.go
@@ -42,6 +42,10 @@
 // that no other node sees this one as gone.
 func (l *Leaser) InForce() bool { return time.Now().Before(l.right.Load().lease) }
 
+// LeaseEnd returns the end of the lease in the table by the node's own clock. No
+// other node sees this one as gone before it. Extensions by peers do not count.
+func (l *Leaser) LeaseEnd() time.Time { return l.right.Load().lease }
+
 // Owned returns the engines that the assignment gives to the node, by name. The
 // slice must not be changed.
 func (l *Leaser) Owned() []Entry { return l.right.Load().list }
