placer: weigh evictions by the load that they make likely

The price of an eviction was proportional to the victim's request rate, so that candidates with a request in many minutes looked the same and the batch or the region decided. It now saturates at the price of a load.

--- a/placer/weighing.go
+++ b/placer/weighing.go
@@ -18,9 +18,6 @@
 	// loadPrice is what a load costs the requests that need the weight store
 	// next.
 	loadPrice = 1500
-	// evictionPrice is the cost of evicting an adapter that gets one request per
-	// second.
-	evictionPrice = 1000
 	// pinnedPrice is the wait for a slot when each adapter in the engine is in
 	// use.
 	pinnedPrice = 3000
@@ -133,7 +130,18 @@
 	if v.Room() == 0 {
 		return loadTime + loadPrice + pinnedPrice + home
 	}
-	return loadTime + loadPrice + evictionPrice*v.EvictionCost() + home
+	return loadTime + loadPrice + evictionCost(v.EvictionCost()) + home
+}
+
+// reuseWithin is the time in which an evicted adapter must be asked for again to
+// count as a load that could have been spared.
+const reuseWithin = 60 // seconds
+
+// evictionCost is the price of the load that an eviction makes likely. Most
+// candidates for eviction get a request in many minutes, so that the cost must
+// tell small rates apart; large ones all mean one more load.
+func evictionCost(rate float64) float64 {
+	return loadPrice * rate / (rate + 1.0/reuseWithin)
 }
 
 func (p *Placer) prefixGain(w *weighing, e *bundler.EngineEndpoint, v *viewer.View) float64 {
--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -45,8 +45,8 @@
 // Time constants of the request rates. The fast one follows a burst of requests
 // for one adapter, the slow one its popularity over the hour.
 const (
-	fastDecay = 12 * time.Second
-	slowDecay = 10 * time.Minute
+	fastDecay = 5 * time.Second
+	slowDecay = 5 * time.Minute
 )
 
 // heat estimates the rate of requests for a version from two exponentially
