--- a/connector/endpoint.go
+++ b/connector/endpoint.go
@@ -17,8 +17,13 @@
 	// ErrBroken reports an exchange that ended without an answer; the effect is
 	// not known.
 	ErrBroken = eris.New("connection broken")
+	// ErrOwnerLost reports a job whose connection to the node that owns the engine
+	// broke; whether the engine still runs is not known. It comes with ErrBroken.
+	ErrOwnerLost = eris.New("connection to the engine's owner broken")
 	// ErrNotResident reports a job for an adapter that the engine has not loaded.
 	ErrNotResident = eris.New("adapter is not resident")
+	// ErrLoadFailed reports a load that ended without the adapter in its slot.
+	ErrLoadFailed = eris.New("adapter could not be loaded")
 )
 
 // Model names one version of an adapter on its base model.
@@ -140,7 +145,8 @@
 
 // Stream is an answer in progress.
 type Stream interface {
-	// Next returns the next chunk, and io.EOF after the last one.
+	// Next returns the next chunk, and io.EOF after the last one. The end of its
+	// context may end the stream.
 	Next(ctx context.Context) (Chunk, error)
 	// Close ends the stream and cancels what is left of the job. It may be called
 	// more than once.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -36,7 +36,7 @@
 		receiver:   receiver.New(limits),
 		resolver:   resolver.New(bundles),
 		admitter:   admitter.New(concurrency),
-		claimer:    claimer.New(table, node),
+		claimer:    claimer.New(table, node, asserts),
 		placer:     placer.New(views, region),
 		dispatcher: dispatcher.New(directory),
 		verifier:   verifier.New(asserts),
@@ -52,5 +52,9 @@
 	return chainer.Join(enter, leave)
 }
 
-// Close waits for the stages' postings, so that their answers are stored.
-func (s *Stages) Close() { s.dispatcher.Close() }
+// Close waits for the stages' postings, so that their answers are stored, and
+// ends the claimer.
+func (s *Stages) Close() {
+	s.dispatcher.Close()
+	s.claimer.Close()
+}
