scheduler: free a slot for a request that steady traffic starves

While each resident adapter had a request at every moment, a request for another one waited to its deadline. After 3 s the least used adapter takes no new jobs, its waiting requests go elsewhere, and its slot becomes free without an eviction in use. The answer of a previous owner now also counts when it comes before the engine's first report.

--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -7,7 +7,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
 	"github.com/dragonflyford/dragonflyford/bundler"
@@ -94,7 +93,7 @@
 		{"an old view is worth less", balanced, []state{{has: resident, age: 10 * time.Second}, {has: resident}}, "", nil, "", "engine-1"},
 		{"stall weight spreads jobs", bundler.WeightsDocument{LoadStall: 1}, []state{{has: resident, running: 6}, {}, {}, {has: resident}}, "", nil, "", "engine-3"},
 		{"batch weight packs jobs", bundler.WeightsDocument{BatchEfficiency: 1}, []state{{has: resident}, {}, {}, {has: resident, running: 6}}, "", nil, "", "engine-3"},
-		{"a cached prefix attracts", balanced, []state{{has: resident}, {}, {}, {has: resident, prefixes: prefixes(7, prompt)}}, prompt, nil, "", "engine-3"},
+		{"a cached prefix attracts", balanced, []state{{has: resident}, {}, {}, {has: resident, prefixes: connector.Prefixes(model(7), prompt)}}, prompt, nil, "", "engine-3"},
 		{"an excluded engine is avoided", balanced, []state{{has: resident}, {room: 4}}, "", []string{"engine-0"}, "", "engine-1"},
 		{"a leaving engine is avoided at once", balanced, []state{{has: resident}, {room: 4}}, "", nil, "engine-0", "engine-1"},
 		{"an engine that takes no work is avoided", balanced, []state{{has: resident, closed: true}, {room: 4}}, "", nil, "", "engine-1"},
@@ -121,15 +120,6 @@
 	}
 }
 
-// prefixes returns the hashes that an engine publishes for a prompt.
-func prefixes(m int, prompt string) []uint64 {
-	var hashes []uint64
-	for n := 64; n <= len(prompt); n += 64 {
-		hashes = append(hashes, hash(model(m).String()+"\x00"+prompt[:n]))
-	}
-	return hashes
-}
-
 // Guards against all requests between two views going to one engine, and
 // against a prompt whose prefix is cached going elsewhere before the engine has
 // published it.
@@ -230,5 +220,3 @@
 	q := query(s, 5, strings.Repeat("prompt ", 50))
 	is.Equal(testing.AllocsPerRun(100, func() { p.Decide(q, s.Engines("base")) }), 0.0)
 }
-
-func hash(s string) uint64 { return xxhash.Sum64String(s) }
--- a/placer/weighing.go
+++ b/placer/weighing.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dragonflyford/dragonflyford/bundler"
+	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/viewer"
 )
 
@@ -47,9 +48,6 @@
 // costs no more than 1 KiB of hashing.
 const maxBlocks = 16
 
-// prefixBlock is the size of the blocks that engines cache, in bytes.
-const prefixBlock = 64
-
 // weighing is what all engines share in the decision on one query.
 type weighing struct {
 	stall    float64 // share of the weight on load stalls
@@ -80,7 +78,7 @@
 // hashPrefixes hashes the blocks of the prompt as engines do. It works on the
 // stack, which connector.Prefixes cannot.
 func (w *weighing) hashPrefixes(q *Query) {
-	w.blocks = min(len(q.prompt)/prefixBlock, maxBlocks)
+	w.blocks = min(len(q.prompt)/connector.PrefixBlock, maxBlocks)
 	if w.blocks == 0 {
 		return
 	}
@@ -91,7 +89,7 @@
 	_, _ = d.WriteString(q.model.Version())
 	_, _ = d.WriteString("\x00")
 	for i := range w.blocks {
-		_, _ = d.WriteString(q.prompt[i*prefixBlock : (i+1)*prefixBlock])
+		_, _ = d.WriteString(q.prompt[i*connector.PrefixBlock : (i+1)*connector.PrefixBlock])
 		w.prefixes[i] = d.Sum64()
 	}
 }
--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -27,6 +27,7 @@
 	running   int       // jobs that use the version
 	waiting   atomic.Int64
 	unsettled bool      // a previous owner's job may use the version
+	retiring  bool      // takes no new job, so that its slot becomes free
 	seen      time.Time // when an unsettled version was first reported
 	heat      heat
 	failures  int // loads in a row
@@ -91,6 +92,7 @@
 func (s *Scheduler) setState(e *entry, to state) {
 	e.state = to
 	e.since = time.Now()
+	e.retiring = false
 	s.stale = true
 }
 
--- a/scheduler/loader.go
+++ b/scheduler/loader.go
@@ -64,6 +64,55 @@
 	return best.entry
 }
 
+// starvedAfter is how long a request waits for a slot before an adapter in use
+// must make room. Most jobs end within it, so that slots rarely need this.
+const starvedAfter = 3 * time.Second
+
+// relieve frees a slot for a request that has waited too long while steady
+// requests pin every adapter in the engine: the least used adapter takes no new
+// jobs, and the requests that wait for it go to another engine.
+func (s *Scheduler) relieve(now time.Time) {
+	starved := slices.ContainsFunc(s.queue, func(w *waiter) bool {
+		return w.entry.state == absent && now.Sub(w.arrived) > starvedAfter
+	})
+	retiring := s.leastUsed(now, func(e *entry) bool { return e.retiring })
+	if !starved || s.room() > 0 {
+		if retiring != nil {
+			retiring.retiring = false
+			s.stale = true
+		}
+		return
+	}
+	if retiring != nil {
+		return
+	}
+	e := s.leastUsed(now, func(e *entry) bool { return !e.unsettled })
+	if e == nil {
+		return
+	}
+	e.retiring = true
+	s.stale = true
+	s.refuse(retiringFault(e.model), func(w *waiter) bool { return w.entry == e })
+}
+
+// leastUsed returns the resident adapter with the lowest rate of requests among
+// those that match, or nil.
+func (s *Scheduler) leastUsed(now time.Time, match func(*entry) bool) *entry {
+	var (
+		best *entry
+		low  = math.Inf(1)
+	)
+	for _, e := range s.entries {
+		if e.state != resident || !match(e) {
+			continue
+		}
+		if rate := e.heat.rate(now); best == nil || rate < low || rate == low && e.since.Before(best.since) {
+			best, low = e, rate
+		}
+	}
+	return best
+}
+
 // load brings an adapter into the engine. The adapter that makes room for it
 // stays usable until the weight store has given permission.
 func (s *Scheduler) load(e *entry) {
@@ -115,27 +164,16 @@
 // adapters of an engine take about the same time to load, so that the cost is
 // the rate of requests alone.
 func (s *Scheduler) victim() (*entry, bool) {
-	var (
-		best  *entry
-		taken int
-		now   = time.Now()
-		low   = math.Inf(1)
-	)
+	taken := 0
 	for _, e := range s.entries {
 		if e.state == loading || e.state == resident {
 			taken++
 		}
-		if !e.evictable() {
-			continue
-		}
-		rate := e.heat.rate(now)
-		if best == nil || rate < low || rate == low && e.since.Before(best.since) {
-			best, low = e, rate
-		}
 	}
 	if taken < s.slots {
 		return nil, true
 	}
+	best := s.leastUsed(time.Now(), (*entry).evictable)
 	return best, best != nil
 }
 
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -71,13 +71,24 @@
 	case len(s.queue) >= s.queueLimit:
 		return classifier.NewOverloaded(fmt.Sprintf("%d requests wait for engine %q", len(s.queue), s.name), classifier.RetryAfter(retryElsewhere))
 	}
-	if e := s.entries[m]; e != nil && e.state == absent && now.Before(e.retryAt) {
+	e := s.entries[m]
+	if e == nil {
+		return nil
+	}
+	if e.retiring {
+		return retiringFault(m)
+	}
+	if e.state == absent && now.Before(e.retryAt) {
 		return classifier.NewUnavailable(fmt.Sprintf("adapter %s could not be loaded", m),
 			classifier.RetryAfter(e.retryAt.Sub(now)), classifier.Cause(e.failure))
 	}
 	return nil
 }
 
+func retiringFault(m connector.Model) error {
+	return classifier.NewUnavailable(fmt.Sprintf("adapter %s makes room for another one", m), classifier.RetryAfter(retryElsewhere))
+}
+
 func leavingFault() error {
 	return classifier.NewUnavailable("the engine is leaving", classifier.RetryAfter(retryElsewhere))
 }
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -58,6 +58,7 @@
 	s.prefixes = viewer.NewPrefixes(r.Prefixes())
 	s.takeResidency(r, at)
 	s.settle(r, at)
+	s.relieve(time.Now())
 	s.reported = true
 	s.forget(time.Now())
 	s.advance()
@@ -130,7 +131,7 @@
 		e := s.entry(m)
 		if e.state == absent && e.since.Before(at) {
 			s.setState(e, resident)
-			e.unsettled = true
+			e.unsettled = s.reported || !s.vouched || s.held[m]
 			e.seen = time.Now()
 		}
 	}
@@ -164,7 +165,7 @@
 }
 
 // SettledExcept tells that the previous owner holds pins on the given models
-// only.
+// only. Before the first report it covers the adapters that the report finds.
 func (s *Scheduler) SettledExcept(inUse ...connector.Model) {
 	held := make(map[connector.Model]bool, len(inUse))
 	for _, m := range inUse {
@@ -172,6 +173,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.vouched, s.held = true, held
 	for m, e := range s.entries {
 		if !held[m] {
 			e.unsettled = false
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -66,6 +66,8 @@
 	broken       []brokenJob // may have ended with a crash that is not reported yet
 	reported     bool        // a report has arrived
 	failedInARow int         // reports
+	vouched      bool        // the previous owner has said what it uses
+	held         map[connector.Model]bool
 	prefixes     *viewer.Prefixes
 	leaving      bool
 	leavingSince time.Time
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -114,6 +115,8 @@
 		{"a failing adapter is loaded again at once or delays others", backoff},
 		{"a restart goes unnoticed", restart},
 		{"a new owner evicts an adapter that the old owner's job uses", settling},
+		{"a new owner does not believe the old owner's answer", vouched},
+		{"steady requests for resident adapters starve another one", starved},
 		{"two suspect jobs run together", suspects},
 		{"a draining engine takes work or cuts it", drain},
 		{"an order is sent without the lease", lost},
@@ -268,6 +271,46 @@
 	is.Equal(len(r.engine.faults), 0)
 }
 
+func vouched(t *testing.T, is *is.I) {
+	r := &rig{engine: newEngine(2), lease: &lease{}, crashes: &crashes{}}
+	r.engine.resident[model("free")] = true
+	r.engine.resident[model("held")] = true
+	r.engine.set(func() { r.engine.silent = true })
+	r.start(t, 2, 8)
+	defer r.Close()
+	r.SettledExcept(model("held"))
+	r.engine.set(func() { r.engine.silent = false })
+	sleep(500 * time.Millisecond)
+	is.Equal(r.Settling(), []connector.Model{model("held")})
+	w := r.run(t.Context(), job("1", "new"))
+	sleep(300 * time.Millisecond)
+	is.NoErr(started(t, w).Close())
+	is.Equal(r.view.Load().Residency(model("held")), viewer.Resident)
+}
+
+func starved(t *testing.T, is *is.I) {
+	r := newRig(t, 1, 8)
+	defer r.Close()
+	var steady sync.WaitGroup
+	defer steady.Wait()
+	for i := range 40 {
+		steady.Go(func() {
+			time.Sleep(time.Duration(i) * time.Second)
+			if s, err := r.Run(t.Context(), job(fmt.Sprint(i), "steady")); err == nil {
+				time.Sleep(2 * time.Second)
+				_ = s.Close()
+			}
+		})
+	}
+	sleep(10 * time.Second)
+	w := r.run(t.Context(), job("other", "other"))
+	sleep(10 * time.Second)
+	is.NoErr(started(t, w).Close())
+	sleep(10 * time.Second)
+	is.Equal(r.view.Load().Residency(model("steady")), viewer.Resident) // it comes back
+	is.Equal(len(r.engine.faults), 0)
+}
+
 func suspects(t *testing.T, is *is.I) {
 	r := newRig(t, 1, 8)
 	defer r.Close()
--- a/scheduler/view.go
+++ b/scheduler/view.go
@@ -68,7 +68,9 @@
 		case pending, loading:
 			models[m] = viewer.Loading
 		case resident:
-			models[m] = viewer.Resident
+			if !e.retiring {
+				models[m] = viewer.Resident
+			}
 		}
 	}
 	return models
