--- a/claimer/held.go
+++ b/claimer/held.go
@@ -46,6 +46,10 @@
 // Reply returns the stored answer.
 func (r *Replay) Reply() connector.Reply { return r.reply }
 
+// Key returns the claim's row. It names the work: all attempts at one
+// idempotency key have it in common.
+func (h *Held) Key() string { return h.key }
+
 // Attempt returns the id of the attempt that holds the claim.
 func (h *Held) Attempt() string { return h.attempt }
 
--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -26,7 +26,7 @@
 		return nil, fmt.Errorf("find service endpoint %q: %w", choice.Endpoint().Name(), err)
 	}
 	if held, ok := p.Claim().(*claimer.Held); ok {
-		return d.post(ctx, svc, p, held, operation(p, route, held.Attempt()))
+		return d.post(ctx, svc, p, held, operation(p, route, held.Key()))
 	}
 	defer p.Ended()
 	reply, err := svc.Call(ctx, operation(p, route, p.ID()))
