viewer: replace one view without copying the set of engines

Each new view copied the map of all engines: 659 us and 437 kB at 11,000 engines, and an owner publishes up to 50 views of an engine per second. The set is now copied only when an engine is new; a view is replaced by one atomic store: 63 ns and no allocation. The view keeps the hash of its engine's name, and the placer no longer counts an eviction as a sign of saturation, which made it scan all windows.

BenchmarkDecide on a busy machine (load 25 on 10 cores): 12 engines 1690 to 1890 ns before and 1210 to 1620 ns after; 3700 engines 626 us before and 4.3 to 5.0 us after.

--- a/placer/decider.go
+++ b/placer/decider.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/dragonflyford/dragonflyford/bundler"
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/viewer"
@@ -98,7 +96,7 @@
 	}
 	p.recent.note(bestView)
 	if w.blocks > 0 {
-		p.history.note(w.prefixes[w.blocks-1], best.Name())
+		p.history.note(w.prefixes[w.blocks-1], bestView)
 	}
 	return best, bestView.Owner(), low
 }
@@ -121,7 +119,7 @@
 	case Random:
 		return float64(p.next())
 	case AdapterHash:
-		return float64(mix(q.hash ^ xxhash.Sum64String(e.Name())))
+		return float64(mix(q.hash ^ v.EngineHash()))
 	default:
 		return p.weigh(q, w, e, v, now)
 	}
--- a/placer/memory.go
+++ b/placer/memory.go
@@ -3,8 +3,6 @@
 import (
 	"sync/atomic"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/dragonflyford/dragonflyford/viewer"
 )
 
@@ -21,7 +19,7 @@
 }
 
 func (r *recent) slot(v *viewer.View) *recentSlot {
-	return &r.slots[xxhash.Sum64String(v.Engine())%counters]
+	return &r.slots[v.EngineHash()%counters]
 }
 
 func (r *recent) note(v *viewer.View) {
@@ -52,8 +50,8 @@
 	return &h.entries[prefix%uint64(len(h.entries))]
 }
 
-func (h *history) note(prefix uint64, engine string) {
-	h.entry(prefix).Store(prefix>>32<<32 | uint64(fold(engine)))
+func (h *history) note(prefix uint64, v *viewer.View) {
+	h.entry(prefix).Store(prefix>>32<<32 | uint64(fold(v)))
 }
 
 // find returns the folded name of the engine that a prefix went to, or 0.
@@ -65,4 +63,4 @@
 	return uint32(e)
 }
 
-func fold(engine string) uint32 { return uint32(xxhash.Sum64String(engine)) }
+func fold(v *viewer.View) uint32 { return uint32(v.EngineHash()) }
--- a/placer/weighing.go
+++ b/placer/weighing.go
@@ -43,7 +43,7 @@
 	// same engine for an adapter.
 	homePrice = 50
 	// saturated is the cost above which an engine has no place left.
-	saturated = loadTime + loadPrice + packPrice
+	saturated = loadTime + loadPrice + evictionPrice + packPrice
 )
 
 // freshFor covers the interval between two reports of a remote owner.
@@ -110,7 +110,7 @@
 
 // weigh estimates what a query costs on an engine.
 func (p *Placer) weigh(q *Query, w *weighing, e *bundler.EngineEndpoint, v *viewer.View, now time.Time) float64 {
-	cost := p.loadCost(q, w, e, v) + batchCost(w, v, p.recent.count(v))
+	cost := loadCost(q, w, v) + batchCost(w, v, p.recent.count(v))
 	if e.Region() != p.region {
 		cost += w.remote
 	}
@@ -122,14 +122,14 @@
 
 // loadCost is the expected wait for the adapter, and what its load takes from
 // others.
-func (p *Placer) loadCost(q *Query, w *weighing, e *bundler.EngineEndpoint, v *viewer.View) float64 {
+func loadCost(q *Query, w *weighing, v *viewer.View) float64 {
 	switch v.ResidencyOf(q.hash, q.model) {
 	case viewer.Resident:
-		return -p.prefixGain(w, e, v)
+		return -prefixGain(w, v)
 	case viewer.Loading:
 		return loadingTime
 	}
-	home := homePrice * float64(mix(q.hash^xxhash.Sum64String(e.Name()))>>11) / (1 << 53)
+	home := homePrice * float64(mix(q.hash^v.EngineHash())>>11) / (1 << 53)
 	if v.Room() == 0 {
 		return loadTime + loadPrice + pinnedPrice + home
 	}
@@ -147,12 +147,12 @@
 	return evictionPrice * rate / (rate + 1.0/reuseWithin)
 }
 
-func (p *Placer) prefixGain(w *weighing, e *bundler.EngineEndpoint, v *viewer.View) float64 {
+func prefixGain(w *weighing, v *viewer.View) float64 {
 	if w.blocks == 0 {
 		return 0
 	}
 	blocks := w.cached(v)
-	if blocks == 0 && w.went != 0 && w.went == fold(e.Name()) {
+	if blocks == 0 && w.went != 0 && w.went == fold(v) {
 		blocks = w.blocks
 	}
 	return blockTime * float64(blocks)
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -24,6 +24,7 @@
 // View is what its owner last said of one engine. It never changes.
 type View struct {
 	engine   string
+	hash     uint64 // of the engine's name
 	owner    string
 	models   map[connector.Model]Residency
 	hashes   []uint64 // of models, in any order
@@ -101,6 +102,7 @@
 func NewView(engine, owner string, models map[connector.Model]Residency, slots, batch, running, queued int, taken time.Time, accepted bool, opts ...Option) *View {
 	v := &View{
 		engine:   engine,
+		hash:     xxhash.Sum64String(engine),
 		owner:    owner,
 		models:   models,
 		slots:    slots,
@@ -123,6 +125,9 @@
 // Engine returns the engine's name.
 func (v *View) Engine() string { return v.engine }
 
+// EngineHash returns the hash of the engine's name.
+func (v *View) EngineHash() uint64 { return v.hash }
+
 // Owner returns the node that owns the engine, or "".
 func (v *View) Owner() string { return v.owner }
 
@@ -173,13 +178,21 @@
 // Accepts reports whether the engine takes new work.
 func (v *View) Accepts() bool { return v.accepted }
 
-// Views is an immutable set of views by engine.
+// Views is an immutable set of engines. Each engine's latest view is replaced by
+// one atomic store, because a copy of the whole set for each new view would cost
+// more than the requests do.
 type Views struct {
-	byEngine map[string]*View
+	byEngine map[string]*atomic.Pointer[View]
 }
 
-// Engine returns the view of an engine, or nil if the node knows nothing of it.
-func (v *Views) Engine(name string) *View { return v.byEngine[name] }
+// Engine returns the latest view of an engine, or nil if the set has none.
+func (v *Views) Engine(name string) *View {
+	latest, ok := v.byEngine[name]
+	if !ok {
+		return nil
+	}
+	return latest.Load()
+}
 
 // Len returns the number of engines known.
 func (v *Views) Len() int { return len(v.byEngine) }
@@ -197,21 +210,37 @@
 	return v
 }
 
-// Load returns the latest views.
+// Load returns the engines that are known now.
 func (v *Viewer) Load() *Views { return v.views.Load() }
 
-// Update replaces the views of the given engines.
+// Update replaces the views of the given engines. The set is copied only for
+// engines that it lacks.
 func (v *Viewer) Update(views ...*View) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	next := maps.Clone(v.views.Load().byEngine)
-	if next == nil {
-		next = make(map[string]*View, len(views))
-	}
+	known := v.views.Load().byEngine
+	var added []*View
 	for _, view := range views {
-		next[view.engine] = view
+		if latest, ok := known[view.engine]; ok {
+			latest.Store(view)
+			continue
+		}
+		added = append(added, view)
 	}
-	v.views.Store(&Views{byEngine: next})
+	if len(added) > 0 {
+		v.views.Store(&Views{byEngine: with(known, added)})
+	}
+}
+
+func with(known map[string]*atomic.Pointer[View], added []*View) map[string]*atomic.Pointer[View] {
+	next := make(map[string]*atomic.Pointer[View], len(known)+len(added))
+	maps.Copy(next, known)
+	for _, view := range added {
+		latest := &atomic.Pointer[View]{}
+		latest.Store(view)
+		next[view.engine] = latest
+	}
+	return next
 }
 
 // Remove forgets engines.
