trial: let views of other regions arrive late

Views reached every region at once. Now each region sees the others' engines once per second, as the nodes do.

--- a/trial/simulation_test.go
+++ b/trial/simulation_test.go
@@ -20,14 +20,17 @@
 )
 
 // simulation runs one trace through the real placer, schedulers and budgeter.
-// Views reach every region at once; the weight store's budget is that of one
-// node, so that no race for the row makes a run differ from the next.
+// Each region has one node that owns the region's engines and asks the other
+// regions for their views once per second, as runner does. The weight store's
+// budget is that of one node, so that no race for the row makes a run differ
+// from the next.
 type simulation struct {
 	deployment
 	bundle  *bundler.Snapshot
 	engines map[string]*engine
 	owners  map[string]*scheduler.Scheduler
 	placers []*placer.Placer // by region
+	views   []*viewer.Viewer // by region
 
 	mu         sync.Mutex
 	stalls     []time.Duration
@@ -73,24 +76,57 @@
 		engines:    make(map[string]*engine),
 		owners:     make(map[string]*scheduler.Scheduler),
 	}
-	views := viewer.New()
+	for range d.regions {
+		v := viewer.New()
+		s.views = append(s.views, v)
+		s.placers = append(s.placers, placer.New(v, d.regions[len(s.placers)], placer.WithPolicy(policy), placer.WithSeed(seed)))
+	}
 	asserts := asserter.New(func(v asserter.Violation) { t.Error(v) })
 	budget := budgeter.New(emulator.NewTable(), "node", s.bundle.Limits, func() (int, int) { return 0, 1 }, seed)
 	defer budget.Close()
-	for _, e := range s.bundle.Engines("base") {
+	for i, e := range s.bundle.Engines("base") {
 		s.engines[e.Name()] = newEngine()
+		publish := func(v *viewer.View) { s.views[i%len(d.regions)].Update(v) }
 		s.owners[e.Name()] = scheduler.New(e.Name(), "node", slots, batch, s.engines[e.Name()], lease{}, budget, asserts,
-			func(v *viewer.View) { views.Update(v) }, scheduler.WithAllowance(0), scheduler.WithSeed(seed))
+			publish, scheduler.WithAllowance(0), scheduler.WithSeed(seed))
 		defer s.owners[e.Name()].Close()
 	}
-	for _, region := range d.regions {
-		s.placers = append(s.placers, placer.New(views, region, placer.WithPolicy(policy), placer.WithSeed(seed)))
+	ctx, cancel := context.WithCancel(t.Context())
+	var gossip sync.WaitGroup
+	for region := range d.regions {
+		gossip.Go(func() { s.gossip(ctx, region) })
 	}
-	time.Sleep(time.Second) // the first reports
+	time.Sleep(3 * gossipEvery) // the first reports and views
 	s.play(t.Context(), trace)
+	cancel()
+	gossip.Wait()
 	return s.result()
 }
 
+// gossipEvery is how often a node asks the nodes of other regions for their
+// views; see farPoll in package runner.
+const gossipEvery = time.Second
+
+// gossip brings the views of other regions to one region. Each region asks at
+// its own phase, which no report or view falls on, because the order of events
+// at the same instant differs between runs.
+func (s *simulation) gossip(ctx context.Context, region int) {
+	time.Sleep(gossipEvery * time.Duration(3*region+1) / time.Duration(3*len(s.regions)))
+	for ctx.Err() == nil {
+		var views []*viewer.View
+		for i, e := range s.bundle.Engines("base") {
+			if from := i % len(s.regions); from != region {
+				if v := s.views[from].Load().Engine(e.Name()); v != nil {
+					views = append(views, v)
+				}
+			}
+		}
+		time.Sleep(crossRegionTime)
+		s.views[region].Update(views...)
+		time.Sleep(gossipEvery - crossRegionTime)
+	}
+}
+
 func (s *simulation) play(ctx context.Context, trace []request) {
 	start := time.Now()
 	var requests sync.WaitGroup
