scheduler: start no suspect job while a previous owner's jobs may run

A random run of owners that take an engine over found two suspect jobs in one batch: the new owner did not know that a job of the old owner was suspect, and reports do not say so. A suspect job now waits until every adapter is settled.

--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -151,7 +151,7 @@
 func (s *Scheduler) nextReady() int {
 	best := -1
 	for i, w := range s.queue {
-		if w.entry.state != resident || w.job.Suspect() && s.suspects > 0 {
+		if w.entry.state != resident || w.job.Suspect() && !s.takesSuspect() {
 			continue
 		}
 		if best < 0 || w.before(s.queue[best]) {
@@ -161,6 +161,20 @@
 	return best
 }
 
+// takesSuspect reports whether a suspect job would be the only one. A job of a
+// previous owner may be suspect too, and the engine's report does not say so.
+func (s *Scheduler) takesSuspect() bool {
+	if s.suspects > 0 {
+		return false
+	}
+	for _, e := range s.entries {
+		if e.unsettled {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Scheduler) start(w *waiter) {
 	w.started = time.Now()
 	w.stall = max(w.entry.since.Sub(w.arrived), 0) // the entry is resident since then
--- /dev/null
+++ b/scheduler/takeover_test.go
@@ -0,0 +1,85 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against a new owner that evicts what a job of an earlier owner still
+// uses, or that finds no slot because it waits for such a job for ever. The old
+// owner answers the question for its pins only sometimes, and the engine may
+// restart in between.
+func TestTakeover(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) step {
+			return step{
+				Pause:    rapid.IntRange(0, 600).Draw(rt, "pause"),
+				Event:    rapid.IntRange(0, 12).Draw(rt, "event"),
+				Adapter:  rapid.IntRange(0, 4).Draw(rt, "adapter"),
+				Hold:     rapid.IntRange(0, 6000).Draw(rt, "hold"),
+				Deadline: rapid.IntRange(1, 9000).Draw(rt, "deadline"),
+			}
+		}), 1, 60).Draw(rt, "steps")
+		var faults []string
+		synctest.Test(t, func(t *testing.T) { faults = takeOver(t, steps) })
+		if len(faults) > 0 {
+			rt.Fatalf("faults: %v", faults)
+		}
+	})
+}
+
+func takeOver(t *testing.T, steps []step) []string {
+	const slots, batch = 2, 4
+	owner := newRig(t, slots, batch)
+	e := owner.engine
+	var requests sync.WaitGroup
+	for i, s := range steps {
+		time.Sleep(time.Duration(s.Pause) * time.Millisecond)
+		switch s.Event {
+		case 0:
+			e.restart()
+		case 1, 2:
+			previous := owner
+			previous.lease.set(true)
+			previous.SetLeaving(true)
+			time.Sleep(time.Second) // the guard
+			owner = &rig{engine: e, lease: &lease{}, crashes: &crashes{}}
+			owner.start(t, slots, batch)
+			if s.Event == 1 {
+				owner.SettledExcept(previous.InUse()...)
+			}
+			requests.Go(func() {
+				_ = previous.Drain(t.Context())
+				previous.Close()
+			})
+		default:
+			current := owner
+			requests.Go(func() { current.request(t.Context(), i, s) })
+		}
+	}
+	requests.Wait()
+	time.Sleep(5 * time.Second) // every adapter settles
+	var faults []string
+	last := owner.run(t.Context(), job("last", "last"))
+	sleep(5 * time.Second)
+	select {
+	case r := <-last:
+		if r.err != nil {
+			faults = append(faults, fmt.Sprintf("the last owner serves nothing: %v", r.err))
+		} else {
+			_ = r.Close()
+		}
+	default:
+		faults = append(faults, "the last owner finds no slot")
+		owner.Close()
+		<-last
+	}
+	owner.Close()
+	e.set(func() { faults = append(faults, e.faults...) })
+	return faults
+}
