--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -39,6 +39,7 @@
 	tried []string
 	run   func(try int, engine string, job connector.Job) (connector.Stream, error)
 	call  func(try int) (connector.Reply, error)
+	close func() // of the dispatcher
 }
 
 func (s *script) Executor(engine, _ string) (dispatcher.Executor, error) {
@@ -115,6 +116,7 @@
 	t.Cleanup(claims.Close)
 	d := dispatcher.New(s, dispatcher.WithPostingTimeout(10*time.Second))
 	t.Cleanup(d.Close)
+	s.close = d.Close
 	inner := chainer.Join(chainer.Join(placer.New(views, "lj"), d), verifier.New(asserts))
 	limits := receiver.NewLimits(100, 1000, 30*time.Second, time.Minute)
 	enter := chainer.Join(chainer.Join(receiver.New(limits), resolver.New(bundles)), admitter.New(1000))
@@ -333,3 +335,30 @@
 		is.Equal(len(s.tried), 1)
 	})
 }
+
+// Guards against a planned stop that cuts a posting, and against a posting that
+// starts while its node closes.
+func TestPostingsEndBeforeClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &script{call: func(int) (connector.Reply, error) {
+			time.Sleep(5 * time.Second)
+			return connector.NewReply("", 200, "", nil), nil
+		}}
+		p := pipeline(t, s, 1)
+		posting := func(key string) error {
+			_, err := p.Apply(t.Context(), receiver.NewServiceCall("ledger", "POST", "/postings", []byte("{}"), key, 1))
+			return err
+		}
+		first := make(chan error, 1)
+		go func() { first <- posting("one") }()
+		time.Sleep(time.Second)
+		start := time.Now()
+		s.close()
+		waited := time.Since(start) // the claimer groups its writes for some milliseconds
+		is.True(waited >= 4*time.Second && waited < 5*time.Second)
+		is.NoErr(<-first)
+		is.Equal(classifier.Of(posting("two")).Outcome(), classifier.NotRun{})
+		is.Equal(len(s.tried), 1)
+	})
+}
