--- a/benchmarker/benchmarker.go
+++ b/benchmarker/benchmarker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,7 @@
 type Benchmarker struct {
 	doc       *Document
 	expect    Expectation
+	transport http.RoundTripper
 	callers   []*requester.Requester
 	collector *collector
 	started   atomic.Int64
@@ -32,16 +34,23 @@
 // WithExpectation checks every token.
 func WithExpectation(e Expectation) Option { return func(b *Benchmarker) { b.expect = e } }
 
+// WithTransport sets the HTTP transport of all callers.
+func WithTransport(t http.RoundTripper) Option { return func(b *Benchmarker) { b.transport = t } }
+
 // New returns a run of a checked workload.
 func New(doc *Document, opts ...Option) *Benchmarker {
-	b := &Benchmarker{doc: doc, collector: newCollector(doc.Seed)}
+	b := &Benchmarker{doc: doc, collector: newCollector(doc.Seed, doc.timeout())}
 	for _, opt := range opts {
 		opt(b)
 	}
+	var options []requester.Option
+	if b.transport != nil {
+		options = append(options, requester.WithTransport(b.transport))
+	}
 	for i := range doc.Callers {
 		// Callers start at different addresses, as callers in different places do.
 		entries := rotate(doc.Entries, i)
-		b.callers = append(b.callers, requester.New(CallerName(i), entries, doc.Seed+uint64(i)))
+		b.callers = append(b.callers, requester.New(CallerName(i), entries, doc.Seed+uint64(i), options...))
 	}
 	return b
 }
@@ -55,7 +64,8 @@
 }
 
 // Run starts every request at its time and waits for all answers. A cancelled
-// context stops new requests and ends those in flight.
+// context stops new requests and ends those in flight, which then count as
+// unknown.
 func (b *Benchmarker) Run(ctx context.Context) *Result {
 	var requests sync.WaitGroup
 	start := time.Now()
@@ -126,7 +136,7 @@
 	if done && len(t.Tokens()) != g.MaxTokens() {
 		return true
 	}
-	if t.Adapter() != "" && t.Adapter()+"@"+t.Version() != g.Model() && strings.Contains(g.Model(), "@") {
+	if t.Mixed() || (len(t.Tokens()) > 0 && !names(t, g.Model())) {
 		return true
 	}
 	if b.expect == nil {
@@ -139,3 +149,10 @@
 	}
 	return false
 }
+
+// names reports whether an answer names the adapter, and the version if the
+// request names one.
+func names(t *requester.Text, model string) bool {
+	adapter, version, versioned := strings.Cut(model, "@")
+	return t.Adapter() == adapter && (!versioned || t.Version() == version)
+}
--- a/benchmarker/document.go
+++ b/benchmarker/document.go
@@ -5,8 +5,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"net"
+	"regexp"
 	"strings"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Document is a workload as it stands in a settings file.
@@ -84,12 +89,46 @@
 	if err := dec.Decode(d); err != nil {
 		return nil, fmt.Errorf("decode workload: %w", err)
 	}
+	if err := ended(dec); err != nil {
+		return nil, fmt.Errorf("decode workload: %w", err)
+	}
 	if err := d.Check(); err != nil {
 		return nil, err
 	}
 	return d, nil
 }
 
+var errTrailing = eris.New("there is text after the JSON object")
+
+// ended reports text after the one object of a document.
+func ended(dec *json.Decoder) error {
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return errTrailing
+	}
+	return nil
+}
+
+// The verbs that a number is put into.
+var (
+	numberVerb = regexp.MustCompile(`%(0?[0-9]{1,2})?d`)
+	anyVerb    = regexp.MustCompile(`%`)
+)
+
+// oneNumber reports whether a format holds one verb, and that for a number.
+func oneNumber(format string) bool {
+	return len(numberVerb.FindAllString(format, -1)) == 1 && len(anyVerb.FindAllString(format, -1)) == 1
+}
+
+// addresses reports whether a list holds only host:port.
+func addresses(list []string) bool {
+	for _, a := range list {
+		if host, port, err := net.SplitHostPort(a); err != nil || host == "" || port == "" {
+			return false
+		}
+	}
+	return len(list) > 0
+}
+
 // Check names every setting that is out of range.
 func (d *Document) Check() error {
 	var errs []error
@@ -98,17 +137,19 @@
 			errs = append(errs, fmt.Errorf("%s is %v; allowed is %s", name, value, allowed))
 		}
 	}
-	require(len(d.Entries) > 0, "entries", d.Entries, "at least one address")
+	require(addresses(d.Entries), "entries", d.Entries, "at least one address, each as host:port")
 	require(d.DurationS > 0 && d.DurationS <= maxDurationS, "duration_s", d.DurationS, "above 0 and up to 86400")
 	require(d.Rate > 0 && d.Rate <= maxRate, "rate", d.Rate, "above 0 and up to 100000")
 	require(d.Mix.Generation >= 0 && d.Mix.Posting >= 0 && d.Mix.Lookup >= 0, "mix", d.Mix, "no negative share")
 	require(d.Mix.Generation+d.Mix.Posting+d.Mix.Lookup > 0, "mix", d.Mix, "at least one share above 0")
-	require(strings.Count(d.Adapters.Format, "%") == 1, "adapters.format", d.Adapters.Format, "one verb such as %05d")
+	require(oneNumber(d.Adapters.Format), "adapters.format", d.Adapters.Format, "one verb such as %05d")
 	require(d.Adapters.Count >= 2, "adapters.count", d.Adapters.Count, "2 or more")
 	require(d.Adapters.Skew > 1, "adapters.skew", d.Adapters.Skew, "above 1")
 	require(d.MaxTokens >= 1, "max_tokens", d.MaxTokens, "1 or more")
 	require(d.TimeoutMS >= 1, "timeout_ms", d.TimeoutMS, "1 or more")
-	require(strings.Count(d.LookupPath, "%d") == 1, "lookup_path", d.LookupPath, "one %d")
+	require(oneNumber(d.LookupPath) && strings.HasPrefix(d.LookupPath, "/"), "lookup_path", d.LookupPath, "a path with one %d")
+	require(strings.HasPrefix(d.PostingPath, "/"), "posting_path", d.PostingPath, "a path")
+	require(d.PromptBytes >= 0, "prompt_bytes", d.PromptBytes, "0 or more")
 	require(d.Callers >= 1, "callers", d.Callers, "1 or more")
 	return errors.Join(errs...)
 }
--- a/benchmarker/result.go
+++ b/benchmarker/result.go
@@ -1,6 +1,9 @@
 package benchmarker
 
 import (
+	"bytes"
+	"encoding/json"
+	"fmt"
 	"sync"
 	"time"
 
@@ -35,6 +38,20 @@
 	CallMS       Quantiles      `json:"call_ms"`
 }
 
+// ParseResult reads a result strictly.
+func ParseResult(data []byte) (*Result, error) {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	var r Result
+	if err := dec.Decode(&r); err != nil {
+		return nil, fmt.Errorf("decode result: %w", err)
+	}
+	if err := ended(dec); err != nil {
+		return nil, fmt.Errorf("decode result: %w", err)
+	}
+	return &r, nil
+}
+
 // The histograms hold 10 µs to 10 minutes with three digits.
 const (
 	lowestMicros  = 10
@@ -44,6 +61,7 @@
 
 // collector gathers the results of concurrent requests.
 type collector struct {
+	timeout    time.Duration
 	mu         sync.Mutex
 	result     Result
 	firstToken *hdrhistogram.Histogram
@@ -71,8 +89,9 @@
 // Last returns the outcome that the caller ended with.
 func (p Posting) Last() classifier.Outcome { return p.outcomes[len(p.outcomes)-1] }
 
-func newCollector(seed uint64) *collector {
+func newCollector(seed uint64, timeout time.Duration) *collector {
 	return &collector{
+		timeout:    timeout,
 		result:     Result{Seed: seed, Problems: make(map[string]int)},
 		firstToken: hdrhistogram.New(lowestMicros, highestMicros, digits),
 		tokenGap:   hdrhistogram.New(lowestMicros, highestMicros, digits),
@@ -114,6 +133,8 @@
 	}
 	if len(t.Tokens()) > 0 {
 		record(c.firstToken, t.Timing().FirstToken().Sub(due))
+	} else {
+		record(c.firstToken, c.failed(t.Timing(), due))
 	}
 	for _, g := range t.Timing().Gaps() {
 		record(c.tokenGap, g)
@@ -126,9 +147,17 @@
 	c.count(r.Outcome(), r.Problem())
 	if _, done := r.Outcome().(classifier.Done); done {
 		record(c.call, r.Timing().Ended().Sub(due))
+	} else {
+		record(c.call, c.failed(r.Timing(), due))
 	}
 }
 
+// failed returns the time of a request without an answer. It is at least the
+// timeout, so that a system cannot improve its times by failing slow requests.
+func (c *collector) failed(t requester.Timing, due time.Time) time.Duration {
+	return max(t.Ended().Sub(due), c.timeout)
+}
+
 func (c *collector) addPosting(p Posting) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/requester/call.go
+++ b/requester/call.go
@@ -93,6 +93,7 @@
 	if c.key != "" {
 		req.Header.Set("Idempotency-Key", c.key)
 		req.Header.Set("Idempotency-Attempt", strconv.Itoa(n+1))
+		forbidReplay(req, c.body)
 	}
 	resp, err := r.do(req, "")
 	if err != nil {
@@ -110,3 +111,12 @@
 	}
 	return attempt{outcome: outcome}
 }
+
+// forbidReplay keeps http.Transport from sending a request again by itself, which
+// it does with requests that carry an Idempotency-Key when a connection breaks.
+// The repeat would have the number of the first attempt, so that a node could
+// answer not-run although the first one ran.
+func forbidReplay(req *http.Request, body []byte) {
+	req.Body = io.NopCloser(bytes.NewReader(body)) // not NoBody, which is always replayed
+	req.GetBody = nil
+}
--- a/requester/generate.go
+++ b/requester/generate.go
@@ -52,6 +52,7 @@
 	version string
 	epoch   string
 	resumes int
+	mixed   bool
 	problem *Problem
 	timing  Timing
 }
@@ -74,6 +75,10 @@
 // Resumes returns how often the stream was resumed.
 func (t *Text) Resumes() int { return t.resumes }
 
+// Mixed reports whether a resumed stream named another adapter version than the
+// tokens before it came from.
+func (t *Text) Mixed() bool { return t.mixed }
+
 // Problem returns why the text is not complete, or nil.
 func (t *Text) Problem() *Problem { return t.problem }
 
@@ -141,8 +146,13 @@
 	if resp.StatusCode != http.StatusOK {
 		return attempt{outcome: classifier.ParseOutcome(resp.Header.Get("X-Outcome")), problem: readProblem(resp)}
 	}
-	t.adapter = resp.Header.Get("X-Adapter")
-	t.version = resp.Header.Get("X-Version")
+	adapter, version := resp.Header.Get("X-Adapter"), resp.Header.Get("X-Version")
+	if len(t.tokens) > 0 && (adapter != t.adapter || version != t.version) {
+		t.mixed = true
+		return attempt{outcome: classifier.Unknown{}, problem: connectionProblem(fmt.Errorf(
+			"the resumed stream is from %q@%q, the tokens before it are from %q@%q", adapter, version, t.adapter, t.version))}
+	}
+	t.adapter, t.version = adapter, version
 	t.epoch = resp.Header.Get("X-Bundle-Epoch")
 	return r.follow(resp.Body, t)
 }
