commander: add status, explain, report, load and completion

Operators had no view of running nodes, of the burn of service levels or of load runs from the command line.

Nodes are asked at the addresses of the settings, or of a directory that the node assembly provides. The status of an engine gains slots, batch and what is being loaded.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -26,11 +26,24 @@
 	table   storer.Table
 	objects storer.Objects
 	nodes   roller.Nodes
+	// directory may be nil; commands then ask the nodes that the settings list.
+	directory Directory
 }
 
+// PlatformOption sets an optional property of a Platform.
+type PlatformOption func(*Platform)
+
+// WithDirectory finds the operator addresses of nodes that the settings do not
+// list.
+func WithDirectory(d Directory) PlatformOption { return func(p *Platform) { p.directory = d } }
+
 // NewPlatform returns a platform.
-func NewPlatform(table storer.Table, objects storer.Objects, nodes roller.Nodes) *Platform {
-	return &Platform{table: table, objects: objects, nodes: nodes}
+func NewPlatform(table storer.Table, objects storer.Objects, nodes roller.Nodes, opts ...PlatformOption) *Platform {
+	p := &Platform{table: table, objects: objects, nodes: nodes}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
 }
 
 // Connect opens the platform that the settings name.
@@ -59,7 +72,7 @@
 
 // globals are the options of all commands.
 type globals struct {
-	Config  string `long:"config" value-name:"FILE" description:"JSON settings: operator, table, objects, key_file, keys, revoked"`
+	Config  string `long:"config" value-name:"FILE" description:"JSON settings of an operator, see docs/OPERATORS.md"`
 	Version bool   `long:"version" description:"print the version and exit"`
 }
 
@@ -89,6 +102,7 @@
 		s.config = g.Config
 		return command.Execute(rest)
 	}
+	parser.CompletionHandler = c.complete
 	_, err := parser.ParseArgs(args)
 	return c.report(err)
 }
@@ -114,12 +128,13 @@
 func (s *session) addCommands(parser *flags.Parser) error {
 	groups := []struct {
 		name, short string
+		data        any // options, or a command that runs without a subcommand
 		commands    []subcommand
 	}{
-		{"key", "manage keys", []subcommand{
+		{"key", "manage keys", &struct{}{}, []subcommand{
 			{"new", "create a key pair", &keyNew{session: s}},
 		}},
-		{"bundle", "check, sign and roll out bundles", []subcommand{
+		{"bundle", "check, sign and roll out bundles", &struct{}{}, []subcommand{
 			{"check", "check a bundle file", &bundleCheck{session: s}},
 			{"sign", "sign a bundle file as its author", &bundleSign{session: s}},
 			{"review", "show what a bundle changes and sign it as reviewer", &bundleReview{session: s}},
@@ -128,14 +143,28 @@
 			{"status", "show what is in force by region and node", &bundleStatus{session: s}},
 			{"history", "list accepted bundles, newest first", &bundleHistory{session: s}},
 		}},
-		{"drain", "ask for a planned stop", drains(s, false)},
-		{"undrain", "end a planned stop", drains(s, true)},
+		{"drain", "ask for a planned stop", &struct{}{}, drains(s, false)},
+		{"undrain", "end a planned stop", &struct{}{}, drains(s, true)},
+		{"status", "show what every node does", &status{session: s}, nil},
+		{"explain", "show what the nodes decided about a request", &explain{session: s}, nil},
+		{"report", "show and prune the history of service levels", &struct{}{}, []subcommand{
+			{"burn", "show how fast service levels use their error budgets", &reportBurn{session: s}},
+			{"prune", "remove old history, also of nodes that are gone", &reportPrune{session: s}},
+		}},
+		{"load", "put a load on a deployment", &load{session: s}, []subcommand{
+			{"compare", "show two results side by side", &loadCompare{session: s}},
+		}},
+		{"completion", "print the completion script of a shell", &struct{}{}, []subcommand{
+			{"bash", "print a script for bash to source", &completionBash{session: s}},
+		}},
 	}
 	for _, g := range groups {
-		group, err := parser.AddCommand(g.name, g.short, "", &struct{}{})
+		group, err := parser.AddCommand(g.name, g.short, "", g.data)
 		if err != nil {
 			return fmt.Errorf("add command %s: %w", g.name, err)
 		}
+		// A group that runs by itself needs no subcommand.
+		_, group.SubcommandsOptional = g.data.(flags.Commander)
 		for _, c := range g.commands {
 			if _, err := group.AddCommand(c.name, c.short, "", c.command); err != nil {
 				return fmt.Errorf("add command %s %s: %w", g.name, c.name, err)
--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -24,6 +24,7 @@
 	dir      string
 	platform *commander.Platform
 	table    *emulator.Table
+	objects  *emulator.Objects
 	prepared uint64
 }
 
@@ -39,8 +40,8 @@
 func newDesk(t *testing.T) *desk {
 	t.Helper()
 	is := is.New(t)
-	d := &desk{t: t, dir: t.TempDir(), prepared: math.MaxUint64, table: emulator.NewTable()}
-	d.platform = commander.NewPlatform(d.table, emulator.NewObjects(), d)
+	d := &desk{t: t, dir: t.TempDir(), prepared: math.MaxUint64, table: emulator.NewTable(), objects: emulator.NewObjects()}
+	d.platform = commander.NewPlatform(d.table, d.objects, d)
 	public := map[string]string{}
 	for _, name := range []string{"ana", "bor"} {
 		code, out, _ := d.run("", "key", "new", "--out", d.path(name+".key"), "--json")
@@ -94,18 +95,45 @@
 	return code, o.String(), e.String()
 }
 
+// step is one command line and what it must print.
+type step struct {
+	name  string
+	line  string // @ stands for the directory; * for --config of that operator
+	input string
+	code  int
+	out   string // part of the output
+	errs  string // part of the error output
+}
+
+// runSteps runs command lines in order. Check sees everything that they print.
+func (d *desk) runSteps(steps []step, check func(t *testing.T, out, errs string)) {
+	for _, s := range steps {
+		d.t.Run(s.name, func(t *testing.T) {
+			var args []string
+			for _, word := range strings.Fields(s.line) {
+				if name, ok := strings.CutPrefix(word, "*"); ok {
+					args = append(args, "--config", d.path(name+".json"))
+					continue
+				}
+				if name, ok := strings.CutPrefix(word, "@"); ok {
+					word = d.path(name)
+				}
+				args = append(args, word)
+			}
+			code, out, errs := d.run(s.input, args...)
+			if code != s.code || !strings.Contains(out, s.out) || !strings.Contains(errs, s.errs) || (s.errs == "" && errs != "") {
+				t.Errorf("exit %d, want %d\nout:  %s\nwant: %s\nerrs: %s\nwant: %s", code, s.code, out, s.out, errs, s.errs)
+			}
+			check(t, out, errs)
+		})
+	}
+}
+
 // Guards against a command that does something else than it says, an exit code
 // that scripts cannot rely on, and an error that does not name what is wrong.
 // The steps run in order on one desk.
 func TestCommands(t *testing.T) {
-	steps := []struct {
-		name  string
-		line  string // @ stands for the directory; * for --config of that operator
-		input string
-		code  int
-		out   string // part of the output
-		errs  string // part of the error output
-	}{
+	steps := []step{
 		{"version", "--version", "", 0, "dragonflyctl 1.2.3", ""},
 		{"help", "--help", "", 0, "roll out bundles", ""},
 		{"help of a command", "bundle roll-out --help", "", 0, "--exclude=REGION", ""},
@@ -155,26 +183,7 @@
 		{"drain another kind", "*ana drain shelf n1", "", 2, "", "Unknown command `shelf'"},
 		{"drain a bad name", "*ana drain endpoint @", "", 2, "", "NAME: value"},
 	}
-	d := newDesk(t)
-	for _, s := range steps {
-		t.Run(s.name, func(t *testing.T) {
-			var args []string
-			for _, word := range strings.Fields(s.line) {
-				if name, ok := strings.CutPrefix(word, "*"); ok {
-					args = append(args, "--config", d.path(name+".json"))
-					continue
-				}
-				if name, ok := strings.CutPrefix(word, "@"); ok {
-					word = d.path(name)
-				}
-				args = append(args, word)
-			}
-			code, out, errs := d.run(s.input, args...)
-			if code != s.code || !strings.Contains(out, s.out) || !strings.Contains(errs, s.errs) || (s.errs == "" && errs != "") {
-				t.Errorf("exit %d, want %d\nout:  %s\nwant: %s\nerrs: %s\nwant: %s", code, s.code, out, s.out, errs, s.errs)
-			}
-		})
-	}
+	newDesk(t).runSteps(steps, func(*testing.T, string, string) {})
 }
 
 // Guards against signatures that still count after the bundle was edited, and
--- a/commander/files.go
+++ b/commander/files.go
@@ -1,7 +1,6 @@
 package commander
 
 import (
-	"crypto/ed25519"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -27,9 +26,7 @@
 	ErrDeclined = eris.New("review is not confirmed; nothing was signed")
 )
 
-func keyNames(keys map[string]ed25519.PublicKey) []string {
-	return slices.Sorted(maps.Keys(keys))
-}
+func keysOf[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
 // signaturesDocument is the file next to a bundle that holds its signatures.
 type signaturesDocument struct {
--- a/commander/settings.go
+++ b/commander/settings.go
@@ -45,6 +45,10 @@
 	keyFile  string
 	public   map[string]ed25519.PublicKey
 	revoked  []string
+
+	nodes           []Operator
+	operatorKeyFile string
+	operatorCAFile  string
 }
 
 // Operator returns the operator's name, which is also the name of the key.
@@ -67,6 +71,12 @@
 	KeyFile  string            `json:"key_file"`
 	Keys     map[string]string `json:"keys"`
 	Revoked  []string          `json:"revoked"`
+	// Nodes maps names of nodes to the URLs of their operator listeners.
+	Nodes map[string]string `json:"nodes"`
+	// OperatorKeyFile holds the key that nodes know the operator by.
+	OperatorKeyFile string `json:"operator_key_file"`
+	// OperatorCAFile holds the PEM certificates that sign those of the nodes.
+	OperatorCAFile string `json:"operator_ca_file"`
 }
 
 // readSettings reads a settings file strictly.
@@ -98,6 +108,7 @@
 	s := &Settings{
 		operator: d.Operator, table: d.Table, objects: d.Objects, keyFile: d.KeyFile,
 		public: make(map[string]ed25519.PublicKey, len(d.Keys)), revoked: d.Revoked,
+		operatorKeyFile: d.OperatorKeyFile, operatorCAFile: d.OperatorCAFile,
 	}
 	var faults []error
 	required := []struct{ name, value, allowed string }{
@@ -122,6 +133,12 @@
 			faults = append(faults, &SettingError{setting: "revoked[" + strconv.Itoa(i) + "]", value: name, allowed: "the name of a key in keys"})
 		}
 	}
+	for name, address := range d.Nodes {
+		if !validOperatorURL(address) {
+			faults = append(faults, &SettingError{setting: "nodes." + name, value: address, allowed: "http or https, host and port, as in https://10.1.0.11:9443"})
+		}
+		s.nodes = append(s.nodes, NewOperator(name, address))
+	}
 	return s, errors.Join(faults...)
 }
 
@@ -147,7 +164,7 @@
 	}
 	public, ok := s.public[s.operator]
 	if !ok {
-		return nil, &SettingError{setting: "operator", value: s.operator, allowed: "the name of a key in keys: " + strings.Join(keyNames(s.public), ", ")}
+		return nil, &SettingError{setting: "operator", value: s.operator, allowed: "the name of a key in keys: " + strings.Join(keysOf(s.public), ", ")}
 	}
 	if !public.Equal(key.Public()) {
 		return nil, fault("the private key of " + strconv.Quote(s.operator) + " in keys")
--- a/server/operator.go
+++ b/server/operator.go
@@ -54,9 +54,13 @@
 type EngineStatusDocument struct {
 	Name     string   `json:"name"`
 	Fence    uint64   `json:"fence"`
+	Slots    int      `json:"slots"`
+	Batch    int      `json:"batch"`
 	Resident []string `json:"resident,omitempty"`
-	Running  int      `json:"running"`
-	Queued   int      `json:"queued"`
+	// Loading lists adapter versions that are being loaded.
+	Loading []string `json:"loading,omitempty"`
+	Running int      `json:"running"`
+	Queued  int      `json:"queued"`
 }
 
 func readNothing(http.ResponseWriter, *http.Request) (struct{}, error) { return struct{}{}, nil }
