dispatcher, retrier: note decisions for explain

explain showed neither where an attempt went nor why a request was tried again or given up. Both stages now note it; without a trail nothing is formatted. The decision whether to retry is apart from the wait.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/placer"
 	"github.com/dragonflyford/dragonflyford/receiver"
+	"github.com/dragonflyford/dragonflyford/recorder"
 )
 
 // Executor runs jobs on one engine: the engine's scheduler, or a peer that owns
@@ -162,13 +163,32 @@
 
 // Apply runs an attempt on the endpoint that was chosen for it.
 func (d *Dispatcher) Apply(ctx context.Context, p *placer.Placed) (*Dispatched, error) {
+	trail := recorder.From(ctx)
+	if trail != nil {
+		trail.Note(recorder.StageDispatcher, destination(p), "attempt "+p.AttemptID())
+	}
 	result, err := d.run(ctx, p)
 	if err != nil {
+		if trail != nil {
+			trail.Note(recorder.StageDispatcher, "failed", err.Error())
+		}
 		return nil, err
 	}
 	return &Dispatched{Placed: p, result: result}, nil
 }
 
+// destination names where an attempt goes, for operators.
+func destination(p *placer.Placed) string {
+	switch choice := p.Choice().(type) {
+	case *placer.OnEngine:
+		return fmt.Sprintf("engine %s through node %q", choice.Engine().Name(), choice.Owner())
+	case *placer.OnService:
+		return "service endpoint " + choice.Endpoint().Name()
+	default:
+		return "stored answer"
+	}
+}
+
 func (d *Dispatcher) run(ctx context.Context, p *placer.Placed) (Result, error) {
 	switch choice := p.Choice().(type) {
 	case *placer.OnEngine:
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflyford/dragonflyford/dispatcher"
 	"github.com/dragonflyford/dragonflyford/placer"
 	"github.com/dragonflyford/dragonflyford/receiver"
+	"github.com/dragonflyford/dragonflyford/recorder"
 	"github.com/dragonflyford/dragonflyford/verifier"
 )
 
@@ -107,17 +108,12 @@
 
 // again decides whether to make another attempt after err, and waits for it.
 func (r *run) again(ctx context.Context, err error, resumes bool) bool {
-	if !r.repeatable() || !helps(err) || ctx.Err() != nil {
+	wait, refusal := r.decide(ctx, err, resumes)
+	note(ctx, err, refusal)
+	if refusal != "" {
 		return false
 	}
-	delay := r.delay(err)
-	if deadline, ok := r.deadline(ctx); ok && time.Until(deadline) <= delay {
-		return false
-	}
-	if !r.retrier.budget.withdraw(resumes) {
-		return false
-	}
-	timer := time.NewTimer(delay)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -127,6 +123,38 @@
 	}
 }
 
+// decide returns how long to wait before another attempt, or why there is none.
+func (r *run) decide(ctx context.Context, err error, resumes bool) (wait time.Duration, refusal string) {
+	switch {
+	case !r.repeatable():
+		return 0, "the work may not run again or has no attempts left"
+	case !helps(err):
+		return 0, "another attempt does not help"
+	case ctx.Err() != nil:
+		return 0, "the request has ended"
+	}
+	wait = r.delay(err)
+	if deadline, ok := r.deadline(ctx); ok && time.Until(deadline) <= wait {
+		return 0, "the deadline is too near"
+	}
+	if !r.retrier.budget.withdraw(resumes) {
+		return 0, "the retry budget is used up"
+	}
+	return wait, ""
+}
+
+// note records the decision. It costs next to nothing without a trail.
+func note(ctx context.Context, err error, refusal string) {
+	trail := recorder.From(ctx)
+	switch {
+	case trail == nil:
+	case refusal == "":
+		trail.Note(recorder.StageRetrier, "again", err.Error())
+	default:
+		trail.Note(recorder.StageRetrier, "gave up", refusal+": "+err.Error())
+	}
+}
+
 // repeatable reports whether the work may run more than once and has attempts
 // left.
 func (r *run) repeatable() bool {
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -25,6 +25,7 @@
 	"github.com/dragonflyford/dragonflyford/placer"
 	"github.com/dragonflyford/dragonflyford/publisher"
 	"github.com/dragonflyford/dragonflyford/receiver"
+	"github.com/dragonflyford/dragonflyford/recorder"
 	"github.com/dragonflyford/dragonflyford/resolver"
 	"github.com/dragonflyford/dragonflyford/retrier"
 	"github.com/dragonflyford/dragonflyford/verifier"
@@ -333,3 +334,36 @@
 		is.Equal(len(s.tried), 1)
 	})
 }
+
+// Guards against a request whose retries an operator cannot explain.
+func TestDecisionsAreRecorded(t *testing.T) {
+	tests := []struct {
+		name string
+		err  error
+		want []string // stage and decision
+	}{
+		{"retried", connector.ErrBroken, []string{"dispatcher failed", "retrier again", "dispatcher failed", "retrier again", "dispatcher failed", "retrier again", "dispatcher failed", "retrier gave up"}},
+		{"of no use", classifier.NewInvalid("no"), []string{"dispatcher failed", "retrier gave up"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &script{run: func(int, string, connector.Job) (connector.Stream, error) { return nil, tt.err }}
+				r := recorder.New(100)
+				ctx, _ := recorder.Follow(t.Context(), r, "r-1")
+				_, err := pipeline(t, s, 1).Apply(ctx, generation())
+				is.True(err != nil)
+				var notes []string
+				for _, d := range r.Explain("r-1") {
+					switch d.Decision() {
+					case "failed", "again", "gave up":
+						notes = append(notes, string(d.Stage())+" "+d.Decision())
+						is.True(d.Reason() != "")
+					}
+				}
+				is.Equal(notes, tt.want)
+			})
+		})
+	}
+}
