configurer: add the retention of the burn history

The reporter keeps history for 45 days unless it is told otherwise, and no setting told it. report.retention does; it is at least 72h, the longest window of the burn report.

--- a/configurer/checker.go
+++ b/configurer/checker.go
@@ -212,6 +212,9 @@
 	}
 	c.atMost("limits.default_timeout", int64(c.doc.Limits.DefaultTimeout), "limits.max_timeout", int64(c.doc.Limits.MaxTimeout))
 	// Callers use an address until its time to live ends.
+	if time.Duration(c.doc.Report.Retention) < minRetention {
+		c.refuse("report.retention", "72h or more, the longest window of the burn report")
+	}
 	c.atMost("entries.ttl", int64(c.doc.Entries.TTL), "entries.drain_grace", int64(c.doc.Entries.DrainGrace))
 	c.checkRenewal()
 }
--- a/configurer/node.go
+++ b/configurer/node.go
@@ -211,5 +211,8 @@
 	return keys
 }
 
+// ReportRetention returns how long the history of service levels is kept.
+func (n *Node) ReportRetention() time.Duration { return time.Duration(n.doc.Report.Retention) }
+
 // LogLevel returns the lowest level that is logged.
 func (n *Node) LogLevel() string { return n.doc.Log.Level }
--- a/configurer/node_document.go
+++ b/configurer/node_document.go
@@ -15,6 +15,7 @@
 	TLS       tlsDocument      `json:"tls"`
 	Callers   []keyDocument    `json:"callers"`
 	Operators []keyDocument    `json:"operators"`
+	Report    reportDocument   `json:"report"`
 	Log       logDocument      `json:"log"`
 }
 
@@ -86,6 +87,10 @@
 	KeySHA256 string `json:"key_sha256"`
 }
 
+type reportDocument struct {
+	Retention duration `json:"retention"`
+}
+
 type logDocument struct {
 	Level string `json:"level"`
 }
@@ -94,6 +99,12 @@
 // design target of 53 ms between tokens take 7.3 minutes.
 const defaultTimeout = 10 * time.Minute
 
+// Bounds of the retention of the burn history.
+const (
+	defaultRetention = 45 * 24 * time.Hour // one and a half budget periods
+	minRetention     = 72 * time.Hour      // the longest window of the burn report
+)
+
 // defaultNode returns the settings that a document need not name.
 func defaultNode() nodeDocument {
 	return nodeDocument{
@@ -121,6 +132,7 @@
 		},
 		Entries: entriesDocument{TTL: duration(5 * time.Second), DrainGrace: duration(10 * time.Second)},
 		TLS:     tlsDocument{ReloadInterval: duration(time.Minute)},
+		Report:  reportDocument{Retention: duration(defaultRetention)},
 		Log:     logDocument{Level: "info"},
 	}
 }
--- a/configurer/node_test.go
+++ b/configurer/node_test.go
@@ -71,6 +71,7 @@
 		{"tokens below default", `"max_tokens": 4096`, `"max_tokens": 100`, "limits.max_tokens is 100; allowed is not less than limits.default_tokens"},
 		{"slow renewal", `"renew": "2s"`, `"renew": "4s"`, `22:51: lease.renew is "4s"; allowed is not more than half of lease.time`},
 		{"short lease", `"lease": {"time": "6s", "guard": "1s", "renew": "2s"}`, `"lease": {"time": "3s"}`, "at least twice lease.renew, which is 2s"},
+		{"short history", `"log":`, `"report": {"retention": "71h"}, "log":`, `report.retention is "71h"; allowed is 72h or more`},
 		{"short grace", `"drain_grace": "10s"`, `"drain_grace": "1s"`, "entries.ttl is \"5s\"; allowed is not more than entries.drain_grace"},
 		{"half of TLS", `, "key_file": "/run/secrets/node.key"`, ``, "24:10: tls.key_file is missing"},
 		{"no operators", `"operators": [`, `"callers": [`, "1:1: operators is missing; allowed is at least one key"},
