--- a/reporter/subject.go
+++ b/reporter/subject.go
@@ -25,8 +25,8 @@
 type Others struct{}
 
 func (a Adapter) String() string { return a.name }
-func (Services) String() string  { return "(services)" }
-func (Others) String() string    { return "(other adapters)" }
+func (Services) String() string  { return "services" }
+func (Others) String() string    { return "other adapters" }
 
 func (Adapter) subject()  {}
 func (Services) subject() {}
@@ -54,9 +54,15 @@
 // Subject returns the subject.
 func (s OfSubject) Subject() Subject { return s.subject }
 
-func (Everywhere) String() string  { return "everywhere" }
-func (r InRegion) String() string  { return "region " + r.region }
-func (s OfSubject) String() string { return "adapter " + s.subject.String() }
+func (Everywhere) String() string { return "everywhere" }
+func (r InRegion) String() string { return "region " + r.region }
+
+func (s OfSubject) String() string {
+	if a, ok := s.subject.(Adapter); ok {
+		return "adapter " + a.name
+	}
+	return s.subject.String()
+}
 
 func (Everywhere) scope() {}
 func (InRegion) scope()   {}
