requester: keep a call unknown when one exchange got no answer

A not-run answer speaks of its own attempt. A call whose first exchange got no answer and whose second was not run was counted as not run, although the first one may still run. Such a call is unknown to its caller now. The outcomes of the single exchanges stay available.

--- a/requester/call.go
+++ b/requester/call.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -42,7 +43,9 @@
 	timing   Timing
 }
 
-// Outcome returns the outcome of the last exchange.
+// Outcome returns what the caller knows after all exchanges: Done if the last one
+// was, NotRun if all were NotRun, and Unknown otherwise. A not-run speaks of its
+// own attempt only; an earlier one that got no answer may still run.
 func (r *Reply) Outcome() classifier.Outcome { return r.outcome }
 
 // Outcomes returns the outcomes of all exchanges in order.
@@ -66,8 +69,8 @@
 	reply := &Reply{outcome: classifier.NotRun{}, timing: Timing{started: time.Now()}}
 	for n := range r.attempts {
 		a := r.callOnce(ctx, c, n, reply)
-		reply.outcome, reply.problem = a.outcome, a.problem
 		reply.outcomes = append(reply.outcomes, a.outcome)
+		reply.outcome, reply.problem = known(reply.outcomes), a.problem
 		if !a.mayRepeat() || n == r.attempts-1 {
 			break
 		}
@@ -79,6 +82,14 @@
 	return reply
 }
 
+func known(outcomes []classifier.Outcome) classifier.Outcome {
+	last := outcomes[len(outcomes)-1]
+	if last == (classifier.NotRun{}) && slices.Contains(outcomes, classifier.Outcome(classifier.Unknown{})) {
+		return classifier.Unknown{}
+	}
+	return last
+}
+
 func (r *Requester) callOnce(ctx context.Context, c Call, n int, reply *Reply) attempt {
 	address, err := r.address(ctx, n)
 	if err != nil {
--- a/requester/requester_test.go
+++ b/requester/requester_test.go
@@ -155,7 +155,8 @@
 func abort(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
 // Guards against a repeat under another key or without its number, which would
-// run a posting twice, and against an outcome that nobody reported.
+// run a posting twice, and against an outcome that nobody reported or that an
+// earlier exchange without an answer makes doubtful.
 func TestCall(t *testing.T) {
 	unknown, notRun, ran := classifier.Unknown{}, classifier.NotRun{}, classifier.Done{}
 	tests := []struct {
@@ -163,14 +164,16 @@
 		handlers []http.HandlerFunc
 		outcomes []classifier.Outcome
 		kind     string // of the problem
+		known    classifier.Outcome
 	}{
-		{"done", []http.HandlerFunc{answer("x")}, []classifier.Outcome{ran}, ""},
-		{"answer lost", []http.HandlerFunc{abort, answer("x")}, []classifier.Outcome{unknown, ran}, ""},
-		{"unknown, then done", []http.HandlerFunc{fault(409, "unknown", "0.001"), answer("x")}, []classifier.Outcome{unknown, ran}, ""},
-		{"not run, repeat allowed", []http.HandlerFunc{fault(503, "not-run", "0.001"), answer("x")}, []classifier.Outcome{notRun, ran}, ""},
-		{"not run, no repeat", []http.HandlerFunc{fault(422, "not-run", "")}, []classifier.Outcome{notRun}, "fault-422"},
-		{"no outcome header", []http.HandlerFunc{func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(502) }}, []classifier.Outcome{unknown, unknown, unknown, unknown}, "502"},
-		{"out of attempts", []http.HandlerFunc{abort}, []classifier.Outcome{unknown, unknown, unknown, unknown}, "connection"},
+		{"done", []http.HandlerFunc{answer("x")}, []classifier.Outcome{ran}, "", ran},
+		{"answer lost", []http.HandlerFunc{abort, answer("x")}, []classifier.Outcome{unknown, ran}, "", ran},
+		{"unknown, then done", []http.HandlerFunc{fault(409, "unknown", "0.001"), answer("x")}, []classifier.Outcome{unknown, ran}, "", ran},
+		{"not run, repeat allowed", []http.HandlerFunc{fault(503, "not-run", "0.001"), answer("x")}, []classifier.Outcome{notRun, ran}, "", ran},
+		{"not run, no repeat", []http.HandlerFunc{fault(422, "not-run", "")}, []classifier.Outcome{notRun}, "fault-422", notRun},
+		{"answer lost, then not run", []http.HandlerFunc{abort, fault(422, "not-run", "")}, []classifier.Outcome{unknown, notRun}, "fault-422", unknown},
+		{"no outcome header", []http.HandlerFunc{func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(502) }}, []classifier.Outcome{unknown, unknown, unknown, unknown}, "502", unknown},
+		{"out of attempts", []http.HandlerFunc{abort}, []classifier.Outcome{unknown, unknown, unknown, unknown}, "connection", unknown},
 	}
 	bodies := []string{"{}", ""} // net/http repeats requests without a body more readily
 	for i, tt := range append(tests, tests...) {
@@ -180,7 +183,7 @@
 			s, r := start(t, tt.handlers...)
 			reply := r.Call(t.Context(), requester.NewCall("ledger", http.MethodPost, "/postings", "k1", []byte(body)))
 			is.Equal(reply.Outcomes(), tt.outcomes)
-			is.Equal(reply.Outcome(), tt.outcomes[len(tt.outcomes)-1])
+			is.Equal(reply.Outcome(), tt.known)
 			if tt.kind == "" {
 				is.Equal(reply.Problem(), nil)
 				is.Equal(string(reply.Body()), "x")
