--- a/benchmarker/benchmarker.go
+++ b/benchmarker/benchmarker.go
@@ -21,7 +21,7 @@
 type Benchmarker struct {
 	doc       *Document
 	expect    Expectation
-	transport http.RoundTripper
+	transport func() http.RoundTripper
 	callers   []*requester.Requester
 	collector *collector
 	started   atomic.Int64
@@ -34,8 +34,10 @@
 // WithExpectation checks every token.
 func WithExpectation(e Expectation) Option { return func(b *Benchmarker) { b.expect = e } }
 
-// WithTransport sets the HTTP transport of all callers.
-func WithTransport(t http.RoundTripper) Option { return func(b *Benchmarker) { b.transport = t } }
+// WithTransport makes each caller use an HTTP transport of its own.
+func WithTransport(newTransport func() http.RoundTripper) Option {
+	return func(b *Benchmarker) { b.transport = newTransport }
+}
 
 // New returns a run of a checked workload.
 func New(doc *Document, opts ...Option) *Benchmarker {
@@ -43,18 +45,21 @@
 	for _, opt := range opts {
 		opt(b)
 	}
-	var options []requester.Option
-	if b.transport != nil {
-		options = append(options, requester.WithTransport(b.transport))
-	}
 	for i := range doc.Callers {
 		// Callers start at different addresses, as callers in different places do.
 		entries := rotate(doc.Entries, i)
-		b.callers = append(b.callers, requester.New(CallerName(i), entries, doc.Seed+uint64(i), options...))
+		b.callers = append(b.callers, requester.New(CallerName(i), entries, doc.Seed+uint64(i), b.callerOptions()...))
 	}
 	return b
 }
 
+func (b *Benchmarker) callerOptions() []requester.Option {
+	if b.transport == nil {
+		return nil
+	}
+	return []requester.Option{requester.WithTransport(b.transport())}
+}
+
 // CallerName returns the name of the i-th caller.
 func CallerName(i int) string { return fmt.Sprintf("caller-%d", i) }
 
--- a/benchmarker/benchmarker_test.go
+++ b/benchmarker/benchmarker_test.go
@@ -128,7 +128,7 @@
 
 func run(t *testing.T, s *server, d *benchmarker.Document, opts ...benchmarker.Option) (*benchmarker.Benchmarker, *benchmarker.Result) {
 	t.Helper()
-	b := benchmarker.New(d, append(opts, benchmarker.WithTransport(pipe{s}))...)
+	b := benchmarker.New(d, append(opts, benchmarker.WithTransport(func() http.RoundTripper { return pipe{s} }))...)
 	return b, b.Run(t.Context())
 }
 
@@ -235,7 +235,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		s := newServer()
-		r := benchmarker.New(workload(t, nil), benchmarker.WithTransport(pipe{s})).Run(ctx)
+		r := benchmarker.New(workload(t, nil), benchmarker.WithTransport(func() http.RoundTripper { return pipe{s} })).Run(ctx)
 		is.True(r.Requests > 0)
 		is.True(r.DurationS <= 1)
 	})
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -60,6 +60,9 @@
 // Tokens returns how many tokens were produced.
 func (c EngineCounters) Tokens() int { return c.tokens }
 
+// Batch returns how many jobs run together.
+func (c EngineCounters) Batch() int { return c.batch }
+
 // BatchEfficiency returns the share of batch places that produced a token, over
 // all steps that produced any.
 func (c EngineCounters) BatchEfficiency() float64 {
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -136,7 +136,7 @@
 // Stalls hears how long requests wait for their adapter to be loaded.
 type Stalls interface {
 	// Stalled counts one request that waited d. A request whose adapter is
-	// resident counts with zero.
+	// resident counts with zero; "" stands for an adapter that is not known.
 	Stalled(adapter string, d time.Duration)
 }
 
@@ -144,9 +144,16 @@
 
 // Stalled counts the load stall of one request.
 func (r *Reporter) Stalled(adapter string, d time.Duration) {
+	if adapter == "" {
+		adapter = unnamed
+	}
 	r.measure(bundler.MeasureLoadStall, adapter, d)
 }
 
+// unnamed is no name that an adapter can have, so that it is counted with the
+// other adapters and not with the services.
+const unnamed = "?"
+
 // measure judges a duration by the thresholds of all levels of a measure.
 func (r *Reporter) measure(measure, adapter string, d time.Duration) {
 	m := r.current.Load()
