--- a/runner/status.go
+++ b/runner/status.go
@@ -36,12 +36,18 @@
 }
 
 func engineStatus(v *viewer.View, token uint64) server.EngineStatusDocument {
-	d := server.EngineStatusDocument{Name: v.Engine(), Fence: token, Running: v.Running(), Queued: v.Queued()}
+	d := server.EngineStatusDocument{
+		Name: v.Engine(), Fence: token, Slots: v.Slots(), Batch: v.Batch(), Running: v.Running(), Queued: v.Queued(),
+	}
 	for m, r := range v.Models() {
-		if r == viewer.Resident {
+		switch r {
+		case viewer.Resident:
 			d.Resident = append(d.Resident, m.String())
+		case viewer.Loading:
+			d.Loading = append(d.Loading, m.String())
 		}
 	}
 	sort.Strings(d.Resident)
+	sort.Strings(d.Loading)
 	return d
 }
