transporter: take addresses that are URLs

Cause: settings of nodes require URLs of the platform, and bundles allow URLs of endpoints, but the client put the whole text in the place of the host. Every request failed before it was sent. Runs in one process hand the platform over as an object and did not show it; six processes each stayed without a lease for 30 s.

The scheme is cut off. Only http is supported; requests to other schemes fail with a message that says so, because TLS records would need a write count of their own.

--- a/transporter/client.go
+++ b/transporter/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"syscall"
 	"time"
 
@@ -35,13 +36,22 @@
 
 // Client sends requests to one address over connections that it keeps alive.
 type Client struct {
+	scheme    string
 	address   string
 	transport *http.Transport
 }
 
-// New returns a client for a host and port.
+// schemeHTTP is the only scheme: writes are counted on the bare connection.
+const schemeHTTP = "http"
+
+// New returns a client for a host and port, or for the URL of a host. Requests to
+// a URL with another scheme than http fail and are not sent.
 func New(address string) *Client {
-	return &Client{address: address, transport: &http.Transport{
+	scheme := schemeHTTP
+	if before, after, ok := strings.Cut(address, "://"); ok {
+		scheme, address = before, strings.TrimSuffix(after, "/")
+	}
+	return &Client{scheme: scheme, address: address, transport: &http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTime,
@@ -107,6 +117,9 @@
 // Do sends a request and returns the answer, whose body the caller closes. The
 // error wraps ErrNotSent or ErrNoAnswer.
 func (c *Client) Do(ctx context.Context, r *Request) (*http.Response, error) {
+	if c.scheme != schemeHTTP {
+		return nil, fmt.Errorf("%w: scheme %q of %s is not supported, only %q", ErrNotSent, c.scheme, c.address, schemeHTTP)
+	}
 	x := &exchange{deadline: r.deadline}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if used, ok := info.Conn.(*conn); ok {
@@ -132,7 +145,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("path %q: %w", r.path, err)
 	}
-	u.Scheme = "http"
+	u.Scheme = schemeHTTP
 	u.Host = address
 	if r.query != nil {
 		u.RawQuery = r.query.Encode()
--- a/transporter/client_test.go
+++ b/transporter/client_test.go
@@ -176,3 +176,36 @@
 		is.Equal(resp.StatusCode, http.StatusNoContent)
 	}
 }
+
+// Guards against addresses that settings and bundles allow as URLs and that no
+// request reaches: nodes then start and never hold a lease.
+func TestAddressForms(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	t.Cleanup(srv.Close)
+	host := srv.Listener.Addr().String()
+	cases := []struct {
+		name    string
+		address string
+		want    error
+	}{
+		{name: "host and port", address: host},
+		{name: "URL", address: "http://" + host},
+		{name: "URL with a slash", address: "http://" + host + "/"},
+		{name: "unsupported scheme", address: "https://" + host, want: transporter.ErrNotSent},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			client := transporter.New(c.address)
+			t.Cleanup(client.Close)
+			is.Equal(client.Address(), host)
+			resp, err := client.Do(t.Context(), transporter.NewRequest(http.MethodGet, "/x", nil))
+			is.True(errors.Is(err, c.want))
+			if err == nil {
+				is.NoErr(resp.Body.Close())
+			}
+		})
+	}
+}
