exampler: add examples that run as separate processes

launcher: an unknown command was answered with "no command given", because go-flags hands the word over as an argument. The error now names the command and those that exist. A table of command lines checks exit codes and messages.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/jessevdk/go-flags"
 
 	"github.com/dragonflyford/dragonflyford/configurer"
 	"github.com/dragonflyford/dragonflyford/demonstrator"
 	"github.com/dragonflyford/dragonflyford/emulator"
+	"github.com/dragonflyford/dragonflyford/exampler"
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/runner"
 	"github.com/dragonflyford/dragonflyford/storer"
@@ -66,6 +68,8 @@
 		case g.Version:
 			_, err := fmt.Fprintln(l.out, "dragonflyford "+l.version)
 			return err
+		case command == nil && len(rest) > 0:
+			return &UsageError{fmt.Errorf("command %q does not exist; allowed are %s", rest[0], strings.Join(commandNames(parser), ", "))}
 		case command == nil:
 			return &flags.Error{Type: flags.ErrCommandRequired, Message: "no command given; see --help"}
 		case len(rest) > 0:
@@ -99,6 +103,10 @@
 			"demo", "run a deployment with load in one process", "Runs fakes, six nodes and a modest load on loopback, checks the promises and prints a summary.",
 			&demoCommand{launcher: l, ctx: ctx},
 		},
+		{
+			"example", "write the files of an example", "Writes settings, example-only keys, a bundle and a workload that run a deployment as separate processes on loopback.",
+			&exampleCommand{launcher: l},
+		},
 	}
 	for _, c := range commands {
 		if _, err := parser.AddCommand(c.name, c.short, c.long, c.command); err != nil {
@@ -108,6 +116,14 @@
 	return nil
 }
 
+func commandNames(parser *flags.Parser) []string {
+	var names []string
+	for _, c := range parser.Commands() {
+		names = append(names, c.Name)
+	}
+	return names
+}
+
 // report prints an error and returns the exit code.
 func (l *Launcher) report(err error) int {
 	if err == nil {
@@ -240,3 +256,21 @@
 	}
 	return summary.Verdict()
 }
+
+type exampleCommand struct {
+	launcher   *Launcher
+	Deployment string `long:"deployment" choice:"clearing" choice:"tender" default:"clearing" description:"which deployment the example runs"`
+	Out        string `long:"out" value-name:"DIR" required:"yes" description:"directory to write to; it is made if it does not exist"`
+}
+
+// Execute writes the files.
+func (c *exampleCommand) Execute([]string) error {
+	if c.Out == "" {
+		return &UsageError{errors.New("--out is empty; it must name a directory")}
+	}
+	if err := exampler.Write(c.Deployment, c.Out); err != nil {
+		return fmt.Errorf("write the %s example: %w", c.Deployment, err)
+	}
+	_, err := fmt.Fprintf(c.launcher.out, "the files of the %s example are in %s\n", c.Deployment, c.Out)
+	return err
+}
--- /dev/null
+++ b/launcher/launcher_test.go
@@ -0,0 +1,118 @@
+package launcher_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/emulator"
+	"github.com/dragonflyford/dragonflyford/exampler"
+	"github.com/dragonflyford/dragonflyford/launcher"
+)
+
+// run runs a command line and returns its exit code and outputs.
+func run(ctx context.Context, args ...string) (int, string, string) {
+	var out, errs strings.Builder
+	code := launcher.New("v1.2.3", &out, &errs).Run(ctx, args)
+	return code, out.String(), errs.String()
+}
+
+// settings writes files that command lines name.
+func settings(t *testing.T) (dir string) {
+	t.Helper()
+	is := is.New(t)
+	dir = t.TempDir()
+	is.NoErr(exampler.Write(emulator.Clearing, dir))
+	node, err := os.ReadFile(filepath.Join(dir, "lj-entry-1.json"))
+	is.NoErr(err)
+	for name, text := range map[string]string{
+		"field.json":    strings.Replace(string(node), `"entries"`, `"entrys"`, 1),
+		"value.json":    strings.Replace(string(node), `"127.0.0.1:17201"`, `"here"`, 1),
+		"text.json":     "text",
+		"fakes.json":    `{"control": "127.0.0.1:0", "platform": {"address": "127.0.0.1:0", "latency_ms": -1}}`,
+		"occupied.json": `{"control": "127.0.0.1:0", "platform": {"address": "192.0.2.1:1"}}`,
+	} {
+		is.NoErr(os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600))
+	}
+	return dir
+}
+
+// Guards against command lines that end with the wrong exit code, and against
+// errors that do not name the setting, its value and what is allowed.
+func TestCommandLines(t *testing.T) {
+	dir := settings(t)
+	path := func(name string) string { return filepath.Join(dir, name) }
+	cases := []struct {
+		name string
+		args []string
+		code int
+		out  []string // parts of the output
+		errs []string // parts of the error output
+	}{
+		{"help", []string{"--help"}, launcher.ExitDone, []string{"serve", "check", "emulate", "demo", "example"}, nil},
+		{"help of a command", []string{"demo", "--help"}, launcher.ExitDone, []string{"--deployment", "--for", "--seed"}, nil},
+		{"version", []string{"--version"}, launcher.ExitDone, []string{"dragonflyford v1.2.3\n"}, nil},
+		{"no command", nil, launcher.ExitUsage, nil, []string{"no command given", "--help"}},
+		{"unknown command", []string{"server"}, launcher.ExitUsage, nil, []string{`"server"`, "allowed are serve, check, emulate, demo, example"}},
+		{"unknown option", []string{"demo", "--four", "2s"}, launcher.ExitUsage, nil, []string{"four"}},
+		{"argument", []string{"demo", "fast"}, launcher.ExitUsage, nil, []string{`"fast"`, "options only"}},
+		{"check without settings", []string{"check"}, launcher.ExitUsage, nil, []string{"--config"}},
+		{"check", []string{"check", "--config", path("lj-entry-1.json")}, launcher.ExitDone, []string{"lj-entry-1", "valid"}, nil},
+		{"check a missing file", []string{"check", "--config", path("none.json")}, launcher.ExitUsage, nil, []string{"none.json"}},
+		{"check an unknown field", []string{"check", "--config", path("field.json")}, launcher.ExitUsage, nil, []string{"entrys"}},
+		{"check a value", []string{"check", "--config", path("value.json")}, launcher.ExitUsage, nil, []string{"listen.peers", `"here"`, "allowed is"}},
+		{"check text", []string{"check", "--config", path("text.json")}, launcher.ExitUsage, nil, []string{"text.json"}},
+		{"serve with a value", []string{"serve", "--config", path("value.json")}, launcher.ExitUsage, nil, []string{"listen.peers", `"here"`, "allowed is"}},
+		{"emulate without a file name", []string{"emulate", "--config", ""}, launcher.ExitUsage, nil, []string{"--config", "JSON file"}},
+		{"emulate a missing file", []string{"emulate", "--config", path("none.json")}, launcher.ExitUsage, nil, []string{"--config", "none.json"}},
+		{"emulate a value", []string{"emulate", "--config", path("fakes.json")}, launcher.ExitUsage, nil, []string{"platform.latency_ms", "-1", "allowed is 0"}},
+		{"emulate at another host's address", []string{"emulate", "--config", path("occupied.json")}, launcher.ExitFailed, nil, []string{"192.0.2.1:1"}},
+		{"demo of another deployment", []string{"demo", "--deployment", "other"}, launcher.ExitUsage, nil, []string{"deployment", "other", "clearing", "tender"}},
+		{"demo for a word", []string{"demo", "--for", "long"}, launcher.ExitUsage, nil, []string{"--for", `"long"`, "allowed is"}},
+		{"demo for no time", []string{"demo", "--for", "0s"}, launcher.ExitUsage, nil, []string{"--for", `"0s"`, "allowed is"}},
+		{"demo without requests", []string{"demo", "--rate", "0"}, launcher.ExitUsage, nil, []string{"--rate", "0", "allowed is"}},
+		{"demo with a rate that is no number", []string{"demo", "--rate", "NaN"}, launcher.ExitUsage, nil, []string{"--rate", "NaN", "allowed is"}},
+		{"example", []string{"example", "--deployment", "tender", "--out", path("new/tender")}, launcher.ExitDone, []string{"tender"}, nil},
+		{"example without a directory", []string{"example", "--out", ""}, launcher.ExitUsage, nil, []string{"--out", "directory"}},
+		{"example in a file", []string{"example", "--out", path("text.json")}, launcher.ExitFailed, nil, []string{"text.json"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			code, out, errs := run(t.Context(), c.args...)
+			is.Equal(code, c.code)
+			is.Equal(out == "", len(c.out) == 0)   // output
+			is.Equal(errs == "", len(c.errs) == 0) // errors
+			for _, part := range c.out {
+				is.True(strings.Contains(out, part)) // output lacks a part
+			}
+			for _, part := range c.errs {
+				is.True(strings.Contains(errs, part)) // errors lack a part
+			}
+		})
+	}
+}
+
+// writerFunc is a writer that is one function.
+type writerFunc func(p []byte) (int, error)
+
+func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
+
+// Guards against fakes that outlive an interrupt.
+func TestEmulateEnds(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "fakes.json")
+	is.NoErr(os.WriteFile(path, []byte(`{"control": "127.0.0.1:0", "platform": {"address": "127.0.0.1:0"}}`), 0o600))
+	ctx, interrupt := context.WithCancel(t.Context())
+	listening := writerFunc(func(p []byte) (int, error) {
+		interrupt()
+		return len(p), nil
+	})
+	code := launcher.New("v1.2.3", listening, os.Stderr).Run(ctx, []string{"emulate", "--config", path})
+	is.Equal(code, launcher.ExitDone)
+	is.True(ctx.Err() != nil) // the fakes were listening
+}
