runner: end a planned stop while the table is down

Cause: Close ends the lease in the table and repeated the write without a bound. A node whose table could not be reached was still there 23 s after SIGTERM (a trial with examples/run.sh); a goroutine dump showed Leaser.release. The listeners and the requests in flight had ended by then, so neither Drain nor the front was to blame.

Close now waits no longer than the lease and the guard; after that the others take the node for gone without being told. The stop then reports that it could not end the lease.

--- a/runner/node.go
+++ b/runner/node.go
@@ -329,8 +329,11 @@
 }
 
 // Close ends the node and its lease. Requests in flight are cut; Drain first to
-// avoid that.
+// avoid that. While the table is down it waits no longer than the lease lasts:
+// then the others take the node for gone without being told.
 func (n *Node) Close(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, n.settings.LeaseTime()+n.settings.LeaseGuard())
+	defer cancel()
 	var err error
 	n.end(func() { err = n.leaser.Close(ctx) })
 	if err != nil {
