deployer: set the number of hosts in each region

CAPACITY.md needs slopes over the number of nodes, and the bytes that the table carries. The fleet had two hosts in each region, and the fake table counted requests only. WithNodesPerRegion sets the former; TableCounters now count the rows and bytes read and the bytes written. Defaults stay.

--- a/deployer/deployer.go
+++ b/deployer/deployer.go
@@ -19,8 +19,8 @@
 	// platformLatency is the one-way latency between nodes and the platform, that
 	// of a neighbouring data centre.
 	platformLatency = time.Millisecond
-	// nodesPerRegion gives six entry hosts in three regions.
-	nodesPerRegion = 2
+	// defaultNodesPerRegion gives six entry hosts in three regions.
+	defaultNodesPerRegion = 2
 )
 
 // Option sets an optional property of a Fleet.
@@ -37,9 +37,13 @@
 	return func(f *Fleet) { f.options = options }
 }
 
+// WithNodesPerRegion sets the number of hosts in each region; the default is two.
+func WithNodesPerRegion(n int) Option { return func(f *Fleet) { f.perRegion = n } }
+
 // Fleet is a deployment in one process.
 type Fleet struct {
 	deployment  *emulator.Deployment
+	perRegion   int
 	sockets     bool
 	running     *emulator.Running // only with sockets
 	platformURL string
@@ -54,11 +58,12 @@
 	dropped int64
 }
 
-// New prepares a deployment with two hosts in each region. The seed fixes the
-// operators' keys.
+// New prepares a deployment with the same number of hosts in each region. The
+// seed fixes the operators' keys.
 func New(ctx context.Context, d *emulator.Deployment, seed uint64, opts ...Option) (*Fleet, error) {
 	f := &Fleet{
 		deployment:  d,
+		perRegion:   defaultNodesPerRegion,
 		platformURL: "http://127.0.0.1:1", // in process nothing connects to it
 		asserts:     asserter.New(nil),
 		options:     func(string) []runner.Option { return nil },
@@ -76,7 +81,7 @@
 		f.running, f.platformURL = running, "http://"+running.PlatformAddress()
 	}
 	for _, region := range d.Regions() {
-		for i := range nodesPerRegion {
+		for i := range f.perRegion {
 			if err := f.addHost(ctx, region, i); err != nil {
 				return nil, err
 			}
--- a/emulator/table.go
+++ b/emulator/table.go
@@ -29,6 +29,9 @@
 	commits   int
 	rows      int
 	conflicts int
+	rowsRead  int
+	bytesRead int
+	written   int
 }
 
 // Reads returns how many reads and scans were served.
@@ -43,6 +46,22 @@
 // Conflicts returns how many commits failed because of a row version.
 func (c TableCounters) Conflicts() int { return c.conflicts }
 
+// RowsRead returns how many rows reads and scans returned.
+func (c TableCounters) RowsRead() int { return c.rowsRead }
+
+// BytesRead returns the bytes of keys and values that reads and scans returned,
+// without their encoding.
+func (c TableCounters) BytesRead() int { return c.bytesRead }
+
+// BytesWritten returns the bytes of keys and values of applied writes, without
+// their encoding.
+func (c TableCounters) BytesWritten() int { return c.written }
+
+func (c *TableCounters) read(row storer.Row) {
+	c.rowsRead++
+	c.bytesRead += len(row.Key()) + len(row.Value())
+}
+
 // NewTable returns an empty table.
 func NewTable(opts ...Option) *Table {
 	s := newSettings(opts)
@@ -95,6 +114,9 @@
 	defer t.mu.Unlock()
 	t.counters.reads++
 	row, ok := t.rows[key]
+	if ok {
+		t.counters.read(row)
+	}
 	return row, ok
 }
 
@@ -124,6 +146,7 @@
 			break
 		}
 		rows = append(rows, t.rows[key])
+		t.counters.read(t.rows[key])
 	}
 	return rows
 }
@@ -188,6 +211,7 @@
 		}
 		t.rows[w.Key()] = storer.NewRow(w.Key(), slices.Clone(w.Value()), w.Expected()+1)
 		t.counters.rows++
+		t.counters.written += len(w.Key()) + len(w.Value())
 	case storer.Delete:
 		if i, found := slices.BinarySearch(t.keys, w.Key()); found {
 			t.keys = slices.Delete(t.keys, i, i+1)
