leaser: scan large memberships with one page and half as often

Cause: each node scans all lease rows every second. With more rows than a page of 500 that takes two reads; 560 nodes then make 1,120 reads/s of the table's 2,000 for membership alone. Change: a page holds 1,000 rows, and above 128 rows a scan follows every 2 s (a third of the lease; the observer grants everybody a new lease after a gap of half a lease, so 3 s is the ceiling). A failed scan is repeated after 1 s as before. Up to 128 nodes nothing changes.

--- a/leaser/watch.go
+++ b/leaser/watch.go
@@ -18,10 +18,11 @@
 
 func (l *Leaser) watch(ctx context.Context) {
 	for {
-		if err := l.poll(ctx); err != nil {
+		err := l.poll(ctx)
+		if err != nil {
 			l.failed(fmt.Errorf("read leases: %w", err))
 		}
-		pause := time.Duration(float64(l.settings.Scan) * (1 + scanJitter*(2*rand.Float64()-1)))
+		pause := time.Duration(float64(l.scanInterval(err)) * (1 + scanJitter*(2*rand.Float64()-1)))
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
@@ -30,6 +31,22 @@
 	}
 }
 
+// manyRows is how many lease rows make scans rarer: all nodes together read its
+// square in rows per second, and the table's reads are shared by all.
+const manyRows = 128
+
+// scanInterval returns the time to the next scan. It stays below half a lease,
+// because a longer gap gives every owner the full time again. A failed scan is
+// repeated soon.
+func (l *Leaser) scanInterval(failed error) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if failed != nil || len(l.observer.rows) <= manyRows {
+		return l.settings.Scan
+	}
+	return max(l.settings.Scan, min(2*l.settings.Scan, l.settings.Lease/3))
+}
+
 // poll reads the lease rows and the assignments that changed, and then changes
 // the own assignment if the nodes or engines require it.
 func (l *Leaser) poll(ctx context.Context) error {
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -172,4 +172,6 @@
 	}
 }
 
-const scanPage = 500 // rows per request
+// scanPage is the number of rows per request. The lease rows of 560 nodes fit into
+// one page: a second one for each node each second is 560 reads per second.
+const scanPage = 1000
