runner: bound the questions that a node asks its peers per second

Cause: each node asks every member for its engine views, 4 times a second inside the data centre and once elsewhere: 614 questions/s among 560. Change: at most 24 per second to near and 16 to far peers, with the times as before up to 6 near and 16 far peers. Views of silent owners are dropped after three intervals; stretched intervals vary by 25%, so that the questions of a start do not come together again.

--- a/runner/gossiper.go
+++ b/runner/gossiper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -13,8 +14,21 @@
 const (
 	nearPoll = 250 * time.Millisecond
 	farPoll  = time.Second
-	// forgetAfter is how long the views of an owner that does not answer are used.
+	// forgetAfter is how long the views of an owner that does not answer are used,
+	// or forgetPolls intervals if that is longer.
 	forgetAfter = 3 * time.Second
+	forgetPolls = 3
+)
+
+// Questions per second to all peers together. Without these bounds a node among
+// 560 asks 614 times a second, which takes 3.5% of a core and 70 KB/s. Up to 6
+// near and 16 far peers keep the times above.
+const (
+	nearRate = 24
+	farRate  = 16
+	// askJitter is the share by which stretched intervals vary, either way, so that
+	// the questions of a start do not come together again.
+	askJitter = 0.25
 )
 
 // gossiper asks the other nodes for the views of their engines. One goroutine
@@ -35,7 +49,8 @@
 type peerState struct {
 	asking  bool
 	version uint64
-	asked   time.Time
+	due     time.Time // of the next question
+	every   time.Duration
 	heard   time.Time
 	engines map[string]struct{}
 }
@@ -65,19 +80,24 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	current := *g.peers.byName.Load()
+	near, far := g.intervals(current)
 	for name, p := range current {
 		s := g.state[name]
 		if s == nil {
 			s = &peerState{heard: now, engines: make(map[string]struct{})}
 			g.state[name] = s
 		}
-		if !s.asking && now.Sub(s.asked) >= g.interval(p) {
-			s.asking, s.asked = true, now
+		s.every = far
+		if p.member.DataCentre() == g.dataCentre {
+			s.every = near
+		}
+		if !s.asking && !now.Before(s.due) {
+			s.asking, s.due = true, now.Add(jittered(s.every))
 			g.done.Go(func() { g.ask(ctx, p, s) })
 		}
 	}
 	for name, s := range g.state {
-		if current[name] == nil || now.Sub(s.heard) > forgetAfter {
+		if current[name] == nil || now.Sub(s.heard) > max(forgetAfter, forgetPolls*s.every) {
 			g.forget(name, s)
 		}
 		if current[name] == nil && !s.asking {
@@ -86,11 +106,25 @@
 	}
 }
 
-func (g *gossiper) interval(p *peer) time.Duration {
-	if p.member.DataCentre() == g.dataCentre {
-		return nearPoll
+// intervals returns the time between two questions to one peer of the same data
+// centre and to one of another.
+func (g *gossiper) intervals(current map[string]*peer) (near, far time.Duration) {
+	count := 0
+	for _, p := range current {
+		if p.member.DataCentre() == g.dataCentre {
+			count++
+		}
+	}
+	near = max(nearPoll, time.Duration(count)*time.Second/nearRate)
+	far = max(farPoll, time.Duration(len(current)-count)*time.Second/farRate)
+	return near, far
+}
+
+func jittered(d time.Duration) time.Duration {
+	if d <= farPoll {
+		return d
 	}
-	return farPoll
+	return time.Duration(float64(d) * (1 + askJitter*(2*rand.Float64()-1)))
 }
 
 // ask fetches what changed at a peer since the last answer.
