forwarder: keep connections that still end a call out of the pool

Cause: a call's connection went back to the pool as soon as its answer was complete, and the call's context ended at that moment. If the transport had not yet marked the stream as finished, it took the end of the context for a cancelled call and closed the connection, perhaps under the next call. That call failed with a broken connection. Change: release waits for the transport to end the call, at most 100 ms.

--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -138,8 +138,36 @@
 	return c
 }
 
-// release gives a connection back after a call that ended cleanly.
+// settleTime bounds the wait for the transport to end a call whose answer is
+// complete; it takes microseconds.
+const settleTime = 100 * time.Millisecond
+
+// settled waits until the transport has ended the last call. If the context of
+// the call ended first, the transport would close the connection, perhaps under
+// the next call.
+func (c *pooled) settled() bool {
+	select {
+	case <-c.Unblocked():
+		return true
+	default:
+	}
+	timer := time.NewTimer(settleTime)
+	defer timer.Stop()
+	select {
+	case <-c.Unblocked():
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// release gives a connection back after a call that ended cleanly. The context of
+// the call must not end before.
 func (p *peer) release(c *pooled) {
+	if !c.settled() {
+		p.discard(c)
+		return
+	}
 	slots := c.slots
 	defer func() { <-slots }()
 	p.mu.Lock()
