--- a/runner/pipeline_test.go
+++ b/runner/pipeline_test.go
@@ -66,7 +66,7 @@
 
 func (budget) Acquire(context.Context, func() int) (func(), error) { return func() {}, nil }
 
-func split(t *testing.T) *bundler.Content {
+func split(t testing.TB) *bundler.Content {
 	t.Helper()
 	is := is.New(t)
 	doc, err := bundler.Parse([]byte(document))
@@ -76,7 +76,7 @@
 	return content
 }
 
-func publish(t *testing.T) *publisher.Publisher {
+func publish(t testing.TB) *publisher.Publisher {
 	t.Helper()
 	is := is.New(t)
 	authorKey, author, err := ed25519.GenerateKey(nil)
