--- a/forwarder/reuse_test.go
+++ b/forwarder/reuse_test.go
@@ -15,7 +15,7 @@
 // still ends its last call: the end of that call's context then closes it under
 // the next call. Without the
 // wait in release 40 of 120,000 calls failed here under the race detector.
-func TestReuse(t *testing.T) {
+func TestReuseUnderLoad(t *testing.T) {
 	h := &node{run: func(ctx context.Context, engine string, job connector.Job) (connector.Stream, error) {
 		return newTokens(1, io.EOF).start(ctx, engine, job)
 	}}
