runner: answer unknown to a repeated key that is refused early

Change: a refusal before the claim was read has the outcome unknown when the caller says that it repeats the key, in the pipeline and in the HTTP front. Ruled out: asking the table first, which would put a read before admission.

--- a/classifier/fault.go
+++ b/classifier/fault.go
@@ -175,6 +175,55 @@
 	return &Uncertain{newBase(Unknown{}, detail, opts)}
 }
 
+func (b *base) setOutcome(o Outcome) { b.outcome = o }
+
+// doubted returns a copy of a fault whose work may have run.
+func doubted[T any, P interface {
+	*T
+	setOutcome(o Outcome)
+}](f P) P {
+	c := *f
+	P(&c).setOutcome(Unknown{})
+	return &c
+}
+
+// Doubt returns the same fault with the outcome Unknown. It is for a refusal that
+// cannot speak for an earlier attempt at the same work.
+func Doubt(f Fault) Fault {
+	switch f := f.(type) {
+	case *Invalid:
+		return doubted(f)
+	case *TooLarge:
+		return doubted(f)
+	case *Unauthorized:
+		return doubted(f)
+	case *NotOffered:
+		return doubted(f)
+	case *KeyMissing:
+		return doubted(f)
+	case *KeyReused:
+		return doubted(f)
+	case *InProgress:
+		return doubted(f)
+	case *Overloaded:
+		return doubted(f)
+	case *Unavailable:
+		return doubted(f)
+	case *Withheld:
+		return doubted(f)
+	case *Expired:
+		return doubted(f)
+	case *Canceled:
+		return doubted(f)
+	case *Stopped:
+		return doubted(f)
+	case *Uncertain:
+		return doubted(f)
+	default:
+		return NewUncertain(f.Detail(), Cause(f))
+	}
+}
+
 // Of returns the fault in err's chain. An error that no stage has classified
 // becomes an Uncertain fault, because nothing vouches that the work did not
 // run.
--- a/classifier/fault_test.go
+++ b/classifier/fault_test.go
@@ -34,6 +34,29 @@
 	}
 }
 
+// Guards against a refusal that loses its kind or its retry delay when its
+// outcome is put in doubt, and against a change of the original.
+func TestDoubt(t *testing.T) {
+	faults := []classifier.Fault{
+		classifier.NewInvalid("d"), classifier.NewTooLarge("d"), classifier.NewUnauthorized("d"),
+		classifier.NewNotOffered("d"), classifier.NewKeyMissing("d"), classifier.NewKeyReused("d"),
+		classifier.NewInProgress("d"), classifier.NewOverloaded("d", classifier.RetryAfter(time.Second)),
+		classifier.NewUnavailable("d", classifier.RetryAfter(time.Second)), classifier.NewWithheld("d"),
+		classifier.NewExpired("d"), classifier.NewCanceled("d"), classifier.NewStopped("d"), classifier.NewUncertain("d"),
+	}
+	for _, f := range faults {
+		t.Run(fmt.Sprintf("%T", f), func(t *testing.T) {
+			is := is.New(t)
+			before := f.Outcome()
+			d := classifier.Doubt(f)
+			is.Equal(d.Outcome(), classifier.Unknown{})
+			is.Equal(fmt.Sprintf("%T", d), fmt.Sprintf("%T", f))
+			is.Equal(d.RetryAfter(), f.RetryAfter())
+			is.Equal(f.Outcome(), before)
+		})
+	}
+}
+
 func ExampleNewOverloaded() {
 	err := classifier.NewOverloaded("queue is full", classifier.RetryAfter(2*time.Second))
 	fmt.Println(err, err.Outcome(), err.RetryAfter())
--- a/deployer/host.go
+++ b/deployer/host.go
@@ -151,6 +151,9 @@
 	err := h.drain(ctx, node)
 	h.node.Store(nil)
 	h.kill()
+	if err != nil {
+		node.Abandon() // it would go on renewing its lease
+	}
 	h.fleet.retire(node)
 	if err != nil {
 		return fmt.Errorf("stop %s: %w", h.name, err)
--- a/deployer/operator.go
+++ b/deployer/operator.go
@@ -73,6 +73,16 @@
 	return f.roller(operator).RollOut(ctx, plan.Excluding(exclude...))
 }
 
+// Replace signs a bundle and rolls it out in place of a roll-out that another
+// operator began and did not finish.
+func (f *Fleet) Replace(ctx context.Context, operator string, doc *bundler.Document) (roller.Result, error) {
+	plan, err := f.operators.sign(doc)
+	if err != nil {
+		return nil, err
+	}
+	return f.roller(operator).RollOut(ctx, plan.Replacing())
+}
+
 // RollBack puts an earlier bundle in force.
 func (f *Fleet) RollBack(ctx context.Context, operator, version string) (roller.Result, error) {
 	return f.roller(operator).RollBack(ctx, version, roller.Plan{})
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -1,9 +1,12 @@
 package runner
 
 import (
+	"context"
+
 	"github.com/dragonflyford/dragonflyford/admitter"
 	"github.com/dragonflyford/dragonflyford/chainer"
 	"github.com/dragonflyford/dragonflyford/claimer"
+	"github.com/dragonflyford/dragonflyford/classifier"
 	"github.com/dragonflyford/dragonflyford/dispatcher"
 	"github.com/dragonflyford/dragonflyford/placer"
 	"github.com/dragonflyford/dragonflyford/receiver"
@@ -55,7 +58,24 @@
 // Join connects the stages in the order that the design page gives.
 func (s *Stages) Join() Pipeline {
 	perAttempt := chainer.Join(chainer.Join(s.placer, s.dispatcher), s.verifier)
-	enter := chainer.Join(chainer.Join(chainer.Join(s.receiver, s.resolver), s.admitter), s.claimer)
+	admitted := chainer.Join(chainer.Join(s.receiver, s.resolver), s.admitter)
+	enter := chainer.Join[*receiver.Call](doubting{next: admitted}, s.claimer)
 	leave := chainer.Join(retrier.New(perAttempt, s.attempts), responder.New())
 	return chainer.Join(enter, leave)
 }
+
+// doubting is the pipeline up to the claim. A refusal there is reported as
+// unknown to a caller that repeats a key, because no stage has looked at what
+// became of the earlier attempts.
+type doubting struct {
+	next chainer.Filter[*receiver.Call, *admitter.Admitted]
+}
+
+// Apply runs the stages before the claim.
+func (d doubting) Apply(ctx context.Context, c *receiver.Call) (*admitter.Admitted, error) {
+	a, err := d.next.Apply(ctx, c)
+	if err != nil && c.Repeats() {
+		return nil, classifier.Doubt(classifier.Of(err))
+	}
+	return a, err
+}
--- a/server/handler.go
+++ b/server/handler.go
@@ -21,7 +21,7 @@
 		r = r.WithContext(ctx)
 		in, err := decode(w, r)
 		if err != nil {
-			s.writeFault(w, r, err)
+			s.writeRefusal(w, r, err)
 			return
 		}
 		out, err := act(ctx, in)
--- a/server/problem.go
+++ b/server/problem.go
@@ -97,6 +97,16 @@
 // wholeSeconds rounds up, because a caller that comes back early is refused again.
 func wholeSeconds(d time.Duration) int { return int(math.Ceil(d.Seconds())) }
 
+// writeRefusal answers a request that no stage has seen. To a caller that repeats
+// an idempotency key it cannot say not-run, because an earlier attempt may have
+// run the call.
+func (s *Server) writeRefusal(w http.ResponseWriter, r *http.Request, err error) {
+	if n, invalid := keyAttempt(r); r.Header.Get(headerKey) != "" && (invalid != nil || n > 1) {
+		err = classifier.Doubt(classifier.Of(err))
+	}
+	s.writeFault(w, r, err)
+}
+
 // writeFault answers with a problem document.
 func (s *Server) writeFault(w http.ResponseWriter, r *http.Request, err error) {
 	s.writeProblem(w, r, describe(r, err), err)
--- a/server/server.go
+++ b/server/server.go
@@ -87,7 +87,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer s.inFlight.Add(-1)
 		if n := s.inFlight.Add(1); s.concurrency > 0 && n > int64(s.concurrency) {
-			s.writeFault(w, r, classifier.NewOverloaded("the node has too many open requests", classifier.RetryAfter(retryWhenFull)))
+			s.writeRefusal(w, r, classifier.NewOverloaded("the node has too many open requests", classifier.RetryAfter(retryWhenFull)))
 			return
 		}
 		next.ServeHTTP(w, r)
