leaser: test that a promise outlives an outage

A member that reaches the table again must not take over from an owner that still relies on its promise.

--- a/leaser/races_test.go
+++ b/leaser/races_test.go
@@ -56,3 +56,24 @@
 		})
 	}
 }
+
+// Guards against a member that reaches the table again and takes over from an
+// owner that still relies on its promise.
+func TestPromiseKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 4, "a", "b")
+		defer r.close()
+		r.settle(4, "a", "b")
+		time.Sleep(2 * lease)
+		a, b := r.all()[0], r.all()[1]
+		a.cut.Refuse()
+		b.cut.Refuse()
+		time.Sleep(20 * time.Second)
+		if held := r.held(); held["a"] != 2 || held["b"] != 2 {
+			t.Errorf("both extend their leases, but hold %v", held)
+		}
+		b.cut.Restore()
+		took := r.until(lease+2*guard+3*leaser.DefaultScan, "new owners", func() bool { return r.held()["b"] == 4 })
+		t.Logf("new owner %v after one of two is back", took)
+	})
+}
