--- a/trial/caller_test.go
+++ b/trial/caller_test.go
@@ -91,7 +91,13 @@
 func (c *caller) generate() {
 	m := c.model()
 	prompt := fmt.Sprintf("%s document %d", c.name, c.n)
-	if err := c.generateAt(c.world.ctx, nil, m, prompt); err != nil {
+	ctx := c.world.ctx
+	if c.rng.IntN(20) == 0 { // some callers go away
+		var leave context.CancelFunc
+		ctx, leave = context.WithTimeout(ctx, time.Duration(c.rng.IntN(1000))*time.Millisecond)
+		defer leave()
+	}
+	if err := c.generateAt(ctx, nil, m, prompt); err != nil {
 		c.world.count("generations without answer")
 		return
 	}
@@ -116,11 +122,6 @@
 		caller: c, model: m, prompt: prompt,
 		id: fmt.Sprintf("%s-%d-%d", c.name, c.n, c.rng.Uint32()), length: 1 + c.rng.IntN(20),
 	}
-	if c.rng.IntN(20) == 0 {
-		var leave context.CancelFunc
-		ctx, leave = context.WithTimeout(ctx, time.Duration(c.rng.IntN(1000))*time.Millisecond)
-		defer leave()
-	}
 	var err error
 	for range exchanges {
 		at := h
