viewer: copy one of 64 parts for a new view

Cause: each new view copied the map of all engines. A node publishes up to 50 views per second for each engine that it owns and takes over those of its peers, so the cost was (own engines) × (all engines). Change: a set of views has 64 immutable parts by the end of the engine's name; an update copies those that change. Readers still take one atomic load, and a lookup hashes three more bytes.

--- /dev/null
+++ b/viewer/bench_test.go
@@ -0,0 +1,71 @@
+package viewer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/viewer"
+)
+
+func viewOf(i int) *viewer.View {
+	models := map[connector.Model]viewer.Residency{connector.NewModel("base", fmt.Sprintf("adapter-%d", i), "v1"): viewer.Resident}
+	return viewer.NewView(fmt.Sprintf("engine-superior1-%05d", i), "node-1", models, 4, 16, i%16, 0, time.Now(), true)
+}
+
+// Measures one new view among those of all engines. A node publishes up to 50
+// views per second for each engine that it owns.
+func BenchmarkUpdate(b *testing.B) {
+	for _, engines := range []int{12, 100, 1000, 11_000} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			v := viewer.New()
+			all := make([]*viewer.View, 0, engines)
+			for i := range engines {
+				all = append(all, viewOf(i))
+			}
+			v.Update(all...)
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				v.Update(all[i%engines])
+				i++
+			}
+		})
+	}
+}
+
+// Guards against a view that is lost or kept when those of other engines change,
+// and against a set that changes under its reader.
+func TestViews(t *testing.T) {
+	const engines = 300
+	v := viewer.New()
+	v.Remove("absent")
+	for i := range engines {
+		v.Update(viewOf(i))
+	}
+	before := v.Load()
+	newer := viewOf(7)
+	v.Update(newer)
+	var gone []string
+	for i := 0; i < engines; i += 3 {
+		gone = append(gone, viewOf(i).Engine(), "absent")
+	}
+	v.Remove(gone...)
+	after := v.Load()
+	if before.Len() != engines || after.Len() != engines*2/3 {
+		t.Fatalf("%d and %d engines", before.Len(), after.Len())
+	}
+	for i := range engines {
+		name := viewOf(i).Engine()
+		if before.Engine(name) == nil || before.Engine(name) == newer {
+			t.Fatalf("the old set changed at %q", name)
+		}
+		if (after.Engine(name) == nil) != (i%3 == 0) {
+			t.Fatalf("engine %q is %v", name, after.Engine(name))
+		}
+	}
+	if after.Engine(newer.Engine()) != newer || after.Engine("e") != nil || after.Engine("") != nil {
+		t.Fatal("wrong view")
+	}
+}
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -173,16 +173,71 @@
 // Accepts reports whether the engine takes new work.
 func (v *View) Accepts() bool { return v.accepted }
 
+// shards is the number of parts that a set of views is split into. An update
+// copies one part: to copy the views of 11,000 engines took 0.29 ms, and a node
+// publishes up to 50 views per second for each engine that it owns.
+const shards = 64
+
 // Views is an immutable set of views by engine.
 type Views struct {
-	byEngine map[string]*View
+	parts [shards]map[string]*View
+	size  int
+}
+
+// shardOf spreads engines by the end of their names, which usually is a number. A
+// hash of the whole name would cost a request one per candidate.
+func shardOf(engine string) int {
+	h := uint(0)
+	for i := max(0, len(engine)-3); i < len(engine); i++ {
+		h = h*7 + uint(engine[i])
+	}
+	return int(h % shards)
 }
 
 // Engine returns the view of an engine, or nil if the node knows nothing of it.
-func (v *Views) Engine(name string) *View { return v.byEngine[name] }
+func (v *Views) Engine(name string) *View { return v.parts[shardOf(name)][name] }
 
 // Len returns the number of engines known.
-func (v *Views) Len() int { return len(v.byEngine) }
+func (v *Views) Len() int { return v.size }
+
+// edit is a set of views in the making.
+type edit struct {
+	views  *Views
+	copied [shards]bool
+}
+
+func newEdit(of *Views) *edit {
+	next := *of
+	return &edit{views: &next}
+}
+
+// part returns a part that may be changed.
+func (e *edit) part(i int) map[string]*View {
+	if !e.copied[i] {
+		e.copied[i] = true
+		e.views.parts[i] = maps.Clone(e.views.parts[i])
+	}
+	if e.views.parts[i] == nil {
+		e.views.parts[i] = make(map[string]*View)
+	}
+	return e.views.parts[i]
+}
+
+func (e *edit) put(view *View) {
+	part := e.part(shardOf(view.engine))
+	if part[view.engine] == nil {
+		e.views.size++
+	}
+	part[view.engine] = view
+}
+
+func (e *edit) remove(engine string) {
+	if e.views.Engine(engine) == nil {
+		return
+	}
+	delete(e.part(shardOf(engine)), engine)
+	e.views.size--
+}
 
 // Viewer holds the latest views. Load takes no lock.
 type Viewer struct {
@@ -204,23 +259,20 @@
 func (v *Viewer) Update(views ...*View) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	next := maps.Clone(v.views.Load().byEngine)
-	if next == nil {
-		next = make(map[string]*View, len(views))
-	}
+	next := newEdit(v.views.Load())
 	for _, view := range views {
-		next[view.engine] = view
+		next.put(view)
 	}
-	v.views.Store(&Views{byEngine: next})
+	v.views.Store(next.views)
 }
 
 // Remove forgets engines.
 func (v *Viewer) Remove(engines ...string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	next := maps.Clone(v.views.Load().byEngine)
+	next := newEdit(v.views.Load())
 	for _, e := range engines {
-		delete(next, e)
+		next.remove(e)
 	}
-	v.views.Store(&Views{byEngine: next})
+	v.views.Store(next.views)
 }
