forwarder, viewer: measure the memory of connections and views

Cause: the 64 MB budget had no figure for what grows with the peers. Change: BenchmarkConnection and BenchmarkMemory.

--- a/forwarder/bench_test.go
+++ b/forwarder/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"runtime"
 	"testing"
 	"time"
 
@@ -68,3 +69,27 @@
 		})
 	}
 }
+
+// Measures the memory of an open connection, both ends and their goroutines
+// together. A node keeps one to each peer that it asks.
+func BenchmarkConnection(b *testing.B) {
+	const connections = 200
+	for b.Loop() {
+		before := memory()
+		for range connections {
+			p, _ := dial(b, &node{}, nil, nil)
+			if _, err := p.State(context.Background(), 1); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric((memory()-before)/connections, "B/connection")
+	}
+}
+
+// memory returns the bytes of heap and stacks in use.
+func memory() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapInuse + m.StackInuse)
+}
--- a/viewer/bench_test.go
+++ b/viewer/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -69,3 +70,28 @@
 		t.Fatal("wrong view")
 	}
 }
+
+// Measures the memory of the views of 11,000 engines with three adapters each,
+// whose names they share.
+func BenchmarkMemory(b *testing.B) {
+	const engines = 11_000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		v := viewer.New()
+		for i := range engines {
+			models := make(map[connector.Model]viewer.Residency)
+			for j := range 3 {
+				models[connector.NewModel("base", names[(i+j)%len(names)], "v1")] = viewer.Resident
+			}
+			v.Update(viewer.NewView(fmt.Sprintf("engine-superior1-%05d", i), "node-1", models, 4, 16, i%16, 0, time.Now(), true))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/engines, "B/view")
+		runtime.KeepAlive(v)
+	}
+}
+
+var names = []string{"reading", "signature", "amounts", "notes"}
