--- a/viewer/slopes_test.go
+++ b/viewer/slopes_test.go
@@ -45,13 +45,16 @@
 		runtime.GC()
 		runtime.ReadMemStats(&before)
 		v := viewer.New()
+		all := make([]*viewer.View, 0, engines)
 		for i := range engines {
 			models := make(map[connector.Model]viewer.Residency)
 			for j := range 3 {
 				models[connector.NewModel("base", names[(i+j)%len(names)], "v1")] = viewer.Resident
 			}
-			v.Update(viewer.NewView(fmt.Sprintf("engine-superior1-%05d", i), "node-1", models, 4, 16, i%16, 0, time.Now(), true))
+			all = append(all, viewer.NewView(fmt.Sprintf("engine-superior1-%05d", i), "node-1", models, 4, 16, i%16, 0, time.Now(), true))
 		}
+		v.Update(all...)
+		clear(all)
 		runtime.GC()
 		runtime.ReadMemStats(&after)
 		b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/engines, "B/view")
