runner: let the last node of a data centre stop without a cut

Cause: Drain returned the leaser's ErrNoSuccessor at once. A node that leaves while the others of its data centre leave too therefore failed its planned stop and did not wait for requests on its engines. It depends on which leaving rows the last scan has shown; the test waits until they are known and failed every time.

The node now keeps its engines until its own requests have ended, gives them up, and ends its lease. Handing over to a node that leaves as well was ruled out: it would refuse them.

--- a/runner/node.go
+++ b/runner/node.go
@@ -85,6 +85,7 @@
 	pipeline   Pipeline
 
 	draining   atomic.Bool
+	yielded    atomic.Bool   // the node owns no engine any more
 	drainAsked chan struct{} // receives when an operator drains the node
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -231,6 +232,9 @@
 	n.claimer.SetInterval(claimInterval(len(members)))
 	var owned []Ownership
 	for _, e := range n.leaser.Owned() {
+		if n.yielded.Load() {
+			break // a stop without a successor: the lease lasts until Close
+		}
 		owned = append(owned, ownership{EngineLease: n.leaser.Engine(e.Engine()), entry: e})
 	}
 	n.owners.reconcile(owned, n.bundles.Load().Current(), n.drainer.Leaving)
@@ -302,9 +306,16 @@
 // engines to other members, and waits until everything in flight has ended.
 func (n *Node) Drain(ctx context.Context) error {
 	n.draining.Store(true)
-	if err := n.leaser.Drain(ctx); err != nil {
+	err := n.leaser.Drain(ctx)
+	if errors.Is(err, leaser.ErrNoSuccessor) {
+		// The last member of a data centre keeps its engines for its own requests.
+		n.log.Warn("engines have no other owner", logger.Err(err))
+		err = n.waitIdle(ctx)
+	}
+	if err != nil {
 		return fmt.Errorf("hand engines over: %w", err)
 	}
+	n.yielded.Store(true)
 	n.follow()
 	if err := n.owners.drain(ctx); err != nil {
 		return err
--- a/runner/stop_test.go
+++ b/runner/stop_test.go
@@ -3,13 +3,18 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/dragonflyford/dragonflyford/configurer"
+	"github.com/dragonflyford/dragonflyford/deployer"
 	"github.com/dragonflyford/dragonflyford/emulator"
+	"github.com/dragonflyford/dragonflyford/receiver"
+	"github.com/dragonflyford/dragonflyford/responder"
 	"github.com/dragonflyford/dragonflyford/runner"
 	"github.com/dragonflyford/dragonflyford/storer"
 )
@@ -42,3 +47,43 @@
 		is.True(errors.Is(err, storer.ErrUnavailable)) // the lease could not be ended
 	})
 }
+
+// Guards against a planned stop of the last node of a data centre that fails and
+// cuts its requests because no other node can take the engines.
+func TestStopOfLastMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const tokens = 100
+		d, err := emulator.NewDeployment(emulator.Clearing, emulator.WithAdapters(20))
+		is.NoErr(err)
+		ctx := context.Background()
+		fleet, err := deployer.New(ctx, d, 1)
+		is.NoErr(err)
+		is.NoErr(fleet.Start(ctx))
+		first, last := fleet.Hosts()[0], fleet.Hosts()[1]
+		is.NoErr(first.Stop(ctx))
+		time.Sleep(10 * time.Second) // until the last node knows that the first one has ended
+		is.True(len(last.Node().Owned()) > 0)
+
+		call := receiver.NewGeneration("bank-00001@v1", "cheque", tokens, 0, receiver.WithCaller("c"))
+		calling, hangUp := context.WithCancel(ctx) // a call holds its place until its context ends
+		defer hangUp()
+		answer, err := last.Node().Pipeline().Apply(calling, call)
+		is.NoErr(err)
+		body, ok := answer.Body().(*responder.TokenBody)
+		is.True(ok)
+		stopped := make(chan error, 1)
+		go func() { stopped <- last.Stop(ctx) }()
+		for i := range tokens {
+			chunk, err := body.Stream().Next(calling)
+			is.NoErr(err)
+			is.Equal(chunk.Index(), i)
+		}
+		_, err = body.Stream().Next(calling)
+		is.Equal(err, io.EOF)
+		is.NoErr(body.Stream().Close())
+		hangUp()
+		is.NoErr(<-stopped)
+		is.NoErr(fleet.Close(ctx))
+	})
+}
