--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -23,17 +23,17 @@
 	// Gone reports that the lease of the node that wrote a claim has expired, with
 	// the guard, or that another instance has taken its name.
 	Gone(node string) bool
-	// InForce reports that the lease of this node has not expired by its own
-	// clock, so that no other node can see it as gone.
-	InForce() bool
+	// LeaseEnd returns the end of this node's lease by its own clock, as far as it
+	// is known now. No other node sees this one as gone before it.
+	LeaseEnd() time.Time
 }
 
 // alone is the liveness of a node without leases: attempts are only taken over
 // after their hold.
 type alone struct{}
 
-func (alone) Gone(string) bool { return false }
-func (alone) InForce() bool    { return true }
+func (alone) Gone(string) bool    { return false }
+func (alone) LeaseEnd() time.Time { return time.Now().Add(time.Hour) }
 
 // Claimed is a request with the right to run.
 type Claimed struct {
@@ -89,6 +89,7 @@
 	c.memory = newMemory(c.settings.MaxMemory, c.settings.Retention)
 	c.settler = newSettler(c)
 	c.sweeper = &sweeper{table: table, settings: c.settings}
+	c.SetSweepInterval(c.settings.SweepInterval)
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
 	c.done.Go(func() { c.settler.run(ctx) })
@@ -111,10 +112,14 @@
 	c.done.Wait()
 }
 
-// SetInterval sets the shortest time between two commits of this node. The
+// SetInterval sets the mean time between two commits of this node. The
 // commits of all nodes share the table.
 func (c *Claimer) SetInterval(d time.Duration) { c.flusher.interval.Store(int64(d)) }
 
+// SetSweepInterval sets the time between two sweeps of this node from the next
+// one on. All nodes sweep the same rows.
+func (c *Claimer) SetSweepInterval(d time.Duration) { c.sweeper.interval.Store(int64(d)) }
+
 // Commits returns how many commits the claimer made.
 func (c *Claimer) Commits() int64 { return c.flusher.commits.Load() }
 
@@ -153,7 +158,7 @@
 		claimer: c,
 		key:     key,
 		attempt: attempt,
-		started: time.Now(),
+		sure:    earlier(time.Now().Add(c.settings.Hold), c.live.LeaseEnd()),
 		record: record{
 			State:    stateClaimed,
 			Attempt:  attempt,
@@ -164,6 +169,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // get reads a row with a limit on the time.
 func (c *Claimer) get(ctx context.Context, key string) (storer.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.settings.CommitTimeout)
--- a/claimer/doc.go
+++ b/claimer/doc.go
@@ -13,23 +13,29 @@
 // A row stores how long its attempt may stay in claimed, its hold. The attempt
 // counts the hold from before it wrote the row; others take the row over only
 // after they saw it unchanged for the hold and a guard, each on its own clock,
-// or after the lease of the attempt's node expired. While the hold and the
-// node's own lease last, an attempt that has not sent answers not-run without
+// or after the lease of the attempt's node expired. While the hold lasts, and
+// the lease that the node had when it wrote the row, an attempt that has not sent answers not-run without
 // the table. Later it first writes not-run to the row, and answers unknown if it
 // cannot.
 //
 // # Writes
 //
 // A posting needs three row writes: claimed, sent and done. A node groups them:
-// one commit is in flight at a time, starts at least Interval after the one
-// before, and carries up to MaxGroup rows. With the default interval of 30 ms a
-// node makes at most 33 commits per second, and 8 entry hosts make 267, below
-// the 300 per second that the table takes. A commit of 64 rows carries 64/3
-// postings: 8 hosts × 33 commits/s × 64 rows / 3 = 5,600 postings/s at most; the
-// fastest three steps of one posting then take 3 × 30 ms. An idle node waits only Window (5 ms) per
-// step. The commits of all nodes count: N nodes that all take postings need an
-// interval of N/267 s, so with 560 of them a posting would wait 2 s per step,
-// and postings have to go to fewer nodes. SetInterval follows the membership.
+// one commit is in flight at a time, on average one starts per Interval, and it
+// carries up to MaxGroup rows. With the default interval of 30 ms a node makes at
+// most 33 commits per second, and 8 entry hosts make 267, below the 300 per
+// second that the table takes. A commit of 64 rows carries 64/3 postings: 8 hosts
+// × 33 commits/s × 64 rows / 3 = 5,600 postings/s at most. A posting then waits
+// for 3 intervals, 90 ms. On an idle node the Burst is unspent, and each step
+// waits only for the Window, 15 ms in all.
+//
+// A conflict on one row costs its group one more commit. The first attempt of a
+// key reads nothing, so the table's 2,000 reads per second do not bound the
+// postings; repeats read once per second at most while they wait.
+//
+// The commits of all nodes count: N nodes that all take postings need an interval
+// of N/267 s. With 560 of them a posting would wait 2 s per step, and postings
+// have to go to fewer nodes. SetInterval follows the membership.
 //
 // # Retention
 //
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -15,10 +15,6 @@
 	"github.com/dragonflyford/dragonflyford/connector"
 )
 
-// keepAlive finds dead hosts within 8 seconds, which is in the order of the
-// lease time of 6 seconds.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}
-
 // pooled is a connection of a peer. It carries one call at a time.
 type pooled struct {
 	*drpcconn.Conn
@@ -103,11 +99,15 @@
 	ctx, cancel := context.WithTimeout(caller, p.dialTime)
 	defer cancel()
 	defer context.AfterFunc(p.ctx, cancel)()
-	dialer := net.Dialer{KeepAliveConfig: keepAlive}
+	var dialer net.Dialer
 	raw, err := dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, p.refuse(caller, err)
 	}
+	if err := detectDeath(raw); err != nil {
+		_ = raw.Close()
+		return nil, p.refuse(caller, err)
+	}
 	conn := net.Conn(&countedConn{Conn: raw, writeTime: p.writeTime, sent: &p.sent, received: &p.received})
 	if p.tls != nil {
 		secure := tls.Client(conn, p.tlsConfig())
@@ -138,8 +138,36 @@
 	return c
 }
 
-// release gives a connection back after a call that ended cleanly.
+// settleTime bounds the wait for the transport to end a call whose answer is
+// complete; it takes microseconds.
+const settleTime = 100 * time.Millisecond
+
+// settled waits until the transport has ended the last call. If the context of
+// the call ended first, the transport would close the connection, perhaps under
+// the next call.
+func (c *pooled) settled() bool {
+	select {
+	case <-c.Unblocked():
+		return true
+	default:
+	}
+	timer := time.NewTimer(settleTime)
+	defer timer.Stop()
+	select {
+	case <-c.Unblocked():
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// release gives a connection back after a call that ended cleanly. The context of
+// the call must not end before.
 func (p *peer) release(c *pooled) {
+	if !c.settled() {
+		p.discard(c)
+		return
+	}
 	slots := c.slots
 	defer func() { <-slots }()
 	p.mu.Lock()
--- a/runner/node.go
+++ b/runner/node.go
@@ -230,6 +230,8 @@
 	members := n.leaser.Membership().Members()
 	n.peers.update(members)
 	n.claimer.SetInterval(claimInterval(len(members)))
+	n.claimer.SetSweepInterval(sweepInterval(len(members)))
+	n.drainer.SetEvery(drainInterval(len(members)))
 	var owned []Ownership
 	for _, e := range n.leaser.Owned() {
 		if n.yielded.Load() {
@@ -263,6 +265,28 @@
 	return time.Duration(max(nodes, 1)) * time.Second / claimCommits
 }
 
+const (
+	sweepEvery = 5 * time.Second // of up to sweepers nodes
+	sweepers   = 140             // 28 pages or 14,000 rows per second
+	manyNodes  = 128
+)
+
+// sweepInterval returns the time between two sweeps of one node for finished
+// claims. All nodes sweep the same rows, so more nodes need not read more.
+func sweepInterval(nodes int) time.Duration {
+	return sweepEvery * time.Duration(max(nodes, sweepers)) / sweepers
+}
+
+// drainInterval returns the time between two polls for planned stops. A leaving
+// endpoint may get new work for a few seconds; 560 nodes that poll each second
+// take 560 of the table's 2,000 reads.
+func drainInterval(nodes int) time.Duration {
+	if nodes > manyNodes {
+		return 2 * drainer.DefaultEvery
+	}
+	return drainer.DefaultEvery
+}
+
 // stopped follows planned stops.
 func (n *Node) stopped(stops *drainer.Stops) {
 	if stops.Node(n.settings.Name()) {
@@ -306,14 +330,8 @@
 // engines to other members, and waits until everything in flight has ended.
 func (n *Node) Drain(ctx context.Context) error {
 	n.draining.Store(true)
-	err := n.leaser.Drain(ctx)
-	if errors.Is(err, leaser.ErrNoSuccessor) {
-		// The last member of a data centre keeps its engines for its own requests.
-		n.log.Warn("engines have no other owner", logger.Err(err))
-		err = n.waitIdle(ctx)
-	}
-	if err != nil {
-		return fmt.Errorf("hand engines over: %w", err)
+	if err := n.handOver(ctx); err != nil {
+		return err
 	}
 	n.yielded.Store(true)
 	n.follow()
@@ -323,6 +341,27 @@
 	return n.waitIdle(ctx)
 }
 
+// handOverTime bounds the wait for other members. With the table down they cannot
+// take the engines over before the lease has expired.
+const handOverTime = 20 * time.Second
+
+// handOver gives the node's engines to other members. Without a successor, or
+// with the table down, the node stops all the same once its requests have ended;
+// its engines find an owner after its lease.
+func (n *Node) handOver(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, handOverTime)
+	defer cancel()
+	err := n.leaser.Drain(bounded)
+	if err == nil {
+		return nil
+	}
+	if ctx.Err() != nil {
+		return fmt.Errorf("hand engines over: %w", err)
+	}
+	n.log.Component("leaser").Warn("engines are left without a successor", logger.Err(err))
+	return n.waitIdle(ctx) // the node's own requests need its engines
+}
+
 // idlePoll is how often a draining node looks for requests in flight.
 const idlePoll = 50 * time.Millisecond
 
