--- a/exampler/exampler.go
+++ b/exampler/exampler.go
@@ -41,7 +41,7 @@
 		e.add(operator+".json", encode, e.operatorDocument(operator))
 		e.addKey(operator)
 	}
-	e.files = append(e.files, File{"operator.key", []byte(operatorKey(deployment) + "\n")})
+	e.files = append(e.files, File{operatorKeyFile, []byte(operatorKey(deployment) + "\n")})
 	e.add("bundle.json", encodeLines, d.Document(bundleVersion, e.endpointAddress))
 	e.add("load.json", encode, e.workload())
 	if err := errors.Join(e.errs...); err != nil {
--- a/exampler/settings.go
+++ b/exampler/settings.go
@@ -70,7 +70,10 @@
 	}
 }
 
-// operatorDocument is a settings file of dragonflyctl. The key file is named
+// operatorKeyFile holds the key that the operators' listeners ask for.
+const operatorKeyFile = "operator.key"
+
+// operatorDocument is a settings file of dragonflyctl. Key files are named
 // relative to the directory of the example.
 type operatorDocument struct {
 	Operator string            `json:"operator"`
@@ -78,10 +81,17 @@
 	Objects  string            `json:"objects"`
 	KeyFile  string            `json:"key_file"`
 	Keys     map[string]string `json:"keys"`
+	// Nodes holds the operators' listeners by node.
+	Nodes           map[string]string `json:"nodes"`
+	OperatorKeyFile string            `json:"operator_key_file"`
 }
 
 func (e *example) operatorDocument(operator string) operatorDocument {
 	name := e.deployment.Name()
+	nodes := make(map[string]string)
+	for _, n := range e.nodes() {
+		nodes[n.name] = e.ports.url(operatorPort + n.index)
+	}
 	return operatorDocument{
 		Operator: operator,
 		Table:    e.ports.url(platformPort),
@@ -91,5 +101,7 @@
 			author:   publicText(signingKey(name, author)),
 			reviewer: publicText(signingKey(name, reviewer)),
 		},
+		Nodes:           nodes,
+		OperatorKeyFile: operatorKeyFile,
 	}
 }
