commander: name a command that does not exist

go-flags hands an unknown first word over as an argument, so that the answer was "no command given".

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -93,6 +94,9 @@
 			_, err := fmt.Fprintln(c.out, "dragonflyctl "+c.version)
 			return err
 		}
+		if command == nil && len(rest) > 0 {
+			return &SettingError{setting: "command", value: rest[0], allowed: "one of " + strings.Join(commandNames(parser), ", ")}
+		}
 		if command == nil {
 			return &flags.Error{Type: flags.ErrCommandRequired, Message: "no command given; see --help"}
 		}
@@ -107,6 +111,14 @@
 	return c.report(err)
 }
 
+func commandNames(parser *flags.Parser) []string {
+	var names []string
+	for _, c := range parser.Commands() {
+		names = append(names, c.Name)
+	}
+	return names
+}
+
 // report prints an error and returns the exit code.
 func (c *Commander) report(err error) int {
 	if err == nil {
--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -138,6 +138,7 @@
 		{"help", "--help", "", 0, "roll out bundles", ""},
 		{"help of a command", "bundle roll-out --help", "", 0, "--exclude=REGION", ""},
 		{"no command", "", "", 2, "", "no command given"},
+		{"command that does not exist", "bundel", "", 2, "", `command: value "bundel" is not allowed; must be one of key, bundle`},
 		{"unknown command", "bundle paint", "", 2, "", "Unknown command `paint'"},
 		{"unknown option", "bundle check --colour @1.json", "", 2, "", "unknown flag `colour'"},
 		{"missing file argument", "bundle check", "", 2, "", "FILE"},
