--- a/examples/run.sh
+++ b/examples/run.sh
@@ -22,7 +22,8 @@
 # A node in a pid file may be one that was restarted by hand, so the end is polled.
 # Nodes stop before the fakes, so that they can hand their engines over.
 stop() {
-  trap - EXIT INT TERM
+  trap - EXIT
+  trap '' INT TERM # a second signal would leave processes behind
   for name in "${nodes[@]}"; do
     [ -f "$logs/$name.pid" ] || continue
     signal CONT "$logs/$name.pid"
