--- a/runner/node.go
+++ b/runner/node.go
@@ -85,6 +85,7 @@
 	pipeline   Pipeline
 
 	draining   atomic.Bool
+	yielded    atomic.Bool   // the node owns no engine any more
 	drainAsked chan struct{} // receives when an operator drains the node
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -233,6 +234,9 @@
 	n.drainer.SetEvery(drainInterval(len(members)))
 	var owned []Ownership
 	for _, e := range n.leaser.Owned() {
+		if n.yielded.Load() {
+			break // a stop without a successor: the lease lasts until Close
+		}
 		owned = append(owned, ownership{EngineLease: n.leaser.Engine(e.Engine()), entry: e})
 	}
 	n.owners.reconcile(owned, n.bundles.Load().Current(), n.drainer.Leaving)
@@ -329,6 +333,7 @@
 	if err := n.handOver(ctx); err != nil {
 		return err
 	}
+	n.yielded.Store(true)
 	n.follow()
 	if err := n.owners.drain(ctx); err != nil {
 		return err
@@ -354,7 +359,7 @@
 		return fmt.Errorf("hand engines over: %w", err)
 	}
 	n.log.Component("leaser").Warn("engines are left without a successor", logger.Err(err))
-	return nil
+	return n.waitIdle(ctx) // the node's own requests need its engines
 }
 
 // idlePoll is how often a draining node looks for requests in flight.
