runner: count service levels of every request

Cause: the burn report had no source in a running node.

Change: the reporter watches the request pipeline and hears of load stalls by adapter from the schedulers.

--- a/runner/node.go
+++ b/runner/node.go
@@ -24,6 +24,7 @@
 	"github.com/dragonflyford/dragonflyford/publisher"
 	"github.com/dragonflyford/dragonflyford/receiver"
 	"github.com/dragonflyford/dragonflyford/recorder"
+	"github.com/dragonflyford/dragonflyford/reporter"
 	"github.com/dragonflyford/dragonflyford/resolver"
 	"github.com/dragonflyford/dragonflyford/scheduler"
 	"github.com/dragonflyford/dragonflyford/verifier"
@@ -82,6 +83,7 @@
 	claimer    *claimer.Claimer
 	dispatcher *dispatcher.Dispatcher
 	verifier   *verifier.Verifier
+	reporter   *reporter.Reporter
 	pipeline   Pipeline
 
 	draining   atomic.Bool
@@ -152,6 +154,8 @@
 
 // startEngines starts what the node does for the engines that it owns.
 func (n *Node) startEngines(env Environment) {
+	n.reporter = reporter.New(n.settings.Name(), n.settings.Region(), n.bundles, env.objects,
+		reporter.WithRetention(n.settings.ReportRetention()), reporter.WithLogger(n.log.Component("reporter")))
 	n.endpoints = newEndpoints(env.endpoints, n.bundles.Load)
 	n.breaker = breaker.New(n.leaser.ID(), env.table, n.peers, breaker.DefaultLife)
 	n.budget = budgeter.New(env.table, n.leaser.ID(), n.limits, n.position, n.seed)
@@ -189,10 +193,16 @@
 		publish,
 		scheduler.WithCrashSink(crashSink{breaker: n.breaker}),
 		scheduler.WithGuard(n.settings.LeaseGuard()),
-		scheduler.WithStalls(n.stalls),
+		scheduler.WithStalls(n.stalled),
 		scheduler.WithSeed(n.seed))
 }
 
+// stalled counts the load stall of one job.
+func (n *Node) stalled(adapter string, d time.Duration) {
+	n.stalls(d)
+	n.reporter.Stalled(adapter, d)
+}
+
 // startRequests joins the request pipeline.
 func (n *Node) startRequests(env Environment) {
 	limits := n.settings.Limits()
@@ -204,7 +214,8 @@
 		&directory{self: n.settings.Name(), owners: n.owners, peers: n.peers, endpoints: n.endpoints},
 		dispatcher.WithSuspects(n.breaker))
 	n.verifier = verifier.New(n.asserts)
-	n.pipeline = NewStages(receive, resolver.New(n.bundles), n.admitter, n.claimer, place, n.dispatcher, n.verifier, limits.Attempts()).Join()
+	joined := NewStages(receive, resolver.New(n.bundles), n.admitter, n.claimer, place, n.dispatcher, n.verifier, limits.Attempts()).Join()
+	n.pipeline = n.reporter.Watch(joined)
 }
 
 // superviseEvery bounds how late a change of the bundle, which gives no signal,
@@ -405,6 +416,7 @@
 		n.dispatcher.Close()
 		n.claimer.Close()
 		n.owners.close()
+		n.reporter.Close()
 		n.budget.Close()
 		n.breaker.Close()
 		n.drainer.Close()
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -44,7 +44,7 @@
 
 // WithStalls passes the time that each job waited for its adapter to be loaded;
 // it is 0 for a job that found the adapter resident.
-func WithStalls(record func(time.Duration)) Option {
+func WithStalls(record func(adapter string, d time.Duration)) Option {
 	return func(s *Scheduler) { s.stalls = record }
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -43,7 +43,7 @@
 	publish func(*viewer.View)
 
 	crashes     CrashSink
-	stalls      func(time.Duration)
+	stalls      func(adapter string, d time.Duration)
 	seed        uint64
 	reportEvery time.Duration
 	guard       time.Duration
@@ -99,7 +99,7 @@
 		entries:     make(map[connector.Model]*entry),
 		running:     make(map[*waiter]struct{}),
 		stale:       true,
-		stalls:      func(time.Duration) {},
+		stalls:      func(string, time.Duration) {},
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -143,7 +143,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.stalls(w.stall)
+	s.stalls(job.Model().Adapter(), w.stall)
 	return s.dispatch(ctx, w)
 }
 
