breaker: tell peers of broken streams before the crash is confirmed

A crash is confirmed by the engine's report only after its restart; until then the other nodes knew nothing, and a caller that sent the request elsewhere crashed another engine.

Change: unconfirmed marks go to the peers at once, all that wait in one message. They are not stored.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -81,9 +81,13 @@
 	return ok && len(e.alive(time.Now(), b.life)) > 0
 }
 
-// Broken gives a request an unconfirmed mark: its stream broke on an engine.
+// Broken gives a request an unconfirmed mark: its stream broke on an engine. Peers
+// hear of it at once, because the engine's report confirms a crash only after the
+// restart, and the caller may send the request to another node before.
 func (b *Breaker) Broken(f receiver.Fingerprint, engine string) {
-	b.add(f, crash{engine: engine, seen: time.Now()})
+	c := crash{engine: engine, seen: time.Now()}
+	b.add(f, c)
+	b.keeper.tell([]receiver.Fingerprint{f}, c)
 }
 
 // Crashed gives the requests that ran on an engine when it crashed a mark each,
@@ -132,7 +136,7 @@
 func (b *Breaker) Marked() int { return len(*b.marks.Load()) }
 
 func (b *Breaker) learn(n news) {
-	b.add(n.fingerprint, crash{id: n.id, engine: n.engine, seen: time.Now().Add(-n.age), confirmed: true})
+	b.add(n.fingerprint, crash{id: n.id, engine: n.engine, seen: time.Now().Add(-n.age), confirmed: n.id != ""})
 }
 
 // add records a crash against a request and drops evidence that has expired.
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -139,6 +139,30 @@
 	})
 }
 
+// Guards against a caller that takes a crashing request to a third engine through
+// another node before the first crash is confirmed.
+func TestUnconfirmedReachesPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := emulator.NewTable()
+		peers := &group{}
+		a := breaker.New("a", table, peers, breaker.DefaultLife)
+		defer a.Close()
+		b := breaker.New("b", table, peers, breaker.DefaultLife)
+		defer b.Close()
+		peers.members = []*breaker.Breaker{a, b}
+		a.Broken(culprit, "engine-1")
+		a.Broken(culprit, "engine-2")
+		synctest.Wait()
+		is.True(b.Blocked(culprit) != nil)
+		is.True(!stopped(b.Blocked(culprit)))
+		a.Crashed("engine-1", []receiver.Fingerprint{culprit})
+		a.Crashed("engine-2", []receiver.Fingerprint{culprit})
+		synctest.Wait()
+		is.True(stopped(b.Blocked(culprit)))
+	})
+}
+
 // Guards against marks that outlive a completed request or their time to live.
 func TestMarksEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/breaker/codec.go
+++ b/breaker/codec.go
@@ -8,11 +8,11 @@
 	"github.com/dragonflyford/dragonflyford/receiver"
 )
 
-// news is one confirmed mark on its way between nodes. Ages travel instead of
-// times, because hosts' clocks differ.
+// news is one mark on its way between nodes. Ages travel instead of times,
+// because hosts' clocks differ.
 type news struct {
 	fingerprint receiver.Fingerprint
-	id          string
+	id          string // "" while the crash is not confirmed
 	engine      string
 	age         time.Duration
 }
@@ -20,7 +20,7 @@
 // newsMessage is the encoded form of news.
 type newsMessage struct {
 	Fingerprint []byte `cbor:"1,keyasint"`
-	ID          string `cbor:"2,keyasint"`
+	ID          string `cbor:"2,keyasint,omitempty"`
 	Engine      string `cbor:"3,keyasint"`
 	AgeMS       int64  `cbor:"4,keyasint"`
 }
@@ -54,7 +54,7 @@
 	list := make([]news, 0, len(l.News))
 	for _, m := range l.News {
 		n := news{id: m.ID, engine: m.Engine, age: time.Duration(m.AgeMS) * time.Millisecond}
-		if len(m.Fingerprint) != len(n.fingerprint) || m.ID == "" || m.AgeMS < 0 {
+		if len(m.Fingerprint) != len(n.fingerprint) || m.AgeMS < 0 {
 			return nil, fmt.Errorf("crash mark %q of engine %q is malformed", m.ID, m.Engine)
 		}
 		copy(n.fingerprint[:], m.Fingerprint)
--- a/breaker/keeper.go
+++ b/breaker/keeper.go
@@ -100,14 +100,27 @@
 	for {
 		select {
 		case j := <-k.told:
-			k.tellPeers(ctx, j)
-			k.offer(k.jobs, j)
+			k.tellPeers(ctx, k.waiting(j))
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// waiting returns a job and all that wait behind it. They go in one message, so
+// that an engine that breaks a whole batch costs one message per peer.
+func (k *keeper) waiting(first job) []job {
+	all := []job{first}
+	for {
+		select {
+		case j := <-k.told:
+			all = append(all, j)
+		default:
+			return all
+		}
+	}
+}
+
 func (k *keeper) store(ctx context.Context) {
 	for {
 		select {
@@ -143,10 +156,17 @@
 	}
 }
 
-func (k *keeper) tellPeers(ctx context.Context, j job) {
-	list := make([]news, 0, len(j.marked))
-	for _, f := range j.marked {
-		list = append(list, newsOf(f, j.crash))
+// tellPeers sends marks to the peers, and hands the confirmed ones over for
+// storing. Unconfirmed ones end before a store could matter.
+func (k *keeper) tellPeers(ctx context.Context, jobs []job) {
+	var list []news
+	for _, j := range jobs {
+		for _, f := range j.marked {
+			list = append(list, newsOf(f, j.crash))
+		}
+		if j.crash.confirmed {
+			k.offer(k.jobs, j)
+		}
 	}
 	encoded, err := encodeNews(list)
 	if err != nil {
