--- a/bundler/parts.go
+++ b/bundler/parts.go
@@ -71,8 +71,8 @@
 	manifest Manifest
 }
 
-// Split cuts a checked document into its parts.
-func Split(doc *Document) (*Content, error) {
+// partition assigns adapters, and the traffic shares of each, to parts by name.
+func partition(doc *Document) []adapterPart {
 	parts := make([]adapterPart, AdapterParts)
 	for _, a := range doc.Adapters {
 		p := &parts[partOf(a.Name)]
@@ -82,8 +82,13 @@
 		p := &parts[partOf(t.Adapter)]
 		p.Traffic = append(p.Traffic, t)
 	}
+	return parts
+}
+
+// Split cuts a checked document into its parts.
+func Split(doc *Document) (*Content, error) {
 	c := &Content{}
-	for _, p := range parts {
+	for _, p := range partition(doc) {
 		if err := c.add(canonicalPart(p)); err != nil {
 			return nil, err
 		}
--- a/bundler/snapshot.go
+++ b/bundler/snapshot.go
@@ -273,15 +273,7 @@
 // NewSnapshot builds the snapshot of a checked document at an epoch.
 func NewSnapshot(epoch uint64, doc *Document) *Snapshot {
 	s := &Snapshot{epoch: epoch, head: newHead(doc)}
-	parts := make([]adapterPart, AdapterParts)
-	for _, a := range doc.Adapters {
-		p := &parts[partOf(a.Name)]
-		p.Adapters = append(p.Adapters, a)
-	}
-	for _, t := range doc.Traffic {
-		p := &parts[partOf(t.Adapter)]
-		p.Traffic = append(p.Traffic, t)
-	}
+	parts := partition(doc)
 	for i := range parts {
 		s.setPart(i, newAdapterIndex(&parts[i]))
 	}
