commander: open key and bundle in one function

Cause: the sign and review commands each read the private key and then the bundle file with the same error handling.

Change: both call openToSign, which keeps the order.

Conclusion: the error that is reported first stays the same.

--- a/commander/bundle.go
+++ b/commander/bundle.go
@@ -77,11 +77,7 @@
 	if err != nil {
 		return err
 	}
-	key, err := settings.privateKey()
-	if err != nil {
-		return err
-	}
-	f, err := openFile(c.Args.File)
+	key, f, err := settings.openToSign(c.Args.File)
 	if err != nil {
 		return err
 	}
@@ -110,11 +106,7 @@
 	if err != nil {
 		return err
 	}
-	key, err := settings.privateKey()
-	if err != nil {
-		return err
-	}
-	f, err := openFile(c.Args.File)
+	key, f, err := settings.openToSign(c.Args.File)
 	if err != nil {
 		return err
 	}
--- a/commander/files.go
+++ b/commander/files.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"crypto/ed25519"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -74,6 +75,19 @@
 	return f, f.readSignatures()
 }
 
+// openToSign reads the operator's private key and the bundle file to sign.
+func (s *Settings) openToSign(path string) (ed25519.PrivateKey, *file, error) {
+	key, err := s.privateKey()
+	if err != nil {
+		return nil, nil, err
+	}
+	f, err := openFile(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	return key, f, nil
+}
+
 func (f *file) signaturesPath() string { return f.path + ".signatures" }
 
 func (f *file) readSignatures() error {
