leaser: rename InForce to Holds

Cause: elsewhere InForce is the epoch of a bundle; on Leaser it was the state of the lease. The claimer asks only Gone and LeaseEnd.

Change: the method is called Holds. Tests that use it change only the name.

Conclusion: no interface needs the old name; all packages build.

--- a/leaser/fence.go
+++ b/leaser/fence.go
@@ -38,9 +38,9 @@
 	return connector.NewFence(e.token, r.until), nil
 }
 
-// InForce reports whether the lease in the table holds by the node's own clock, so
+// Holds reports whether the lease in the table holds by the node's own clock, so
 // that no other node sees this one as gone.
-func (l *Leaser) InForce() bool { return time.Now().Before(l.right.Load().lease) }
+func (l *Leaser) Holds() bool { return time.Now().Before(l.right.Load().lease) }
 
 // LeaseEnd returns the end of the lease in the table by the node's own clock. No
 // other node sees this one as gone before it. Extensions by peers do not count.
--- a/leaser/plan_test.go
+++ b/leaser/plan_test.go
@@ -224,7 +224,7 @@
 		first, second := r.all()[0], r.start("a")
 		time.Sleep(time.Minute)
 		is.Equal(len(first.Owned()), 2)
-		is.True(!second.InForce())
+		is.True(!second.Holds())
 		is.NoErr(first.Close(context.Background()))
 		took := r.until(2*leaser.DefaultScan, "the second process", func() bool { return len(second.Owned()) == 2 })
 		is.True(took < 2*leaser.DefaultScan)
