claimer: note decisions for explain

Cause: explain showed nothing between the admission of a call and its dispatch.

Change: the claimer notes that a call holds its claim, waits for an earlier attempt, is answered with a stored reply, or is refused and why.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -15,6 +15,7 @@
 	"github.com/dragonflyford/dragonflyford/admitter"
 	"github.com/dragonflyford/dragonflyford/asserter"
 	"github.com/dragonflyford/dragonflyford/receiver"
+	"github.com/dragonflyford/dragonflyford/recorder"
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
@@ -139,6 +140,24 @@
 	return &Claimed{Admitted: a, claim: claim}, nil
 }
 
+// note records how the search for a claim ended. Without a trail it does nothing.
+func note(ctx context.Context, claim Claim, err error) {
+	trail := recorder.From(ctx)
+	if trail == nil {
+		return
+	}
+	if err != nil {
+		trail.Note(recorder.StageClaimer, "refused", err.Error())
+		return
+	}
+	switch claim := claim.(type) {
+	case *Held:
+		trail.Note(recorder.StageClaimer, "claimed", "attempt "+claim.attempt)
+	case *Replay:
+		trail.Note(recorder.StageClaimer, "replayed", "the answer of an earlier attempt is stored")
+	}
+}
+
 // Acquire claims one call of a plain service. It returns a Held claim or the
 // Replay of an earlier answer.
 func (c *Claimer) Acquire(ctx context.Context, r *receiver.Request, t *receiver.ServiceTarget) (Claim, error) {
@@ -149,7 +168,9 @@
 		key:     Key(r.Caller(), t.Service(), t.Key()),
 		poll:    firstPoll,
 	}
-	return s.seek(ctx)
+	claim, err := s.seek(ctx)
+	note(ctx, claim, err)
+	return claim, err
 }
 
 func (c *Claimer) newHeld(key string, hash receiver.Fingerprint) *Held {
--- a/claimer/seeker.go
+++ b/claimer/seeker.go
@@ -10,6 +10,7 @@
 	"github.com/dragonflyford/dragonflyford/classifier"
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/receiver"
+	"github.com/dragonflyford/dragonflyford/recorder"
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
@@ -69,6 +70,9 @@
 			}
 		case wait:
 			s.met = true
+			if s.poll == firstPoll {
+				recorder.From(ctx).Note(recorder.StageClaimer, "waiting", "an earlier attempt with this key has not ended")
+			}
 			if err := s.pause(ctx); err != nil {
 				return nil, err
 			}
