placer: note decisions for explain

Cause: explain showed where an attempt went, but neither the policy nor the endpoints that were excluded, and nothing when no endpoint was found.

Change: Apply notes the choice with its reason. Decide is unchanged.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,6 +10,7 @@
 	"github.com/dragonflyford/dragonflyford/bundler"
 	"github.com/dragonflyford/dragonflyford/claimer"
 	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/recorder"
 	"github.com/dragonflyford/dragonflyford/resolver"
 	"github.com/dragonflyford/dragonflyford/viewer"
 )
@@ -62,7 +64,29 @@
 }
 
 // Apply chooses the endpoint of an attempt.
-func (p *Placer) Apply(_ context.Context, a *Attempt) (*Placed, error) {
+func (p *Placer) Apply(ctx context.Context, a *Attempt) (*Placed, error) {
+	placed, err := p.place(a)
+	if trail := recorder.From(ctx); trail != nil {
+		p.note(trail, a, placed, err)
+	}
+	return placed, err
+}
+
+// note records the decision about an attempt. A stored answer has none.
+func (p *Placer) note(trail *recorder.Trail, a *Attempt, placed *Placed, err error) {
+	if err != nil {
+		trail.Note(recorder.StagePlacer, "none", fmt.Sprintf("%s; excluded %q", err, a.excluded))
+		return
+	}
+	switch choice := placed.choice.(type) {
+	case *OnEngine:
+		trail.Note(recorder.StagePlacer, "engine "+choice.engine.Name(), fmt.Sprintf("policy %s, excluded %q", p.policy, a.excluded))
+	case *OnService:
+		trail.Note(recorder.StagePlacer, "service endpoint "+choice.endpoint.Name(), fmt.Sprintf("fewest outstanding calls, excluded %q", a.excluded))
+	}
+}
+
+func (p *Placer) place(a *Attempt) (*Placed, error) {
 	if _, ok := a.Claim().(*claimer.Replay); ok {
 		return &Placed{Attempt: a, choice: Nowhere{}}, nil
 	}
--- a/placer/service_test.go
+++ b/placer/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/dragonflyford/dragonflyford/placer"
 	"github.com/dragonflyford/dragonflyford/publisher"
 	"github.com/dragonflyford/dragonflyford/receiver"
+	"github.com/dragonflyford/dragonflyford/recorder"
 	"github.com/dragonflyford/dragonflyford/resolver"
 	"github.com/dragonflyford/dragonflyford/viewer"
 )
@@ -39,8 +41,10 @@
 	claimed := &claimer.Claimed{Admitted: &admitter.Admitted{Resolved: resolved}}
 
 	p := placer.New(viewer.New(), "lj", placer.WithLeaving(leaving("ledger-3")))
+	decisions := recorder.New(100)
+	ctx, _ := recorder.Follow(t.Context(), decisions, "r-1")
 	place := func(excluded ...string) (*placer.Placed, string) {
-		placed, err := p.Apply(t.Context(), placer.NewAttempt(claimed, "1", 0, excluded))
+		placed, err := p.Apply(ctx, placer.NewAttempt(claimed, "1", 0, excluded))
 		if err != nil {
 			return nil, ""
 		}
@@ -57,4 +61,11 @@
 	is.Equal(remote, "ledger-1")
 	_, none := place("ledger-0", "ledger-1", "ledger-2")
 	is.Equal(none, "")
+
+	var recorded []string
+	for _, d := range decisions.Explain("r-1") {
+		is.Equal(d.Stage(), recorder.StagePlacer)
+		recorded = append(recorded, strings.TrimPrefix(d.Decision(), "service endpoint "))
+	}
+	is.Equal(recorded, []string{a, b, again, remote, "none"})
 }
