runner: assert that a drained node cuts no request

Change: Close after a completed Drain checks that no request is in flight. TestCutAfterDrainIsSeen passes a request on after the drain and sees the violation; without that request there is one check and no violation. Requests that arrive while Close already runs are not covered by the check.

--- a/runner/node.go
+++ b/runner/node.go
@@ -88,6 +88,7 @@
 
 	draining   atomic.Bool
 	yielded    atomic.Bool   // the node owns no engine any more
+	drained    atomic.Bool   // a planned stop has waited for everything in flight
 	drainAsked chan struct{} // receives when an operator drains the node
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -349,7 +350,11 @@
 	if err := n.owners.drain(ctx); err != nil {
 		return err
 	}
-	return n.waitIdle(ctx)
+	if err := n.waitIdle(ctx); err != nil {
+		return err
+	}
+	n.drained.Store(true)
+	return nil
 }
 
 // handOverTime bounds the wait for other members. With the table down they cannot
@@ -395,6 +400,10 @@
 func (n *Node) Close(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, n.settings.LeaseTime()+n.settings.LeaseGuard())
 	defer cancel()
+	if n.drained.Load() {
+		running := n.admitter.Running()
+		n.asserts.Check(asserter.NoCutOnDrain, running == 0, "%d requests are in flight when the drained node ends", running)
+	}
 	var err error
 	n.end(func() { err = n.leaser.Close(ctx) })
 	if err != nil {
--- a/runner/stop_test.go
+++ b/runner/stop_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dragonflyford/dragonflyford/asserter"
 	"github.com/dragonflyford/dragonflyford/configurer"
 	"github.com/dragonflyford/dragonflyford/deployer"
 	"github.com/dragonflyford/dragonflyford/emulator"
@@ -87,3 +88,35 @@
 		is.NoErr(fleet.Close(ctx))
 	})
 }
+
+// Guards against a planned stop that cuts a request and goes unnoticed: a front
+// end that still passes requests on after the drain breaks no-cut-on-drain.
+func TestCutAfterDrainIsSeen(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			d, err := emulator.NewDeployment(emulator.Clearing, emulator.WithAdapters(20))
+			is.NoErr(err)
+			ctx, hangUp := context.WithCancel(context.Background())
+			defer hangUp()
+			asserts := asserter.New(nil)
+			fleet, err := deployer.New(ctx, d, 1, deployer.WithAsserter(asserts))
+			is.NoErr(err)
+			is.NoErr(fleet.Start(ctx))
+			node := fleet.Hosts()[0].Node()
+			is.NoErr(node.Drain(ctx))
+			var want int64
+			if late {
+				want = 1
+				_, err = node.Pipeline().Apply(ctx, receiver.NewGeneration("bank-00001@v1", "cheque", 100, 0, receiver.WithCaller("c")))
+				is.NoErr(err)
+			}
+			is.NoErr(node.Close(ctx))
+			is.Equal(asserts.Checks(asserter.NoCutOnDrain), int64(1))
+			is.Equal(asserts.Violations(asserter.NoCutOnDrain), want)
+			is.Equal(asserts.Total(), want)
+			hangUp()
+			is.NoErr(fleet.Close(context.Background()))
+		})
+	}
+}
