verifier: test that faults of earlier stages break the invariants

A test of publisher shows that lower epochs are refused. For P8 only the refusal is shown, because the publisher refuses before its check.

--- /dev/null
+++ b/publisher/publisher_test.go
@@ -0,0 +1,30 @@
+package publisher_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/asserter"
+	"github.com/dragonflyford/dragonflyford/bundler"
+	"github.com/dragonflyford/dragonflyford/publisher"
+)
+
+// Guards against a writer that puts a lower epoch in force: after an epoch was
+// published or heard of, a lower one is refused and the state stays.
+func TestLowerEpochIsRefused(t *testing.T) {
+	is := is.New(t)
+	asserts := asserter.New(func(v asserter.Violation) { t.Error(v) })
+	p := publisher.New(publisher.WithAsserter(asserts))
+	at := func(epoch uint64) *bundler.Snapshot { return bundler.NewSnapshot(epoch, &bundler.Document{}) }
+	is.True(p.Publish(at(5)))
+	is.True(!p.Publish(at(4)))
+	is.True(!p.Prepare(at(5)))
+	p.Hear(7)
+	is.True(!p.Publish(at(6)))
+	is.Equal(p.Load().Current().Epoch(), uint64(5))
+	is.True(!p.Load().Informed()) // epoch 7 is in force somewhere
+	is.True(p.Publish(at(7)))
+	is.Equal(p.Load().Current().Epoch(), uint64(7))
+	is.True(asserts.Checks(asserter.EpochNeverFalls) > 0)
+}
--- a/verifier/verifier_test.go
+++ b/verifier/verifier_test.go
@@ -63,6 +63,13 @@
 // verify sends a request with id "r" and attempt "r.1" through the stages up to
 // the verifier.
 func verify(t fataler, v *verifier.Verifier, s *script, next int) connector.Stream {
+	t.Helper()
+	return verifyFaulty(t, v, s, next, "r.1", "reading@v1")
+}
+
+// verifyFaulty replaces the attempt's id and the adapter that was asked for after
+// the resolver has chosen "reading@v1".
+func verifyFaulty(t fataler, v *verifier.Verifier, s *script, next int, attempt, asked string) connector.Stream {
 	t.Helper()
 	must := func(err error) {
 		t.Helper()
@@ -83,13 +90,16 @@
 	must(err)
 	resolved, err := resolver.New(bundles).Apply(ctx, req)
 	must(err)
+	resolved.Request, err = receiver.New(receiver.NewLimits(maxTokens, 100, time.Minute, time.Minute)).
+		Apply(ctx, receiver.NewGeneration(asked, "p", maxTokens, next, receiver.WithRequestID("r")))
+	must(err)
 	admitted, err := admitter.New(1).Apply(ctx, resolved)
 	must(err)
 	claims := claimer.New(emulator.NewTable(), "n", asserter.New(nil))
 	defer claims.Close()
 	claimed, err := claims.Apply(ctx, admitted)
 	must(err)
-	placed, err := placer.New(views, "").Apply(ctx, placer.NewAttempt(claimed, "r.1", next, nil))
+	placed, err := placer.New(views, "").Apply(ctx, placer.NewAttempt(claimed, attempt, next, nil))
 	must(err)
 	dispatched, err := dispatcher.New(directory{s}).Apply(ctx, placed)
 	must(err)
@@ -195,3 +205,30 @@
 		}
 	})
 }
+
+// Guards against a fault of an earlier stage that reaches the caller because the
+// verifier compares the tokens only with what that stage decided.
+func TestFaultyStageIsSeen(t *testing.T) {
+	tests := []struct {
+		name    string
+		attempt string
+		asked   string
+		broken  asserter.Invariant
+	}{
+		{"resolver chooses another adapter", "r.1", "drafting@v1", asserter.AdapterNamed},
+		{"resolver chooses another version", "r.1", "reading@v2", asserter.AdapterNamed},
+		{"retrier names the attempt after another request", "other.1", "reading@v1", asserter.OwnAnswer},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			asserts := asserter.New(nil)
+			s := &script{[]connector.Chunk{connector.NewChunk(tt.attempt, model, 0, "0", false)}, io.EOF}
+			got, err := read(verifyFaulty(t, verifier.New(asserts), s, 0, tt.attempt, tt.asked))
+			is.True(err != nil && !errors.Is(err, io.EOF))
+			is.Equal(len(got), 0)
+			is.Equal(asserts.Violations(tt.broken), int64(1))
+			is.Equal(asserts.Total(), int64(1))
+		})
+	}
+}
