leaser: know at once that an earlier process of the own name is gone

A node that has just taken its name's row answered Gone for the process before from a scan that was older than its own lease.

Change: while the lease holds, it answers for the own name itself.

--- a/leaser/gone.go
+++ b/leaser/gone.go
@@ -10,9 +10,14 @@
 
 // Gone reports that the lease of a process has expired, with the guard, or that
 // another process has taken its name. Node is a Member's ID; a bare name stands for
-// any process of that name. It answers from the last scan.
+// any process of that name. It answers from the last scan, except for the node's
+// own name: its lease proves that no other process holds the name, and the scan may
+// be older than the lease.
 func (l *Leaser) Gone(node string) bool {
 	name, instance, whole := strings.Cut(node, idSeparator)
+	if name == l.self.Name() && l.Holds() {
+		return whole && instance != l.instance
+	}
 	v := l.view.Load()
 	if m, ok := v.Member(name); ok {
 		return whole && m.instance != instance
