commander, dispatcher: run two tests in virtual time

Cause: TestEditedAndLost failed once in three runs on a loaded machine: its patience of 1 ms of real time passed before the platform was asked. TestCrossedReplyIsNotStored had a deadline of 300 ms of real time.

Change: both run under synctest with patience and deadline of 10 s; what they check is the same.

--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"github.com/matryer/is"
 	"github.com/rotisserie/eris"
@@ -190,27 +191,29 @@
 // Guards against signatures that still count after the bundle was edited, and
 // against a lost roll-out that scripts take for a won one.
 func TestEditedAndLost(t *testing.T) {
-	is := is.New(t)
-	d := newDesk(t)
-	ana, bor := d.path("ana.json"), d.path("bor.json")
-	for _, file := range []string{"1.json", "2.json"} {
-		code, _, _ := d.run("", "--config", ana, "bundle", "sign", d.path(file))
-		is.Equal(code, 0)
-		code, _, _ = d.run("", "--config", bor, "bundle", "review", "--yes", d.path(file))
-		is.Equal(code, 0)
-	}
-	d.prepared = 0 // nodes never prepare
-	code, out, errs := d.run("", "--config", ana, "bundle", "roll-out", "--patience", "1ms", "--json", d.path("1.json"))
-	is.Equal(code, commander.ExitFailed)
-	is.True(strings.Contains(out, `"nodes":["kp-1","lj-1","mb-1"]`))
-	is.True(strings.Contains(errs, "not in force"))
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDesk(t)
+		ana, bor := d.path("ana.json"), d.path("bor.json")
+		for _, file := range []string{"1.json", "2.json"} {
+			code, _, _ := d.run("", "--config", ana, "bundle", "sign", d.path(file))
+			is.Equal(code, 0)
+			code, _, _ = d.run("", "--config", bor, "bundle", "review", "--yes", d.path(file))
+			is.Equal(code, 0)
+		}
+		d.prepared = 0 // nodes never prepare
+		code, out, errs := d.run("", "--config", ana, "bundle", "roll-out", "--patience", "10s", "--json", d.path("1.json"))
+		is.Equal(code, commander.ExitFailed)
+		is.True(strings.Contains(out, `"nodes":["kp-1","lj-1","mb-1"]`))
+		is.True(strings.Contains(errs, "not in force"))
 
-	text, err := os.ReadFile(d.path("2.json"))
-	is.NoErr(err)
-	is.NoErr(os.WriteFile(d.path("2.json"), bytes.Replace(text, []byte(`["v4"]`), []byte(`["v5"]`), 1), 0o600))
-	code, _, errs = d.run("", "--config", ana, "bundle", "roll-out", d.path("2.json"))
-	is.Equal(code, commander.ExitFailed)
-	is.True(strings.Contains(errs, "changed after it was signed"))
+		text, err := os.ReadFile(d.path("2.json"))
+		is.NoErr(err)
+		is.NoErr(os.WriteFile(d.path("2.json"), bytes.Replace(text, []byte(`["v4"]`), []byte(`["v5"]`), 1), 0o600))
+		code, _, errs = d.run("", "--config", ana, "bundle", "roll-out", d.path("2.json"))
+		is.Equal(code, commander.ExitFailed)
+		is.True(strings.Contains(errs, "changed after it was signed"))
+	})
 }
 
 // Guards against a lost answer that makes drain report a failure or stop short.
--- a/dispatcher/posting_test.go
+++ b/dispatcher/posting_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -51,28 +52,30 @@
 // Guards against a reply of another posting that is stored in the claim and then
 // replayed to every repeat of the key; the randomised trial saw it with seed 3.
 func TestCrossedReplyIsNotStored(t *testing.T) {
-	is := is.New(t)
-	d, err := emulator.NewDeployment(emulator.Clearing, emulator.WithAdapters(1))
-	is.NoErr(err)
-	defer d.Close()
-	bundles := publisher.New()
-	is.True(bundles.Publish(bundler.NewSnapshot(1, d.Document("1", nil))))
-	asserts := asserter.New(func(v asserter.Violation) { t.Error(v) })
-	claims := claimer.New(emulator.NewTable(), "node-1", asserts)
-	defer claims.Close()
-	dispatch := dispatcher.New(ledger{service: &crossing{Service: emulator.NewService()}})
-	defer dispatch.Close()
-	pipeline := runner.NewStages(
-		receiver.New(receiver.NewLimits(10, 100, time.Minute, time.Minute)), resolver.New(bundles), admitter.New(10),
-		claims, placer.New(viewer.New(), "lj"), dispatch, verifier.New(asserts), 3).Join()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, err := emulator.NewDeployment(emulator.Clearing, emulator.WithAdapters(1))
+		is.NoErr(err)
+		defer d.Close()
+		bundles := publisher.New()
+		is.True(bundles.Publish(bundler.NewSnapshot(1, d.Document("1", nil))))
+		asserts := asserter.New(func(v asserter.Violation) { t.Error(v) })
+		claims := claimer.New(emulator.NewTable(), "node-1", asserts)
+		defer claims.Close()
+		dispatch := dispatcher.New(ledger{service: &crossing{Service: emulator.NewService()}})
+		defer dispatch.Close()
+		pipeline := runner.NewStages(
+			receiver.New(receiver.NewLimits(10, 100, time.Minute, time.Minute)), resolver.New(bundles), admitter.New(10),
+			claims, placer.New(viewer.New(), "lj"), dispatch, verifier.New(asserts), 3).Join()
 
-	for _, key := range []string{"first", "second", "second"} {
-		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-		call := receiver.NewServiceCall("ledger", http.MethodPost, "/postings", nil, key, 1)
-		_, err := pipeline.Apply(ctx, call)
-		cancel()
-		var fault classifier.Fault
-		is.True(errors.As(err, &fault))
-		is.Equal(fault.Outcome(), classifier.Unknown{})
-	}
+		for _, key := range []string{"first", "second", "second"} {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			call := receiver.NewServiceCall("ledger", http.MethodPost, "/postings", nil, key, 1)
+			_, err := pipeline.Apply(ctx, call)
+			cancel()
+			var fault classifier.Fault
+			is.True(errors.As(err, &fault))
+			is.Equal(fault.Outcome(), classifier.Unknown{})
+		}
+	})
 }
