classifier, dispatcher, runner: use plainer names

Cause: Doubt, witness and doubting do not say what the parts do.

Change: AsUnknown, crashReporter and repeatGuard; behaviour is the same.

--- a/classifier/fault.go
+++ b/classifier/fault.go
@@ -177,8 +177,8 @@
 
 func (b *base) setOutcome(o Outcome) { b.outcome = o }
 
-// doubted returns a copy of a fault whose work may have run.
-func doubted[T any, P interface {
+// unknownCopy returns a copy of a fault whose work may have run.
+func unknownCopy[T any, P interface {
 	*T
 	setOutcome(o Outcome)
 }](f P) P {
@@ -187,38 +187,38 @@
 	return &c
 }
 
-// Doubt returns the same fault with the outcome Unknown. It is for a refusal that
+// AsUnknown returns a copy of a fault with the outcome Unknown. It is for a refusal that
 // cannot speak for an earlier attempt at the same work.
-func Doubt(f Fault) Fault {
+func AsUnknown(f Fault) Fault {
 	switch f := f.(type) {
 	case *Invalid:
-		return doubted(f)
+		return unknownCopy(f)
 	case *TooLarge:
-		return doubted(f)
+		return unknownCopy(f)
 	case *Unauthorized:
-		return doubted(f)
+		return unknownCopy(f)
 	case *NotOffered:
-		return doubted(f)
+		return unknownCopy(f)
 	case *KeyMissing:
-		return doubted(f)
+		return unknownCopy(f)
 	case *KeyReused:
-		return doubted(f)
+		return unknownCopy(f)
 	case *InProgress:
-		return doubted(f)
+		return unknownCopy(f)
 	case *Overloaded:
-		return doubted(f)
+		return unknownCopy(f)
 	case *Unavailable:
-		return doubted(f)
+		return unknownCopy(f)
 	case *Withheld:
-		return doubted(f)
+		return unknownCopy(f)
 	case *Expired:
-		return doubted(f)
+		return unknownCopy(f)
 	case *Canceled:
-		return doubted(f)
+		return unknownCopy(f)
 	case *Stopped:
-		return doubted(f)
+		return unknownCopy(f)
 	case *Uncertain:
-		return doubted(f)
+		return unknownCopy(f)
 	default:
 		return NewUncertain(f.Detail(), Cause(f))
 	}
--- a/classifier/fault_test.go
+++ b/classifier/fault_test.go
@@ -36,7 +36,7 @@
 
 // Guards against a refusal that loses its kind or its retry delay when its
 // outcome is put in doubt, and against a change of the original.
-func TestDoubt(t *testing.T) {
+func TestAsUnknown(t *testing.T) {
 	faults := []classifier.Fault{
 		classifier.NewInvalid("d"), classifier.NewTooLarge("d"), classifier.NewUnauthorized("d"),
 		classifier.NewNotOffered("d"), classifier.NewKeyMissing("d"), classifier.NewKeyReused("d"),
@@ -48,7 +48,7 @@
 		t.Run(fmt.Sprintf("%T", f), func(t *testing.T) {
 			is := is.New(t)
 			before := f.Outcome()
-			d := classifier.Doubt(f)
+			d := classifier.AsUnknown(f)
 			is.Equal(d.Outcome(), classifier.Unknown{})
 			is.Equal(fmt.Sprintf("%T", d), fmt.Sprintf("%T", f))
 			is.Equal(d.RetryAfter(), f.RetryAfter())
--- a/dispatcher/generation.go
+++ b/dispatcher/generation.go
@@ -23,22 +23,22 @@
 	if err != nil {
 		return nil, fmt.Errorf("find owner of engine %q: %w", choice.Engine().Name(), err)
 	}
-	w := &witness{suspects: d.suspects, fingerprint: p.Fingerprint(), engine: choice.Engine().Name()}
-	if err := d.suspects.Blocked(w.fingerprint); err != nil {
+	reporter := &crashReporter{suspects: d.suspects, fingerprint: p.Fingerprint(), engine: choice.Engine().Name()}
+	if err := d.suspects.Blocked(reporter.fingerprint); err != nil {
 		return nil, fmt.Errorf("check crash evidence: %w", err)
 	}
 	ctx, cancel := until(ctx, p)
 	stream, err := exec.Run(ctx, d.newJob(p, route))
 	if err != nil {
 		cancel()
-		w.failed(err)
+		reporter.failed(err)
 		return nil, fmt.Errorf("run on engine %q: %w", choice.Engine().Name(), err)
 	}
-	return NewStreaming(&bounded{Stream: stream, cancel: cancel, witness: w}, route.Model()), nil
+	return NewStreaming(&bounded{Stream: stream, cancel: cancel, reporter: reporter}, route.Model()), nil
 }
 
-// witness tells how a job ended on its engine.
-type witness struct {
+// crashReporter tells how a job ended on its engine.
+type crashReporter struct {
 	suspects    Suspects
 	fingerprint receiver.Fingerprint
 	engine      string
@@ -46,27 +46,27 @@
 
 // failed reports a job that broke on its engine. The loss of the engine's owner
 // says nothing about the engine.
-func (w *witness) failed(err error) {
+func (r *crashReporter) failed(err error) {
 	if errors.Is(err, connector.ErrBroken) && !errors.Is(err, connector.ErrOwnerLost) {
-		w.suspects.Broken(w.fingerprint, w.engine)
+		r.suspects.Broken(r.fingerprint, r.engine)
 	}
 }
 
 // bounded is a stream that ends with the caller's deadline.
 type bounded struct {
 	connector.Stream
-	cancel  context.CancelFunc
-	witness *witness
+	cancel   context.CancelFunc
+	reporter *crashReporter
 }
 
-// Next returns the next chunk and tells the witness how the job ended.
+// Next returns the next chunk and tells the reporter how the job ended.
 func (b *bounded) Next(ctx context.Context) (connector.Chunk, error) {
 	chunk, err := b.Stream.Next(ctx)
 	switch {
 	case err != nil:
-		b.witness.failed(err)
+		b.reporter.failed(err)
 	case chunk.Last():
-		b.witness.suspects.Completed(b.witness.fingerprint)
+		b.reporter.suspects.Completed(b.reporter.fingerprint)
 	}
 	return chunk, err
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -59,23 +59,23 @@
 func (s *Stages) Join() Pipeline {
 	perAttempt := chainer.Join(chainer.Join(s.placer, s.dispatcher), s.verifier)
 	admitted := chainer.Join(chainer.Join(s.receiver, s.resolver), s.admitter)
-	enter := chainer.Join[*receiver.Call](doubting{next: admitted}, s.claimer)
+	enter := chainer.Join[*receiver.Call](repeatGuard{next: admitted}, s.claimer)
 	leave := chainer.Join(retrier.New(perAttempt, s.attempts), responder.New())
 	return chainer.Join(enter, leave)
 }
 
-// doubting is the pipeline up to the claim. A refusal there is reported as
+// repeatGuard is the pipeline up to the claim. A refusal there is reported as
 // unknown to a caller that repeats a key, because no stage has looked at what
 // became of the earlier attempts.
-type doubting struct {
+type repeatGuard struct {
 	next chainer.Filter[*receiver.Call, *admitter.Admitted]
 }
 
 // Apply runs the stages before the claim.
-func (d doubting) Apply(ctx context.Context, c *receiver.Call) (*admitter.Admitted, error) {
-	a, err := d.next.Apply(ctx, c)
+func (g repeatGuard) Apply(ctx context.Context, c *receiver.Call) (*admitter.Admitted, error) {
+	a, err := g.next.Apply(ctx, c)
 	if err != nil && c.Repeats() {
-		return nil, classifier.Doubt(classifier.Of(err))
+		return nil, classifier.AsUnknown(classifier.Of(err))
 	}
 	return a, err
 }
--- a/server/problem.go
+++ b/server/problem.go
@@ -102,7 +102,7 @@
 // run the call.
 func (s *Server) writeRefusal(w http.ResponseWriter, r *http.Request, err error) {
 	if n, invalid := keyAttempt(r); r.Header.Get(headerKey) != "" && (invalid != nil || n > 1) {
-		err = classifier.Doubt(classifier.Of(err))
+		err = classifier.AsUnknown(classifier.Of(err))
 	}
 	s.writeFault(w, r, err)
 }
