sleeper: wait in one place instead of six

Cause: reading the whole change again showed the same wait for a time or the end of a context in breaker, deployer, demonstrator, emulator, requester and retrier, the same write and read-back twice in roller, counters of peers through throwaway atomics, and two functions in runner that nothing calls.

Change: package sleeper; rollout.attempt; peers.count returns its numbers; DrainAsked and NewListeners are gone. Behaviour is the same, no test changed.

--- a/breaker/keeper.go
+++ b/breaker/keeper.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/receiver"
+	"github.com/dragonflyford/dragonflyford/sleeper"
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
@@ -142,20 +143,11 @@
 			if k.merge(ctx, f, j.crash) == nil {
 				break
 			}
-			sleep(ctx, storeAgain)
+			_ = sleeper.Sleep(ctx, storeAgain) // the loop looks at the context
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // tellPeers sends marks to the peers, and hands the confirmed ones over for
 // storing. Unconfirmed ones end before a store could matter.
 func (k *keeper) tellPeers(ctx context.Context, jobs []job) {
--- a/demonstrator/transport.go
+++ b/demonstrator/transport.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/dragonflyford/dragonflyford/sleeper"
 )
 
 // slowTransport adds the one-way latency between callers and their data centre
@@ -34,12 +36,8 @@
 }
 
 func (t *slowTransport) cross(r *http.Request) error {
-	timer := time.NewTimer(t.latency)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-r.Context().Done():
-		return fmt.Errorf("cross the link: %w", r.Context().Err())
+	if err := sleeper.Sleep(r.Context(), t.latency); err != nil {
+		return fmt.Errorf("cross the link: %w", err)
 	}
+	return nil
 }
--- a/deployer/network.go
+++ b/deployer/network.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflyford/dragonflyford/emulator"
 	"github.com/dragonflyford/dragonflyford/forwarder"
 	"github.com/dragonflyford/dragonflyford/runner"
+	"github.com/dragonflyford/dragonflyford/sleeper"
 )
 
 // localNetwork leads to nodes in the same process.
@@ -165,14 +166,10 @@
 }
 
 func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("cross the link: %w", ctx.Err())
+	if err := sleeper.Sleep(ctx, d); err != nil {
+		return fmt.Errorf("cross the link: %w", err)
 	}
+	return nil
 }
 
 // endpoints leads from one host to the fakes, with the latency between regions
--- a/emulator/delay.go
+++ b/emulator/delay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/sleeper"
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
@@ -26,11 +27,11 @@
 	if err := ctx.Err(); err != nil {
 		return none, fmt.Errorf("%w: %w", refused, err)
 	}
-	if err := sleep(ctx, d.oneWay); err != nil {
+	if err := sleeper.Sleep(ctx, d.oneWay); err != nil {
 		return none, fmt.Errorf("%w: %w", lost, err)
 	}
 	answer, err := do()
-	if wait := sleep(ctx, d.oneWay); wait != nil {
+	if wait := sleeper.Sleep(ctx, d.oneWay); wait != nil {
 		return none, fmt.Errorf("%w: %w", lost, wait)
 	}
 	return answer, err
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/sleeper"
 )
 
 // Engine is a fake of a model engine. Its tokens depend only on the adapter
@@ -337,7 +338,7 @@
 	instance := e.restarts
 	e.remember()
 	e.mu.Unlock()
-	err := sleep(ctx, e.settings.modelLoadTime)
+	err := sleeper.Sleep(ctx, e.settings.modelLoadTime)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.restarts != instance {
--- a/emulator/link.go
+++ b/emulator/link.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/sleeper"
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
@@ -25,21 +26,6 @@
 	return rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))
 }
 
-// sleep waits for d or for the end of ctx.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // link is the way to a fake: the latency and the faults that each request
 // meets.
 type link struct {
@@ -108,7 +94,7 @@
 	if err := ctx.Err(); err != nil {
 		return err
 	}
-	if err := sleep(ctx, l.latency+l.slowBy()); err != nil {
+	if err := sleeper.Sleep(ctx, l.latency+l.slowBy()); err != nil {
 		return fmt.Errorf("%w: %w", errAbandoned, err)
 	}
 	if l.isDown() {
@@ -147,7 +133,7 @@
 
 // answer carries an answer back. After an error the answer is lost.
 func (l *link) answer(ctx context.Context) error {
-	if err := sleep(ctx, l.latency); err != nil {
+	if err := sleeper.Sleep(ctx, l.latency); err != nil {
 		return err
 	}
 	if l.isDown() {
--- a/emulator/service.go
+++ b/emulator/service.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/sleeper"
 )
 
 // Service is a fake of a plain service. It counts what it executed per operation
@@ -63,7 +64,7 @@
 	if !s.begin(op.ID()) {
 		return connector.Reply{}, fmt.Errorf("operation %q is revoked: %w", op.ID(), connector.ErrFenced)
 	}
-	if err := sleep(ctx, s.duration); err != nil {
+	if err := sleeper.Sleep(ctx, s.duration); err != nil {
 		return connector.Reply{}, fmt.Errorf("wait for the operation: %w: %w", connector.ErrBroken, err)
 	}
 	if err := s.link.confirm(ctx); err != nil {
--- a/emulator/table.go
+++ b/emulator/table.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/dragonflyford/dragonflyford/sleeper"
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
@@ -180,7 +181,7 @@
 	if wait == 0 {
 		return nil
 	}
-	if err := sleep(ctx, wait); err != nil {
+	if err := sleeper.Sleep(ctx, wait); err != nil {
 		return fmt.Errorf("wait in the table's queue: %w: %w", errAbandoned, err)
 	}
 	return nil
--- a/emulator/weights.go
+++ b/emulator/weights.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/sleeper"
 )
 
 // WeightStore is a fake of the store that engines load adapters from. The loads
@@ -75,7 +76,7 @@
 	w.mu.Lock()
 	wait := w.pace.reserve(time.Now()) + w.slow
 	w.mu.Unlock()
-	if err := sleep(ctx, wait); err != nil {
+	if err := sleeper.Sleep(ctx, wait); err != nil {
 		return fmt.Errorf("wait to load %s: %w", m, err)
 	}
 	target, fails := w.begin()
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/sleeper"
 )
 
 // Requester sends requests on behalf of one caller.
@@ -132,14 +133,10 @@
 	r.mu.Lock()
 	d += time.Duration(r.rng.Int64N(int64(d)/2 + 1))
 	r.mu.Unlock()
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("wait before the next attempt: %w", ctx.Err())
+	if err := sleeper.Sleep(ctx, d); err != nil {
+		return fmt.Errorf("wait before the next attempt: %w", err)
 	}
+	return nil
 }
 
 const firstPause = 50 * time.Millisecond
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -15,6 +15,7 @@
 	"github.com/dragonflyford/dragonflyford/placer"
 	"github.com/dragonflyford/dragonflyford/receiver"
 	"github.com/dragonflyford/dragonflyford/recorder"
+	"github.com/dragonflyford/dragonflyford/sleeper"
 	"github.com/dragonflyford/dragonflyford/verifier"
 )
 
@@ -113,14 +114,7 @@
 	if refusal != "" {
 		return false
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleeper.Sleep(ctx, wait) == nil
 }
 
 // decide returns how long to wait before another attempt, or why there is none.
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -226,11 +226,7 @@
 	if err != nil {
 		return nil, err
 	}
-	failed := o.write(ctx, write)
-	if failed != nil && !errors.Is(failed, storer.ErrConflict) {
-		return nil, failed
-	}
-	if err := o.refresh(ctx); err != nil {
+	if err := o.attempt(ctx, write); err != nil {
 		return nil, err
 	}
 	// The row names this roll-out if the answer to an earlier try was lost.
@@ -299,6 +295,15 @@
 	}
 }
 
+// attempt writes and reads the rows back. A conflict is no error: the rows say
+// who came first.
+func (o *rollout) attempt(ctx context.Context, write storer.Write) error {
+	if err := o.write(ctx, write); err != nil && !errors.Is(err, storer.ErrConflict) {
+		return err
+	}
+	return o.refresh(ctx)
+}
+
 // withdraw marks the roll-out as given up, so that nodes drop what they prepared
 // and other operators may start.
 func (o *rollout) withdraw(ctx context.Context, missing, waiting []string) (Result, error) {
@@ -306,11 +311,7 @@
 	if err != nil {
 		return nil, err
 	}
-	failed := o.write(ctx, write)
-	if failed != nil && !errors.Is(failed, storer.ErrConflict) {
-		return nil, failed
-	}
-	if err := o.refresh(ctx); err != nil {
+	if err := o.attempt(ctx, write); err != nil {
 		return nil, err
 	}
 	if o.next.record.Rollout() != o.own.Rollout() || o.next.record.Stage() == bundler.StageAccepted {
--- a/runner/node.go
+++ b/runner/node.go
@@ -335,9 +335,6 @@
 // to another attempt.
 func (n *Node) Dropped() int64 { return n.verifier.Dropped() }
 
-// DrainAsked receives a value when an operator asks the node to stop.
-func (n *Node) DrainAsked() <-chan struct{} { return n.drainAsked }
-
 // Drain begins a planned stop: the node is no longer advertised, gives its
 // engines to other members, and waits until everything in flight has ended.
 func (n *Node) Drain(ctx context.Context) error {
--- a/runner/peers.go
+++ b/runner/peers.go
@@ -67,28 +67,33 @@
 
 // retire closes the way to a node. Errors are of no use: the node is gone.
 func (p *peers) retire(gone *peer) {
-	p.count(gone, &p.sent, &p.crossed)
+	all, crossed := p.count(gone)
+	p.sent.Add(all)
+	p.crossed.Add(crossed)
 	_ = gone.Close()
 }
 
-func (p *peers) count(of *peer, all, crossed *atomic.Int64) {
+// count returns the bytes exchanged with a node, and those of them that crossed a
+// region boundary.
+func (p *peers) count(of *peer) (all, crossed int64) {
 	sent, received := of.Transferred()
-	all.Add(sent + received)
+	all = sent + received
 	if of.member.Region() != p.region {
-		crossed.Add(sent + received)
+		crossed = all
 	}
+	return all, crossed
 }
 
 // transferred returns the bytes exchanged with other nodes, and those of them
 // that crossed a region boundary.
 func (p *peers) transferred() (all, crossed int64) {
-	var a, c atomic.Int64
-	a.Store(p.sent.Load())
-	c.Store(p.crossed.Load())
+	all, crossed = p.sent.Load(), p.crossed.Load()
 	for _, of := range *p.byName.Load() {
-		p.count(of, &a, &c)
+		a, c := p.count(of)
+		all += a
+		crossed += c
 	}
-	return a.Load(), c.Load()
+	return all, crossed
 }
 
 // find returns the way to a node.
--- a/runner/serve.go
+++ b/runner/serve.go
@@ -21,11 +21,6 @@
 	operators net.Listener // may be nil
 }
 
-// NewListeners returns open sockets. Operators may be nil.
-func NewListeners(callers, peers, operators net.Listener) Listeners {
-	return Listeners{callers: callers, peers: peers, operators: operators}
-}
-
 // Listen opens the sockets that settings name.
 func Listen(ctx context.Context, a configurer.Addresses) (Listeners, error) {
 	var (
--- /dev/null
+++ b/sleeper/doc.go
@@ -0,0 +1,2 @@
+// Package sleeper waits without outliving the context of whoever waits.
+package sleeper
