--- /dev/null
+++ b/assembler/reader.go
@@ -0,0 +1,118 @@
+package assembler
+
+import (
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/platform"
+	"github.com/dragonflyford/dragonflyford/storer"
+	"github.com/dragonflyford/dragonflyford/tracker"
+)
+
+// lapseGrace is how long after the store's return an endpoint whose entry
+// disappeared is still used. The entry of one that lives is back by then.
+const lapseGrace = 2200 * time.Millisecond
+
+// operatorReader takes over configurations and named versions.
+type operatorReader struct{ host *Host }
+
+func (operatorReader) Contact() {}
+
+// Replace takes over all rows. A row that is gone changes nothing: a
+// configuration stays in force until a newer one comes.
+func (o operatorReader) Replace(rows []storer.Change) { o.Learn(rows) }
+
+func (o operatorReader) Learn(changes []storer.Change) {
+	for _, c := range changes {
+		if !c.Removed() {
+			o.learn(c)
+		}
+	}
+}
+
+func (o operatorReader) learn(c storer.Change) {
+	h := o.host
+	notice, err := platform.DecodeNotice(c.Row)
+	if err != nil {
+		h.log.Warn("operator-row-not-read", logger.With(logger.KeyVersion, uint64(c.Version())), logger.Err(err))
+		return
+	}
+	switch n := notice.(type) {
+	case platform.Routes:
+		if h.router.Adopt(n.Table()) {
+			h.log.Info("configuration-in-force", logger.With(logger.KeyVersion, n.Table().Version()),
+				logger.With(logger.KeyCount, n.Table().Routes()))
+		}
+	case platform.Version:
+		if h.fleet.Name(n.Model(), n.Version()) {
+			h.log.Info("version-named", logger.With(logger.KeyModel, n.Model().Base()+"/"+n.Model().Adapter()),
+				logger.With(logger.KeyVersion, n.Version()))
+		}
+	case platform.Other:
+	}
+}
+
+// endpointReader takes over the entries of endpoints.
+type endpointReader struct{ host *Host }
+
+func (e endpointReader) Contact() {
+	for _, event := range e.host.fleet.Expire() {
+		e.note(event)
+	}
+}
+
+// Replace takes over all entries. Endpoints without one have left.
+func (e endpointReader) Replace(rows []storer.Change) {
+	listed := make(map[string]bool, len(rows))
+	for _, r := range rows {
+		listed[r.Key()] = true
+	}
+	for _, id := range e.host.fleet.IDs() {
+		if !listed[id] {
+			e.note(e.host.fleet.Removed(id, e.grace()))
+		}
+	}
+	e.Learn(rows)
+}
+
+func (e endpointReader) Learn(changes []storer.Change) {
+	for _, c := range changes {
+		if c.Removed() {
+			e.note(e.host.fleet.Removed(c.Key(), e.grace()))
+			continue
+		}
+		entry, err := platform.DecodeEntry(c.Row)
+		if err != nil {
+			e.host.log.Warn("entry-not-read", logger.Err(err))
+			continue
+		}
+		e.note(e.host.fleet.Listed(entry))
+	}
+}
+
+// grace returns how long an endpoint without an entry may have only lapsed.
+func (e endpointReader) grace() time.Duration {
+	since, ok := e.host.endpoints.Regained()
+	if !ok {
+		return 0
+	}
+	return max(lapseGrace-since, 0)
+}
+
+func (e endpointReader) note(event tracker.Event) {
+	if event == nil {
+		return
+	}
+	name := ""
+	switch event.(type) {
+	case tracker.Arrived:
+		name = "endpoint-arrived"
+	case tracker.Draining:
+		name = "endpoint-draining"
+	case tracker.Lapsed:
+		name = "endpoint-lapsed"
+	case tracker.Gone:
+		name = "endpoint-gone"
+	}
+	e.host.log.Info(name, logger.With(logger.KeyEndpoint, event.Endpoint()))
+}
--- a/configurer/decoder.go
+++ b/configurer/decoder.go
@@ -159,6 +159,11 @@
 	case string:
 		return setString(t, into)
 	case json.Number:
+		if into.Kind() == reflect.Float64 {
+			f, err := t.Float64()
+			into.SetFloat(f)
+			return err == nil
+		}
 		n, err := strconv.ParseInt(t.String(), 10, 64)
 		if err != nil || into.Kind() != reflect.Int64 || into.Type() == reflect.TypeFor[duration]() {
 			return false
@@ -196,6 +201,8 @@
 		return "a list"
 	case into.Kind() == reflect.Int64:
 		return "a whole number"
+	case into.Kind() == reflect.Float64:
+		return "a number"
 	default:
 		return "a string"
 	}
--- /dev/null
+++ b/configurer/entry_document.go
@@ -0,0 +1,80 @@
+package configurer
+
+import "time"
+
+// entryDocument is the settings file of an entry host on the users' platform.
+type entryDocument struct {
+	Node    entryNodeDocument   `json:"node"`
+	Listen  entryListenDocument `json:"listen"`
+	Zones   []zoneDocument      `json:"data_centres"`
+	Store   entryStoreDocument  `json:"store"`
+	Lease   entryLeaseDocument  `json:"lease"`
+	Repeats entryRepeatDocument `json:"repeats"`
+	Stop    entryStopDocument   `json:"stop"`
+	Limits  entryLimitsDocument `json:"limits"`
+	Log     logDocument         `json:"log"`
+}
+
+type entryNodeDocument struct {
+	Name       string  `json:"name"`
+	Address    string  `json:"address"` // IP address; identifies the host
+	DataCentre string  `json:"data_centre"`
+	Region     string  `json:"region"`
+	Share      float64 `json:"share"` // cores that the node may use
+}
+
+type entryListenDocument struct {
+	Callers   string `json:"callers"`
+	Readiness string `json:"readiness"`
+	Directory string `json:"directory"`
+	Peers     string `json:"peers"`
+	Metrics   string `json:"metrics"`
+}
+
+type zoneDocument struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+}
+
+type entryStoreDocument struct {
+	Address string `json:"address"`
+}
+
+type entryLeaseDocument struct {
+	Renew duration `json:"renew"`
+	Time  duration `json:"time"`
+	Guard duration `json:"guard"`
+	Turns duration `json:"turns"` // two hosts must not give an engine orders within this time
+}
+
+type entryRepeatDocument struct {
+	Ratio  float64  `json:"ratio"`
+	Slack  float64  `json:"slack"`
+	Window duration `json:"window"`
+}
+
+type entryStopDocument struct {
+	Grace duration `json:"grace"`
+}
+
+type entryLimitsDocument struct {
+	MemoryMB  int64    `json:"memory_mb"`
+	BodyBytes int64    `json:"body_bytes"`
+	Header    int64    `json:"header_bytes"`
+	ReadTime  duration `json:"read_timeout"`
+	IdleTime  duration `json:"idle_timeout"`
+}
+
+func defaultEntry() entryDocument {
+	return entryDocument{
+		Node:    entryNodeDocument{Share: 1},
+		Lease:   entryLeaseDocument{Renew: duration(time.Second), Time: duration(6 * time.Second), Guard: duration(time.Second), Turns: duration(3 * time.Second)},
+		Repeats: entryRepeatDocument{Ratio: 0.1, Slack: 20, Window: duration(10 * time.Second)},
+		Stop:    entryStopDocument{Grace: duration(8 * time.Second)},
+		Limits: entryLimitsDocument{
+			MemoryMB: 256, BodyBytes: 4 << 20, Header: 16 << 10,
+			ReadTime: duration(10 * time.Second), IdleTime: duration(time.Minute),
+		},
+		Log: logDocument{Level: "info"},
+	}
+}
--- a/configurer/node.go
+++ b/configurer/node.go
@@ -1,7 +1,6 @@
 package configurer
 
 import (
-	"cmp"
 	"crypto/ed25519"
 	"crypto/sha256"
 	"fmt"
@@ -36,13 +35,10 @@
 		c := &checker{decoder: d, doc: &n.doc}
 		c.check()
 	}
-	if len(d.faults) == 0 {
-		return n, nil
+	if err := d.verdict(path); err != nil {
+		return nil, err
 	}
-	slices.SortStableFunc(d.faults, func(a, b Fault) int {
-		return cmp.Or(cmp.Compare(a.line, b.line), cmp.Compare(a.column, b.column), cmp.Compare(a.field, b.field))
-	})
-	return nil, &Error{path: path, faults: d.faults}
+	return n, nil
 }
 
 // Name returns the node's name, which no other node of the deployment has.
--- /dev/null
+++ b/enroller/claim.go
@@ -0,0 +1,184 @@
+package enroller
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/storer"
+)
+
+const (
+	// settleTime is how long a host waits after joining before it claims engines,
+	// so that hosts that start together see each other.
+	settleTime = 1500 * time.Millisecond
+	// maxClaims bounds the rows of one transaction.
+	maxClaims = 40
+	// forgetAfter is how long the row of a silent host is kept.
+	forgetAfter = 5 * time.Minute
+)
+
+// Engine is an engine that needs an owner.
+type Engine interface {
+	ID() string
+	Zone() string
+	Region() string
+}
+
+// Claim takes the engines that have no owner and that this host is the first
+// choice for. Owners stay while they live, so that few engines change hands.
+func (e *Enroller) Claim(ctx context.Context, engines []Engine) {
+	v := e.View()
+	if !e.settled(v) {
+		return
+	}
+	writes := make([]storer.Write, 0, maxClaims)
+	var taken []string
+	takeover := false
+	checked := make(map[string]bool)
+	for _, engine := range engines {
+		owner, owned := v.owners[engine.ID()]
+		if owned && !e.vacant(v, owner) || e.candidate(v, engine) != e.self.name {
+			continue
+		}
+		value, err := encodeRow(ownerDocument{Host: e.self.name, Takeover: owned})
+		if err != nil {
+			e.log.Error("claim-not-encoded", logger.Err(err))
+			return
+		}
+		writes = append(writes, storer.NewPut(ownerPrefix+engine.ID(), value, owner.version))
+		if old := v.hosts[owner.host]; old != nil && !checked[owner.host] {
+			checked[owner.host] = true
+			writes = append(writes, storer.NewCheck(hostPrefix+owner.host, old.version))
+		}
+		takeover = takeover || owned
+		taken = append(taken, engine.ID())
+		if len(taken) == maxClaims {
+			break
+		}
+	}
+	if len(taken) > 0 {
+		e.commitClaim(ctx, taken, writes, takeover)
+	}
+}
+
+func (e *Enroller) settled(v *View) bool {
+	e.mu.Lock()
+	joined := e.joined
+	e.mu.Unlock()
+	return !e.leaving.Load() && !joined.IsZero() && time.Since(joined) >= settleTime &&
+		time.Since(v.contact) <= presumed && e.clock() < time.Duration(e.leaseEnd.Load())
+}
+
+// vacant reports whether an owner has given its engines up or is silent for longer
+// than its lease.
+func (e *Enroller) vacant(v *View, o Owner) bool {
+	if o.host == e.self.name {
+		return false
+	}
+	h := v.hosts[o.host]
+	if h == nil || h.doc.Leaving {
+		return true
+	}
+	return time.Since(h.changed) > e.times.lease+e.times.guard
+}
+
+// candidate returns the host that should own an engine: the first by hash among
+// the live hosts of its data centre, else of its region, else of all.
+func (e *Enroller) candidate(v *View, engine Engine) string {
+	var best string
+	var bestRank, bestHash uint64
+	for name, h := range v.hosts {
+		if h.doc.Leaving || !v.Alive(h) {
+			continue
+		}
+		var rank uint64
+		switch {
+		case h.doc.Zone == engine.Zone():
+			rank = 2
+		case h.doc.Region == engine.Region():
+			rank = 1
+		}
+		hash := xxhash.Sum64String(engine.ID() + "\x00" + name)
+		if best == "" || rank > bestRank || rank == bestRank && hash > bestHash {
+			best, bestRank, bestHash = name, rank, hash
+		}
+	}
+	return best
+}
+
+func (e *Enroller) commitClaim(ctx context.Context, engines []string, writes []storer.Write, takeover bool) {
+	ctx, cancel := context.WithTimeout(ctx, e.times.renew)
+	defer cancel()
+	var first time.Duration
+	if takeover {
+		first = e.clock() + e.times.rest
+	}
+	// The wait before the first order stands before the claim is known to hold.
+	e.restUntil(engines, first)
+	version, err := e.store.Commit(ctx, writes...)
+	var conflict *storer.RowConflict
+	switch {
+	case errors.As(err, &conflict):
+		e.Learn(conflict.Changes())
+		e.log.Info("claim-lost", logger.With(logger.KeyCount, len(engines)), logger.Err(err))
+		return
+	case err != nil:
+		// If the claim took effect, the table's feed shows it.
+		e.log.Warn("claim-uncertain", logger.With(logger.KeyCount, len(engines)), logger.Err(err))
+		return
+	}
+	changes := make([]storer.Change, 0, len(engines))
+	for _, w := range writes {
+		if put, ok := w.(storer.Put); ok {
+			changes = append(changes, storer.NewChange(storer.NewRow(put.Key(), put.Value(), version)))
+		}
+	}
+	e.Learn(changes)
+	e.log.Info("engines-claimed", logger.With(logger.KeyCount, len(engines)), logger.With(logger.KeyToken, uint64(version)))
+}
+
+func (e *Enroller) restUntil(engines []string, first time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.setRests(engines, first)
+}
+
+// setRests requires mu.
+func (e *Enroller) setRests(engines []string, first time.Duration) {
+	next := maps.Clone(*e.rests.Load())
+	for _, id := range engines {
+		next[id] = first
+	}
+	e.rests.Store(&next)
+}
+
+// Forget removes the rows of hosts that have been silent for long and of engines
+// of this host that left.
+func (e *Enroller) Forget(ctx context.Context, live func(engine string) bool) {
+	v := e.View()
+	if !e.settled(v) {
+		return
+	}
+	var writes []storer.Write
+	for name, h := range v.hosts {
+		if name != e.self.name && time.Since(h.changed) > forgetAfter {
+			writes = append(writes, storer.NewDelete(hostPrefix+name, h.version))
+		}
+	}
+	for engine, o := range v.owners {
+		if o.host == e.self.name && !live(engine) {
+			writes = append(writes, storer.NewDelete(ownerPrefix+engine, o.version))
+		}
+	}
+	if len(writes) == 0 {
+		return
+	}
+	if _, err := e.store.Commit(ctx, writes[:min(len(writes), maxClaims)]...); err != nil {
+		e.log.Warn("rows-not-removed", logger.Err(err))
+	}
+}
--- /dev/null
+++ b/enroller/enroller.go
@@ -0,0 +1,329 @@
+package enroller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/encoder"
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/storer"
+)
+
+var processStart = time.Now()
+
+// Self describes the host of this process.
+type Self struct {
+	name    string
+	callers string
+	peers   string
+	zone    string
+	region  string
+	share   float64
+}
+
+// NewSelf describes a host. Share says how much work it can do, relative to the
+// others.
+func NewSelf(name, callers, peers, zone, region string, share float64) Self {
+	return Self{name: name, callers: callers, peers: peers, zone: zone, region: region, share: share}
+}
+
+// Times are the periods of the membership.
+type Times struct {
+	renew time.Duration
+	lease time.Duration
+	guard time.Duration
+	rest  time.Duration
+	lost  time.Duration
+}
+
+// NewTimes returns periods: how often a row is renewed, how long a renewal is
+// good for orders, what an observer adds to that, how long a new owner waits
+// before its first order, and after which silence callers are sent elsewhere.
+func NewTimes(renew, lease, guard, rest, lost time.Duration) Times {
+	return Times{renew: renew, lease: lease, guard: guard, rest: rest, lost: lost}
+}
+
+// Option sets an optional property of an Enroller.
+type Option func(*Enroller)
+
+// WithClock replaces the clock that leases are counted on.
+func WithClock(now func() time.Duration) Option { return func(e *Enroller) { e.clock = now } }
+
+// Enroller keeps the row of this host and knows those of the others.
+type Enroller struct {
+	self  Self
+	times Times
+	store storer.Committer
+	log   *logger.Logger
+	clock func() time.Duration
+
+	leaseEnd atomic.Int64 // on clock; 0 while there is no lease
+	leaving  atomic.Bool
+	beat     uint64
+	renewed  bool // whether the last renewal succeeded
+
+	mu     sync.Mutex // serialises writers of view
+	view   atomic.Pointer[View]
+	rests  atomic.Pointer[map[string]time.Duration] // engine → earliest order, on clock
+	joined time.Time                                // when the first row of this process was written
+}
+
+// New returns an enroller that is not running.
+func New(self Self, times Times, store storer.Committer, log *logger.Logger, opts ...Option) *Enroller {
+	e := &Enroller{self: self, times: times, store: store, log: log.Component("enroller"), clock: bootTime}
+	for _, opt := range opts {
+		opt(e)
+	}
+	e.view.Store(&View{wait: times.lost})
+	e.rests.Store(&map[string]time.Duration{})
+	return e
+}
+
+// View returns the membership.
+func (e *Enroller) View() *View { return e.view.Load() }
+
+// Self returns the name of this host.
+func (e *Enroller) Self() string { return e.self.name }
+
+// Zone returns the data centre of this host.
+func (e *Enroller) Zone() string { return e.self.zone }
+
+// Region returns the region of this host.
+func (e *Enroller) Region() string { return e.self.region }
+
+// Ownership is the right to send orders to an engine.
+type Ownership struct {
+	token uint64
+	left  time.Duration
+}
+
+// Token returns the fencing token.
+func (o Ownership) Token() uint64 { return o.token }
+
+// Left returns how long the right lasts.
+func (o Ownership) Left() time.Duration { return o.left }
+
+// Owns returns the right to send orders to an engine now, if this host has it.
+func (e *Enroller) Owns(engine string) (Ownership, bool) {
+	owner, ok := e.View().Owner(engine)
+	if !ok || owner.host != e.self.name || e.leaving.Load() {
+		return Ownership{}, false
+	}
+	now := e.clock()
+	left := time.Duration(e.leaseEnd.Load()) - now
+	if left <= 0 || now < (*e.rests.Load())[engine] {
+		return Ownership{}, false
+	}
+	return Ownership{token: owner.Token(), left: left}, true
+}
+
+// Leave makes this host give up its engines and tells callers and hosts that it
+// stops.
+func (e *Enroller) Leave(ctx context.Context) {
+	e.leaving.Store(true) // no order follows
+	if err := e.renew(ctx); err != nil {
+		e.log.Warn("leave-not-written", logger.Err(err))
+	}
+}
+
+// Run renews the row until ctx ends.
+func (e *Enroller) Run(ctx context.Context) {
+	ticker := time.NewTicker(e.times.renew)
+	defer ticker.Stop()
+	for {
+		e.beatOnce(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (e *Enroller) beatOnce(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, e.times.renew)
+	defer cancel()
+	err := e.renew(limited)
+	switch {
+	case err == nil && !e.renewed:
+		e.renewed = true
+		e.log.Info("lease-taken", logger.With(logger.KeyToken, uint64(e.ownVersion())))
+	case err != nil && ctx.Err() == nil:
+		e.renewed = false
+		left := time.Duration(e.leaseEnd.Load()) - e.clock()
+		e.log.Warn("lease-not-renewed", logger.Err(err), logger.With(logger.KeyLeft, left.Milliseconds()))
+	}
+}
+
+func (e *Enroller) ownVersion() storer.Version {
+	if h := e.View().Host(e.self.name); h != nil {
+		return h.version
+	}
+	return 0
+}
+
+// renew writes the row of this host.
+func (e *Enroller) renew(ctx context.Context) error {
+	began := e.clock()
+	e.mu.Lock()
+	e.beat++
+	doc := hostDocument{
+		Callers: e.self.callers, Peers: e.self.peers, Zone: e.self.zone, Region: e.self.region,
+		Leaving: e.leaving.Load(), Share: e.self.share, Beat: e.beat,
+	}
+	e.mu.Unlock()
+	value, err := encodeRow(doc)
+	if err != nil {
+		return err
+	}
+	key := hostPrefix + e.self.name
+	version, err := e.store.Commit(ctx, storer.NewPut(key, value, e.ownVersion()))
+	var conflict *storer.RowConflict
+	if errors.As(err, &conflict) {
+		// A lost answer or the process before this one wrote the row.
+		e.Learn(conflict.Changes())
+		version, err = e.store.Commit(ctx, storer.NewPut(key, value, e.ownVersion()))
+	}
+	if err != nil {
+		return fmt.Errorf("renew row: %w", err)
+	}
+	e.Learn([]storer.Change{storer.NewChange(storer.NewRow(key, value, version))})
+	e.leaseEnd.Store(int64(began + e.times.lease))
+	e.mu.Lock()
+	if e.joined.IsZero() {
+		e.joined = time.Now()
+	}
+	e.mu.Unlock()
+	return nil
+}
+
+// Contact records that the store answered up to now. After a silence the rows of
+// all hosts count as seen now, because their renewals may have been missed.
+func (e *Enroller) Contact() {
+	e.update(func(v *View) {
+		now := time.Now()
+		if now.Sub(v.contact) > presumed {
+			for name, h := range v.hosts {
+				again := *h
+				again.changed = now
+				v.hosts[name] = &again
+			}
+		}
+		v.contact = now
+	})
+}
+
+// Replace takes over all rows of the table.
+func (e *Enroller) Replace(rows []storer.Change) {
+	listed := make(map[string]bool, len(rows))
+	for _, r := range rows {
+		listed[r.Key()] = true
+	}
+	var gone []storer.Change
+	v := e.View()
+	for name, h := range v.hosts {
+		if !listed[hostPrefix+name] {
+			gone = append(gone, storer.NewRemoval(hostPrefix+name, h.version))
+		}
+	}
+	for engine, o := range v.owners {
+		if !listed[ownerPrefix+engine] {
+			gone = append(gone, storer.NewRemoval(ownerPrefix+engine, o.version))
+		}
+	}
+	e.Learn(append(gone, rows...))
+}
+
+// Learn takes over rows that changed.
+func (e *Enroller) Learn(changes []storer.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	e.update(func(v *View) {
+		for _, c := range changes {
+			if name, ok := strings.CutPrefix(c.Key(), hostPrefix); ok {
+				e.learnHost(v, name, c)
+			} else if engine, ok := strings.CutPrefix(c.Key(), ownerPrefix); ok {
+				e.learnOwner(v, engine, c)
+			}
+		}
+	})
+}
+
+func (e *Enroller) update(change func(v *View)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	old := e.view.Load()
+	next := &View{hosts: maps.Clone(old.hosts), owners: maps.Clone(old.owners), contact: old.contact, wait: old.wait}
+	if next.hosts == nil {
+		next.hosts, next.owners = make(map[string]*Host), make(map[string]Owner)
+	}
+	change(next)
+	e.view.Store(next)
+}
+
+func (e *Enroller) learnHost(v *View, name string, c storer.Change) {
+	old := v.hosts[name]
+	switch {
+	case old != nil && c.Version() < old.version:
+		return // an answer that was overtaken
+	case c.Removed():
+		delete(v.hosts, name)
+		return
+	case old != nil && c.Version() == old.version:
+		return
+	}
+	doc, err := encoder.Unmarshal[hostDocument](c.Value())
+	if err != nil {
+		e.log.Warn("row-not-read", logger.With(logger.KeyPeer, name), logger.Err(err))
+		return
+	}
+	h := &Host{name: name, doc: doc, version: c.Version(), changed: time.Now(), beats: 1}
+	if old == nil || old.doc.Leaving != doc.Leaving {
+		e.log.Info("host-seen", logger.With(logger.KeyPeer, name),
+			logger.With(logger.KeyVersion, uint64(c.Version())), logger.With(logger.KeyOutcome, hostState(doc.Leaving)))
+	}
+	if old != nil {
+		h.beats = old.beats + 1
+	}
+	v.hosts[name] = h
+}
+
+func hostState(leaving bool) string {
+	if leaving {
+		return "leaving"
+	}
+	return "serving"
+}
+
+func (e *Enroller) learnOwner(v *View, engine string, c storer.Change) {
+	old, known := v.owners[engine]
+	switch {
+	case known && c.Version() <= old.version && !c.Removed(), known && c.Version() < old.version:
+		return
+	case c.Removed():
+		delete(v.owners, engine)
+		return
+	}
+	doc, err := encoder.Unmarshal[ownerDocument](c.Value())
+	if err != nil {
+		e.log.Warn("row-not-read", logger.With(logger.KeyEndpoint, engine), logger.Err(err))
+		return
+	}
+	if _, claimed := (*e.rests.Load())[engine]; doc.Host == e.self.name && doc.Takeover && !claimed {
+		// An earlier process of this host took the engine over and may not have
+		// waited to the end.
+		e.setRests([]string{engine}, e.clock()+e.times.rest)
+	}
+	v.owners[engine] = Owner{host: doc.Host, version: c.Version()}
+	if !known || old.host != doc.Host {
+		e.log.Info("owner-changed", logger.With(logger.KeyEndpoint, engine), logger.With(logger.KeyPeer, doc.Host),
+			logger.With(logger.KeyToken, uint64(c.Version())))
+	}
+}
--- /dev/null
+++ b/enroller/view.go
@@ -0,0 +1,107 @@
+package enroller
+
+import (
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/storer"
+)
+
+// Host is a host of the deployment as its row describes it.
+type Host struct {
+	name    string
+	doc     hostDocument
+	version storer.Version
+	changed time.Time // when the present row was seen first
+	beats   int       // renewals seen
+}
+
+// Name returns the host's name, which is its IP address.
+func (h *Host) Name() string { return h.name }
+
+// Callers returns the address for callers.
+func (h *Host) Callers() string { return h.doc.Callers }
+
+// Peers returns the address for other hosts.
+func (h *Host) Peers() string { return h.doc.Peers }
+
+// Zone returns the data centre.
+func (h *Host) Zone() string { return h.doc.Zone }
+
+// Region returns the region.
+func (h *Host) Region() string { return h.doc.Region }
+
+// Leaving reports whether the host is about to stop.
+func (h *Host) Leaving() bool { return h.doc.Leaving }
+
+// Share returns how much work the host can do, relative to the others.
+func (h *Host) Share() float64 { return h.doc.Share }
+
+// Owner is the owner of an engine as its row names it.
+type Owner struct {
+	host    string
+	version storer.Version
+}
+
+// Host returns the name of the owner.
+func (o Owner) Host() string { return o.host }
+
+// Token returns the fencing token of this ownership. It never falls, because it
+// is the version of the row.
+func (o Owner) Token() uint64 { return uint64(o.version) }
+
+// View is the membership at one moment. It never changes.
+type View struct {
+	hosts   map[string]*Host
+	owners  map[string]Owner
+	contact time.Time // last answer of the store; zero before the first
+	wait    time.Duration
+}
+
+// Host returns a host, or nil.
+func (v *View) Host(name string) *Host { return v.hosts[name] }
+
+// Owner returns the owner of an engine.
+func (v *View) Owner(engine string) (Owner, bool) {
+	o, ok := v.owners[engine]
+	return o, ok
+}
+
+// presumed is how long after its last contact with the store a host goes on
+// believing that nothing changed. Silence of a host means something only to one
+// that hears.
+const presumed = 1500 * time.Millisecond
+
+// Alive reports whether a host is believed to run. Without contact to the store
+// the last belief stays.
+func (v *View) Alive(h *Host) bool {
+	if h == nil {
+		return false
+	}
+	now := time.Now()
+	if silent := now.Sub(v.contact); silent > presumed {
+		now = v.contact
+	}
+	return now.Sub(h.changed) <= v.wait
+}
+
+// Entries returns the hosts that callers may be sent to.
+func (v *View) Entries() []*Host {
+	var list []*Host
+	for _, h := range v.hosts {
+		if !h.doc.Leaving && v.Alive(h) {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// Count returns how many hosts are believed to run.
+func (v *View) Count() int {
+	n := 0
+	for _, h := range v.hosts {
+		if v.Alive(h) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,144 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/sleeper"
+	"github.com/dragonflyford/dragonflyford/storer"
+)
+
+// Reader takes over rows.
+type Reader interface {
+	// Replace takes over all rows of the table.
+	Replace(rows []storer.Change)
+	// Learn takes over rows that changed.
+	Learn(changes []storer.Change)
+	// Contact says that the store answered.
+	Contact()
+}
+
+const (
+	retryAfter = 200 * time.Millisecond // after a failure of the store
+	// answerTime is added to how long the store may hold a call back. A connection
+	// that went silent is given up after it.
+	answerTime = time.Second
+	readTime   = 2 * time.Second // of a whole table
+)
+
+var errStale = eris.New("the store's answer is older than an earlier one")
+
+// Follower follows one table.
+type Follower struct {
+	name   string
+	feed   storer.Feed
+	reader Reader
+	wait   time.Duration
+	pause  time.Duration
+	log    *logger.Logger
+
+	version  storer.Version
+	whole    bool // whether the table was read and its history is known since
+	lost     bool
+	regained atomic.Int64 // Unix nanoseconds; 0 before the first loss
+}
+
+// New returns a follower of a table. Wait is how long the store may hold a call
+// back while nothing changes, pause the time between two calls, which gathers
+// changes and so saves calls.
+func New(name string, feed storer.Feed, reader Reader, wait, pause time.Duration, log *logger.Logger) *Follower {
+	return &Follower{name: name, feed: feed, reader: reader, wait: wait, pause: pause, log: log.Component("follower")}
+}
+
+// Regained returns how long ago the store answered again after a failure, or
+// false if it has not failed.
+func (f *Follower) Regained() (time.Duration, bool) {
+	at := f.regained.Load()
+	if at == 0 {
+		return 0, false
+	}
+	return time.Since(time.Unix(0, at)), true
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := f.pause
+		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+			pause = retryAfter
+			f.failed(err)
+		}
+		if sleeper.Sleep(ctx, pause) != nil {
+			return
+		}
+	}
+}
+
+func (f *Follower) failed(err error) {
+	if errors.Is(err, storer.ErrHistoryLost) {
+		f.whole = false
+		f.log.Warn("history-lost", logger.With(logger.KeyDependent, f.name), logger.With(logger.KeyVersion, uint64(f.version)))
+		return
+	}
+	if !f.lost {
+		f.lost = true
+		f.log.Warn("dependency-lost", logger.With(logger.KeyDependent, "store "+f.name), logger.Err(err),
+			logger.With(logger.KeyVersion, uint64(f.version)))
+	}
+}
+
+func (f *Follower) step(ctx context.Context) error {
+	changes, err := f.fetch(ctx)
+	if err != nil {
+		return err
+	}
+	if f.lost {
+		f.lost = false
+		f.regained.Store(time.Now().UnixNano())
+		f.log.Info("dependency-regained", logger.With(logger.KeyDependent, "store "+f.name),
+			logger.With(logger.KeyVersion, uint64(changes.Version())))
+	}
+	f.reader.Contact()
+	if f.whole {
+		f.reader.Learn(changes.List())
+	} else {
+		f.reader.Replace(changes.List())
+		f.whole = true
+	}
+	f.version = changes.Version()
+	return nil
+}
+
+func (f *Follower) fetch(ctx context.Context) (storer.Changes, error) {
+	limit := readTime
+	if f.whole {
+		limit = f.wait + answerTime
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if f.whole {
+		changes, err := f.feed.Follow(ctx, f.version, f.wait)
+		if err != nil {
+			return storer.Changes{}, fmt.Errorf("follow table %s: %w", f.name, err)
+		}
+		return changes, f.fresh(changes)
+	}
+	changes, err := f.feed.Snapshot(ctx)
+	if err != nil {
+		return storer.Changes{}, fmt.Errorf("read table %s: %w", f.name, err)
+	}
+	return changes, f.fresh(changes)
+}
+
+func (f *Follower) fresh(c storer.Changes) error {
+	if c.Version() < f.version {
+		return fmt.Errorf("version %d after %d: %w", c.Version(), f.version, errStale)
+	}
+	return nil
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -91,6 +91,10 @@
 			"serve", "run a node", "Runs a node until SIGTERM or SIGINT, then finishes all requests in flight.",
 			&serveCommand{launcher: l, ctx: ctx},
 		},
+		{
+			"entry", "run an entry host on the users' platform", "Runs an entry host until SIGTERM or SIGINT, then finishes all calls in flight. SIGHUP reads the settings again.",
+			&entryCommand{launcher: l, ctx: ctx},
+		},
 		{
 			"check", "check the settings of a node", "Reads the settings of a node, names every fault with its place, and exits.",
 			&checkCommand{launcher: l},
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	stdlog "log"
 	"regexp"
 	"strings"
 	"time"
@@ -11,8 +12,7 @@
 	"github.com/go-kit/log/level"
 )
 
-// The keys of a line. There are no others, so that a line holds nothing that a
-// caller sent but its request id.
+// The keys that every line may have.
 const (
 	keyTime      = "ts"
 	keyNode      = "node"
@@ -58,12 +58,43 @@
 // Field is an optional part of a line.
 type Field struct {
 	key   string
-	value string
+	value any
 }
 
 // Request names the request that a line is about.
 func Request(id string) Field { return Field{key: keyRequest, value: id} }
 
+// Key names a field of a decision. The set is fixed, so that a line holds nothing
+// that a caller sent but the ids of its requests.
+type Key string
+
+// The fields of decisions. Times are in milliseconds.
+const (
+	KeyAge       Key = "age_ms"
+	KeyAttempt   Key = "attempt"
+	KeyCount     Key = "count"
+	KeyDuration  Key = "duration_ms"
+	KeyEndpoint  Key = "endpoint"
+	KeyHeld      Key = "held"
+	KeyLeft      Key = "left_ms"
+	KeyLoad      Key = "load"
+	KeyModel     Key = "model"
+	KeyOutcome   Key = "outcome"
+	KeyPeer      Key = "peer"
+	KeyReason    Key = "reason"
+	KeyRoute     Key = "route"
+	KeySequence  Key = "sequence"
+	KeyService   Key = "service"
+	KeyStatus    Key = "status"
+	KeyToken     Key = "token"
+	KeyVersion   Key = "version"
+	KeyWait      Key = "wait_ms"
+	KeyDependent Key = "dependency"
+)
+
+// With adds a field of a decision. The value is a string, a number or a boolean.
+func With(key Key, value any) Field { return Field{key: string(key), value: value} }
+
 // Err adds an error. Credentials in its text are removed.
 func Err(err error) Field {
 	if err == nil {
@@ -113,3 +144,19 @@
 	}
 	return text
 }
+
+// Standard returns a logger of the standard library that writes its lines as
+// warnings of one event.
+func (l *Logger) Standard(event string) *stdlog.Logger {
+	return stdlog.New(standardWriter{logger: l, event: event}, "", 0)
+}
+
+type standardWriter struct {
+	logger *Logger
+	event  string
+}
+
+func (w standardWriter) Write(line []byte) (int, error) {
+	w.logger.Warn(w.event, Field{key: keyErr, value: redact(strings.TrimSpace(string(line)))})
+	return len(line), nil
+}
--- /dev/null
+++ b/messenger/wire.go
@@ -0,0 +1,148 @@
+package messenger
+
+import (
+	"context"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/encoder"
+	"github.com/dragonflyford/dragonflyford/screener"
+	"github.com/dragonflyford/dragonflyford/supplier"
+)
+
+const (
+	methodSupply = "/messenger/Supply"
+	methodAccuse = "/messenger/Accuse"
+)
+
+type modelDocument struct {
+	Base    string `cbor:"1,keyasint"`
+	Adapter string `cbor:"2,keyasint,omitempty"`
+}
+
+func encodeModel(m connector.Model) modelDocument {
+	return modelDocument{Base: m.Base(), Adapter: m.Adapter()}
+}
+
+func decodeModel(d modelDocument) connector.Model { return connector.NewModel(d.Base, d.Adapter, "") }
+
+type wantDocument struct {
+	Engine  string          `cbor:"1,keyasint"`
+	Model   modelDocument   `cbor:"2,keyasint"`
+	Version int64           `cbor:"3,keyasint,omitempty"`
+	Used    []modelDocument `cbor:"4,keyasint,omitempty"`
+}
+
+// States of a supply on the wire.
+const (
+	stateReady    = 1
+	stateComing   = 2
+	stateDeclined = 3
+)
+
+type supplyDocument struct {
+	State   int    `cbor:"1,keyasint"`
+	Version int64  `cbor:"2,keyasint,omitempty"`
+	WaitUS  int64  `cbor:"3,keyasint,omitempty"`
+	Reason  string `cbor:"4,keyasint,omitempty"`
+}
+
+func encodeSupply(s supplier.Supply) *supplyDocument {
+	switch s := s.(type) {
+	case supplier.Ready:
+		return &supplyDocument{State: stateReady, Version: s.Version()}
+	case supplier.Coming:
+		return &supplyDocument{State: stateComing, Version: s.Version(), WaitUS: s.Wait().Microseconds()}
+	case supplier.Declined:
+		return &supplyDocument{State: stateDeclined, Reason: s.Reason(), WaitUS: s.Wait().Microseconds()}
+	default:
+		return &supplyDocument{State: stateDeclined, Reason: "unknown answer"}
+	}
+}
+
+func decodeSupply(d *supplyDocument) supplier.Supply {
+	wait := time.Duration(d.WaitUS) * time.Microsecond
+	switch d.State {
+	case stateReady:
+		return supplier.NewReady(d.Version)
+	case stateComing:
+		return supplier.NewComing(d.Version, wait)
+	default:
+		return supplier.NewDeclined(d.Reason, wait)
+	}
+}
+
+type accuseDocument struct {
+	Marks []markDocument `cbor:"1,keyasint"`
+}
+
+type markDocument struct {
+	Call     uint64 `cbor:"1,keyasint"`
+	Endpoint string `cbor:"2,keyasint"`
+}
+
+type emptyDocument struct{}
+
+// Handler answers other hosts.
+type Handler interface {
+	// Supply answers a request for a model on an engine of this host.
+	Supply(ctx context.Context, w supplier.Want) supplier.Supply
+	// Accuse takes over evidence against calls.
+	Accuse(marks []screener.Mark)
+}
+
+type service struct{ handler Handler }
+
+func (s *service) supply(ctx context.Context, in *wantDocument) (*supplyDocument, error) {
+	used := make([]connector.Model, 0, len(in.Used))
+	for _, m := range in.Used {
+		used = append(used, decodeModel(m))
+	}
+	return encodeSupply(s.handler.Supply(ctx, supplier.NewWant(in.Engine, decodeModel(in.Model), in.Version, used))), nil
+}
+
+func (s *service) accuse(_ context.Context, in *accuseDocument) (*emptyDocument, error) {
+	marks := make([]screener.Mark, 0, len(in.Marks))
+	for _, m := range in.Marks {
+		marks = append(marks, screener.NewMark(screener.Fingerprint(m.Call), m.Endpoint))
+	}
+	s.handler.Accuse(marks)
+	return &emptyDocument{}, nil
+}
+
+type method struct {
+	name     string
+	receiver drpc.Receiver
+	function any
+}
+
+func unary[In, Out any](name string, call func(*service, context.Context, *In) (*Out, error)) method {
+	receiver := func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
+		return call(srv.(*service), ctx, in.(*In))
+	}
+	return method{name: name, receiver: receiver, function: call}
+}
+
+var methods = [...]method{
+	unary(methodSupply, (*service).supply),
+	unary(methodAccuse, (*service).accuse),
+}
+
+// description lists the methods for drpcmux.
+type description struct{}
+
+var _ drpc.Description = description{}
+
+// NumMethods implements drpc.Description.
+func (description) NumMethods() int { return len(methods) }
+
+// Method implements drpc.Description.
+func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
+	if n < 0 || n >= len(methods) {
+		return "", nil, nil, nil, false
+	}
+	m := methods[n]
+	return m.name, encoder.DRPC{}, m.receiver, m.function, true
+}
--- /dev/null
+++ b/referrer/doc.go
@@ -0,0 +1,2 @@
+// Package referrer tells callers which hosts to connect to.
+package referrer
--- /dev/null
+++ b/relayer/answer.go
@@ -0,0 +1,62 @@
+package relayer
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/dragonflyford/dragonflyford/exchanger"
+)
+
+// Answer is an endpoint's answer on its way to the caller. Its body must be
+// closed.
+type Answer struct {
+	status   int
+	header   http.Header
+	length   int64
+	body     io.ReadCloser
+	endpoint string
+	sends    int
+	live     bool
+}
+
+// Status returns the HTTP status.
+func (a *Answer) Status() int { return a.status }
+
+// Header returns the endpoint's header fields.
+func (a *Answer) Header() http.Header { return a.header }
+
+// Length returns the length of the body in bytes, or -1 if it is not known.
+func (a *Answer) Length() int64 { return a.length }
+
+// Body returns the body. It ends with io.EOF only if the answer is whole.
+func (a *Answer) Body() io.ReadCloser { return a.body }
+
+// Endpoint returns the id of the endpoint that answered first.
+func (a *Answer) Endpoint() string { return a.endpoint }
+
+// Sends returns how often the call was sent.
+func (a *Answer) Sends() int { return a.sends }
+
+// Live reports whether the body arrives piece by piece and is to be passed on at
+// once.
+func (a *Answer) Live() bool { return a.live }
+
+func newAnswer(a *exchanger.Answer, body io.ReadCloser, endpoint string, sends int, live bool) *Answer {
+	return &Answer{
+		status: a.Status(), header: a.Header(), length: a.Length(), body: body,
+		endpoint: endpoint, sends: sends, live: live,
+	}
+}
+
+// guarded ends the context of a call with the body of its answer.
+type guarded struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+func (g guarded) Close() error {
+	err := g.ReadCloser.Close()
+	g.cancel()
+	return err
+}
--- /dev/null
+++ b/relayer/carriage.go
@@ -0,0 +1,430 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/exchanger"
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/router"
+	"github.com/dragonflyford/dragonflyford/screener"
+	"github.com/dragonflyford/dragonflyford/selector"
+	"github.com/dragonflyford/dragonflyford/sleeper"
+	"github.com/dragonflyford/dragonflyford/supplier"
+	"github.com/dragonflyford/dragonflyford/tracker"
+)
+
+const (
+	// maxSteps bounds the endpoints that are tried for one call.
+	maxSteps = 8
+	// maxSends bounds how often a call is sent, refusals included.
+	maxSends = 4
+	// maxResends bounds how often a call is sent to one engine that is still
+	// loading its model.
+	maxResends = 2
+	// loadingPause is the wait before a call is sent again to an engine that is
+	// still loading.
+	loadingPause = 60 * time.Millisecond
+	// patienceShare is the part of the objective after which idempotent work is
+	// sent to another endpoint.
+	patienceShare = 0.7
+	minPatience   = 100 * time.Millisecond
+	// minLeft is the time that a call must have left to be sent.
+	minLeft = 30 * time.Millisecond
+	// maxIdleOnce is how long a connection may have been idle for work that may
+	// run only once. An endpoint may drop an older one without notice, and the
+	// call that finds out has an unknown outcome.
+	maxIdleOnce = time.Second
+	maxIdle     = time.Minute
+
+	// maxBuffered bounds what is read of an answer before it is passed on, in
+	// bytes. A longer one is passed on as it arrives.
+	maxBuffered = 256 << 10
+
+	retrySoon = 250 * time.Millisecond
+	// drainLimit bounds what is read of an answer that is not used, to keep its
+	// connection.
+	drainLimit = 4 << 10
+)
+
+// result is what came of one send: answered, refused, unsent or lost.
+type result interface{ result() }
+
+type (
+	answered struct{ answer *exchanger.Answer }
+	refused  struct{ answer *exchanger.Answer }
+	unsent   struct{ cause error }
+	lost     struct{ cause error }
+)
+
+func (answered) result() {}
+func (refused) result()  {}
+func (unsent) result()   {}
+func (lost) result()     {}
+
+// carriage is one call on its way.
+type carriage struct {
+	relayer *Relayer
+	call    *screener.Screened
+	ctx     context.Context
+	sent    map[*tracker.Endpoint]bool // endpoints that the call was sent to
+	avoided map[*tracker.Endpoint]bool
+	sends   int
+	resends int
+	abort   context.CancelCauseFunc // of the latest send
+	leave   bool                    // whether the next send is counted as a repeat already
+	event   string                  // last event of a resumed stream
+	version int64                   // of the model at the chosen endpoint
+}
+
+func (c *carriage) run() (*Answer, error) {
+	var last error
+	for range maxSteps {
+		if err := c.expired(); err != nil {
+			return nil, err
+		}
+		choice, err := c.choose()
+		if err != nil {
+			if last != nil {
+				return nil, last
+			}
+			return nil, err
+		}
+		if last = c.prepare(choice); last != nil {
+			continue
+		}
+		answer, err := c.attempt(choice)
+		if answer != nil {
+			return answer, nil
+		}
+		var final *finalError
+		if errors.As(err, &final) {
+			return nil, final.fault
+		}
+		last = err
+	}
+	return nil, last
+}
+
+// finalError ends a call.
+type finalError struct{ fault error }
+
+func (e *finalError) Error() string { return e.fault.Error() }
+
+func final(fault error) error { return &finalError{fault} }
+
+// expired returns a fault if the call has no time left.
+func (c *carriage) expired() error {
+	if c.call.Remaining() >= minLeft && c.ctx.Err() == nil {
+		return nil
+	}
+	if errors.Is(c.ctx.Err(), context.Canceled) {
+		return classifier.NewCanceled("the caller went away")
+	}
+	return classifier.NewExpired("the deadline passed before the call was sent", classifier.RetryAfter(retrySoon))
+}
+
+// choose returns an endpoint. A call goes to as many endpoints as its route allows.
+func (c *carriage) choose() (selector.Choice, error) {
+	limit := c.call.Route().MaxAttempts()
+	choice, err := c.relayer.chooser.Choose(c.call.Routed, func(e *tracker.Endpoint) bool {
+		return c.avoided[e] || !c.sent[e] && len(c.sent) >= limit
+	})
+	if err != nil {
+		return choice, fmt.Errorf("choose endpoint: %w", err)
+	}
+	return choice, nil
+}
+
+// prepare has the model loaded that the call needs. A fault means that the
+// endpoint will not do.
+func (c *carriage) prepare(choice selector.Choice) error {
+	e, m := choice.Endpoint(), c.call.Model()
+	if m.Base() == "" || c.call.Service().Engines() == nil {
+		return nil
+	}
+	if choice.Present() {
+		c.version, _ = e.Held(m)
+		c.relayer.procurer.Used(e.ID(), m)
+		return nil
+	}
+	began := time.Now()
+	supply := c.relayer.procurer.Procure(c.ctx, e, m, choice.Named())
+	c.note("model-procured", e, logger.With(logger.KeyModel, m.Base()+"/"+m.Adapter()),
+		logger.With(logger.KeyOutcome, supplyName(supply)), logger.With(logger.KeyVersion, choice.Named()),
+		logger.With(logger.KeyDuration, time.Since(began).Milliseconds()))
+	switch s := supply.(type) {
+	case supplier.Ready:
+		c.version = s.Version()
+		e.Learn(m, s.Version(), true)
+		return nil
+	case supplier.Coming:
+		if err := sleeper.Sleep(c.ctx, s.Wait()); err != nil {
+			return c.expired()
+		}
+		c.version = s.Version()
+		e.Learn(m, s.Version(), true)
+		return nil
+	case supplier.Declined:
+		c.avoided[e] = true
+		return classifier.NewOverloaded("the model is not loaded: "+s.Reason(), classifier.RetryAfter(max(s.Wait(), retrySoon)))
+	default:
+		return classifier.NewUnavailable("the model is not loaded", classifier.RetryAfter(retrySoon))
+	}
+}
+
+func supplyName(s supplier.Supply) string {
+	switch s := s.(type) {
+	case supplier.Ready:
+		return "ready"
+	case supplier.Coming:
+		return "coming"
+	case supplier.Declined:
+		return "declined: " + s.Reason()
+	default:
+		return "unknown"
+	}
+}
+
+// attempt sends the call to an endpoint. It returns an answer, a final error, or
+// an error after which another endpoint may be tried.
+func (c *carriage) attempt(choice selector.Choice) (*Answer, error) {
+	e := choice.Endpoint()
+	if c.sends > 0 && !c.leave && !c.mayRepeat() {
+		return nil, final(classifier.NewOverloaded("the budget for repeats is spent", classifier.RetryAfter(retrySoon)))
+	}
+	c.leave = false
+	began := time.Now()
+	res := c.send(choice)
+	c.record(e, res, time.Since(began))
+	switch res := res.(type) {
+	case answered:
+		return c.finish(e, res.answer)
+	case refused:
+		return nil, c.afterRefusal(e, res.answer)
+	case unsent:
+		c.avoided[e] = true
+		if !exchanger.IsLimit(res.cause) && c.ctx.Err() == nil {
+			e.Broke()
+		}
+		return nil, classifier.NewUnavailable("no endpoint could be reached", classifier.RetryAfter(retrySoon), classifier.Cause(res.cause))
+	case lost:
+		return nil, c.afterLoss(e, res.cause)
+	default:
+		return nil, final(classifier.NewUncertain("unknown result"))
+	}
+}
+
+// mayRepeat asks for leave to send the call once more.
+func (c *carriage) mayRepeat() bool {
+	return c.sends < maxSends && c.relayer.ration.Repeat(c.call.Service().Name())
+}
+
+// send sends the call once.
+func (c *carriage) send(choice selector.Choice) result {
+	e := choice.Endpoint()
+	ctx, abort := context.WithCancelCause(c.ctx)
+	c.abort = abort // ends with the call's own context at the latest
+	if patience := c.patience(); patience > 0 {
+		timer := time.AfterFunc(patience, func() { abort(errSlow) })
+		defer timer.Stop()
+	}
+	answer, err := c.relayer.exchanger.Do(ctx, e, c.outbound(choice), c.maxIdle(), c.connections())
+	if err != nil {
+		defer abort(nil)
+		var failure *exchanger.Failure
+		if errors.As(err, &failure) && !failure.Sent() {
+			return unsent{err}
+		}
+		c.sends++
+		c.sent[e] = true
+		return lost{err}
+	}
+	c.sends++
+	if answer.Meta().Refused() {
+		return refused{answer}
+	}
+	c.sent[e] = true
+	if _, live := c.call.Route().Repeat().(router.Stream); !live {
+		if err := answer.Buffer(maxBuffered); err != nil {
+			return lost{err}
+		}
+	}
+	return answered{answer}
+}
+
+func (c *carriage) outbound(choice selector.Choice) *exchanger.Outbound {
+	opts := []exchanger.OutboundOption{}
+	if c.call.Service().Engines() != nil {
+		opts = append(opts, exchanger.WithUrgency(urgency(c.call.Route().Priority())))
+		if choice.Named() > 0 {
+			// The endpoint may know of a newer version than this host.
+			opts = append(opts, exchanger.ExpectVersion(max(choice.Named(), c.version)))
+		}
+	}
+	if c.event != "" {
+		opts = append(opts, exchanger.ResumeAfter(c.event))
+	}
+	return exchanger.NewOutbound(c.call.Call, choice.Endpoint().ID(), c.call.Deadline(), opts...)
+}
+
+// Ranks in an engine's queue.
+const (
+	firstUrgency = 3
+	maxUrgency   = 9
+)
+
+func urgency(priority int) int { return min(firstUrgency+priority, maxUrgency) }
+
+// patience returns how long idempotent work may take before it is sent to another
+// endpoint, or 0 for as long as the deadline.
+func (c *carriage) patience() time.Duration {
+	if _, ok := c.call.Route().Repeat().(router.Idempotent); !ok || !c.another() {
+		return 0
+	}
+	share := time.Duration(float64(c.call.Route().Objective()) * patienceShare)
+	return max(share, minPatience)
+}
+
+// another reports whether the route allows one more endpoint after the next send.
+func (c *carriage) another() bool { return len(c.sent)+1 < c.call.Route().MaxAttempts() }
+
+func (c *carriage) maxIdle() time.Duration {
+	if _, ok := c.call.Route().Repeat().(router.Once); ok {
+		return maxIdleOnce
+	}
+	return maxIdle
+}
+
+// connections returns this host's share of the connections that an endpoint
+// accepts.
+func (c *carriage) connections() int {
+	return max(c.call.Service().MaxConnections()/max(c.relayer.hosts(), 1), 2)
+}
+
+// finish returns an answer to the caller, unless the endpoint failed and the work
+// may be carried out by another one.
+func (c *carriage) finish(e *tracker.Endpoint, a *exchanger.Answer) (*Answer, error) {
+	if a.Status() < http.StatusInternalServerError {
+		e.Succeeded()
+		return c.deliver(e, a), nil
+	}
+	e.Failed()
+	if c.repeatable() && c.call.Remaining() > minLeft && len(c.sent) < c.call.Route().MaxAttempts() && c.mayRepeat() {
+		discard(a)
+		c.avoided[e] = true
+		c.leave = true
+		return nil, classifier.NewUncertain(fmt.Sprintf("endpoint failed with status %d", a.Status()))
+	}
+	return c.deliver(e, a), nil
+}
+
+func (c *carriage) deliver(e *tracker.Endpoint, a *exchanger.Answer) *Answer {
+	stream, live := c.call.Route().Repeat().(router.Stream)
+	if live && stream.Resumable() && a.Status() == http.StatusOK {
+		return newAnswer(a, newResumer(c, e, a), e.ID(), c.sends, true)
+	}
+	return newAnswer(a, a.Body(), e.ID(), c.sends, live)
+}
+
+// repeatable reports whether the work may run more than once.
+func (c *carriage) repeatable() bool {
+	switch kind := c.call.Route().Repeat().(type) {
+	case router.Idempotent:
+		return true
+	case router.Stream:
+		return kind.Resumable()
+	default:
+		return false
+	}
+}
+
+// discard reads a small answer to its end, so that its connection can be used
+// again.
+func discard(a *exchanger.Answer) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body(), drainLimit)) // closed below in any case
+	_ = a.Body().Close()
+}
+
+// afterRefusal decides what follows when an endpoint says that it did not run the
+// call.
+func (c *carriage) afterRefusal(e *tracker.Endpoint, a *exchanger.Answer) error {
+	status := a.Status()
+	discard(a)
+	engine := c.call.Service().Engines() != nil && c.call.Model().Base() != ""
+	fault := classifier.NewOverloaded(fmt.Sprintf("endpoint refused with status %d", status), classifier.RetryAfter(retrySoon))
+	switch {
+	case status == http.StatusBadRequest:
+		return final(classifier.NewInvalid("endpoint takes the call for malformed"))
+	case engine && status == http.StatusMisdirectedRequest:
+		e.Learn(c.call.Model(), 0, false)
+		if c.resends++; c.resends > maxResends {
+			c.avoided[e] = true
+		}
+	case engine && c.resends < maxResends:
+		c.resends++
+		if sleeper.Sleep(c.ctx, loadingPause) != nil {
+			return final(c.expired())
+		}
+	default:
+		c.avoided[e] = true
+		e.Failed()
+		// Refused work counts as sent to the endpoint, so that the route's limit
+		// on endpoints holds.
+		c.sent[e] = true
+		if len(c.sent) >= c.call.Route().MaxAttempts() {
+			return final(fault)
+		}
+	}
+	return fault
+}
+
+// afterLoss decides what follows when the call was sent and has no answer.
+func (c *carriage) afterLoss(e *tracker.Endpoint, cause error) error {
+	slow := errors.Is(cause, errSlow)
+	switch {
+	case slow:
+		e.Failed()
+	case errors.Is(c.ctx.Err(), context.Canceled):
+		return final(classifier.NewCanceled("the caller went away"))
+	case c.ctx.Err() != nil:
+		e.Failed()
+		return final(classifier.NewExpired("the endpoint did not answer in time", classifier.MayHaveRun(), classifier.Cause(cause)))
+	default:
+		e.Broke()
+		c.relayer.witness.Broke(screener.NewMark(c.call.Fingerprint(), fmt.Sprintf("%s/%d", e.ID(), e.Born())))
+	}
+	c.avoided[e] = true
+	fault := classifier.NewUncertain("the endpoint broke off", classifier.Cause(cause))
+	if !c.repeatable() || len(c.sent) >= c.call.Route().MaxAttempts() {
+		return final(fault)
+	}
+	return fault
+}
+
+func (c *carriage) note(event string, e *tracker.Endpoint, fields ...logger.Field) {
+	c.relayer.log.Info(event, append(fields, logger.Request(c.call.ID()), logger.With(logger.KeyEndpoint, e.ID()))...)
+}
+
+// record logs what came of a send, unless all went well.
+func (c *carriage) record(e *tracker.Endpoint, res result, took time.Duration) {
+	fields := []logger.Field{
+		logger.With(logger.KeyAttempt, c.sends), logger.With(logger.KeyDuration, took.Milliseconds()),
+		logger.With(logger.KeyLoad, int(e.Busy(time.Now()))), logger.With(logger.KeyRoute, c.call.Route().Name()),
+	}
+	switch res := res.(type) {
+	case answered:
+		return
+	case refused:
+		c.note("send-refused", e, append(fields, logger.With(logger.KeyStatus, res.answer.Status()))...)
+	case unsent:
+		c.note("send-not-made", e, append(fields, logger.Err(res.cause))...)
+	case lost:
+		c.note("send-lost", e, append(fields, logger.Err(res.cause))...)
+	}
+}
--- /dev/null
+++ b/router/table.go
@@ -0,0 +1,234 @@
+package router
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Repeat says how often the work of a route may be carried out: Idempotent,
+// Once or Stream.
+type Repeat interface{ repeat() }
+
+// Idempotent work may run more than once.
+type Idempotent struct{}
+
+// Once is work that may run at most once for each call.
+type Once struct{}
+
+// Stream is a generation whose answer is a series of numbered events.
+type Stream struct {
+	resumable bool
+	maxGap    time.Duration
+}
+
+// NewStream returns the kind of a streaming route. A resumable stream may go on
+// at another endpoint after its last event. MaxGap is the longest pause between
+// events for which the answer is on time.
+func NewStream(resumable bool, maxGap time.Duration) Stream {
+	return Stream{resumable: resumable, maxGap: maxGap}
+}
+
+// Resumable reports whether the stream may go on at another endpoint.
+func (s Stream) Resumable() bool { return s.resumable }
+
+// MaxGap returns the longest pause between events of a timely answer.
+func (s Stream) MaxGap() time.Duration { return s.maxGap }
+
+func (Idempotent) repeat() {}
+func (Once) repeat()       {}
+func (Stream) repeat()     {}
+
+// Target is a service that a route sends a share of its calls to.
+type Target struct {
+	service string
+	weight  int
+}
+
+// NewTarget returns a target with a weight relative to the route's others.
+func NewTarget(service string, weight int) Target { return Target{service: service, weight: weight} }
+
+// Route maps the paths under a prefix to services.
+type Route struct {
+	name        string
+	host        string
+	prefix      string
+	repeat      Repeat
+	timeout     time.Duration
+	objective   time.Duration
+	priority    int
+	maxAttempts int
+	targets     []Target
+}
+
+// NewRoute returns a route. Priority 0 is the most urgent.
+func NewRoute(name, host, prefix string, r Repeat, timeout, objective time.Duration, priority, maxAttempts int, targets []Target) *Route {
+	return &Route{
+		name: name, host: host, prefix: prefix, repeat: r, timeout: timeout, objective: objective,
+		priority: priority, maxAttempts: max(maxAttempts, 1), targets: targets,
+	}
+}
+
+// Name returns the route's name.
+func (r *Route) Name() string { return r.name }
+
+// Repeat returns how often the work may be carried out.
+func (r *Route) Repeat() Repeat { return r.repeat }
+
+// Timeout returns how long a call may wait for its answer.
+func (r *Route) Timeout() time.Duration { return r.timeout }
+
+// Objective returns the latency within which an answer is on time.
+func (r *Route) Objective() time.Duration { return r.objective }
+
+// Priority returns the rank of the route; 0 is the most urgent.
+func (r *Route) Priority() int { return r.priority }
+
+// MaxAttempts returns how many endpoints a call may be sent to.
+func (r *Route) MaxAttempts() int { return r.maxAttempts }
+
+// service returns the service for a call; spread is a hash of the call.
+func (r *Route) service(spread uint64) string {
+	total := 0
+	for _, t := range r.targets {
+		total += t.weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	point := int(spread % uint64(total))
+	for _, t := range r.targets {
+		if point < t.weight {
+			return t.service
+		}
+		point -= t.weight
+	}
+	return ""
+}
+
+// Base is a base model of an engine service.
+type Base struct {
+	name      string
+	weightsMB float64
+	adapterMB float64
+}
+
+// NewBase returns a base model with the size of its weights and of one adapter.
+func NewBase(name string, weightsMB, adapterMB float64) Base {
+	return Base{name: name, weightsMB: weightsMB, adapterMB: adapterMB}
+}
+
+// Name returns the base model's name.
+func (b Base) Name() string { return b.name }
+
+// Engines describes the engines of a service.
+type Engines struct {
+	slots        int
+	adapterSlots int
+	memoryMB     float64
+	bases        []Base
+}
+
+// NewEngines returns a description of engines that run slots jobs at a time and
+// hold up to adapterSlots adapters and memoryMB of weights.
+func NewEngines(slots, adapterSlots int, memoryMB float64, bases []Base) *Engines {
+	return &Engines{slots: slots, adapterSlots: adapterSlots, memoryMB: memoryMB, bases: bases}
+}
+
+// Slots returns how many jobs an engine runs at a time.
+func (e *Engines) Slots() int { return e.slots }
+
+// AdapterSlots returns how many adapters an engine holds, those on their way
+// included.
+func (e *Engines) AdapterSlots() int { return e.adapterSlots }
+
+// Bases returns the base models, the most used first.
+func (e *Engines) Bases() []Base { return e.bases }
+
+// AdapterRoom returns how many adapters fit beside the weights of one base model.
+func (e *Engines) AdapterRoom(base string) int {
+	for _, b := range e.bases {
+		if b.name == base && b.adapterMB > 0 {
+			return min(e.adapterSlots, int(max(e.memoryMB-b.weightsMB, 0)/b.adapterMB))
+		}
+	}
+	return e.adapterSlots
+}
+
+// Service is a group of endpoints that do the same work.
+type Service struct {
+	name           string
+	maxConnections int
+	engines        *Engines
+}
+
+// NewService returns a service; engines is nil for a plain service.
+func NewService(name string, maxConnections int, engines *Engines) *Service {
+	return &Service{name: name, maxConnections: maxConnections, engines: engines}
+}
+
+// Name returns the service's name.
+func (s *Service) Name() string { return s.name }
+
+// MaxConnections returns how many connections an endpoint accepts from all hosts.
+func (s *Service) MaxConnections() int { return s.maxConnections }
+
+// Engines returns the description of the service's engines, or nil.
+func (s *Service) Engines() *Engines { return s.engines }
+
+// Table is one version of the routes. It never changes.
+type Table struct {
+	version  int64
+	hosts    map[string][]*Route // longest prefix first
+	services map[string]*Service
+}
+
+// NewTable returns a table.
+func NewTable(version int64, routes []*Route, services []*Service) *Table {
+	t := &Table{version: version, hosts: make(map[string][]*Route), services: make(map[string]*Service, len(services))}
+	for _, r := range routes {
+		t.hosts[r.host] = append(t.hosts[r.host], r)
+	}
+	for _, list := range t.hosts {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.prefix), len(a.prefix)) })
+	}
+	for _, s := range services {
+		t.services[s.name] = s
+	}
+	return t
+}
+
+// Version returns the version of the table.
+func (t *Table) Version() int64 { return t.version }
+
+// Routes returns how many routes the table has.
+func (t *Table) Routes() int {
+	n := 0
+	for _, list := range t.hosts {
+		n += len(list)
+	}
+	return n
+}
+
+// Service returns a service, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Services returns all services.
+func (t *Table) Services() []*Service {
+	list := make([]*Service, 0, len(t.services))
+	for _, s := range t.services {
+		list = append(list, s)
+	}
+	return list
+}
+
+// Lookup returns the route with the longest prefix of path, or nil.
+func (t *Table) Lookup(host, path string) *Route {
+	for _, r := range t.hosts[host] {
+		if strings.HasPrefix(path, r.prefix) {
+			return r
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/storer/feed.go
@@ -0,0 +1,75 @@
+package storer
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrHistoryLost reports that the changes after a version are no longer known.
+// Whoever follows the table reads it whole again.
+var ErrHistoryLost = eris.New("history of the table is no longer available")
+
+// Change is a row that was written or removed.
+type Change struct {
+	Row
+	removed bool
+}
+
+// NewChange returns a written row.
+func NewChange(r Row) Change { return Change{Row: r} }
+
+// NewRemoval returns the removal of a row.
+func NewRemoval(key string, v Version) Change {
+	return Change{Row: Row{key: key, version: v}, removed: true}
+}
+
+// Removed reports whether the row was removed.
+func (c Change) Removed() bool { return c.removed }
+
+// Changes are the rows that changed up to a version.
+type Changes struct {
+	list    []Change
+	version Version
+}
+
+// NewChanges returns changes in the order in which they happened.
+func NewChanges(list []Change, v Version) Changes { return Changes{list: list, version: v} }
+
+// List returns the changes; it must not be modified.
+func (c Changes) List() []Change { return c.list }
+
+// Version returns the version of the table up to which the changes are known.
+func (c Changes) Version() Version { return c.version }
+
+// Feed is a table whose changes can be followed.
+type Feed interface {
+	// Snapshot returns all rows as of one version.
+	Snapshot(ctx context.Context) (Changes, error)
+	// Follow returns the changes after a version as soon as there is one, or none
+	// after wait. It fails with ErrHistoryLost.
+	Follow(ctx context.Context, after Version, wait time.Duration) (Changes, error)
+}
+
+// Committer applies conditional writes.
+type Committer interface {
+	// Commit applies all writes or none and returns the version of the written
+	// rows. Its errors are those of Table.Commit.
+	Commit(ctx context.Context, writes ...Write) (Version, error)
+}
+
+// RowConflict is a commit whose condition did not hold, with the rows as they are.
+type RowConflict struct {
+	*ConflictError
+	changes []Change
+}
+
+// NewRowConflict returns a conflict on key with the present state of the rows that
+// the commit had conditions on.
+func NewRowConflict(key string, changes []Change) *RowConflict {
+	return &RowConflict{ConflictError: NewConflictError(key), changes: changes}
+}
+
+// Changes returns the present state of the rows.
+func (e *RowConflict) Changes() []Change { return e.changes }
--- /dev/null
+++ b/supplier/keeper.go
@@ -0,0 +1,366 @@
+package supplier
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/sleeper"
+	"github.com/dragonflyford/dragonflyford/tracker"
+)
+
+const (
+	orderTimeout  = 400 * time.Millisecond // two trips between regions and some queueing
+	reportTimeout = 600 * time.Millisecond
+	reportLag     = 250 * time.Millisecond // a report is up to so old
+	maxOrderTries = 3
+	// maxArrivals is how many adapters may be on their way to one engine.
+	maxArrivals = 4
+	// minIdle is how long an adapter must be unused before it makes room.
+	minIdle       = 1500 * time.Millisecond
+	coldLoad      = 270 * time.Millisecond // of an adapter from the weight store
+	warmLoad      = 35 * time.Millisecond  // of an adapter that the engine's host still has
+	unknownLoad   = 500 * time.Millisecond // of one that an earlier owner ordered
+	baseRetry     = 3 * time.Second        // between two orders for a base model
+	tendInterval  = 500 * time.Millisecond
+	retryDeclined = 400 * time.Millisecond
+)
+
+// asked is a Want that waits for its answer.
+type asked struct {
+	want  Want
+	reply chan Supply
+}
+
+// keeper looks after one engine process.
+type keeper struct {
+	supplier *Supplier
+	endpoint *tracker.Endpoint
+	stock    *stock
+	asks     chan asked
+	cancel   context.CancelFunc
+	baseAt   time.Time // last order for a base model
+	readAt   time.Time // last report
+}
+
+func (k *keeper) run(ctx context.Context) {
+	ticker := time.NewTicker(tendInterval)
+	defer ticker.Stop()
+	k.tend(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case a := <-k.asks:
+			a.reply <- k.answer(ctx, a.want)
+		case <-ticker.C:
+			k.tend(ctx)
+		}
+	}
+}
+
+// tend loads what an engine must have: the weights of a base model, and the named
+// versions of the adapters that it holds and that are in use.
+func (k *keeper) tend(ctx context.Context) {
+	if !k.may() || !k.learn(ctx) {
+		return
+	}
+	settings := k.supplier.settings(k.endpoint.Service())
+	if settings == nil {
+		return
+	}
+	if bases := settings.Bases(); !k.hasBase() && len(bases) > 0 {
+		k.loadBase(ctx, bases[0].Name())
+		return
+	}
+	now := time.Now()
+	k.stock.settle(now)
+	for m, held := range k.stock.held {
+		named := k.supplier.fleet.Current().Named(m)
+		if m.Adapter() != "" && held < named && now.Sub(k.stock.used[m]) < replaceIfUsed {
+			k.answer(ctx, NewWant(k.endpoint.ID(), m, named, nil))
+		}
+	}
+}
+
+// replaceIfUsed is how recently an adapter must have been used for a new version
+// to be loaded before a call asks for it.
+const replaceIfUsed = 10 * time.Second
+
+func (k *keeper) hasBase() bool {
+	for m := range k.stock.held {
+		if m.Adapter() == "" {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *keeper) may() bool {
+	_, left, ok := k.supplier.rights.Right(k.endpoint.ID())
+	return ok && left > orderTimeout/2
+}
+
+// learn reads a report if nothing is known of the engine, or if orders are in
+// doubt, and reports whether the stock is known.
+func (k *keeper) learn(ctx context.Context) bool {
+	if k.stock.known && len(k.stock.leaving) == 0 {
+		return true
+	}
+	if time.Since(k.readAt) < reportLag {
+		return k.stock.known
+	}
+	return k.read(ctx)
+}
+
+func (k *keeper) read(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	k.readAt = time.Now()
+	r, err := k.supplier.engines.Report(ctx, k.endpoint)
+	if err != nil {
+		k.log("report-failed", logger.Err(err))
+		return k.stock.known
+	}
+	first := !k.stock.known
+	k.stock.take(r, time.Now())
+	if first {
+		k.log("engine-read", logger.With(logger.KeySequence, r.sequence), logger.With(logger.KeyCount, len(r.held)))
+	}
+	for m, v := range k.stock.held {
+		k.endpoint.Learn(m, v, true)
+	}
+	return true
+}
+
+func (k *keeper) log(event string, fields ...logger.Field) {
+	k.supplier.log.Info(event, append(fields, logger.With(logger.KeyEndpoint, k.endpoint.ID()))...)
+}
+
+func (k *keeper) answer(ctx context.Context, w Want) Supply {
+	now := time.Now()
+	k.stock.touch(w.used, now)
+	k.stock.settle(now)
+	if !k.may() {
+		return NewDeclined("no right to send orders", retryDeclined)
+	}
+	if !k.learn(ctx) {
+		return NewDeclined("engine does not answer its owner", retryDeclined)
+	}
+	k.stock.used[w.model] = now
+	version, held := k.stock.held[w.model]
+	if a, ok := k.stock.coming[w.model]; ok && a.version >= w.version {
+		return NewComing(a.version, time.Until(a.due))
+	}
+	if held && version >= w.version && !k.stock.leaving[w.model] {
+		return NewReady(version)
+	}
+	if w.model.Adapter() == "" {
+		k.loadBase(ctx, w.model.Base())
+		return NewDeclined("weights of the base model are not loaded", baseRetry)
+	}
+	if !k.stockedBase(w.model.Base()) {
+		return NewDeclined("weights of the base model are not loaded", baseRetry)
+	}
+	if len(k.stock.coming) >= maxArrivals {
+		return NewDeclined("too many adapters are on their way", warmLoad)
+	}
+	if !held && !k.makeRoom(ctx, w.model.Base()) {
+		return NewDeclined("all places are in use", retryDeclined)
+	}
+	return k.load(ctx, w, held)
+}
+
+func (k *keeper) stockedBase(base string) bool {
+	_, ok := k.stock.held[connector.NewModel(base, "", "")]
+	return ok
+}
+
+// makeRoom unloads idle adapters until there is a place.
+func (k *keeper) makeRoom(ctx context.Context, base string) bool {
+	settings := k.supplier.settings(k.endpoint.Service())
+	if settings == nil {
+		return false
+	}
+	for k.stock.places() >= settings.AdapterRoom(base) {
+		m, last, ok := k.stock.idlest()
+		if !ok || time.Since(last) < minIdle {
+			return false
+		}
+		verdict := k.order(ctx, unloading(m))
+		switch verdict.(type) {
+		case InForce:
+			delete(k.stock.held, m)
+			delete(k.stock.used, m)
+			k.stock.recent[m] = time.Now()
+			k.endpoint.Learn(m, 0, false)
+		case Accepted:
+			k.stock.leaving[m] = true
+			k.endpoint.Learn(m, 0, false)
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// load orders an adapter. A version that replaces another one waits for the jobs
+// that run on that.
+func (k *keeper) load(ctx context.Context, w Want, replacing bool) Supply {
+	named := max(w.version, k.supplier.fleet.Current().Named(w.model))
+	took := coldLoad
+	if !replacing && k.stock.warm(w.model) {
+		took = warmLoad
+	}
+	k.stock.doubtful[w.model] = true
+	verdict := k.order(ctx, loading(w.model, named))
+	switch verdict.(type) {
+	case Accepted:
+		delete(k.stock.doubtful, w.model)
+		k.stock.coming[w.model] = arrival{version: named, due: time.Now().Add(took)}
+		return NewComing(named, took)
+	case InForce:
+		delete(k.stock.doubtful, w.model)
+		k.stock.held[w.model] = named
+		return NewReady(named)
+	case nil:
+		return NewDeclined("order has no answer", retryDeclined)
+	default:
+		delete(k.stock.doubtful, w.model)
+		return NewDeclined("engine refused the order", retryDeclined)
+	}
+}
+
+func (k *keeper) loadBase(ctx context.Context, base string) {
+	if time.Since(k.baseAt) < baseRetry || !k.read(ctx) || k.hasBase() {
+		return
+	}
+	k.baseAt = time.Now()
+	k.order(ctx, func(f connector.Fence) connector.Order { return connector.NewLoadModel(f, base) })
+}
+
+// making builds an order for a fencing token.
+type making func(f connector.Fence) connector.Order
+
+func unloading(m connector.Model) making {
+	return func(f connector.Fence) connector.Order { return connector.NewUnloadAdapter(f, m) }
+}
+
+func loading(m connector.Model, version int64) making {
+	if version > 0 {
+		m = connector.NewModel(m.Base(), m.Adapter(), strconv.FormatInt(version, 10))
+	}
+	return func(f connector.Fence) connector.Order { return connector.NewLoadAdapter(f, m) }
+}
+
+// order sends an order and returns its verdict, or nil if it is not known. An
+// order without an answer is sent again with the same expected sequence: at most
+// one of the two can take effect.
+func (k *keeper) order(ctx context.Context, make making) Verdict {
+	for try := range maxOrderTries {
+		token, left, ok := k.supplier.rights.Right(k.endpoint.ID())
+		if !ok {
+			return Rejected{}
+		}
+		limited, cancel := context.WithTimeout(ctx, min(orderTimeout, left))
+		o := make(connector.NewFence(token, time.Now().Add(left)))
+		began := time.Now()
+		verdict, err := k.supplier.engines.Order(limited, k.endpoint, o, k.stock.sequence)
+		cancel()
+		k.note(o, verdict, err, token, try, time.Since(began))
+		switch v := verdict.(type) {
+		case Accepted:
+			k.stock.sequence++
+			k.stock.ordered = time.Now()
+			clear(k.stock.doubtful)
+			return v
+		case InForce:
+			if _, unload := o.(connector.UnloadAdapter); unload {
+				k.stock.sequence++
+				k.stock.ordered = time.Now()
+			}
+			return v
+		case Conflict:
+			// The sequence differs: an order without an answer took effect, or the
+			// known one is old.
+			if sleeper.Sleep(ctx, reportLag) != nil || !k.read(ctx) {
+				return nil
+			}
+			if k.fulfilled(o) {
+				return InForce{}
+			}
+		case Rejected:
+			return v
+		}
+		if err != nil && ctx.Err() != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// fulfilled reports whether the stock is as an order wants it.
+func (k *keeper) fulfilled(o connector.Order) bool {
+	switch o := o.(type) {
+	case connector.LoadAdapter:
+		m := connector.NewModel(o.Model().Base(), o.Model().Adapter(), "")
+		held, ok := k.stock.held[m]
+		wanted, err := strconv.ParseInt(o.Model().Version(), 10, 64)
+		return ok && (err != nil || held >= wanted) // no version: any will do
+	case connector.UnloadAdapter:
+		_, ok := k.stock.held[o.Model()]
+		return !ok
+	case connector.LoadModel:
+		return k.stockedBase(o.Base())
+	default:
+		return false
+	}
+}
+
+func (k *keeper) note(o connector.Order, v Verdict, err error, token uint64, try int, took time.Duration) {
+	fields := []logger.Field{
+		logger.With(logger.KeyToken, token), logger.With(logger.KeySequence, k.stock.sequence),
+		logger.With(logger.KeyAttempt, try), logger.With(logger.KeyDuration, took.Milliseconds()),
+		logger.With(logger.KeyHeld, k.stock.places()),
+	}
+	if err != nil {
+		fields = append(fields, logger.Err(err))
+	}
+	event, model := describe(o)
+	fields = append(fields, logger.With(logger.KeyModel, model), logger.With(logger.KeyOutcome, outcome(v, err)))
+	k.log(event, fields...)
+}
+
+func describe(o connector.Order) (event, model string) {
+	switch o := o.(type) {
+	case connector.LoadAdapter:
+		return "adapter-load-ordered", o.Model().Base() + "/" + o.Model().String()
+	case connector.UnloadAdapter:
+		return "adapter-unload-ordered", o.Model().Base() + "/" + o.Model().Adapter()
+	case connector.LoadModel:
+		return "base-load-ordered", o.Base()
+	default:
+		return "order-sent", ""
+	}
+}
+
+func outcome(v Verdict, err error) string {
+	switch v := v.(type) {
+	case Accepted:
+		return "accepted"
+	case InForce:
+		return "in-force"
+	case Conflict:
+		return "conflict"
+	case Rejected:
+		return "rejected-" + strconv.Itoa(v.status)
+	default:
+		if errors.Is(err, ErrNotSent) {
+			return "not-sent"
+		}
+		return "no-answer"
+	}
+}
--- a/transporter/client.go
+++ b/transporter/client.go
@@ -59,29 +59,53 @@
 	}}
 }
 
-func dial(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, Control: control}
-	inner, err := d.DialContext(ctx, network, address)
+func dial(ctx context.Context, _, address string) (net.Conn, error) {
+	inner, err := Dial(ctx, address, unacknowledgedTime)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: inner}, nil
+}
+
+// Probes of an idle connection. A connection that went silent without a reset
+// shows by nothing else.
+const (
+	probeAfter = time.Second
+	probeEvery = time.Second
+	probes     = 3
+)
+
+// Dial connects to a host and port. The connection breaks when data or probes
+// were not acknowledged for silence, and closing it discards what was not
+// transmitted.
+func Dial(ctx context.Context, address string, silence time.Duration) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout:         dialTimeout,
+		Control:         control(silence),
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probes},
+	}
+	inner, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
 	if tcp, ok := inner.(*net.TCPConn); ok {
-		// Closing the connection discards what was not transmitted.
 		if err := tcp.SetLinger(0); err != nil {
 			_ = inner.Close()
 			return nil, fmt.Errorf("set linger time: %w", err)
 		}
 	}
-	return &conn{Conn: inner}, nil
+	return inner, nil
 }
 
-func control(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) { failed = limitUnacknowledged(fd, unacknowledgedTime) })
-	if err != nil {
-		return fmt.Errorf("reach socket: %w", err)
+func control(silence time.Duration) func(_, _ string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) { failed = limitUnacknowledged(fd, silence) })
+		if err != nil {
+			return fmt.Errorf("reach socket: %w", err)
+		}
+		return failed
 	}
-	return failed
 }
 
 // Address returns the host and port.
