--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -40,8 +40,8 @@
 	// Pauses between two calls gather changes; the configuration rarely changes and
 	// must be in force soon.
 	configPause   = 50 * time.Millisecond
-	endpointPause = 350 * time.Millisecond
-	fleetPause    = 900 * time.Millisecond
+	endpointPause = 800 * time.Millisecond
+	fleetPause    = 1200 * time.Millisecond
 	// memoryShare is the part of the memory that the heap may fill. The rest is for
 	// stacks, sockets and the program itself.
 	memoryShare = 0.6
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -80,7 +80,7 @@
 
 // Supply asks the host at an address for a model on an engine that it owns.
 func (m *Messenger) Supply(ctx context.Context, address string, w supplier.Want) (supplier.Supply, error) {
-	in := wantDocument{Engine: w.Engine(), Model: encodeModel(w.Model()), Version: w.Version()}
+	in := wantDocument{Engine: w.Engine(), Model: encodeModel(w.Model()), Version: w.Version(), Missing: w.Missing()}
 	for _, used := range w.Used() {
 		in.Used = append(in.Used, encodeModel(used))
 	}
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -33,6 +33,7 @@
 	Model   modelDocument   `cbor:"2,keyasint"`
 	Version int64           `cbor:"3,keyasint,omitempty"`
 	Used    []modelDocument `cbor:"4,keyasint,omitempty"`
+	Missing bool            `cbor:"5,keyasint,omitempty"`
 }
 
 // States of a supply on the wire.
@@ -100,7 +101,7 @@
 	for _, m := range in.Used {
 		used = append(used, decodeModel(m))
 	}
-	return encodeSupply(s.handler.Supply(ctx, supplier.NewWant(in.Engine, decodeModel(in.Model), in.Version, used))), nil
+	return encodeSupply(s.handler.Supply(ctx, supplier.NewWant(in.Engine, decodeModel(in.Model), in.Version, in.Missing, used))), nil
 }
 
 func (s *service) accuse(_ context.Context, in *accuseDocument) (*emptyDocument, error) {
--- a/procurer/procurer.go
+++ b/procurer/procurer.go
@@ -78,8 +78,9 @@
 	return list
 }
 
-// Procure asks for at least a version of a model on an engine.
-func (p *Procurer) Procure(ctx context.Context, e *tracker.Endpoint, m connector.Model, version int64) supplier.Supply {
+// Procure asks for at least a version of a model on an engine. Missing says that
+// the engine refused a call because it does not hold the model.
+func (p *Procurer) Procure(ctx context.Context, e *tracker.Endpoint, m connector.Model, version int64, missing bool) supplier.Supply {
 	view := p.members.View()
 	owner, ok := view.Owner(e.ID())
 	if !ok {
@@ -87,7 +88,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	w := supplier.NewWant(e.ID(), m, version, p.takeUsed(e.ID()))
+	w := supplier.NewWant(e.ID(), m, version, missing, p.takeUsed(e.ID()))
 	if owner.Host() == p.members.Self() {
 		return p.local.Supply(ctx, w)
 	}
--- a/relayer/carriage.go
+++ b/relayer/carriage.go
@@ -77,6 +77,7 @@
 	sends   int
 	resends int
 	abort   context.CancelCauseFunc // of the latest send
+	missing *tracker.Endpoint // engine that refused because it does not hold the model
 	leave   bool                    // whether the next send is counted as a repeat already
 	event   string                  // last event of a resumed stream
 	version int64                   // of the model at the chosen endpoint
@@ -154,7 +155,7 @@
 		return nil
 	}
 	began := time.Now()
-	supply := c.relayer.procurer.Procure(c.ctx, e, m, choice.Named())
+	supply := c.relayer.procurer.Procure(c.ctx, e, m, choice.Named(), c.missing == e)
 	c.note("model-procured", e, logger.With(logger.KeyModel, m.Base()+"/"+m.Adapter()),
 		logger.With(logger.KeyOutcome, supplyName(supply)), logger.With(logger.KeyVersion, choice.Named()),
 		logger.With(logger.KeyDuration, time.Since(began).Milliseconds()))
@@ -361,8 +362,9 @@
 	switch {
 	case status == http.StatusBadRequest:
 		return final(classifier.NewInvalid("endpoint takes the call for malformed"))
-	case engine && status == http.StatusMisdirectedRequest:
+	case engine && status == http.StatusMisdirectedRequest && c.resends >= 1:
 		e.Learn(c.call.Model(), 0, false)
+		c.missing = e
 		if c.resends++; c.resends > maxResends {
 			c.avoided[e] = true
 		}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -23,7 +23,7 @@
 
 // Procurer has models loaded.
 type Procurer interface {
-	Procure(ctx context.Context, e *tracker.Endpoint, m connector.Model, version int64) supplier.Supply
+	Procure(ctx context.Context, e *tracker.Endpoint, m connector.Model, version int64, missing bool) supplier.Supply
 	Used(engine string, m connector.Model)
 }
 
--- a/supplier/keeper.go
+++ b/supplier/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
@@ -15,10 +16,16 @@
 const (
 	orderTimeout  = 400 * time.Millisecond // two trips between regions and some queueing
 	reportTimeout = 600 * time.Millisecond
-	reportLag     = 250 * time.Millisecond // a report is up to so old
+	reportLag     = 300 * time.Millisecond // a report is up to so old
 	maxOrderTries = 3
 	// maxArrivals is how many adapters may be on their way to one engine.
 	maxArrivals = 4
+	// maxCold is how many of them may come from the weight store. Loads slow each
+	// other down, so one after the other is there sooner than all at once.
+	maxCold = 1
+	// maxQueue is how many adapters wait for their load. More are better loaded by
+	// another engine.
+	maxQueue = 3
 	// minIdle is how long an adapter must be unused before it makes room.
 	minIdle       = 1500 * time.Millisecond
 	coldLoad      = 270 * time.Millisecond // of an adapter from the weight store
@@ -41,6 +48,7 @@
 	endpoint *tracker.Endpoint
 	stock    *stock
 	asks     chan asked
+	queue    []Want // loads that wait for others to arrive
 	cancel   context.CancelFunc
 	baseAt   time.Time // last order for a base model
 	readAt   time.Time // last report
@@ -49,19 +57,46 @@
 func (k *keeper) run(ctx context.Context) {
 	ticker := time.NewTicker(tendInterval)
 	defer ticker.Stop()
+	arrival := time.NewTimer(tendInterval)
+	defer arrival.Stop()
 	k.tend(ctx)
 	for {
+		if due, ok := k.stock.nextDue(); ok && len(k.queue) > 0 {
+			arrival.Reset(max(time.Until(due), 0))
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case a := <-k.asks:
 			a.reply <- k.answer(ctx, a.want)
+		case <-arrival.C:
+			k.pump(ctx)
 		case <-ticker.C:
+			k.pump(ctx)
 			k.tend(ctx)
 		}
 	}
 }
 
+// pump starts the loads that waited for others.
+func (k *keeper) pump(ctx context.Context) {
+	k.stock.settle(time.Now())
+	for len(k.queue) > 0 && k.free(k.queue[0].model) {
+		w := k.queue[0]
+		k.queue = k.queue[1:]
+		if d, ok := k.load(ctx, w).(Declined); ok {
+			k.log("load-given-up", logger.With(logger.KeyReason, d.reason),
+				logger.With(logger.KeyModel, w.model.Base()+"/"+w.model.Adapter()))
+		}
+	}
+}
+
+// free reports whether a load may start now.
+func (k *keeper) free(m connector.Model) bool {
+	all, cold := k.stock.arriving()
+	return all < maxArrivals && (cold < maxCold || k.stock.warm(m))
+}
+
 // tend loads what an engine must have: the weights of a base model, and the named
 // versions of the adapters that it holds and that are in use.
 func (k *keeper) tend(ctx context.Context) {
@@ -81,7 +116,7 @@
 	for m, held := range k.stock.held {
 		named := k.supplier.fleet.Current().Named(m)
 		if m.Adapter() != "" && held < named && now.Sub(k.stock.used[m]) < replaceIfUsed {
-			k.answer(ctx, NewWant(k.endpoint.ID(), m, named, nil))
+			k.answer(ctx, NewWant(k.endpoint.ID(), m, named, false, nil))
 		}
 	}
 }
@@ -151,6 +186,10 @@
 		return NewDeclined("engine does not answer its owner", retryDeclined)
 	}
 	k.stock.used[w.model] = now
+	if w.missing && k.stock.coming[w.model].due.IsZero() && now.Sub(k.stock.loaded[w.model]) > reportLag {
+		delete(k.stock.held, w.model) // the engine knows better
+		k.read(ctx)
+	}
 	version, held := k.stock.held[w.model]
 	if a, ok := k.stock.coming[w.model]; ok && a.version >= w.version {
 		return NewComing(a.version, time.Until(a.due))
@@ -158,20 +197,35 @@
 	if held && version >= w.version && !k.stock.leaving[w.model] {
 		return NewReady(version)
 	}
-	if w.model.Adapter() == "" {
+	if !k.stockedBase(w.model.Base()) {
 		k.loadBase(ctx, w.model.Base())
 		return NewDeclined("weights of the base model are not loaded", baseRetry)
 	}
-	if !k.stockedBase(w.model.Base()) {
-		return NewDeclined("weights of the base model are not loaded", baseRetry)
+	if w.model.Adapter() == "" {
+		return NewDeclined("another version of the base model is loaded", baseRetry)
 	}
-	if len(k.stock.coming) >= maxArrivals {
+	return k.schedule(ctx, w)
+}
+
+// schedule loads an adapter now or after those before it.
+func (k *keeper) schedule(ctx context.Context, w Want) Supply {
+	position := slices.IndexFunc(k.queue, func(q Want) bool { return q.model == w.model })
+	switch {
+	case position >= 0:
+		k.queue[position].version = max(k.queue[position].version, w.version)
+	case len(k.queue) == 0 && k.free(w.model):
+		return k.load(ctx, w)
+	case len(k.queue) >= maxQueue:
 		return NewDeclined("too many adapters are on their way", warmLoad)
+	default:
+		position = len(k.queue)
+		k.queue = append(k.queue, w)
 	}
-	if !held && !k.makeRoom(ctx, w.model.Base()) {
-		return NewDeclined("all places are in use", retryDeclined)
+	wait := time.Duration(position+1) * coldLoad
+	if due, ok := k.stock.nextDue(); ok {
+		wait += time.Until(due)
 	}
-	return k.load(ctx, w, held)
+	return NewComing(max(w.version, k.supplier.fleet.Current().Named(w.model)), wait)
 }
 
 func (k *keeper) stockedBase(base string) bool {
@@ -195,7 +249,7 @@
 		case InForce:
 			delete(k.stock.held, m)
 			delete(k.stock.used, m)
-			k.stock.recent[m] = time.Now()
+			k.stock.recent[m], k.stock.unloaded[m] = time.Now(), time.Now()
 			k.endpoint.Learn(m, 0, false)
 		case Accepted:
 			k.stock.leaving[m] = true
@@ -209,27 +263,35 @@
 
 // load orders an adapter. A version that replaces another one waits for the jobs
 // that run on that.
-func (k *keeper) load(ctx context.Context, w Want, replacing bool) Supply {
+func (k *keeper) load(ctx context.Context, w Want) Supply {
+	_, replacing := k.stock.held[w.model]
+	if !replacing && !k.makeRoom(ctx, w.model.Base()) {
+		return NewDeclined("all places are in use", retryDeclined)
+	}
 	named := max(w.version, k.supplier.fleet.Current().Named(w.model))
-	took := coldLoad
-	if !replacing && k.stock.warm(w.model) {
-		took = warmLoad
+	cold := replacing || !k.stock.warm(w.model)
+	took := warmLoad
+	if cold {
+		took = coldLoad
 	}
 	k.stock.doubtful[w.model] = true
 	verdict := k.order(ctx, loading(w.model, named))
+	if verdict != nil {
+		delete(k.stock.doubtful, w.model)
+	}
+	now := time.Now()
 	switch verdict.(type) {
 	case Accepted:
-		delete(k.stock.doubtful, w.model)
-		k.stock.coming[w.model] = arrival{version: named, due: time.Now().Add(took)}
+		k.stock.coming[w.model] = arrival{version: named, due: now.Add(took), cold: cold}
+		k.stock.loaded[w.model] = now
 		return NewComing(named, took)
 	case InForce:
-		delete(k.stock.doubtful, w.model)
 		k.stock.held[w.model] = named
+		k.stock.loaded[w.model] = now
 		return NewReady(named)
 	case nil:
 		return NewDeclined("order has no answer", retryDeclined)
 	default:
-		delete(k.stock.doubtful, w.model)
 		return NewDeclined("engine refused the order", retryDeclined)
 	}
 }
--- a/supplier/message.go
+++ b/supplier/message.go
@@ -15,13 +15,15 @@
 	engine  string
 	model   connector.Model
 	version int64
+	missing bool
 	used    []connector.Model
 }
 
-// NewWant returns a request for at least a version of a model on an engine. Used
-// names the models that were in use at the engine since the last request.
-func NewWant(engine string, m connector.Model, version int64, used []connector.Model) Want {
-	return Want{engine: engine, model: m, version: version, used: used}
+// NewWant returns a request for at least a version of a model on an engine.
+// Missing says that the engine refused a call because it does not hold the model.
+// Used names the models that were in use at the engine since the last request.
+func NewWant(engine string, m connector.Model, version int64, missing bool, used []connector.Model) Want {
+	return Want{engine: engine, model: m, version: version, missing: missing, used: used}
 }
 
 // Engine returns the id of the engine.
@@ -33,6 +35,9 @@
 // Version returns the lowest version that will do.
 func (w Want) Version() int64 { return w.version }
 
+// Missing reports whether the engine said that it does not hold the model.
+func (w Want) Missing() bool { return w.missing }
+
 // Used returns the models that were in use.
 func (w Want) Used() []connector.Model { return w.used }
 
--- a/supplier/stock.go
+++ b/supplier/stock.go
@@ -10,6 +10,7 @@
 type arrival struct {
 	version int64
 	due     time.Time
+	cold    bool // from the weight store
 }
 
 // stock is what an engine holds, as its owner knows it.
@@ -19,10 +20,12 @@
 	ordered  time.Time // last order that may have been accepted
 	held     map[connector.Model]int64
 	coming   map[connector.Model]arrival
-	leaving  map[connector.Model]bool // unloaded once their jobs end; they take room until then
-	doubtful map[connector.Model]bool // loads without an answer, which may still take effect
-	used     map[connector.Model]time.Time
+	leaving  map[connector.Model]bool      // unloaded once their jobs end; they take room until then
+	doubtful map[connector.Model]bool      // loads without an answer, which may still take effect
+	used     map[connector.Model]time.Time // last use by a call
 	recent   map[connector.Model]time.Time // when a model was at the engine last
+	loaded   map[connector.Model]time.Time // when a load was accepted
+	unloaded map[connector.Model]time.Time // when an unload took effect
 }
 
 func newStock() *stock {
@@ -33,12 +36,17 @@
 		doubtful: make(map[connector.Model]bool),
 		used:     make(map[connector.Model]time.Time),
 		recent:   make(map[connector.Model]time.Time),
+		loaded:   make(map[connector.Model]time.Time),
+		unloaded: make(map[connector.Model]time.Time),
 	}
 }
 
-// take replaces what is known by a report. Arrivals that the report does not list
-// yet stay until they are due. A report that may be older than the last order does
-// not lower the sequence.
+// loadLimit is how long a load may take before a report that does not list it is
+// believed. Loads are slow while many run at the same time.
+const loadLimit = 2 * time.Second
+
+// take replaces what is known by a report. The report may be older than the latest
+// orders, so that their effects are kept.
 func (s *stock) take(r Report, now time.Time) {
 	if !s.known || now.Sub(s.ordered) > reportLag {
 		s.sequence = r.sequence
@@ -47,8 +55,15 @@
 	s.sequence = max(s.sequence, r.sequence)
 	held := make(map[connector.Model]int64, len(r.held))
 	for m, v := range r.held {
-		held[m] = v
-		s.recent[m] = now
+		if now.Sub(s.unloaded[m]) > reportLag {
+			held[m] = max(v, s.held[m])
+			s.recent[m] = now
+		}
+	}
+	for m, v := range s.held {
+		if _, listed := held[m]; !listed && m.Adapter() != "" && now.Sub(s.loaded[m]) < loadLimit {
+			held[m] = v
+		}
 	}
 	s.held = held
 	for m := range s.leaving {
@@ -58,10 +73,9 @@
 	}
 	for m, v := range r.coming {
 		if _, ok := s.coming[m]; !ok {
-			s.coming[m] = arrival{version: v, due: now.Add(unknownLoad)}
+			s.coming[m] = arrival{version: v, due: now.Add(unknownLoad), cold: true}
 		}
 	}
-	clear(s.doubtful)
 }
 
 // settle moves arrivals that are due to what is held.
@@ -78,7 +92,12 @@
 // places returns how many adapters take a place, those on their way or without
 // an answer included.
 func (s *stock) places() int {
-	n := len(s.doubtful)
+	n := 0
+	for m := range s.doubtful {
+		if _, again := s.held[m]; !again {
+			n++
+		}
+	}
 	for m := range s.held {
 		if m.Adapter() != "" {
 			n++
@@ -92,6 +111,29 @@
 	return n
 }
 
+// arriving returns how many adapters are on their way, and how many of them come
+// from the weight store.
+func (s *stock) arriving() (all, cold int) {
+	for _, a := range s.coming {
+		all++
+		if a.cold {
+			cold++
+		}
+	}
+	return all, cold
+}
+
+// nextDue returns when the next arrival is due.
+func (s *stock) nextDue() (time.Time, bool) {
+	var next time.Time
+	for _, a := range s.coming {
+		if next.IsZero() || a.due.Before(next) {
+			next = a.due
+		}
+	}
+	return next, !next.IsZero()
+}
+
 // idlest returns the adapter that has been unused for longest and is not on its
 // way or leaving.
 func (s *stock) idlest() (m connector.Model, last time.Time, ok bool) {
