--- a/procurer/procurer.go
+++ b/procurer/procurer.go
@@ -44,37 +44,60 @@
 	remote  Remote
 	members Members
 	mu      sync.Mutex
-	used    map[string]map[connector.Model]struct{} // engine → models in use since the last question
+	used    map[string]map[connector.Model]*use // by engine
 }
 
 // New returns a procurer.
 func New(local Local, remote Remote, members Members) *Procurer {
-	return &Procurer{local: local, remote: remote, members: members, used: make(map[string]map[connector.Model]struct{})}
+	return &Procurer{local: local, remote: remote, members: members, used: make(map[string]map[connector.Model]*use)}
 }
 
-// Used notes that a call uses a model that the engine holds. Owners hear of it
-// with the next question, so that they keep what is in use.
-func (p *Procurer) Used(engine string, m connector.Model) {
+// Use notes that a call uses a model that the engine holds, until release is
+// called. Owners hear of it with the next question, so that they keep what is in
+// use.
+func (p *Procurer) Use(engine string, m connector.Model) (release func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	models := p.used[engine]
 	if models == nil {
-		models = make(map[connector.Model]struct{})
+		models = make(map[connector.Model]*use)
 		p.used[engine] = models
 	}
-	if len(models) < maxUsed {
-		models[m] = struct{}{}
+	u := models[m]
+	if u == nil {
+		u = &use{}
+		models[m] = u
 	}
+	u.running++
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		u.running--
+		u.ended = true
+	}
+}
+
+// use is the use of a model at an engine by the calls of this host.
+type use struct {
+	running int
+	ended   bool // whether a call ended since the last question
 }
 
+// takeUsed returns the models that are in use or were since the last question.
 func (p *Procurer) takeUsed(engine string) []connector.Model {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := make([]connector.Model, 0, len(p.used[engine]))
-	for m := range p.used[engine] {
-		list = append(list, m)
+	models := p.used[engine]
+	list := make([]connector.Model, 0, len(models))
+	for m, u := range models {
+		if len(list) < maxUsed {
+			list = append(list, m)
+		}
+		u.ended = false
+		if u.running == 0 {
+			delete(models, m)
+		}
 	}
-	delete(p.used, engine)
 	return list
 }
 
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"context"
 	"io"
 	"net/http"
 
@@ -49,14 +48,14 @@
 	}
 }
 
-// guarded ends the context of a call with the body of its answer.
+// guarded ends what a call holds with the body of its answer.
 type guarded struct {
 	io.ReadCloser
-	cancel context.CancelFunc
+	end func()
 }
 
 func (g guarded) Close() error {
 	err := g.ReadCloser.Close()
-	g.cancel()
+	g.end()
 	return err
 }
--- a/relayer/carriage.go
+++ b/relayer/carriage.go
@@ -77,7 +77,8 @@
 	sends   int
 	resends int
 	abort   context.CancelCauseFunc // of the latest send
-	missing *tracker.Endpoint // engine that refused because it does not hold the model
+	missing *tracker.Endpoint       // engine that refused because it does not hold the model
+	unuse   func()                  // ends the use of the model at the latest endpoint
 	leave   bool                    // whether the next send is counted as a repeat already
 	event   string                  // last event of a resumed stream
 	version int64                   // of the model at the chosen endpoint
@@ -151,7 +152,6 @@
 	}
 	if choice.Present() {
 		c.version, _ = e.Held(m)
-		c.relayer.procurer.Used(e.ID(), m)
 		return nil
 	}
 	began := time.Now()
@@ -226,9 +226,21 @@
 	return c.sends < maxSends && c.relayer.ration.Repeat(c.call.Service().Name())
 }
 
+// release ends the use of the model at the latest endpoint.
+func (c *carriage) release() {
+	if c.unuse != nil {
+		c.unuse()
+		c.unuse = nil
+	}
+}
+
 // send sends the call once.
 func (c *carriage) send(choice selector.Choice) result {
 	e := choice.Endpoint()
+	c.release()
+	if m := c.call.Model(); m.Base() != "" {
+		c.unuse = c.relayer.procurer.Use(e.ID(), m)
+	}
 	ctx, abort := context.WithCancelCause(c.ctx)
 	c.abort = abort // ends with the call's own context at the latest
 	if patience := c.patience(); patience > 0 {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -24,7 +24,8 @@
 // Procurer has models loaded.
 type Procurer interface {
 	Procure(ctx context.Context, e *tracker.Endpoint, m connector.Model, version int64, missing bool) supplier.Supply
-	Used(engine string, m connector.Model)
+	// Use notes that a call uses a model until release is called.
+	Use(engine string, m connector.Model) (release func())
 }
 
 // Chooser chooses endpoints.
@@ -71,8 +72,9 @@
 	answer, err := c.run()
 	if err != nil {
 		cancel()
+		c.release()
 		return nil, err
 	}
-	answer.body = guarded{ReadCloser: answer.body, cancel: cancel}
+	answer.body = guarded{ReadCloser: answer.body, end: func() { cancel(); c.release() }}
 	return answer, nil
 }
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -3,7 +3,10 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,6 +37,11 @@
 	// queue is taken as full.
 	queueFactor = 4.0
 
+	// maxFar is how many calls for one model a host sends to another region before
+	// it has the model loaded in its own. A load from the weight store costs as
+	// much as the traffic of a dozen calls, which the hosts of a region share.
+	maxFar = 4
+
 	retryFull      = 400 * time.Millisecond
 	retryNobody    = 500 * time.Millisecond
 	retryForgotten = time.Second
@@ -60,6 +68,7 @@
 	fleet  *tracker.Tracker
 	zone   string
 	region string
+	far    sync.Map // connector.Model → *atomic.Int32, calls sent to another region
 }
 
 // New returns a selector for a host in a data centre and region.
@@ -139,6 +148,7 @@
 	busy     float64
 	far      bool
 	holds    bool
+	warm     bool
 }
 
 func (s *Selector) engine(snapshot *tracker.Snapshot, m connector.Model, list []*tracker.Endpoint, now time.Time) (Choice, error) {
@@ -157,7 +167,7 @@
 		}
 		order = append(order, ranked{
 			endpoint: e, hash: mix(seed ^ e.Hash()), busy: busy + failurePenalty*e.Failing()*float64(e.Slots()),
-			far: e.Region() != s.region, holds: e.Holds(m, named),
+			far: e.Region() != s.region, holds: e.Holds(m, named), warm: e.HeldBefore(m),
 		})
 	}
 	if len(order) == 0 {
@@ -167,40 +177,69 @@
 		return Choice{}, full(based)
 	}
 	slices.SortFunc(order, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
-	best := pick(order)
+	best := s.pick(order, m)
 	return Choice{endpoint: best.endpoint, named: named, present: best.holds}, nil
 }
 
-// pick returns the first engine in the order of the model that holds it and is
-// not much busier than the others, else the first that is not much busier. The
-// engines of the own region come first.
-func pick(order []ranked) ranked {
-	for _, far := range []bool{false, true} {
-		least := -1.0
-		for _, r := range order {
-			if r.far == far && (least < 0 || r.busy < least) {
-				least = r.busy
-			}
+// pick returns an engine for a model from those in the model's order: one in the
+// own region that holds it or can load it fast, one in another region that does,
+// or the first one of the own region. Engines that are much busier than the others
+// of their region are left out.
+func (s *Selector) pick(order []ranked, m connector.Model) ranked {
+	near, far := idle(order, false), idle(order, true)
+	if r, ok := first(near, ranked.quick); ok {
+		return r
+	}
+	if r, ok := first(far, ranked.quick); ok && (len(near) == 0 || s.mayGoFar(m)) {
+		return r
+	}
+	if len(near) > 0 {
+		return near[0]
+	}
+	return far[0]
+}
+
+// mayGoFar counts a call that goes to another region for its model.
+func (s *Selector) mayGoFar(m connector.Model) bool {
+	n, ok := s.far.Load(m)
+	if !ok {
+		n, _ = s.far.LoadOrStore(m, &atomic.Int32{})
+	}
+	return n.(*atomic.Int32).Add(1) <= maxFar
+}
+
+// idle returns the engines of the own or of other regions that are not much busier
+// than the least busy one of them.
+func idle(order []ranked, far bool) []ranked {
+	least := math.Inf(1)
+	for _, r := range order {
+		if r.far == far {
+			least = min(least, r.busy)
 		}
-		if least < 0 {
-			continue
+	}
+	var list []ranked
+	for _, r := range order {
+		if r.far == far && r.busy <= least+spread*float64(r.endpoint.Slots()) {
+			list = append(list, r)
 		}
-		var home *ranked
-		for i := range order {
-			r := &order[i]
-			if r.far != far || r.busy > least+spread*float64(r.endpoint.Slots()) {
-				continue
-			}
-			if r.holds {
-				return *r
-			}
-			if home == nil {
-				home = r
-			}
+	}
+	return list
+}
+
+func (r ranked) present() bool { return r.holds }
+
+// quick reports whether a call need not wait for the weight store.
+func (r ranked) quick() bool { return r.holds || r.warm }
+
+// first returns the first engine that holds the model, else the first that will
+// do.
+func first(list []ranked, will func(ranked) bool) (ranked, bool) {
+	for _, accept := range []func(ranked) bool{ranked.present, will} {
+		if i := slices.IndexFunc(list, accept); i >= 0 {
+			return list[i], true
 		}
-		return *home
 	}
-	return order[0]
+	return ranked{}, false
 }
 
 // mix is the finaliser of splitmix64. It makes the order of the engines for one
--- a/supplier/keeper.go
+++ b/supplier/keeper.go
@@ -27,7 +27,7 @@
 	// another engine.
 	maxQueue = 3
 	// minIdle is how long an adapter must be unused before it makes room.
-	minIdle       = 1500 * time.Millisecond
+	minIdle       = time.Second
 	coldLoad      = 270 * time.Millisecond // of an adapter from the weight store
 	warmLoad      = 35 * time.Millisecond  // of an adapter that the engine's host still has
 	unknownLoad   = 500 * time.Millisecond // of one that an earlier owner ordered
@@ -81,7 +81,7 @@
 // pump starts the loads that waited for others.
 func (k *keeper) pump(ctx context.Context) {
 	k.stock.settle(time.Now())
-	for len(k.queue) > 0 && k.free(k.queue[0].model) {
+	for len(k.queue) > 0 && len(k.stock.leaving) == 0 && k.free(k.queue[0].model) {
 		w := k.queue[0]
 		k.queue = k.queue[1:]
 		if d, ok := k.load(ctx, w).(Declined); ok {
@@ -197,6 +197,9 @@
 	if held && version >= w.version && !k.stock.leaving[w.model] {
 		return NewReady(version)
 	}
+	if len(k.stock.leaving) > 0 {
+		return NewDeclined("engine waits for jobs to end", retryDeclined)
+	}
 	if !k.stockedBase(w.model.Base()) {
 		k.loadBase(ctx, w.model.Base())
 		return NewDeclined("weights of the base model are not loaded", baseRetry)
@@ -252,8 +255,10 @@
 			k.stock.recent[m], k.stock.unloaded[m] = time.Now(), time.Now()
 			k.endpoint.Learn(m, 0, false)
 		case Accepted:
+			// The engine carries out no other order until its jobs have ended.
 			k.stock.leaving[m] = true
 			k.endpoint.Learn(m, 0, false)
+			return false
 		default:
 			return false
 		}
--- a/tracker/endpoint.go
+++ b/tracker/endpoint.go
@@ -68,12 +68,14 @@
 	strikes     atomic.Int32  // consecutive connection failures
 	mu          sync.Mutex    // serialises writers of holdings
 	holdings    atomic.Pointer[map[connector.Model]belief]
+	past        atomic.Pointer[map[connector.Model]time.Time] // models that were held, by when that was seen last
 }
 
 func newEndpoint(e Entry, region string) *Endpoint {
 	p := &Endpoint{entry: e, region: region, hash: xxhash.Sum64String(e.id)}
 	empty := make(map[connector.Model]belief)
 	p.holdings.Store(&empty)
+	p.past.Store(&map[connector.Model]time.Time{})
 	p.merge(e.holdings, time.Now())
 	return p
 }
@@ -224,10 +226,45 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	next := maps.Clone(*p.holdings.Load())
+	if old, ok := next[m]; ok && old.present && !present {
+		p.remember([]connector.Model{m}, time.Now())
+	}
 	next[m] = belief{version: version, present: present, seen: time.Now()}
 	p.holdings.Store(&next)
 }
 
+// maxPast is how many adapters an engine's host keeps beside the engine.
+const maxPast = 120
+
+// HeldBefore reports whether the engine held a model not long ago, so that its
+// host still has a copy that loads fast.
+func (p *Endpoint) HeldBefore(m connector.Model) bool {
+	_, ok := (*p.past.Load())[m]
+	return ok
+}
+
+// remember requires mu.
+func (p *Endpoint) remember(models []connector.Model, now time.Time) {
+	if len(models) == 0 {
+		return
+	}
+	next := maps.Clone(*p.past.Load())
+	for _, m := range models {
+		next[m] = now
+	}
+	for len(next) > maxPast {
+		var oldest connector.Model
+		first := now
+		for m, at := range next {
+			if !at.After(first) {
+				oldest, first = m, at
+			}
+		}
+		delete(next, oldest)
+	}
+	p.past.Store(&next)
+}
+
 // merge takes over what the store says, except where a call saw something else a
 // short time ago.
 func (p *Endpoint) merge(listed map[connector.Model]int64, now time.Time) {
@@ -237,10 +274,15 @@
 	for m, v := range listed {
 		next[m] = belief{version: v, present: true}
 	}
+	var gone []connector.Model
 	for m, b := range *p.holdings.Load() {
+		if _, still := listed[m]; b.present && !still {
+			gone = append(gone, m)
+		}
 		if !b.seen.IsZero() && now.Sub(b.seen) < localLife {
 			next[m] = b
 		}
 	}
 	p.holdings.Store(&next)
+	p.remember(gone, now)
 }
