--- a/assembler/counts.go
+++ b/assembler/counts.go
@@ -53,7 +53,8 @@
 		logger.With(logger.KeyDuration, took.Milliseconds()), logger.With(logger.KeyAttempt, o.Sends()),
 	}
 	if o.Endpoint() != "" {
-		fields = append(fields, logger.With(logger.KeyEndpoint, o.Endpoint()), logger.With(logger.KeyCount, o.Bytes()))
+		fields = append(fields, logger.With(logger.KeyEndpoint, o.Endpoint()), logger.With(logger.KeyCount, o.Bytes()),
+			logger.With(logger.KeyWait, o.First().Sub(o.Began()).Milliseconds()), logger.With(logger.KeyGap, o.Gap().Milliseconds()))
 		h.counts.first.RecordDuration(o.First().Sub(o.Began()))
 		h.counts.whole.RecordDuration(took)
 		h.counts.sends.Inc(int64(o.Sends()))
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -75,6 +75,7 @@
 	KeyCount     Key = "count"
 	KeyDuration  Key = "duration_ms"
 	KeyEndpoint  Key = "endpoint"
+	KeyGap       Key = "gap_ms"
 	KeyHeld      Key = "held"
 	KeyLeft      Key = "left_ms"
 	KeyLoad      Key = "load"
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -78,9 +78,12 @@
 	return nil
 }
 
-// Supply asks the host at an address for a model on an engine that it owns.
+// Supply asks the host at an address for a place on an engine that it owns.
 func (m *Messenger) Supply(ctx context.Context, address string, w supplier.Want) (supplier.Supply, error) {
-	in := wantDocument{Engine: w.Engine(), Model: encodeModel(w.Model()), Version: w.Version(), Missing: w.Missing()}
+	in := wantDocument{
+		Engine: w.Engine(), Model: encodeModel(w.Model()), Version: w.Version(), Missing: w.Missing(),
+		Tokens: w.Tokens(), WaitUS: w.Patience().Microseconds(),
+	}
 	for _, used := range w.Used() {
 		in.Used = append(in.Used, encodeModel(used))
 	}
@@ -99,4 +102,3 @@
 	}
 	return m.invoke(ctx, address, methodAccuse, in, &emptyDocument{})
 }
-
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -34,13 +34,14 @@
 	Version int64           `cbor:"3,keyasint,omitempty"`
 	Used    []modelDocument `cbor:"4,keyasint,omitempty"`
 	Missing bool            `cbor:"5,keyasint,omitempty"`
+	Tokens  int             `cbor:"6,keyasint,omitempty"`
+	WaitUS  int64           `cbor:"7,keyasint,omitempty"` // how long the call may wait for its turn
 }
 
 // States of a supply on the wire.
 const (
-	stateReady    = 1
-	stateComing   = 2
-	stateDeclined = 3
+	stateGranted  = 1
+	stateDeclined = 2
 )
 
 type supplyDocument struct {
@@ -52,10 +53,8 @@
 
 func encodeSupply(s supplier.Supply) *supplyDocument {
 	switch s := s.(type) {
-	case supplier.Ready:
-		return &supplyDocument{State: stateReady, Version: s.Version()}
-	case supplier.Coming:
-		return &supplyDocument{State: stateComing, Version: s.Version(), WaitUS: s.Wait().Microseconds()}
+	case supplier.Granted:
+		return &supplyDocument{State: stateGranted, Version: s.Version(), WaitUS: s.Wait().Microseconds()}
 	case supplier.Declined:
 		return &supplyDocument{State: stateDeclined, Reason: s.Reason(), WaitUS: s.Wait().Microseconds()}
 	default:
@@ -65,14 +64,10 @@
 
 func decodeSupply(d *supplyDocument) supplier.Supply {
 	wait := time.Duration(d.WaitUS) * time.Microsecond
-	switch d.State {
-	case stateReady:
-		return supplier.NewReady(d.Version)
-	case stateComing:
-		return supplier.NewComing(d.Version, wait)
-	default:
-		return supplier.NewDeclined(d.Reason, wait)
+	if d.State == stateGranted {
+		return supplier.NewGranted(d.Version, wait)
 	}
+	return supplier.NewDeclined(d.Reason, wait)
 }
 
 type accuseDocument struct {
@@ -101,7 +96,9 @@
 	for _, m := range in.Used {
 		used = append(used, decodeModel(m))
 	}
-	return encodeSupply(s.handler.Supply(ctx, supplier.NewWant(in.Engine, decodeModel(in.Model), in.Version, in.Missing, used))), nil
+	w := supplier.NewWant(in.Engine, decodeModel(in.Model), supplier.AtLeast(in.Version), supplier.Missing(in.Missing),
+		supplier.WithPrompt(in.Tokens, time.Duration(in.WaitUS)*time.Microsecond), supplier.WithUsed(used))
+	return encodeSupply(s.handler.Supply(ctx, w)), nil
 }
 
 func (s *service) accuse(_ context.Context, in *accuseDocument) (*emptyDocument, error) {
--- a/procurer/procurer.go
+++ b/procurer/procurer.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/enroller"
 	"github.com/dragonflyford/dragonflyford/supplier"
@@ -29,20 +33,21 @@
 
 const (
 	// askTimeout bounds one question to an owner, its order included.
-	askTimeout = 900 * time.Millisecond
+	askTimeout = 700 * time.Millisecond
+	// silenceTime is how long a host that did not answer is not asked again.
+	silenceTime = time.Second
 	// maxUsed bounds the models in use that one question names.
-	maxUsed       = 64
-	retryNoOwner  = 500 * time.Millisecond
-	retryUnheard  = 300 * time.Millisecond
-	reasonNoOwner = "engine has no owner"
-	reasonUnheard = "owner does not answer"
+	maxUsed = 64
 )
 
+var errNoOwner = eris.New("the engine has no owner that answers")
+
 // Procurer asks owners.
 type Procurer struct {
 	local   Local
 	remote  Remote
 	members Members
+	silence sync.Map // host → time.Time of the last question without an answer
 	mu      sync.Mutex
 	used    map[string]map[connector.Model]*use // by engine
 }
@@ -101,27 +106,36 @@
 	return list
 }
 
-// Procure asks for at least a version of a model on an engine. Missing says that
-// the engine refused a call because it does not hold the model.
-func (p *Procurer) Procure(ctx context.Context, e *tracker.Endpoint, m connector.Model, version int64, missing bool) supplier.Supply {
+// Procure asks for a place for a call on an engine. It fails if the owner is not
+// known or does not answer.
+func (p *Procurer) Procure(ctx context.Context, e *tracker.Endpoint, m connector.Model, opts ...supplier.WantOption) (supplier.Supply, error) {
 	view := p.members.View()
 	owner, ok := view.Owner(e.ID())
 	if !ok {
-		return supplier.NewDeclined(reasonNoOwner, retryNoOwner)
+		return nil, errNoOwner
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	w := supplier.NewWant(e.ID(), m, version, missing, p.takeUsed(e.ID()))
+	w := supplier.NewWant(e.ID(), m, append(opts, supplier.WithUsed(p.takeUsed(e.ID())))...)
 	if owner.Host() == p.members.Self() {
-		return p.local.Supply(ctx, w)
+		return p.local.Supply(ctx, w), nil
 	}
 	host := view.Host(owner.Host())
-	if !view.Alive(host) {
-		return supplier.NewDeclined(reasonNoOwner, retryNoOwner)
+	if !view.Alive(host) || p.silent(owner.Host()) {
+		return nil, errNoOwner
 	}
 	s, err := p.remote.Supply(ctx, host.Peers(), w)
 	if err != nil {
-		return supplier.NewDeclined(reasonUnheard+": "+err.Error(), retryUnheard)
+		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			p.silence.Store(owner.Host(), time.Now())
+		}
+		return nil, fmt.Errorf("ask owner %s: %w", owner.Host(), err)
 	}
-	return s
+	return s, nil
+}
+
+// silent reports whether a host failed to answer a short time ago.
+func (p *Procurer) silent(host string) bool {
+	at, ok := p.silence.Load(host)
+	return ok && time.Since(at.(time.Time)) < silenceTime
 }
--- a/relayer/carriage.go
+++ b/relayer/carriage.go
@@ -46,7 +46,14 @@
 	// bytes. A longer one is passed on as it arrives.
 	maxBuffered = 256 << 10
 
-	retrySoon = 250 * time.Millisecond
+	// The share of the objective that the most urgent calls may wait for their turn
+	// at an engine, what each rank below takes off, and the least.
+	turnShare    = 0.45
+	turnStep     = 0.1
+	minTurnShare = 0.15
+
+	retryOwner = 500 * time.Millisecond
+	retrySoon  = 250 * time.Millisecond
 	// drainLimit bounds what is read of an answer that is not used, to keep its
 	// connection.
 	drainLimit = 4 << 10
@@ -143,29 +150,20 @@
 	return choice, nil
 }
 
-// prepare has the model loaded that the call needs. A fault means that the
-// endpoint will not do.
+// prepare gets a place for the call on an engine. A fault means that the engine
+// will not do.
 func (c *carriage) prepare(choice selector.Choice) error {
 	e, m := choice.Endpoint(), c.call.Model()
 	if m.Base() == "" || c.call.Service().Engines() == nil {
 		return nil
 	}
-	if choice.Present() {
-		c.version, _ = e.Held(m)
-		return nil
-	}
 	began := time.Now()
-	supply := c.relayer.procurer.Procure(c.ctx, e, m, choice.Named(), c.missing == e)
-	c.note("model-procured", e, logger.With(logger.KeyModel, m.Base()+"/"+m.Adapter()),
-		logger.With(logger.KeyOutcome, supplyName(supply)), logger.With(logger.KeyVersion, choice.Named()),
-		logger.With(logger.KeyDuration, time.Since(began).Milliseconds()))
+	supply, err := c.relayer.procurer.Procure(c.ctx, e, m, supplier.AtLeast(choice.Named()), supplier.Missing(c.missing == e),
+		supplier.WithPrompt(c.call.Prompt(), c.turnPatience()))
+	c.noteSupply(choice, supply, err, time.Since(began))
 	switch s := supply.(type) {
-	case supplier.Ready:
-		c.version = s.Version()
-		e.Learn(m, s.Version(), true)
-		return nil
-	case supplier.Coming:
-		if err := sleeper.Sleep(c.ctx, s.Wait()); err != nil {
+	case supplier.Granted:
+		if sleeper.Sleep(c.ctx, s.Wait()) != nil {
 			return c.expired()
 		}
 		c.version = s.Version()
@@ -173,23 +171,41 @@
 		return nil
 	case supplier.Declined:
 		c.avoided[e] = true
-		return classifier.NewOverloaded("the model is not loaded: "+s.Reason(), classifier.RetryAfter(max(s.Wait(), retrySoon)))
-	default:
-		return classifier.NewUnavailable("the model is not loaded", classifier.RetryAfter(retrySoon))
+		return classifier.NewOverloaded("the engine has no place: "+s.Reason(), classifier.RetryAfter(max(s.Wait(), retrySoon)))
+	}
+	if choice.Present() && c.missing != e {
+		// Without its owner an engine still serves what it holds.
+		c.version, _ = e.Held(m)
+		return nil
 	}
+	c.avoided[e] = true
+	return classifier.NewOverloaded("the model is not loaded and the engine's owner does not answer",
+		classifier.RetryAfter(retryOwner), classifier.Cause(err))
+}
+
+// turnPatience returns how long the call may wait for its turn at an engine. Less
+// urgent calls wait less, so that they give way when turns become scarce.
+func (c *carriage) turnPatience() time.Duration {
+	share := max(turnShare-turnStep*float64(c.call.Route().Priority()), minTurnShare)
+	return time.Duration(share * float64(c.call.Route().Objective()))
 }
 
-func supplyName(s supplier.Supply) string {
-	switch s := s.(type) {
-	case supplier.Ready:
-		return "ready"
-	case supplier.Coming:
-		return "coming"
+func (c *carriage) noteSupply(choice selector.Choice, supply supplier.Supply, err error, took time.Duration) {
+	m := c.call.Model()
+	fields := []logger.Field{
+		logger.With(logger.KeyModel, m.Base()+"/"+m.Adapter()), logger.With(logger.KeyVersion, choice.Named()),
+		logger.With(logger.KeyDuration, took.Milliseconds()), logger.With(logger.KeyHeld, choice.Present()),
+	}
+	switch s := supply.(type) {
+	case supplier.Granted:
+		fields = append(fields, logger.With(logger.KeyOutcome, "granted"), logger.With(logger.KeyWait, s.Wait().Milliseconds()))
 	case supplier.Declined:
-		return "declined: " + s.Reason()
+		fields = append(fields, logger.With(logger.KeyOutcome, "declined"), logger.With(logger.KeyReason, s.Reason()),
+			logger.With(logger.KeyWait, s.Wait().Milliseconds()))
 	default:
-		return "unknown"
+		fields = append(fields, logger.With(logger.KeyOutcome, "no-answer"), logger.Err(err))
 	}
+	c.note("place-asked", choice.Endpoint(), fields...)
 }
 
 // attempt sends the call to an endpoint. It returns an answer, a final error, or
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -21,9 +21,9 @@
 	Do(ctx context.Context, e *tracker.Endpoint, out *exchanger.Outbound, maxIdle time.Duration, limit int) (*exchanger.Answer, error)
 }
 
-// Procurer has models loaded.
+// Procurer asks for places on engines.
 type Procurer interface {
-	Procure(ctx context.Context, e *tracker.Endpoint, m connector.Model, version int64, missing bool) supplier.Supply
+	Procure(ctx context.Context, e *tracker.Endpoint, m connector.Model, opts ...supplier.WantOption) (supplier.Supply, error)
 	// Use notes that a call uses a model until release is called.
 	Use(engine string, m connector.Model) (release func())
 }
--- a/router/call.go
+++ b/router/call.go
@@ -20,6 +20,7 @@
 	model    connector.Model
 	received time.Time
 	patience time.Duration
+	prompt   int
 }
 
 // CallOption sets an optional property of a Call.
@@ -31,6 +32,9 @@
 // WithPatience says how long the caller waits, counted from the receipt.
 func WithPatience(d time.Duration) CallOption { return func(c *Call) { c.patience = d } }
 
+// WithPrompt says how many tokens the prompt of the call has.
+func WithPrompt(tokens int) CallOption { return func(c *Call) { c.prompt = tokens } }
+
 // NewCall returns a call that was received now. Target is the path with its query
 // as it is sent on; header holds what concerns the whole way and must not be
 // changed afterwards.
@@ -67,5 +71,8 @@
 // plain services.
 func (c *Call) Model() connector.Model { return c.model }
 
+// Prompt returns the length of the prompt in tokens, or 0 if it is not known.
+func (c *Call) Prompt() int { return c.prompt }
+
 // Received returns when the call was received.
 func (c *Call) Received() time.Time { return c.received }
--- a/supplier/keeper.go
+++ b/supplier/keeper.go
@@ -5,6 +5,8 @@
 	"errors"
 	"slices"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/connector"
@@ -28,6 +30,9 @@
 	maxQueue = 3
 	// minIdle is how long an adapter must be unused before it makes room.
 	minIdle       = time.Second
+	promptRate    = 20.0 // tokens that an engine reads in a millisecond
+	promptMargin  = 1.15 // leaves time for streams between two prompts
+	stepTime      = 10 * time.Millisecond
 	coldLoad      = 270 * time.Millisecond // of an adapter from the weight store
 	warmLoad      = 35 * time.Millisecond  // of an adapter that the engine's host still has
 	unknownLoad   = 500 * time.Millisecond // of one that an earlier owner ordered
@@ -50,8 +55,12 @@
 	asks     chan asked
 	queue    []Want // loads that wait for others to arrive
 	cancel   context.CancelFunc
-	baseAt   time.Time // last order for a base model
-	readAt   time.Time // last report
+	calendar calendar
+	ready    atomic.Pointer[map[connector.Model]int64] // what calls may use at once
+	usedMu   sync.Mutex
+	used     map[connector.Model]time.Time // uses that the stock does not know yet
+	baseAt   time.Time                     // last order for a base model
+	readAt   time.Time                     // last report
 }
 
 func (k *keeper) run(ctx context.Context) {
@@ -64,6 +73,7 @@
 		if due, ok := k.stock.nextDue(); ok && len(k.queue) > 0 {
 			arrival.Reset(max(time.Until(due), 0))
 		}
+		k.publish()
 		select {
 		case <-ctx.Done():
 			return
@@ -78,6 +88,68 @@
 	}
 }
 
+// publish makes known what calls may use without asking the goroutine.
+func (k *keeper) publish() {
+	k.stock.settle(time.Now())
+	ready := make(map[connector.Model]int64, len(k.stock.held))
+	for m, v := range k.stock.held {
+		if !k.stock.leaving[m] {
+			ready[m] = v
+		}
+	}
+	k.ready.Store(&ready)
+}
+
+// grant gives a call a place if its model is there, without waiting for orders on
+// their way.
+func (k *keeper) grant(w Want) (Supply, bool) {
+	now := time.Now()
+	k.touch(append(w.used, w.model), now)
+	ready := k.ready.Load()
+	if ready == nil || w.missing {
+		return nil, false
+	}
+	version, ok := (*ready)[w.model]
+	if !ok || version < w.version {
+		return nil, false
+	}
+	return k.plan(w, version, now, now), true
+}
+
+// plan gives a call its turn from a time on.
+func (k *keeper) plan(w Want, version int64, now, earliest time.Time) Supply {
+	cost := readingTime(w.tokens)
+	start, ok := k.calendar.reserve(now, earliest, earliest.Add(w.patience), cost)
+	if !ok {
+		return NewDeclined("engine has too many prompts to read", start.Sub(now))
+	}
+	return NewGranted(version, start.Sub(now))
+}
+
+// readingTime returns how long an engine reads a prompt, with the step that it
+// generates meanwhile.
+func readingTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens)/promptRate*float64(time.Millisecond)*promptMargin) + stepTime
+}
+
+func (k *keeper) touch(models []connector.Model, now time.Time) {
+	k.usedMu.Lock()
+	defer k.usedMu.Unlock()
+	for _, m := range models {
+		k.used[m] = now
+	}
+}
+
+// takeUsed hands the uses over to the stock.
+func (k *keeper) takeUsed() {
+	k.usedMu.Lock()
+	defer k.usedMu.Unlock()
+	for m, at := range k.used {
+		k.stock.used[m] = at
+	}
+	clear(k.used)
+}
+
 // pump starts the loads that waited for others.
 func (k *keeper) pump(ctx context.Context) {
 	k.stock.settle(time.Now())
@@ -112,11 +184,12 @@
 		return
 	}
 	now := time.Now()
+	k.takeUsed()
 	k.stock.settle(now)
 	for m, held := range k.stock.held {
 		named := k.supplier.fleet.Current().Named(m)
 		if m.Adapter() != "" && held < named && now.Sub(k.stock.used[m]) < replaceIfUsed {
-			k.answer(ctx, NewWant(k.endpoint.ID(), m, named, false, nil))
+			k.answer(ctx, NewWant(k.endpoint.ID(), m, AtLeast(named)))
 		}
 	}
 }
@@ -177,7 +250,7 @@
 
 func (k *keeper) answer(ctx context.Context, w Want) Supply {
 	now := time.Now()
-	k.stock.touch(w.used, now)
+	k.takeUsed()
 	k.stock.settle(now)
 	if !k.may() {
 		return NewDeclined("no right to send orders", retryDeclined)
@@ -185,17 +258,16 @@
 	if !k.learn(ctx) {
 		return NewDeclined("engine does not answer its owner", retryDeclined)
 	}
-	k.stock.used[w.model] = now
 	if w.missing && k.stock.coming[w.model].due.IsZero() && now.Sub(k.stock.loaded[w.model]) > reportLag {
 		delete(k.stock.held, w.model) // the engine knows better
 		k.read(ctx)
 	}
 	version, held := k.stock.held[w.model]
 	if a, ok := k.stock.coming[w.model]; ok && a.version >= w.version {
-		return NewComing(a.version, time.Until(a.due))
+		return k.plan(w, a.version, now, a.due)
 	}
 	if held && version >= w.version && !k.stock.leaving[w.model] {
-		return NewReady(version)
+		return k.plan(w, version, now, now)
 	}
 	if len(k.stock.leaving) > 0 {
 		return NewDeclined("engine waits for jobs to end", retryDeclined)
@@ -228,7 +300,8 @@
 	if due, ok := k.stock.nextDue(); ok {
 		wait += time.Until(due)
 	}
-	return NewComing(max(w.version, k.supplier.fleet.Current().Named(w.model)), wait)
+	now := time.Now()
+	return k.plan(w, max(w.version, k.supplier.fleet.Current().Named(w.model)), now, now.Add(wait))
 }
 
 func (k *keeper) stockedBase(base string) bool {
@@ -289,11 +362,11 @@
 	case Accepted:
 		k.stock.coming[w.model] = arrival{version: named, due: now.Add(took), cold: cold}
 		k.stock.loaded[w.model] = now
-		return NewComing(named, took)
+		return k.plan(w, named, now, now.Add(took))
 	case InForce:
 		k.stock.held[w.model] = named
 		k.stock.loaded[w.model] = now
-		return NewReady(named)
+		return k.plan(w, named, now, now)
 	case nil:
 		return NewDeclined("order has no answer", retryDeclined)
 	default:
--- a/supplier/message.go
+++ b/supplier/message.go
@@ -10,20 +10,44 @@
 	"github.com/dragonflyford/dragonflyford/tracker"
 )
 
-// Want asks for an adapter, or a base model, on an engine.
+// Want asks for a place for one call on an engine: for its model, and for the time
+// to read its prompt.
 type Want struct {
-	engine  string
-	model   connector.Model
-	version int64
-	missing bool
-	used    []connector.Model
+	engine   string
+	model    connector.Model
+	version  int64
+	missing  bool
+	tokens   int
+	patience time.Duration
+	used     []connector.Model
+}
+
+// WantOption sets an optional property of a Want.
+type WantOption func(*Want)
+
+// AtLeast asks for a version of the model or a newer one.
+func AtLeast(version int64) WantOption { return func(w *Want) { w.version = version } }
+
+// Missing says that the engine refused the call because it does not hold the
+// model.
+func Missing(missing bool) WantOption { return func(w *Want) { w.missing = missing } }
+
+// WithPrompt names the length of the call's prompt and how long the call may wait
+// for its turn after its model is there.
+func WithPrompt(tokens int, patience time.Duration) WantOption {
+	return func(w *Want) { w.tokens, w.patience = tokens, patience }
 }
 
-// NewWant returns a request for at least a version of a model on an engine.
-// Missing says that the engine refused a call because it does not hold the model.
-// Used names the models that were in use at the engine since the last request.
-func NewWant(engine string, m connector.Model, version int64, missing bool, used []connector.Model) Want {
-	return Want{engine: engine, model: m, version: version, missing: missing, used: used}
+// WithUsed names the models in use at the engine.
+func WithUsed(models []connector.Model) WantOption { return func(w *Want) { w.used = models } }
+
+// NewWant returns a request for a place on an engine.
+func NewWant(engine string, m connector.Model, opts ...WantOption) Want {
+	w := Want{engine: engine, model: m}
+	for _, opt := range opts {
+		opt(&w)
+	}
+	return w
 }
 
 // Engine returns the id of the engine.
@@ -38,39 +62,36 @@
 // Missing reports whether the engine said that it does not hold the model.
 func (w Want) Missing() bool { return w.missing }
 
+// Tokens returns the length of the prompt.
+func (w Want) Tokens() int { return w.tokens }
+
+// Patience returns how long the call may wait for its turn.
+func (w Want) Patience() time.Duration { return w.patience }
+
 // Used returns the models that were in use.
 func (w Want) Used() []connector.Model { return w.used }
 
-// Supply answers a Want: Ready, Coming or Declined.
+// Supply answers a Want: Granted or Declined.
 type Supply interface{ supply() }
 
-// Ready says that the engine holds the model.
-type Ready struct{ version int64 }
-
-// NewReady returns the version that the engine holds.
-func NewReady(version int64) Ready { return Ready{version} }
-
-// Version returns the version that the engine holds.
-func (r Ready) Version() int64 { return r.version }
-
-// Coming says that the model is on its way.
-type Coming struct {
+// Granted says that the call may be sent after a wait.
+type Granted struct {
 	version int64
 	wait    time.Duration
 }
 
-// NewComing returns the version that is on its way and when it should be there.
-func NewComing(version int64, wait time.Duration) Coming {
-	return Coming{version: version, wait: wait}
+// NewGranted returns the version that the engine holds by then.
+func NewGranted(version int64, wait time.Duration) Granted {
+	return Granted{version: version, wait: wait}
 }
 
-// Version returns the version that is on its way.
-func (c Coming) Version() int64 { return c.version }
+// Version returns the version that the engine holds after the wait.
+func (g Granted) Version() int64 { return g.version }
 
-// Wait returns the time until the model should be there.
-func (c Coming) Wait() time.Duration { return c.wait }
+// Wait returns the time until the call may be sent.
+func (g Granted) Wait() time.Duration { return g.wait }
 
-// Declined says that the model will not be loaded now.
+// Declined says that the engine has no place for the call now.
 type Declined struct {
 	reason string
 	wait   time.Duration
@@ -87,8 +108,7 @@
 // Wait returns when to ask again.
 func (d Declined) Wait() time.Duration { return d.wait }
 
-func (Ready) supply()    {}
-func (Coming) supply()   {}
+func (Granted) supply()  {}
 func (Declined) supply() {}
 
 // Verdict is an engine's answer to an order: Accepted, InForce, Conflict or
--- a/supplier/stock.go
+++ b/supplier/stock.go
@@ -165,10 +165,3 @@
 	}
 	return newer < maxRecent
 }
-
-// touch records models in use.
-func (s *stock) touch(models []connector.Model, now time.Time) {
-	for _, m := range models {
-		s.used[m] = now
-	}
-}
--- a/supplier/supplier.go
+++ b/supplier/supplier.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/tracker"
@@ -46,7 +47,7 @@
 // retryUnowned is when a host may ask for the owner again.
 const retryUnowned = 300 * time.Millisecond
 
-// Supply answers a request for a model on an engine that this host owns.
+// Supply answers a request for a place on an engine that this host owns.
 func (s *Supplier) Supply(ctx context.Context, w Want) Supply {
 	e := s.fleet.Current().Endpoint(w.engine)
 	if e == nil {
@@ -56,6 +57,9 @@
 		return NewDeclined("engine has another owner", retryUnowned)
 	}
 	k := s.keeper(e)
+	if supply, ok := k.grant(w); ok {
+		return supply
+	}
 	ask := asked{want: w, reply: make(chan Supply, 1)}
 	select {
 	case k.asks <- ask:
@@ -102,7 +106,7 @@
 	k, ok := s.keepers[e]
 	if !ok {
 		ctx, cancel := context.WithCancel(s.ctx)
-		k = &keeper{supplier: s, endpoint: e, stock: newStock(), asks: make(chan asked), cancel: cancel}
+		k = &keeper{supplier: s, endpoint: e, stock: newStock(), used: make(map[connector.Model]time.Time), asks: make(chan asked), cancel: cancel}
 		s.keepers[e] = k
 		s.running.Go(func() { k.run(ctx) })
 	}
