--- a/assembler/run.go
+++ b/assembler/run.go
@@ -28,10 +28,9 @@
 	forgetInterval = 10 * time.Second
 	// acceptFor is how long a stopping host still accepts connections: callers use
 	// the directory's last answer for its life.
-	acceptFor = 3 * time.Second
-	// stopShare is the part of the grace time in which calls may end.
-	stopShare    = 0.85
-	stopInterval = 50 * time.Millisecond
+	acceptFor = 2700 * time.Millisecond
+	// exitTime is the part of the grace time that is left for the process to end.
+	exitTime = 300 * time.Millisecond
 )
 
 // Run serves until ctx ends and then stops as planned. Reload hands in a value
@@ -211,7 +210,7 @@
 // serving while callers may still come, and waits for the calls in flight.
 func (h *Host) stop(ctx context.Context, servers []*http.Server, inFlight *atomic.Int64) {
 	began := time.Now()
-	grace := time.Duration(float64(h.settings.Load().Grace()) * stopShare)
+	grace := h.settings.Load().Grace() - exitTime
 	h.log.Info("stopping", logger.With(logger.KeyLeft, grace.Milliseconds()), logger.With(logger.KeyCount, inFlight.Load()))
 	h.leaving.Store(true)
 	limited, cancel := context.WithTimeout(ctx, acceptFor)
@@ -220,8 +219,6 @@
 	_ = sleeper.Sleep(ctx, acceptFor-time.Since(began)) // ends early only with the process
 	limited, cancel = context.WithTimeout(ctx, grace-time.Since(began))
 	defer cancel()
-	for inFlight.Load() > 0 && sleeper.Sleep(limited, stopInterval) == nil {
-	}
 	for _, s := range servers {
 		if err := s.Shutdown(limited); err != nil {
 			h.log.Warn("calls-cut", logger.With(logger.KeyCount, inFlight.Load()), logger.Err(err))
--- a/supplier/keeper.go
+++ b/supplier/keeper.go
@@ -20,6 +20,7 @@
 	reportTimeout = 600 * time.Millisecond
 	reportLag     = 300 * time.Millisecond // a report is up to so old
 	maxOrderTries = 3
+	maxLoadTries  = 2
 	// maxArrivals is how many adapters may be on their way to one engine.
 	maxArrivals = 4
 	// maxCold is how many of them may come from the weight store. Loads slow each
@@ -156,8 +157,8 @@
 	for len(k.queue) > 0 && len(k.stock.leaving) == 0 && k.free(k.queue[0].model) {
 		w := k.queue[0]
 		k.queue = k.queue[1:]
-		if d, ok := k.load(ctx, w).(Declined); ok {
-			k.log("load-given-up", logger.With(logger.KeyReason, d.reason),
+		if _, _, refusal := k.load(ctx, w); refusal != "" {
+			k.log("load-given-up", logger.With(logger.KeyReason, refusal),
 				logger.With(logger.KeyModel, w.model.Base()+"/"+w.model.Adapter()))
 		}
 	}
@@ -284,12 +285,17 @@
 
 // schedule loads an adapter now or after those before it.
 func (k *keeper) schedule(ctx context.Context, w Want) Supply {
+	now := time.Now()
 	position := slices.IndexFunc(k.queue, func(q Want) bool { return q.model == w.model })
 	switch {
 	case position >= 0:
 		k.queue[position].version = max(k.queue[position].version, w.version)
 	case len(k.queue) == 0 && k.free(w.model):
-		return k.load(ctx, w)
+		version, took, refusal := k.load(ctx, w)
+		if refusal != "" {
+			return NewDeclined(refusal, retryDeclined)
+		}
+		return k.plan(w, version, now, time.Now().Add(took))
 	case len(k.queue) >= maxQueue:
 		return NewDeclined("too many adapters are on their way", warmLoad)
 	default:
@@ -300,7 +306,6 @@
 	if due, ok := k.stock.nextDue(); ok {
 		wait += time.Until(due)
 	}
-	now := time.Now()
 	return k.plan(w, max(w.version, k.supplier.fleet.Current().Named(w.model)), now, now.Add(wait))
 }
 
@@ -339,39 +344,45 @@
 	return true
 }
 
-// load orders an adapter. A version that replaces another one waits for the jobs
-// that run on that.
-func (k *keeper) load(ctx context.Context, w Want) Supply {
-	_, replacing := k.stock.held[w.model]
-	if !replacing && !k.makeRoom(ctx, w.model.Base()) {
-		return NewDeclined("all places are in use", retryDeclined)
-	}
+// load orders an adapter and returns its version and how long it takes, or why it
+// is not loaded. A version that replaces another one waits for the jobs that run
+// on that.
+func (k *keeper) load(ctx context.Context, w Want) (version int64, took time.Duration, refusal string) {
 	named := max(w.version, k.supplier.fleet.Current().Named(w.model))
-	cold := replacing || !k.stock.warm(w.model)
-	took := warmLoad
-	if cold {
-		took = coldLoad
-	}
-	k.stock.doubtful[w.model] = true
-	verdict := k.order(ctx, loading(w.model, named))
-	if verdict != nil {
-		delete(k.stock.doubtful, w.model)
-	}
-	now := time.Now()
-	switch verdict.(type) {
-	case Accepted:
-		k.stock.coming[w.model] = arrival{version: named, due: now.Add(took), cold: cold}
-		k.stock.loaded[w.model] = now
-		return k.plan(w, named, now, now.Add(took))
-	case InForce:
-		k.stock.held[w.model] = named
-		k.stock.loaded[w.model] = now
-		return k.plan(w, named, now, now)
-	case nil:
-		return NewDeclined("order has no answer", retryDeclined)
-	default:
-		return NewDeclined("engine refused the order", retryDeclined)
+	for range maxLoadTries {
+		_, replacing := k.stock.held[w.model]
+		if !replacing && !k.makeRoom(ctx, w.model.Base()) {
+			return 0, 0, "all places are in use"
+		}
+		cold := replacing || !k.stock.warm(w.model)
+		took = warmLoad
+		if cold {
+			took = coldLoad
+		}
+		k.stock.doubtful[w.model] = true
+		verdict := k.order(ctx, loading(w.model, named))
+		if verdict != nil {
+			delete(k.stock.doubtful, w.model)
+		}
+		now := time.Now()
+		switch verdict.(type) {
+		case Accepted:
+			k.stock.coming[w.model] = arrival{version: named, due: now.Add(took), cold: cold}
+			k.stock.loaded[w.model] = now
+			return named, took, ""
+		case InForce:
+			k.stock.held[w.model] = named
+			k.stock.loaded[w.model] = now
+			return named, 0, ""
+		case Conflict:
+			// The stock was not as it was believed to be; there may be no room.
+		case nil:
+			return 0, 0, "order has no answer"
+		default:
+			return 0, 0, "engine refused the order"
+		}
 	}
+	return 0, 0, "engine has accepted other orders"
 }
 
 func (k *keeper) loadBase(ctx context.Context, base string) {
@@ -432,6 +443,7 @@
 			if k.fulfilled(o) {
 				return InForce{}
 			}
+			return v
 		case Rejected:
 			return v
 		}
