--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,8 @@
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/messenger"
 	"github.com/dragonflyford/dragonflyford/meter"
+	"github.com/dragonflyford/dragonflyford/mirrorer"
+	"github.com/dragonflyford/dragonflyford/pinger"
 	"github.com/dragonflyford/dragonflyford/platform"
 	"github.com/dragonflyford/dragonflyford/procurer"
 	"github.com/dragonflyford/dragonflyford/rationer"
@@ -23,6 +26,7 @@
 	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/screener"
 	"github.com/dragonflyford/dragonflyford/selector"
+	"github.com/dragonflyford/dragonflyford/subscriber"
 	"github.com/dragonflyford/dragonflyford/supplier"
 	"github.com/dragonflyford/dragonflyford/tracker"
 )
@@ -30,18 +34,22 @@
 const (
 	// tableFleet holds the rows of the system's own hosts.
 	tableFleet = "fleet"
-	// lostAfter is the silence after which callers are sent to other hosts: three
-	// renewals and the pause of the feed.
-	lostAfter = 4 * time.Second
 	// restMargin is added to the time between the orders of two owners.
 	restMargin = 500 * time.Millisecond
-	// The store may hold a call back for this time while nothing changes.
-	feedWait = 2500 * time.Millisecond
-	// Pauses between two calls gather changes; the configuration rarely changes and
-	// must be in force soon.
-	configPause   = 50 * time.Millisecond
-	endpointPause = 800 * time.Millisecond
-	fleetPause    = 1200 * time.Millisecond
+	// The store may hold a call back for this time while nothing changes. Every
+	// host follows the configuration itself, because one that is in touch with the
+	// store must not depend on another that is not.
+	configWait  = 8 * time.Second
+	configPause = 50 * time.Millisecond
+	// One host of each data centre follows these tables at the store. The waits and
+	// pauses bound the age of its copy, by which the others see that it lost the
+	// store.
+	endpointWait   = 400 * time.Millisecond
+	endpointPause  = 600 * time.Millisecond
+	endpointMaxAge = 1300 * time.Millisecond
+	fleetWait      = time.Second
+	fleetPause     = 1200 * time.Millisecond
+	fleetMaxAge    = 3 * time.Second
 	// memoryShare is the part of the memory that the heap may fill. The rest is for
 	// stacks, sockets and the program itself.
 	memoryShare = 0.6
@@ -64,6 +72,8 @@
 	screener  *screener.Screener
 	exchanger *exchanger.Client
 	referrer  *referrer.Referrer
+	pinger    *pinger.Pinger
+	mirrors   map[string]*mirrorer.Mirror
 	front     *platform.Front
 	endpoints *follower.Follower
 	followers []*follower.Follower
@@ -86,26 +96,65 @@
 	own := h.store.Table(tableFleet)
 	h.members = enroller.New(
 		enroller.NewSelf(settings.Address(), settings.Callers(), settings.Peers(), settings.DataCentre(), settings.Region(), settings.Share()),
-		enroller.NewTimes(settings.Renew(), settings.Lease(), settings.Guard(), settings.Turns()+restMargin, lostAfter),
+		enroller.NewTimes(settings.Renew(), settings.Lease(), settings.Guard(), settings.Turns()+restMargin, settings.Lease()+settings.Guard()),
 		own, log)
 	h.supplier = supplier.New(h.engines, rights{h.members}, h.engineSettings, h.fleet, log)
 	h.screener = screener.New(log)
 	var err error
-	if h.messenger, err = messenger.New(peers{h.supplier, h.screener}); err != nil {
+	h.mirrors = map[string]*mirrorer.Mirror{
+		platform.TableEndpoints: mirrorer.New(endpointReader{h}),
+		tableFleet:              mirrorer.New(h.members),
+	}
+	if h.messenger, err = messenger.New(peers{h}); err != nil {
 		return nil, fmt.Errorf("build messenger: %w", err)
 	}
 	h.exchanger = exchanger.New(platform.Dialect{})
-	h.referrer = referrer.New(h.members)
+	h.pinger = pinger.New(settings.Address(), h.neighbourAddresses, h.leaving.Load, log)
+	h.referrer = referrer.New(h.members, h.pinger)
 	h.front = platform.NewFront(h.path(settings, log), settings.BodyBytes(), h.leaving.Load, h.ended)
+	h.endpoints = h.followVia(platform.TableEndpoints, endpointWait, endpointPause, endpointMaxAge, log)
 	h.followers = []*follower.Follower{
-		follower.New(platform.TableOperator, h.store.Table(platform.TableOperator), operatorReader{h}, feedWait, configPause, log),
-		follower.New(platform.TableEndpoints, h.store.Table(platform.TableEndpoints), endpointReader{h}, feedWait, endpointPause, log),
-		follower.New(tableFleet, own, h.members, feedWait, fleetPause, log),
+		follower.New(platform.TableOperator, h.store.Table(platform.TableOperator), operatorReader{h}, configWait, configPause, log),
+		h.endpoints,
+		h.followVia(tableFleet, fleetWait, fleetPause, fleetMaxAge, log),
 	}
-	h.endpoints = h.followers[1]
 	return h, nil
 }
 
+// followVia returns a follower of a table that one host of each data centre
+// follows at the store.
+func (h *Host) followVia(table string, wait, pause, maxAge time.Duration, log *logger.Logger) *follower.Follower {
+	feed := subscriber.New(table, h.store.Table(table), h.messenger, h.members.Self(), h.neighbours, maxAge, log)
+	return follower.New(table, feed, h.mirrors[table], wait, pause, log)
+}
+
+// neighbours returns the other live hosts of the data centre.
+func (h *Host) neighbours() []subscriber.Peer {
+	var list []subscriber.Peer
+	for _, peer := range h.members.View().Hosts() {
+		if alive, _ := h.pinger.Heard(peer.Name()); alive && h.isNeighbour(peer) {
+			list = append(list, subscriber.NewPeer(peer.Name(), peer.Peers()))
+		}
+	}
+	return list
+}
+
+// neighbourAddresses returns where the other hosts of the data centre listen for
+// signs of life.
+func (h *Host) neighbourAddresses() []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, peer := range h.members.View().Hosts() {
+		if address, err := netip.ParseAddrPort(peer.Peers()); err == nil && h.isNeighbour(peer) {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+func (h *Host) isNeighbour(peer *enroller.Host) bool {
+	return peer.Zone() == h.members.Zone() && peer.Name() != h.members.Self()
+}
+
 // path joins the stages of a call.
 func (h *Host) path(settings *configurer.Entry, log *logger.Logger) chainer.Filter[*router.Call, *relayer.Answer] {
 	hosts := func() int { return h.members.View().Count() }
@@ -141,13 +190,12 @@
 }
 
 // peers answers other hosts.
-type peers struct {
-	supplier *supplier.Supplier
-	screener *screener.Screener
-}
+type peers struct{ host *Host }
 
 func (p peers) Supply(ctx context.Context, w supplier.Want) supplier.Supply {
-	return p.supplier.Supply(ctx, w)
+	return p.host.supplier.Supply(ctx, w)
 }
 
-func (p peers) Accuse(marks []screener.Mark) { p.screener.Learn(marks) }
+func (p peers) Accuse(marks []screener.Mark) { p.host.screener.Learn(marks) }
+
+func (p peers) Mirror(table string) *mirrorer.Mirror { return p.host.mirrors[table] }
--- a/assembler/run.go
+++ b/assembler/run.go
@@ -69,6 +69,11 @@
 		running.Go(func() { f.Run(work) })
 	}
 	running.Go(func() { h.members.Run(work) })
+	running.Go(func() {
+		if err := h.pinger.Run(work, settings.Peers()); err != nil {
+			h.log.Error("signs-of-life-not-sent", logger.Err(err))
+		}
+	})
 	running.Go(func() { h.tend(work) })
 	running.Go(func() { h.accuse(work) })
 	running.Go(func() { h.reloads(work, reload, read) })
@@ -173,7 +178,7 @@
 		if len(marks) == 0 {
 			continue
 		}
-		for _, peer := range h.members.View().Entries() {
+		for _, peer := range h.members.View().Hosts() {
 			if peer.Name() == h.members.Self() {
 				continue
 			}
--- a/enroller/claim.go
+++ b/enroller/claim.go
@@ -15,7 +15,7 @@
 const (
 	// settleTime is how long a host waits after joining before it claims engines,
 	// so that hosts that start together see each other.
-	settleTime = 1500 * time.Millisecond
+	settleTime = 3 * time.Second
 	// maxClaims bounds the rows of one transaction.
 	maxClaims = 40
 	// forgetAfter is how long the row of a silent host is kept.
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -205,7 +205,7 @@
 
 // Contact records that the store answered up to now. After a silence the rows of
 // all hosts count as seen now, because their renewals may have been missed.
-func (e *Enroller) Contact() {
+func (e *Enroller) Contact(storer.Version) {
 	e.update(func(v *View) {
 		now := time.Now()
 		if now.Sub(v.contact) > presumed {
--- a/enroller/view.go
+++ b/enroller/view.go
@@ -69,7 +69,7 @@
 // presumed is how long after its last contact with the store a host goes on
 // believing that nothing changed. Silence of a host means something only to one
 // that hears.
-const presumed = 1500 * time.Millisecond
+const presumed = 4 * time.Second
 
 // Alive reports whether a host is believed to run. Without contact to the store
 // the last belief stays.
@@ -84,8 +84,8 @@
 	return now.Sub(h.changed) <= v.wait
 }
 
-// Entries returns the hosts that callers may be sent to.
-func (v *View) Entries() []*Host {
+// Hosts returns the hosts that are believed to run and not to be leaving.
+func (v *View) Hosts() []*Host {
 	var list []*Host
 	for _, h := range v.hosts {
 		if !h.doc.Leaving && v.Alive(h) {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -20,8 +20,9 @@
 	Replace(rows []storer.Change)
 	// Learn takes over rows that changed.
 	Learn(changes []storer.Change)
-	// Contact says that the store answered.
-	Contact()
+	// Contact says that the store answered, and up to which version the rows are
+	// known.
+	Contact(v storer.Version)
 }
 
 const (
@@ -104,7 +105,6 @@
 		f.log.Info("dependency-regained", logger.With(logger.KeyDependent, "store "+f.name),
 			logger.With(logger.KeyVersion, uint64(changes.Version())))
 	}
-	f.reader.Contact()
 	if f.whole {
 		f.reader.Learn(changes.List())
 	} else {
@@ -112,6 +112,7 @@
 		f.whole = true
 	}
 	f.version = changes.Version()
+	f.reader.Contact(f.version)
 	return nil
 }
 
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -12,7 +12,9 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/dragonflyford/dragonflyford/encoder"
+	"github.com/dragonflyford/dragonflyford/mirrorer"
 	"github.com/dragonflyford/dragonflyford/screener"
+	"github.com/dragonflyford/dragonflyford/storer"
 	"github.com/dragonflyford/dragonflyford/supplier"
 	"github.com/dragonflyford/dragonflyford/transporter"
 )
@@ -102,3 +104,21 @@
 	}
 	return m.invoke(ctx, address, methodAccuse, in, &emptyDocument{})
 }
+
+// Snapshot reads the copy of a table at the host at an address.
+func (m *Messenger) Snapshot(ctx context.Context, address, table string) (mirrorer.Copy, error) {
+	return m.follow(ctx, address, &followDocument{Table: table, Whole: true})
+}
+
+// Follow waits for changes of a table at the host at an address.
+func (m *Messenger) Follow(ctx context.Context, address, table string, after storer.Version, wait time.Duration) (mirrorer.Copy, error) {
+	return m.follow(ctx, address, &followDocument{Table: table, After: uint64(after), WaitUS: wait.Microseconds()})
+}
+
+func (m *Messenger) follow(ctx context.Context, address string, in *followDocument) (mirrorer.Copy, error) {
+	var out copyDocument
+	if err := m.invoke(ctx, address, methodFollow, in, &out); err != nil {
+		return mirrorer.Copy{}, err
+	}
+	return decodeCopy(&out)
+}
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -2,19 +2,24 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"storj.io/drpc"
 
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/encoder"
+	"github.com/dragonflyford/dragonflyford/mirrorer"
 	"github.com/dragonflyford/dragonflyford/screener"
+	"github.com/dragonflyford/dragonflyford/storer"
 	"github.com/dragonflyford/dragonflyford/supplier"
 )
 
 const (
 	methodSupply = "/messenger/Supply"
 	methodAccuse = "/messenger/Accuse"
+	methodFollow = "/messenger/Follow"
 )
 
 type modelDocument struct {
@@ -81,12 +86,63 @@
 
 type emptyDocument struct{}
 
+// followDocument asks for the changes of a table, or for all of it.
+type followDocument struct {
+	Table  string `cbor:"1,keyasint"`
+	Whole  bool   `cbor:"2,keyasint,omitempty"`
+	After  uint64 `cbor:"3,keyasint,omitempty"`
+	WaitUS int64  `cbor:"4,keyasint,omitempty"`
+}
+
+type copyDocument struct {
+	Rows    []changeDocument `cbor:"1,keyasint,omitempty"`
+	Version uint64           `cbor:"2,keyasint,omitempty"`
+	AgeUS   int64            `cbor:"3,keyasint,omitempty"`
+	Lost    bool             `cbor:"4,keyasint,omitempty"` // the history does not reach so far back
+	Unknown bool             `cbor:"5,keyasint,omitempty"` // the host has no copy of the table
+}
+
+type changeDocument struct {
+	Key     string `cbor:"1,keyasint"`
+	Value   []byte `cbor:"2,keyasint,omitempty"`
+	Version uint64 `cbor:"3,keyasint"`
+	Removed bool   `cbor:"4,keyasint,omitempty"`
+}
+
+func encodeCopy(c mirrorer.Copy) *copyDocument {
+	d := &copyDocument{Version: uint64(c.Changes().Version()), AgeUS: c.Age().Microseconds()}
+	for _, r := range c.Changes().List() {
+		d.Rows = append(d.Rows, changeDocument{Key: r.Key(), Value: r.Value(), Version: uint64(r.Version()), Removed: r.Removed()})
+	}
+	return d
+}
+
+func decodeCopy(d *copyDocument) (mirrorer.Copy, error) {
+	switch {
+	case d.Lost:
+		return mirrorer.Copy{}, storer.ErrHistoryLost
+	case d.Unknown:
+		return mirrorer.Copy{}, storer.ErrUnavailable
+	}
+	list := make([]storer.Change, 0, len(d.Rows))
+	for _, r := range d.Rows {
+		if r.Removed {
+			list = append(list, storer.NewRemoval(r.Key, storer.Version(r.Version)))
+			continue
+		}
+		list = append(list, storer.NewChange(storer.NewRow(r.Key, r.Value, storer.Version(r.Version))))
+	}
+	return mirrorer.NewCopy(storer.NewChanges(list, storer.Version(d.Version)), time.Duration(d.AgeUS)*time.Microsecond), nil
+}
+
 // Handler answers other hosts.
 type Handler interface {
 	// Supply answers a request for a model on an engine of this host.
 	Supply(ctx context.Context, w supplier.Want) supplier.Supply
 	// Accuse takes over evidence against calls.
 	Accuse(marks []screener.Mark)
+	// Mirror returns the copy of a table, or nil.
+	Mirror(table string) *mirrorer.Mirror
 }
 
 type service struct{ handler Handler }
@@ -110,6 +166,32 @@
 	return &emptyDocument{}, nil
 }
 
+func (s *service) follow(ctx context.Context, in *followDocument) (*copyDocument, error) {
+	m := s.handler.Mirror(in.Table)
+	if m == nil {
+		return &copyDocument{Unknown: true}, nil
+	}
+	var c mirrorer.Copy
+	var err error
+	if in.Whole {
+		c, err = m.Snapshot()
+	} else {
+		c, err = m.Follow(ctx, storer.Version(in.After), min(time.Duration(in.WaitUS)*time.Microsecond, maxWait))
+	}
+	switch {
+	case errors.Is(err, storer.ErrHistoryLost):
+		return &copyDocument{Lost: true}, nil
+	case errors.Is(err, storer.ErrUnavailable):
+		return &copyDocument{Unknown: true}, nil
+	case err != nil:
+		return nil, fmt.Errorf("follow table %s: %w", in.Table, err)
+	}
+	return encodeCopy(c), nil
+}
+
+// maxWait bounds how long a call of another host is held back.
+const maxWait = 5 * time.Second
+
 type method struct {
 	name     string
 	receiver drpc.Receiver
@@ -126,6 +208,7 @@
 var methods = [...]method{
 	unary(methodSupply, (*service).supply),
 	unary(methodAccuse, (*service).accuse),
+	unary(methodFollow, (*service).follow),
 }
 
 // description lists the methods for drpcmux.
--- a/referrer/referrer.go
+++ b/referrer/referrer.go
@@ -17,20 +17,31 @@
 // Members knows the hosts.
 type Members interface {
 	View() *enroller.View
+	Self() string
+}
+
+// Signs knows which hosts of the own data centre were heard of lately.
+type Signs interface {
+	Heard(host string) (alive, known bool)
 }
 
 // Referrer chooses hosts for callers.
-type Referrer struct{ members Members }
+type Referrer struct {
+	members Members
+	signs   Signs
+}
 
 // New returns a referrer.
-func New(m Members) *Referrer { return &Referrer{members: m} }
+func New(m Members, s Signs) *Referrer { return &Referrer{members: m, signs: s} }
 
 // Refer returns the addresses for callers in a data centre: its own hosts, else
 // those of its region, else all.
 func (r *Referrer) Refer(region, zone string) []string {
-	entries := r.members.View().Entries()
 	var near, around, all []string
-	for _, h := range entries {
+	for _, h := range r.members.View().Hosts() {
+		if !r.serves(h) {
+			continue
+		}
 		all = append(all, h.Callers())
 		if h.Region() == region {
 			around = append(around, h.Callers())
@@ -47,3 +58,13 @@
 	}
 	return nil
 }
+
+// serves reports whether a host is believed to take calls. Hosts of other data
+// centres send no signs of life here, and a new one has not been heard of yet.
+func (r *Referrer) serves(h *enroller.Host) bool {
+	if h.Name() == r.members.Self() {
+		return true
+	}
+	alive, known := r.signs.Heard(h.Name())
+	return alive || !known
+}
--- /dev/null
+++ b/subscriber/subscriber.go
@@ -0,0 +1,139 @@
+package subscriber
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/mirrorer"
+	"github.com/dragonflyford/dragonflyford/storer"
+)
+
+// Peer is a host of the data centre.
+type Peer struct {
+	name    string
+	address string
+}
+
+// NewPeer returns a host with its address for other hosts.
+func NewPeer(name, address string) Peer { return Peer{name: name, address: address} }
+
+// Remote follows tables at other hosts.
+type Remote interface {
+	Snapshot(ctx context.Context, address, table string) (mirrorer.Copy, error)
+	Follow(ctx context.Context, address, table string, after storer.Version, wait time.Duration) (mirrorer.Copy, error)
+}
+
+const (
+	// passOver is how long a host with an old copy is not asked.
+	passOver = 3 * time.Second
+	// peerWait is how long another host may hold a call back. The age of its copy
+	// is seen at least so often.
+	peerWait    = 500 * time.Millisecond
+	peerTimeout = time.Second
+)
+
+var errOld = eris.New("the copy of the other host is old")
+
+// Subscriber is a feed that prefers other hosts to the store.
+type Subscriber struct {
+	table  string
+	store  storer.Feed
+	remote Remote
+	self   string
+	peers  func() []Peer // the live hosts of the data centre, without this one
+	maxAge time.Duration
+	log    *logger.Logger
+	passed map[string]time.Time // used by one goroutine, that of the follower
+	source string
+}
+
+var _ storer.Feed = (*Subscriber)(nil)
+
+// New returns a feed of a table. MaxAge is how old the copy of another host may
+// be.
+func New(table string, store storer.Feed, remote Remote, self string, peers func() []Peer, maxAge time.Duration, log *logger.Logger) *Subscriber {
+	return &Subscriber{
+		table: table, store: store, remote: remote, self: self, peers: peers, maxAge: maxAge,
+		log: log.Component("subscriber"), passed: make(map[string]time.Time),
+	}
+}
+
+// reader returns the host of the data centre that follows the table at the store:
+// the first by hash of those that are not passed over. False stands for this host.
+func (s *Subscriber) reader() (Peer, bool) {
+	best, found := Peer{name: s.self}, false
+	hash := s.hash(s.self)
+	for _, p := range s.peers() {
+		if time.Since(s.passed[p.name]) < passOver {
+			continue
+		}
+		if h := s.hash(p.name); h > hash {
+			best, hash, found = p, h, true
+		}
+	}
+	if best.name != s.source {
+		s.source = best.name
+		s.log.Info("source-chosen", logger.With(logger.KeyDependent, s.table), logger.With(logger.KeyPeer, best.name))
+	}
+	return best, found
+}
+
+func (s *Subscriber) hash(host string) uint64 { return xxhash.Sum64String(s.table + "\x00" + host) }
+
+// Snapshot implements storer.Feed.
+func (s *Subscriber) Snapshot(ctx context.Context) (storer.Changes, error) {
+	if p, ok := s.reader(); ok {
+		limited, cancel := context.WithTimeout(ctx, peerTimeout)
+		copied, err := s.remote.Snapshot(limited, p.address, s.table)
+		cancel()
+		if changes, ok := s.accept(p, copied, err); ok {
+			return changes, nil
+		}
+	}
+	changes, err := s.store.Snapshot(ctx)
+	if err != nil {
+		return changes, fmt.Errorf("read at the store: %w", err)
+	}
+	return changes, nil
+}
+
+// Follow implements storer.Feed.
+func (s *Subscriber) Follow(ctx context.Context, after storer.Version, wait time.Duration) (storer.Changes, error) {
+	if p, ok := s.reader(); ok {
+		limited, cancel := context.WithTimeout(ctx, peerWait+peerTimeout)
+		copied, err := s.remote.Follow(limited, p.address, s.table, after, peerWait)
+		cancel()
+		if errors.Is(err, storer.ErrHistoryLost) {
+			return storer.Changes{}, fmt.Errorf("follow at host %s: %w", p.name, err)
+		}
+		if changes, ok := s.accept(p, copied, err); ok {
+			return changes, nil
+		}
+		wait = 0 // what was missed meanwhile is wanted now
+	}
+	changes, err := s.store.Follow(ctx, after, wait)
+	if err != nil {
+		return changes, fmt.Errorf("follow at the store: %w", err)
+	}
+	return changes, nil
+}
+
+// accept returns the changes of another host, or passes the host over.
+func (s *Subscriber) accept(p Peer, c mirrorer.Copy, err error) (storer.Changes, bool) {
+	if err == nil && c.Age() > s.maxAge {
+		err = errOld
+	}
+	if err == nil {
+		return c.Changes(), true
+	}
+	s.passed[p.name] = time.Now()
+	s.log.Warn("source-passed-over", logger.With(logger.KeyDependent, s.table), logger.With(logger.KeyPeer, p.name),
+		logger.With(logger.KeyAge, c.Age().Milliseconds()), logger.Err(err))
+	return storer.Changes{}, false
+}
