enroller, referrer: know the age of a host's row by the store's clock

Rows now carry the store's steady clock, hosts of the own data centre must have been heard of, and those of others must have renewed their row.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -34,6 +34,9 @@
 const (
 	// tableFleet holds the rows of the system's own hosts.
 	tableFleet = "fleet"
+	// lostMargin is added to the time between two renewals of a host's row: a renewal
+	// may fail once, and the feed is up to three seconds old.
+	lostMargin = 4 * time.Second
 	// restMargin is added to the time between the orders of two owners.
 	restMargin = 500 * time.Millisecond
 	// The store may hold a call back for this time while nothing changes. Every
@@ -96,7 +99,7 @@
 	own := h.store.Table(tableFleet)
 	h.members = enroller.New(
 		enroller.NewSelf(settings.Address(), settings.Callers(), settings.Peers(), settings.DataCentre(), settings.Region(), settings.Share()),
-		enroller.NewTimes(settings.Renew(), settings.Lease(), settings.Guard(), settings.Turns()+restMargin, settings.Lease()+settings.Guard()),
+		enroller.NewTimes(settings.Renew(), settings.Lease(), settings.Guard(), settings.Turns()+restMargin, settings.Renew()+lostMargin),
 		own, log)
 	h.supplier = supplier.New(h.engines, rights{h.members}, h.engineSettings, h.fleet, log)
 	h.screener = screener.New(log)
--- a/assembler/reader.go
+++ b/assembler/reader.go
@@ -16,7 +16,7 @@
 // operatorReader takes over configurations and named versions.
 type operatorReader struct{ host *Host }
 
-func (operatorReader) Contact(storer.Version) {}
+func (operatorReader) Contact(storer.Version, time.Duration) {}
 
 // Replace takes over all rows. A row that is gone changes nothing: a
 // configuration stays in force until a newer one comes.
@@ -55,7 +55,7 @@
 // endpointReader takes over the entries of endpoints.
 type endpointReader struct{ host *Host }
 
-func (e endpointReader) Contact(storer.Version) {
+func (e endpointReader) Contact(storer.Version, time.Duration) {
 	for _, event := range e.host.fleet.Expire() {
 		e.note(event)
 	}
--- a/enroller/document.go
+++ b/enroller/document.go
@@ -21,6 +21,7 @@
 	Leaving bool    `cbor:"5,keyasint,omitempty"`
 	Share   float64 `cbor:"6,keyasint,omitempty"`
 	Beat    uint64  `cbor:"7,keyasint,omitempty"` // makes each renewal another value
+	ClockMS int64   `cbor:"8,keyasint,omitempty"` // steady clock of the store at the renewal, or 0
 }
 
 // ownerDocument is the row of an engine.
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -171,11 +171,12 @@
 // renew writes the row of this host.
 func (e *Enroller) renew(ctx context.Context) error {
 	began := e.clock()
+	stamp := e.View().storeClock()
 	e.mu.Lock()
 	e.beat++
 	doc := hostDocument{
 		Callers: e.self.callers, Peers: e.self.peers, Zone: e.self.zone, Region: e.self.region,
-		Leaving: e.leaving.Load(), Share: e.self.share, Beat: e.beat,
+		Leaving: e.leaving.Load(), Share: e.self.share, Beat: e.beat, ClockMS: stamp.Milliseconds(),
 	}
 	e.mu.Unlock()
 	value, err := encodeRow(doc)
@@ -205,9 +206,12 @@
 
 // Contact records that the store answered up to now. After a silence the rows of
 // all hosts count as seen now, because their renewals may have been missed.
-func (e *Enroller) Contact(storer.Version) {
+func (e *Enroller) Contact(_ storer.Version, clock time.Duration) {
 	e.update(func(v *View) {
 		now := time.Now()
+		if clock > 0 {
+			v.epoch = now.Add(-clock)
+		}
 		if now.Sub(v.contact) > presumed {
 			for name, h := range v.hosts {
 				again := *h
@@ -260,7 +264,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	old := e.view.Load()
-	next := &View{hosts: maps.Clone(old.hosts), owners: maps.Clone(old.owners), contact: old.contact, wait: old.wait}
+	next := &View{hosts: maps.Clone(old.hosts), owners: maps.Clone(old.owners), contact: old.contact, epoch: old.epoch, wait: old.wait}
 	if next.hosts == nil {
 		next.hosts, next.owners = make(map[string]*Host), make(map[string]Owner)
 	}
@@ -284,13 +288,13 @@
 		e.log.Warn("row-not-read", logger.With(logger.KeyPeer, name), logger.Err(err))
 		return
 	}
-	h := &Host{name: name, doc: doc, version: c.Version(), changed: time.Now(), beats: 1}
+	h := &Host{name: name, doc: doc, version: c.Version(), changed: time.Now(), first: time.Now()}
 	if old == nil || old.doc.Leaving != doc.Leaving {
 		e.log.Info("host-seen", logger.With(logger.KeyPeer, name),
 			logger.With(logger.KeyVersion, uint64(c.Version())), logger.With(logger.KeyOutcome, hostState(doc.Leaving)))
 	}
 	if old != nil {
-		h.beats = old.beats + 1
+		h.first = old.first
 	}
 	v.hosts[name] = h
 }
--- a/enroller/view.go
+++ b/enroller/view.go
@@ -12,7 +12,7 @@
 	doc     hostDocument
 	version storer.Version
 	changed time.Time // when the present row was seen first
-	beats   int       // renewals seen
+	first   time.Time // when a row of the host was seen first
 }
 
 // Name returns the host's name, which is its IP address.
@@ -33,6 +33,9 @@
 // Leaving reports whether the host is about to stop.
 func (h *Host) Leaving() bool { return h.doc.Leaving }
 
+// Seen returns when a row of the host was seen first.
+func (h *Host) Seen() time.Time { return h.first }
+
 // Share returns how much work the host can do, relative to the others.
 func (h *Host) Share() float64 { return h.doc.Share }
 
@@ -54,6 +57,7 @@
 	hosts   map[string]*Host
 	owners  map[string]Owner
 	contact time.Time // last answer of the store; zero before the first
+	epoch   time.Time // when the store's steady clock was 0; zero while it is not known
 	wait    time.Duration
 }
 
@@ -71,6 +75,27 @@
 // that hears.
 const presumed = 4 * time.Second
 
+// storeClock returns the store's steady clock, or 0 if it is not known.
+func (v *View) storeClock() time.Duration {
+	if v.epoch.IsZero() {
+		return 0
+	}
+	return time.Since(v.epoch)
+}
+
+// renewed returns when a host renewed its row, as far as that is known. A row that
+// this process has just read may be old, which only the store's clock shows.
+func (v *View) renewed(h *Host) time.Time {
+	if h.doc.ClockMS == 0 || v.epoch.IsZero() {
+		return h.changed
+	}
+	at := v.epoch.Add(time.Duration(h.doc.ClockMS) * time.Millisecond)
+	if at.After(h.changed) {
+		return h.changed
+	}
+	return at
+}
+
 // Alive reports whether a host is believed to run. Without contact to the store
 // the last belief stays.
 func (v *View) Alive(h *Host) bool {
@@ -81,14 +106,14 @@
 	if silent := now.Sub(v.contact); silent > presumed {
 		now = v.contact
 	}
-	return now.Sub(h.changed) <= v.wait
+	return now.Sub(v.renewed(h)) <= v.wait
 }
 
-// Hosts returns the hosts that are believed to run and not to be leaving.
+// Hosts returns the hosts that are not leaving, also silent ones.
 func (v *View) Hosts() []*Host {
 	var list []*Host
 	for _, h := range v.hosts {
-		if !h.doc.Leaving && v.Alive(h) {
+		if !h.doc.Leaving {
 			list = append(list, h)
 		}
 	}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -20,9 +20,9 @@
 	Replace(rows []storer.Change)
 	// Learn takes over rows that changed.
 	Learn(changes []storer.Change)
-	// Contact says that the store answered, and up to which version the rows are
-	// known.
-	Contact(v storer.Version)
+	// Contact says that the store answered, up to which version the rows are known,
+	// and what the store's steady clock is, or 0.
+	Contact(v storer.Version, clock time.Duration)
 }
 
 const (
@@ -112,7 +112,7 @@
 		f.whole = true
 	}
 	f.version = changes.Version()
-	f.reader.Contact(f.version)
+	f.reader.Contact(f.version, changes.Clock())
 	return nil
 }
 
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -100,6 +100,7 @@
 	AgeUS   int64            `cbor:"3,keyasint,omitempty"`
 	Lost    bool             `cbor:"4,keyasint,omitempty"` // the history does not reach so far back
 	Unknown bool             `cbor:"5,keyasint,omitempty"` // the host has no copy of the table
+	ClockUS int64            `cbor:"6,keyasint,omitempty"` // steady clock of the store
 }
 
 type changeDocument struct {
@@ -110,7 +111,7 @@
 }
 
 func encodeCopy(c mirrorer.Copy) *copyDocument {
-	d := &copyDocument{Version: uint64(c.Changes().Version()), AgeUS: c.Age().Microseconds()}
+	d := &copyDocument{Version: uint64(c.Changes().Version()), AgeUS: c.Age().Microseconds(), ClockUS: c.Changes().Clock().Microseconds()}
 	for _, r := range c.Changes().List() {
 		d.Rows = append(d.Rows, changeDocument{Key: r.Key(), Value: r.Value(), Version: uint64(r.Version()), Removed: r.Removed()})
 	}
@@ -132,7 +133,8 @@
 		}
 		list = append(list, storer.NewChange(storer.NewRow(r.Key, r.Value, storer.Version(r.Version))))
 	}
-	return mirrorer.NewCopy(storer.NewChanges(list, storer.Version(d.Version)), time.Duration(d.AgeUS)*time.Microsecond), nil
+	changes := storer.NewChanges(list, storer.Version(d.Version), time.Duration(d.ClockUS)*time.Microsecond)
+	return mirrorer.NewCopy(changes, time.Duration(d.AgeUS)*time.Microsecond), nil
 }
 
 // Handler answers other hosts.
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -23,6 +23,7 @@
 	since   storer.Version // versions above it are in the history
 	version storer.Version
 	contact time.Time
+	clock   time.Duration // of the store at the last contact
 	changed chan struct{} // closed at the next contact
 }
 
@@ -65,17 +66,17 @@
 }
 
 // Contact implements follower.Reader.
-func (m *Mirror) Contact(v storer.Version) {
+func (m *Mirror) Contact(v storer.Version, clock time.Duration) {
 	m.mu.Lock()
 	if m.since == 0 && len(m.history) == 0 {
 		m.since = v
 	}
-	m.version = v
+	m.version, m.clock = v, clock
 	m.contact = time.Now()
 	close(m.changed)
 	m.changed = make(chan struct{})
 	m.mu.Unlock()
-	m.next.Contact(v)
+	m.next.Contact(v, clock)
 }
 
 // Copy is part of the copy with the age of its last contact to the store.
@@ -105,7 +106,7 @@
 	for _, r := range m.rows {
 		list = append(list, r)
 	}
-	return Copy{changes: storer.NewChanges(list, m.version), age: time.Since(m.contact)}, nil
+	return m.copy(list, m.version), nil
 }
 
 // Follow returns the changes after a version as soon as there is one, or none
@@ -114,28 +115,38 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		list, version, age, changed, err := m.after(after)
-		if err != nil || len(list) > 0 {
-			return Copy{changes: storer.NewChanges(list, version), age: age}, err
+		c, changed, err := m.after(after)
+		if err != nil || len(c.changes.List()) > 0 {
+			return c, err
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return Copy{changes: storer.NewChanges(nil, max(version, after)), age: age}, nil
+			return c, nil
 		case <-ctx.Done():
 			return Copy{}, ctx.Err()
 		}
 	}
 }
 
-func (m *Mirror) after(v storer.Version) ([]storer.Change, storer.Version, time.Duration, chan struct{}, error) {
+// copy requires mu.
+func (m *Mirror) copy(list []storer.Change, v storer.Version) Copy {
+	age := time.Since(m.contact)
+	clock := m.clock
+	if clock > 0 {
+		clock += age
+	}
+	return Copy{changes: storer.NewChanges(list, v, clock), age: age}
+}
+
+func (m *Mirror) after(v storer.Version) (Copy, chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
 	case m.contact.IsZero():
-		return nil, 0, 0, nil, storer.ErrUnavailable
+		return Copy{}, nil, storer.ErrUnavailable
 	case v < m.since:
-		return nil, 0, 0, nil, storer.ErrHistoryLost
+		return Copy{}, nil, storer.ErrHistoryLost
 	}
 	var list []storer.Change
 	for _, c := range m.history {
@@ -143,5 +154,5 @@
 			list = append(list, c)
 		}
 	}
-	return list, m.version, time.Since(m.contact), m.changed, nil
+	return m.copy(list, max(m.version, v)), m.changed, nil
 }
--- a/referrer/referrer.go
+++ b/referrer/referrer.go
@@ -18,6 +18,7 @@
 type Members interface {
 	View() *enroller.View
 	Self() string
+	Zone() string
 }
 
 // Signs knows which hosts of the own data centre were heard of lately.
@@ -59,12 +60,19 @@
 	return nil
 }
 
+// newTime is how long a host of the own data centre may take until it is heard of.
+const newTime = 2500 * time.Millisecond
+
 // serves reports whether a host is believed to take calls. Hosts of other data
-// centres send no signs of life here, and a new one has not been heard of yet.
+// centres send no signs of life here.
 func (r *Referrer) serves(h *enroller.Host) bool {
 	if h.Name() == r.members.Self() {
 		return true
 	}
+	view := r.members.View()
+	if h.Zone() != r.members.Zone() {
+		return view.Alive(h)
+	}
 	alive, known := r.signs.Heard(h.Name())
-	return alive || !known
+	return alive || !known && view.Alive(h) && time.Since(h.Seen()) < newTime
 }
--- a/storer/feed.go
+++ b/storer/feed.go
@@ -32,10 +32,17 @@
 type Changes struct {
 	list    []Change
 	version Version
+	clock   time.Duration
 }
 
-// NewChanges returns changes in the order in which they happened.
-func NewChanges(list []Change, v Version) Changes { return Changes{list: list, version: v} }
+// NewChanges returns changes in the order in which they happened. Clock is the
+// steady clock of the store at the time of its answer, or 0 if it has none.
+func NewChanges(list []Change, v Version, clock time.Duration) Changes {
+	return Changes{list: list, version: v, clock: clock}
+}
+
+// Clock returns the steady clock of the store at the time of its answer, or 0.
+func (c Changes) Clock() time.Duration { return c.clock }
 
 // List returns the changes; it must not be modified.
 func (c Changes) List() []Change { return c.list }
