enroller: own nothing after a lapse until the rows are known again

Ownership now needs the table to be known up to the first renewal after a lapse. Adds tests of the stages and of the membership, and fakes of the platform.

--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -64,9 +64,12 @@
 	clock func() time.Duration
 
 	leaseEnd atomic.Int64 // on clock; 0 while there is no lease
-	leaving  atomic.Bool
-	beat     uint64
-	renewed  bool // whether the last renewal succeeded
+	// leaseVersion is that of the first renewal after a time without a lease. Other
+	// hosts may have taken engines over before it.
+	leaseVersion atomic.Uint64
+	leaving      atomic.Bool
+	beat         uint64
+	renewed      bool // whether the last renewal succeeded
 
 	mu     sync.Mutex // serialises writers of view
 	view   atomic.Pointer[View]
@@ -111,8 +114,9 @@
 
 // Owns returns the right to send orders to an engine now, if this host has it.
 func (e *Enroller) Owns(engine string) (Ownership, bool) {
-	owner, ok := e.View().Owner(engine)
-	if !ok || owner.host != e.self.name || e.leaving.Load() {
+	view := e.View()
+	owner, ok := view.Owner(engine)
+	if !ok || owner.host != e.self.name || e.leaving.Load() || uint64(view.version) < e.leaseVersion.Load() {
 		return Ownership{}, false
 	}
 	now := e.clock()
@@ -195,6 +199,9 @@
 		return fmt.Errorf("renew row: %w", err)
 	}
 	e.Learn([]storer.Change{storer.NewChange(storer.NewRow(key, value, version))})
+	if e.clock() >= time.Duration(e.leaseEnd.Load()) {
+		e.leaseVersion.Store(uint64(version))
+	}
 	e.leaseEnd.Store(int64(began + e.times.lease))
 	e.mu.Lock()
 	if e.joined.IsZero() {
@@ -206,7 +213,7 @@
 
 // Contact records that the store answered up to now. After a silence the rows of
 // all hosts count as seen now, because their renewals may have been missed.
-func (e *Enroller) Contact(_ storer.Version, clock time.Duration) {
+func (e *Enroller) Contact(version storer.Version, clock time.Duration) {
 	e.update(func(v *View) {
 		now := time.Now()
 		if clock > 0 {
@@ -219,7 +226,7 @@
 				v.hosts[name] = &again
 			}
 		}
-		v.contact = now
+		v.contact, v.version = now, version
 	})
 }
 
@@ -264,7 +271,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	old := e.view.Load()
-	next := &View{hosts: maps.Clone(old.hosts), owners: maps.Clone(old.owners), contact: old.contact, epoch: old.epoch, wait: old.wait}
+	next := &View{hosts: maps.Clone(old.hosts), owners: maps.Clone(old.owners), contact: old.contact, version: old.version, epoch: old.epoch, wait: old.wait}
 	if next.hosts == nil {
 		next.hosts, next.owners = make(map[string]*Host), make(map[string]Owner)
 	}
--- /dev/null
+++ b/enroller/enroller_test.go
@@ -0,0 +1,361 @@
+package enroller_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/enroller"
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/storer"
+)
+
+// table is a fake of the store's table.
+type table struct {
+	mu      sync.Mutex
+	began   time.Time
+	rows    map[string]storer.Row
+	version storer.Version
+	fail    map[string]error // by the host that commits
+	lost    map[string]bool  // whose answers are lost after the write
+}
+
+func newTable() *table {
+	return &table{began: time.Now().Add(-time.Hour), rows: make(map[string]storer.Row), fail: make(map[string]error), lost: make(map[string]bool)}
+}
+
+func (t *table) clock() time.Duration { return time.Since(t.began) }
+
+func (t *table) commit(by string, writes []storer.Write) (storer.Version, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := t.fail[by]; err != nil {
+		return 0, err
+	}
+	var present []storer.Change
+	conflict := ""
+	for _, w := range writes {
+		row, ok := t.rows[w.Key()]
+		if ok {
+			present = append(present, storer.NewChange(row))
+		}
+		if row.Version() != w.Expected() {
+			conflict = w.Key()
+		}
+	}
+	if conflict != "" {
+		return 0, storer.NewRowConflict(conflict, present)
+	}
+	t.version++
+	for _, w := range writes {
+		switch w := w.(type) {
+		case storer.Put:
+			t.rows[w.Key()] = storer.NewRow(w.Key(), w.Value(), t.version)
+		case storer.Delete:
+			delete(t.rows, w.Key())
+		}
+	}
+	if t.lost[by] {
+		return 0, storer.ErrUncertain
+	}
+	return t.version, nil
+}
+
+// host is an enroller with its connection to the table.
+type host struct {
+	*enroller.Enroller
+	name   string
+	table  *table
+	cut    bool
+	blind  bool          // writes arrive, changes of the table are not read
+	frozen time.Duration // time that the process stood still
+}
+
+func (h *host) Commit(_ context.Context, writes ...storer.Write) (storer.Version, error) {
+	if h.cut {
+		return 0, storer.ErrUnavailable
+	}
+	return h.table.commit(h.name, writes)
+}
+
+const (
+	renew = time.Second
+	lease = 5 * time.Second
+	guard = time.Second
+	rest  = 3500 * time.Millisecond
+	lost  = 4 * time.Second
+)
+
+func join(t *table, name, zone string) *host {
+	h := &host{name: name, table: t}
+	start := time.Now()
+	clock := func() time.Duration { return time.Since(start) + h.frozen }
+	h.Enroller = enroller.New(enroller.NewSelf(name, name+":1", name+":2", zone, "r-"+zone, 1),
+		enroller.NewTimes(renew, lease, guard, rest, lost), h, logger.Nop(), enroller.WithClock(clock))
+	return h
+}
+
+// follow reads the table.
+func (h *host) follow() {
+	h.table.mu.Lock()
+	version := h.table.version
+	var rows []storer.Change
+	for _, r := range h.table.rows {
+		rows = append(rows, storer.NewChange(r))
+	}
+	h.table.mu.Unlock()
+	h.Replace(rows)
+	h.Contact(version, h.table.clock())
+}
+
+// live renews and follows until ctx ends.
+func (h *host) live(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() { h.Run(ctx) })
+	for ctx.Err() == nil {
+		if !h.cut && !h.blind {
+			h.follow()
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	running.Wait()
+}
+
+type engine string
+
+func (e engine) ID() string     { return string(e) }
+func (e engine) Zone() string   { return "z1" }
+func (e engine) Region() string { return "r-z1" }
+
+var engines = []enroller.Engine{engine("e1"), engine("e2"), engine("e3"), engine("e4"), engine("e5"), engine("e6")}
+
+func (h *host) claims(ctx context.Context) {
+	for ctx.Err() == nil {
+		h.Claim(ctx, engines)
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+// start runs hosts until stop is called.
+func start(t *testing.T, hosts ...*host) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	for _, h := range hosts {
+		running.Go(func() { h.live(ctx) })
+		running.Go(func() { h.claims(ctx) })
+	}
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+func owned(h *host) int {
+	n := 0
+	for _, e := range engines {
+		if _, ok := h.Owns(e.ID()); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// watch records who may give orders to each engine and fails if two hosts take
+// turns within the time that the endpoints judge by.
+func watch(t *testing.T, turns time.Duration, hosts ...*host) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var watching sync.WaitGroup
+	watching.Go(func() { watchTurns(ctx, t, turns, hosts) })
+	return func() {
+		cancel()
+		watching.Wait()
+	}
+}
+
+func watchTurns(ctx context.Context, t *testing.T, turns time.Duration, hosts []*host) {
+	t.Helper()
+	last := make(map[string]string)
+	until := make(map[string]time.Time)
+	tokens := make(map[string]uint64)
+	for ctx.Err() == nil {
+		for _, h := range hosts {
+			for _, e := range engines {
+				o, ok := h.Owns(e.ID())
+				if !ok {
+					continue
+				}
+				now := time.Now()
+				if last[e.ID()] != "" && last[e.ID()] != h.name {
+					if now.Sub(until[e.ID()]) < turns {
+						t.Errorf("%s may order %s %v after %s", h.name, e.ID(), now.Sub(until[e.ID()]), last[e.ID()])
+					}
+					if o.Token() <= tokens[e.ID()] {
+						t.Errorf("token of %s falls from %d to %d", e.ID(), tokens[e.ID()], o.Token())
+					}
+				}
+				last[e.ID()], until[e.ID()], tokens[e.ID()] = h.name, now, o.Token()
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Guards against two hosts that give an engine orders within three seconds of each
+// other when an owner is cut off, frozen, leaves or cannot write.
+func TestOneOwner(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(ctx context.Context, h *host)
+	}{
+		{"cut off", func(_ context.Context, h *host) { h.cut = true }},
+		{"frozen past its lease", func(_ context.Context, h *host) { h.cut = true; h.frozen = 10 * time.Second }},
+		{"leaves", func(ctx context.Context, h *host) { h.Leave(ctx) }},
+		{"writes fail", func(_ context.Context, h *host) {
+			h.table.mu.Lock()
+			h.table.fail[h.name] = errors.New("refused")
+			h.table.mu.Unlock()
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				tab := newTable()
+				a, b := join(tab, "h1", "z1"), join(tab, "h2", "z1")
+				defer start(t, a, b)()
+				defer watch(t, 3*time.Second, a, b)()
+				time.Sleep(8 * time.Second)
+				is.True(owned(a) > 0 && owned(b) > 0)
+				is.Equal(owned(a)+owned(b), len(engines))
+				tt.fault(t.Context(), a)
+				time.Sleep(15 * time.Second)
+				is.Equal(owned(a), 0)
+				is.Equal(owned(b), len(engines))
+			})
+		})
+	}
+}
+
+// Guards against a takeover from owners that live, by a host that has not heard of
+// them for a while.
+func TestReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tab := newTable()
+		a, b := join(tab, "h1", "z1"), join(tab, "h2", "z1")
+		defer start(t, a, b)()
+		defer watch(t, 3*time.Second, a, b)()
+		time.Sleep(8 * time.Second)
+		before := owned(a)
+		b.cut = true
+		time.Sleep(20 * time.Second)
+		b.cut = false
+		time.Sleep(4 * time.Second)
+		is.True(owned(a) >= before)
+	})
+}
+
+// Guards against a host that renews its lease after a lapse and gives orders before
+// it knows who took its engines over.
+func TestRenewedAfterLapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tab := newTable()
+		a, b := join(tab, "h1", "z1"), join(tab, "h2", "z1")
+		defer start(t, a, b)()
+		defer watch(t, 3*time.Second, a, b)()
+		time.Sleep(8 * time.Second)
+		a.cut, a.blind = true, true
+		time.Sleep(15 * time.Second)
+		is.Equal(owned(b), len(engines))
+		a.cut = false // its next renewal succeeds
+		time.Sleep(3 * time.Second)
+		is.Equal(owned(a), 0)
+		a.blind = false
+		time.Sleep(3 * time.Second)
+		is.Equal(owned(b), len(engines))
+	})
+}
+
+// Guards against a host that takes its own write for that of another after the
+// answer was lost.
+func TestLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tab := newTable()
+		a := join(tab, "h1", "z1")
+		defer start(t, a)()
+		time.Sleep(8 * time.Second)
+		tab.mu.Lock()
+		tab.lost["h1"] = true
+		tab.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		tab.mu.Lock()
+		tab.lost["h1"] = false
+		tab.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		is.Equal(owned(a), len(engines))
+	})
+}
+
+// Guards against a restarted process that gives orders before its predecessor's
+// wait after a takeover has ended, and against one that waits for its own lease.
+func TestRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tab := newTable()
+		stop := start(t, join(tab, "h1", "z1"))
+		time.Sleep(8 * time.Second)
+		stop()
+		again := join(tab, "h1", "z1")
+		defer start(t, again)()
+		time.Sleep(time.Second)
+		is.Equal(owned(again), len(engines))
+	})
+}
+
+// Guards against a new process that takes the row of a host that is long gone for
+// a sign of life.
+func TestOldRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tab := newTable()
+		stop := start(t, join(tab, "gone", "z1"))
+		time.Sleep(8 * time.Second)
+		stop()
+		time.Sleep(10 * time.Second)
+		a := join(tab, "h1", "z1")
+		defer start(t, a)()
+		time.Sleep(time.Second)
+		is.True(!a.View().Alive(a.View().Host("gone")))
+		is.True(a.View().Alive(a.View().Host("h1")))
+		is.Equal(a.View().Count(), 1)
+	})
+}
+
+// Guards against hosts that lose sight of each other because the store is away.
+func TestStoreAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tab := newTable()
+		var hosts []*host
+		for i := range 3 {
+			hosts = append(hosts, join(tab, fmt.Sprint("h", i), "z1"))
+		}
+		defer start(t, hosts...)()
+		time.Sleep(8 * time.Second)
+		for _, h := range hosts {
+			h.cut = true
+		}
+		time.Sleep(time.Minute)
+		is.Equal(hosts[0].View().Count(), 3)
+	})
+}
--- a/enroller/view.go
+++ b/enroller/view.go
@@ -56,8 +56,9 @@
 type View struct {
 	hosts   map[string]*Host
 	owners  map[string]Owner
-	contact time.Time // last answer of the store; zero before the first
-	epoch   time.Time // when the store's steady clock was 0; zero while it is not known
+	contact time.Time      // last answer of the store; zero before the first
+	version storer.Version // up to which all rows are known
+	epoch   time.Time      // when the store's steady clock was 0; zero while it is not known
 	wait    time.Duration
 }
 
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,112 @@
+package router_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/router"
+)
+
+func route(name, prefix string, timeout time.Duration, targets ...router.Target) *router.Route {
+	return router.NewRoute(name, "a.example", prefix, router.Once{}, timeout, time.Second, 0, 1, targets)
+}
+
+func call(id, host, path string, opts ...router.CallOption) *router.Call {
+	return router.NewCall(id, "GET", host, path, path, http.Header{}, nil, opts...)
+}
+
+func table(version int64) *router.Table {
+	return router.NewTable(version, []*router.Route{
+		route("short", "/a/", 0, router.NewTarget("one", 1)),
+		route("long", "/a/b/", 2*time.Second, router.NewTarget("two", 1)),
+		route("lost", "/c/", 0, router.NewTarget("three", 1)),
+		route("split", "/s/", 0, router.NewTarget("one", 3), router.NewTarget("two", 1)),
+	}, []*router.Service{router.NewService("one", 10, nil), router.NewService("two", 10, nil)})
+}
+
+// Guards against a call that goes to the wrong service or is refused wrongly.
+func TestRoute(t *testing.T) {
+	tests := []struct {
+		name, host, path, service string
+		fault                     classifier.Fault
+	}{
+		{"longest prefix", "a.example", "/a/b/x", "two", nil},
+		{"shorter prefix", "a.example", "/a/x", "one", nil},
+		{"prefix without its slash", "a.example", "/a", "", &classifier.NotOffered{}},
+		{"other host", "b.example", "/a/x", "", &classifier.NotOffered{}},
+		{"service that is not configured", "a.example", "/c/x", "", &classifier.Unavailable{}},
+	}
+	r := router.New()
+	r.Adopt(table(1))
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			got, err := r.Apply(t.Context(), call("id", tt.host, tt.path))
+			if tt.fault != nil {
+				is.Equal(fmt.Sprintf("%T", classifier.Of(err)), fmt.Sprintf("%T", tt.fault))
+				return
+			}
+			is.NoErr(err)
+			is.Equal(got.Service().Name(), tt.service)
+		})
+	}
+}
+
+// Guards against a host without routes that answers 404, which callers take as
+// final.
+func TestNoTable(t *testing.T) {
+	is := is.New(t)
+	_, err := router.New().Apply(context.Background(), call("id", "a.example", "/a/x"))
+	var fault *classifier.Unavailable
+	is.True(errors.As(err, &fault))
+	is.True(fault.RetryAfter() > 0)
+}
+
+// Guards against a configuration that goes back to an older version.
+func TestVersionNeverFalls(t *testing.T) {
+	is := is.New(t)
+	r := router.New()
+	is.True(r.Adopt(table(5)))
+	is.True(!r.Adopt(table(4)))
+	is.True(!r.Adopt(table(5)))
+	is.Equal(r.Current().Version(), int64(5))
+	is.True(r.Adopt(table(6)))
+}
+
+// Guards against a split that ignores its weights or sends one call to two
+// services.
+func TestSplit(t *testing.T) {
+	is := is.New(t)
+	r := router.New()
+	r.Adopt(table(1))
+	count := make(map[string]int)
+	for i := range 4000 {
+		c := call(fmt.Sprint("id-", i), "a.example", "/s/x")
+		first, err := r.Apply(t.Context(), c)
+		is.NoErr(err)
+		again, err := r.Apply(t.Context(), c)
+		is.NoErr(err)
+		is.Equal(first.Service(), again.Service())
+		count[first.Service().Name()]++
+	}
+	is.True(count["one"] > 2800 && count["one"] < 3200)
+}
+
+// Guards against a call that outlives the caller's or the route's time.
+func TestDeadline(t *testing.T) {
+	is := is.New(t)
+	r := router.New()
+	r.Adopt(table(1))
+	for path, want := range map[string]time.Duration{"/a/x": 10 * time.Second, "/a/b/x": 2 * time.Second} {
+		got, err := r.Apply(t.Context(), call("id", "a.example", path, router.WithPatience(10*time.Second)))
+		is.NoErr(err)
+		is.Equal(got.Deadline().Sub(got.Received()), want)
+	}
+}
--- /dev/null
+++ b/tracker/tracker_test.go
@@ -0,0 +1,125 @@
+package tracker_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/tracker"
+)
+
+var adapter = connector.NewModel("base", "a1", "")
+
+func entry(id, address string, draining bool, born int64, held map[connector.Model]int64) tracker.Entry {
+	return tracker.NewEntry(id, "svc", address, "z1", 4, draining, born, 0, held)
+}
+
+func kind(e tracker.Event) string { return fmt.Sprintf("%T", e) }
+
+// Guards against work for an endpoint that is leaving or gone, and against the loss
+// of one whose entry only lapsed while the store was away.
+func TestLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := tracker.New(map[string]string{"z1": "r1"})
+		is.Equal(kind(f.Listed(entry("e1", "1.1.1.1:1", false, 1, nil))), "tracker.Arrived")
+		is.Equal(len(f.Current().Usable("svc")), 1)
+		is.Equal(f.Current().Endpoint("e1").Region(), "r1")
+		is.Equal(kind(f.Removed("e1", 2*time.Second)), "tracker.Lapsed")
+		is.Equal(len(f.Current().Usable("svc")), 1)
+		is.Equal(f.Listed(entry("e1", "1.1.1.1:1", false, 1, nil)), nil)
+		time.Sleep(3 * time.Second)
+		is.Equal(len(f.Expire()), 0) // it came back
+		is.Equal(kind(f.Removed("e1", 2*time.Second)), "tracker.Lapsed")
+		time.Sleep(3 * time.Second)
+		is.Equal(len(f.Expire()), 1)
+		is.Equal(len(f.Current().Usable("svc")), 0)
+
+		f.Listed(entry("e2", "1.1.1.2:1", false, 1, nil))
+		is.Equal(kind(f.Listed(entry("e2", "1.1.1.2:1", true, 1, nil))), "tracker.Draining")
+		is.Equal(len(f.Current().Usable("svc")), 0)
+		is.Equal(kind(f.Removed("e2", 2*time.Second)), "tracker.Gone") // a leaving endpoint does not lapse
+	})
+}
+
+// Guards against counters and models of an earlier process under the same id.
+func TestRestart(t *testing.T) {
+	is := is.New(t)
+	f := tracker.New(nil)
+	f.Listed(entry("e1", "1.1.1.1:1", false, 1, map[connector.Model]int64{adapter: 1}))
+	old := f.Current().Endpoint("e1")
+	is.True(old.Holds(adapter, 1))
+	f.Listed(entry("e1", "1.1.1.1:1", false, 2, nil))
+	is.True(f.Current().Endpoint("e1") != old)
+	is.True(!f.Current().Endpoint("e1").Holds(adapter, 1))
+}
+
+// Guards against an entry, which is seconds old, that undoes what a call has just
+// seen.
+func TestBeliefs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := tracker.New(nil)
+		held := map[connector.Model]int64{adapter: 1}
+		f.Listed(entry("e1", "1.1.1.1:1", false, 1, held))
+		e := f.Current().Endpoint("e1")
+		e.Learn(adapter, 0, false)
+		f.Listed(entry("e1", "1.1.1.1:1", false, 1, held))
+		is.True(!e.Holds(adapter, 1))
+		is.True(e.HeldBefore(adapter))
+		time.Sleep(5 * time.Second)
+		f.Listed(entry("e1", "1.1.1.1:1", false, 1, held))
+		is.True(e.Holds(adapter, 1))
+		is.True(!e.Holds(adapter, 2)) // a newer version is asked for
+	})
+}
+
+// Guards against an endpoint that goes up and down and gets work at once each time.
+func TestEjection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := tracker.New(nil)
+		f.Listed(entry("e1", "1.1.1.1:1", false, 1, nil))
+		e := f.Current().Endpoint("e1")
+		first := e.Broke()
+		is.True(e.Ejected(time.Now()))
+		is.Equal(e.Broke(), 2*first)
+		for range 20 {
+			e.Broke()
+		}
+		is.True(e.Broke() <= 8*time.Second)
+		time.Sleep(9 * time.Second)
+		is.True(!e.Ejected(time.Now()))
+		e.Succeeded()
+		is.Equal(e.Broke(), first)
+	})
+}
+
+// Guards against a version that falls.
+func TestNamed(t *testing.T) {
+	is := is.New(t)
+	f := tracker.New(nil)
+	is.True(f.Name(adapter, 3))
+	is.True(!f.Name(adapter, 2))
+	is.Equal(f.Current().Named(adapter), int64(3))
+}
+
+// Guards against a load estimate that forgets the calls of other hosts or its own.
+func TestBusy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := tracker.New(nil)
+		f.Listed(entry("e1", "1.1.1.1:1", false, 1, nil))
+		e := f.Current().Endpoint("e1")
+		e.Begin()
+		e.Report(5, 2) // six of other hosts
+		e.Begin()
+		is.Equal(e.Busy(time.Now()), 8.0)
+		time.Sleep(2 * time.Second)
+		is.Equal(e.Busy(time.Now()), 2.0) // the report is too old
+	})
+}
