relayer: never say not run after a send without an answer

An idempotent call that was lost and then met a spent budget was refused as not run. Faults after a send that may have run are now unknown.

--- a/exchanger/exchange.go
+++ b/exchanger/exchange.go
@@ -45,19 +45,18 @@
 func (c *Client) Do(ctx context.Context, e *tracker.Endpoint, out *Outbound, maxIdle time.Duration, limit int) (*Answer, error) {
 	l, p, err := c.take(ctx, e, maxIdle, limit)
 	if err != nil {
-		return nil, &Failure{cause: err}
+		return nil, NewFailure(false, err)
 	}
 	x := &exchange{link: l, pool: p, endpoint: e, written: make(chan struct{})}
 	x.unwatch = context.AfterFunc(ctx, x.abort)
 	e.Begin()
 	answer, err := x.run(c.dialect, out)
 	if err != nil {
-		fresh := !l.used
 		x.finish(false)
 		if cause := context.Cause(ctx); cause != nil {
 			err = fmt.Errorf("%w: %w", cause, err)
 		}
-		return nil, &Failure{sent: x.sent.Load(), fresh: fresh, cause: err}
+		return nil, NewFailure(x.sent.Load(), err)
 	}
 	return answer, nil
 }
@@ -183,10 +182,7 @@
 	if meta.loaded {
 		x.endpoint.Report(meta.running, meta.waiting)
 	}
-	return &Answer{
-		status: resp.StatusCode, header: resp.Header, meta: meta, length: resp.ContentLength,
-		body: &body{exchange: x, inner: resp.Body},
-	}, nil
+	return NewAnswer(resp.StatusCode, resp.Header, meta, &body{exchange: x, inner: resp.Body}, resp.ContentLength), nil
 }
 
 // finish gives the connection back, or closes it unless the answer is whole and
@@ -204,7 +200,7 @@
 			keep = max(x.idle-idleMargin, x.idle/2)
 		}
 		now := time.Now()
-		x.link.used, x.link.since, x.link.until = true, now, now.Add(keep)
+		x.link.since, x.link.until = now, now.Add(keep)
 		x.pool.push(x.link)
 	})
 }
--- /dev/null
+++ b/exchanger/exchanger_test.go
@@ -0,0 +1,293 @@
+package exchanger_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/exchanger"
+	"github.com/dragonflyford/dragonflyford/router"
+	"github.com/dragonflyford/dragonflyford/tracker"
+)
+
+// dialect is a small endpoint protocol.
+type dialect struct{}
+
+func (dialect) Header(o *exchanger.Outbound) http.Header {
+	return http.Header{"Id": {o.Call().ID()}}
+}
+
+func (dialect) Meta(_ int, h http.Header) exchanger.Meta {
+	return exchanger.NewMeta(h.Get("Id"), h.Get("Refused") != "", h.Get("Signed") != "")
+}
+
+// peer is an endpoint whose answers are written byte by byte by a script. It
+// counts its connections and the calls on them.
+type peer struct {
+	listener net.Listener
+	mu       sync.Mutex
+	conns    int
+	calls    []string
+}
+
+// serve answers the call with an id on a connection; false closes it.
+type serve func(w net.Conn, id string, n int) bool
+
+func newPeer(t *testing.T, s serve) (*peer, *tracker.Endpoint) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &peer{listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			p.conns++
+			p.mu.Unlock()
+			go p.serve(c, s)
+		}
+	}()
+	fleet := tracker.New(nil)
+	fleet.Listed(tracker.NewEntry("e1", "svc", l.Addr().String(), "z", 4, false, 1, 0, nil))
+	return p, fleet.Current().Endpoint("e1")
+}
+
+func (p *peer) serve(c net.Conn, s serve) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		id := req.Header.Get("Id")
+		p.mu.Lock()
+		p.calls = append(p.calls, id)
+		p.mu.Unlock()
+		if req.ContentLength < 1<<16 {
+			_, _ = io.Copy(io.Discard, req.Body)
+		}
+		if !s(c, id, n) {
+			return
+		}
+	}
+}
+
+func (p *peer) counts() (conns, calls int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conns, len(p.calls)
+}
+
+func reply(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func write(w net.Conn, text string) bool {
+	_, err := io.WriteString(w, text)
+	return err == nil
+}
+
+func reset(w net.Conn) bool {
+	_ = w.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
+type outcome struct {
+	body string
+	err  error
+	sent bool
+}
+
+func do(t *testing.T, c *exchanger.Client, e *tracker.Endpoint, id, body string) outcome {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	call := router.NewCall(id, "POST", "h", "/x", "/x?y=1", http.Header{}, []byte(body))
+	a, err := c.Do(ctx, e, exchanger.NewOutbound(call, e.ID(), time.Now().Add(time.Second)), time.Minute, 10)
+	if err != nil {
+		var f *exchanger.Failure
+		if !errors.As(err, &f) {
+			t.Fatalf("error %T is not a failure", err)
+		}
+		return outcome{err: err, sent: f.Sent()}
+	}
+	defer func() { _ = a.Body().Close() }()
+	data, err := io.ReadAll(a.Body())
+	return outcome{body: string(data), err: err, sent: true}
+}
+
+// Guards against an answer that is not the whole answer to the call.
+func TestAnswers(t *testing.T) {
+	tests := []struct {
+		name  string
+		serve serve
+		want  string
+		fails bool
+	}{
+		{"whole", func(w net.Conn, id string, _ int) bool { return write(w, reply(id, "good")) }, "good", false},
+		{"late answer to another call before it", func(w net.Conn, id string, _ int) bool {
+			return write(w, reply("other", "bad")+reply(id, "good"))
+		}, "good", false},
+		{"answer to another call only", func(w net.Conn, _ string, _ int) bool { return write(w, reply("other", "bad")) && reset(w) }, "", true},
+		{"cut short", func(w net.Conn, id string, _ int) bool { return write(w, reply(id, "good")[:50]) && false }, "", true},
+		{"body cut short", func(w net.Conn, id string, _ int) bool {
+			return write(w, strings.TrimSuffix(reply(id, "good"), "od")) && false
+		}, "go", true},
+		{"chunks without their end", func(w net.Conn, id string, _ int) bool {
+			return write(w, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n") && false
+		}, "good", true},
+		{"no length and closed", func(w net.Conn, id string, _ int) bool {
+			return write(w, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nSigned: 1\r\n\r\ngood") && false
+		}, "good", false},
+		{"no length and reset", func(w net.Conn, id string, _ int) bool {
+			ok := write(w, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nSigned: 1\r\n\r\ngood")
+			time.Sleep(50 * time.Millisecond)
+			return ok && reset(w)
+		}, "good", true},
+		{"not signed", func(w net.Conn, id string, _ int) bool {
+			return write(w, strings.Replace(reply(id, "bad"), "Signed: 1\r\n", "", 1))
+		}, "", true},
+		{"no id", func(w net.Conn, id string, _ int) bool {
+			return write(w, strings.Replace(reply(id, "bad"), "Id: "+id+"\r\n", "", 1))
+		}, "", true},
+		{"no HTTP", func(w net.Conn, _ string, _ int) bool { return write(w, "garbage\r\n\r\n") }, "", true},
+		{"interim answer", func(w net.Conn, id string, _ int) bool {
+			return write(w, "HTTP/1.1 103 Early Hints\r\n\r\n"+reply(id, "good"))
+		}, "good", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			p, e := newPeer(t, tt.serve)
+			c := exchanger.New(dialect{})
+			defer c.Close()
+			got := do(t, c, e, "call-1", "body")
+			is.Equal(got.err != nil, tt.fails)
+			is.Equal(got.body, tt.want)
+			is.True(got.sent)
+			_, calls := p.counts()
+			is.Equal(calls, 1) // a call is never sent twice
+		})
+	}
+}
+
+// Guards against bytes of one exchange that reach the next call on the connection.
+func TestReuse(t *testing.T) {
+	tests := []struct {
+		name  string
+		serve serve
+		body  string
+		conns int
+	}{
+		{"connection is used again", func(w net.Conn, id string, _ int) bool { return write(w, reply(id, id)) }, "", 1},
+		{"bytes after the answer", func(w net.Conn, id string, _ int) bool { return write(w, reply(id, id)+"more") }, "", 3},
+		{"second answer later", func(w net.Conn, id string, _ int) bool {
+			ok := write(w, reply(id, id))
+			time.Sleep(20 * time.Millisecond)
+			return ok && write(w, reply(id, "again"))
+		}, "", 3},
+		{"closed while idle", func(w net.Conn, id string, _ int) bool { return write(w, reply(id, id)) && false }, "", 3},
+		{"asked to close", func(w net.Conn, id string, _ int) bool {
+			return write(w, strings.Replace(reply(id, id), "Id:", "Connection: close\r\nId:", 1))
+		}, "", 3},
+		{"answered before the long body was read", func(w net.Conn, id string, _ int) bool {
+			ok := write(w, reply(id, id))
+			time.Sleep(200 * time.Millisecond)
+			return ok && false
+		}, strings.Repeat("x", 8<<20), 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			p, e := newPeer(t, tt.serve)
+			c := exchanger.New(dialect{})
+			defer c.Close()
+			for i := range 3 {
+				id := fmt.Sprint("call-", i)
+				got := do(t, c, e, id, tt.body)
+				is.NoErr(got.err)
+				is.Equal(got.body, id)
+				time.Sleep(50 * time.Millisecond)
+			}
+			conns, calls := p.counts()
+			is.Equal(calls, 3)
+			is.Equal(conns, tt.conns)
+		})
+	}
+}
+
+// Guards against a call that counts as sent although nobody listens.
+func TestNotSent(t *testing.T) {
+	is := is.New(t)
+	p, e := newPeer(t, nil)
+	_ = p.listener.Close()
+	c := exchanger.New(dialect{})
+	defer c.Close()
+	got := do(t, c, e, "call-1", "")
+	is.True(got.err != nil)
+	is.True(!got.sent)
+	is.Equal(e.Outstanding(), 0)
+}
+
+// Guards against work that goes on at an endpoint after its caller has left.
+func TestCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan time.Time, 1)
+	_, e := newPeer(t, func(w net.Conn, id string, _ int) bool {
+		_ = write(w, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n")
+		_, _ = w.Read(make([]byte, 1))
+		closed <- time.Now()
+		return false
+	})
+	c := exchanger.New(dialect{})
+	defer c.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	call := router.NewCall("call-1", "GET", "h", "/x", "/x", http.Header{}, nil)
+	a, err := c.Do(ctx, e, exchanger.NewOutbound(call, e.ID(), time.Now().Add(time.Minute)), time.Minute, 10)
+	is.NoErr(err)
+	left := time.Now()
+	cancel()
+	_, err = io.ReadAll(a.Body())
+	is.True(err != nil)
+	is.NoErr(a.Body().Close())
+	is.True((<-closed).Sub(left) < 500*time.Millisecond)
+	is.Equal(e.Outstanding(), 0)
+}
+
+// Guards against more connections than this host's share.
+func TestConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	hold := make(chan struct{})
+	defer close(hold)
+	_, e := newPeer(t, func(net.Conn, string, int) bool { <-hold; return false })
+	c := exchanger.New(dialect{})
+	defer c.Close()
+	call := router.NewCall("call-1", "GET", "h", "/x", "/x", http.Header{}, nil)
+	for range 2 {
+		go func() {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			_, _ = c.Do(ctx, e, exchanger.NewOutbound(call, "e1", time.Now().Add(time.Second)), time.Minute, 2)
+		}()
+	}
+	time.Sleep(200 * time.Millisecond)
+	_, err := c.Do(t.Context(), e, exchanger.NewOutbound(call, "e1", time.Now().Add(time.Second)), time.Minute, 2)
+	is.True(exchanger.IsLimit(err))
+}
--- a/exchanger/message.go
+++ b/exchanger/message.go
@@ -111,7 +111,6 @@
 // Failure is a call without an answer.
 type Failure struct {
 	sent  bool
-	fresh bool
 	cause error
 }
 
@@ -119,9 +118,6 @@
 // it may have run.
 func (f *Failure) Sent() bool { return f.sent }
 
-// Fresh reports whether the connection had carried no call before.
-func (f *Failure) Fresh() bool { return f.fresh }
-
 func (f *Failure) Error() string {
 	if f.sent {
 		return fmt.Sprintf("call was sent and has no answer: %v", f.cause)
@@ -141,6 +137,14 @@
 	length int64
 }
 
+// NewAnswer returns an answer; length is that of the body or -1.
+func NewAnswer(status int, h http.Header, m Meta, body io.ReadCloser, length int64) *Answer {
+	return &Answer{status: status, header: h, meta: m, body: body, length: length}
+}
+
+// NewFailure returns a failure.
+func NewFailure(sent bool, cause error) *Failure { return &Failure{sent: sent, cause: cause} }
+
 // Status returns the HTTP status.
 func (a *Answer) Status() int { return a.status }
 
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -31,7 +31,6 @@
 type link struct {
 	net.Conn
 	reader *bufio.Reader
-	used   bool
 	until  time.Time // idle use ends
 	since  time.Time // idle since
 }
--- a/relayer/carriage.go
+++ b/relayer/carriage.go
@@ -86,12 +86,23 @@
 	abort   context.CancelCauseFunc // of the latest send
 	missing *tracker.Endpoint       // engine that refused because it does not hold the model
 	unuse   func()                  // ends the use of the model at the latest endpoint
+	ran     bool                    // whether an endpoint may have run the call
 	leave   bool                    // whether the next send is counted as a repeat already
 	event   string                  // last event of a resumed stream
 	version int64                   // of the model at the chosen endpoint
 }
 
+// run carries the call to endpoints until one answers. A fault says that the call
+// did not run only if no endpoint may have run it.
 func (c *carriage) run() (*Answer, error) {
+	answer, err := c.try()
+	if err != nil && c.ran {
+		return nil, classifier.AsUnknown(classifier.Of(err))
+	}
+	return answer, err
+}
+
+func (c *carriage) try() (*Answer, error) {
 	var last error
 	for range maxSteps {
 		if err := c.expired(); err != nil {
@@ -271,14 +282,14 @@
 			return unsent{err}
 		}
 		c.sends++
-		c.sent[e] = true
+		c.sent[e], c.ran = true, true
 		return lost{err}
 	}
 	c.sends++
 	if answer.Meta().Refused() {
 		return refused{answer}
 	}
-	c.sent[e] = true
+	c.sent[e], c.ran = true, true
 	if _, live := c.call.Route().Repeat().(router.Stream); !live {
 		if err := answer.Buffer(maxBuffered); err != nil {
 			return lost{err}
--- /dev/null
+++ b/relayer/relayer_test.go
@@ -0,0 +1,384 @@
+package relayer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/exchanger"
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/relayer"
+	"github.com/dragonflyford/dragonflyford/router"
+	"github.com/dragonflyford/dragonflyford/screener"
+	"github.com/dragonflyford/dragonflyford/selector"
+	"github.com/dragonflyford/dragonflyford/supplier"
+	"github.com/dragonflyford/dragonflyford/tracker"
+)
+
+var errCut = errors.New("connection reset")
+
+// reaction is what an endpoint does with a call.
+type reaction func(ctx context.Context, out *exchanger.Outbound) (*exchanger.Answer, error)
+
+func answers(status int, body string) reaction {
+	return func(_ context.Context, out *exchanger.Outbound) (*exchanger.Answer, error) {
+		return answer(status, out, false, strings.NewReader(body), int64(len(body))), nil
+	}
+}
+
+func answer(status int, out *exchanger.Outbound, refused bool, body io.Reader, n int64) *exchanger.Answer {
+	return exchanger.NewAnswer(status, http.Header{}, exchanger.NewMeta(out.Call().ID(), refused, true), io.NopCloser(body), n)
+}
+
+func refuses(status int) reaction {
+	return func(_ context.Context, out *exchanger.Outbound) (*exchanger.Answer, error) {
+		return answer(status, out, true, strings.NewReader(""), 0), nil
+	}
+}
+
+func loses(context.Context, *exchanger.Outbound) (*exchanger.Answer, error) {
+	return nil, exchanger.NewFailure(true, errCut)
+}
+
+func unreachable(context.Context, *exchanger.Outbound) (*exchanger.Answer, error) {
+	return nil, exchanger.NewFailure(false, errCut)
+}
+
+func hangs(ctx context.Context, _ *exchanger.Outbound) (*exchanger.Answer, error) {
+	<-ctx.Done()
+	return nil, exchanger.NewFailure(true, context.Cause(ctx))
+}
+
+// breaks answers with events and then breaks off.
+func breaks(first, last int, end error) reaction {
+	return func(_ context.Context, out *exchanger.Outbound) (*exchanger.Answer, error) {
+		var text strings.Builder
+		for i := first; i <= last; i++ {
+			_, _ = fmt.Fprintf(&text, "id: %d\ndata: %d\n\n", i, i)
+		}
+		if end != nil {
+			text.WriteString("id: 99\nda") // cut in the middle of an event
+		}
+		return answer(200, out, false, io.MultiReader(strings.NewReader(text.String()), failing{end}), -1), nil
+	}
+}
+
+type failing struct{ err error }
+
+func (f failing) Read([]byte) (int, error) {
+	if f.err == nil {
+		return 0, io.EOF
+	}
+	return 0, f.err
+}
+
+// rig is a relayer with two endpoints.
+type rig struct {
+	*relayer.Relayer
+	fleet    *tracker.Tracker
+	mu       sync.Mutex
+	script   map[string][]reaction // by endpoint; the last one stays
+	sent     []string
+	resumed  []string
+	accused  int
+	repeats  int
+	budget   int
+	supplies []supplier.Supply
+	asked    int
+}
+
+func newRig(script map[string][]reaction) *rig {
+	r := &rig{script: script, fleet: tracker.New(nil), budget: 100}
+	for id := range script {
+		r.fleet.Listed(tracker.NewEntry(id, "svc", "1.1.1.1:1", "z", 8, false, 1, 0,
+			map[connector.Model]int64{connector.NewModel("base", "", ""): 1}))
+	}
+	r.Relayer = relayer.New(selector.New(r.fleet, "z", ""), r, r, r, r, func() int { return 1 }, logger.Nop())
+	return r
+}
+
+func (r *rig) Do(ctx context.Context, e *tracker.Endpoint, out *exchanger.Outbound, _ time.Duration, _ int) (*exchanger.Answer, error) {
+	r.mu.Lock()
+	list := r.script[e.ID()]
+	if len(list) > 1 {
+		r.script[e.ID()] = list[1:]
+	}
+	r.sent = append(r.sent, e.ID())
+	r.resumed = append(r.resumed, out.LastEvent())
+	r.mu.Unlock()
+	return list[0](ctx, out)
+}
+
+func (r *rig) Procure(context.Context, *tracker.Endpoint, connector.Model, ...supplier.WantOption) (supplier.Supply, error) {
+	r.asked++
+	if len(r.supplies) == 0 {
+		return supplier.NewGranted(1, 0), nil
+	}
+	s := r.supplies[0]
+	r.supplies = r.supplies[1:]
+	if s == nil {
+		return nil, errors.New("owner does not answer")
+	}
+	return s, nil
+}
+
+func (r *rig) Use(string, connector.Model) func() { return func() {} }
+func (r *rig) Request(string)                     {}
+func (r *rig) Broke(screener.Mark)                { r.accused++ }
+
+func (r *rig) Repeat(string) bool {
+	if r.repeats >= r.budget {
+		return false
+	}
+	r.repeats++
+	return true
+}
+
+func screened(t *testing.T, kind router.Repeat, attempts int, m connector.Model) *screener.Screened {
+	t.Helper()
+	var engines *router.Engines
+	if m.Base() != "" {
+		engines = router.NewEngines(8, 4, 100, nil)
+	}
+	routes := router.New()
+	routes.Adopt(router.NewTable(1, []*router.Route{
+		router.NewRoute("r", "h", "/", kind, 5*time.Second, time.Second, 1, attempts, []router.Target{router.NewTarget("svc", 1)}),
+	}, []*router.Service{router.NewService("svc", 100, engines)}))
+	call := router.NewCall("id", "POST", "h", "/x", "/x", http.Header{}, nil, router.WithModel(m), router.WithPatience(4*time.Second))
+	routed, err := routes.Apply(t.Context(), call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := screener.New(logger.Nop()).Apply(t.Context(), routed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Guards against work that runs twice, against a refusal of work that may have run,
+// and against work that is given up although another endpoint could do it.
+func TestPlainCalls(t *testing.T) {
+	both := func(list ...reaction) map[string][]reaction { // the same for either endpoint
+		return map[string][]reaction{"e1": list, "e2": list}
+	}
+	tests := []struct {
+		name     string
+		kind     router.Repeat
+		attempts int
+		script   map[string][]reaction
+		budget   int
+		sent     int
+		status   int // of the answer
+		outcome  classifier.Outcome
+	}{
+		{"answered", router.Once{}, 1, both(answers(200, "ok")), 9, 1, 200, nil},
+		{"own error of the endpoint is passed on", router.Once{}, 2, both(answers(500, "no")), 9, 1, 500, nil},
+		{"once and lost", router.Once{}, 3, both(loses), 9, 1, 0, classifier.Unknown{}},
+		{"once and no answer in time", router.Once{}, 3, both(hangs), 9, 1, 0, classifier.Unknown{}},
+		{"once and refused, one endpoint allowed", router.Once{}, 1, both(refuses(503)), 9, 1, 0, classifier.NotRun{}},
+		{"once and refused, two allowed", router.Once{}, 2, both(refuses(503)), 9, 2, 0, classifier.NotRun{}},
+		{"once and unreachable", router.Once{}, 1, both(unreachable), 9, 2, 0, classifier.NotRun{}},
+		{"idempotent and lost", router.Idempotent{}, 2, both(loses), 9, 2, 0, classifier.Unknown{}},
+		{"idempotent, lost, no budget", router.Idempotent{}, 2, both(loses), 0, 1, 0, classifier.Unknown{}},
+		{"idempotent, one endpoint allowed", router.Idempotent{}, 1, both(loses), 9, 1, 0, classifier.Unknown{}},
+		{"idempotent and errors", router.Idempotent{}, 2, both(answers(500, "no")), 9, 2, 500, nil},
+		{"idempotent and errors, no budget", router.Idempotent{}, 2, both(answers(500, "no")), 0, 1, 500, nil},
+		{"stream and lost", router.NewStream(false, time.Second), 2, both(loses), 9, 1, 0, classifier.Unknown{}},
+		{"resumable stream and lost", router.NewStream(true, time.Second), 2, both(loses), 9, 2, 0, classifier.Unknown{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newRig(tt.script)
+				r.budget = tt.budget
+				a, err := r.Apply(t.Context(), screened(t, tt.kind, tt.attempts, connector.Model{}))
+				is.Equal(len(r.sent), tt.sent)
+				if tt.status != 0 {
+					is.NoErr(err)
+					is.Equal(a.Status(), tt.status)
+					is.NoErr(a.Body().Close())
+					return
+				}
+				is.Equal(classifier.Of(err).Outcome(), tt.outcome)
+				if tt.outcome == (classifier.NotRun{}) {
+					is.True(classifier.Of(err).RetryAfter() > 0)
+				}
+			})
+		})
+	}
+}
+
+// Guards against idempotent work that waits for a hanging endpoint to its deadline.
+func TestSlowEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(map[string][]reaction{"e1": {hangs}, "e2": {hangs}})
+		good := answers(200, "ok")
+		first := true
+		for id := range r.script {
+			r.script[id] = []reaction{func(ctx context.Context, out *exchanger.Outbound) (*exchanger.Answer, error) {
+				if first {
+					first = false
+					return hangs(ctx, out)
+				}
+				return good(ctx, out)
+			}}
+		}
+		began := time.Now()
+		a, err := r.Apply(t.Context(), screened(t, router.Idempotent{}, 2, connector.Model{}))
+		is.NoErr(err)
+		is.NoErr(a.Body().Close())
+		is.True(time.Since(began) < time.Second)
+	})
+}
+
+// Guards against a caller that left whose call is sent once more.
+func TestCallerLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(map[string][]reaction{"e1": {hangs}, "e2": {hangs}})
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, cancel)
+		_, err := r.Apply(ctx, screened(t, router.Idempotent{}, 2, connector.Model{}))
+		var gone *classifier.Canceled
+		is.True(errors.As(err, &gone))
+		is.Equal(len(r.sent), 1)
+		is.Equal(r.accused, 0)
+	})
+}
+
+// Guards against a stream with a missing, doubled or torn event after its endpoint
+// broke off, and against one that looks complete although it is not.
+func TestResume(t *testing.T) {
+	tests := []struct {
+		name   string
+		kind   router.Stream
+		first  reaction
+		second reaction
+		want   string
+		fails  bool
+		sent   int
+	}{
+		{"whole", router.NewStream(true, time.Second), breaks(0, 3, nil), nil, "0123", false, 1},
+		{"broken and resumed", router.NewStream(true, time.Second), breaks(0, 1, errCut), breaks(2, 3, nil), "0123", false, 2},
+		{"resumed too early", router.NewStream(true, time.Second), breaks(0, 1, errCut), breaks(0, 3, nil), "0123", false, 2},
+		{"broken before its first event", router.NewStream(true, time.Second), breaks(0, -1, errCut), breaks(0, 3, nil), "0123", false, 2},
+		{"broken twice", router.NewStream(true, time.Second), breaks(0, 1, errCut), breaks(2, 2, errCut), "012", true, 2},
+		{"error where it should go on", router.NewStream(true, time.Second), breaks(0, 1, errCut), answers(500, "no"), "01", true, 2},
+		{"not resumable", router.NewStream(false, time.Second), breaks(0, 1, errCut), nil, "01", true, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newRig(map[string][]reaction{"e1": nil, "e2": nil})
+				n := 0
+				step := func(ctx context.Context, out *exchanger.Outbound) (*exchanger.Answer, error) {
+					if n++; n == 1 {
+						return tt.first(ctx, out)
+					}
+					return tt.second(ctx, out)
+				}
+				r.script = map[string][]reaction{"e1": {step}, "e2": {step}}
+				a, err := r.Apply(t.Context(), screened(t, tt.kind, 2, connector.Model{}))
+				is.NoErr(err)
+				is.True(a.Live())
+				data, err := io.ReadAll(a.Body())
+				is.NoErr(a.Body().Close())
+				is.Equal(err != nil, tt.fails)
+				got := ""
+				for line := range strings.Lines(string(data)) {
+					if value, ok := strings.CutPrefix(line, "data: "); ok {
+						got += strings.TrimSpace(value)
+					}
+				}
+				is.Equal(got, tt.want)
+				is.Equal(len(r.sent), tt.sent)
+			})
+		})
+	}
+}
+
+// Guards against a resumable stream that waits for an endpoint that fell silent.
+func TestStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(map[string][]reaction{"e1": nil, "e2": nil})
+		n := 0
+		step := func(ctx context.Context, out *exchanger.Outbound) (*exchanger.Answer, error) {
+			if n++; n > 1 {
+				return breaks(1, 2, nil)(ctx, out)
+			}
+			pipe, w := io.Pipe()
+			go func() { _, _ = io.WriteString(w, "id: 0\ndata: 0\n\n") }()
+			return exchanger.NewAnswer(200, http.Header{}, exchanger.NewMeta("id", false, true), pipe, -1), nil
+		}
+		r.script = map[string][]reaction{"e1": {step}, "e2": {step}}
+		began := time.Now()
+		a, err := r.Apply(t.Context(), screened(t, router.NewStream(true, 300*time.Millisecond), 2, connector.Model{}))
+		is.NoErr(err)
+		_, err = io.ReadAll(a.Body())
+		is.NoErr(err)
+		is.NoErr(a.Body().Close())
+		is.True(time.Since(began) < 2*time.Second)
+		is.Equal(r.resumed, []string{"", "0"})
+	})
+}
+
+// Guards against a call for a model that is sent before the model is there, sent to
+// an engine that declined, or given up while another engine would do.
+func TestModel(t *testing.T) {
+	m := connector.NewModel("base", "a1", "")
+	tests := []struct {
+		name     string
+		supplies []supplier.Supply
+		first    reaction
+		sent     int
+		asked    int
+		wait     time.Duration
+		fails    bool
+	}{
+		{"granted", []supplier.Supply{supplier.NewGranted(1, 300*time.Millisecond)}, answers(200, "ok"), 1, 1, 300 * time.Millisecond, false},
+		{"declined once", []supplier.Supply{supplier.NewDeclined("full", time.Second)}, answers(200, "ok"), 1, 2, 0, false},
+		{"declined twice", []supplier.Supply{supplier.NewDeclined("full", time.Second), supplier.NewDeclined("full", time.Second)}, nil, 0, 2, 0, true},
+		{"no owner", []supplier.Supply{nil, nil}, nil, 0, 2, 0, true},
+		{"still loading", nil, refuses(421), 2, 2, 60 * time.Millisecond, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newRig(map[string][]reaction{"e1": nil, "e2": nil})
+				r.supplies = tt.supplies
+				for id := range r.script {
+					r.script[id] = []reaction{tt.first, answers(200, "ok")}
+				}
+				began := time.Now()
+				a, err := r.Apply(t.Context(), screened(t, router.NewStream(false, time.Second), 1, m))
+				is.Equal(time.Since(began), tt.wait)
+				is.Equal(len(r.sent), tt.sent)
+				is.Equal(r.asked, tt.asked)
+				is.Equal(err != nil, tt.fails)
+				if err == nil {
+					is.NoErr(a.Body().Close())
+					return
+				}
+				is.Equal(classifier.Of(err).Outcome(), classifier.NotRun{})
+				is.True(classifier.Of(err).RetryAfter() > 0)
+			})
+		})
+	}
+}
