--- /dev/null
+++ b/mirrorer/mirrorer_test.go
@@ -0,0 +1,83 @@
+package mirrorer_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/mirrorer"
+	"github.com/dragonflyford/dragonflyford/storer"
+)
+
+type sink struct{ learned int }
+
+func (s *sink) Replace(rows []storer.Change)          { s.learned += len(rows) }
+func (s *sink) Learn(rows []storer.Change)            { s.learned += len(rows) }
+func (s *sink) Contact(storer.Version, time.Duration) {}
+
+func row(key string, v storer.Version) storer.Change {
+	return storer.NewChange(storer.NewRow(key, nil, v))
+}
+
+// Guards against a change that a following host misses, and against a copy whose
+// age is hidden.
+func TestFollow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		next := &sink{}
+		m := mirrorer.New(next)
+		_, err := m.Snapshot()
+		is.True(errors.Is(err, storer.ErrUnavailable)) // nothing is known yet
+		m.Replace([]storer.Change{row("a", 1), row("b", 2)})
+		m.Contact(5, 100*time.Second)
+		whole, err := m.Snapshot()
+		is.NoErr(err)
+		is.Equal(len(whole.Changes().List()), 2)
+		is.Equal(whole.Changes().Version(), storer.Version(5))
+
+		_, err = m.Follow(t.Context(), 3, time.Second)
+		is.True(errors.Is(err, storer.ErrHistoryLost)) // changes between 3 and 5 are not known
+
+		go func() {
+			time.Sleep(time.Second)
+			m.Learn([]storer.Change{row("c", 7), storer.NewRemoval("a", 8)})
+			m.Contact(8, 101*time.Second)
+		}()
+		got, err := m.Follow(t.Context(), 5, 10*time.Second)
+		is.NoErr(err)
+		is.Equal(len(got.Changes().List()), 2)
+		is.Equal(got.Changes().Version(), storer.Version(8))
+		is.Equal(next.learned, 4)
+
+		time.Sleep(3 * time.Second)
+		got, err = m.Follow(t.Context(), 8, 0)
+		is.NoErr(err)
+		is.Equal(got.Age(), 3*time.Second)
+		is.Equal(got.Changes().Clock(), 104*time.Second)
+		whole, err = m.Snapshot()
+		is.NoErr(err)
+		is.Equal(len(whole.Changes().List()), 2) // b and c
+	})
+}
+
+// Guards against a history that grows without bound, and against changes that fall
+// out of it unnoticed.
+func TestHistory(t *testing.T) {
+	is := is.New(t)
+	m := mirrorer.New(&sink{})
+	m.Replace(nil)
+	m.Contact(1, 0)
+	for v := storer.Version(2); v < 5000; v++ {
+		m.Learn([]storer.Change{row(fmt.Sprint(v), v)})
+		m.Contact(v, 0)
+	}
+	_, err := m.Follow(t.Context(), 100, 0)
+	is.True(errors.Is(err, storer.ErrHistoryLost))
+	got, err := m.Follow(t.Context(), 4900, 0)
+	is.NoErr(err)
+	is.Equal(len(got.Changes().List()), 99)
+}
--- /dev/null
+++ b/subscriber/subscriber_test.go
@@ -0,0 +1,104 @@
+package subscriber_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/mirrorer"
+	"github.com/dragonflyford/dragonflyford/storer"
+	"github.com/dragonflyford/dragonflyford/subscriber"
+)
+
+// feed counts its calls.
+type feed struct{ calls int }
+
+func (f *feed) Snapshot(context.Context) (storer.Changes, error) {
+	f.calls++
+	return storer.NewChanges(nil, 1, 0), nil
+}
+
+func (f *feed) Follow(context.Context, storer.Version, time.Duration) (storer.Changes, error) {
+	f.calls++
+	return storer.NewChanges(nil, 1, 0), nil
+}
+
+// remote answers with copies of an age, or not at all.
+type remote struct {
+	age   time.Duration
+	err   error
+	calls int
+}
+
+func (r *remote) Snapshot(context.Context, string, string) (mirrorer.Copy, error) {
+	r.calls++
+	return mirrorer.NewCopy(storer.NewChanges(nil, 1, 0), r.age), r.err
+}
+
+func (r *remote) Follow(ctx context.Context, address, table string, _ storer.Version, _ time.Duration) (mirrorer.Copy, error) {
+	return r.Snapshot(ctx, address, table)
+}
+
+// Guards against a host that trusts another one that has lost the store, and
+// against calls to the store that another host makes already.
+func TestSource(t *testing.T) {
+	tests := []struct {
+		name           string
+		remote         remote
+		store, remote2 int // calls of ten
+	}{
+		{"fresh copy", remote{}, 0, 10},
+		{"old copy", remote{age: 2 * time.Second}, 10, 1},
+		{"no answer", remote{err: errors.New("silent")}, 10, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := &feed{}
+				// The names are chosen so that the other host is first by hash.
+				peers := func() []subscriber.Peer { return []subscriber.Peer{subscriber.NewPeer(first("self"), "x:1")} }
+				s := subscriber.New("t", store, &tt.remote, "self", peers, time.Second, logger.Nop())
+				for range 10 {
+					_, err := s.Follow(t.Context(), 0, time.Second)
+					is.NoErr(err)
+				}
+				is.Equal(store.calls, tt.store)
+				is.Equal(tt.remote.calls, tt.remote2)
+				time.Sleep(10 * time.Second)
+				_, err := s.Follow(t.Context(), 0, time.Second)
+				is.NoErr(err)
+				is.True(tt.remote.calls > tt.remote2) // it is tried again later
+			})
+		})
+	}
+}
+
+// first returns a host that follows the table at the store for a host.
+func first(self string) string {
+	for i := range 100 {
+		name := "peer-" + string(rune('a'+i%26)) + string(rune('a'+i/26))
+		store, r := &feed{}, &remote{}
+		peers := func() []subscriber.Peer { return []subscriber.Peer{subscriber.NewPeer(name, "x:1")} }
+		s := subscriber.New("t", store, r, self, peers, time.Second, logger.Nop())
+		if _, err := s.Follow(context.Background(), 0, 0); err == nil && r.calls == 1 {
+			return name
+		}
+	}
+	return ""
+}
+
+// Guards against a host without others that follows nothing.
+func TestAlone(t *testing.T) {
+	is := is.New(t)
+	store := &feed{}
+	s := subscriber.New("t", store, &remote{}, "self", func() []subscriber.Peer { return nil }, time.Second, logger.Nop())
+	_, err := s.Snapshot(t.Context())
+	is.NoErr(err)
+	is.Equal(store.calls, 1)
+}
