--- a/relayer/carriage.go
+++ b/relayer/carriage.go
@@ -24,12 +24,15 @@
 	maxSteps = 8
 	// maxSends bounds how often a call is sent, refusals included.
 	maxSends = 4
+	// maxDeclines is how many engines may decline a call. More engines that load the
+	// same adapter only make the weight store slower.
+	maxDeclines = 3
 	// maxResends bounds how often a call is sent to one engine that is still
 	// loading its model.
 	maxResends = 2
 	// loadingPause is the wait before a call is sent again to an engine that is
 	// still loading.
-	loadingPause = 60 * time.Millisecond
+	loadingPause = 100 * time.Millisecond
 	// patienceShare is the part of the objective after which idempotent work is
 	// sent to another endpoint.
 	patienceShare = 0.7
@@ -76,20 +79,21 @@
 
 // carriage is one call on its way.
 type carriage struct {
-	relayer *Relayer
-	call    *screener.Screened
-	ctx     context.Context
-	sent    map[*tracker.Endpoint]bool // endpoints that the call was sent to
-	avoided map[*tracker.Endpoint]bool
-	sends   int
-	resends int
-	abort   context.CancelCauseFunc // of the latest send
-	missing *tracker.Endpoint       // engine that refused because it does not hold the model
-	unuse   func()                  // ends the use of the model at the latest endpoint
-	ran     bool                    // whether an endpoint may have run the call
-	leave   bool                    // whether the next send is counted as a repeat already
-	event   string                  // last event of a resumed stream
-	version int64                   // of the model at the chosen endpoint
+	relayer  *Relayer
+	call     *screener.Screened
+	ctx      context.Context
+	sent     map[*tracker.Endpoint]bool // endpoints that the call was sent to
+	avoided  map[*tracker.Endpoint]bool
+	sends    int
+	resends  int
+	declines int                     // engines that had no place
+	abort    context.CancelCauseFunc // of the latest send
+	missing  *tracker.Endpoint       // engine that refused because it does not hold the model
+	unuse    func()                  // ends the use of the model at the latest endpoint
+	ran      bool                    // whether an endpoint may have run the call
+	leave    bool                    // whether the next send is counted as a repeat already
+	event    string                  // last event of a resumed stream
+	version  int64                   // of the model at the chosen endpoint
 }
 
 // run carries the call to endpoints until one answers. A fault says that the call
@@ -116,6 +120,9 @@
 			return nil, err
 		}
 		if last = c.prepare(choice); last != nil {
+			if c.declines >= maxDeclines {
+				return nil, last
+			}
 			continue
 		}
 		answer, err := c.attempt(choice)
@@ -182,6 +189,7 @@
 		return nil
 	case supplier.Declined:
 		c.avoided[e] = true
+		c.declines++
 		return classifier.NewOverloaded("the engine has no place: "+s.Reason(), classifier.RetryAfter(max(s.Wait(), retrySoon)))
 	}
 	if choice.Present() && c.missing != e {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -26,8 +26,10 @@
 	// with three times its slots in use.
 	failurePenalty = 3.0
 	// spread is how many more calls than the least busy engine a first choice may
-	// have, as a share of the slots, before the next choice is taken.
-	spread = 0.15
+	// have, as a share of the slots, before the next choice is taken. The owners of
+	// the engines see to it that prompts come one after the other, so that a busier
+	// engine costs little and a load elsewhere costs much.
+	spread = 0.5
 	// fullFactor is the number of calls per slot from which an endpoint is given
 	// no more.
 	fullFactor = 1.25
--- a/supplier/keeper.go
+++ b/supplier/keeper.go
@@ -26,16 +26,16 @@
 	// maxCold is how many of them may come from the weight store. Loads slow each
 	// other down, so one after the other is there sooner than all at once.
 	maxCold = 1
-	// maxQueue is how many adapters wait for their load. More are better loaded by
-	// another engine.
-	maxQueue = 3
+	// maxLoadWait is how long a load may wait for others.
+	maxLoadWait = 900 * time.Millisecond
 	// minIdle is how long an adapter must be unused before it makes room.
 	minIdle       = time.Second
 	promptRate    = 20.0 // tokens that an engine reads in a millisecond
 	promptMargin  = 1.15 // leaves time for streams between two prompts
 	stepTime      = 10 * time.Millisecond
-	coldLoad      = 270 * time.Millisecond // of an adapter from the weight store
 	warmLoad      = 35 * time.Millisecond  // of an adapter that the engine's host still has
+	lateLoad      = 150 * time.Millisecond // of one that was not there when it was due
+	slowLoad      = 2 * time.Second        // a load that takes longer has failed
 	unknownLoad   = 500 * time.Millisecond // of one that an earlier owner ordered
 	baseRetry     = 3 * time.Second        // between two orders for a base model
 	tendInterval  = 500 * time.Millisecond
@@ -259,7 +259,11 @@
 	if !k.learn(ctx) {
 		return NewDeclined("engine does not answer its owner", retryDeclined)
 	}
-	if w.missing && k.stock.coming[w.model].due.IsZero() && now.Sub(k.stock.loaded[w.model]) > reportLag {
+	if w.missing && now.Sub(k.stock.loaded[w.model]) < slowLoad {
+		k.supplier.pace.late()
+		// The load takes longer than was planned.
+		k.stock.coming[w.model] = arrival{version: max(w.version, k.stock.held[w.model]), due: now.Add(lateLoad), cold: true}
+	} else if w.missing && k.stock.coming[w.model].due.IsZero() && now.Sub(k.stock.loaded[w.model]) > reportLag {
 		delete(k.stock.held, w.model) // the engine knows better
 		k.read(ctx)
 	}
@@ -296,15 +300,18 @@
 			return NewDeclined(refusal, retryDeclined)
 		}
 		return k.plan(w, version, now, time.Now().Add(took))
-	case len(k.queue) >= maxQueue:
-		return NewDeclined("too many adapters are on their way", warmLoad)
 	default:
 		position = len(k.queue)
-		k.queue = append(k.queue, w)
 	}
-	wait := time.Duration(position+1) * coldLoad
+	wait := time.Duration(position+1) * k.supplier.pace.load()
 	if due, ok := k.stock.nextDue(); ok {
-		wait += time.Until(due)
+		wait += max(time.Until(due), 0)
+	}
+	if position == len(k.queue) {
+		if wait > maxLoadWait {
+			return NewDeclined("too many adapters are on their way", wait)
+		}
+		k.queue = append(k.queue, w)
 	}
 	return k.plan(w, max(w.version, k.supplier.fleet.Current().Named(w.model)), now, now.Add(wait))
 }
@@ -357,7 +364,7 @@
 		cold := replacing || !k.stock.warm(w.model)
 		took = warmLoad
 		if cold {
-			took = coldLoad
+			took = k.supplier.pace.load()
 		}
 		k.stock.doubtful[w.model] = true
 		verdict := k.order(ctx, loading(w.model, named))
@@ -369,6 +376,7 @@
 		case Accepted:
 			k.stock.coming[w.model] = arrival{version: named, due: now.Add(took), cold: cold}
 			k.stock.loaded[w.model] = now
+			k.supplier.pace.ordered()
 			return named, took, ""
 		case InForce:
 			k.stock.held[w.model] = named
--- a/supplier/supplier.go
+++ b/supplier/supplier.go
@@ -21,6 +21,7 @@
 	settings Settings
 	fleet    *tracker.Tracker
 	log      *logger.Logger
+	pace     pace
 
 	mu      sync.Mutex
 	keepers map[*tracker.Endpoint]*keeper
