--- a/enroller/claim.go
+++ b/enroller/claim.go
@@ -38,7 +38,7 @@
 	}
 	writes := make([]storer.Write, 0, maxClaims)
 	var taken []string
-	takeover := false
+	var first time.Duration
 	checked := make(map[string]bool)
 	for _, engine := range engines {
 		owner, owned := v.owners[engine.ID()]
@@ -55,15 +55,31 @@
 			checked[owner.host] = true
 			writes = append(writes, storer.NewCheck(hostPrefix+owner.host, old.version))
 		}
-		takeover = takeover || owned
+		if owned {
+			first = max(first, e.firstOrder(v.hosts[owner.host]))
+		}
 		taken = append(taken, engine.ID())
 		if len(taken) == maxClaims {
 			break
 		}
 	}
 	if len(taken) > 0 {
-		e.commitClaim(ctx, taken, writes, takeover)
+		e.commitClaim(ctx, taken, writes, first)
+	}
+}
+
+// firstOrder returns when the successor of an owner may give its first order, on
+// the clock: a rest after the last order that the owner may have given. That was
+// before it said that it leaves, or before its lease ran out.
+func (e *Enroller) firstOrder(owner *Host) time.Duration {
+	if owner == nil {
+		return e.clock() + e.times.rest
+	}
+	last := owner.changed
+	if !owner.doc.Leaving {
+		last = last.Add(e.times.lease)
 	}
+	return e.clock() + e.times.rest - time.Since(last)
 }
 
 func (e *Enroller) settled(v *View) bool {
@@ -111,13 +127,9 @@
 	return best
 }
 
-func (e *Enroller) commitClaim(ctx context.Context, engines []string, writes []storer.Write, takeover bool) {
+func (e *Enroller) commitClaim(ctx context.Context, engines []string, writes []storer.Write, first time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, e.times.renew)
 	defer cancel()
-	var first time.Duration
-	if takeover {
-		first = e.clock() + e.times.rest
-	}
 	// The wait before the first order stands before the claim is known to hold.
 	e.restUntil(engines, first)
 	version, err := e.store.Commit(ctx, writes...)
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -47,6 +47,7 @@
 const (
 	stateGranted  = 1
 	stateDeclined = 2
+	stateUnowned  = 3
 )
 
 type supplyDocument struct {
@@ -63,16 +64,20 @@
 	case supplier.Declined:
 		return &supplyDocument{State: stateDeclined, Reason: s.Reason(), WaitUS: s.Wait().Microseconds()}
 	default:
-		return &supplyDocument{State: stateDeclined, Reason: "unknown answer"}
+		return &supplyDocument{State: stateUnowned}
 	}
 }
 
 func decodeSupply(d *supplyDocument) supplier.Supply {
 	wait := time.Duration(d.WaitUS) * time.Microsecond
-	if d.State == stateGranted {
+	switch d.State {
+	case stateGranted:
 		return supplier.NewGranted(d.Version, wait)
+	case stateDeclined:
+		return supplier.NewDeclined(d.Reason, wait)
+	default:
+		return supplier.Unowned{}
 	}
-	return supplier.NewDeclined(d.Reason, wait)
 }
 
 type accuseDocument struct {
--- a/relayer/carriage.go
+++ b/relayer/carriage.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -55,6 +56,12 @@
 	turnStep     = 0.1
 	minTurnShare = 0.15
 
+	// comeBackShare is the part of its time after which a refused caller is asked to
+	// come back; callers follow up to a third.
+	comeBackShare  = 0.14
+	comeBackJitter = 0.5
+	maxComeBack    = 2 * time.Second
+
 	retryOwner = 500 * time.Millisecond
 	retrySoon  = 250 * time.Millisecond
 	// drainLimit bounds what is read of an answer that is not used, to keep its
@@ -117,7 +124,7 @@
 			if last != nil {
 				return nil, last
 			}
-			return nil, err
+			return nil, classifier.NewUnavailable("no endpoint can take the call", classifier.RetryAfter(c.comeBack(0)), classifier.Cause(err))
 		}
 		if last = c.prepare(choice); last != nil {
 			if c.declines >= maxDeclines {
@@ -156,6 +163,15 @@
 	return classifier.NewExpired("the deadline passed before the call was sent", classifier.RetryAfter(retrySoon))
 }
 
+// comeBack returns when the caller may try again: after a part of the time that
+// it has left, so that what stands in the way may have passed, and not at the same
+// time as all others.
+func (c *carriage) comeBack(atLeast time.Duration) time.Duration {
+	wait := min(time.Duration(float64(c.call.Remaining())*comeBackShare), maxComeBack)
+	wait += time.Duration(rand.Float64() * comeBackJitter * float64(wait))
+	return max(wait, atLeast, retrySoon)
+}
+
 // choose returns an endpoint. A call goes to as many endpoints as its route allows.
 func (c *carriage) choose() (selector.Choice, error) {
 	limit := c.call.Route().MaxAttempts()
@@ -190,7 +206,7 @@
 	case supplier.Declined:
 		c.avoided[e] = true
 		c.declines++
-		return classifier.NewOverloaded("the engine has no place: "+s.Reason(), classifier.RetryAfter(max(s.Wait(), retrySoon)))
+		return classifier.NewOverloaded("the engine has no place: "+s.Reason(), classifier.RetryAfter(c.comeBack(s.Wait())))
 	}
 	if choice.Present() && c.missing != e {
 		// Without its owner an engine still serves what it holds.
@@ -199,7 +215,7 @@
 	}
 	c.avoided[e] = true
 	return classifier.NewOverloaded("the model is not loaded and the engine's owner does not answer",
-		classifier.RetryAfter(retryOwner), classifier.Cause(err))
+		classifier.RetryAfter(c.comeBack(retryOwner)), classifier.Cause(err))
 }
 
 // turnPatience returns how long the call may wait for its turn at an engine. Less
@@ -221,6 +237,8 @@
 	case supplier.Declined:
 		fields = append(fields, logger.With(logger.KeyOutcome, "declined"), logger.With(logger.KeyReason, s.Reason()),
 			logger.With(logger.KeyWait, s.Wait().Milliseconds()))
+	case supplier.Unowned:
+		fields = append(fields, logger.With(logger.KeyOutcome, "unowned"))
 	default:
 		fields = append(fields, logger.With(logger.KeyOutcome, "no-answer"), logger.Err(err))
 	}
@@ -232,7 +250,7 @@
 func (c *carriage) attempt(choice selector.Choice) (*Answer, error) {
 	e := choice.Endpoint()
 	if c.sends > 0 && !c.leave && !c.mayRepeat() {
-		return nil, final(classifier.NewOverloaded("the budget for repeats is spent", classifier.RetryAfter(retrySoon)))
+		return nil, final(classifier.NewOverloaded("the budget for repeats is spent", classifier.RetryAfter(c.comeBack(0))))
 	}
 	c.leave = false
 	began := time.Now()
@@ -248,7 +266,7 @@
 		if !exchanger.IsLimit(res.cause) && c.ctx.Err() == nil {
 			e.Broke()
 		}
-		return nil, classifier.NewUnavailable("no endpoint could be reached", classifier.RetryAfter(retrySoon), classifier.Cause(res.cause))
+		return nil, classifier.NewUnavailable("no endpoint could be reached", classifier.RetryAfter(c.comeBack(0)), classifier.Cause(res.cause))
 	case lost:
 		return nil, c.afterLoss(e, res.cause)
 	default:
@@ -405,7 +423,7 @@
 	status := a.Status()
 	discard(a)
 	engine := c.call.Service().Engines() != nil && c.call.Model().Base() != ""
-	fault := classifier.NewOverloaded(fmt.Sprintf("endpoint refused with status %d", status), classifier.RetryAfter(retrySoon))
+	fault := classifier.NewOverloaded(fmt.Sprintf("endpoint refused with status %d", status), classifier.RetryAfter(c.comeBack(0)))
 	switch {
 	case status == http.StatusBadRequest:
 		return final(classifier.NewInvalid("endpoint takes the call for malformed"))
--- a/supplier/keeper.go
+++ b/supplier/keeper.go
@@ -254,7 +254,7 @@
 	k.takeUsed()
 	k.stock.settle(now)
 	if !k.may() {
-		return NewDeclined("no right to send orders", retryDeclined)
+		return Unowned{}
 	}
 	if !k.learn(ctx) {
 		return NewDeclined("engine does not answer its owner", retryDeclined)
--- a/supplier/message.go
+++ b/supplier/message.go
@@ -71,7 +71,7 @@
 // Used returns the models that were in use.
 func (w Want) Used() []connector.Model { return w.used }
 
-// Supply answers a Want: Granted or Declined.
+// Supply answers a Want: Granted, Declined or Unowned.
 type Supply interface{ supply() }
 
 // Granted says that the call may be sent after a wait.
@@ -108,7 +108,11 @@
 // Wait returns when to ask again.
 func (d Declined) Wait() time.Duration { return d.wait }
 
+// Unowned says that the host may not give the engine orders.
+type Unowned struct{}
+
 func (Granted) supply()  {}
+func (Unowned) supply()  {}
 func (Declined) supply() {}
 
 // Verdict is an engine's answer to an order: Accepted, InForce, Conflict or
--- a/supplier/supplier.go
+++ b/supplier/supplier.go
@@ -54,13 +54,18 @@
 	if e == nil {
 		return NewDeclined("engine is not known", retryUnowned)
 	}
-	if _, _, ok := s.rights.Right(w.engine); !ok {
-		return NewDeclined("engine has another owner", retryUnowned)
+	_, _, owns := s.rights.Right(w.engine)
+	// A turn is no order: an owner that is about to stop, or whose lease ran out,
+	// still plans the calls for what the engine holds.
+	if k := s.known(e); k != nil {
+		if supply, ok := k.grant(w); ok {
+			return supply
+		}
 	}
-	k := s.keeper(e)
-	if supply, ok := k.grant(w); ok {
-		return supply
+	if !owns {
+		return Unowned{}
 	}
+	k := s.keeper(e)
 	ask := asked{want: w, reply: make(chan Supply, 1)}
 	select {
 	case k.asks <- ask:
@@ -101,6 +106,12 @@
 	}
 }
 
+func (s *Supplier) known(e *tracker.Endpoint) *keeper {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keepers[e]
+}
+
 func (s *Supplier) keeper(e *tracker.Endpoint) *keeper {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/supplier/supplier_test.go
+++ b/supplier/supplier_test.go
@@ -292,7 +292,8 @@
 	})
 }
 
-// Guards against orders from a host that lost its right.
+// Guards against orders from a host that lost its right, and against one that no
+// longer plans the calls for what its engine holds.
 func TestNoRight(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -302,8 +303,9 @@
 		s.Supply(t.Context(), want(1))
 		time.Sleep(time.Second)
 		r.none = true
-		_, declined := s.Supply(t.Context(), want(2)).(supplier.Declined)
-		is.True(declined)
+		is.Equal(s.Supply(t.Context(), want(2)), supplier.Unowned{})
+		_, granted := s.Supply(t.Context(), want(1)).(supplier.Granted)
+		is.True(granted)
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		is.Equal(e.loads, 1)
