--- a/logger/async.go
+++ b/logger/async.go
@@ -21,12 +21,13 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
+	stop    chan struct{}
 	done    chan struct{}
 }
 
 // NewAsync returns a writer of whole lines to out. Close ends it.
 func NewAsync(out io.Writer) *Async {
-	a := &Async{out: out, lines: make(chan []byte, queuedLines), done: make(chan struct{})}
+	a := &Async{out: out, lines: make(chan []byte, queuedLines), stop: make(chan struct{}), done: make(chan struct{})}
 	go a.run()
 	return a
 }
@@ -43,7 +44,7 @@
 
 // Close waits a short time for the queued lines.
 func (a *Async) Close() {
-	a.lines <- nil
+	close(a.stop)
 	select {
 	case <-a.done:
 	case <-time.After(closeTime):
@@ -52,15 +53,34 @@
 
 func (a *Async) run() {
 	defer close(a.done)
-	for line := range a.lines {
-		if line == nil {
+	for {
+		select {
+		case line := <-a.lines:
+			a.write(line)
+		case <-a.stop:
+			a.rest()
 			return
 		}
-		// A line that cannot be written has nowhere to be reported.
-		_, _ = a.out.Write(line)
-		if n := a.dropped.Swap(0); n > 0 {
-			_, _ = fmt.Fprintf(a.out, `{"ts":%q,"component":"logger","event":"lines-dropped","count":%d,"reason":"the reader is slow"}`+"\n",
-				utcNow().Format(time.RFC3339Nano), n)
+	}
+}
+
+// rest writes the lines that are queued.
+func (a *Async) rest() {
+	for {
+		select {
+		case line := <-a.lines:
+			a.write(line)
+		default:
+			return
 		}
 	}
 }
+
+func (a *Async) write(line []byte) {
+	// A line that cannot be written has nowhere to be reported.
+	_, _ = a.out.Write(line)
+	if n := a.dropped.Swap(0); n > 0 {
+		_, _ = fmt.Fprintf(a.out, `{"ts":%q,"component":"logger","event":"lines-dropped","count":%d,"reason":"the reader is slow"}`+"\n",
+			utcNow().Format(time.RFC3339Nano), n)
+	}
+}
