--- /dev/null
+++ b/soaker/callers_test.go
@@ -0,0 +1,224 @@
+package soaker_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// seen is what a caller saw of one call.
+type seen struct {
+	kind   string
+	status int  // 0 without an answer
+	whole  bool // the body ended as it should
+}
+
+// callers send calls as the platform's callers do: they ask a directory which
+// hosts to use, keep the answer for a while and use open connections until these
+// break.
+type callers struct {
+	world  *world
+	mu     sync.Mutex
+	calls  map[string]seen
+	counts map[string]int
+	faults []string // broken promises
+}
+
+func newCallers(w *world) *callers {
+	return &callers{world: w, calls: make(map[string]seen), counts: make(map[string]int)}
+}
+
+func (c *callers) fail(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults = append(c.faults, fmt.Sprintf(format, args...))
+}
+
+// run sends calls from one caller until ctx ends.
+func (c *callers) run(ctx context.Context, n int, random *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 4,
+	}}
+	var list []string
+	var asked time.Time
+	for i := 0; ctx.Err() == nil; i++ {
+		if time.Since(asked) > 2*time.Second || len(list) == 0 {
+			if fresh := c.resolve(random, zone(n)); len(fresh) > 0 {
+				list, asked = fresh, time.Now()
+			}
+		}
+		if len(list) == 0 {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		c.call(ctx, client, list[random.IntN(len(list))], fmt.Sprintf("c%d-%d", n, i), random)
+		time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
+	}
+}
+
+func (c *callers) resolve(random *rand.Rand, zone string) []string {
+	h := c.world.hosts[random.IntN(len(c.world.hosts))]
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get(c.world.at(h, 2) + "/dragonflyford/resolve?name=h&region=r1&zone=" + zone)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var answer struct {
+		Addrs []string `json:"addrs"`
+		TTL   float64  `json:"ttl_s"`
+	}
+	if json.NewDecoder(resp.Body).Decode(&answer) != nil || answer.TTL <= 0 {
+		return nil
+	}
+	return answer.Addrs
+}
+
+// call sends one call of a random kind and checks its answer. Some callers leave
+// early.
+func (c *callers) call(ctx context.Context, client *http.Client, address, id string, random *rand.Rand) {
+	kinds := []string{"post", "post", "look", "llm", "llm", "llm"}
+	kind := kinds[random.IntN(len(kinds))]
+	patience := 4 * time.Second
+	if random.IntN(20) == 0 {
+		patience = time.Duration(random.IntN(300)) * time.Millisecond
+	}
+	limited, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(limited, http.MethodPost, "http://"+address+"/"+kind+"/x", strings.NewReader("body"))
+	if err != nil {
+		c.fail("build request: %v", err)
+		return
+	}
+	req.GetBody = nil // the library must not send it again
+	req.Host = "h"
+	req.Header.Set("X-Attempt-Id", id)
+	req.Header.Set("X-Deadline-Ms", fmt.Sprint(max(patience.Milliseconds(), 1)))
+	if kind == "llm" {
+		req.Header.Set("X-Model", fmt.Sprint("m/a", int(float64(adapters)*random.Float64()*random.Float64())))
+		req.Header.Set("X-Token-Count", "50,20")
+	}
+	got := seen{kind: kind}
+	resp, err := client.Do(req)
+	if err == nil {
+		got.status = resp.StatusCode
+		body, rerr := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		got.whole = rerr == nil
+		c.check(id, kind, resp, string(body), rerr)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls[id] = got
+	c.counts[fmt.Sprintf("%s %d %v", kind, got.status, got.whole)]++
+}
+
+// check looks at an answer: it must be the whole answer to its own call.
+func (c *callers) check(id, kind string, resp *http.Response, body string, err error) {
+	if resp.StatusCode == http.StatusOK && resp.Header.Get("X-Server-Seal") != "seal-"+id {
+		c.fail("%s: answer with the signature %q", id, resp.Header.Get("X-Server-Seal"))
+	}
+	if resp.StatusCode != http.StatusOK {
+		return
+	}
+	if kind != "llm" {
+		if err == nil && body != "answer to "+id {
+			c.fail("%s: answer %q", id, body)
+		}
+		return
+	}
+	next := 0
+	for line := range strings.Lines(body) {
+		var event int
+		if _, serr := fmt.Sscanf(line, "data: %d\n", &event); serr != nil || !strings.HasSuffix(line, "\n") {
+			continue
+		}
+		if event != next {
+			c.fail("%s: event %d where %d is due", id, event, next)
+			return
+		}
+		next++
+	}
+	if err == nil && next != events {
+		c.fail("%s: stream looks complete after %d of %d events", id, next, events)
+	}
+}
+
+// judge compares what callers saw with what endpoints did.
+func (c *callers) judge() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	faults := append([]string(nil), c.faults...)
+	runs := make(map[string]int)
+	for _, e := range c.world.endpoints {
+		for id, n := range e.Runs() {
+			runs[id] += n
+		}
+		for _, rule := range e.Broken() {
+			faults = append(faults, e.ID()+": "+rule)
+		}
+	}
+	for id, s := range c.calls {
+		switch {
+		case s.kind == "post" && runs[id] > 1:
+			faults = append(faults, fmt.Sprintf("%s: a posting ran %d times", id, runs[id]))
+		case s.status == http.StatusServiceUnavailable && runs[id] > 0:
+			faults = append(faults, fmt.Sprintf("%s: %s refused as not run, but ran %d times", id, s.kind, runs[id]))
+		}
+		if runs[id] > 2 {
+			faults = append(faults, fmt.Sprintf("%s: ran on %d endpoints", id, runs[id]))
+		}
+	}
+	for id := range runs {
+		if _, ok := c.calls[id]; !ok && !strings.HasPrefix(id, "probe") {
+			faults = append(faults, id+": ran, but no caller sent it")
+		}
+	}
+	return faults
+}
+
+// orders checks that two hosts did not take turns in giving an endpoint orders.
+func (w *world) orders() []string {
+	var faults []string
+	for _, e := range w.endpoints {
+		list := e.Orders()
+		for i := 1; i < len(list); i++ {
+			a, b := list[i-1], list[i]
+			if a.Holder() != b.Holder() && b.At().Sub(a.At()) < turnsTime {
+				faults = append(faults, fmt.Sprintf("%s: orders of %s and %s within %v", e.ID(), a.Holder(), b.Holder(), b.At().Sub(a.At())))
+			}
+			if b.Fence() < a.Fence() {
+				faults = append(faults, fmt.Sprintf("%s: token %d of %s after %d of %s", e.ID(), b.Fence(), b.Holder(), a.Fence(), a.Holder()))
+			}
+		}
+	}
+	return faults
+}
+
+var errNotServed = errors.New("call was not served")
+
+// probe sends a call to one host on a path and returns its status.
+func (w *world) probe(h *host, path string, n int) (int, error) {
+	client := http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	req, err := http.NewRequest(http.MethodPost, w.at(h, 0)+path, nil)
+	if err != nil {
+		return 0, err
+	}
+	req.Host = "h"
+	req.Header.Set("X-Attempt-Id", fmt.Sprintf("probe-%s-%d", h.name, n))
+	req.Header.Set("X-Deadline-Ms", "2000")
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, errNotServed
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode, nil
+}
