--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -143,9 +143,8 @@
 		func() (string, func()) { return "stop " + h.name, func() { w.restart(h, syscall.SIGTERM) } },
 		func() (string, func()) { return "kill " + h.name, func() { w.restart(h, syscall.SIGKILL) } },
 		func() (string, func()) {
-			h.trouble()
 			h.signal(syscall.SIGSTOP)
-			return fmt.Sprint("pause ", h.name, " ", length), func() { time.Sleep(length); h.signal(syscall.SIGCONT); h.trouble() }
+			return fmt.Sprint("pause ", h.name, " ", length), func() { time.Sleep(length); h.signal(syscall.SIGCONT) }
 		},
 		func() (string, func()) {
 			w.settings(h, []string{"info", "debug"}[random.IntN(2)])
@@ -204,7 +203,6 @@
 func (w *world) restart(h *host, s syscall.Signal) {
 	h.restarting.Lock()
 	defer h.restarting.Unlock()
-	h.trouble()
 	h.signal(s)
 	select {
 	case <-h.exited:
@@ -220,7 +218,6 @@
 	if !running {
 		h.start(w)
 	}
-	h.trouble()
 }
 
 func (w *world) link(p *proxy, length *time.Duration, set func(*proxy, bool)) func() {
--- a/soaker/world_test.go
+++ b/soaker/world_test.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -43,7 +42,6 @@
 	mu         sync.Mutex
 	process    *exec.Cmd
 	exited     chan struct{}
-	troubled   time.Time // last fault on the process or its links
 }
 
 // endpoint is a fake with its link.
@@ -68,7 +66,6 @@
 	ports     []int
 	version   int
 	mu        sync.Mutex
-	calm      time.Time // last fault of the store
 }
 
 func newWorld(t *testing.T, binary string, hosts int) *world {
@@ -199,18 +196,6 @@
 
 func (h *host) wait() { <-h.exited }
 
-func (h *host) trouble() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.troubled = time.Now()
-}
-
-func (h *host) undisturbed() time.Duration {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return time.Since(h.troubled)
-}
-
 func (w *world) at(h *host, port int) string {
 	return fmt.Sprintf("http://%s:%d", h.address, w.ports[port])
 }
@@ -234,13 +219,3 @@
 	}
 	w.t.Errorf("%s did not hold within %v", what, within)
 }
-
-// tail returns the last lines of a host's log.
-func (h *host) tail() string {
-	data, err := os.ReadFile(h.log.Name())
-	if err != nil {
-		return err.Error()
-	}
-	lines := strings.Split(string(data), "\n")
-	return strings.Join(lines[max(0, len(lines)-5):], "\n")
-}
