supplier: count the slots of engines; leave the engines' urgency at its default

The owner now also plans the slots, by the caller's estimate of the output, and declines a call that would wait too long, so that it goes elsewhere.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -84,7 +84,7 @@
 func (m *Messenger) Supply(ctx context.Context, address string, w supplier.Want) (supplier.Supply, error) {
 	in := wantDocument{
 		Engine: w.Engine(), Model: encodeModel(w.Model()), Version: w.Version(), Missing: w.Missing(),
-		Tokens: w.Tokens(), WaitUS: w.Patience().Microseconds(),
+		Tokens: w.Tokens(), Output: w.Output(), WaitUS: w.Patience().Microseconds(),
 	}
 	for _, used := range w.Used() {
 		in.Used = append(in.Used, encodeModel(used))
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -41,6 +41,7 @@
 	Missing bool            `cbor:"5,keyasint,omitempty"`
 	Tokens  int             `cbor:"6,keyasint,omitempty"`
 	WaitUS  int64           `cbor:"7,keyasint,omitempty"` // how long the call may wait for its turn
+	Output  int             `cbor:"8,keyasint,omitempty"`
 }
 
 // States of a supply on the wire.
@@ -160,7 +161,7 @@
 		used = append(used, decodeModel(m))
 	}
 	w := supplier.NewWant(in.Engine, decodeModel(in.Model), supplier.AtLeast(in.Version), supplier.Missing(in.Missing),
-		supplier.WithPrompt(in.Tokens, time.Duration(in.WaitUS)*time.Microsecond), supplier.WithUsed(used))
+		supplier.WithSize(in.Tokens, in.Output, time.Duration(in.WaitUS)*time.Microsecond), supplier.WithUsed(used))
 	return encodeSupply(s.handler.Supply(ctx, w)), nil
 }
 
--- a/relayer/carriage.go
+++ b/relayer/carriage.go
@@ -193,7 +193,7 @@
 	}
 	began := time.Now()
 	supply, err := c.relayer.procurer.Procure(c.ctx, e, m, supplier.AtLeast(choice.Named()), supplier.Missing(c.missing == e),
-		supplier.WithPrompt(c.call.Prompt(), c.turnPatience()))
+		supplier.WithSize(c.call.Prompt(), c.call.Output(), c.turnPatience()))
 	c.noteSupply(choice, supply, err, time.Since(began))
 	switch s := supply.(type) {
 	case supplier.Granted:
@@ -327,7 +327,6 @@
 func (c *carriage) outbound(choice selector.Choice) *exchanger.Outbound {
 	opts := []exchanger.OutboundOption{}
 	if c.call.Service().Engines() != nil {
-		opts = append(opts, exchanger.WithUrgency(urgency(c.call.Route().Priority())))
 		if choice.Named() > 0 {
 			// The endpoint may know of a newer version than this host.
 			opts = append(opts, exchanger.ExpectVersion(max(choice.Named(), c.version)))
@@ -339,14 +338,6 @@
 	return exchanger.NewOutbound(c.call.Call, choice.Endpoint().ID(), c.call.Deadline(), opts...)
 }
 
-// Ranks in an engine's queue.
-const (
-	firstUrgency = 3
-	maxUrgency   = 9
-)
-
-func urgency(priority int) int { return min(firstUrgency+priority, maxUrgency) }
-
 // patience returns how long idempotent work may take before it is sent to another
 // endpoint, or 0 for as long as the deadline.
 func (c *carriage) patience() time.Duration {
--- a/router/call.go
+++ b/router/call.go
@@ -21,6 +21,7 @@
 	received time.Time
 	patience time.Duration
 	prompt   int
+	output   int
 }
 
 // CallOption sets an optional property of a Call.
@@ -32,8 +33,11 @@
 // WithPatience says how long the caller waits, counted from the receipt.
 func WithPatience(d time.Duration) CallOption { return func(c *Call) { c.patience = d } }
 
-// WithPrompt says how many tokens the prompt of the call has.
-func WithPrompt(tokens int) CallOption { return func(c *Call) { c.prompt = tokens } }
+// WithSize says how many tokens the prompt of the call has and how many the output
+// is expected to have.
+func WithSize(prompt, output int) CallOption {
+	return func(c *Call) { c.prompt, c.output = prompt, output }
+}
 
 // NewCall returns a call that was received now. Target is the path with its query
 // as it is sent on; header holds what concerns the whole way and must not be
@@ -74,5 +78,9 @@
 // Prompt returns the length of the prompt in tokens, or 0 if it is not known.
 func (c *Call) Prompt() int { return c.prompt }
 
+// Output returns the expected length of the output in tokens, or 0 if it is not
+// known.
+func (c *Call) Output() int { return c.output }
+
 // Received returns when the call was received.
 func (c *Call) Received() time.Time { return c.received }
--- a/supplier/keeper.go
+++ b/supplier/keeper.go
@@ -29,17 +29,20 @@
 	// maxLoadWait is how long a load may wait for others.
 	maxLoadWait = 900 * time.Millisecond
 	// minIdle is how long an adapter must be unused before it makes room.
-	minIdle       = time.Second
-	promptRate    = 20.0 // tokens that an engine reads in a millisecond
-	promptMargin  = 1.15 // leaves time for streams between two prompts
-	stepTime      = 10 * time.Millisecond
-	warmLoad      = 35 * time.Millisecond  // of an adapter that the engine's host still has
-	lateLoad      = 150 * time.Millisecond // of one that was not there when it was due
-	slowLoad      = 2 * time.Second        // a load that takes longer has failed
-	unknownLoad   = 500 * time.Millisecond // of one that an earlier owner ordered
-	baseRetry     = 3 * time.Second        // between two orders for a base model
-	tendInterval  = 500 * time.Millisecond
-	retryDeclined = 400 * time.Millisecond
+	minIdle      = time.Second
+	promptRate   = 20.0                  // tokens that an engine reads in a millisecond
+	promptMargin = 1.15                  // leaves time for streams between two prompts
+	stepTime     = 10 * time.Millisecond // of the streams between two prompts
+	tokenTime    = 14 * time.Millisecond // of one token, prompts of other calls included
+	// unlimitedSlots stands for an engine whose slots are not configured.
+	unlimitedSlots = 1 << 20
+	warmLoad       = 35 * time.Millisecond  // of an adapter that the engine's host still has
+	lateLoad       = 150 * time.Millisecond // of one that was not there when it was due
+	slowLoad       = 2 * time.Second        // a load that takes longer has failed
+	unknownLoad    = 500 * time.Millisecond // of one that an earlier owner ordered
+	baseRetry      = 3 * time.Second        // between two orders for a base model
+	tendInterval   = 500 * time.Millisecond
+	retryDeclined  = 400 * time.Millisecond
 )
 
 // asked is a Want that waits for its answer.
@@ -119,20 +122,19 @@
 
 // plan gives a call its turn from a time on.
 func (k *keeper) plan(w Want, version int64, now, earliest time.Time) Supply {
-	cost := readingTime(w.tokens)
-	start, ok := k.calendar.reserve(now, earliest, earliest.Add(w.patience), cost)
+	slots := unlimitedSlots
+	if settings := k.supplier.settings(k.endpoint.Service()); settings != nil && settings.Slots() > 0 {
+		slots = settings.Slots()
+	}
+	reading := time.Duration(float64(w.tokens)/promptRate*float64(time.Millisecond)*promptMargin) + stepTime
+	generating := time.Duration(w.output) * tokenTime
+	start, ok := k.calendar.reserve(now, earliest, earliest.Add(w.patience), reading, generating, slots)
 	if !ok {
-		return NewDeclined("engine has too many prompts to read", start.Sub(now))
+		return NewDeclined("engine has too many calls", start.Sub(now))
 	}
 	return NewGranted(version, start.Sub(now))
 }
 
-// readingTime returns how long an engine reads a prompt, with the step that it
-// generates meanwhile.
-func readingTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens)/promptRate*float64(time.Millisecond)*promptMargin) + stepTime
-}
-
 func (k *keeper) touch(models []connector.Model, now time.Time) {
 	k.usedMu.Lock()
 	defer k.usedMu.Unlock()
--- a/supplier/message.go
+++ b/supplier/message.go
@@ -18,6 +18,7 @@
 	version  int64
 	missing  bool
 	tokens   int
+	output   int
 	patience time.Duration
 	used     []connector.Model
 }
@@ -32,10 +33,10 @@
 // model.
 func Missing(missing bool) WantOption { return func(w *Want) { w.missing = missing } }
 
-// WithPrompt names the length of the call's prompt and how long the call may wait
-// for its turn after its model is there.
-func WithPrompt(tokens int, patience time.Duration) WantOption {
-	return func(w *Want) { w.tokens, w.patience = tokens, patience }
+// WithSize names the length of the call's prompt and of its expected output in
+// tokens, and how long the call may wait for its turn after its model is there.
+func WithSize(prompt, output int, patience time.Duration) WantOption {
+	return func(w *Want) { w.tokens, w.output, w.patience = prompt, output, patience }
 }
 
 // WithUsed names the models in use at the engine.
@@ -65,6 +66,9 @@
 // Tokens returns the length of the prompt.
 func (w Want) Tokens() int { return w.tokens }
 
+// Output returns the expected length of the output in tokens.
+func (w Want) Output() int { return w.output }
+
 // Patience returns how long the call may wait for its turn.
 func (w Want) Patience() time.Duration { return w.patience }
 
--- a/supplier/supplier_test.go
+++ b/supplier/supplier_test.go
@@ -22,7 +22,8 @@
 )
 
 const (
-	slots     = 4
+	slots     = 4 // for adapters
+	jobs      = 8
 	loadTime  = 250 * time.Millisecond
 	reportLag = 200 * time.Millisecond
 )
@@ -156,13 +157,13 @@
 func newSupplier(e *engine) (*supplier.Supplier, *tracker.Tracker, *rights) {
 	fleet := tracker.New(nil)
 	fleet.Listed(tracker.NewEntry("e1", "svc", "1.1.1.1:1", "z", 8, false, 1, 0, nil))
-	settings := router.NewEngines(8, slots, 1000, []router.Base{router.NewBase("base", 500, 1)})
+	settings := router.NewEngines(jobs, slots, 1000, []router.Base{router.NewBase("base", 500, 1)})
 	r := &rights{}
 	return supplier.New(e, r, func(string) *router.Engines { return settings }, fleet, logger.Nop()), fleet, r
 }
 
 func want(n int, opts ...supplier.WantOption) supplier.Want {
-	return supplier.NewWant("e1", model(n), append(opts, supplier.WithPrompt(100, 10*time.Second))...)
+	return supplier.NewWant("e1", model(n), append(opts, supplier.WithSize(100, 0, 10*time.Second))...)
 }
 
 // Guards against an order for more adapters than an engine holds, which crashes it:
@@ -233,7 +234,7 @@
 		defer s.Close()
 		time.Sleep(time.Second)
 		ask := func(patience time.Duration) supplier.Supply {
-			return s.Supply(t.Context(), supplier.NewWant("e1", model(1), supplier.WithPrompt(2000, patience)))
+			return s.Supply(t.Context(), supplier.NewWant("e1", model(1), supplier.WithSize(2000, 0, patience)))
 		}
 		first, ok := ask(0).(supplier.Granted)
 		is.True(ok)
@@ -247,6 +248,31 @@
 	})
 }
 
+// Guards against calls that wait inside a full engine while another one is idle.
+func TestSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngine()
+		e.held[model(1)] = 1
+		s, _, _ := newSupplier(e)
+		defer s.Close()
+		time.Sleep(time.Second)
+		ask := func() supplier.Supply {
+			return s.Supply(t.Context(), supplier.NewWant("e1", model(1), supplier.WithSize(10, 200, 500*time.Millisecond)))
+		}
+		for range jobs {
+			g, ok := ask().(supplier.Granted)
+			is.True(ok)
+			is.True(g.Wait() < 200*time.Millisecond)
+		}
+		_, declined := ask().(supplier.Declined)
+		is.True(declined)
+		time.Sleep(4 * time.Second)
+		_, granted := ask().(supplier.Granted)
+		is.True(granted)
+	})
+}
+
 // Guards against an eviction of an adapter that another host's calls use.
 func TestUsedStays(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
