--- a/relayer/carriage.go
+++ b/relayer/carriage.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/classifier"
@@ -98,7 +99,7 @@
 	missing  *tracker.Endpoint       // engine that refused because it does not hold the model
 	unuse    func()                  // ends the use of the model at the latest endpoint
 	ran      bool                    // whether an endpoint may have run the call
-	leave    bool                    // whether the next send is counted as a repeat already
+	leave    atomic.Bool             // whether the next send is counted as a repeat already
 	event    string                  // last event of a resumed stream
 	version  int64                   // of the model at the chosen endpoint
 }
@@ -249,10 +250,9 @@
 // an error after which another endpoint may be tried.
 func (c *carriage) attempt(choice selector.Choice) (*Answer, error) {
 	e := choice.Endpoint()
-	if c.sends > 0 && !c.leave && !c.mayRepeat() {
+	if c.sends > 0 && !c.leave.Swap(false) && !c.mayRepeat() {
 		return nil, final(classifier.NewOverloaded("the budget for repeats is spent", classifier.RetryAfter(c.comeBack(0))))
 	}
-	c.leave = false
 	began := time.Now()
 	res := c.send(choice)
 	c.record(e, res, time.Since(began))
@@ -296,8 +296,14 @@
 	}
 	ctx, abort := context.WithCancelCause(c.ctx)
 	c.abort = abort // ends with the call's own context at the latest
-	if patience := c.patience(); patience > 0 {
-		timer := time.AfterFunc(patience, func() { abort(errSlow) })
+	if patience := c.patience(); patience > 0 && c.sends+1 < maxSends {
+		timer := time.AfterFunc(patience, func() {
+			// A slow endpoint is given up only if another one may be tried.
+			if c.relayer.ration.Repeat(c.call.Service().Name()) {
+				c.leave.Store(true)
+				abort(errSlow)
+			}
+		})
 		defer timer.Stop()
 	}
 	answer, err := c.relayer.exchanger.Do(ctx, e, c.outbound(choice), c.maxIdle(), c.connections())
@@ -375,7 +381,7 @@
 	if c.repeatable() && c.call.Remaining() > minLeft && len(c.sent) < c.call.Route().MaxAttempts() && c.mayRepeat() {
 		discard(a)
 		c.avoided[e] = true
-		c.leave = true
+		c.leave.Store(true)
 		return nil, classifier.NewUncertain(fmt.Sprintf("endpoint failed with status %d", a.Status()))
 	}
 	return c.deliver(e, a), nil
--- a/relayer/resumer.go
+++ b/relayer/resumer.go
@@ -6,19 +6,13 @@
 	"errors"
 	"io"
 	"strconv"
-	"time"
 
 	"github.com/dragonflyford/dragonflyford/exchanger"
 	"github.com/dragonflyford/dragonflyford/logger"
-	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/tracker"
 )
 
 const (
-	// stallFactor is how many times the longest timely pause a stream may be silent
-	// before it is resumed elsewhere.
-	stallFactor = 3
-	minStall    = 600 * time.Millisecond
 	eventBuffer = 4 << 10 // bytes
 	// maxEvent bounds one event, in bytes.
 	maxEvent = 256 << 10
@@ -31,7 +25,8 @@
 
 // resumer is the body of a resumable stream. It passes on whole events only. When
 // an endpoint breaks off, the stream goes on at another one after the last event
-// that was passed on.
+// that was passed on. Silence is no reason to move: an endpoint that pauses may
+// still finish, and another one may have no place.
 type resumer struct {
 	carriage *carriage
 	endpoint *tracker.Endpoint
@@ -39,14 +34,10 @@
 	ready    []byte // whole events
 	pending  []byte // beginning of an event
 	last     int64  // id of the last event in or before ready
-	stall    time.Duration
 }
 
 func newResumer(c *carriage, e *tracker.Endpoint, a *exchanger.Answer) *resumer {
-	r := &resumer{carriage: c, endpoint: e, current: a, last: -1, stall: minStall}
-	if kind, ok := c.call.Route().Repeat().(router.Stream); ok {
-		r.stall = max(stallFactor*kind.MaxGap(), minStall)
-	}
+	r := &resumer{carriage: c, endpoint: e, current: a, last: -1}
 	if first, err := strconv.ParseInt(c.event, 10, 64); err == nil {
 		r.last = first
 	}
@@ -68,12 +59,6 @@
 func (r *resumer) Close() error { return r.current.Body().Close() }
 
 func (r *resumer) fill() error {
-	if r.last >= 0 && len(r.carriage.sent) < r.carriage.call.Route().MaxAttempts() {
-		// The stream has begun, so a long silence is not the wait for its prompt.
-		silent := r.current.Body()
-		timer := time.AfterFunc(r.stall, func() { _ = silent.Close() })
-		defer timer.Stop()
-	}
 	buf := make([]byte, eventBuffer)
 	n, err := r.current.Body().Read(buf)
 	r.take(buf[:n])
