--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -114,7 +114,7 @@
 	h.exchanger = exchanger.New(platform.Dialect{})
 	h.pinger = pinger.New(settings.Address(), h.neighbourAddresses, h.leaving.Load, log)
 	h.referrer = referrer.New(h.members, h.pinger)
-	h.front = platform.NewFront(h.path(settings, log), settings.BodyBytes(), h.leaving.Load, h.ended)
+	h.front = platform.NewFront(h.path(settings, log), h.bodyBytes, h.leaving.Load, h.ended)
 	h.endpoints = h.followVia(platform.TableEndpoints, endpointWait, endpointPause, endpointMaxAge, log)
 	h.followers = []*follower.Follower{
 		follower.New(platform.TableOperator, h.store.Table(platform.TableOperator), operatorReader{h}, configWait, configPause, log),
@@ -181,6 +181,23 @@
 	return nil
 }
 
+// bodyBytes returns the longest body of a call: that of the configuration, else
+// that of the settings.
+func (h *Host) bodyBytes() int64 {
+	if t := h.router.Current(); t != nil && t.Limits().BodyBytes() > 0 {
+		return t.Limits().BodyBytes()
+	}
+	return h.settings.Load().BodyBytes()
+}
+
+// idleTime returns how long a caller's connection may be without a call.
+func (h *Host) idleTime() time.Duration {
+	if t := h.router.Current(); t != nil && t.Limits().Idle() > 0 {
+		return t.Limits().Idle()
+	}
+	return h.settings.Load().IdleTimeout()
+}
+
 // ready reports whether the host can serve calls.
 func (h *Host) ready() bool { return !h.leaving.Load() && h.router.Current() != nil }
 
--- a/assembler/run.go
+++ b/assembler/run.go
@@ -48,6 +48,9 @@
 	}()
 	callers := h.server(h.front)
 	inFlight := track(callers)
+	var idle idleConnections
+	idle.watch(callers)
+	running.Go(func() { idle.sweep(work, h.idleTime) })
 	servers := []*http.Server{callers, h.server(platform.NewReadiness(h.ready)), h.server(h.directory()), h.server(h.metrics())}
 	addresses := []string{settings.Callers(), settings.Readiness(), settings.Directory(), settings.Metrics()}
 	for i, server := range servers {
--- a/configurer/entry_document.go
+++ b/configurer/entry_document.go
@@ -72,7 +72,7 @@
 		Repeats: entryRepeatDocument{Ratio: 0.1, Slack: 20, Window: duration(10 * time.Second)},
 		Stop:    entryStopDocument{Grace: duration(8 * time.Second)},
 		Limits: entryLimitsDocument{
-			MemoryMB: 256, BodyBytes: 4 << 20, Header: 16 << 10,
+			MemoryMB: 256, BodyBytes: 4 << 20, Header: 64 << 10,
 			ReadTime: duration(10 * time.Second), IdleTime: duration(time.Minute),
 		},
 		Log: logDocument{Level: "info"},
--- a/router/table.go
+++ b/router/table.go
@@ -177,15 +177,41 @@
 // Engines returns the description of the service's engines, or nil.
 func (s *Service) Engines() *Engines { return s.engines }
 
+// Limits bound what callers may send and how long they may be idle. Zero stands for
+// the host's own limit.
+type Limits struct {
+	bodyBytes int64
+	idle      time.Duration
+}
+
+// NewLimits returns limits on the length of a body and on the time between two
+// calls on a connection.
+func NewLimits(bodyBytes int64, idle time.Duration) Limits {
+	return Limits{bodyBytes: bodyBytes, idle: idle}
+}
+
+// BodyBytes returns the longest body in bytes, or 0.
+func (l Limits) BodyBytes() int64 { return l.bodyBytes }
+
+// Idle returns how long a connection may be without a call, or 0.
+func (l Limits) Idle() time.Duration { return l.idle }
+
+// TableOption sets an optional property of a Table.
+type TableOption func(*Table)
+
+// WithLimits sets the limits on callers.
+func WithLimits(l Limits) TableOption { return func(t *Table) { t.limits = l } }
+
 // Table is one version of the routes. It never changes.
 type Table struct {
 	version  int64
+	limits   Limits
 	hosts    map[string][]*Route // longest prefix first
 	services map[string]*Service
 }
 
 // NewTable returns a table.
-func NewTable(version int64, routes []*Route, services []*Service) *Table {
+func NewTable(version int64, routes []*Route, services []*Service, opts ...TableOption) *Table {
 	t := &Table{version: version, hosts: make(map[string][]*Route), services: make(map[string]*Service, len(services))}
 	for _, r := range routes {
 		t.hosts[r.host] = append(t.hosts[r.host], r)
@@ -196,12 +222,18 @@
 	for _, s := range services {
 		t.services[s.name] = s
 	}
+	for _, opt := range opts {
+		opt(t)
+	}
 	return t
 }
 
 // Version returns the version of the table.
 func (t *Table) Version() int64 { return t.version }
 
+// Limits returns the limits on callers.
+func (t *Table) Limits() Limits { return t.limits }
+
 // Routes returns how many routes the table has.
 func (t *Table) Routes() int {
 	n := 0
