--- /dev/null
+++ b/configurer/entry_test.go
@@ -0,0 +1,82 @@
+package configurer_test
+
+import (
+	"errors"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/configurer"
+)
+
+const entrySettings = `{
+	"node": {"name": "n", "address": "10.0.0.1", "data_centre": "z", "region": "r", "share": 0.4},
+	"listen": {"callers": "10.0.0.1:1", "readiness": "10.0.0.1:2", "directory": "10.0.0.1:3", "peers": "10.0.0.1:4", "metrics": "10.0.0.1:5"},
+	"data_centres": [{"name": "z", "region": "r"}, {"name": "y", "region": "q"}],
+	"store": {"address": "10.0.0.9:1"},
+	"lease": {"turns": "3000ms"},
+	"repeats": {"ratio": 0.2, "slack": 56, "window": "10s"},
+	"stop": {"grace": "8s"},
+	"limits": {"memory_mb": 284}
+}`
+
+// Guards against settings that are read wrongly.
+func TestEntry(t *testing.T) {
+	is := is.New(t)
+	e, err := configurer.ParseEntry([]byte(entrySettings))
+	is.NoErr(err)
+	is.Equal(e.Share(), 0.4)
+	is.Equal(e.Regions(), map[string]string{"z": "r", "y": "q"})
+	is.Equal(e.Turns(), 3*time.Second)
+	is.Equal(e.RepeatRatio(), 0.2)
+	is.Equal(e.Lease(), 12*time.Second) // default
+}
+
+// Guards against settings that cannot work and are accepted.
+func TestEntryFaults(t *testing.T) {
+	tests := []struct{ name, old, bad, field string }{
+		{"address", `"10.0.0.1", "data`, `"here", "data`, "node.address"},
+		{"listener", `"10.0.0.1:3"`, `"10.0.0.1"`, "listen.directory"},
+		{"listener used twice", `"10.0.0.1:3"`, `"10.0.0.1:2"`, "listen.directory"},
+		{"no store", `"10.0.0.9:1"`, `""`, "store.address"},
+		{"lease too short", `"turns": "3000ms"`, `"renew": "4s", "time": "5s"`, "lease.time"},
+		{"negative ratio", `0.2`, `-0.2`, "repeats"},
+		{"no memory", `284`, `3`, "limits.memory_mb"},
+		{"share is a text", `0.4`, `"much"`, "node.share"},
+		{"unknown field", `"stop"`, `"stopp"`, "stopp"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := configurer.ParseEntry([]byte(strings.Replace(entrySettings, tt.old, tt.bad, 1)))
+			var faults *configurer.Error
+			is.True(errors.As(err, &faults))
+			is.Equal(faults.Faults()[0].Field(), tt.field)
+		})
+	}
+}
+
+// Guards against a template whose result the program refuses.
+func TestTemplate(t *testing.T) {
+	is := is.New(t)
+	src, err := os.ReadFile("../deploy/entry.json")
+	is.NoErr(err)
+	text := string(src)
+	for from, to := range map[string]string{
+		`{{ip}}`: "10.0.0.1", `{{internal_ports.0}}`: "4", `{{internal_ports.1}}`: "5",
+		`{{listen_addrs.front}}`: "10.0.0.1:1", `{{listen_addrs.ready}}`: "10.0.0.1:2", `{{listen_addrs.directory}}`: "10.0.0.1:3",
+		`{{platform_config.address}}`: "10.0.0.9:1", `{{limits.cpu_share}}`: "0.4", `{{limits.memory_mb}}`: "284",
+		`{{bounds.lease_ms}}`: "3000", `{{bounds.budget_ratio}}`: "0.2", `{{bounds.retry_slack}}`: "56",
+		`{{bounds.budget_window_s}}`: "10", `{{bounds.grace_s}}`: "8",
+		`{{#zones}} { "name": "{{@}}", "region": "{{.}}" } {{,}}{{/zones}}`: `{ "name": "z", "region": "r" }`,
+	} {
+		text = strings.ReplaceAll(text, from, to)
+	}
+	text = regexp.MustCompile(`\{\{\w+\}\}`).ReplaceAllString(text, "name")
+	_, err = configurer.ParseEntry([]byte(text))
+	is.NoErr(err)
+}
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -61,7 +61,7 @@
 
 func soak(t *testing.T, binary string, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 0))
-	w := newWorld(t, binary, *hostsFlag)
+	w := newWorld(t, binary, *hostsFlag, seed)
 	stop := make(chan struct{})
 	go w.heartbeats(stop)
 	defer close(stop)
--- a/soaker/world_test.go
+++ b/soaker/world_test.go
@@ -65,12 +65,13 @@
 	endpoints []*endpoint
 	ports     []int
 	version   int
+	net       int // of the hosts' addresses, so that several seeds may run at once
 	mu        sync.Mutex
 }
 
-func newWorld(t *testing.T, binary string, hosts int) *world {
+func newWorld(t *testing.T, binary string, hosts int, seed uint64) *world {
 	t.Helper()
-	w := &world{t: t, binary: binary, dir: t.TempDir(), store: emulator.NewStore()}
+	w := &world{t: t, binary: binary, dir: t.TempDir(), store: emulator.NewStore(), net: 9 + int(seed%200)}
 	w.server = httptest.NewServer(w.store.Handler())
 	t.Cleanup(w.server.Close)
 	for range 5 {
@@ -143,7 +144,7 @@
 }
 
 func (w *world) addHost(i int) {
-	h := &host{name: fmt.Sprint("host-", i), address: fmt.Sprintf("127.0.9.%d", i+1), zone: zone(i)}
+	h := &host{name: fmt.Sprint("host-", i), address: fmt.Sprintf("127.0.%d.%d", w.net, i+1), zone: zone(i)}
 	h.store = newProxy(w.t, w.server.Listener.Addr().String())
 	h.file = filepath.Join(w.dir, h.name+".json")
 	log, err := os.Create(filepath.Join(w.dir, h.name+".log"))
