--- /dev/null
+++ b/messenger/messenger_test.go
@@ -0,0 +1,137 @@
+package messenger_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/messenger"
+	"github.com/dragonflyford/dragonflyford/mirrorer"
+	"github.com/dragonflyford/dragonflyford/screener"
+	"github.com/dragonflyford/dragonflyford/storer"
+	"github.com/dragonflyford/dragonflyford/supplier"
+)
+
+type handler struct {
+	mu     sync.Mutex
+	want   supplier.Want
+	answer supplier.Supply
+	marks  []screener.Mark
+	mirror *mirrorer.Mirror
+}
+
+func (h *handler) Supply(_ context.Context, w supplier.Want) supplier.Supply {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.want = w
+	return h.answer
+}
+
+func (h *handler) Accuse(marks []screener.Mark) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.marks = marks
+}
+
+func (h *handler) Mirror(table string) *mirrorer.Mirror {
+	if table != "t" {
+		return nil
+	}
+	return h.mirror
+}
+
+type sink struct{}
+
+func (sink) Replace([]storer.Change)               {}
+func (sink) Learn([]storer.Change)                 {}
+func (sink) Contact(storer.Version, time.Duration) {}
+
+func connect(t *testing.T, h *handler) (*messenger.Messenger, string) {
+	t.Helper()
+	server, err := messenger.New(h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client, err := messenger.New(&handler{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, l) }()
+	t.Cleanup(func() {
+		if err := client.Close(); err != nil {
+			t.Error(err)
+		}
+		cancel()
+		<-done
+	})
+	return client, l.Addr().String()
+}
+
+// Guards against a question or an answer that changes on its way.
+func TestSupply(t *testing.T) {
+	h := &handler{}
+	client, address := connect(t, h)
+	want := supplier.NewWant("e1", connector.NewModel("m", "a", ""), supplier.AtLeast(7), supplier.Missing(true),
+		supplier.WithSize(100, 20, 300*time.Millisecond), supplier.WithUsed([]connector.Model{connector.NewModel("m", "b", "")}))
+	for _, answer := range []supplier.Supply{
+		supplier.NewGranted(7, 25*time.Millisecond), supplier.NewDeclined("full", time.Second), supplier.Unowned{},
+	} {
+		is := is.New(t)
+		h.answer = answer
+		got, err := client.Supply(t.Context(), address, want)
+		is.NoErr(err)
+		is.Equal(got, answer)
+		is.Equal(h.want, want)
+	}
+}
+
+// Guards against evidence and table copies that are lost between hosts.
+func TestAccuseAndFollow(t *testing.T) {
+	is := is.New(t)
+	h := &handler{mirror: mirrorer.New(sink{})}
+	client, address := connect(t, h)
+	marks := []screener.Mark{screener.NewMark(5, "e1/1")}
+	is.NoErr(client.Accuse(t.Context(), address, marks))
+	is.Equal(h.marks, marks)
+
+	_, err := client.Snapshot(t.Context(), address, "t")
+	is.True(errors.Is(err, storer.ErrUnavailable)) // not read yet
+	h.mirror.Replace([]storer.Change{storer.NewChange(storer.NewRow("k", []byte("v"), 3))})
+	h.mirror.Contact(4, time.Minute)
+	whole, err := client.Snapshot(t.Context(), address, "t")
+	is.NoErr(err)
+	is.Equal(whole.Changes().List()[0].Key(), "k")
+	is.Equal(whole.Changes().Version(), storer.Version(4))
+	is.True(whole.Changes().Clock() >= time.Minute)
+	_, err = client.Follow(t.Context(), address, "t", 1, time.Second)
+	is.True(errors.Is(err, storer.ErrHistoryLost))
+	h.mirror.Learn([]storer.Change{storer.NewRemoval("k", 6)})
+	h.mirror.Contact(6, time.Minute)
+	changes, err := client.Follow(t.Context(), address, "t", 4, time.Second)
+	is.NoErr(err)
+	is.True(changes.Changes().List()[0].Removed())
+	_, err = client.Snapshot(t.Context(), address, "other")
+	is.True(errors.Is(err, storer.ErrUnavailable))
+}
+
+// Guards against a call that waits for a host that does not answer.
+func TestNobody(t *testing.T) {
+	is := is.New(t)
+	client, _ := connect(t, &handler{})
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	_, err := client.Supply(ctx, "127.0.0.1:1", supplier.NewWant("e1", connector.Model{}))
+	is.True(err != nil)
+}
