--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -41,8 +41,10 @@
 	restMargin = 500 * time.Millisecond
 	// The store may hold a call back for this time while nothing changes. Every
 	// host follows the configuration itself, because one that is in touch with the
-	// store must not depend on another that is not.
-	configWait  = 8 * time.Second
+	// store must not depend on another that is not. The call is held back for long;
+	// should its connection go silent, the hosts of the data centre tell each other
+	// their versions.
+	configWait  = 20 * time.Second
 	configPause = 50 * time.Millisecond
 	// One host of each data centre follows these tables at the store. The waits and
 	// pauses bound the age of its copy, by which the others see that it lost the
@@ -78,6 +80,7 @@
 	pinger    *pinger.Pinger
 	mirrors   map[string]*mirrorer.Mirror
 	front     *platform.Front
+	operator  *follower.Follower
 	endpoints *follower.Follower
 	followers []*follower.Follower
 	leaving   atomic.Bool
@@ -112,12 +115,13 @@
 		return nil, fmt.Errorf("build messenger: %w", err)
 	}
 	h.exchanger = exchanger.New(platform.Dialect{})
-	h.pinger = pinger.New(settings.Address(), h.neighbourAddresses, h.leaving.Load, log)
+	h.pinger = pinger.New(settings.Address(), h.neighbourAddresses, h.state, func() { h.operator.Nudge() }, log)
 	h.referrer = referrer.New(h.members, h.pinger)
 	h.front = platform.NewFront(h.path(settings, log), h.bodyBytes, h.leaving.Load, h.ended)
 	h.endpoints = h.followVia(platform.TableEndpoints, endpointWait, endpointPause, endpointMaxAge, log)
+	h.operator = follower.New(platform.TableOperator, h.store.Table(platform.TableOperator), operatorReader{h}, configWait, configPause, log)
 	h.followers = []*follower.Follower{
-		follower.New(platform.TableOperator, h.store.Table(platform.TableOperator), operatorReader{h}, configWait, configPause, log),
+		h.operator,
 		h.endpoints,
 		h.followVia(tableFleet, fleetWait, fleetPause, fleetMaxAge, log),
 	}
@@ -131,6 +135,15 @@
 	return follower.New(table, feed, h.mirrors[table], wait, pause, log)
 }
 
+// state is what this host tells the others of its data centre.
+func (h *Host) state() pinger.State {
+	var version int64
+	if t := h.router.Current(); t != nil {
+		version = t.Version()
+	}
+	return pinger.NewState(h.leaving.Load(), version)
+}
+
 // neighbours returns the other live hosts of the data centre.
 func (h *Host) neighbours() []subscriber.Peer {
 	var list []subscriber.Peer
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -43,6 +43,7 @@
 	wait   time.Duration
 	pause  time.Duration
 	log    *logger.Logger
+	nudge  chan struct{}
 
 	version  storer.Version
 	whole    bool // whether the table was read and its history is known since
@@ -54,7 +55,7 @@
 // back while nothing changes, pause the time between two calls, which gathers
 // changes and so saves calls.
 func New(name string, feed storer.Feed, reader Reader, wait, pause time.Duration, log *logger.Logger) *Follower {
-	return &Follower{name: name, feed: feed, reader: reader, wait: wait, pause: pause, log: log.Component("follower")}
+	return &Follower{name: name, feed: feed, reader: reader, wait: wait, pause: pause, log: log.Component("follower"), nudge: make(chan struct{}, 1)}
 }
 
 // Regained returns how long ago the store answered again after a failure, or
@@ -67,6 +68,30 @@
 	return time.Since(time.Unix(0, at)), true
 }
 
+// Nudge says that there are changes that the follower has not seen. A call that is
+// held back is given up, because its connection may have gone silent.
+func (f *Follower) Nudge() {
+	select {
+	case f.nudge <- struct{}{}:
+	default: // one is enough
+	}
+}
+
+// nudged ends a context at the next nudge.
+func (f *Follower) nudged(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	go func() {
+		select {
+		case <-f.nudge:
+			cancel(errNudged)
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() { cancel(nil) }
+}
+
+var errNudged = eris.New("there are changes that were not seen")
+
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -96,6 +121,9 @@
 
 func (f *Follower) step(ctx context.Context) error {
 	changes, err := f.fetch(ctx)
+	if errors.Is(err, errNudged) {
+		return nil // asked again at once
+	}
 	if err != nil {
 		return err
 	}
@@ -124,7 +152,12 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	if f.whole {
+		ctx, cancel := f.nudged(ctx)
+		defer cancel()
 		changes, err := f.feed.Follow(ctx, f.version, f.wait)
+		if errors.Is(context.Cause(ctx), errNudged) {
+			return storer.Changes{}, errNudged
+		}
 		if err != nil {
 			return storer.Changes{}, fmt.Errorf("follow table %s: %w", f.name, err)
 		}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -105,6 +105,29 @@
 	})
 }
 
+// Guards against a call that is held back on a connection that went silent while
+// other hosts know of changes.
+func TestNudge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &feed{steps: []step{{keys: []string{"a"}, version: 10}}}
+		fl := follower.New("t", f, &reader{}, time.Hour, time.Millisecond, logger.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { fl.Run(ctx); close(done) }()
+		time.Sleep(time.Minute)
+		fl.Nudge()
+		time.Sleep(time.Second)
+		f.mu.Lock()
+		is.Equal(f.asked, []string{"whole", "follow", "follow"})
+		f.mu.Unlock()
+		cancel()
+		<-done
+		_, lost := fl.Regained()
+		is.True(!lost)
+	})
+}
+
 // Guards against a follower that waits for ever on a connection that went silent.
 func TestSilentStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pinger/pinger.go
+++ b/pinger/pinger.go
@@ -23,6 +23,7 @@
 type ping struct {
 	Host    string `cbor:"1,keyasint"`
 	Leaving bool   `cbor:"2,keyasint,omitempty"`
+	Config  int64  `cbor:"3,keyasint,omitempty"` // version of the configuration in force
 }
 
 // heard is what is known of another host.
@@ -32,21 +33,32 @@
 	lost    bool
 }
 
+// State is what a host tells the others of itself.
+type State struct {
+	leaving bool
+	config  int64
+}
+
+// NewState returns whether a host is about to stop, and the version of its
+// configuration.
+func NewState(leaving bool, config int64) State { return State{leaving: leaving, config: config} }
+
 // Pinger sends and receives signs of life.
 type Pinger struct {
-	self    string
-	peers   func() []netip.AddrPort
-	leaving func() bool
-	log     *logger.Logger
+	self  string
+	peers func() []netip.AddrPort
+	state func() State
+	newer func()
+	log   *logger.Logger
 
 	mu    sync.Mutex
 	heard map[string]*heard
 }
 
 // New returns a pinger of a host. Peers returns the addresses of the other hosts of
-// the data centre.
-func New(self string, peers func() []netip.AddrPort, leaving func() bool, log *logger.Logger) *Pinger {
-	return &Pinger{self: self, peers: peers, leaving: leaving, log: log.Component("pinger"), heard: make(map[string]*heard)}
+// the data centre; newer is called when one of them has a newer configuration.
+func New(self string, peers func() []netip.AddrPort, state func() State, newer func(), log *logger.Logger) *Pinger {
+	return &Pinger{self: self, peers: peers, state: state, newer: newer, log: log.Component("pinger"), heard: make(map[string]*heard)}
 }
 
 // Heard reports whether a host has been heard of lately. Known is false for one
@@ -92,7 +104,8 @@
 }
 
 func (p *Pinger) send(conn *net.UDPConn) {
-	data, err := encoder.Marshal(ping{Host: p.self, Leaving: p.leaving()})
+	state := p.state()
+	data, err := encoder.Marshal(ping{Host: p.self, Leaving: state.leaving, Config: state.config})
 	if err != nil {
 		p.log.Error("ping-not-encoded", logger.Err(err))
 		return
@@ -120,6 +133,9 @@
 			continue
 		}
 		p.note(got)
+		if got.Config > p.state().config {
+			p.newer()
+		}
 	}
 }
 
--- /dev/null
+++ b/relayer/place.go
@@ -0,0 +1,82 @@
+package relayer
+
+import (
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/selector"
+	"github.com/dragonflyford/dragonflyford/sleeper"
+	"github.com/dragonflyford/dragonflyford/supplier"
+)
+
+const (
+	// The share of the objective that the most urgent calls may wait for their turn
+	// at an engine, what each rank below takes off, and the least.
+	turnShare    = 0.45
+	turnStep     = 0.1
+	minTurnShare = 0.15
+
+	retryOwner = 500 * time.Millisecond
+)
+
+// prepare gets a place for the call on an engine. A fault means that the engine
+// will not do.
+func (c *carriage) prepare(choice selector.Choice) error {
+	e, m := choice.Endpoint(), c.call.Model()
+	if m.Base() == "" || c.call.Service().Engines() == nil {
+		return nil
+	}
+	began := time.Now()
+	supply, err := c.relayer.procurer.Procure(c.ctx, e, m, supplier.AtLeast(choice.Named()), supplier.Missing(c.missing == e),
+		supplier.WithSize(c.call.Prompt(), c.call.Output(), c.turnPatience()))
+	c.noteSupply(choice, supply, err, time.Since(began))
+	switch s := supply.(type) {
+	case supplier.Granted:
+		if sleeper.Sleep(c.ctx, s.Wait()) != nil {
+			return c.expired()
+		}
+		c.version = s.Version()
+		e.Learn(m, s.Version(), true)
+		return nil
+	case supplier.Declined:
+		c.avoided[e] = true
+		c.declines++
+		return classifier.NewOverloaded("the engine has no place: "+s.Reason(), classifier.RetryAfter(c.comeBack(s.Wait())))
+	}
+	if choice.Present() && c.missing != e {
+		// Without its owner an engine still serves what it holds.
+		c.version, _ = e.Held(m)
+		return nil
+	}
+	c.avoided[e] = true
+	return classifier.NewOverloaded("the model is not loaded and the engine's owner does not answer",
+		classifier.RetryAfter(c.comeBack(retryOwner)), classifier.Cause(err))
+}
+
+// turnPatience returns how long the call may wait for its turn at an engine. Less
+// urgent calls wait less, so that they give way when turns become scarce.
+func (c *carriage) turnPatience() time.Duration {
+	share := max(turnShare-turnStep*float64(c.call.Route().Priority()), minTurnShare)
+	return time.Duration(share * float64(c.call.Route().Objective()))
+}
+
+func (c *carriage) noteSupply(choice selector.Choice, supply supplier.Supply, err error, took time.Duration) {
+	m := c.call.Model()
+	fields := []logger.Field{
+		logger.With(logger.KeyModel, m.Base()+"/"+m.Adapter()), logger.With(logger.KeyVersion, choice.Named()),
+		logger.With(logger.KeyDuration, took.Milliseconds()), logger.With(logger.KeyHeld, choice.Present()),
+	}
+	switch s := supply.(type) {
+	case supplier.Granted:
+		fields = append(fields, logger.With(logger.KeyOutcome, "granted"), logger.With(logger.KeyWait, s.Wait().Milliseconds()))
+	case supplier.Declined:
+		fields = append(fields, logger.With(logger.KeyOutcome, "declined"), logger.With(logger.KeyReason, s.Reason()),
+			logger.With(logger.KeyWait, s.Wait().Milliseconds()))
+	case supplier.Unowned:
+		fields = append(fields, logger.With(logger.KeyOutcome, "unowned"))
+	default:
+		fields = append(fields, logger.With(logger.KeyOutcome, "no-answer"), logger.Err(err))
+	}
+	c.note("place-asked", choice.Endpoint(), fields...)
+}
