--- a/configurer/entry_document.go
+++ b/configurer/entry_document.go
@@ -68,7 +68,7 @@
 func defaultEntry() entryDocument {
 	return entryDocument{
 		Node:    entryNodeDocument{Share: 1},
-		Lease:   entryLeaseDocument{Renew: duration(4 * time.Second), Time: duration(12 * time.Second), Guard: duration(time.Second), Turns: duration(3 * time.Second)},
+		Lease:   entryLeaseDocument{Renew: duration(6 * time.Second), Time: duration(12 * time.Second), Guard: duration(time.Second), Turns: duration(3 * time.Second)},
 		Repeats: entryRepeatDocument{Ratio: 0.1, Slack: 20, Window: duration(10 * time.Second)},
 		Stop:    entryStopDocument{Grace: duration(8 * time.Second)},
 		Limits: entryLimitsDocument{
--- a/enroller/claim.go
+++ b/enroller/claim.go
@@ -128,7 +128,7 @@
 }
 
 func (e *Enroller) commitClaim(ctx context.Context, engines []string, writes []storer.Write, first time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, e.times.renew)
+	ctx, cancel := context.WithTimeout(ctx, min(e.times.renew, renewTimeout))
 	defer cancel()
 	// The wait before the first order stands before the claim is known to hold.
 	e.restUntil(engines, first)
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -12,6 +12,7 @@
 
 	"github.com/dragonflyford/dragonflyford/encoder"
 	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/sleeper"
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
@@ -136,22 +137,29 @@
 	}
 }
 
+// renewTimeout bounds one renewal. A connection to the store that went silent is
+// given up after it.
+const renewTimeout = 2 * time.Second
+
+// retryRenewal is the time after which a failed renewal is tried again.
+const retryRenewal = time.Second
+
 // Run renews the row until ctx ends.
 func (e *Enroller) Run(ctx context.Context) {
-	ticker := time.NewTicker(e.times.renew)
-	defer ticker.Stop()
 	for {
 		e.beatOnce(ctx)
-		select {
-		case <-ctx.Done():
+		pause := e.times.renew
+		if !e.renewed {
+			pause = min(pause, retryRenewal)
+		}
+		if sleeper.Sleep(ctx, pause) != nil {
 			return
-		case <-ticker.C:
 		}
 	}
 }
 
 func (e *Enroller) beatOnce(ctx context.Context) {
-	limited, cancel := context.WithTimeout(ctx, e.times.renew)
+	limited, cancel := context.WithTimeout(ctx, min(e.times.renew, renewTimeout))
 	defer cancel()
 	err := e.renew(limited)
 	switch {
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -86,7 +86,7 @@
 	want := supplier.NewWant("e1", connector.NewModel("m", "a", ""), supplier.AtLeast(7), supplier.Missing(true),
 		supplier.WithSize(100, 20, 300*time.Millisecond), supplier.WithUsed([]connector.Model{connector.NewModel("m", "b", "")}))
 	for _, answer := range []supplier.Supply{
-		supplier.NewGranted(7, 25*time.Millisecond), supplier.NewDeclined("full", time.Second), supplier.Unowned{},
+		supplier.NewGranted(7, 25*time.Millisecond), supplier.NewDeclined("full", time.Second), supplier.NewFull(time.Second), supplier.Unowned{},
 	} {
 		is := is.New(t)
 		h.answer = answer
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -49,6 +49,7 @@
 	stateGranted  = 1
 	stateDeclined = 2
 	stateUnowned  = 3
+	stateFull     = 4
 )
 
 type supplyDocument struct {
@@ -63,6 +64,9 @@
 	case supplier.Granted:
 		return &supplyDocument{State: stateGranted, Version: s.Version(), WaitUS: s.Wait().Microseconds()}
 	case supplier.Declined:
+		if s.Full() {
+			return &supplyDocument{State: stateFull, WaitUS: s.Wait().Microseconds()}
+		}
 		return &supplyDocument{State: stateDeclined, Reason: s.Reason(), WaitUS: s.Wait().Microseconds()}
 	default:
 		return &supplyDocument{State: stateUnowned}
@@ -74,6 +78,8 @@
 	switch d.State {
 	case stateGranted:
 		return supplier.NewGranted(d.Version, wait)
+	case stateFull:
+		return supplier.NewFull(wait)
 	case stateDeclined:
 		return supplier.NewDeclined(d.Reason, wait)
 	default:
--- a/relayer/place.go
+++ b/relayer/place.go
@@ -17,6 +17,9 @@
 	turnStep     = 0.1
 	minTurnShare = 0.15
 
+	// maxFull is how long an engine without a place is not asked again.
+	maxFull = 400 * time.Millisecond
+
 	retryOwner = 500 * time.Millisecond
 )
 
@@ -42,6 +45,10 @@
 	case supplier.Declined:
 		c.avoided[e] = true
 		c.declines++
+		if s.Full() {
+			// The calls after this one need not ask.
+			e.Declined(min(s.Wait(), maxFull))
+		}
 		return classifier.NewOverloaded("the engine has no place: "+s.Reason(), classifier.RetryAfter(c.comeBack(s.Wait())))
 	}
 	if choice.Present() && c.missing != e {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -164,7 +164,7 @@
 		}
 		based++
 		busy := e.Busy(now)
-		if busy >= fullFactor*float64(e.Slots()) || e.Waiting(now) > maxWaiting {
+		if busy >= fullFactor*float64(e.Slots()) || e.Waiting(now) > maxWaiting || e.Full(now) {
 			continue
 		}
 		order = append(order, ranked{
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -82,6 +82,10 @@
 			}
 			listed(f, "idle", "z1")
 		}, "idle", false},
+		{"holder without a place", func(f *tracker.Tracker) {
+			listed(f, "holder", "z1", adapter).Declined(time.Second)
+			listed(f, "idle", "z1")
+		}, "idle", false},
 		{"ejected holder", func(f *tracker.Tracker) {
 			listed(f, "holder", "z1", adapter).Broke()
 			listed(f, "idle", "z1")
--- a/supplier/message.go
+++ b/supplier/message.go
@@ -99,6 +99,7 @@
 type Declined struct {
 	reason string
 	wait   time.Duration
+	full   bool
 }
 
 // NewDeclined returns a reason and when to ask again.
@@ -106,6 +107,15 @@
 	return Declined{reason: reason, wait: wait}
 }
 
+// NewFull returns that the engine has too many calls, whatever their models, and
+// when it has a place again.
+func NewFull(wait time.Duration) Declined {
+	return Declined{reason: "engine has too many calls", wait: wait, full: true}
+}
+
+// Full reports whether the engine has no place for any call.
+func (d Declined) Full() bool { return d.full }
+
 // Reason returns why.
 func (d Declined) Reason() string { return d.reason }
 
--- a/supplier/turn.go
+++ b/supplier/turn.go
@@ -39,7 +39,7 @@
 	generating := time.Duration(w.output) * tokenTime
 	start, ok := k.calendar.reserve(now, earliest, earliest.Add(w.patience), reading, generating, slots)
 	if !ok {
-		return NewDeclined("engine has too many calls", start.Sub(now))
+		return NewFull(start.Sub(now))
 	}
 	return NewGranted(version, start.Sub(now))
 }
--- a/tracker/endpoint.go
+++ b/tracker/endpoint.go
@@ -65,6 +65,7 @@
 	load        atomic.Pointer[Load]
 	failing     atomic.Uint64 // bits of a float64: share of recent calls that failed
 	ejected     atomic.Int64  // Unix nanoseconds of the runtime clock until which calls go elsewhere
+	full        atomic.Int64  // Unix nanoseconds until which the endpoint has no place
 	strikes     atomic.Int32  // consecutive connection failures
 	mu          sync.Mutex    // serialises writers of holdings
 	holdings    atomic.Pointer[map[connector.Model]belief]
@@ -197,6 +198,12 @@
 	return d
 }
 
+// Declined records that the endpoint has no place for a time.
+func (p *Endpoint) Declined(d time.Duration) { p.full.Store(time.Now().Add(d).UnixNano()) }
+
+// Full reports whether the endpoint is known to have no place.
+func (p *Endpoint) Full(now time.Time) bool { return now.UnixNano() < p.full.Load() }
+
 // Ejected reports whether calls should go elsewhere.
 func (p *Endpoint) Ejected(now time.Time) bool { return now.UnixNano() < p.ejected.Load() }
 
