--- a/supplier/turn.go
+++ b/supplier/turn.go
@@ -5,10 +5,12 @@
 )
 
 const (
-	promptRate   = 20.0                  // tokens that an engine reads in a millisecond
-	promptMargin = 1.6                   // leaves time for streams between two prompts
-	stepTime     = 10 * time.Millisecond // of the streams between two prompts
-	tokenTime    = 14 * time.Millisecond // of one token, prompts of other calls included
+	promptRate   = 20.0 // tokens that an engine reads in a millisecond
+	promptMargin = 1.05
+	// streamTime is left for the streams between two prompts: three steps, so that
+	// an event, which holds three or four of them, waits for one prompt only.
+	streamTime = 30 * time.Millisecond
+	tokenTime  = 14 * time.Millisecond // of one token, prompts of other calls included
 	// unlimitedSlots stands for an engine whose slots are not configured.
 	unlimitedSlots = 1 << 20
 )
@@ -35,7 +37,7 @@
 	if settings := k.supplier.settings(k.endpoint.Service()); settings != nil && settings.Slots() > 0 {
 		slots = settings.Slots()
 	}
-	reading := time.Duration(float64(w.tokens)/promptRate*float64(time.Millisecond)*promptMargin) + stepTime
+	reading := time.Duration(float64(w.tokens)/promptRate*float64(time.Millisecond)*promptMargin) + streamTime
 	generating := time.Duration(w.output) * tokenTime
 	start, ok := k.calendar.reserve(now, earliest, earliest.Add(w.patience), reading, generating, slots)
 	if !ok {
