--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -1,10 +1,13 @@
 package relayer
 
 import (
+	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/dragonflyford/dragonflyford/exchanger"
+	"github.com/dragonflyford/dragonflyford/tracker"
 )
 
 // Answer is an endpoint's answer on its way to the caller. Its body must be
@@ -59,3 +62,34 @@
 	g.end()
 	return err
 }
+
+// silentTime is how long a stream must have been silent when its caller leaves for
+// the endpoint to count as failing. Callers give a stream up after two seconds or
+// more.
+const silentTime = 1500 * time.Millisecond
+
+// watched is the body of a stream that notices an endpoint that fell silent.
+type watched struct {
+	io.ReadCloser
+	endpoint *tracker.Endpoint
+	last     time.Time
+	ended    bool
+}
+
+func (w *watched) Read(p []byte) (int, error) {
+	n, err := w.ReadCloser.Read(p)
+	switch {
+	case errors.Is(err, io.EOF):
+		w.ended = true
+	case err == nil:
+		w.last = time.Now()
+	}
+	return n, err
+}
+
+func (w *watched) Close() error {
+	if !w.ended && time.Since(w.last) > silentTime {
+		w.endpoint.Failed()
+	}
+	return w.ReadCloser.Close()
+}
--- a/relayer/carriage.go
+++ b/relayer/carriage.go
@@ -52,6 +52,7 @@
 	leave    atomic.Bool             // whether the next send is counted as a repeat already
 	event    string                  // last event of a resumed stream
 	version  int64                   // of the model at the chosen endpoint
+	sentAt   time.Time               // latest send
 }
 
 // run carries the call to endpoints until one answers. A fault says that the call
--- a/relayer/outcome.go
+++ b/relayer/outcome.go
@@ -50,7 +50,10 @@
 	if live && stream.Resumable() && a.Status() == http.StatusOK {
 		return newAnswer(a, newResumer(c, e, a), e.ID(), c.sends, true)
 	}
-	return newAnswer(a, a.Body(), e.ID(), c.sends, live)
+	if live {
+		return newAnswer(a, &watched{ReadCloser: a.Body(), endpoint: e, last: time.Now()}, e.ID(), c.sends, true)
+	}
+	return newAnswer(a, a.Body(), e.ID(), c.sends, false)
 }
 
 // repeatable reports whether the work may run more than once.
@@ -113,6 +116,9 @@
 	case slow:
 		e.Failed()
 	case errors.Is(c.ctx.Err(), context.Canceled):
+		if time.Since(c.sentAt) > c.call.Route().Objective() {
+			e.Failed() // the caller gave the endpoint up
+		}
 		return final(classifier.NewCanceled("the caller went away"))
 	case c.ctx.Err() != nil:
 		e.Failed()
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -260,6 +260,37 @@
 	})
 }
 
+// Guards against an endpoint that hangs, so that its callers leave, and goes on
+// getting calls.
+func TestHangingEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(map[string][]reaction{"e1": {hangs}})
+		e := r.fleet.Current().Endpoint("e1")
+		leave := func(kind router.Repeat) {
+			ctx, cancel := context.WithCancel(t.Context())
+			time.AfterFunc(3*time.Second, cancel)
+			a, err := r.Apply(ctx, screened(t, kind, 1, connector.Model{}))
+			if err == nil {
+				_, err = io.ReadAll(a.Body())
+				is.NoErr(a.Body().Close())
+			}
+			is.True(err != nil)
+		}
+		leave(router.NewStream(false, time.Second))
+		is.True(e.Failing() > 0)
+		before := e.Failing()
+		r.script["e1"] = []reaction{func(ctx context.Context, _ *exchanger.Outbound) (*exchanger.Answer, error) {
+			pipe, w := io.Pipe()
+			context.AfterFunc(ctx, func() { _ = w.CloseWithError(ctx.Err()) })
+			go func() { _, _ = io.WriteString(w, "id: 0\ndata: 0\n\n") }()
+			return exchanger.NewAnswer(200, http.Header{}, exchanger.NewMeta("id", false, true), pipe, -1), nil
+		}}
+		leave(router.NewStream(false, time.Second))
+		is.True(e.Failing() > before)
+	})
+}
+
 // Guards against a stream with a missing, doubled or torn event after its endpoint
 // broke off, and against one that looks complete although it is not.
 func TestResume(t *testing.T) {
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -67,6 +67,7 @@
 		})
 		defer timer.Stop()
 	}
+	c.sentAt = time.Now()
 	answer, err := c.relayer.exchanger.Do(ctx, e, c.outbound(choice), c.maxIdle(), c.connections())
 	if err != nil {
 		defer abort(nil)
