--- a/assembler/run.go
+++ b/assembler/run.go
@@ -176,6 +176,8 @@
 
 // accuse tells the other hosts of calls that endpoints broke off at.
 func (h *Host) accuse(ctx context.Context) {
+	var telling sync.WaitGroup
+	defer telling.Wait()
 	for sleeper.Sleep(ctx, accuseInterval) == nil {
 		marks := h.screener.Drain()
 		if len(marks) == 0 {
@@ -185,13 +187,13 @@
 			if peer.Name() == h.members.Self() {
 				continue
 			}
-			go func() {
+			telling.Go(func() {
 				ctx, cancel := context.WithTimeout(ctx, accuseTimeout)
 				defer cancel()
 				if err := h.messenger.Accuse(ctx, peer.Peers(), marks); err != nil {
 					h.log.Warn("evidence-not-told", logger.With(logger.KeyPeer, peer.Name()), logger.Err(err))
 				}
-			}()
+			})
 		}
 	}
 }
