assembler: end when an address is taken

Run waited for its servers without closing them when a later address could not be listened on. The addresses of tests were chosen by closing a listener, and hosts of parallel tests shared 127.0.7.1, so an outgoing connection of one could hold the port of another. Hosts of tests now have addresses of their own and ports below those of outgoing connections.

TestAddressTaken failed on four of five addresses before (not ended after 5 s); it passes now.

--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -25,13 +25,20 @@
 	"github.com/dragonflyford/dragonflyford/platform/emulator"
 )
 
+// networks counts the worlds of this process.
+var networks atomic.Int64
+
+// firstPort and the next ones are those of a host. They are below the ports that the
+// kernel gives to outgoing connections, so none of them is taken for one.
+const firstPort = 21000
+
 // world is a small deployment: a store, an engine service and a plain service, and
-// hosts on loopback addresses of their own.
+// hosts on loopback addresses that no other world has.
 type world struct {
 	t       *testing.T
 	store   *emulator.Store
 	server  *httptest.Server
-	ports   []int
+	network int // of the hosts' addresses
 	engine  *emulator.Endpoint
 	plain   *emulator.Endpoint
 	address map[string]string // of endpoints, by id
@@ -66,7 +73,7 @@
 func newWorld(t *testing.T) *world {
 	t.Helper()
 	w := &world{
-		t: t, store: emulator.NewStore(), address: make(map[string]string),
+		t: t, network: int(networks.Add(1)), store: emulator.NewStore(), address: make(map[string]string),
 		engine: emulator.NewEndpoint("i-engine", emulator.NewEngine("m", 3, 50*time.Millisecond, 20*time.Millisecond, 20, 100*time.Millisecond)),
 		plain:  emulator.NewEndpoint("i-plain", emulator.NewPlain(10*time.Millisecond)),
 	}
@@ -80,14 +87,6 @@
 	w.list(w.engine, "llm", "ready")
 	w.list(w.plain, "ledger", "ready")
 	w.configure(1, "/llm/", "/post/", "/look/")
-	for range 5 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		w.ports = append(w.ports, l.Addr().(*net.TCPAddr).Port)
-		_ = l.Close()
-	}
 	return w
 }
 
@@ -106,11 +105,20 @@
 		{"name":"ledger","max_conns":100}],"limits":{"max_body_bytes":1000,"idle_timeout_ms":6000}}`, version, stream, once, look))
 }
 
-func (w *world) at(host string, port int) string { return fmt.Sprintf("%s:%d", host, w.ports[port]) }
+// hostAddress returns the address of a host of this world. Worlds of other
+// processes that run at the same time have other addresses.
+func (w *world) hostAddress(host string) string {
+	return fmt.Sprintf("127.%d.%d.%s", 16+os.Getpid()%200, w.network, host)
+}
+
+func (w *world) at(host string, port int) string {
+	return fmt.Sprintf("%s:%d", w.hostAddress(host), firstPort+port)
+}
 
-// start runs a host until stop is called, which returns when it has ended.
-func (w *world) start(host string) (stop func()) {
+// build returns a host that does not run yet.
+func (w *world) build(host string) (*assembler.Host, *configurer.Entry) {
 	w.t.Helper()
+	address := w.hostAddress(host)
 	settings, err := configurer.ParseEntry(fmt.Appendf(nil, `{
 		"node": {"name": %q, "address": %q, "data_centre": "z1", "region": "r1"},
 		"listen": {"callers": %q, "readiness": %q, "directory": %q, "peers": %q, "metrics": %q},
@@ -118,11 +126,11 @@
 		"store": {"address": %q},
 		"lease": {"renew": "300ms", "time": "2s", "guard": "300ms", "turns": "500ms"},
 		"stop": {"grace": "5s"}}`,
-		host, host, w.at(host, 0), w.at(host, 1), w.at(host, 2), w.at(host, 3), w.at(host, 4), strings.TrimPrefix(w.server.URL, "http://")))
+		address, address, w.at(host, 0), w.at(host, 1), w.at(host, 2), w.at(host, 3), w.at(host, 4), strings.TrimPrefix(w.server.URL, "http://")))
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	log, err := logger.New(&w.logs, host, "info")
+	log, err := logger.New(&w.logs, address, "info")
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -130,6 +138,13 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	return h, settings
+}
+
+// start runs a host until stop is called, which returns when it has ended.
+func (w *world) start(host string) (stop func()) {
+	w.t.Helper()
+	h, settings := w.build(host)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() {
@@ -184,7 +199,31 @@
 	return resp.StatusCode, string(body), err
 }
 
-const hostA, hostB = "127.0.7.1", "127.0.7.2"
+const hostA, hostB = "1", "2"
+
+// Guards against a host that neither serves nor ends when one of its addresses is
+// taken.
+func TestAddressTaken(t *testing.T) {
+	t.Parallel()
+	for port := range 5 {
+		is := is.New(t)
+		w := newWorld(t)
+		taken, err := net.Listen("tcp", w.at(hostA, port))
+		is.NoErr(err)
+		h, settings := w.build(hostA)
+		ended := make(chan error, 1)
+		go func() {
+			ended <- h.Run(t.Context(), make(chan os.Signal), func() (*configurer.Entry, error) { return settings, nil })
+		}()
+		select {
+		case err := <-ended:
+			is.True(err != nil)
+		case <-time.After(5 * time.Second):
+			t.Errorf("with address %s taken, the host had not ended after 5 s", w.at(hostA, port))
+		}
+		is.NoErr(taken.Close())
+	}
+}
 
 // Guards against a whole path that does not fit together: routes, the owner's
 // orders, streams, and the hosts' agreement on who owns an engine.
--- a/assembler/run.go
+++ b/assembler/run.go
@@ -40,8 +40,12 @@
 	h.log.Info("started", logger.With(logger.KeyPeer, settings.Address()))
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var running sync.WaitGroup
+	var servers []*http.Server
 	defer func() {
 		cancel()
+		for _, s := range servers {
+			_ = s.Close() // closed already unless an address could not be listened on
+		}
 		running.Wait()
 		h.close()
 		h.log.Info("stopped")
@@ -51,7 +55,7 @@
 	var idle idleConnections
 	idle.watch(callers)
 	running.Go(func() { idle.sweep(work, h.idleTime) })
-	servers := []*http.Server{callers, h.server(platform.NewReadiness(h.ready)), h.server(h.directory()), h.server(h.metrics())}
+	servers = []*http.Server{callers, h.server(platform.NewReadiness(h.ready)), h.server(h.directory()), h.server(h.metrics())}
 	addresses := []string{settings.Callers(), settings.Readiness(), settings.Directory(), settings.Metrics()}
 	for i, server := range servers {
 		if err := h.serve(work, &running, server, addresses[i]); err != nil {
--- a/soaker/world_test.go
+++ b/soaker/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -30,6 +29,11 @@
 	events     = 15
 )
 
+// firstPort and the next ones are those of a host. They are below the ports that the
+// kernel gives to outgoing connections, so none of them is taken for one while a
+// host is down.
+const firstPort = 21000
+
 // host is one process of the program.
 type host struct {
 	name       string
@@ -63,7 +67,6 @@
 	server    *httptest.Server
 	hosts     []*host
 	endpoints []*endpoint
-	ports     []int
 	version   int
 	net       int // of the hosts' addresses, so that several seeds may run at once
 	mu        sync.Mutex
@@ -74,14 +77,6 @@
 	w := &world{t: t, binary: binary, dir: t.TempDir(), store: emulator.NewStore(), net: 9 + int(seed%200)}
 	w.server = httptest.NewServer(w.store.Handler())
 	t.Cleanup(w.server.Close)
-	for range 5 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		w.ports = append(w.ports, l.Addr().(*net.TCPAddr).Port)
-		_ = l.Close()
-	}
 	for i := range 3 {
 		w.addEndpoint(fmt.Sprint("i-engine-", i), "llm", zone(i), emulator.NewEngine("m", engineSlot, 60*time.Millisecond, 15*time.Millisecond, events, 80*time.Millisecond))
 	}
@@ -160,7 +155,7 @@
 }
 
 func (w *world) settings(h *host, level string) {
-	at := func(port int) string { return fmt.Sprintf("%s:%d", h.address, w.ports[port]) }
+	at := func(port int) string { return w.at(h, port) }
 	text := fmt.Sprintf(`{"node":{"name":%q,"address":%q,"data_centre":%q,"region":"r1"},
 		"listen":{"callers":%q,"readiness":%q,"directory":%q,"peers":%q,"metrics":%q},
 		"data_centres":[{"name":"z1","region":"r1"},{"name":"z2","region":"r1"}],
@@ -198,7 +193,7 @@
 func (h *host) wait() { <-h.exited }
 
 func (w *world) at(h *host, port int) string {
-	return fmt.Sprintf("%s:%d", h.address, w.ports[port])
+	return fmt.Sprintf("%s:%d", h.address, firstPort+port)
 }
 
 func (w *world) ready(h *host) bool {
