leaser: read the rows of other data centres rarely

Ruled out: a longer interval for all rows (a gap of half a lease gives every owner the full time again) and summary rows (a data centre that is lost as a whole cannot write its own).

Lease rows are keyed by data centre. Above 128 rows a node reads those of its own data centre every 2 s, whose engines it may take over, and all rows every 20 s. A row counts as expired only by its age when it was last read. After a gap all rows are read at each scan until they have been watched for a lease.

TestRareScans fails without the rule for gaps and with ages taken between reads. Leaser.List and ReadNodes, which only tests used, are removed.

--- a/leaser/bench_test.go
+++ b/leaser/bench_test.go
@@ -39,7 +39,7 @@
 			ctx := context.Background()
 			table := emulator.NewTable()
 			for i := range members {
-				if err := table.Commit(ctx, storer.NewPut(leaser.NodeKey(fmt.Sprintf("superior-entry-%03d", i)), value, 0)); err != nil {
+				if err := table.Commit(ctx, storer.NewPut(leaser.NodeKey("superior1", fmt.Sprintf("superior-entry-%03d", i)), value, 0)); err != nil {
 					b.Fatal(err)
 				}
 			}
@@ -53,7 +53,7 @@
 			defer remote.Close()
 			b.ReportAllocs()
 			for b.Loop() {
-				rows, err := storer.GetAll(ctx, remote, leaser.NodeKey(""))
+				rows, err := storer.GetAll(ctx, remote, "node/")
 				if err != nil || len(rows) != members {
 					b.Fatalf("%d rows, %v", len(rows), err)
 				}
@@ -72,7 +72,7 @@
 	l := leaser.New(id, table, emulator.NewHostList())
 	defer l.Abandon()
 	for range 100 {
-		if row, err := table.Get(ctx, leaser.NodeKey("superior-entry-001")); err == nil {
+		if row, err := table.Get(ctx, leaser.NodeKey("superior1", "superior-entry-001")); err == nil {
 			return row.Value()
 		}
 		time.Sleep(10 * time.Millisecond)
--- a/leaser/entries.go
+++ b/leaser/entries.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -49,15 +48,6 @@
 	return list
 }
 
-// List returns the nodes of the last scan for a roll-out.
-func (l *Leaser) List(context.Context) ([]roller.Node, error) {
-	v := l.view.Load()
-	if v.readAt.IsZero() {
-		return nil, errors.New("the lease rows have not been read yet")
-	}
-	return rollerNodes(v.members, v.expired), nil
-}
-
 func rollerNodes(live, expired []Member) []roller.Node {
 	var nodes []roller.Node
 	for _, m := range live {
@@ -86,11 +76,6 @@
 	return &Reader{table: table, settings: s, observer: newObserver(s.Lease, s.Guard)}
 }
 
-// ReadNodes returns the nodes of a deployment with default settings.
-func ReadNodes(ctx context.Context, table storer.Table) ([]roller.Node, error) {
-	return NewReader(table, Settings{}).List(ctx)
-}
-
 // List returns the nodes. One scan does not tell whether a lease is valid, so the
 // first call goes on until each row has changed or has stayed unchanged for the
 // time of a lease and the guard.
@@ -106,9 +91,9 @@
 		if r.started.IsZero() {
 			r.started = now
 		}
-		r.observer.observe(rows, now)
-		if r.certain(now) {
-			live, expired := r.observer.members(now)
+		r.observer.observe(nodePrefix, rows, now)
+		if r.certain() {
+			live, expired := r.observer.members()
 			return rollerNodes(live, expired), nil
 		}
 		select {
@@ -120,9 +105,9 @@
 }
 
 // certain reports whether each row is known to be renewed or to be expired.
-func (r *Reader) certain(now time.Time) bool {
+func (r *Reader) certain() bool {
 	for _, s := range r.observer.rows {
-		if !s.since.After(r.started) && !r.observer.dead(s, now) {
+		if !s.since.After(r.started) && !r.observer.dead(s) {
 			return false
 		}
 	}
--- a/leaser/extension.go
+++ b/leaser/extension.go
@@ -114,12 +114,12 @@
 		}
 		asked[h] = true
 		m := Member{Identity: Identity{name: h.name}, instance: h.instance, term: h.term}
-		if s := l.observer.rows[h.name]; s != nil && s.member.Holder() == h {
+		if s := l.local(h.name); s != nil && s.member.Holder() == h {
 			m = s.member
 		}
 		all = append(all, m)
 	}
-	live, _ := l.observer.members(l.observer.readAt)
+	live, _ := l.observer.members()
 	for _, m := range live {
 		if m.dataCentre == l.self.dataCentre && !asked[m.Holder()] {
 			all = append(all, m)
@@ -293,7 +293,7 @@
 	}
 	var members []Member
 	for _, h := range a.holders() {
-		s := l.observer.rows[h.name]
+		s := l.local(h.name)
 		if s != nil && h.name != l.self.name && s.member.Holder() == h && !s.member.ended && now.Sub(s.since) >= l.settings.Lease {
 			members = append(members, s.member)
 		}
--- a/leaser/gone.go
+++ b/leaser/gone.go
@@ -25,17 +25,17 @@
 	if _, ok := findMember(v.expired, name); ok {
 		return true
 	}
-	return l.stillMissing(node, v.readAt)
+	return l.stillMissing(node, v.wideAt)
 }
 
 // stillMissing reports whether a node without a row has had none for the time of a
 // lease. The row of a node that has just joined may be newer than the scan.
-func (l *Leaser) stillMissing(id string, readAt time.Time) bool {
+func (l *Leaser) stillMissing(id string, wideAt time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	since, ok := l.missing[id]
 	if !ok && len(l.missing) < maxMissing {
 		l.missing[id] = time.Now()
 	}
-	return ok && readAt.Sub(since) >= l.settings.Lease+l.settings.Guard
+	return ok && wideAt.Sub(since) >= l.settings.Lease+l.settings.Guard
 }
--- a/leaser/member.go
+++ b/leaser/member.go
@@ -102,6 +102,7 @@
 	members []Member // by name
 	expired []Member // rows whose lease has ended, by name
 	readAt  time.Time
+	wideAt  time.Time        // when the rows of all data centres were read
 	owners  map[string]Entry // by engine, of all data centres
 }
 
@@ -122,6 +123,14 @@
 	return members[i], true
 }
 
+// expiredOrLive returns the node whose row has a name.
+func (m *Membership) expiredOrLive(name string) (Member, bool) {
+	if member, ok := findMember(m.members, name); ok {
+		return member, true
+	}
+	return findMember(m.expired, name)
+}
+
 // Owner returns the node that owns an engine, of any data centre.
 func (m *Membership) Owner(engine string) (Member, bool) {
 	e, ok := m.owners[engine]
--- a/leaser/observer.go
+++ b/leaser/observer.go
@@ -12,7 +12,10 @@
 const nodePrefix = "node/"
 
 // NodeKey returns the lease row of a node.
-func NodeKey(name string) string { return nodePrefix + name }
+func NodeKey(dataCentre, name string) string { return localPrefix(dataCentre) + name }
+
+// localPrefix returns what the keys of the lease rows of a data centre start with.
+func localPrefix(dataCentre string) string { return nodePrefix + dataCentre + "/" }
 
 const assignmentPrefix = "assign/"
 
@@ -24,46 +27,59 @@
 type observer struct {
 	lease  time.Duration
 	guard  time.Duration
-	rows   map[string]*observed // by node name
-	readAt time.Time
+	rows   map[string]*observed // by key
+	readAt time.Time            // of the last scan
+	wideAt time.Time            // of the last scan of all rows
+	gapAt  time.Time            // of the last scan that came after a gap
 }
 
-// observed is a row and when its present state was first seen.
+// observed is a row and when its present state was first and last seen.
 type observed struct {
 	row    storer.Row
 	member Member
 	broken bool // the row cannot be decoded
 	since  time.Time
+	seen   time.Time
 }
 
 func newObserver(lease, guard time.Duration) *observer {
 	return &observer{lease: lease, guard: guard, rows: make(map[string]*observed)}
 }
 
-// observe takes over the rows of one scan, whose answer came at now. A row counts
-// as unchanged from the time of the answer, which is later than the start of the
-// renewal that wrote it.
-func (o *observer) observe(rows []storer.Row, now time.Time) {
-	// After a gap in which the table was not read, the owners may have had no
-	// contact either. They get the full time again to renew.
-	gap := now.Sub(o.readAt) > o.lease/2
+// observe takes over the rows of one scan of a prefix, whose answer came at now. A
+// row counts as unchanged from the time of the answer, which is later than the
+// start of the renewal that wrote it.
+func (o *observer) observe(prefix string, rows []storer.Row, now time.Time) {
 	next := make(map[string]*observed, len(rows))
+	for key, s := range o.rows {
+		if !strings.HasPrefix(key, prefix) {
+			next[key] = s
+		}
+	}
 	for _, row := range rows {
-		name := strings.TrimPrefix(row.Key(), nodePrefix)
-		old := o.rows[name]
-		if old == nil || old.row.Version() != row.Version() || !bytes.Equal(old.row.Value(), row.Value()) {
-			old = newObserved(name, row, now)
+		s := o.rows[row.Key()]
+		if s == nil || s.row.Version() != row.Version() || !bytes.Equal(s.row.Value(), row.Value()) {
+			s = newObserved(row, now)
 		}
-		if gap {
-			old.since = now
+		s.seen = now
+		next[row.Key()] = s
+	}
+	// After a gap in which the table was not read, the owners may have had no
+	// contact either. They get the full time again to renew.
+	if now.Sub(o.readAt) > o.lease/2 {
+		o.gapAt = now
+		for _, s := range next {
+			s.since = now
 		}
-		next[name] = old
 	}
-	o.rows = next
-	o.readAt = now
+	o.rows, o.readAt = next, now
+	if prefix == nodePrefix {
+		o.wideAt = now
+	}
 }
 
-func newObserved(name string, row storer.Row, now time.Time) *observed {
+func newObserved(row storer.Row, now time.Time) *observed {
+	name := row.Key()[strings.LastIndex(row.Key(), "/")+1:]
 	m, err := decodeMember(name, row.Value())
 	if err != nil {
 		m = Member{Identity: Identity{name: name}}
@@ -71,16 +87,20 @@
 	return &observed{row: row, member: m, broken: err != nil, since: now}
 }
 
-// dead reports whether the lease in a row has ended by the observer's clock.
-func (o *observer) dead(s *observed, now time.Time) bool {
-	return s.member.ended || now.Sub(s.since) >= o.lease+o.guard
+// dead reports whether the lease in a row had ended when the row was last read.
+func (o *observer) dead(s *observed) bool {
+	return s.member.ended || s.seen.Sub(s.since) >= o.lease+o.guard
 }
 
+// settled reports whether all rows have been watched for the time of a lease and
+// the guard since the last gap.
+func (o *observer) settled(now time.Time) bool { return now.Sub(o.gapAt) > o.lease+o.guard }
+
 // members returns the nodes whose lease holds and those whose lease has ended,
 // by name.
-func (o *observer) members(now time.Time) (live, expired []Member) {
+func (o *observer) members() (live, expired []Member) {
 	for _, s := range o.rows {
-		if o.dead(s, now) {
+		if o.dead(s) {
 			expired = append(expired, s.member)
 			continue
 		}
@@ -88,7 +108,7 @@
 			continue
 		}
 		m := s.member
-		m.inContact = now.Sub(s.since) < o.lease
+		m.inContact = s.seen.Sub(s.since) < o.lease
 		live = append(live, m)
 	}
 	byName := func(a, b Member) int { return strings.Compare(a.name, b.name) }
--- a/leaser/plan_test.go
+++ b/leaser/plan_test.go
@@ -19,7 +19,6 @@
 )
 
 var (
-	_ roller.Nodes   = (*leaser.Leaser)(nil)
 	_ roller.Nodes   = (*leaser.Reader)(nil)
 	_ server.Entries = (*leaser.Entries)(nil)
 )
@@ -168,11 +167,8 @@
 		list := nodes[0].Entries().Load()
 		is.Equal(list, server.NewEntryList("lj", "lj1", []server.Entry{server.NewEntry("a", "a:1", "lj", "lj1")}))
 
-		seen, err := nodes[0].List(t.Context())
+		read, err := leaser.NewReader(r.table, leaser.Settings{}).List(t.Context())
 		is.NoErr(err)
-		read, err := leaser.ReadNodes(t.Context(), r.table)
-		is.NoErr(err)
-		is.Equal(seen, read)
 		first := slices.IndexFunc(read, func(n roller.Node) bool { return n.Name() == "a" })
 		is.Equal(read[first], roller.NewNode("a", "lj", 8, 7, true))
 		live := 0
--- a/leaser/watch.go
+++ b/leaser/watch.go
@@ -31,9 +31,14 @@
 	}
 }
 
-// manyRows is how many lease rows make scans rarer: all nodes together read its
-// square in rows per second, and the table's reads are shared by all.
-const manyRows = 128
+const (
+	// manyRows is how many lease rows make scans rarer and narrower: all nodes
+	// together read its square in rows per second, and the table's reads are
+	// shared by all.
+	manyRows = 128
+	// wideScan is the time between scans of many rows of all data centres.
+	wideScan = 20 * time.Second
+)
 
 // scanInterval returns the time to the next scan. It stays below half a lease,
 // because a longer gap gives every owner the full time again. A failed scan is
@@ -50,11 +55,12 @@
 // poll reads the lease rows and the assignments that changed, and then changes
 // the own assignment if the nodes or engines require it.
 func (l *Leaser) poll(ctx context.Context) error {
-	rows, err := l.scan(ctx)
+	prefix := l.scope()
+	rows, err := l.scan(ctx, prefix)
 	if err != nil {
 		return err
 	}
-	for _, dc := range l.observe(rows) {
+	for _, dc := range l.observe(prefix, rows) {
 		if err := l.fetch(ctx, dc); err != nil {
 			return err
 		}
@@ -66,20 +72,34 @@
 	return nil
 }
 
-func (l *Leaser) scan(ctx context.Context) ([]storer.Row, error) {
+// scope returns the prefix of the rows to read. Of many rows, a scan reads only
+// those of the own data centre, whose engines this node may take over; the others
+// are read once in wideScan.
+func (l *Leaser) scope() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	o := l.observer
+	if len(o.rows) > manyRows && o.settled(now) && now.Sub(o.wideAt) < wideScan {
+		return localPrefix(l.self.dataCentre)
+	}
+	return nodePrefix
+}
+
+func (l *Leaser) scan(ctx context.Context, prefix string) ([]storer.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.settings.Renew)
 	defer cancel()
-	rows, err := storer.GetAll(ctx, l.table, nodePrefix)
+	rows, err := storer.GetAll(ctx, l.table, prefix)
 	l.noteContact(err == nil)
 	return rows, err
 }
 
 // observe takes over the rows and returns the data centres whose assignment must
 // be read: a lease row states the version that its node knows.
-func (l *Leaser) observe(rows []storer.Row) []string {
+func (l *Leaser) observe(prefix string, rows []storer.Row) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.observer.observe(rows, time.Now())
+	l.observer.observe(prefix, rows, time.Now())
 	latest := make(map[string]uint64)
 	for _, s := range l.observer.rows {
 		dc := s.member.dataCentre
@@ -147,10 +167,11 @@
 			}
 		}
 	}
-	live, expired := l.observer.members(l.observer.readAt)
-	l.view.Store(&Membership{members: live, expired: expired, readAt: l.observer.readAt, owners: l.owners})
+	live, expired := l.observer.members()
+	view := &Membership{members: live, expired: expired, readAt: l.observer.readAt, wideAt: l.observer.wideAt, owners: l.owners}
+	l.view.Store(view)
 	for id := range l.missing {
-		if _, ok := l.observer.rows[nameOf(id)]; ok {
+		if _, known := view.expiredOrLive(nameOf(id)); known {
 			delete(l.missing, id)
 		}
 	}
@@ -190,7 +211,7 @@
 	if !changed {
 		return nil
 	}
-	c := &change{next: next, row: v.row, revoke: l.revocations(v.assignment, next, now)}
+	c := &change{next: next, row: v.row, revoke: l.revocations(v.assignment, next)}
 	for _, e := range v.assignment.entries {
 		after, _ := next.Entry(e.engine)
 		switch {
@@ -209,7 +230,7 @@
 // better than the last scan does.
 func (l *Leaser) candidates() []Candidate {
 	all := []Candidate{NewCandidate(l.holder, l.leaving)}
-	live, _ := l.observer.members(l.observer.readAt)
+	live, _ := l.observer.members()
 	for _, m := range live {
 		if m.dataCentre == l.self.dataCentre && m.name != l.self.name {
 			all = append(all, NewCandidate(m.Holder(), m.leaving))
@@ -218,22 +239,27 @@
 	return all
 }
 
+// local returns what is known of a node of the own data centre, or nil.
+func (l *Leaser) local(name string) *observed {
+	return l.observer.rows[NodeKey(l.self.dataCentre, name)]
+}
+
 // may reports whether the node may take engines from a holder.
 func (l *Leaser) may(h Holder, now time.Time) bool {
 	if h.name == l.self.name && h.instance == l.instance {
 		return h.term <= l.holder.term
 	}
-	s := l.observer.rows[h.name]
+	s := l.local(h.name)
 	switch {
 	case s == nil, s.broken:
 	case s.member.Holder() == h && s.member.ended, s.member.closed >= h.term:
 		return true // its owner ended it, or the member that did so kept the rules below
-	case s.member.Holder() == h && !l.observer.dead(s, now):
+	case s.member.Holder() == h && !l.observer.dead(s):
 		return false
 	case s.member.term < h.term:
 		return false // the assignment is newer than the scan
 	}
-	if s != nil && s.broken && !l.observer.dead(s, now) {
+	if s != nil && s.broken && !l.observer.dead(s) {
 		return false
 	}
 	// The holder may have extended its lease through peers.
@@ -246,17 +272,17 @@
 
 // revocations returns the writes that keep the holders who lose their place from
 // renewing. A renewal that comes first makes them fail.
-func (l *Leaser) revocations(old, next *Assignment, now time.Time) []storer.Write {
+func (l *Leaser) revocations(old, next *Assignment) []storer.Write {
 	writes := make(map[string]storer.Write)
 	for _, h := range old.holders() {
 		if h.name == l.self.name || next.holds(h) {
 			continue
 		}
-		s := l.observer.rows[h.name]
+		s := l.local(h.name)
 		switch {
 		case s == nil:
-			writes[h.name] = storer.NewCheck(NodeKey(h.name), 0)
-		case s.broken, s.member.Holder() == h && !s.member.ended && l.observer.dead(s, now):
+			writes[h.name] = storer.NewCheck(NodeKey(l.self.dataCentre, h.name), 0)
+		case s.broken, s.member.Holder() == h && !s.member.ended && l.observer.dead(s):
 			writes[h.name] = storer.NewPut(s.row.Key(), endedRow(s, h), s.row.Version())
 		}
 	}
@@ -292,7 +318,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	live, _ := l.observer.members(now)
+	live, _ := l.observer.members()
 	first := make(map[string]string) // by data centre
 	for _, m := range live {
 		if first[m.dataCentre] == "" {
@@ -305,7 +331,7 @@
 		if responsible == "" && len(live) > 0 {
 			responsible = live[0].name
 		}
-		if responsible == l.self.name && l.observer.dead(s, now) && now.Sub(s.since) >= l.settings.Retention {
+		if responsible == l.self.name && l.observer.dead(s) && now.Sub(s.since) >= l.settings.Retention {
 			writes = append(writes, storer.NewDelete(s.row.Key(), s.row.Version()))
 		}
 	}
--- /dev/null
+++ b/leaser/wide_test.go
@@ -0,0 +1,76 @@
+package leaser_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/emulator"
+	"github.com/dragonflyford/dragonflyford/leaser"
+)
+
+// Guards against nodes of other data centres that are taken for dead because their
+// rows are read rarely, also after an outage of the table, and against dead ones
+// that stay.
+func TestRareScans(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const far = 130 // more rows than are read at each scan
+		table := emulator.NewTable(emulator.WithLatency(5 * time.Millisecond))
+		near, remote := emulator.NewCut(), emulator.NewCut()
+		start := func(name, dataCentre string, cut *emulator.Cut) *leaser.Leaser {
+			return leaser.New(leaser.NewIdentity(name, name+":1", name+":2", "lj", dataCentre), cut.Table(table), emulator.NewHostList())
+		}
+		watcher, neighbour := start("watcher", "lj1", near), start("neighbour", "lj1", near)
+		defer watcher.Abandon()
+		others := make([]*leaser.Leaser, far)
+		for i := range others {
+			others[i] = start(fmt.Sprint("far-", i), "mb1", remote)
+			defer others[i].Abandon()
+		}
+		allLive := func(others []*leaser.Leaser) {
+			t.Helper()
+			for _, o := range others {
+				if _, live := watcher.Membership().Member(o.Self().Name()); !live || watcher.Gone(o.ID()) {
+					t.Fatalf("live node %s counts as gone", o.Self().Name())
+				}
+			}
+		}
+		watch := func(others []*leaser.Leaser, seconds int) {
+			t.Helper()
+			for range seconds {
+				time.Sleep(time.Second)
+				allLive(others)
+			}
+		}
+		outage := func(others []*leaser.Leaser, seconds int) {
+			t.Helper()
+			near.Refuse()
+			remote.Refuse()
+			watch(others, seconds)
+			near.Restore() // sees the old rows once more
+			watch(others, 3)
+			remote.Restore()
+		}
+		time.Sleep(5 * time.Second)
+		outage(others, 25) // all rows have just been read
+		watch(others, 5)
+		outage(others, 4)
+		watch(others, 45)
+		outage(others, 30)
+		watch(others, 10)
+
+		killed := others[0]
+		killed.Abandon()
+		neighbour.Abandon()
+		watch(others[1:], 12)
+		is.True(watcher.Gone(neighbour.ID())) // its row is read at each scan
+		watch(others[1:], 38)
+		is.True(watcher.Gone(killed.ID()))
+		_, live := watcher.Membership().Member(killed.Self().Name())
+		is.True(!live)
+	})
+}
--- a/trial/slopes_test.go
+++ b/trial/slopes_test.go
@@ -153,7 +153,7 @@
 			if err != nil {
 				return err
 			}
-			writes = append(writes, storer.NewPut(fmt.Sprintf("node/phantom-%03d", i), value, version))
+			writes = append(writes, storer.NewPut(leaser.NodeKey(fmt.Sprintf("dc%d", dc), fmt.Sprintf("phantom-%03d", i)), value, version))
 		}
 		commits.Add(1)
 		return table.Commit(ctx, writes...)
