--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -35,7 +35,8 @@
 // world is a small deployment: a store, an engine service and a plain service, and
 // hosts on loopback addresses that no other world has.
 type world struct {
-	t       *testing.T
+	t       testing.TB
+	level   string // of the logs
 	store   *emulator.Store
 	server  *httptest.Server
 	network int // of the hosts' addresses
@@ -70,10 +71,10 @@
 	return found
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	t.Helper()
 	w := &world{
-		t: t, network: int(networks.Add(1)), store: emulator.NewStore(), address: make(map[string]string),
+		t: t, level: "info", network: int(networks.Add(1)), store: emulator.NewStore(), address: make(map[string]string),
 		engine: emulator.NewEndpoint("i-engine", emulator.NewEngine("m", 3, 50*time.Millisecond, 20*time.Millisecond, 20, 100*time.Millisecond)),
 		plain:  emulator.NewEndpoint("i-plain", emulator.NewPlain(10*time.Millisecond)),
 	}
@@ -130,7 +131,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	log, err := logger.New(&w.logs, address, "info")
+	log, err := logger.New(&w.logs, address, w.level)
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/assembler/reader.go
+++ b/assembler/reader.go
@@ -56,9 +56,7 @@
 type endpointReader struct{ host *Host }
 
 func (e endpointReader) Contact(storer.Version, time.Duration) {
-	for _, event := range e.host.fleet.Expire() {
-		e.note(event)
-	}
+	e.note(e.host.fleet.Expire())
 }
 
 // Replace takes over all entries. Endpoints without one have left.
@@ -67,27 +65,40 @@
 	for _, r := range rows {
 		listed[r.Key()] = true
 	}
+	var gone []string
 	for _, id := range e.host.fleet.IDs() {
 		if !listed[id] {
-			e.note(e.host.fleet.Removed(id, e.grace()))
+			gone = append(gone, id)
 		}
 	}
+	e.note(e.host.fleet.Removed(e.grace(), gone...))
 	e.Learn(rows)
 }
 
+// Learn takes over changed entries. Only the last change of each counts.
 func (e endpointReader) Learn(changes []storer.Change) {
-	for _, c := range changes {
-		if c.Removed() {
-			e.note(e.host.fleet.Removed(c.Key(), e.grace()))
-			continue
-		}
-		entry, err := platform.DecodeEntry(c.Row)
-		if err != nil {
-			e.host.log.Warn("entry-not-read", logger.Err(err))
-			continue
+	last := make(map[string]int, len(changes))
+	for i, c := range changes {
+		last[c.Key()] = i
+	}
+	var gone []string
+	var entries []tracker.Entry
+	for i, c := range changes {
+		switch {
+		case last[c.Key()] != i:
+		case c.Removed():
+			gone = append(gone, c.Key())
+		default:
+			entry, err := platform.DecodeEntry(c.Row)
+			if err != nil {
+				e.host.log.Warn("entry-not-read", logger.Err(err))
+				continue
+			}
+			entries = append(entries, entry)
 		}
-		e.note(e.host.fleet.Listed(entry))
 	}
+	e.note(e.host.fleet.Removed(e.grace(), gone...))
+	e.note(e.host.fleet.Listed(entries...))
 }
 
 // grace returns how long an endpoint without an entry may have only lapsed.
@@ -99,20 +110,19 @@
 	return max(lapseGrace-since, 0)
 }
 
-func (e endpointReader) note(event tracker.Event) {
-	if event == nil {
-		return
-	}
-	name := ""
-	switch event.(type) {
-	case tracker.Arrived:
-		name = "endpoint-arrived"
-	case tracker.Draining:
-		name = "endpoint-draining"
-	case tracker.Lapsed:
-		name = "endpoint-lapsed"
-	case tracker.Gone:
-		name = "endpoint-gone"
+func (e endpointReader) note(events []tracker.Event) {
+	for _, event := range events {
+		name := ""
+		switch event.(type) {
+		case tracker.Arrived:
+			name = "endpoint-arrived"
+		case tracker.Draining:
+			name = "endpoint-draining"
+		case tracker.Lapsed:
+			name = "endpoint-lapsed"
+		case tracker.Gone:
+			name = "endpoint-gone"
+		}
+		e.host.log.Info(name, logger.With(logger.KeyEndpoint, event.Endpoint()))
 	}
-	e.host.log.Info(name, logger.With(logger.KeyEndpoint, event.Endpoint()))
 }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -79,10 +79,22 @@
 	Gone struct{ about }
 )
 
-// Listed takes over the entry of an endpoint and returns what changed, or nil.
-func (t *Tracker) Listed(e Entry) Event {
+// Listed takes over entries of endpoints and returns what changed. Each call costs
+// as much as there are endpoints, so entries that come together are given together.
+func (t *Tracker) Listed(entries ...Entry) []Event {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var events []Event
+	for _, e := range entries {
+		if event := t.listed(e); event != nil {
+			events = append(events, event)
+		}
+	}
+	t.publishAfter(events)
+	return events
+}
+
+func (t *Tracker) listed(e Entry) Event {
 	k := t.known[e.id]
 	fresh := k == nil || k.endpoint.entry.born != e.born || k.endpoint.entry.address != e.address || k.endpoint.entry.service != e.service
 	if fresh {
@@ -94,34 +106,39 @@
 	k.gone = time.Time{}
 	changed := fresh || k.draining != e.draining
 	k.draining = e.draining
-	if !changed {
+	switch {
+	case !changed:
 		return nil
-	}
-	t.publish()
-	if e.draining {
+	case e.draining:
 		return Draining{about{e.id}}
+	default:
+		return Arrived{about{e.id}}
 	}
-	return Arrived{about{e.id}}
 }
 
-// Removed takes over the removal of an entry. An endpoint that may only have
-// lapsed while the store was away is used until the grace time is over.
-func (t *Tracker) Removed(id string, grace time.Duration) Event {
+// Removed takes over the removal of entries and returns what changed. An endpoint
+// that may only have lapsed while the store was away is used until the grace time
+// is over.
+func (t *Tracker) Removed(grace time.Duration, ids ...string) []Event {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	k := t.known[id]
-	if k == nil {
-		return nil
-	}
-	if grace > 0 && !k.draining {
-		if k.gone.IsZero() {
-			k.gone = time.Now().Add(grace)
+	var events []Event
+	for _, id := range ids {
+		k := t.known[id]
+		switch {
+		case k == nil:
+		case grace > 0 && !k.draining:
+			if k.gone.IsZero() {
+				k.gone = time.Now().Add(grace)
+			}
+			events = append(events, Lapsed{about{id}})
+		default:
+			delete(t.known, id)
+			events = append(events, Gone{about{id}})
 		}
-		return Lapsed{about{id}}
 	}
-	delete(t.known, id)
-	t.publish()
-	return Gone{about{id}}
+	t.publishAfter(events)
+	return events
 }
 
 // Expire drops the lapsed endpoints whose grace time is over.
@@ -136,9 +153,7 @@
 			events = append(events, Gone{about{id}})
 		}
 	}
-	if len(events) > 0 {
-		t.publish()
-	}
+	t.publishAfter(events)
 	return events
 }
 
@@ -151,7 +166,8 @@
 		return false
 	}
 	t.versions[m] = version
-	t.publish()
+	old := t.current.Load()
+	t.current.Store(&Snapshot{byID: old.byID, usable: old.usable, versions: maps.Clone(t.versions)})
 	return true
 }
 
@@ -166,11 +182,21 @@
 	return ids
 }
 
+// publishAfter publishes a snapshot if an event changed it.
+func (t *Tracker) publishAfter(events []Event) {
+	for _, event := range events {
+		if _, ok := event.(Lapsed); !ok {
+			t.publish()
+			return
+		}
+	}
+}
+
 func (t *Tracker) publish() {
 	s := &Snapshot{
 		byID:     make(map[string]*Endpoint, len(t.known)),
 		usable:   make(map[string][]*Endpoint),
-		versions: maps.Clone(t.versions),
+		versions: t.current.Load().versions,
 	}
 	for id, k := range t.known {
 		if k.draining {
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,7 +19,13 @@
 	return tracker.NewEntry(id, "svc", address, "z1", 4, draining, born, held)
 }
 
-func kind(e tracker.Event) string { return fmt.Sprintf("%T", e) }
+func kinds(events []tracker.Event) string {
+	var names []string
+	for _, e := range events {
+		names = append(names, strings.TrimPrefix(fmt.Sprintf("%T", e), "tracker."))
+	}
+	return strings.Join(names, " ")
+}
 
 // Guards against work for an endpoint that is leaving or gone, and against the loss
 // of one whose entry only lapsed while the store was away.
@@ -26,23 +33,23 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := tracker.New(map[string]string{"z1": "r1"})
-		is.Equal(kind(f.Listed(entry("e1", "1.1.1.1:1", false, 1, nil))), "tracker.Arrived")
+		is.Equal(kinds(f.Listed(entry("e1", "1.1.1.1:1", false, 1, nil))), "Arrived")
 		is.Equal(len(f.Current().Usable("svc")), 1)
 		is.Equal(f.Current().Endpoint("e1").Region(), "r1")
-		is.Equal(kind(f.Removed("e1", 2*time.Second)), "tracker.Lapsed")
+		is.Equal(kinds(f.Removed(2*time.Second, "e1")), "Lapsed")
 		is.Equal(len(f.Current().Usable("svc")), 1)
-		is.Equal(f.Listed(entry("e1", "1.1.1.1:1", false, 1, nil)), nil)
+		is.Equal(len(f.Listed(entry("e1", "1.1.1.1:1", false, 1, nil))), 0)
 		time.Sleep(3 * time.Second)
 		is.Equal(len(f.Expire()), 0) // it came back
-		is.Equal(kind(f.Removed("e1", 2*time.Second)), "tracker.Lapsed")
+		is.Equal(kinds(f.Removed(2*time.Second, "e1")), "Lapsed")
 		time.Sleep(3 * time.Second)
 		is.Equal(len(f.Expire()), 1)
 		is.Equal(len(f.Current().Usable("svc")), 0)
 
 		f.Listed(entry("e2", "1.1.1.2:1", false, 1, nil))
-		is.Equal(kind(f.Listed(entry("e2", "1.1.1.2:1", true, 1, nil))), "tracker.Draining")
+		is.Equal(kinds(f.Listed(entry("e2", "1.1.1.2:1", true, 1, nil))), "Draining")
 		is.Equal(len(f.Current().Usable("svc")), 0)
-		is.Equal(kind(f.Removed("e2", 2*time.Second)), "tracker.Gone") // a leaving endpoint does not lapse
+		is.Equal(kinds(f.Removed(2*time.Second, "e2")), "Gone") // a leaving endpoint does not lapse
 	})
 }
 
