subscriber: leave time for the store, and follow there after a short history

And a host that had read the table earlier than its source read it whole once more.

TestSource failed on both before.

--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -34,8 +34,12 @@
 	passOver = 3 * time.Second
 	// peerWait is how long another host may hold a call back. The age of its copy
 	// is seen at least so often.
-	peerWait    = 500 * time.Millisecond
-	peerTimeout = time.Second
+	peerWait = 500 * time.Millisecond
+	// peerTimeout is added to it. It leaves time for a call to the store within the
+	// limit of a follower.
+	peerTimeout = 400 * time.Millisecond
+	// snapshotTimeout is how long another host may take for a whole table.
+	snapshotTimeout = time.Second
 )
 
 var errOld = eris.New("the copy of the other host is old")
@@ -89,7 +93,7 @@
 // Snapshot implements storer.Feed.
 func (s *Subscriber) Snapshot(ctx context.Context) (storer.Changes, error) {
 	if p, ok := s.reader(); ok {
-		limited, cancel := context.WithTimeout(ctx, peerTimeout)
+		limited, cancel := context.WithTimeout(ctx, snapshotTimeout)
 		copied, err := s.remote.Snapshot(limited, p.address, s.table)
 		cancel()
 		if changes, ok := s.accept(p, copied, err); ok {
@@ -110,9 +114,10 @@
 		copied, err := s.remote.Follow(limited, p.address, s.table, after, peerWait)
 		cancel()
 		if errors.Is(err, storer.ErrHistoryLost) {
-			return storer.Changes{}, fmt.Errorf("follow at host %s: %w", p.name, err)
-		}
-		if changes, ok := s.accept(p, copied, err); ok {
+			// The other host has read the table later. The store may know more.
+			s.log.Info("history-short", logger.With(logger.KeyDependent, s.table), logger.With(logger.KeyPeer, p.name),
+				logger.With(logger.KeyVersion, uint64(after)))
+		} else if changes, ok := s.accept(p, copied, err); ok {
 			return changes, nil
 		}
 		wait = 0 // what was missed meanwhile is wanted now
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -15,28 +15,46 @@
 	"github.com/dragonflyford/dragonflyford/subscriber"
 )
 
-// feed counts its calls.
-type feed struct{ calls int }
+// feed counts its calls, which take a while.
+type feed struct {
+	takes time.Duration
+	calls int
+}
 
 func (f *feed) Snapshot(context.Context) (storer.Changes, error) {
 	f.calls++
 	return storer.NewChanges(nil, 1, 0), nil
 }
 
-func (f *feed) Follow(context.Context, storer.Version, time.Duration) (storer.Changes, error) {
+func (f *feed) Follow(ctx context.Context, _ storer.Version, _ time.Duration) (storer.Changes, error) {
 	f.calls++
-	return storer.NewChanges(nil, 1, 0), nil
+	select {
+	case <-time.After(f.takes):
+		return storer.NewChanges(nil, 1, 0), nil
+	case <-ctx.Done():
+		return storer.Changes{}, ctx.Err()
+	}
 }
 
-// remote answers with copies of an age, or not at all.
+const (
+	storeTime = 290 * time.Millisecond // of a call at a busy store
+	callTime  = 1400 * time.Millisecond
+)
+
+// remote answers with copies of an age, with an error, or not at all.
 type remote struct {
-	age   time.Duration
-	err   error
-	calls int
+	age    time.Duration
+	err    error
+	silent bool
+	calls  int
 }
 
-func (r *remote) Snapshot(context.Context, string, string) (mirrorer.Copy, error) {
+func (r *remote) Snapshot(ctx context.Context, _, _ string) (mirrorer.Copy, error) {
 	r.calls++
+	if r.silent {
+		<-ctx.Done()
+		return mirrorer.Copy{}, ctx.Err()
+	}
 	return mirrorer.NewCopy(storer.NewChanges(nil, 1, 0), r.age), r.err
 }
 
@@ -44,8 +62,9 @@
 	return r.Snapshot(ctx, address, table)
 }
 
-// Guards against a host that trusts another one that has lost the store, and
-// against calls to the store that another host makes already.
+// Guards against a host that trusts another one that has lost the store, against
+// calls to the store that another host makes already, against a silent host that
+// leaves no time for the store, and against a whole table read for a short history.
 func TestSource(t *testing.T) {
 	tests := []struct {
 		name           string
@@ -54,25 +73,31 @@
 	}{
 		{"fresh copy", remote{}, 0, 10},
 		{"old copy", remote{age: 2 * time.Second}, 10, 1},
-		{"no answer", remote{err: errors.New("silent")}, 10, 1},
+		{"error", remote{err: errors.New("refused")}, 10, 1},
+		{"no answer", remote{silent: true}, 10, 1},
+		{"short history", remote{err: storer.ErrHistoryLost}, 10, 10},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				store := &feed{}
+				store := &feed{takes: storeTime}
 				// The names are chosen so that the other host is first by hash.
 				peers := func() []subscriber.Peer { return []subscriber.Peer{subscriber.NewPeer(first("self"), "x:1")} }
 				s := subscriber.New("t", store, &tt.remote, "self", peers, time.Second, logger.Nop())
-				for range 10 {
-					_, err := s.Follow(t.Context(), 0, time.Second)
+				follow := func() {
+					ctx, cancel := context.WithTimeout(t.Context(), callTime)
+					defer cancel()
+					_, err := s.Follow(ctx, 0, time.Second)
 					is.NoErr(err)
 				}
+				for range 10 {
+					follow()
+				}
 				is.Equal(store.calls, tt.store)
 				is.Equal(tt.remote.calls, tt.remote2)
 				time.Sleep(10 * time.Second)
-				_, err := s.Follow(t.Context(), 0, time.Second)
-				is.NoErr(err)
+				follow()
 				is.True(tt.remote.calls > tt.remote2) // it is tried again later
 			})
 		})
