--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -101,7 +101,7 @@
 	h.fleet = tracker.New(settings.Regions())
 	own := h.store.Table(tableFleet)
 	h.members = enroller.New(
-		enroller.NewSelf(settings.Address(), settings.Callers(), settings.Peers(), settings.DataCentre(), settings.Region()),
+		enroller.NewSelf(settings.Address(), settings.Callers(), settings.Peers(), settings.DataCentre(), settings.Region(), settings.LinkMbps()),
 		enroller.NewTimes(settings.Renew(), settings.Lease(), settings.Guard(), settings.Turns()+restMargin, settings.Renew()+lostMargin),
 		own, log)
 	h.supplier = supplier.New(h.engines, rights{h.members}, h.engineSettings, h.fleet, log)
@@ -131,7 +131,7 @@
 // followVia returns a follower of a table that one host of each data centre
 // follows at the store.
 func (h *Host) followVia(table string, wait, pause, maxAge time.Duration, log *logger.Logger) *follower.Follower {
-	feed := subscriber.New(table, h.store.Table(table), h.messenger, h.members.Self(), h.neighbours, maxAge, log)
+	feed := subscriber.New(table, h.store.Table(table), h.messenger, subscriber.NewPeer(h.members.Self(), "", h.settings.Load().LinkMbps()), h.neighbours, maxAge, log)
 	return follower.New(table, feed, h.mirrors[table], wait, pause, log)
 }
 
@@ -149,7 +149,7 @@
 	var list []subscriber.Peer
 	for _, peer := range h.members.View().Hosts() {
 		if alive, _ := h.pinger.Heard(peer.Name()); alive && h.isNeighbour(peer) {
-			list = append(list, subscriber.NewPeer(peer.Name(), peer.Peers()))
+			list = append(list, subscriber.NewPeer(peer.Name(), peer.Peers(), peer.Link()))
 		}
 	}
 	return list
--- a/configurer/entry.go
+++ b/configurer/entry.go
@@ -92,6 +92,9 @@
 	if doc.Limits.MemoryMB < minMemoryMB {
 		d.refuse("limits.memory_mb", fmt.Sprintf("at least %d", minMemoryMB))
 	}
+	if doc.Limits.LinkMbps < 0 {
+		d.refuse("limits.link_mbps", "a number of 0 or more")
+	}
 	if !slices.Contains(levels, doc.Log.Level) {
 		d.refuse("log.level", fmt.Sprint(levels))
 	}
@@ -166,6 +169,9 @@
 // MemoryMB returns the memory that the process may use.
 func (e *Entry) MemoryMB() int64 { return e.doc.Limits.MemoryMB }
 
+// LinkMbps returns the bandwidth of the host's link, or 0 if it is not known.
+func (e *Entry) LinkMbps() uint64 { return uint64(e.doc.Limits.LinkMbps) }
+
 // BodyBytes returns the longest body of a call.
 func (e *Entry) BodyBytes() int64 { return e.doc.Limits.BodyBytes }
 
--- a/configurer/entry_document.go
+++ b/configurer/entry_document.go
@@ -58,6 +58,7 @@
 
 type entryLimitsDocument struct {
 	MemoryMB  int64    `json:"memory_mb"`
+	LinkMbps  float64  `json:"link_mbps"`
 	BodyBytes int64    `json:"body_bytes"`
 	Header    int64    `json:"header_bytes"`
 	ReadTime  duration `json:"read_timeout"`
--- a/configurer/entry_test.go
+++ b/configurer/entry_test.go
@@ -21,7 +21,7 @@
 	"lease": {"turns": "3000ms"},
 	"repeats": {"ratio": 0.2, "slack": 56, "window": "10s"},
 	"stop": {"grace": "8s"},
-	"limits": {"memory_mb": 284}
+	"limits": {"memory_mb": 284, "link_mbps": 10.0}
 }`
 
 // Guards against settings that are read wrongly.
@@ -45,6 +45,7 @@
 		{"lease too short", `"turns": "3000ms"`, `"renew": "4s", "time": "5s"`, "lease.time"},
 		{"negative ratio", `0.2`, `-0.2`, "repeats"},
 		{"no memory", `284`, `3`, "limits.memory_mb"},
+		{"negative link", `10.0}`, `-1}`, "limits.link_mbps"},
 		{"slack is a text", `56`, `"much"`, "repeats.slack"},
 		{"unknown field", `"stop"`, `"stopp"`, "stopp"},
 	}
@@ -68,7 +69,7 @@
 	for from, to := range map[string]string{
 		`{{ip}}`: "10.0.0.1", `{{internal_ports.0}}`: "4", `{{internal_ports.1}}`: "5",
 		`{{listen_addrs.front}}`: "10.0.0.1:1", `{{listen_addrs.ready}}`: "10.0.0.1:2", `{{listen_addrs.directory}}`: "10.0.0.1:3",
-		`{{platform_config.address}}`: "10.0.0.9:1", `{{limits.memory_mb}}`: "284",
+		`{{platform_config.address}}`: "10.0.0.9:1", `{{limits.memory_mb}}`: "284", `{{limits.link_mbps}}`: "10.0",
 		`{{bounds.lease_ms}}`: "3000", `{{bounds.budget_ratio}}`: "0.2", `{{bounds.retry_slack}}`: "56",
 		`{{bounds.budget_window_s}}`: "10", `{{bounds.grace_s}}`: "8",
 		`{{#zones}} { "name": "{{@}}", "region": "{{.}}" } {{,}}{{/zones}}`: `{ "name": "z", "region": "r" }`,
--- a/enroller/document.go
+++ b/enroller/document.go
@@ -21,6 +21,7 @@
 	Leaving bool   `cbor:"5,keyasint,omitempty"`
 	Beat    uint64 `cbor:"6,keyasint,omitempty"` // makes each renewal another value
 	ClockMS int64  `cbor:"7,keyasint,omitempty"` // steady clock of the store at the renewal, or 0
+	Link    uint64 `cbor:"8,keyasint,omitempty"` // Mbit/s; 0 if it is not known
 }
 
 // ownerDocument is the row of an engine.
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -25,11 +25,12 @@
 	peers   string
 	zone    string
 	region  string
+	link    uint64
 }
 
-// NewSelf describes a host.
-func NewSelf(name, callers, peers, zone, region string) Self {
-	return Self{name: name, callers: callers, peers: peers, zone: zone, region: region}
+// NewSelf describes a host. Link is the bandwidth of its link in Mbit/s, or 0.
+func NewSelf(name, callers, peers, zone, region string, link uint64) Self {
+	return Self{name: name, callers: callers, peers: peers, zone: zone, region: region, link: link}
 }
 
 // Times are the periods of the membership.
@@ -186,7 +187,7 @@
 	e.beat++
 	doc := hostDocument{
 		Callers: e.self.callers, Peers: e.self.peers, Zone: e.self.zone, Region: e.self.region,
-		Leaving: e.leaving.Load(), Beat: e.beat, ClockMS: stamp.Milliseconds(),
+		Leaving: e.leaving.Load(), Beat: e.beat, ClockMS: stamp.Milliseconds(), Link: e.self.link,
 	}
 	e.mu.Unlock()
 	value, err := encodeRow(doc)
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -97,7 +97,7 @@
 	h := &host{name: name, table: t}
 	start := time.Now()
 	clock := func() time.Duration { return time.Since(start) + time.Duration(h.frozen.Load()) }
-	h.Enroller = enroller.New(enroller.NewSelf(name, name+":1", name+":2", zone, "r-"+zone),
+	h.Enroller = enroller.New(enroller.NewSelf(name, name+":1", name+":2", zone, "r-"+zone, 0),
 		enroller.NewTimes(renew, lease, guard, rest, lost), h, logger.Nop(), enroller.WithClock(clock))
 	return h
 }
--- a/enroller/view.go
+++ b/enroller/view.go
@@ -30,6 +30,9 @@
 // Region returns the region.
 func (h *Host) Region() string { return h.doc.Region }
 
+// Link returns the bandwidth of the host's link in Mbit/s, or 0 if it is not known.
+func (h *Host) Link() uint64 { return h.doc.Link }
+
 // Leaving reports whether the host is about to stop.
 func (h *Host) Leaving() bool { return h.doc.Leaving }
 
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -18,10 +18,14 @@
 type Peer struct {
 	name    string
 	address string
+	link    uint64
 }
 
-// NewPeer returns a host with its address for other hosts.
-func NewPeer(name, address string) Peer { return Peer{name: name, address: address} }
+// NewPeer returns a host with its address for other hosts and the bandwidth of its
+// link in Mbit/s, or 0.
+func NewPeer(name, address string, link uint64) Peer {
+	return Peer{name: name, address: address, link: link}
+}
 
 // Remote follows tables at other hosts.
 type Remote interface {
@@ -49,7 +53,7 @@
 	table  string
 	store  storer.Feed
 	remote Remote
-	self   string
+	self   Peer
 	peers  func() []Peer // the live hosts of the data centre, without this one
 	maxAge time.Duration
 	log    *logger.Logger
@@ -61,7 +65,7 @@
 
 // New returns a feed of a table. MaxAge is how old the copy of another host may
 // be.
-func New(table string, store storer.Feed, remote Remote, self string, peers func() []Peer, maxAge time.Duration, log *logger.Logger) *Subscriber {
+func New(table string, store storer.Feed, remote Remote, self Peer, peers func() []Peer, maxAge time.Duration, log *logger.Logger) *Subscriber {
 	return &Subscriber{
 		table: table, store: store, remote: remote, self: self, peers: peers, maxAge: maxAge,
 		log: log.Component("subscriber"), passed: make(map[string]time.Time),
@@ -69,16 +73,13 @@
 }
 
 // reader returns the host of the data centre that follows the table at the store:
-// the first by hash of those that are not passed over. False stands for this host.
+// of those that are not passed over and have the widest link, the first by hash.
+// False stands for this host.
 func (s *Subscriber) reader() (Peer, bool) {
-	best, found := Peer{name: s.self}, false
-	hash := s.hash(s.self)
+	best, found := s.self, false
 	for _, p := range s.peers() {
-		if time.Since(s.passed[p.name]) < passOver {
-			continue
-		}
-		if h := s.hash(p.name); h > hash {
-			best, hash, found = p, h, true
+		if time.Since(s.passed[p.name]) >= passOver && s.before(p, best) {
+			best, found = p, true
 		}
 	}
 	if best.name != s.source {
@@ -88,6 +89,13 @@
 	return best, found
 }
 
+func (s *Subscriber) before(a, b Peer) bool {
+	if a.link != b.link {
+		return a.link > b.link
+	}
+	return s.hash(a.name) > s.hash(b.name)
+}
+
 func (s *Subscriber) hash(host string) uint64 { return xxhash.Sum64String(s.table + "\x00" + host) }
 
 // Snapshot implements storer.Feed.
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -83,8 +83,8 @@
 				is := is.New(t)
 				store := &feed{takes: storeTime}
 				// The names are chosen so that the other host is first by hash.
-				peers := func() []subscriber.Peer { return []subscriber.Peer{subscriber.NewPeer(first("self"), "x:1")} }
-				s := subscriber.New("t", store, &tt.remote, "self", peers, time.Second, logger.Nop())
+				peers := func() []subscriber.Peer { return []subscriber.Peer{subscriber.NewPeer(first("self"), "x:1", 0)} }
+				s := subscriber.New("t", store, &tt.remote, subscriber.NewPeer("self", "", 0), peers, time.Second, logger.Nop())
 				follow := func() {
 					ctx, cancel := context.WithTimeout(t.Context(), callTime)
 					defer cancel()
@@ -109,8 +109,8 @@
 	for i := range 100 {
 		name := "peer-" + string(rune('a'+i%26)) + string(rune('a'+i/26))
 		store, r := &feed{}, &remote{}
-		peers := func() []subscriber.Peer { return []subscriber.Peer{subscriber.NewPeer(name, "x:1")} }
-		s := subscriber.New("t", store, r, self, peers, time.Second, logger.Nop())
+		peers := func() []subscriber.Peer { return []subscriber.Peer{subscriber.NewPeer(name, "x:1", 0)} }
+		s := subscriber.New("t", store, r, subscriber.NewPeer(self, "", 0), peers, time.Second, logger.Nop())
 		if _, err := s.Follow(context.Background(), 0, 0); err == nil && r.calls == 1 {
 			return name
 		}
@@ -122,8 +122,26 @@
 func TestAlone(t *testing.T) {
 	is := is.New(t)
 	store := &feed{}
-	s := subscriber.New("t", store, &remote{}, "self", func() []subscriber.Peer { return nil }, time.Second, logger.Nop())
+	s := subscriber.New("t", store, &remote{}, subscriber.NewPeer("self", "", 0), func() []subscriber.Peer { return nil }, time.Second, logger.Nop())
 	_, err := s.Snapshot(t.Context())
 	is.NoErr(err)
 	is.Equal(store.calls, 1)
 }
+
+// Guards against a host with a narrow link that follows tables for others while one
+// with a wider link is there.
+func TestWidestLink(t *testing.T) {
+	is := is.New(t)
+	wide := subscriber.NewPeer("wide", "x:1", 200)
+	narrow := subscriber.NewPeer("narrow", "x:2", 10)
+	for _, tt := range []struct {
+		self, peer subscriber.Peer
+		asked      int
+	}{{narrow, wide, 1}, {wide, narrow, 0}} {
+		r := &remote{}
+		s := subscriber.New("t", &feed{}, r, tt.self, func() []subscriber.Peer { return []subscriber.Peer{tt.peer} }, time.Second, logger.Nop())
+		_, err := s.Follow(t.Context(), 0, time.Second)
+		is.NoErr(err)
+		is.Equal(r.calls, tt.asked)
+	}
+}
