supplier: bound what an owner remembers of an engine

The times of loads and unloads were kept for every adapter that ever passed an engine. One constant says now how many adapters an engine's host keeps.

--- a/supplier/stock.go
+++ b/supplier/stock.go
@@ -1,9 +1,11 @@
 package supplier
 
 import (
+	"maps"
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/tracker"
 )
 
 // arrival is a model on its way to an engine.
@@ -76,6 +78,25 @@
 			s.coming[m] = arrival{version: v, due: now.Add(unknownLoad), cold: true}
 		}
 	}
+	s.forget(now)
+}
+
+// forgetAfter is longer than any time for which an order or a use matters.
+const forgetAfter = time.Minute
+
+// forget drops what no longer matters, so that the memory of an engine stays
+// bounded while adapters come and go.
+func (s *stock) forget(now time.Time) {
+	old := func(_ connector.Model, at time.Time) bool { return now.Sub(at) > forgetAfter }
+	maps.DeleteFunc(s.loaded, old)
+	maps.DeleteFunc(s.unloaded, old)
+	maps.DeleteFunc(s.used, func(m connector.Model, at time.Time) bool {
+		_, held := s.held[m]
+		return !held && old(m, at)
+	})
+	if len(s.recent) > 2*tracker.MaxPast {
+		maps.DeleteFunc(s.recent, func(m connector.Model, _ time.Time) bool { return !s.warm(m) })
+	}
 }
 
 // settle moves arrivals that are due to what is held.
@@ -148,9 +169,6 @@
 	return m, last, ok
 }
 
-// maxRecent is how many adapters an engine's host keeps beside the engine.
-const maxRecent = 120
-
 // warm reports whether the engine's host still has a copy of an adapter.
 func (s *stock) warm(m connector.Model) bool {
 	at, ok := s.recent[m]
@@ -163,5 +181,5 @@
 			newer++
 		}
 	}
-	return newer < maxRecent
+	return newer < tracker.MaxPast
 }
--- a/tracker/endpoint.go
+++ b/tracker/endpoint.go
@@ -236,8 +236,8 @@
 	p.holdings.Store(&next)
 }
 
-// maxPast is how many adapters an engine's host keeps beside the engine.
-const maxPast = 120
+// MaxPast is how many adapters an engine's host keeps beside the engine.
+const MaxPast = 120
 
 // HeldBefore reports whether the engine held a model not long ago, so that its
 // host still has a copy that loads fast.
@@ -255,7 +255,7 @@
 	for _, m := range models {
 		next[m] = now
 	}
-	for len(next) > maxPast {
+	for len(next) > MaxPast {
 		var oldest connector.Model
 		first := now
 		for m, at := range next {
