--- a/relayer/send.go
+++ b/relayer/send.go
@@ -55,8 +55,11 @@
 	if m := c.call.Model(); m.Base() != "" {
 		c.unuse = c.relayer.procurer.Use(e.ID(), m)
 	}
+	if c.abort != nil {
+		c.abort(nil) // the send before is over
+	}
 	ctx, abort := context.WithCancelCause(c.ctx)
-	c.abort = abort // ends with the call's own context at the latest
+	c.abort = abort // the latest one ends with the call's own context
 	if patience := c.patience(); patience > 0 && c.sends+1 < maxSends {
 		timer := time.AfterFunc(patience, func() {
 			// A slow endpoint is given up only if another one may be tried.
