deployer: close a deployment that did not start

A run of ./demonstrator beside other tests failed once: a node's port was taken between its choice and its use, and Close met a host whose node never served (nil pointer, host.go:166). A node is now kept only once it serves, and ports are chosen below those of outgoing connections, each call another one. TestAddressTaken panicked before.

--- a/deployer/deployer_test.go
+++ b/deployer/deployer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,3 +55,20 @@
 		is.NoErr(f.Close(context.Background()))
 	})
 }
+
+// Guards against a deployment that cannot be closed after an address of one of its
+// nodes was taken.
+func TestAddressTaken(t *testing.T) {
+	is := is.New(t)
+	d, err := emulator.NewDeployment(emulator.Clearing, emulator.WithAdapters(5))
+	is.NoErr(err)
+	f, err := deployer.New(t.Context(), d, 1, deployer.WithSockets())
+	is.NoErr(err)
+	taken, err := net.Listen("tcp", f.Hosts()[1].Address())
+	is.NoErr(err)
+	defer func() { _ = taken.Close() }()
+	is.True(f.Start(t.Context()) != nil)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	_ = f.Close(ctx) // the first node has nobody to hand its engines to
+}
--- a/deployer/host.go
+++ b/deployer/host.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 
@@ -119,11 +120,14 @@
 	h.mu.Lock()
 	h.life, h.kill = life, kill
 	h.mu.Unlock()
-	h.node.Store(node)
-	if h.fleet.running == nil {
-		return nil
+	if h.fleet.running != nil {
+		if err := h.serve(life, node, settings); err != nil {
+			kill()
+			return err
+		}
 	}
-	return h.serve(life, node, settings)
+	h.node.Store(node)
+	return nil
 }
 
 // serve runs the node's listeners until the node is stopped.
@@ -210,16 +214,36 @@
 	}
 }
 
-// freePort returns a loopback address that is free at the moment.
+// Ports of nodes are below those that the kernel gives to outgoing connections, one
+// of which could otherwise take a free port before the node listens.
+const (
+	firstPort = 22000
+	ports     = 10000
+)
+
+var nextPort atomic.Uint32
+
+// freePort returns a loopback address that is free at the moment. Each call returns
+// another one, and processes start at different ones.
 func freePort(ctx context.Context) (string, error) {
 	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
-	}
-	address := l.Addr().String()
-	if err := l.Close(); err != nil {
-		return "", fmt.Errorf("free port %s: %w", address, err)
+	var last error
+	for range ports {
+		offset := (uint32(os.Getpid())*spacing + nextPort.Add(1)) % ports
+		l, err := lc.Listen(ctx, "tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+offset))
+		if err != nil {
+			last = err
+			continue
+		}
+		address := l.Addr().String()
+		if err := l.Close(); err != nil {
+			return "", fmt.Errorf("free port %s: %w", address, err)
+		}
+		return address, nil
 	}
-	return address, nil
+	return "", fmt.Errorf("find a free port: %w", last)
 }
+
+// spacing is how many ports lie between the first ones of processes with adjacent
+// ids.
+const spacing = 101
