--- a/leaser/plan_test.go
+++ b/leaser/plan_test.go
@@ -247,3 +247,22 @@
 		}
 	})
 }
+
+// Guards against engines that are given to a node which has no bundle and so cannot
+// serve them.
+func TestNoBundle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, 4, "a", "b")
+		defer r.close()
+		nodes := r.all()
+		nodes[1].SetEpochs(0, 0)
+		time.Sleep(3 * lease)
+		is.Equal(len(nodes[0].Owned()), 4)
+		is.Equal(len(nodes[1].Owned()), 0)
+		nodes[1].SetEpochs(1, 1)
+		time.Sleep(lease)
+		is.Equal(len(nodes[0].Owned()), 2)
+		is.Equal(len(nodes[1].Owned()), 2)
+	})
+}
--- a/leaser/rig_test.go
+++ b/leaser/rig_test.go
@@ -79,6 +79,7 @@
 	id := leaser.NewIdentity(name, name+":1", name+":2", "lj", "lj1")
 	n.Leaser = leaser.New(id, gatedTable{n.gate, n.cut.Table(r.table)}, gatedHosts{n.gate, n.cut.Hosts(r.hosts)},
 		leaser.WithEngines(r.list), leaser.WithPeers(n), leaser.WithInstance(fmt.Sprint(len(r.nodes))))
+	n.SetEpochs(1, 1)
 	return n
 }
 
--- a/leaser/watch.go
+++ b/leaser/watch.go
@@ -227,13 +227,14 @@
 }
 
 // candidates returns the live nodes of the data centre. The node knows itself
-// better than the last scan does.
+// better than the last scan does. A node without a bundle cannot serve engines, so
+// that it gets as few as one that leaves.
 func (l *Leaser) candidates() []Candidate {
-	all := []Candidate{NewCandidate(l.holder, l.leaving)}
+	all := []Candidate{NewCandidate(l.holder, l.leaving || l.inForce == 0)}
 	live, _ := l.observer.members()
 	for _, m := range live {
 		if m.dataCentre == l.self.dataCentre && m.name != l.self.name {
-			all = append(all, NewCandidate(m.Holder(), m.leaving))
+			all = append(all, NewCandidate(m.Holder(), m.leaving || m.inForce == 0))
 		}
 	}
 	return all
