logger, assembler: count decisions by event

Each rule that the product keeps has a counter that moves before it breaks, also for lines that the sampler leaves out.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -95,6 +95,8 @@
 		h.log.Error("metric-not-registered", logger.Err(err))
 	})
 	h.counts = newCounts(h.meter.Scope())
+	log = log.Counting(h.counts.events.Inc)
+	h.log = log.Component("assembler")
 	h.store = platform.NewStore(settings.Store())
 	h.engines = platform.NewEngines(settings.Address())
 	h.router = router.New()
--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -174,6 +174,20 @@
 	return resp.StatusCode
 }
 
+// metrics returns the metrics that a host serves.
+func (w *world) metrics(address string) string {
+	resp, err := http.Get("http://" + address + "/metrics")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return ""
+	}
+	return string(text)
+}
+
 func (w *world) eventually(holds func() bool) {
 	w.t.Helper()
 	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
@@ -435,6 +449,11 @@
 	is.True(broken["err"] != nil)
 	is.Equal(find("walk-2", "place-asked")["outcome"], "granted")
 
+	w.eventually(func() bool { // lost, broken and refused calls move the counters
+		text := w.metrics(w.at(hostA, 4))
+		return strings.Contains(text, `event="send-lost"`) && strings.Contains(text, `outcome="broken"`)
+	})
+
 	w.plain.Inject(emulator.Sheds{})
 	status, _, err = w.call(client, hostA, "walk-3", "/post/x", "")
 	is.NoErr(err)
--- a/assembler/counts.go
+++ b/assembler/counts.go
@@ -20,12 +20,25 @@
 	outcomeLeft    = "caller-left"
 )
 
-// counts are the metrics of calls.
+// countedEvents are the decisions that are counted. docs/OPERATIONS.md says which
+// of them move when a promise is at risk.
+var countedEvents = []string{
+	"adapter-load-ordered", "adapter-unload-ordered", "base-load-ordered", "load-given-up", "report-failed",
+	"call-stopped", "calls-cut", "place-asked", "send-lost", "send-not-made", "send-refused", "stream-broken", "stream-resumed",
+	"claim-lost", "claim-uncertain", "engines-claimed", "lease-not-renewed", "lease-taken", "owner-changed",
+	"configuration-in-force", "version-named", "operator-row-not-read", "entry-not-read",
+	"dependency-lost", "dependency-regained", "history-lost", "source-passed-over",
+	"endpoint-arrived", "endpoint-draining", "endpoint-gone", "endpoint-lapsed",
+	"host-silent", "evidence-not-told",
+}
+
+// counts are the metrics of calls and decisions.
 type counts struct {
-	calls *meter.Counters
-	sends tally.Counter
-	first tally.Histogram
-	whole tally.Histogram
+	calls  *meter.Counters
+	events *meter.Counters
+	sends  tally.Counter
+	first  tally.Histogram
+	whole  tally.Histogram
 }
 
 // firstBucket and the others bound the latency histograms: 5 ms to 20 s.
@@ -38,10 +51,11 @@
 func newCounts(scope tally.Scope) *counts {
 	bounds := tally.MustMakeExponentialDurationBuckets(firstBucket, bucketFactor, buckets)
 	return &counts{
-		calls: meter.NewCounters(scope, "calls", "outcome", outcomeServed, outcomeFailed, outcomeRefused, outcomeBroken, outcomeLeft),
-		sends: scope.Counter("sends"),
-		first: scope.Histogram("first_byte_seconds", bounds),
-		whole: scope.Histogram("call_seconds", bounds),
+		calls:  meter.NewCounters(scope, "calls", "outcome", outcomeServed, outcomeFailed, outcomeRefused, outcomeBroken, outcomeLeft),
+		events: meter.NewCounters(scope, "events", "event", countedEvents...),
+		sends:  scope.Counter("sends"),
+		first:  scope.Histogram("first_byte_seconds", bounds),
+		whole:  scope.Histogram("call_seconds", bounds),
 	}
 }
 
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -31,6 +31,7 @@
 	out       log.Logger
 	component string
 	sampler   *sampler
+	count     func(event string)
 }
 
 // New returns a logger for a node that drops lines below a level: "debug",
@@ -42,17 +43,25 @@
 	}
 	out := log.NewJSONLogger(log.NewSyncWriter(w))
 	out = log.With(out, keyTime, log.TimestampFormat(utcNow, time.RFC3339Nano), keyNode, node)
-	return &Logger{out: level.NewFilter(out, level.Allow(allowed)), sampler: newSampler()}, nil
+	return &Logger{out: level.NewFilter(out, level.Allow(allowed)), sampler: newSampler(), count: ignore}, nil
 }
 
 func utcNow() time.Time { return time.Now().UTC() }
 
 // Nop returns a logger that writes nothing.
-func Nop() *Logger { return &Logger{out: log.NewNopLogger(), sampler: newSampler()} }
+func Nop() *Logger { return &Logger{out: log.NewNopLogger(), sampler: newSampler(), count: ignore} }
+
+func ignore(string) {}
 
 // Component returns a logger for a part of the program.
 func (l *Logger) Component(name string) *Logger {
-	return &Logger{out: l.out, component: name, sampler: l.sampler}
+	return &Logger{out: l.out, component: name, sampler: l.sampler, count: l.count}
+}
+
+// Counting returns a logger that also passes the event of each line to count, the
+// lines that are left out included.
+func (l *Logger) Counting(count func(event string)) *Logger {
+	return &Logger{out: l.out, component: l.component, sampler: l.sampler, count: count}
 }
 
 // Field is an optional part of a line.
@@ -117,6 +126,7 @@
 func (l *Logger) Error(event string, fields ...Field) { l.write(level.Error(l.out), event, fields) }
 
 func (l *Logger) write(out log.Logger, event string, fields []Field) {
+	l.count(event)
 	keep, dropped := l.sampler.admit(l.component, event, time.Now())
 	if dropped > 0 {
 		_ = log.With(out, keyComponent, l.component).
