subscriber: read a large table from a neighbour with a wide link

Cause: each host that starts reads all endpoints at the store, 1.3 MB with 3,000 of them. Where 500 engines or more are owned, a host with a narrow link asks one of the widest links of its data centre, another one for each, and falls back to the store after a second. Smaller deployments read at the store as before.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -133,7 +133,7 @@
 // followVia returns a follower of a table that one host of each data centre
 // follows at the store.
 func (h *Host) followVia(table string, wait, pause, maxAge time.Duration, log *logger.Logger) *follower.Follower {
-	feed := subscriber.New(table, h.store.Table(table), h.messenger, subscriber.NewPeer(h.members.Self(), "", h.settings.Load().LinkMbps()), h.neighbours, maxAge, log)
+	feed := subscriber.New(table, h.store.Table(table), h.messenger, subscriber.NewPeer(h.members.Self(), "", h.settings.Load().LinkMbps()), neighbours{h}, maxAge, log)
 	return follower.New(table, feed, h.mirrors[table], wait, pause, log)
 }
 
@@ -146,11 +146,34 @@
 	return pinger.NewState(h.leaving.Load(), version)
 }
 
-// neighbours returns the other live hosts of the data centre.
-func (h *Host) neighbours() []subscriber.Peer {
+// neighbours are the other hosts of the data centre.
+type neighbours struct{ host *Host }
+
+// Heard implements subscriber.Peers.
+func (n neighbours) Heard() []subscriber.Peer {
+	return n.list(func(peer *enroller.Host) bool {
+		alive, _ := n.host.pinger.Heard(peer.Name())
+		return alive
+	})
+}
+
+// manyEngines is how many engines make tables large: a host then reads some 200 KB
+// when it starts.
+const manyEngines = 500
+
+// Listed implements subscriber.Peers.
+func (n neighbours) Listed() []subscriber.Peer {
+	view := n.host.members.View()
+	if view.Owned() < manyEngines {
+		return nil
+	}
+	return n.list(view.Alive)
+}
+
+func (n neighbours) list(accept func(*enroller.Host) bool) []subscriber.Peer {
 	var list []subscriber.Peer
-	for _, peer := range h.members.View().Hosts() {
-		if alive, _ := h.pinger.Heard(peer.Name()); alive && h.isNeighbour(peer) {
+	for _, peer := range n.host.members.View().Hosts() {
+		if n.host.isNeighbour(peer) && accept(peer) {
 			list = append(list, subscriber.NewPeer(peer.Name(), peer.Peers(), peer.Link()))
 		}
 	}
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -94,19 +94,37 @@
 // Age returns how old the last contact to the store is.
 func (c Copy) Age() time.Duration { return c.age }
 
-// Snapshot returns the whole copy. It fails with storer.ErrUnavailable before the
-// first contact.
-func (m *Mirror) Snapshot() (Copy, error) {
+// Snapshot returns the whole copy. Before the first contact it waits, and fails
+// with storer.ErrUnavailable after wait.
+func (m *Mirror) Snapshot(ctx context.Context, wait time.Duration) (Copy, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		c, changed, ok := m.whole()
+		if ok {
+			return c, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return Copy{}, storer.ErrUnavailable
+		case <-ctx.Done():
+			return Copy{}, ctx.Err()
+		}
+	}
+}
+
+func (m *Mirror) whole() (Copy, chan struct{}, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.contact.IsZero() {
-		return Copy{}, storer.ErrUnavailable
+		return Copy{}, m.changed, false
 	}
 	list := make([]storer.Change, 0, len(m.rows))
 	for _, r := range m.rows {
 		list = append(list, r)
 	}
-	return m.copy(list, m.version), nil
+	return m.copy(list, m.version), nil, true
 }
 
 // Follow returns the changes after a version as soon as there is one, or none
