--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -152,18 +152,6 @@
 	}
 }
 
-// Settled tells that the previous owner holds no pin on the models.
-func (s *Scheduler) Settled(models ...connector.Model) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, m := range models {
-		if e := s.entries[m]; e != nil {
-			e.unsettled = false
-		}
-	}
-	s.advance()
-}
-
 // SettledExcept tells that the previous owner holds pins on the given models
 // only. Before the first report it covers the adapters that the report finds.
 func (s *Scheduler) SettledExcept(inUse ...connector.Model) {
