--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -51,7 +51,7 @@
 	node     string
 	process  string // differs for each claimer, also for two lives of one node
 	attempts atomic.Uint64
-	settings Settings
+	settings settings
 	live     Liveness
 	asserts  *asserter.Asserter
 	flusher  *flusher
@@ -66,8 +66,22 @@
 // Option sets an optional property of a Claimer.
 type Option func(*Claimer)
 
-// WithSettings replaces the default settings.
-func WithSettings(s Settings) Option { return func(c *Claimer) { c.settings = s.withDefaults() } }
+// WithoutSweeper leaves finished claims in the table.
+func WithoutSweeper() Option { return func(c *Claimer) { c.settings.sweepInterval = -1 } }
+
+// WithRetention sets how long finished claims are kept; the default is a day.
+func WithRetention(d time.Duration) Option { return func(c *Claimer) { c.settings.retention = d } }
+
+// WithQueue bounds the writes that wait for a commit, and the rows of one commit.
+func WithQueue(writes, group int) Option {
+	return func(c *Claimer) { c.settings.maxQueue, c.settings.maxGroup = writes, group }
+}
+
+// WithPace sets how long the first write of a group waits for others, and the mean
+// time between the starts of two commits.
+func WithPace(window, interval time.Duration) Option {
+	return func(c *Claimer) { c.settings.window, c.settings.interval = window, interval }
+}
 
 // WithLiveness lets claims of expired nodes be taken over at once.
 func WithLiveness(l Liveness) Option { return func(c *Claimer) { c.live = l } }
@@ -79,7 +93,7 @@
 		table:    table,
 		node:     node,
 		process:  processID(),
-		settings: Settings{}.withDefaults(),
+		settings: defaultSettings(),
 		live:     alone{},
 		asserts:  asserts,
 	}
@@ -87,14 +101,14 @@
 		opt(c)
 	}
 	c.flusher = newFlusher(table, c.settings)
-	c.memory = newMemory(c.settings.MaxMemory, c.settings.Retention)
+	c.memory = newMemory(c.settings.maxMemory, c.settings.retention)
 	c.settler = newSettler(c)
 	c.sweeper = &sweeper{table: table, settings: c.settings}
-	c.SetSweepInterval(c.settings.SweepInterval)
+	c.SetSweepInterval(c.settings.sweepInterval)
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
 	c.done.Go(func() { c.settler.run(ctx) })
-	if c.settings.SweepInterval > 0 {
+	if c.settings.sweepInterval > 0 {
 		c.done.Go(func() { c.sweeper.run(ctx) })
 	}
 	return c
@@ -179,13 +193,13 @@
 		claimer: c,
 		key:     key,
 		attempt: attempt,
-		sure:    earlier(time.Now().Add(c.settings.Hold), c.live.LeaseEnd()),
+		sure:    earlier(time.Now().Add(c.settings.hold), c.live.LeaseEnd()),
 		record: record{
 			State:    stateClaimed,
 			Attempt:  attempt,
 			Node:     c.node,
 			BodyHash: hash[:],
-			Hold:     int64(c.settings.Hold),
+			Hold:     int64(c.settings.hold),
 		},
 	}
 }
@@ -199,7 +213,7 @@
 
 // get reads a row with a limit on the time.
 func (c *Claimer) get(ctx context.Context, key string) (storer.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.settings.CommitTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.settings.commitTimeout)
 	defer cancel()
 	row, err := c.table.Get(ctx, key)
 	if err != nil {
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -428,7 +428,7 @@
 		nodes := make([]*claimer.Claimer, 2)
 		for i := range nodes {
 			nodes[i] = claimer.New(anonymousTable{c.table}, fmt.Sprint(i), c.asserts,
-				claimer.WithSettings(claimer.Settings{SweepInterval: -1}))
+				claimer.WithoutSweeper())
 			c.opened = append(c.opened, nodes[i])
 		}
 		var wg sync.WaitGroup
@@ -461,7 +461,7 @@
 		if err := table.Commit(t.Context(), storer.NewPut(key, value, 0)); err != nil {
 			t.Fatal(err)
 		}
-		c := claimer.New(table, "a", asserter.New(nil), claimer.WithSettings(claimer.Settings{SweepInterval: -1}))
+		c := claimer.New(table, "a", asserter.New(nil), claimer.WithoutSweeper())
 		defer c.Close()
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 		defer cancel()
@@ -484,7 +484,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		asserts := asserter.New(func(v asserter.Violation) { t.Error(v) })
 		c := claimer.New(slowTable{emulator.NewTable()}, "a", asserts,
-			claimer.WithSettings(claimer.Settings{MaxQueue: 4, MaxGroup: 2, SweepInterval: -1}))
+			claimer.WithQueue(4, 2), claimer.WithoutSweeper())
 		defer c.Close()
 		overloaded := make(chan bool, 20)
 		for i := range 20 {
@@ -512,7 +512,7 @@
 		is := is.New(t)
 		c := newCluster(t)
 		defer c.close()
-		n := claimer.New(c.table, "a", c.asserts, claimer.WithSettings(claimer.Settings{Retention: time.Hour}))
+		n := claimer.New(c.table, "a", c.asserts, claimer.WithRetention(time.Hour))
 		c.opened = append(c.opened, n)
 		_, _ = c.post(n, call{key: "done", timeout: time.Second})
 		_, _ = c.post(n, call{key: "refused", timeout: time.Second, refuse: true})
--- a/claimer/faults_test.go
+++ b/claimer/faults_test.go
@@ -209,7 +209,7 @@
 
 func (c *cluster) node(name string) *claimer.Claimer {
 	n := claimer.New(c.table, name, c.asserts, claimer.WithLiveness(ofNode{c.leases, name}),
-		claimer.WithSettings(claimer.Settings{SweepInterval: -1}))
+		claimer.WithoutSweeper())
 	c.opened = append(c.opened, n)
 	return n
 }
--- a/claimer/flusher.go
+++ b/claimer/flusher.go
@@ -32,7 +32,7 @@
 // flusher commits row writes in groups. One goroutine runs it.
 type flusher struct {
 	table    storer.Table
-	settings Settings
+	settings settings
 	interval atomic.Int64
 	queue    chan *operation
 	commits  atomic.Int64
@@ -43,10 +43,10 @@
 	done   sync.WaitGroup
 }
 
-func newFlusher(table storer.Table, s Settings) *flusher {
+func newFlusher(table storer.Table, s settings) *flusher {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &flusher{table: table, settings: s, queue: make(chan *operation, s.MaxQueue), ctx: ctx, cancel: cancel}
-	f.interval.Store(int64(s.Interval))
+	f := &flusher{table: table, settings: s, queue: make(chan *operation, s.maxQueue), ctx: ctx, cancel: cancel}
+	f.interval.Store(int64(s.interval))
 	f.done.Go(f.run)
 	return f
 }
@@ -104,7 +104,7 @@
 	)
 	for {
 		interval := time.Duration(f.interval.Load())
-		group, rest, ok := f.gather(held, pace.start(interval, f.settings.Burst))
+		group, rest, ok := f.gather(held, pace.start(interval, f.settings.burst))
 		if !ok {
 			return
 		}
@@ -143,7 +143,7 @@
 			return nil, nil, false
 		}
 	}
-	wait := max(f.settings.Window, time.Until(start))
+	wait := max(f.settings.window, time.Until(start))
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
@@ -171,7 +171,7 @@
 	for _, op := range held {
 		add(op)
 	}
-	for len(group) < f.settings.MaxGroup && len(rest) < f.settings.MaxGroup {
+	for len(group) < f.settings.maxGroup && len(rest) < f.settings.maxGroup {
 		select {
 		case op := <-f.queue:
 			add(op)
@@ -225,7 +225,7 @@
 }
 
 func (f *flusher) commitGroup(group []*operation) error {
-	ctx, cancel := context.WithTimeout(f.ctx, f.settings.CommitTimeout)
+	ctx, cancel := context.WithTimeout(f.ctx, f.settings.commitTimeout)
 	defer cancel()
 	writes := make([]storer.Write, len(group))
 	for i, op := range group {
--- a/claimer/held.go
+++ b/claimer/held.go
@@ -180,7 +180,7 @@
 	}
 	h.phase = phaseDone
 	h.claimer.memory.finish(h.key, h.attempt)
-	return h.end(ctx, h.record.answered(reply, h.claimer.settings.MaxAnswer))
+	return h.end(ctx, h.record.answered(reply, h.claimer.settings.maxAnswer))
 }
 
 // Release records that the call was not run, after the endpoint refused it or
--- a/claimer/invariant_test.go
+++ b/claimer/invariant_test.go
@@ -41,7 +41,7 @@
 				defer cancel()
 				table := emulator.NewTable()
 				asserts := asserter.New(nil)
-				claims := claimer.New(table, "a", asserts, claimer.WithSettings(claimer.Settings{SweepInterval: -1}))
+				claims := claimer.New(table, "a", asserts, claimer.WithoutSweeper())
 				defer claims.Close()
 				r, target := request(t, call{key: "k", timeout: time.Second})
 				claim, err := claims.Acquire(ctx, r, target)
--- a/claimer/seeker.go
+++ b/claimer/seeker.go
@@ -146,7 +146,7 @@
 		return take{}
 	}
 	seen := s.claimer.memory.unchanged(row, rec.Attempt, started, time.Now())
-	if seen >= rec.hold()+s.claimer.settings.Guard {
+	if seen >= rec.hold()+s.claimer.settings.guard {
 		return take{}
 	}
 	return wait{}
--- a/claimer/settings.go
+++ b/claimer/settings.go
@@ -2,41 +2,40 @@
 
 import "time"
 
-// Settings bounds what a claimer does. The zero value of a field means its
-// default.
-type Settings struct {
-	// Hold is how long an attempt may stay in claimed.
-	Hold time.Duration
-	// Guard is added to the hold before another attempt takes the row over. It
+// settings bounds what a claimer does.
+type settings struct {
+	// hold is how long an attempt may stay in claimed.
+	hold time.Duration
+	// guard is added to the hold before another attempt takes the row over. It
 	// covers clocks of different speed and pauses between clock and table.
-	Guard time.Duration
-	// Window is how long the first write of a group waits for others.
-	Window time.Duration
-	// Interval is the mean time between the starts of two commits.
-	Interval time.Duration
-	// Burst is how many commits may follow each other without the interval after
+	guard time.Duration
+	// window is how long the first write of a group waits for others.
+	window time.Duration
+	// interval is the mean time between the starts of two commits.
+	interval time.Duration
+	// burst is how many commits may follow each other without the interval after
 	// idle time.
-	Burst int
-	// CommitTimeout bounds one commit or read.
-	CommitTimeout time.Duration
-	// MaxGroup bounds the rows of one commit.
-	MaxGroup int
-	// MaxQueue bounds the writes that wait for a commit.
-	MaxQueue int
-	// MaxAnswer bounds a stored answer in bytes.
-	MaxAnswer int
-	// MaxMemory bounds the keys that the node remembers as sent.
-	MaxMemory int
-	// Retention is how long finished claims are kept.
-	Retention time.Duration
-	// SweepInterval is the time between two pages of the sweeper. Zero means the
-	// default, a negative value turns the sweeper off.
-	SweepInterval time.Duration
-	// SweepPage bounds the rows that one sweep reads and deletes.
-	SweepPage int
+	burst int
+	// commitTimeout bounds one commit or read.
+	commitTimeout time.Duration
+	// maxGroup bounds the rows of one commit.
+	maxGroup int
+	// maxQueue bounds the writes that wait for a commit.
+	maxQueue int
+	// maxAnswer bounds a stored answer in bytes.
+	maxAnswer int
+	// maxMemory bounds the keys that the node remembers as sent.
+	maxMemory int
+	// retention is how long finished claims are kept.
+	retention time.Duration
+	// sweepInterval is the time between two pages of the sweeper. A negative value
+	// turns the sweeper off.
+	sweepInterval time.Duration
+	// sweepPage bounds the rows that one sweep reads and deletes.
+	sweepPage int
 }
 
-// Defaults of Settings.
+// Defaults.
 const (
 	defaultHold          = 5 * time.Second
 	defaultGuard         = time.Second
@@ -69,28 +68,20 @@
 	maxWriteTries     = 3 // lost answers that one step resolves before it gives up
 )
 
-func orDefault[T comparable](v, d T) T {
-	var zero T
-	if v == zero {
-		return d
-	}
-	return v
-}
-
-func (s Settings) withDefaults() Settings {
-	return Settings{
-		Hold:          orDefault(s.Hold, defaultHold),
-		Guard:         orDefault(s.Guard, defaultGuard),
-		Window:        orDefault(s.Window, defaultWindow),
-		Interval:      orDefault(s.Interval, defaultInterval),
-		Burst:         orDefault(s.Burst, defaultBurst),
-		CommitTimeout: orDefault(s.CommitTimeout, defaultCommitTimeout),
-		MaxGroup:      orDefault(s.MaxGroup, defaultMaxGroup),
-		MaxQueue:      orDefault(s.MaxQueue, defaultMaxQueue),
-		MaxAnswer:     orDefault(s.MaxAnswer, defaultMaxAnswer),
-		MaxMemory:     orDefault(s.MaxMemory, defaultMaxMemory),
-		Retention:     orDefault(s.Retention, defaultRetention),
-		SweepInterval: orDefault(s.SweepInterval, defaultSweepInterval),
-		SweepPage:     orDefault(s.SweepPage, defaultSweepPage),
+func defaultSettings() settings {
+	return settings{
+		hold:          defaultHold,
+		guard:         defaultGuard,
+		window:        defaultWindow,
+		interval:      defaultInterval,
+		burst:         defaultBurst,
+		commitTimeout: defaultCommitTimeout,
+		maxGroup:      defaultMaxGroup,
+		maxQueue:      defaultMaxQueue,
+		maxAnswer:     defaultMaxAnswer,
+		maxMemory:     defaultMaxMemory,
+		retention:     defaultRetention,
+		sweepInterval: defaultSweepInterval,
+		sweepPage:     defaultSweepPage,
 	}
 }
--- a/claimer/sweeper.go
+++ b/claimer/sweeper.go
@@ -15,7 +15,7 @@
 // delete at once fails for one of them.
 type sweeper struct {
 	table    storer.Table
-	settings Settings
+	settings settings
 	interval atomic.Int64 // nanoseconds
 	after    string
 }
@@ -33,14 +33,14 @@
 }
 
 func (s *sweeper) sweep(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, s.settings.CommitTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.settings.commitTimeout)
 	defer cancel()
-	rows, err := s.table.Scan(ctx, keyPrefix, s.after, s.settings.SweepPage)
+	rows, err := s.table.Scan(ctx, keyPrefix, s.after, s.settings.sweepPage)
 	if err != nil {
 		return
 	}
 	s.after = ""
-	if len(rows) == s.settings.SweepPage {
+	if len(rows) == s.settings.sweepPage {
 		s.after = rows[len(rows)-1].Key()
 	}
 	if deletes := s.expired(rows); len(deletes) > 0 {
@@ -50,7 +50,7 @@
 }
 
 func (s *sweeper) expired(rows []storer.Row) []storer.Write {
-	limit := time.Now().Add(-s.settings.Retention).Unix()
+	limit := time.Now().Add(-s.settings.retention).Unix()
 	var deletes []storer.Write
 	for _, row := range rows {
 		rec, err := decodeRecord(row.Value())
--- a/leaser/entries.go
+++ b/leaser/entries.go
@@ -73,7 +73,7 @@
 // nodes.
 func NewReader(table storer.Table, s Settings) *Reader {
 	s = s.withDefaults()
-	return &Reader{table: table, settings: s, observer: newObserver(s.Lease, s.Guard)}
+	return &Reader{table: table, settings: s, observer: newObserver(s.lease, s.guard)}
 }
 
 // List returns the nodes. One scan does not tell whether a lease is valid, so the
@@ -97,7 +97,7 @@
 			return rollerNodes(live, expired), nil
 		}
 		select {
-		case <-time.After(r.settings.Scan):
+		case <-time.After(r.settings.scan):
 		case <-ctx.Done():
 			return nil, fmt.Errorf("watch lease rows: %w", context.Cause(ctx))
 		}
--- a/leaser/extension.go
+++ b/leaser/extension.go
@@ -60,7 +60,7 @@
 
 // extend asks the other members for time while the table is out of reach.
 func (l *Leaser) extend(ctx context.Context) {
-	ticker := time.NewTicker(l.settings.Scan)
+	ticker := time.NewTicker(l.settings.scan)
 	defer ticker.Stop()
 	for {
 		select {
@@ -99,7 +99,7 @@
 // outOfContact reports whether the table has not answered for a while. A single
 // lost request is not an outage.
 func (l *Leaser) outOfContact(now time.Time) bool {
-	return l.contact.failed && now.Sub(l.contact.last) >= l.settings.Scan
+	return l.contact.failed && now.Sub(l.contact.last) >= l.settings.scan
 }
 
 // others returns the other members of the assignment and the nodes of the data
@@ -130,7 +130,7 @@
 
 // ask collects promises and extends the lease to the earliest end of them.
 func (l *Leaser) ask(ctx context.Context, members []Member) {
-	ctx, cancel := context.WithTimeout(ctx, l.settings.Renew)
+	ctx, cancel := context.WithTimeout(ctx, l.settings.renew)
 	defer cancel()
 	started := time.Now()
 	var work sync.WaitGroup
@@ -206,12 +206,12 @@
 	if l.extension.stopped || !now.Before(l.right.Load().until) {
 		return
 	}
-	until := started.Add(l.settings.Lease)
+	until := started.Add(l.settings.lease)
 	for _, m := range members {
 		granted, ok := l.extension.granted[m.ID()]
 		since, absent := l.extension.absent[m.name]
 		switch {
-		case absent && now.Sub(since) > l.settings.HostLag:
+		case absent && now.Sub(since) > l.settings.hostLag:
 		case !ok:
 			return
 		case granted.Before(until):
@@ -241,9 +241,9 @@
 	if !l.outOfContact(now) || l.taking {
 		return Grant{}, false
 	}
-	maps.DeleteFunc(l.promises, func(_ string, until time.Time) bool { return now.After(until.Add(l.settings.Guard)) })
-	l.promises[nameOf(from)] = now.Add(l.settings.Lease)
-	return NewGrant(l.settings.Lease, uint64(v.row)), true
+	maps.DeleteFunc(l.promises, func(_ string, until time.Time) bool { return now.After(until.Add(l.settings.guard)) })
+	l.promises[nameOf(from)] = now.Add(l.settings.lease)
+	return NewGrant(l.settings.lease, uint64(v.row)), true
 }
 
 // names reports whether a process is a member.
@@ -269,7 +269,7 @@
 	if len(members) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, l.settings.Scan)
+	ctx, cancel := context.WithTimeout(ctx, l.settings.scan)
 	defer cancel()
 	var work sync.WaitGroup
 	for _, m := range members {
@@ -288,13 +288,13 @@
 	defer l.mu.Unlock()
 	a := l.known[l.self.dataCentre].assignment
 	now := time.Now()
-	if a == nil || l.holder.IsZero() || now.Sub(l.memberFrom) >= newcomerLeases*l.settings.Lease {
+	if a == nil || l.holder.IsZero() || now.Sub(l.memberFrom) >= newcomerLeases*l.settings.lease {
 		return nil
 	}
 	var members []Member
 	for _, h := range a.holders() {
 		s := l.local(h.name)
-		if s != nil && h.name != l.self.name && s.member.Holder() == h && !s.member.ended && now.Sub(s.since) >= l.settings.Lease {
+		if s != nil && h.name != l.self.name && s.member.Holder() == h && !s.member.ended && now.Sub(s.since) >= l.settings.lease {
 			members = append(members, s.member)
 		}
 	}
--- a/leaser/gone.go
+++ b/leaser/gone.go
@@ -37,5 +37,5 @@
 	if !ok && len(l.missing) < maxMissing {
 		l.missing[id] = time.Now()
 	}
-	return ok && wideAt.Sub(since) >= l.settings.Lease+l.settings.Guard
+	return ok && wideAt.Sub(since) >= l.settings.lease+l.settings.guard
 }
--- a/leaser/keeper.go
+++ b/leaser/keeper.go
@@ -53,7 +53,7 @@
 
 func (l *Leaser) keep(ctx context.Context) {
 	for {
-		pause := l.settings.Renew
+		pause := l.settings.renew
 		if err := l.renew(ctx); err != nil {
 			pause = min(pause, retryDelay)
 		}
@@ -181,7 +181,7 @@
 	if k.rival == nil || k.rival.row.Version() != row.Version() || k.rival.member != m {
 		k.rival = &observed{row: row, member: m, since: now}
 	}
-	if now.Sub(k.rival.since) < l.settings.Lease+l.settings.Guard {
+	if now.Sub(k.rival.since) < l.settings.lease+l.settings.guard {
 		return fmt.Errorf("process %q: %w", m.instance, ErrNameInUse)
 	}
 	l.rejoin(row.Version(), m.term, m.closed)
@@ -199,7 +199,7 @@
 		return err
 	}
 	k.attempt = a
-	callCtx, cancel := context.WithTimeout(ctx, l.settings.Renew)
+	callCtx, cancel := context.WithTimeout(ctx, l.settings.renew)
 	defer cancel()
 	err = l.table.Commit(callCtx, writes...)
 	switch {
@@ -233,7 +233,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.leaseEnd.Before(a.started.Add(l.settings.Lease)) {
+	if !l.leaseEnd.Before(a.started.Add(l.settings.lease)) {
 		return nil
 	}
 	return fmt.Errorf("write lease row: %w", lost)
@@ -289,7 +289,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.holder = Holder{name: l.self.name, instance: l.instance, term: l.keeper.term}
-	if end := a.started.Add(l.settings.Lease); end.After(l.leaseEnd) {
+	if end := a.started.Add(l.settings.lease); end.After(l.leaseEnd) {
 		l.leaseEnd = end
 	}
 	if a.next != nil {
@@ -350,7 +350,7 @@
 	if err != nil {
 		return true, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, l.settings.Renew)
+	ctx, cancel := context.WithTimeout(ctx, l.settings.renew)
 	defer cancel()
 	err = l.table.Commit(ctx, storer.NewPut(row.Key(), value, row.Version()))
 	return err == nil, err
@@ -358,7 +358,7 @@
 
 // get reads a row and records whether the table answered.
 func (l *Leaser) get(ctx context.Context, key string) (storer.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, l.settings.Renew)
+	ctx, cancel := context.WithTimeout(ctx, l.settings.renew)
 	defer cancel()
 	row, err := l.table.Get(ctx, key)
 	answered := err == nil || errors.Is(err, storer.ErrNotFound)
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -101,7 +101,7 @@
 	for _, opt := range opts {
 		opt(l)
 	}
-	l.observer = newObserver(l.settings.Lease, l.settings.Guard)
+	l.observer = newObserver(l.settings.lease, l.settings.guard)
 	l.right.Store(&right{})
 	l.view.Store(&Membership{})
 	l.work.Go(func() { l.keep(ctx) })
@@ -154,7 +154,7 @@
 			return ErrNoSuccessor
 		}
 		select {
-		case <-time.After(l.settings.Scan / 4):
+		case <-time.After(l.settings.scan / 4):
 		case <-ctx.Done():
 			return fmt.Errorf("hand engines over: %w", context.Cause(ctx))
 		}
--- a/leaser/options.go
+++ b/leaser/options.go
@@ -37,21 +37,26 @@
 
 // Settings are the times of a leaser. Zero values stand for the defaults.
 type Settings struct {
-	Lease     time.Duration
-	Guard     time.Duration
-	Renew     time.Duration // default: a third of the lease
-	Scan      time.Duration
-	HostLag   time.Duration
-	Retention time.Duration
+	lease     time.Duration
+	guard     time.Duration
+	renew     time.Duration // default: a third of the lease
+	scan      time.Duration
+	hostLag   time.Duration
+	retention time.Duration
+}
+
+// NewSettings returns the times of a lease, of its guard and of its renewals.
+func NewSettings(lease, guard, renew time.Duration) Settings {
+	return Settings{lease: lease, guard: guard, renew: renew}
 }
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.Lease, DefaultLease)
-	setDefault(&s.Guard, DefaultGuard)
-	setDefault(&s.Renew, s.Lease/renewalsPerLease)
-	setDefault(&s.Scan, DefaultScan)
-	setDefault(&s.HostLag, DefaultHostLag)
-	setDefault(&s.Retention, DefaultRetention)
+	setDefault(&s.lease, DefaultLease)
+	setDefault(&s.guard, DefaultGuard)
+	setDefault(&s.renew, s.lease/renewalsPerLease)
+	setDefault(&s.scan, DefaultScan)
+	setDefault(&s.hostLag, DefaultHostLag)
+	setDefault(&s.retention, DefaultRetention)
 	return s
 }
 
--- a/leaser/watch.go
+++ b/leaser/watch.go
@@ -47,9 +47,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if failed != nil || len(l.observer.rows) <= manyRows {
-		return l.settings.Scan
+		return l.settings.scan
 	}
-	return max(l.settings.Scan, min(2*l.settings.Scan, l.settings.Lease/3))
+	return max(l.settings.scan, min(2*l.settings.scan, l.settings.lease/3))
 }
 
 // poll reads the lease rows and the assignments that changed, and then changes
@@ -87,7 +87,7 @@
 }
 
 func (l *Leaser) scan(ctx context.Context, prefix string) ([]storer.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, l.settings.Renew)
+	ctx, cancel := context.WithTimeout(ctx, l.settings.renew)
 	defer cancel()
 	rows, err := storer.GetAll(ctx, l.table, prefix)
 	l.noteContact(err == nil)
@@ -203,7 +203,7 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	v := l.known[l.self.dataCentre]
-	fresh := now.Sub(l.observer.readAt) <= l.settings.Lease/2
+	fresh := now.Sub(l.observer.readAt) <= l.settings.lease/2
 	if v.assignment == nil || l.stopped || l.holder.IsZero() || !fresh || !now.Before(l.leaseEnd) {
 		return nil
 	}
@@ -265,10 +265,10 @@
 	}
 	// The holder may have extended its lease through peers.
 	t := l.settings
-	waited := !l.memberFrom.IsZero() && now.Sub(l.memberFrom) >= newcomerLeases*t.Lease
-	promised := now.Before(l.promises[h.name].Add(t.Guard))
+	waited := !l.memberFrom.IsZero() && now.Sub(l.memberFrom) >= newcomerLeases*t.lease
+	promised := now.Before(l.promises[h.name].Add(t.guard))
 	heard, ok := l.heard[h.name]
-	return waited && !promised && (!ok || now.Sub(heard) >= t.Lease+t.Guard)
+	return waited && !promised && (!ok || now.Sub(heard) >= t.lease+t.guard)
 }
 
 // revocations returns the writes that keep the holders who lose their place from
@@ -305,7 +305,7 @@
 // centre does it, and the first of all members where none is left.
 func (l *Leaser) sweep(ctx context.Context) {
 	for _, w := range l.sweepable() {
-		ctx, cancel := context.WithTimeout(ctx, l.settings.Renew)
+		ctx, cancel := context.WithTimeout(ctx, l.settings.renew)
 		err := l.table.Commit(ctx, w)
 		cancel()
 		if err != nil {
@@ -332,7 +332,7 @@
 		if responsible == "" && len(live) > 0 {
 			responsible = live[0].name
 		}
-		if responsible == l.self.name && l.observer.dead(s) && now.Sub(s.since) >= l.settings.Retention {
+		if responsible == l.self.name && l.observer.dead(s) && now.Sub(s.since) >= l.settings.retention {
 			writes = append(writes, storer.NewDelete(s.row.Key(), s.row.Version()))
 		}
 	}
--- a/runner/node.go
+++ b/runner/node.go
@@ -129,7 +129,7 @@
 	n.leaser = leaser.New(identity, env.table, env.hosts,
 		leaser.WithPeers(extender{peers: n.peers}),
 		leaser.WithEngines(n.engines),
-		leaser.WithSettings(leaser.Settings{Lease: s.LeaseTime(), Guard: s.LeaseGuard(), Renew: s.LeaseRenew()}),
+		leaser.WithSettings(leaser.NewSettings(s.LeaseTime(), s.LeaseGuard(), s.LeaseRenew())),
 		leaser.WithFailures(func(err error) { n.log.Component("leaser").Warn("exchange with the table failed", logger.Err(err)) }))
 	n.watcher = watcher.New(env.table, env.objects, n.peers, s.BundleKeys(), n.bundles,
 		watcher.WithEpochs(n.leaser.SetEpochs),
