--- a/soaker/world_test.go
+++ b/soaker/world_test.go
@@ -32,7 +32,7 @@
 // firstPort and the next ones are those of a host. They are below the ports that the
 // kernel gives to outgoing connections, so none of them is taken for one while a
 // host is down.
-const firstPort = 21000
+const firstPort = 21100
 
 // host is one process of the program.
 type host struct {
@@ -68,7 +68,7 @@
 	hosts     []*host
 	endpoints []*endpoint
 	version   int
-	net       int // of the hosts' addresses, so that several seeds may run at once
+	net       int // of the hosts' addresses
 	mu        sync.Mutex
 }
 
@@ -139,7 +139,7 @@
 }
 
 func (w *world) addHost(i int) {
-	h := &host{name: fmt.Sprint("host-", i), address: fmt.Sprintf("127.0.%d.%d", w.net, i+1), zone: zone(i)}
+	h := &host{name: fmt.Sprint("host-", i), address: fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%200, w.net, i+1), zone: zone(i)}
 	h.store = newProxy(w.t, w.server.Listener.Addr().String())
 	h.file = filepath.Join(w.dir, h.name+".json")
 	log, err := os.Create(filepath.Join(w.dir, h.name+".log"))
