follower: time to read a large table over a narrow link

Cause: a whole table had to be read within 2 s. A host with a link of 10 Mbit/s needs 1.0 s for the entries of 3,000 endpoints and 0.4 s for the rows of the hosts, both at once, after it asked a neighbour for up to a second. TestLongRead failed before.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -30,7 +30,9 @@
 	// answerTime is added to how long the store may hold a call back. A connection
 	// that went silent is given up after it.
 	answerTime = time.Second
-	readTime   = 2 * time.Second // of a whole table
+	// readTime is how long a whole table may take. A host with a narrow link reads a
+	// large one for seconds; the feed bounds each of its calls.
+	readTime = 4 * time.Second
 )
 
 var errStale = eris.New("the store's answer is older than an earlier one")
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -152,3 +152,37 @@
 func (s *silent) Follow(ctx context.Context, _ storer.Version, _ time.Duration) (storer.Changes, error) {
 	return s.Snapshot(ctx)
 }
+
+// Guards against a large table that a host with a narrow link never reads whole.
+func TestLongRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := &reader{}
+		fl := follower.New("t", long{}, r, time.Second, time.Millisecond, logger.Nop())
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		fl.Run(ctx)
+		is.Equal(r.seen, []string{"=a"})
+	})
+}
+
+// long answers after some seconds.
+type long struct{}
+
+func (long) Snapshot(ctx context.Context) (storer.Changes, error) {
+	select {
+	case <-time.After(3 * time.Second):
+		return storer.NewChanges([]storer.Change{storer.NewChange(storer.NewRow("a", nil, 1))}, 1, 0), nil
+	case <-ctx.Done():
+		return storer.Changes{}, ctx.Err()
+	}
+}
+
+func (long) Follow(ctx context.Context, _ storer.Version, wait time.Duration) (storer.Changes, error) {
+	select {
+	case <-time.After(wait):
+		return storer.NewChanges(nil, 1, 0), nil
+	case <-ctx.Done():
+		return storer.Changes{}, ctx.Err()
+	}
+}
