--- a/soaker/callers_test.go
+++ b/soaker/callers_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/platform/emulator"
@@ -20,6 +21,9 @@
 	kind   string
 	status int  // 0 without an answer
 	whole  bool // the body ended as it should
+	left   bool // the caller went away
+	// planned is set for calls that were under way while only planned work went on.
+	planned bool
 }
 
 // callers send calls as the platform's callers do: they ask a directory which
@@ -31,6 +35,8 @@
 	calls  map[string]seen
 	counts map[string]int
 	faults []string // broken promises
+	// planned is set while planned work goes on and nothing else is wrong.
+	planned atomic.Bool
 }
 
 func newCallers(w *world) *callers {
@@ -100,7 +106,7 @@
 		c.fail("build request: %v", err)
 		return
 	}
-	got := seen{kind: kind}
+	got := seen{kind: kind, planned: c.planned.Load()}
 	resp, err := client.Do(req)
 	if err == nil {
 		got.status = resp.StatusCode
@@ -109,6 +115,8 @@
 		got.whole = rerr == nil
 		c.check(id, kind, resp, string(body), rerr)
 	}
+	got.left = limited.Err() != nil
+	got.planned = got.planned && c.planned.Load()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.calls[id] = got
@@ -167,6 +175,9 @@
 		case s.status == http.StatusServiceUnavailable && runs[id] > 0:
 			faults = append(faults, fmt.Sprintf("%s: %s refused as not run, but ran %d times", id, s.kind, runs[id]))
 		}
+		if s.planned && !s.whole && !s.left && runs[id] > 0 {
+			faults = append(faults, fmt.Sprintf("%s: %s ran and was cut by planned work", id, s.kind))
+		}
 		if runs[id] > 2 {
 			faults = append(faults, fmt.Sprintf("%s: ran on %d endpoints", id, runs[id]))
 		}
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -94,6 +95,7 @@
 		}
 		return true
 	})
+	w.plannedWork(c)
 	time.Sleep(2 * time.Second)
 	cancel()
 	running.Wait()
@@ -111,6 +113,23 @@
 	}
 }
 
+// plannedWork lets endpoints leave and stops a host while nothing else is wrong.
+// The endpoints note calls that come too late.
+func (w *world) plannedWork(c *callers) {
+	c.planned.Store(true)
+	w.mu.Lock()
+	for _, e := range w.endpoints {
+		if strings.HasSuffix(e.ID(), "-0") {
+			e.state = "draining"
+			w.list(e)
+		}
+	}
+	w.mu.Unlock()
+	w.restart(w.hosts[0], syscall.SIGTERM)
+	time.Sleep(drainTime)
+	c.planned.Store(false)
+}
+
 // keep copies the logs of a failed run.
 func (w *world) keep(seed uint64) {
 	for _, h := range w.hosts {
