--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -132,7 +132,7 @@
 // followVia returns a follower of a table that one host of each data centre
 // follows at the store.
 func (h *Host) followVia(table string, wait, pause, maxAge time.Duration, log *logger.Logger) *follower.Follower {
-	feed := subscriber.New(table, h.store.Table(table), h.messenger, subscriber.NewPeer(h.members.Self(), "", h.settings.Load().LinkMbps()), neighbours{h}, maxAge, log)
+	feed := subscriber.New(table, h.store.Table(table), h.messenger, subscriber.NewPeer(h.members.Self(), "", h.settings.Load().LinkMbps()), h.neighbours, maxAge, log)
 	return follower.New(table, feed, h.mirrors[table], wait, pause, log)
 }
 
--- a/assembler/run.go
+++ b/assembler/run.go
@@ -26,7 +26,6 @@
 	accuseInterval = 150 * time.Millisecond
 	accuseTimeout  = time.Second
 	forgetInterval = 10 * time.Second
-	membersWait    = 500 * time.Millisecond
 	// acceptFor is how long a stopping host still accepts connections: callers use
 	// the directory's last answer for its life.
 	acceptFor = 2700 * time.Millisecond
@@ -74,12 +73,7 @@
 		}
 	})
 	for _, f := range h.followers {
-		running.Go(func() {
-			if f == h.endpoints {
-				h.awaitMembers(work)
-			}
-			f.Run(work)
-		})
+		running.Go(func() { f.Run(work) })
 	}
 	running.Go(func() { h.members.Run(work) })
 	running.Go(func() {
@@ -95,17 +89,6 @@
 	return nil
 }
 
-// awaitMembers returns when the rows of the hosts have been read. A large table of
-// endpoints is then read from one of them.
-func (h *Host) awaitMembers(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, membersWait)
-	defer cancel()
-	select {
-	case <-h.members.Read():
-	case <-ctx.Done():
-	}
-}
-
 func (h *Host) close() {
 	h.supplier.Close()
 	h.exchanger.Close()
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -75,14 +75,11 @@
 	view   atomic.Pointer[View]
 	rests  atomic.Pointer[map[string]time.Duration] // engine → earliest order, on clock
 	joined time.Time                                // when the first row of this process was written
-
-	reading sync.Once
-	read    chan struct{} // closed when the table has been read
 }
 
 // New returns an enroller that is not running.
 func New(self Self, times Times, store storer.Committer, log *logger.Logger, opts ...Option) *Enroller {
-	e := &Enroller{self: self, times: times, store: store, log: log.Component("enroller"), clock: bootTime, read: make(chan struct{})}
+	e := &Enroller{self: self, times: times, store: store, log: log.Component("enroller"), clock: bootTime}
 	for _, opt := range opts {
 		opt(e)
 	}
@@ -238,12 +235,8 @@
 		}
 		v.contact, v.version = now, version
 	})
-	e.reading.Do(func() { close(e.read) })
 }
 
-// Read returns a channel that is closed once the table has been read.
-func (e *Enroller) Read() <-chan struct{} { return e.read }
-
 // Replace takes over all rows of the table.
 func (e *Enroller) Replace(rows []storer.Change) {
 	listed := make(map[string]bool, len(rows))
--- a/enroller/view.go
+++ b/enroller/view.go
@@ -122,9 +122,6 @@
 	return list
 }
 
-// Owned returns how many engines have an owner.
-func (v *View) Owned() int { return len(v.owners) }
-
 // Count returns how many hosts were alive at the last contact with the store,
 // those included that are about to stop.
 func (v *View) Count() int { return v.live }
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -106,8 +106,8 @@
 }
 
 // Snapshot reads the copy of a table at the host at an address.
-func (m *Messenger) Snapshot(ctx context.Context, address, table string, wait time.Duration) (mirrorer.Copy, error) {
-	return m.follow(ctx, address, &followDocument{Table: table, Whole: true, WaitUS: wait.Microseconds()})
+func (m *Messenger) Snapshot(ctx context.Context, address, table string) (mirrorer.Copy, error) {
+	return m.follow(ctx, address, &followDocument{Table: table, Whole: true})
 }
 
 // Follow waits for changes of a table at the host at an address.
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -106,11 +106,11 @@
 	is.NoErr(client.Accuse(t.Context(), address, marks))
 	is.Equal(h.marks, marks)
 
-	_, err := client.Snapshot(t.Context(), address, "t", 0)
+	_, err := client.Snapshot(t.Context(), address, "t")
 	is.True(errors.Is(err, storer.ErrUnavailable)) // not read yet
 	h.mirror.Replace([]storer.Change{storer.NewChange(storer.NewRow("k", []byte("v"), 3))})
 	h.mirror.Contact(4, time.Minute)
-	whole, err := client.Snapshot(t.Context(), address, "t", 0)
+	whole, err := client.Snapshot(t.Context(), address, "t")
 	is.NoErr(err)
 	is.Equal(whole.Changes().List()[0].Key(), "k")
 	is.Equal(whole.Changes().Version(), storer.Version(4))
@@ -122,7 +122,7 @@
 	changes, err := client.Follow(t.Context(), address, "t", 4, time.Second)
 	is.NoErr(err)
 	is.True(changes.Changes().List()[0].Removed())
-	_, err = client.Snapshot(t.Context(), address, "other", 0)
+	_, err = client.Snapshot(t.Context(), address, "other")
 	is.True(errors.Is(err, storer.ErrUnavailable))
 }
 
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -188,7 +188,7 @@
 	var c mirrorer.Copy
 	var err error
 	if in.Whole {
-		c, err = m.Snapshot(ctx, min(time.Duration(in.WaitUS)*time.Microsecond, maxWait))
+		c, err = m.Snapshot()
 	} else {
 		c, err = m.Follow(ctx, storer.Version(in.After), min(time.Duration(in.WaitUS)*time.Microsecond, maxWait))
 	}
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -94,37 +94,19 @@
 // Age returns how old the last contact to the store is.
 func (c Copy) Age() time.Duration { return c.age }
 
-// Snapshot returns the whole copy. Before the first contact it waits, and fails
-// with storer.ErrUnavailable after wait.
-func (m *Mirror) Snapshot(ctx context.Context, wait time.Duration) (Copy, error) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		c, changed, ok := m.whole()
-		if ok {
-			return c, nil
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return Copy{}, storer.ErrUnavailable
-		case <-ctx.Done():
-			return Copy{}, ctx.Err()
-		}
-	}
-}
-
-func (m *Mirror) whole() (Copy, chan struct{}, bool) {
+// Snapshot returns the whole copy. It fails with storer.ErrUnavailable before the
+// first contact.
+func (m *Mirror) Snapshot() (Copy, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.contact.IsZero() {
-		return Copy{}, m.changed, false
+		return Copy{}, storer.ErrUnavailable
 	}
 	list := make([]storer.Change, 0, len(m.rows))
 	for _, r := range m.rows {
 		list = append(list, r)
 	}
-	return m.copy(list, m.version), nil, true
+	return m.copy(list, m.version), nil
 }
 
 // Follow returns the changes after a version as soon as there is one, or none
--- a/mirrorer/mirrorer_test.go
+++ b/mirrorer/mirrorer_test.go
@@ -30,11 +30,11 @@
 		is := is.New(t)
 		next := &sink{}
 		m := mirrorer.New(next)
-		_, err := m.Snapshot(t.Context(), 0)
+		_, err := m.Snapshot()
 		is.True(errors.Is(err, storer.ErrUnavailable)) // nothing is known yet
 		m.Replace([]storer.Change{row("a", 1), row("b", 2)})
 		m.Contact(5, 100*time.Second)
-		whole, err := m.Snapshot(t.Context(), 0)
+		whole, err := m.Snapshot()
 		is.NoErr(err)
 		is.Equal(len(whole.Changes().List()), 2)
 		is.Equal(whole.Changes().Version(), storer.Version(5))
@@ -58,7 +58,7 @@
 		is.NoErr(err)
 		is.Equal(got.Age(), 3*time.Second)
 		is.Equal(got.Changes().Clock(), 104*time.Second)
-		whole, err = m.Snapshot(t.Context(), 0)
+		whole, err = m.Snapshot()
 		is.NoErr(err)
 		is.Equal(len(whole.Changes().List()), 2) // b and c
 	})
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -29,19 +29,10 @@
 
 // Remote follows tables at other hosts.
 type Remote interface {
-	Snapshot(ctx context.Context, address, table string, wait time.Duration) (mirrorer.Copy, error)
+	Snapshot(ctx context.Context, address, table string) (mirrorer.Copy, error)
 	Follow(ctx context.Context, address, table string, after storer.Version, wait time.Duration) (mirrorer.Copy, error)
 }
 
-// Peers are the other hosts of the data centre.
-type Peers interface {
-	// Heard returns those that are known to live.
-	Heard() []Peer
-	// Listed returns those whose rows say so, or none where tables are so small that
-	// each host may read them at the store.
-	Listed() []Peer
-}
-
 const (
 	// passOver is how long a host with an old copy is not asked.
 	passOver = 3 * time.Second
@@ -51,10 +42,8 @@
 	// peerTimeout is added to it. It leaves time for a call to the store within the
 	// limit of a follower.
 	peerTimeout = 400 * time.Millisecond
-	// snapshotTimeout is how long another host may take for a whole table, and
-	// snapshotWait how much of it if it has not read the table itself.
+	// snapshotTimeout is how long another host may take for a whole table.
 	snapshotTimeout = time.Second
-	snapshotWait    = 600 * time.Millisecond
 )
 
 var errOld = eris.New("the copy of the other host is old")
@@ -65,7 +54,7 @@
 	store  storer.Feed
 	remote Remote
 	self   Peer
-	peers  Peers
+	peers  func() []Peer // the live hosts of the data centre, without this one
 	maxAge time.Duration
 	log    *logger.Logger
 	passed map[string]time.Time // used by one goroutine, that of the follower
@@ -76,7 +65,7 @@
 
 // New returns a feed of a table. MaxAge is how old the copy of another host may
 // be.
-func New(table string, store storer.Feed, remote Remote, self Peer, peers Peers, maxAge time.Duration, log *logger.Logger) *Subscriber {
+func New(table string, store storer.Feed, remote Remote, self Peer, peers func() []Peer, maxAge time.Duration, log *logger.Logger) *Subscriber {
 	return &Subscriber{
 		table: table, store: store, remote: remote, self: self, peers: peers, maxAge: maxAge,
 		log: log.Component("subscriber"), passed: make(map[string]time.Time),
@@ -88,7 +77,7 @@
 // False stands for this host.
 func (s *Subscriber) reader() (Peer, bool) {
 	best, found := s.self, false
-	for _, p := range s.peers.Heard() {
+	for _, p := range s.peers() {
 		if time.Since(s.passed[p.name]) >= passOver && s.before(p, best) {
 			best, found = p, true
 		}
@@ -109,29 +98,11 @@
 
 func (s *Subscriber) hash(host string) uint64 { return xxhash.Sum64String(s.table + "\x00" + host) }
 
-// holder returns a host to read a large table from: one of those with the widest
-// link, another for each host that asks. False stands for the store.
-func (s *Subscriber) holder() (Peer, bool) {
-	best, found := Peer{link: s.self.link}, false
-	for _, p := range s.peers.Listed() {
-		switch {
-		case time.Since(s.passed[p.name]) < passOver || p.link <= s.self.link:
-		case p.link > best.link, p.link == best.link && s.hash(s.self.name+p.name) > s.hash(s.self.name+best.name):
-			best, found = p, true
-		}
-	}
-	return best, found
-}
-
 // Snapshot implements storer.Feed.
 func (s *Subscriber) Snapshot(ctx context.Context) (storer.Changes, error) {
-	p, ok := s.holder()
-	if !ok {
-		p, ok = s.reader()
-	}
-	if ok {
+	if p, ok := s.reader(); ok {
 		limited, cancel := context.WithTimeout(ctx, snapshotTimeout)
-		copied, err := s.remote.Snapshot(limited, p.address, s.table, snapshotWait)
+		copied, err := s.remote.Snapshot(limited, p.address, s.table)
 		cancel()
 		if changes, ok := s.accept(p, copied, err); ok {
 			return changes, nil
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,17 +47,9 @@
 	err    error
 	silent bool
 	calls  int
-	asked  []string
 }
 
-// peers are heard and listed hosts.
-type peers struct{ heard, listed []subscriber.Peer }
-
-func (p peers) Heard() []subscriber.Peer  { return p.heard }
-func (p peers) Listed() []subscriber.Peer { return p.listed }
-
-func (r *remote) Snapshot(ctx context.Context, address, _ string, _ time.Duration) (mirrorer.Copy, error) {
-	r.asked = append(r.asked, address)
+func (r *remote) Snapshot(ctx context.Context, _, _ string) (mirrorer.Copy, error) {
 	r.calls++
 	if r.silent {
 		<-ctx.Done()
@@ -67,8 +58,8 @@
 	return mirrorer.NewCopy(storer.NewChanges(nil, 1, 0), r.age), r.err
 }
 
-func (r *remote) Follow(ctx context.Context, address, table string, _ storer.Version, wait time.Duration) (mirrorer.Copy, error) {
-	return r.Snapshot(ctx, address, table, wait)
+func (r *remote) Follow(ctx context.Context, address, table string, _ storer.Version, _ time.Duration) (mirrorer.Copy, error) {
+	return r.Snapshot(ctx, address, table)
 }
 
 // Guards against a host that trusts another one that has lost the store, against
@@ -92,8 +83,8 @@
 				is := is.New(t)
 				store := &feed{takes: storeTime}
 				// The names are chosen so that the other host is first by hash.
-				other := peers{heard: []subscriber.Peer{subscriber.NewPeer(first("self"), "x:1", 0)}}
-				s := subscriber.New("t", store, &tt.remote, subscriber.NewPeer("self", "", 0), other, time.Second, logger.Nop())
+				peers := func() []subscriber.Peer { return []subscriber.Peer{subscriber.NewPeer(first("self"), "x:1", 0)} }
+				s := subscriber.New("t", store, &tt.remote, subscriber.NewPeer("self", "", 0), peers, time.Second, logger.Nop())
 				follow := func() {
 					ctx, cancel := context.WithTimeout(t.Context(), callTime)
 					defer cancel()
@@ -118,8 +109,8 @@
 	for i := range 100 {
 		name := "peer-" + string(rune('a'+i%26)) + string(rune('a'+i/26))
 		store, r := &feed{}, &remote{}
-		other := peers{heard: []subscriber.Peer{subscriber.NewPeer(name, "x:1", 0)}}
-		s := subscriber.New("t", store, r, subscriber.NewPeer(self, "", 0), other, time.Second, logger.Nop())
+		peers := func() []subscriber.Peer { return []subscriber.Peer{subscriber.NewPeer(name, "x:1", 0)} }
+		s := subscriber.New("t", store, r, subscriber.NewPeer(self, "", 0), peers, time.Second, logger.Nop())
 		if _, err := s.Follow(context.Background(), 0, 0); err == nil && r.calls == 1 {
 			return name
 		}
@@ -131,7 +122,7 @@
 func TestAlone(t *testing.T) {
 	is := is.New(t)
 	store := &feed{}
-	s := subscriber.New("t", store, &remote{}, subscriber.NewPeer("self", "", 0), peers{}, time.Second, logger.Nop())
+	s := subscriber.New("t", store, &remote{}, subscriber.NewPeer("self", "", 0), func() []subscriber.Peer { return nil }, time.Second, logger.Nop())
 	_, err := s.Snapshot(t.Context())
 	is.NoErr(err)
 	is.Equal(store.calls, 1)
@@ -148,45 +139,9 @@
 		asked      int
 	}{{narrow, wide, 1}, {wide, narrow, 0}} {
 		r := &remote{}
-		s := subscriber.New("t", &feed{}, r, tt.self, peers{heard: []subscriber.Peer{tt.peer}}, time.Second, logger.Nop())
+		s := subscriber.New("t", &feed{}, r, tt.self, func() []subscriber.Peer { return []subscriber.Peer{tt.peer} }, time.Second, logger.Nop())
 		_, err := s.Follow(t.Context(), 0, time.Second)
 		is.NoErr(err)
 		is.Equal(r.calls, tt.asked)
 	}
 }
-
-// Guards against a large table that every host reads at the store when it starts,
-// and against one host that all others read it from.
-func TestLargeTable(t *testing.T) {
-	is := is.New(t)
-	var wide []subscriber.Peer
-	for i := range 8 {
-		wide = append(wide, subscriber.NewPeer(fmt.Sprint("wide-", i), fmt.Sprint("x:", i), 200))
-	}
-	listed := append([]subscriber.Peer{subscriber.NewPeer("narrow", "x:9", 10)}, wide...)
-	store, r := &feed{}, &remote{}
-	for i := range 40 {
-		s := subscriber.New("t", store, r, subscriber.NewPeer(fmt.Sprint("narrow-", i), "", 10), peers{listed: listed}, time.Second, logger.Nop())
-		_, err := s.Snapshot(t.Context())
-		is.NoErr(err)
-	}
-	is.Equal(store.calls, 0)
-	asked := make(map[string]int)
-	for _, address := range r.asked {
-		asked[address]++
-	}
-	is.Equal(asked["x:9"], 0)
-	is.True(len(asked) >= 6)
-	for _, n := range asked {
-		is.True(n <= 15)
-	}
-	s := subscriber.New("t", store, r, wide[0], peers{listed: listed}, time.Second, logger.Nop())
-	_, err := s.Snapshot(t.Context())
-	is.NoErr(err)
-	is.Equal(store.calls, 1)
-	r.err = storer.ErrUnavailable // the other host has not read the table
-	s = subscriber.New("t", store, r, listed[0], peers{listed: listed}, time.Second, logger.Nop())
-	_, err = s.Snapshot(t.Context())
-	is.NoErr(err)
-	is.Equal(store.calls, 2)
-}
