deployer, soaker: start waits for the bundle at all nodes; deadlines are no cuts

Start promised to wait for it, but only waited for owners, which a node without a bundle no longer is.

--- a/deployer/deployer.go
+++ b/deployer/deployer.go
@@ -137,9 +137,22 @@
 	if _, won := result.(roller.Won); !won {
 		return fmt.Errorf("roll the first bundle out: %v", result)
 	}
+	if err := f.waitFor(ctx, "the bundle at all nodes", f.served); err != nil {
+		return err
+	}
 	return f.waitFor(ctx, "owners of all engines", f.Owned)
 }
 
+// served reports whether every node has a bundle in force.
+func (f *Fleet) served() bool {
+	for _, h := range f.hosts {
+		if node := h.node.Load(); node == nil || node.Bundles().Load().Current() == nil {
+			return false
+		}
+	}
+	return true
+}
+
 func (f *Fleet) address() func(string) string {
 	if f.running == nil {
 		return nil
--- a/soaker/callers_test.go
+++ b/soaker/callers_test.go
@@ -21,11 +21,14 @@
 	kind   string
 	status int  // 0 without an answer
 	whole  bool // the body ended as it should
-	left   bool // the caller went away
+	left   bool // the caller went away or its deadline passed
 	// planned is set for calls that were under way while only planned work went on.
 	planned bool
 }
 
+// timerMargin is by how much the timers of a caller and of a host may differ.
+const timerMargin = 100 * time.Millisecond
+
 // callers send calls as the platform's callers do: they ask a directory which
 // hosts to use, keep the answer for a while and use open connections until these
 // break.
@@ -115,7 +118,9 @@
 		got.whole = rerr == nil
 		c.check(id, kind, resp, string(body), rerr)
 	}
-	got.left = limited.Err() != nil
+	// A host may end a call at its deadline, just before the caller's own timer.
+	end, _ := limited.Deadline()
+	got.left = ctx.Err() != nil || time.Until(end) < timerMargin
 	got.planned = got.planned && c.planned.Load()
 	c.mu.Lock()
 	defer c.mu.Unlock()
