follower: nudges leave the store time to answer

Cause: each neighbour that is ahead nudges the follower of the configuration every 0.6 s, and each nudge ended the call in flight. With twelve neighbours a call of 50 ms hardly ever ends, and the host stays behind. Ruled out: the held-back call itself (it answers at once), the store's 429s (they come before). A nudge now ends a call that is at least 0.5 s old, twice as much after each call that it ended.

TestManyNudges learned nothing in 2.5 s before.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -33,6 +33,11 @@
 	// readTime is how long a whole table may take. A host with a narrow link reads a
 	// large one for seconds; the feed bounds each of its calls.
 	readTime = 4 * time.Second
+	// A nudge ends a call only if the store has had this time to answer it, twice as
+	// much after each call that a nudge ended. Nudges come faster than the store
+	// answers where many neighbours are ahead.
+	minHeld = 500 * time.Millisecond
+	maxHeld = 4 * time.Second
 )
 
 var errStale = eris.New("the store's answer is older than an earlier one")
@@ -50,14 +55,15 @@
 	version  storer.Version
 	whole    bool // whether the table was read and its history is known since
 	lost     bool
-	regained atomic.Int64 // Unix nanoseconds; 0 before the first loss
+	held     time.Duration // how old a call is before a nudge ends it
+	regained atomic.Int64  // Unix nanoseconds; 0 before the first loss
 }
 
 // New returns a follower of a table. Wait is how long the store may hold a call
 // back while nothing changes, pause the time between two calls, which gathers
 // changes and so saves calls.
 func New(name string, feed storer.Feed, reader Reader, wait, pause time.Duration, log *logger.Logger) *Follower {
-	return &Follower{name: name, feed: feed, reader: reader, wait: wait, pause: pause, log: log.Component("follower"), nudge: make(chan struct{}, 1)}
+	return &Follower{name: name, feed: feed, reader: reader, wait: wait, pause: pause, log: log.Component("follower"), nudge: make(chan struct{}, 1), held: minHeld}
 }
 
 // Regained returns how long ago the store answered again after a failure, or
@@ -82,7 +88,14 @@
 // nudged ends a context at the next nudge.
 func (f *Follower) nudged(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
+	young := time.NewTimer(f.held)
 	go func() {
+		defer young.Stop()
+		select {
+		case <-young.C:
+		case <-ctx.Done():
+			return
+		}
 		select {
 		case <-f.nudge:
 			cancel(errNudged)
@@ -124,6 +137,7 @@
 func (f *Follower) step(ctx context.Context) error {
 	changes, err := f.fetch(ctx)
 	if errors.Is(err, errNudged) {
+		f.held = min(2*f.held, maxHeld)
 		return nil // asked again at once
 	}
 	if err != nil {
@@ -141,7 +155,7 @@
 		f.reader.Replace(changes.List())
 		f.whole = true
 	}
-	f.version = changes.Version()
+	f.version, f.held = changes.Version(), minHeld
 	f.reader.Contact(f.version, changes.Clock())
 	return nil
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -186,3 +186,54 @@
 		return storer.Changes{}, ctx.Err()
 	}
 }
+
+// Guards against a host that never learns what its neighbours know, because their
+// nudges end each call before the store answers.
+func TestManyNudges(t *testing.T) {
+	for _, delay := range []time.Duration{100 * time.Millisecond, 700 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			r := &reader{}
+			fl := follower.New("t", &slow{delay: delay}, r, 20*time.Second, time.Millisecond, logger.Nop())
+			ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
+			defer cancel()
+			var nudging sync.WaitGroup
+			nudging.Go(func() {
+				for ctx.Err() == nil {
+					time.Sleep(30 * time.Millisecond)
+					fl.Nudge()
+				}
+			})
+			fl.Run(ctx)
+			nudging.Wait()
+			is.Equal(r.seen, []string{"+a"})
+		})
+	}
+}
+
+// slow takes a while for its first change and then holds calls back.
+type slow struct {
+	delay time.Duration
+	told  bool
+}
+
+func (*slow) Snapshot(context.Context) (storer.Changes, error) {
+	return storer.NewChanges(nil, 1, 0), nil
+}
+
+func (s *slow) Follow(ctx context.Context, _ storer.Version, wait time.Duration) (storer.Changes, error) {
+	after := s.delay
+	if s.told {
+		after = wait
+	}
+	select {
+	case <-time.After(after):
+		if s.told {
+			return storer.NewChanges(nil, 2, 0), nil
+		}
+		s.told = true
+		return storer.NewChanges([]storer.Change{storer.NewChange(storer.NewRow("a", nil, 2))}, 2, 0), nil
+	case <-ctx.Done():
+		return storer.Changes{}, ctx.Err()
+	}
+}
