--- a/procurer/procurer_test.go
+++ b/procurer/procurer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,9 +20,14 @@
 )
 
 // owners is the table of the membership.
-type owners struct{ rows []storer.Change }
+type owners struct {
+	mu   sync.Mutex
+	rows []storer.Change
+}
 
 func (o *owners) Commit(_ context.Context, writes ...storer.Write) (storer.Version, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	v := storer.Version(len(o.rows) + 1)
 	for _, w := range writes {
 		if put, ok := w.(storer.Put); ok {
