--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -45,7 +45,7 @@
 	}
 	s.service.codec = s.codec
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	if err := s.mux.Register(&s.service, description{codec: s.codec}); err != nil {
+	if err := s.mux.Register(&s.service, describe(s.codec)); err != nil {
 		panic(fmt.Sprintf("forwarder: invalid description: %v", err)) // a mistake in this package
 	}
 	return s
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/dragonflyford/dragonflyford/classifier"
 	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/describer"
 )
 
 // Names of the methods on the wire.
@@ -34,52 +35,15 @@
 	closing    atomic.Bool
 }
 
-// method is one entry of the description.
-type method struct {
-	name     string
-	receiver drpc.Receiver
-	function any // method expression, from which drpcmux takes the message type
-}
-
-func unary[In, Out any](name string, call func(*service, context.Context, *In) (*reply[Out], error)) method {
-	receiver := func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
-		return call(srv.(*service), ctx, in.(*In))
-	}
-	return method{name: name, receiver: receiver, function: call}
-}
-
-func stream[In any](name string, call func(*service, *In, drpc.Stream) error) method {
-	receiver := func(srv any, _ context.Context, in, out any) (drpc.Message, error) {
-		return nil, call(srv.(*service), in.(*In), out.(drpc.Stream))
-	}
-	return method{name: name, receiver: receiver, function: call}
-}
-
-var methods = [...]method{
-	stream(methodRun, (*service).run),
-	unary(methodState, (*service).state),
-	unary(methodExtend, (*service).extend),
-	unary(methodInUse, (*service).inUse),
-	unary(methodLatest, (*service).latest),
-	unary(methodPart, (*service).part),
-	unary(methodCrash, (*service).crash),
-}
-
-// description lists the methods for drpcmux.
-type description struct{ codec codec }
-
-var _ drpc.Description = description{}
-
-// NumMethods implements drpc.Description.
-func (description) NumMethods() int { return len(methods) }
-
-// Method implements drpc.Description.
-func (d description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
-	if n < 0 || n >= len(methods) {
-		return "", nil, nil, nil, false
-	}
-	m := methods[n]
-	return m.name, d.codec, m.receiver, m.function, true
+func describe(c codec) drpc.Description {
+	return describer.New(c,
+		describer.Stream(methodRun, (*service).run),
+		describer.Unary(methodState, (*service).state),
+		describer.Unary(methodExtend, (*service).extend),
+		describer.Unary(methodInUse, (*service).inUse),
+		describer.Unary(methodLatest, (*service).latest),
+		describer.Unary(methodPart, (*service).part),
+		describer.Unary(methodCrash, (*service).crash))
 }
 
 // answered returns the message for the result of a handler.
--- a/leaser/keeper.go
+++ b/leaser/keeper.go
@@ -104,7 +104,7 @@
 // settle reads the own row to learn what became of earlier writes, and decides
 // under which term the node goes on. The caller holds the keeper.
 func (l *Leaser) settle(ctx context.Context) error {
-	row, err := l.get(ctx, NodeKey(l.self.dataCentre, l.self.name))
+	row, err := l.get(ctx, l.key(l.self.name))
 	absent := errors.Is(err, storer.ErrNotFound)
 	if err != nil && !absent {
 		return err
@@ -243,7 +243,7 @@
 // that an earlier write was applied late or that the lease was taken away.
 func (l *Leaser) conflicted(ctx context.Context, err error) error {
 	var conflict *storer.ConflictError
-	if errors.As(err, &conflict) && conflict.Key() != NodeKey(l.self.dataCentre, l.self.name) {
+	if errors.As(err, &conflict) && conflict.Key() != l.key(l.self.name) {
 		return fmt.Errorf("write lease row: %w", errors.Join(err, l.refresh(ctx)))
 	}
 	l.keeper.doubt = true
@@ -269,7 +269,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return append(writes, storer.NewPut(NodeKey(l.self.dataCentre, l.self.name), value, k.version)), nil
+	return append(writes, storer.NewPut(l.key(l.self.name), value, k.version)), nil
 }
 
 // row returns the own row as it is to be written.
@@ -334,7 +334,7 @@
 
 // tryRelease reports whether nothing is left to do.
 func (l *Leaser) tryRelease(ctx context.Context) (bool, error) {
-	row, err := l.get(ctx, NodeKey(l.self.dataCentre, l.self.name))
+	row, err := l.get(ctx, l.key(l.self.name))
 	if errors.Is(err, storer.ErrNotFound) {
 		return true, nil
 	}
--- a/leaser/watch.go
+++ b/leaser/watch.go
@@ -240,9 +240,12 @@
 	return all
 }
 
+// key returns the lease row of a node of the own data centre.
+func (l *Leaser) key(name string) string { return NodeKey(l.self.dataCentre, name) }
+
 // local returns what is known of a node of the own data centre, or nil.
 func (l *Leaser) local(name string) *observed {
-	return l.observer.rows[NodeKey(l.self.dataCentre, name)]
+	return l.observer.rows[l.key(name)]
 }
 
 // may reports whether the node may take engines from a holder.
@@ -282,7 +285,7 @@
 		s := l.local(h.name)
 		switch {
 		case s == nil:
-			writes[h.name] = storer.NewCheck(NodeKey(l.self.dataCentre, h.name), 0)
+			writes[h.name] = storer.NewCheck(l.key(h.name), 0)
 		case s.broken, s.member.Holder() == h && !s.member.ended && l.observer.dead(s):
 			writes[h.name] = storer.NewPut(s.row.Key(), endedRow(s, h), s.row.Version())
 		}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -41,7 +41,7 @@
 			Expiration: idleTime, Capacity: maxConnections, KeyCapacity: maxPerHost,
 		}),
 	}
-	if err := m.mux.Register(&service{handler: handler}, description{}); err != nil {
+	if err := m.mux.Register(&service{handler: handler}, describe()); err != nil {
 		return nil, fmt.Errorf("register methods: %w", err)
 	}
 	return m, nil
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc"
 
 	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/describer"
 	"github.com/dragonflyford/dragonflyford/encoder"
 	"github.com/dragonflyford/dragonflyford/mirrorer"
 	"github.com/dragonflyford/dragonflyford/screener"
@@ -206,38 +207,9 @@
 // maxWait bounds how long a call of another host is held back.
 const maxWait = 5 * time.Second
 
-type method struct {
-	name     string
-	receiver drpc.Receiver
-	function any
-}
-
-func unary[In, Out any](name string, call func(*service, context.Context, *In) (*Out, error)) method {
-	receiver := func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
-		return call(srv.(*service), ctx, in.(*In))
-	}
-	return method{name: name, receiver: receiver, function: call}
-}
-
-var methods = [...]method{
-	unary(methodSupply, (*service).supply),
-	unary(methodAccuse, (*service).accuse),
-	unary(methodFollow, (*service).follow),
-}
-
-// description lists the methods for drpcmux.
-type description struct{}
-
-var _ drpc.Description = description{}
-
-// NumMethods implements drpc.Description.
-func (description) NumMethods() int { return len(methods) }
-
-// Method implements drpc.Description.
-func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
-	if n < 0 || n >= len(methods) {
-		return "", nil, nil, nil, false
-	}
-	m := methods[n]
-	return m.name, encoder.DRPC{}, m.receiver, m.function, true
+func describe() drpc.Description {
+	return describer.New(encoder.DRPC{},
+		describer.Unary(methodSupply, (*service).supply),
+		describer.Unary(methodAccuse, (*service).accuse),
+		describer.Unary(methodFollow, (*service).follow))
 }
