enroller: keep hosts alive that could not renew while the store was away

Ruled out: lapsed leases (12 s, about 4 s were left), lost entries of endpoints, the retry budget.

Change: the time of silence does not count in the age of a row, and a renewal that failed or hangs is made again at the first sign of the store.

TestStoreBack and TestRenewedAtReturn fail without it.

--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -70,6 +70,8 @@
 	leaving      atomic.Bool
 	beat         uint64
 	renewed      bool // whether the last renewal succeeded
+	pending      atomic.Pointer[renewal]
+	heard        chan struct{} // holds a value after the store was heard of
 
 	mu     sync.Mutex // serialises writers of view
 	view   atomic.Pointer[View]
@@ -79,7 +81,7 @@
 
 // New returns an enroller that is not running.
 func New(self Self, times Times, store storer.Committer, log *logger.Logger, opts ...Option) *Enroller {
-	e := &Enroller{self: self, times: times, store: store, log: log.Component("enroller"), clock: bootTime}
+	e := &Enroller{self: self, times: times, store: store, log: log.Component("enroller"), clock: bootTime, heard: make(chan struct{}, 1)}
 	for _, opt := range opts {
 		opt(e)
 	}
@@ -140,18 +142,37 @@
 // given up after it.
 const renewTimeout = 2 * time.Second
 
-// retryRenewal is the time after which a failed renewal is tried again.
+// retryRenewal is the time after which a failed renewal is tried again, if the store
+// gives no sign before.
 const retryRenewal = time.Second
 
+// youngRenewal is the time that the store has to answer a renewal. An older one that
+// is still open when the store is heard of hangs on a connection that went silent.
+const youngRenewal = 500 * time.Millisecond
+
+// renewal is a renewal that is under way.
+type renewal struct {
+	began  time.Time
+	cancel context.CancelFunc
+}
+
 // Run renews the row until ctx ends.
 func (e *Enroller) Run(ctx context.Context) {
 	for {
 		e.beatOnce(ctx)
-		pause := e.times.renew
-		if !e.renewed {
-			pause = min(pause, retryRenewal)
+		if e.renewed {
+			if sleeper.Sleep(ctx, e.times.renew) != nil {
+				return
+			}
+			continue
 		}
-		if sleeper.Sleep(ctx, pause) != nil {
+		again, cancel := context.WithTimeout(ctx, min(e.times.renew, retryRenewal))
+		select {
+		case <-e.heard:
+		case <-again.Done():
+		}
+		cancel()
+		if ctx.Err() != nil {
 			return
 		}
 	}
@@ -160,7 +181,13 @@
 func (e *Enroller) beatOnce(ctx context.Context) {
 	limited, cancel := context.WithTimeout(ctx, min(e.times.renew, renewTimeout))
 	defer cancel()
+	select {
+	case <-e.heard: // from before this try
+	default:
+	}
+	e.pending.Store(&renewal{began: time.Now(), cancel: cancel})
 	err := e.renew(limited)
+	e.pending.Store(nil)
 	switch {
 	case err == nil && !e.renewed:
 		e.renewed = true
@@ -219,22 +246,33 @@
 }
 
 // Contact records that the store answered up to now. After a silence the rows of
-// all hosts count as seen now, because their renewals may have been missed.
+// all hosts count as seen now, because their renewals may have been missed. A
+// renewal that failed, or hangs since the silence, is made again at once.
 func (e *Enroller) Contact(version storer.Version, clock time.Duration) {
 	e.update(func(v *View) {
 		now := time.Now()
 		if clock > 0 {
 			v.epoch = now.Add(-clock)
 		}
-		if now.Sub(v.contact) > presumed {
+		if silent := now.Sub(v.contact); silent > presumed {
 			for name, h := range v.hosts {
 				again := *h
+				if !v.contact.IsZero() {
+					again.excused += min(silent, now.Sub(v.stamped(h)))
+				}
 				again.changed = now
 				v.hosts[name] = &again
 			}
 		}
 		v.contact, v.version = now, version
 	})
+	if r := e.pending.Load(); r != nil && time.Since(r.began) >= youngRenewal {
+		r.cancel()
+	}
+	select {
+	case e.heard <- struct{}{}:
+	default: // one is enough
+	}
 }
 
 // Replace takes over all rows of the table.
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -33,6 +33,12 @@
 
 func (t *table) clock() time.Duration { return time.Since(t.began) }
 
+func (t *table) latest() storer.Version {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
 func (t *table) commit(by string, writes []storer.Write) (storer.Version, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -74,11 +80,16 @@
 	name   string
 	table  *table
 	cut    atomic.Bool
+	silent atomic.Bool  // writes get no answer
 	blind  atomic.Bool  // writes arrive, changes of the table are not read
 	frozen atomic.Int64 // nanoseconds that the process stood still
 }
 
-func (h *host) Commit(_ context.Context, writes ...storer.Write) (storer.Version, error) {
+func (h *host) Commit(ctx context.Context, writes ...storer.Write) (storer.Version, error) {
+	if h.silent.Load() {
+		<-ctx.Done()
+		return 0, storer.ErrUnavailable
+	}
 	if h.cut.Load() {
 		return 0, storer.ErrUnavailable
 	}
@@ -120,7 +131,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { h.Run(ctx) })
 	for ctx.Err() == nil {
-		if !h.cut.Load() && !h.blind.Load() {
+		if !h.cut.Load() && !h.blind.Load() && !h.silent.Load() {
 			h.follow()
 		}
 		time.Sleep(200 * time.Millisecond)
@@ -361,3 +372,70 @@
 		is.Equal(hosts[0].View().Count(), 3)
 	})
 }
+
+// Guards against hosts that take each other for lost when the store returns, because
+// none could renew its row while it was away.
+func TestStoreBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tab := newTable()
+		var hosts []*host
+		for i := range 3 {
+			hosts = append(hosts, join(tab, fmt.Sprint("h", i), "z1"))
+		}
+		defer start(t, hosts...)()
+		time.Sleep(8*time.Second + 100*time.Millisecond)
+		for _, h := range hosts {
+			h.cut.Store(true)
+		}
+		time.Sleep(10 * time.Second)
+		for _, h := range hosts {
+			h.cut.Store(false)
+		}
+		for range 60 {
+			time.Sleep(50 * time.Millisecond)
+			for _, h := range hosts {
+				is.Equal(h.View().Count(), 3)
+			}
+		}
+	})
+}
+
+// Guards against a host that died while the store was away and counts as alive for
+// longer than the store was back.
+func TestLostWhileStoreAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tab := newTable()
+		a, b := join(tab, "h1", "z1"), join(tab, "h2", "z1")
+		defer start(t, a)()
+		stop := start(t, b)
+		time.Sleep(8 * time.Second)
+		a.cut.Store(true)
+		stop()
+		time.Sleep(10 * time.Second)
+		a.cut.Store(false)
+		time.Sleep(lost + 500*time.Millisecond)
+		is.Equal(a.View().Count(), 1)
+	})
+}
+
+// Guards against a renewal that hangs on a silent connection, or waits for its next
+// turn, after the store has returned.
+func TestRenewedAtReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tab := newTable()
+		a := join(tab, "h1", "z1")
+		defer start(t, a)()
+		for away := 4 * time.Second; away < 7*time.Second; away += 300 * time.Millisecond {
+			time.Sleep(8 * time.Second)
+			a.silent.Store(true)
+			time.Sleep(away)
+			a.silent.Store(false)
+			before := tab.latest()
+			time.Sleep(800 * time.Millisecond)
+			is.True(tab.latest() > before)
+		}
+	})
+}
--- a/enroller/view.go
+++ b/enroller/view.go
@@ -12,6 +12,9 @@
 	doc     hostDocument
 	version storer.Version
 	changed time.Time // when the present row was seen first
+	// excused is the time in which the host could not renew the present row, because
+	// the store was away.
+	excused time.Duration
 	first   time.Time // when a row of the host was seen first
 }
 
@@ -74,8 +77,8 @@
 
 // presumed is how long after its last contact with the store a host goes on
 // believing that nothing changed. Silence of a host means something only to one
-// that hears.
-const presumed = 4 * time.Second
+// that hears. A follower of the table hears at least every 2.2 s.
+const presumed = 3 * time.Second
 
 // storeClock returns the store's steady clock, or 0 if it is not known.
 func (v *View) storeClock() time.Duration {
@@ -85,13 +88,18 @@
 	return time.Since(v.epoch)
 }
 
+// stamped returns when a host wrote its row by the store's clock. It requires epoch.
+func (v *View) stamped(h *Host) time.Time {
+	return v.epoch.Add(time.Duration(h.doc.ClockMS) * time.Millisecond)
+}
+
 // renewed returns when a host renewed its row, as far as that is known. A row that
 // this process has just read may be old, which only the store's clock shows.
 func (v *View) renewed(h *Host) time.Time {
 	if h.doc.ClockMS == 0 || v.epoch.IsZero() {
 		return h.changed
 	}
-	at := v.epoch.Add(time.Duration(h.doc.ClockMS) * time.Millisecond)
+	at := v.stamped(h).Add(h.excused)
 	if at.After(h.changed) {
 		return h.changed
 	}
