relayer: ask further engines while those asked have no turn left

The limit of three is there to keep loads of one adapter few; an engine without a turn loads nothing.

Ruled out: missing owners (119 refusals), the retry budget (5), engines with too little memory for tokens (104).

TestFullEngines fails without it.

--- a/relayer/carriage.go
+++ b/relayer/carriage.go
@@ -21,8 +21,9 @@
 	maxSteps = 8
 	// maxSends bounds how often a call is sent, refusals included.
 	maxSends = 4
-	// maxDeclines is how many engines may decline a call. More engines that load the
-	// same adapter only make the weight store slower.
+	// maxDeclines is how many engines may decline a call, those that only have no
+	// turn left aside. More engines that load the same adapter only make the weight
+	// store slower.
 	maxDeclines = 3
 	// minLeft is the time that a call must have left to be sent.
 	minLeft = 30 * time.Millisecond
@@ -44,7 +45,7 @@
 	avoided  map[*tracker.Endpoint]bool
 	sends    int
 	resends  int
-	declines int                     // engines that had no place
+	declines int                     // engines that had no place for the model
 	abort    context.CancelCauseFunc // of the latest send
 	missing  *tracker.Endpoint       // engine that refused because it does not hold the model
 	unuse    func()                  // ends the use of the model at the latest endpoint
--- a/relayer/place.go
+++ b/relayer/place.go
@@ -44,10 +44,11 @@
 		return nil
 	case supplier.Declined:
 		c.avoided[e] = true
-		c.declines++
 		if s.Full() {
 			// The calls after this one need not ask.
 			e.Declined(min(s.Wait(), maxFull))
+		} else {
+			c.declines++
 		}
 		return classifier.NewOverloaded("the engine has no place: "+s.Reason(), classifier.RetryAfter(c.comeBack(s.Wait())))
 	}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -435,3 +435,41 @@
 		})
 	}
 }
+
+// Guards against a call that is refused because the first engines have no turn left
+// while others of its service have, and against one that makes many engines load
+// its adapter.
+func TestFullEngines(t *testing.T) {
+	m := connector.NewModel("base", "", "a")
+	const engines = 6
+	tests := []struct {
+		name    string
+		decline supplier.Supply
+		asked   int
+		fails   bool
+	}{
+		{"no turn left", supplier.NewFull(300 * time.Millisecond), engines, false},
+		{"no place for the adapter", supplier.NewDeclined("places", 300*time.Millisecond), 3, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				script := make(map[string][]reaction)
+				for i := range engines {
+					script[fmt.Sprint("e", i)] = []reaction{answers(200, "ok")}
+				}
+				r := newRig(script)
+				for range engines - 1 {
+					r.supplies = append(r.supplies, tt.decline)
+				}
+				a, err := r.Apply(t.Context(), screened(t, router.NewStream(false), 1, m))
+				is.Equal(r.asked, tt.asked)
+				is.Equal(err != nil, tt.fails)
+				if err == nil {
+					is.NoErr(a.Body().Close())
+				}
+			})
+		})
+	}
+}
