awaiter: hold calls while a starting host reads its tables

Ruled out: a store that answers late (it answered in 4 ms; the tables are read one after the other with some pages).

Change: a first stage of the path holds such a call for at most 0.5 s and half of its patience, 256 calls at most; the host is ready when both tables were read.

TestFirstCalls in assembler fails without it.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dragonflyford/dragonflyford/awaiter"
 	"github.com/dragonflyford/dragonflyford/chainer"
 	"github.com/dragonflyford/dragonflyford/configurer"
 	"github.com/dragonflyford/dragonflyford/enroller"
@@ -68,6 +69,9 @@
 
 	store     *platform.Store
 	engines   *platform.Engines
+	awaiter   *awaiter.Awaiter
+	routed    func() // says that routes are known
+	listed    func() // says that the endpoints are known
 	router    *router.Router
 	fleet     *tracker.Tracker
 	members   *enroller.Enroller
@@ -98,6 +102,9 @@
 	h.log = log.Component("assembler")
 	h.store = platform.NewStore(settings.Store())
 	h.engines = platform.NewEngines(settings.Address())
+	var meet []func()
+	h.awaiter, meet = awaiter.New(2)
+	h.routed, h.listed = meet[0], meet[1]
 	h.router = router.New()
 	h.fleet = tracker.New(settings.Regions())
 	own := h.store.Table(tableFleet)
@@ -153,7 +160,8 @@
 		selector.New(h.fleet, settings.DataCentre(), settings.Region()),
 		procurer.New(h.supplier, h.messenger, h.members),
 		h.exchanger, ration, h.screener, hosts, log)
-	screened := chainer.Join[*router.Call, *router.Routed, *screener.Screened](h.router, h.screener)
+	routed := chainer.Join[*router.Call, *router.Call, *router.Routed](h.awaiter, h.router)
+	screened := chainer.Join[*router.Call, *router.Routed, *screener.Screened](routed, h.screener)
 	return chainer.Join[*router.Call, *screener.Screened, *relayer.Answer](screened, relay)
 }
 
@@ -186,7 +194,7 @@
 }
 
 // ready reports whether the host can serve calls.
-func (h *Host) ready() bool { return !h.leaving.Load() && h.router.Current() != nil }
+func (h *Host) ready() bool { return !h.leaving.Load() && h.awaiter.Met() }
 
 // rights gives the supplier the right to send orders.
 type rights struct{ members *enroller.Enroller }
--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -144,6 +144,14 @@
 
 // start runs a host until stop is called, which returns when it has ended.
 func (w *world) start(host string) (stop func()) {
+	w.t.Helper()
+	stop = w.launch(host)
+	w.eventually(func() bool { return w.get(emulator.ReadinessURL(w.at(host, 1))) == 200 })
+	return stop
+}
+
+// launch starts a host and does not wait until it is ready.
+func (w *world) launch(host string) (stop func()) {
 	w.t.Helper()
 	h, settings := w.build(host)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -161,12 +169,6 @@
 		})
 	}
 	w.t.Cleanup(stop)
-	w.eventually(func() bool { return w.get(emulator.ReadinessURL(w.at(host, 1))) == 200 })
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	w.eventually(func() bool { // a host is ready before it has read the entries of endpoints
-		status, _, err := w.call(client, host, "ready-"+host, "/look/x", "")
-		return err == nil && status == http.StatusOK
-	})
 	return stop
 }
 
@@ -245,6 +247,25 @@
 	}
 }
 
+// Guards against a host that says it is ready, or refuses calls, in the moment in
+// which it reads the store's tables.
+func TestFirstCalls(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(t)
+	w.store.Inject(emulator.NewSlow(150 * time.Millisecond))
+	w.launch(hostA)
+	ready := 0
+	w.eventually(func() bool { // until the host listens
+		ready = w.get(emulator.ReadinessURL(w.at(hostA, 1)))
+		return ready != 0
+	})
+	is.Equal(ready, http.StatusServiceUnavailable)
+	status, _, err := w.call(http.DefaultClient, hostA, "first", "/look/x", "")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+}
+
 // Guards against a whole path that does not fit together: routes, the owner's
 // orders, streams, and the hosts' agreement on who owns an engine.
 func TestWholePath(t *testing.T) {
--- a/assembler/reader.go
+++ b/assembler/reader.go
@@ -40,6 +40,7 @@
 	switch n := notice.(type) {
 	case platform.Routes:
 		if h.router.Adopt(n.Table()) {
+			h.routed()
 			h.log.Info("configuration-in-force", logger.With(logger.KeyVersion, n.Table().Version()),
 				logger.With(logger.KeyCount, n.Table().Routes()))
 		}
@@ -57,6 +58,7 @@
 
 func (e endpointReader) Contact(storer.Version, time.Duration) {
 	e.note(e.host.fleet.Expire())
+	e.host.listed()
 }
 
 // Replace takes over all entries. Endpoints without one have left.
--- /dev/null
+++ b/awaiter/awaiter.go
@@ -0,0 +1,68 @@
+package awaiter
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/router"
+)
+
+const (
+	// maxWait is how long a call is held. A host reads its tables within 0.2 s of its
+	// start unless the store is away.
+	maxWait = 500 * time.Millisecond
+	// maxHeld bounds the calls that are held, because each keeps its body in memory.
+	maxHeld = 256
+)
+
+// Awaiter holds calls until all needs are met, for a bounded time. A call that has
+// waited in vain goes on, and a later stage refuses it.
+type Awaiter struct {
+	open atomic.Int32  // needs that are not met
+	met  chan struct{} // closed when all are
+	held atomic.Int32
+}
+
+// New returns an awaiter with a number of needs, and for each a function that says
+// that it is met.
+func New(needs int) (*Awaiter, []func()) {
+	a := &Awaiter{met: make(chan struct{})}
+	a.open.Store(int32(needs))
+	meet := make([]func(), needs)
+	for i := range meet {
+		meet[i] = sync.OnceFunc(func() {
+			if a.open.Add(-1) == 0 {
+				close(a.met)
+			}
+		})
+	}
+	return a, meet
+}
+
+// Met reports whether all needs are met.
+func (a *Awaiter) Met() bool { return a.open.Load() == 0 }
+
+// Apply holds a call while needs are not met, at most for half of its patience.
+func (a *Awaiter) Apply(ctx context.Context, c *router.Call) (*router.Call, error) {
+	if a.Met() {
+		return c, nil
+	}
+	defer a.held.Add(-1)
+	if a.held.Add(1) > maxHeld {
+		return c, nil
+	}
+	wait := maxWait
+	if c.Patience() > 0 {
+		wait = min(wait, c.Patience()/2)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-a.met:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return c, nil
+}
--- a/router/call.go
+++ b/router/call.go
@@ -71,6 +71,10 @@
 // Body returns the body.
 func (c *Call) Body() []byte { return c.body }
 
+// Patience returns how long the caller waits, counted from the receipt, or 0 if it
+// did not say.
+func (c *Call) Patience() time.Duration { return c.patience }
+
 // Model returns the model that the call asks for; its base is empty for calls of
 // plain services.
 func (c *Call) Model() connector.Model { return c.model }
