enroller: let hosts that just joined wait, not the engines

Ruled out: the wait between the orders of two owners (3.5 s, it began at the stop in either case), the store, which answered.

Change: a host that was seen to start more than 2.5 s after this one, and less than 3 s ago, is no candidate. Hosts that start together still share the engines.

TestLeaveAfterJoin fails without it.

--- a/enroller/claim.go
+++ b/enroller/claim.go
@@ -17,6 +17,9 @@
 	// settleTime is how long a host waits after joining before it claims engines,
 	// so that hosts that start together see each other.
 	settleTime = 3 * time.Second
+	// togetherTime is how much later than this host one that started at the same time
+	// may be seen first.
+	togetherTime = 2500 * time.Millisecond
 	// maxClaims bounds the rows of one transaction.
 	maxClaims = 40
 	// forgetAfter is how long the row of a silent host is kept.
@@ -41,7 +44,7 @@
 	var taken []string
 	var first time.Duration
 	checked := make(map[string]bool)
-	candidates := newCandidates(v)
+	candidates := e.newCandidates(v)
 	for _, engine := range engines {
 		owner, owned := v.owners[engine.ID()]
 		if owned && !e.vacant(v, owner) || !candidates.first(e.self, engine) {
@@ -112,10 +115,15 @@
 	byRegion map[string][]string
 }
 
-func newCandidates(v *View) candidates {
+// newCandidates leaves out hosts that joined long after this one and do not claim
+// yet.
+func (e *Enroller) newCandidates(v *View) candidates {
+	e.mu.Lock()
+	late := e.joined.Add(togetherTime)
+	e.mu.Unlock()
 	c := candidates{byZone: make(map[string][]string), byRegion: make(map[string][]string)}
 	for name, h := range v.hosts {
-		if h.doc.Leaving || !v.Alive(h) {
+		if h.doc.Leaving || !v.Alive(h) || h.started.After(late) && time.Since(h.started) < settleTime {
 			continue
 		}
 		c.all = append(c.all, name)
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -341,13 +341,17 @@
 		e.log.Warn("row-not-read", logger.With(logger.KeyPeer, name), logger.Err(err))
 		return
 	}
-	h := &Host{name: name, doc: doc, version: c.Version(), changed: time.Now(), first: time.Now()}
+	now := time.Now()
+	h := &Host{name: name, doc: doc, version: c.Version(), changed: now, first: now, started: now}
 	if old == nil || old.doc.Leaving != doc.Leaving {
 		e.log.Info("host-seen", logger.With(logger.KeyPeer, name),
 			logger.With(logger.KeyVersion, uint64(c.Version())), logger.With(logger.KeyOutcome, hostState(doc.Leaving)))
 	}
 	if old != nil {
 		h.first = old.first
+		if doc.Beat > old.doc.Beat {
+			h.started = old.started
+		}
 	}
 	v.hosts[name] = h
 }
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -439,3 +439,28 @@
 		}
 	})
 }
+
+// Guards against engines without an owner while the host that comes first for them
+// has just joined and does not claim yet.
+func TestLeaveAfterJoin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tab := newTable()
+		a, b := join(tab, "h1", "z1"), join(tab, "h2", "z1")
+		defer start(t, a, b)()
+		time.Sleep(8 * time.Second)
+		var joined []*host
+		for i := range 6 {
+			joined = append(joined, join(tab, fmt.Sprint("new", i), "z1"))
+		}
+		defer start(t, joined...)()
+		time.Sleep(500 * time.Millisecond)
+		a.Leave(t.Context())
+		time.Sleep(1500 * time.Millisecond)
+		for _, e := range engines {
+			o, ok := b.View().Owner(e.ID())
+			is.True(ok)
+			is.Equal(o.Host(), "h2")
+		}
+	})
+}
--- a/enroller/view.go
+++ b/enroller/view.go
@@ -16,6 +16,7 @@
 	// the store was away.
 	excused time.Duration
 	first   time.Time // when a row of the host was seen first
+	started time.Time // when the host's process was seen first
 }
 
 // Name returns the host's name, which is its IP address.
