exiter, configurer: one copy of exit codes and of node settings

launcher and commander had the same exit codes, error report and list of commands, the two programs the same version function; exampler had its own types for the settings file of a node. Examples are written byte for byte as before (TestCommittedFiles compares them).

--- a/cmd/dragonflyford/main.go
+++ b/cmd/dragonflyford/main.go
@@ -5,23 +5,15 @@
 	"context"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
+	"github.com/dragonflyford/dragonflyford/exiter"
 	"github.com/dragonflyford/dragonflyford/launcher"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := launcher.New(version(), os.Stdout, os.Stderr).Run(ctx, os.Args[1:])
+	code := launcher.New(exiter.Version(), os.Stdout, os.Stderr).Run(ctx, os.Args[1:])
 	stop()
 	os.Exit(code)
 }
-
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "(unknown)"
-	}
-	return info.Main.Version
-}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -11,17 +10,11 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/dragonflyford/dragonflyford/exiter"
 	"github.com/dragonflyford/dragonflyford/roller"
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
-// Exit codes.
-const (
-	ExitDone   = 0
-	ExitFailed = 1
-	ExitUsage  = 2
-)
-
 // Platform is what the commands work on.
 type Platform struct {
 	table   storer.Table
@@ -95,7 +88,7 @@
 			return err
 		}
 		if command == nil && len(rest) > 0 {
-			return &SettingError{setting: "command", value: rest[0], allowed: "one of " + strings.Join(commandNames(parser), ", ")}
+			return &SettingError{setting: "command", value: rest[0], allowed: "one of " + strings.Join(exiter.Commands(parser), ", ")}
 		}
 		if command == nil {
 			return &flags.Error{Type: flags.ErrCommandRequired, Message: "no command given; see --help"}
@@ -111,30 +104,8 @@
 	return c.report(err)
 }
 
-func commandNames(parser *flags.Parser) []string {
-	var names []string
-	for _, c := range parser.Commands() {
-		names = append(names, c.Name)
-	}
-	return names
-}
-
-// report prints an error and returns the exit code.
 func (c *Commander) report(err error) int {
-	if err == nil {
-		return ExitDone
-	}
-	var usage *flags.Error
-	if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
-		_, _ = fmt.Fprintln(c.out, usage.Message)
-		return ExitDone
-	}
-	_, _ = fmt.Fprintln(c.errs, "dragonflyctl: "+err.Error())
-	var setting *SettingError
-	if usage != nil || errors.As(err, &setting) {
-		return ExitUsage
-	}
-	return ExitFailed
+	return exiter.Report("dragonflyctl", err, c.out, c.errs)
 }
 
 func (s *session) addCommands(parser *flags.Parser) error {
--- a/commander/operators_test.go
+++ b/commander/operators_test.go
@@ -16,6 +16,7 @@
 	"github.com/dragonflyford/dragonflyford/bundler"
 	"github.com/dragonflyford/dragonflyford/chainer"
 	"github.com/dragonflyford/dragonflyford/commander"
+	"github.com/dragonflyford/dragonflyford/exiter"
 	"github.com/dragonflyford/dragonflyford/publisher"
 	"github.com/dragonflyford/dragonflyford/receiver"
 	"github.com/dragonflyford/dragonflyford/recorder"
@@ -190,7 +191,7 @@
 		"nodes": map[string]string{"n1": node.URL}, "operator_key_file": d.path("shift.key"),
 	})
 	code, out, _ := d.run("", "--config", d.path("moved.json"), "status")
-	is.Equal(code, commander.ExitFailed)
+	is.Equal(code, exiter.Failed)
 	is.True(strings.Contains(out, "status 307"))
 	is.True(!reached)
 }
@@ -210,7 +211,7 @@
 		"operator": "ana", "table": "127.0.0.1:1", "objects": "127.0.0.1:2", "operator_key_file": d.path("shift.key"),
 	})
 	code, out, _ := d.run("", "--config", d.path("found.json"), "status")
-	is.Equal(code, commander.ExitDone)
+	is.Equal(code, exiter.Done)
 	is.True(strings.Contains(out, "reader-n1"))
 }
 
@@ -231,14 +232,14 @@
 	d.writeJSON("lookups.json", workload)
 
 	code, out, _ := d.run("", "load", "--config", d.path("lookups.json"))
-	is.Equal(code, commander.ExitDone)
+	is.Equal(code, exiter.Done)
 	is.True(strings.Contains(out, `"wrong_answers": 0`))
 	code, out, errs := d.run("", "load", "--config", d.path("wrong.json"), "--out", d.path("result.json"))
-	is.Equal(code, commander.ExitFailed)
+	is.Equal(code, exiter.Failed)
 	is.Equal(out, "")
 	is.True(strings.Contains(errs, "answers were wrong"))
 	code, _, _ = d.run("", "load", "compare", d.path("result.json"), d.path("result.json"))
-	is.Equal(code, commander.ExitDone)
+	is.Equal(code, exiter.Done)
 }
 
 // Guards against completion that prints nothing or ends the program.
--- a/commander/settings.go
+++ b/commander/settings.go
@@ -33,6 +33,9 @@
 // Allowed says what the setting may hold.
 func (e *SettingError) Allowed() string { return e.allowed }
 
+// Misused marks the error for the exit code.
+func (e *SettingError) Misused() {}
+
 func (e *SettingError) Error() string {
 	return fmt.Sprintf("%s: value %q is not allowed; must be %s", e.setting, e.value, e.allowed)
 }
--- a/configurer/decoder.go
+++ b/configurer/decoder.go
@@ -14,6 +14,9 @@
 // duration is written as a string such as "1.5s".
 type duration time.Duration
 
+// MarshalText writes a duration as settings name it.
+func (d duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
 // decoder fills a document from JSON and remembers where each field stands.
 type decoder struct {
 	src    []byte
@@ -137,7 +140,7 @@
 func fieldNames(t reflect.Type) []string {
 	names := make([]string, t.NumField())
 	for i := range names {
-		names[i] = t.Field(i).Tag.Get("json")
+		names[i], _, _ = strings.Cut(t.Field(i).Tag.Get("json"), ",")
 	}
 	return names
 }
--- a/configurer/node_document.go
+++ b/configurer/node_document.go
@@ -4,95 +4,95 @@
 
 // nodeDocument holds the settings of a node as operators write them.
 type nodeDocument struct {
-	Node      placeDocument    `json:"node"`
-	Listen    listenDocument   `json:"listen"`
-	Advertise listenDocument   `json:"advertise"`
-	Platform  platformDocument `json:"platform"`
-	Bundle    bundleDocument   `json:"bundle"`
-	Limits    limitsDocument   `json:"limits"`
-	Lease     leaseDocument    `json:"lease"`
-	Entries   entriesDocument  `json:"entries"`
-	TLS       tlsDocument      `json:"tls"`
-	Callers   []keyDocument    `json:"callers"`
-	Operators []keyDocument    `json:"operators"`
-	Report    reportDocument   `json:"report"`
-	Log       logDocument      `json:"log"`
+	Node      placeDocument    `json:"node,omitzero"`
+	Listen    listenDocument   `json:"listen,omitzero"`
+	Advertise listenDocument   `json:"advertise,omitzero"`
+	Platform  platformDocument `json:"platform,omitzero"`
+	Bundle    bundleDocument   `json:"bundle,omitzero"`
+	Limits    limitsDocument   `json:"limits,omitzero"`
+	Lease     leaseDocument    `json:"lease,omitzero"`
+	Entries   entriesDocument  `json:"entries,omitzero"`
+	TLS       tlsDocument      `json:"tls,omitzero"`
+	Callers   []keyDocument    `json:"callers,omitzero"`
+	Operators []keyDocument    `json:"operators,omitzero"`
+	Report    reportDocument   `json:"report,omitzero"`
+	Log       logDocument      `json:"log,omitzero"`
 }
 
 type placeDocument struct {
-	Name       string `json:"name"`
-	Region     string `json:"region"`
-	DataCentre string `json:"data_centre"`
+	Name       string `json:"name,omitzero"`
+	Region     string `json:"region,omitzero"`
+	DataCentre string `json:"data_centre,omitzero"`
 }
 
 type listenDocument struct {
-	Callers   string `json:"callers"`
-	Peers     string `json:"peers"`
-	Operators string `json:"operators"`
+	Callers   string `json:"callers,omitzero"`
+	Peers     string `json:"peers,omitzero"`
+	Operators string `json:"operators,omitzero"`
 }
 
 type platformDocument struct {
-	Table   string `json:"table"`
-	Objects string `json:"objects"`
-	Hosts   string `json:"hosts"`
+	Table   string `json:"table,omitzero"`
+	Objects string `json:"objects,omitzero"`
+	Hosts   string `json:"hosts,omitzero"`
 }
 
 type bundleDocument struct {
-	Keys    []publicKeyDocument `json:"keys"`
-	Revoked []string            `json:"revoked"`
+	Keys    []publicKeyDocument `json:"keys,omitzero"`
+	Revoked []string            `json:"revoked,omitzero"`
 }
 
 type publicKeyDocument struct {
-	Name      string `json:"name"`
-	PublicKey string `json:"public_key"`
+	Name      string `json:"name,omitzero"`
+	PublicKey string `json:"public_key,omitzero"`
 }
 
 type limitsDocument struct {
-	BodyBytes      int64    `json:"body_bytes"`
-	HeaderBytes    int64    `json:"header_bytes"`
-	PromptBytes    int64    `json:"prompt_bytes"`
-	MaxTokens      int64    `json:"max_tokens"`
-	DefaultTokens  int64    `json:"default_tokens"`
-	Running        int64    `json:"running"`
-	Waiting        int64    `json:"waiting"`
-	OpenRequests   int64    `json:"open_requests"`
-	Attempts       int64    `json:"attempts"`
-	Decisions      int64    `json:"decisions"`
-	DefaultTimeout duration `json:"default_timeout"`
-	MaxTimeout     duration `json:"max_timeout"`
-	ReadTimeout    duration `json:"read_timeout"`
-	WriteTimeout   duration `json:"write_timeout"`
-	IdleTimeout    duration `json:"idle_timeout"`
+	BodyBytes      int64    `json:"body_bytes,omitzero"`
+	HeaderBytes    int64    `json:"header_bytes,omitzero"`
+	PromptBytes    int64    `json:"prompt_bytes,omitzero"`
+	MaxTokens      int64    `json:"max_tokens,omitzero"`
+	DefaultTokens  int64    `json:"default_tokens,omitzero"`
+	Running        int64    `json:"running,omitzero"`
+	Waiting        int64    `json:"waiting,omitzero"`
+	OpenRequests   int64    `json:"open_requests,omitzero"`
+	Attempts       int64    `json:"attempts,omitzero"`
+	Decisions      int64    `json:"decisions,omitzero"`
+	DefaultTimeout duration `json:"default_timeout,omitzero"`
+	MaxTimeout     duration `json:"max_timeout,omitzero"`
+	ReadTimeout    duration `json:"read_timeout,omitzero"`
+	WriteTimeout   duration `json:"write_timeout,omitzero"`
+	IdleTimeout    duration `json:"idle_timeout,omitzero"`
 }
 
 type leaseDocument struct {
-	Time  duration `json:"time"`
-	Guard duration `json:"guard"`
-	Renew duration `json:"renew"`
+	Time  duration `json:"time,omitzero"`
+	Guard duration `json:"guard,omitzero"`
+	Renew duration `json:"renew,omitzero"`
 }
 
 type entriesDocument struct {
-	TTL        duration `json:"ttl"`
-	DrainGrace duration `json:"drain_grace"`
+	TTL        duration `json:"ttl,omitzero"`
+	DrainGrace duration `json:"drain_grace,omitzero"`
 }
 
 type tlsDocument struct {
-	CertificateFile string   `json:"certificate_file"`
-	KeyFile         string   `json:"key_file"`
-	ReloadInterval  duration `json:"reload_interval"`
+	CertificateFile string   `json:"certificate_file,omitzero"`
+	KeyFile         string   `json:"key_file,omitzero"`
+	ReloadInterval  duration `json:"reload_interval,omitzero"`
 }
 
 type keyDocument struct {
-	Name      string `json:"name"`
-	KeySHA256 string `json:"key_sha256"`
+	Name      string `json:"name,omitzero"`
+	KeySHA256 string `json:"key_sha256,omitzero"`
 }
 
 type reportDocument struct {
-	Retention duration `json:"retention"`
+	Retention duration `json:"retention,omitzero"`
 }
 
 type logDocument struct {
-	Level string `json:"level"`
+	Level string `json:"level,omitzero"`
 }
 
 // defaultTimeout leaves room for the longest default answer: 8192 tokens at the
--- a/configurer/node_test.go
+++ b/configurer/node_test.go
@@ -1,6 +1,11 @@
 package configurer_test
 
 import (
+	"bytes"
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -131,3 +136,24 @@
 	fmt.Println(err)
 	// Output: 3:2: the settings: allowed is valid JSON: unexpected end
 }
+
+// Guards against a draft that writes settings which the reader refuses, or that
+// names values which have defaults.
+func TestDraft(t *testing.T) {
+	is := is.New(t)
+	d := configurer.NewDraft("n1", "r1", "d1")
+	d.SetListen("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+	d.SetPlatform("http://127.0.0.1:4", "http://127.0.0.1:4", "http://127.0.0.1:4")
+	d.SetEntries(time.Second, 2*time.Second)
+	d.AddSigner("a", base64.StdEncoding.EncodeToString(make([]byte, ed25519.PublicKeySize)))
+	d.AddSigner("b", base64.StdEncoding.EncodeToString(bytes.Repeat([]byte{1}, ed25519.PublicKeySize)))
+	d.AddOperator("op", strings.Repeat("ab", sha256.Size))
+	text, err := json.Marshal(d)
+	is.NoErr(err)
+	is.True(!strings.Contains(string(text), "limits"))
+	n, err := configurer.ParseNode(text)
+	is.NoErr(err)
+	is.Equal(n.Name(), "n1")
+	is.Equal(n.EntryTTL(), time.Second)
+	is.Equal(n.LeaseTime(), 6*time.Second) // default
+}
--- a/exampler/exampler.go
+++ b/exampler/exampler.go
@@ -35,7 +35,7 @@
 	e := &example{deployment: d, ports: portsOf(deployment)}
 	e.addFakes()
 	for _, n := range e.nodes() {
-		e.add(n.name+".json", encode, e.nodeDocument(n))
+		e.add(n.name+".json", encode, e.nodeSettings(n))
 	}
 	for _, operator := range []string{author, reviewer} {
 		e.add(operator+".json", encode, e.operatorDocument(operator))
--- a/exampler/settings.go
+++ b/exampler/settings.go
@@ -1,73 +1,29 @@
 package exampler
 
-import "github.com/dragonflyford/dragonflyford/emulator"
+import (
+	"time"
 
-// nodeDocument is the settings file of a node, as far as the examples set it.
-type nodeDocument struct {
-	Node      placeDocument         `json:"node"`
-	Listen    listenDocument        `json:"listen"`
-	Platform  platformDocument      `json:"platform"`
-	Bundle    signersDocument       `json:"bundle"`
-	Entries   entriesDocument       `json:"entries"`
-	Operators []operatorKeyDocument `json:"operators"`
-}
-
-type placeDocument struct {
-	Name       string `json:"name"`
-	Region     string `json:"region"`
-	DataCentre string `json:"data_centre"`
-}
-
-type listenDocument struct {
-	Callers   string `json:"callers"`
-	Peers     string `json:"peers"`
-	Operators string `json:"operators"`
-}
-
-type platformDocument struct {
-	Table   string `json:"table"`
-	Objects string `json:"objects"`
-	Hosts   string `json:"hosts"`
-}
-
-type signersDocument struct {
-	Keys []signerDocument `json:"keys"`
-}
-
-type signerDocument struct {
-	Name      string `json:"name"`
-	PublicKey string `json:"public_key"`
-}
-
-type entriesDocument struct {
-	TTL        string `json:"ttl"`
-	DrainGrace string `json:"drain_grace"`
-}
+	"github.com/dragonflyford/dragonflyford/configurer"
+	"github.com/dragonflyford/dragonflyford/emulator"
+)
 
-type operatorKeyDocument struct {
-	Name   string `json:"name"`
-	SHA256 string `json:"key_sha256"`
-}
+// Short times, so that a stop ends soon; callers of the examples ask again after a
+// second.
+const (
+	entryTTL   = time.Second
+	drainGrace = 2 * time.Second
+)
 
-func (e *example) nodeDocument(n node) nodeDocument {
+func (e *example) nodeSettings(n node) *configurer.Draft {
 	name, platform := e.deployment.Name(), e.ports.url(platformPort)
-	return nodeDocument{
-		Node: placeDocument{n.name, n.region, emulator.DataCentre(n.region)},
-		Listen: listenDocument{
-			Callers:   e.ports.address(callerPort + n.index),
-			Peers:     e.ports.address(peerPort + n.index),
-			Operators: e.ports.address(operatorPort + n.index),
-		},
-		Platform: platformDocument{Table: platform, Objects: platform, Hosts: platform},
-		Bundle: signersDocument{Keys: []signerDocument{
-			{author, publicText(signingKey(name, author))},
-			{reviewer, publicText(signingKey(name, reviewer))},
-		}},
-		// Short times, so that a stop ends soon; callers of the examples ask again
-		// after a second.
-		Entries:   entriesDocument{TTL: "1s", DrainGrace: "2s"},
-		Operators: []operatorKeyDocument{{"example-only", keyHash(operatorKey(name))}},
-	}
+	d := configurer.NewDraft(n.name, n.region, emulator.DataCentre(n.region))
+	d.SetListen(e.ports.address(callerPort+n.index), e.ports.address(peerPort+n.index), e.ports.address(operatorPort+n.index))
+	d.SetPlatform(platform, platform, platform)
+	d.AddSigner(author, publicText(signingKey(name, author)))
+	d.AddSigner(reviewer, publicText(signingKey(name, reviewer)))
+	d.SetEntries(entryTTL, drainGrace)
+	d.AddOperator("example-only", keyHash(operatorKey(name)))
+	return d
 }
 
 // operatorKeyFile holds the key that the operators' listeners ask for.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -14,18 +14,12 @@
 	"github.com/dragonflyford/dragonflyford/demonstrator"
 	"github.com/dragonflyford/dragonflyford/emulator"
 	"github.com/dragonflyford/dragonflyford/exampler"
+	"github.com/dragonflyford/dragonflyford/exiter"
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/runner"
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
-// Exit codes.
-const (
-	ExitDone   = 0
-	ExitFailed = 1
-	ExitUsage  = 2
-)
-
 // Launcher runs command lines.
 type Launcher struct {
 	version string
@@ -45,6 +39,9 @@
 
 func (e *UsageError) Error() string { return e.cause.Error() }
 
+// Misused marks the error for the exit code.
+func (e *UsageError) Misused() {}
+
 // Unwrap returns what is wrong.
 func (e *UsageError) Unwrap() error { return e.cause }
 
@@ -69,7 +66,7 @@
 			_, err := fmt.Fprintln(l.out, "dragonflyford "+l.version)
 			return err
 		case command == nil && len(rest) > 0:
-			return &UsageError{fmt.Errorf("command %q does not exist; allowed are %s", rest[0], strings.Join(commandNames(parser), ", "))}
+			return &UsageError{fmt.Errorf("command %q does not exist; allowed are %s", rest[0], strings.Join(exiter.Commands(parser), ", "))}
 		case command == nil:
 			return &flags.Error{Type: flags.ErrCommandRequired, Message: "no command given; see --help"}
 		case len(rest) > 0:
@@ -120,30 +117,8 @@
 	return nil
 }
 
-func commandNames(parser *flags.Parser) []string {
-	var names []string
-	for _, c := range parser.Commands() {
-		names = append(names, c.Name)
-	}
-	return names
-}
-
-// report prints an error and returns the exit code.
 func (l *Launcher) report(err error) int {
-	if err == nil {
-		return ExitDone
-	}
-	var parse *flags.Error
-	if errors.As(err, &parse) && parse.Type == flags.ErrHelp {
-		_, _ = fmt.Fprintln(l.out, parse.Message)
-		return ExitDone
-	}
-	_, _ = fmt.Fprintln(l.errs, "dragonflyford: "+err.Error())
-	var usage *UsageError
-	if parse != nil || errors.As(err, &usage) {
-		return ExitUsage
-	}
-	return ExitFailed
+	return exiter.Report("dragonflyford", err, l.out, l.errs)
 }
 
 // readSettings reads a settings file. A file that cannot be used is a usage
