--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -71,10 +71,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				c := newCluster(t)
-				defer c.close()
+			withCluster(t, func(t *testing.T, is *is.I, c *cluster) {
 				c.table.fail[tt.step] = tt.fault
 				first, _ := c.post(c.node("a"), call{key: "k", timeout: 10 * time.Second, refuse: tt.refuse})
 				is.Equal(first, tt.first)
@@ -114,10 +111,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				c := newCluster(t)
-				defer c.close()
+			withCluster(t, func(t *testing.T, is *is.I, c *cluster) {
 				a, b := c.node("a"), c.node("b")
 				var wg sync.WaitGroup
 				wg.Go(func() {
@@ -144,10 +138,7 @@
 // Guards against a placer's or dispatcher's not-run being passed on after
 // another attempt has run the key.
 func TestSettleAfterTakeOver(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newCluster(t)
-		defer c.close()
+	withCluster(t, func(t *testing.T, is *is.I, c *cluster) {
 		k := call{key: "k", timeout: time.Minute}
 		r, target := request(t, k)
 		c.leases.stall("a", 0)
@@ -165,10 +156,7 @@
 // Guards against not-run because the node has a lease again, after another node
 // saw it as gone and ran the key.
 func TestLeaseRegained(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newCluster(t)
-		defer c.close()
+	withCluster(t, func(t *testing.T, is *is.I, c *cluster) {
 		c.leases.stall("a", 100*time.Millisecond)
 		r, target := request(t, call{key: "k", timeout: time.Minute})
 		claim, err := c.node("a").Acquire(t.Context(), r, target)
@@ -187,10 +175,7 @@
 // Guards against not-run after the request ended and gave its row back, and a
 // repeat ran the key within the hold.
 func TestAbandoned(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newCluster(t)
-		defer c.close()
+	withCluster(t, func(t *testing.T, is *is.I, c *cluster) {
 		r, target := request(t, call{key: "k", timeout: time.Minute})
 		ctx, cancel := context.WithCancel(t.Context())
 		claim, err := c.node("a").Acquire(ctx, r, target)
@@ -291,10 +276,7 @@
 // Guards against a repeat that hides its number being told not-run by the node
 // that sent the key.
 func TestNodeRemembersSent(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newCluster(t)
-		defer c.close()
+	withCluster(t, func(t *testing.T, is *is.I, c *cluster) {
 		a := c.node("a")
 		outcome, _ := c.post(a, call{key: "k", timeout: time.Second})
 		is.Equal(outcome, classifier.Done{})
@@ -309,10 +291,7 @@
 // Guards against a conflict on one row failing the other rows of its group, and
 // against one commit per row.
 func TestGroups(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newCluster(t)
-		defer c.close()
+	withCluster(t, func(t *testing.T, is *is.I, c *cluster) {
 		a, b := c.node("a"), c.node("b")
 		var wg sync.WaitGroup
 		for i := range 30 {
@@ -335,10 +314,7 @@
 
 // Guards against more commits than the table's share of a node.
 func TestCommitRate(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newCluster(t)
-		defer c.close()
+	withCluster(t, func(t *testing.T, is *is.I, c *cluster) {
 		a := c.node("a")
 		start := time.Now()
 		var wg sync.WaitGroup
@@ -360,10 +336,7 @@
 
 // Guards against a single posting waiting for the interval between commits.
 func TestIdleLatency(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newCluster(t)
-		defer c.close()
+	withCluster(t, func(t *testing.T, is *is.I, c *cluster) {
 		a := c.node("a")
 		start := time.Now()
 		outcome, _ := c.post(a, call{key: "k", timeout: time.Second})
@@ -421,10 +394,7 @@
 // Guards against one row failing its group when the table does not name the row
 // or loses the answer to the whole group.
 func TestGroupFaults(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newCluster(t)
-		defer c.close()
+	withCluster(t, func(t *testing.T, is *is.I, c *cluster) {
 		nodes := make([]*claimer.Claimer, 2)
 		for i := range nodes {
 			nodes[i] = claimer.New(anonymousTable{c.table}, fmt.Sprint(i), c.asserts,
@@ -508,10 +478,7 @@
 // Guards against rows that stay for ever, and against a sent claim being
 // forgotten.
 func TestSweep(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newCluster(t)
-		defer c.close()
+	withCluster(t, func(t *testing.T, is *is.I, c *cluster) {
 		n := claimer.New(c.table, "a", c.asserts, claimer.WithRetention(time.Hour))
 		c.opened = append(c.opened, n)
 		_, _ = c.post(n, call{key: "done", timeout: time.Second})
@@ -538,10 +505,7 @@
 // Guards against a large answer filling the table, and against half of it being
 // replayed.
 func TestLargeAnswer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newCluster(t)
-		defer c.close()
+	withCluster(t, func(t *testing.T, is *is.I, c *cluster) {
 		n := c.node("a")
 		r, target := request(t, call{key: "k", timeout: 10 * time.Second})
 		claim, err := n.Acquire(t.Context(), r, target)
--- a/claimer/faults_test.go
+++ b/claimer/faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -207,6 +208,16 @@
 	}
 }
 
+// withCluster runs a test in virtual time on a new cluster.
+func withCluster(t *testing.T, test func(t *testing.T, is *is.I, c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.close()
+		test(t, is.New(t), c)
+	})
+}
+
 func (c *cluster) node(name string) *claimer.Claimer {
 	n := claimer.New(c.table, name, c.asserts, claimer.WithLiveness(ofNode{c.leases, name}),
 		claimer.WithoutSweeper())
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -220,6 +220,20 @@
 	}
 }
 
+// withPair runs a test in virtual time with two hosts of one data centre that share
+// the engines. Orders of both are watched.
+func withPair(t *testing.T, test func(t *testing.T, is *is.I, a, b *host)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		tab := newTable()
+		a, b := join(tab, "h1", "z1"), join(tab, "h2", "z1")
+		defer start(t, a, b)()
+		defer watch(t, 3*time.Second, a, b)()
+		time.Sleep(8 * time.Second)
+		test(t, is.New(t), a, b)
+	})
+}
+
 // Guards against two hosts that give an engine orders within three seconds of each
 // other when an owner is cut off, frozen, leaves or cannot write.
 func TestOneOwner(t *testing.T) {
@@ -238,13 +252,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				tab := newTable()
-				a, b := join(tab, "h1", "z1"), join(tab, "h2", "z1")
-				defer start(t, a, b)()
-				defer watch(t, 3*time.Second, a, b)()
-				time.Sleep(8 * time.Second)
+			withPair(t, func(t *testing.T, is *is.I, a, b *host) {
 				is.True(owned(a) > 0 && owned(b) > 0)
 				is.Equal(owned(a)+owned(b), len(engines))
 				tt.fault(t.Context(), a)
@@ -259,13 +267,7 @@
 // Guards against a takeover from owners that live, by a host that has not heard of
 // them for a while.
 func TestReturn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		tab := newTable()
-		a, b := join(tab, "h1", "z1"), join(tab, "h2", "z1")
-		defer start(t, a, b)()
-		defer watch(t, 3*time.Second, a, b)()
-		time.Sleep(8 * time.Second)
+	withPair(t, func(t *testing.T, is *is.I, a, b *host) {
 		before := owned(a)
 		b.cut.Store(true)
 		time.Sleep(20 * time.Second)
@@ -278,13 +280,7 @@
 // Guards against a host that renews its lease after a lapse and gives orders before
 // it knows who took its engines over.
 func TestRenewedAfterLapse(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		tab := newTable()
-		a, b := join(tab, "h1", "z1"), join(tab, "h2", "z1")
-		defer start(t, a, b)()
-		defer watch(t, 3*time.Second, a, b)()
-		time.Sleep(8 * time.Second)
+	withPair(t, func(t *testing.T, is *is.I, a, b *host) {
 		a.cut.Store(true)
 		a.blind.Store(true)
 		time.Sleep(15 * time.Second)
--- a/supplier/supplier_test.go
+++ b/supplier/supplier_test.go
@@ -163,6 +163,17 @@
 	return supplier.New(e, r, func(string) *router.Engines { return settings }, fleet, logger.Nop()), fleet, r
 }
 
+// withSupplier runs a test in virtual time on a supplier with one engine.
+func withSupplier(t *testing.T, test func(t *testing.T, is *is.I, e *engine, s *supplier.Supplier)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine()
+		s, _, _ := newSupplier(e)
+		defer s.Close()
+		test(t, is.New(t), e, s)
+	})
+}
+
 func want(n int, opts ...supplier.WantOption) supplier.Want {
 	return supplier.NewWant("e1", model(n), append(opts, supplier.WithSize(100, 0, 10*time.Second))...)
 }
@@ -205,11 +216,7 @@
 // Guards against loads that slow each other down because they are ordered at the
 // same time.
 func TestOneLoadAtATime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		e := newEngine()
-		s, _, _ := newSupplier(e)
-		defer s.Close()
+	withSupplier(t, func(t *testing.T, is *is.I, e *engine, s *supplier.Supplier) {
 		var last time.Duration
 		for n := range 3 {
 			g, ok := s.Supply(t.Context(), want(n)).(supplier.Granted)
@@ -228,12 +235,8 @@
 // Guards against prompts that an engine reads all at once, so that the streams on
 // it pause, and against a call that waits longer than it may.
 func TestTurns(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		e := newEngine()
+	withSupplier(t, func(t *testing.T, is *is.I, e *engine, s *supplier.Supplier) {
 		e.held[model(1)] = 1
-		s, _, _ := newSupplier(e)
-		defer s.Close()
 		time.Sleep(time.Second)
 		ask := func(patience time.Duration) supplier.Supply {
 			return s.Supply(t.Context(), supplier.NewWant("e1", model(1), supplier.WithSize(2000, 0, patience)))
@@ -252,12 +255,8 @@
 
 // Guards against calls that wait inside a full engine while another one is idle.
 func TestSlots(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		e := newEngine()
+	withSupplier(t, func(t *testing.T, is *is.I, e *engine, s *supplier.Supplier) {
 		e.held[model(1)] = 1
-		s, _, _ := newSupplier(e)
-		defer s.Close()
 		time.Sleep(time.Second)
 		ask := func() supplier.Supply {
 			return s.Supply(t.Context(), supplier.NewWant("e1", model(1), supplier.WithSize(10, 200, 500*time.Millisecond)))
@@ -277,11 +276,7 @@
 
 // Guards against an eviction of an adapter that another host's calls use.
 func TestUsedStays(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		e := newEngine()
-		s, _, _ := newSupplier(e)
-		defer s.Close()
+	withSupplier(t, func(t *testing.T, is *is.I, e *engine, s *supplier.Supplier) {
 		for n := range slots {
 			s.Supply(t.Context(), want(n))
 			time.Sleep(time.Second)
