--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -103,7 +103,7 @@
 	h.store = platform.NewStore(settings.Store())
 	h.engines = platform.NewEngines(settings.Address())
 	var meet []func()
-	h.awaiter, meet = awaiter.New(2)
+	h.awaiter, meet = awaiter.New(2, log)
 	h.routed, h.listed = meet[0], meet[1]
 	h.router = router.New()
 	h.fleet = tracker.New(settings.Regions())
--- a/awaiter/awaiter.go
+++ b/awaiter/awaiter.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/router"
 )
 
@@ -23,12 +24,13 @@
 	open atomic.Int32  // needs that are not met
 	met  chan struct{} // closed when all are
 	held atomic.Int32
+	log  *logger.Logger
 }
 
 // New returns an awaiter with a number of needs, and for each a function that says
 // that it is met.
-func New(needs int) (*Awaiter, []func()) {
-	a := &Awaiter{met: make(chan struct{})}
+func New(needs int, log *logger.Logger) (*Awaiter, []func()) {
+	a := &Awaiter{met: make(chan struct{}), log: log.Component("awaiter")}
 	a.open.Store(int32(needs))
 	meet := make([]func(), needs)
 	for i := range meet {
@@ -51,8 +53,10 @@
 	}
 	defer a.held.Add(-1)
 	if a.held.Add(1) > maxHeld {
+		a.note(c, "too many held", 0)
 		return c, nil
 	}
+	began := time.Now()
 	wait := maxWait
 	if c.Patience() > 0 {
 		wait = min(wait, c.Patience()/2)
@@ -61,8 +65,15 @@
 	defer timer.Stop()
 	select {
 	case <-a.met:
+		a.note(c, "known", time.Since(began))
 	case <-timer.C:
+		a.note(c, "not known in time", time.Since(began))
 	case <-ctx.Done():
+		a.note(c, "caller left", time.Since(began))
 	}
 	return c, nil
 }
+
+func (a *Awaiter) note(c *router.Call, outcome string, waited time.Duration) {
+	a.log.Info("call-held", logger.Request(c.ID()), logger.With(logger.KeyOutcome, outcome), logger.With(logger.KeyWait, waited.Milliseconds()))
+}
--- a/awaiter/awaiter_test.go
+++ b/awaiter/awaiter_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dragonflyford/dragonflyford/awaiter"
+	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/router"
 )
 
@@ -39,7 +40,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				a, meet := awaiter.New(2)
+				a, meet := awaiter.New(2, logger.Nop())
 				meet[0]()
 				meet[0]()
 				is.True(!a.Met())
@@ -68,7 +69,7 @@
 func TestFlood(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		a, _ := awaiter.New(1)
+		a, _ := awaiter.New(1, logger.Nop())
 		var passed atomic.Int64
 		var calls sync.WaitGroup
 		for range 1000 {
@@ -87,7 +88,7 @@
 func TestCallerLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		a, _ := awaiter.New(1)
+		a, _ := awaiter.New(1, logger.Nop())
 		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 		defer cancel()
 		began := time.Now()
