configurer, enroller: omit only what a draft leaves out, share a set-up of tests

Sections that a draft does not set are left out whole, so their fields need no tag of their own. No behaviour changed: the examples are the same byte for byte (TestCommittedFiles), the tests keep their assertions.

--- a/configurer/node_document.go
+++ b/configurer/node_document.go
@@ -20,79 +20,79 @@
 }
 
 type placeDocument struct {
-	Name       string `json:"name,omitzero"`
-	Region     string `json:"region,omitzero"`
-	DataCentre string `json:"data_centre,omitzero"`
+	Name       string `json:"name"`
+	Region     string `json:"region"`
+	DataCentre string `json:"data_centre"`
 }
 
 type listenDocument struct {
-	Callers   string `json:"callers,omitzero"`
-	Peers     string `json:"peers,omitzero"`
-	Operators string `json:"operators,omitzero"`
+	Callers   string `json:"callers"`
+	Peers     string `json:"peers"`
+	Operators string `json:"operators"`
 }
 
 type platformDocument struct {
-	Table   string `json:"table,omitzero"`
-	Objects string `json:"objects,omitzero"`
-	Hosts   string `json:"hosts,omitzero"`
+	Table   string `json:"table"`
+	Objects string `json:"objects"`
+	Hosts   string `json:"hosts"`
 }
 
 type bundleDocument struct {
-	Keys    []publicKeyDocument `json:"keys,omitzero"`
+	Keys    []publicKeyDocument `json:"keys"`
 	Revoked []string            `json:"revoked,omitzero"`
 }
 
 type publicKeyDocument struct {
-	Name      string `json:"name,omitzero"`
-	PublicKey string `json:"public_key,omitzero"`
+	Name      string `json:"name"`
+	PublicKey string `json:"public_key"`
 }
 
 type limitsDocument struct {
-	BodyBytes      int64    `json:"body_bytes,omitzero"`
-	HeaderBytes    int64    `json:"header_bytes,omitzero"`
-	PromptBytes    int64    `json:"prompt_bytes,omitzero"`
-	MaxTokens      int64    `json:"max_tokens,omitzero"`
-	DefaultTokens  int64    `json:"default_tokens,omitzero"`
-	Running        int64    `json:"running,omitzero"`
-	Waiting        int64    `json:"waiting,omitzero"`
-	OpenRequests   int64    `json:"open_requests,omitzero"`
-	Attempts       int64    `json:"attempts,omitzero"`
-	Decisions      int64    `json:"decisions,omitzero"`
-	DefaultTimeout duration `json:"default_timeout,omitzero"`
-	MaxTimeout     duration `json:"max_timeout,omitzero"`
-	ReadTimeout    duration `json:"read_timeout,omitzero"`
-	WriteTimeout   duration `json:"write_timeout,omitzero"`
-	IdleTimeout    duration `json:"idle_timeout,omitzero"`
+	BodyBytes      int64    `json:"body_bytes"`
+	HeaderBytes    int64    `json:"header_bytes"`
+	PromptBytes    int64    `json:"prompt_bytes"`
+	MaxTokens      int64    `json:"max_tokens"`
+	DefaultTokens  int64    `json:"default_tokens"`
+	Running        int64    `json:"running"`
+	Waiting        int64    `json:"waiting"`
+	OpenRequests   int64    `json:"open_requests"`
+	Attempts       int64    `json:"attempts"`
+	Decisions      int64    `json:"decisions"`
+	DefaultTimeout duration `json:"default_timeout"`
+	MaxTimeout     duration `json:"max_timeout"`
+	ReadTimeout    duration `json:"read_timeout"`
+	WriteTimeout   duration `json:"write_timeout"`
+	IdleTimeout    duration `json:"idle_timeout"`
 }
 
 type leaseDocument struct {
-	Time  duration `json:"time,omitzero"`
-	Guard duration `json:"guard,omitzero"`
-	Renew duration `json:"renew,omitzero"`
+	Time  duration `json:"time"`
+	Guard duration `json:"guard"`
+	Renew duration `json:"renew"`
 }
 
 type entriesDocument struct {
-	TTL        duration `json:"ttl,omitzero"`
-	DrainGrace duration `json:"drain_grace,omitzero"`
+	TTL        duration `json:"ttl"`
+	DrainGrace duration `json:"drain_grace"`
 }
 
 type tlsDocument struct {
-	CertificateFile string   `json:"certificate_file,omitzero"`
-	KeyFile         string   `json:"key_file,omitzero"`
-	ReloadInterval  duration `json:"reload_interval,omitzero"`
+	CertificateFile string   `json:"certificate_file"`
+	KeyFile         string   `json:"key_file"`
+	ReloadInterval  duration `json:"reload_interval"`
 }
 
 type keyDocument struct {
-	Name      string `json:"name,omitzero"`
-	KeySHA256 string `json:"key_sha256,omitzero"`
+	Name      string `json:"name"`
+	KeySHA256 string `json:"key_sha256"`
 }
 
 type reportDocument struct {
-	Retention duration `json:"retention,omitzero"`
+	Retention duration `json:"retention"`
 }
 
 type logDocument struct {
-	Level string `json:"level,omitzero"`
+	Level string `json:"level"`
 }
 
 // defaultTimeout leaves room for the longest default answer: 8192 tokens at the
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -350,20 +350,30 @@
 	})
 }
 
+// joinThree returns three hosts of one data centre on a new table.
+func joinThree() []*host {
+	tab := newTable()
+	var hosts []*host
+	for i := range 3 {
+		hosts = append(hosts, join(tab, fmt.Sprint("h", i), "z1"))
+	}
+	return hosts
+}
+
+func cutAll(hosts []*host, cut bool) {
+	for _, h := range hosts {
+		h.cut.Store(cut)
+	}
+}
+
 // Guards against hosts that lose sight of each other because the store is away.
 func TestStoreAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		tab := newTable()
-		var hosts []*host
-		for i := range 3 {
-			hosts = append(hosts, join(tab, fmt.Sprint("h", i), "z1"))
-		}
+		hosts := joinThree()
 		defer start(t, hosts...)()
 		time.Sleep(8 * time.Second)
-		for _, h := range hosts {
-			h.cut.Store(true)
-		}
+		cutAll(hosts, true)
 		time.Sleep(time.Minute)
 		is.Equal(hosts[0].View().Count(), 3)
 	})
@@ -374,20 +384,12 @@
 func TestStoreBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		tab := newTable()
-		var hosts []*host
-		for i := range 3 {
-			hosts = append(hosts, join(tab, fmt.Sprint("h", i), "z1"))
-		}
+		hosts := joinThree()
 		defer start(t, hosts...)()
 		time.Sleep(8*time.Second + 100*time.Millisecond)
-		for _, h := range hosts {
-			h.cut.Store(true)
-		}
+		cutAll(hosts, true)
 		time.Sleep(10 * time.Second)
-		for _, h := range hosts {
-			h.cut.Store(false)
-		}
+		cutAll(hosts, false)
 		for range 60 {
 			time.Sleep(50 * time.Millisecond)
 			for _, h := range hosts {
