tracker, relayer: no calls to endpoints that left in one batch or during a wait

An endpoint that reported that it leaves and lost its entry in the same batch of changes counted as lapsed for 2.2 s after the store's return, and a call that had waited for its turn was sent to an endpoint that had left meanwhile. Changes are now applied in order with all states that an entry passed through, and the endpoint is checked again when the turn has come.

--- a/assembler/handlers.go
+++ b/assembler/handlers.go
@@ -67,40 +67,38 @@
 	for _, r := range rows {
 		listed[r.Key()] = true
 	}
-	var gone []string
+	var updates []tracker.Update
 	for _, id := range e.host.fleet.IDs() {
 		if !listed[id] {
-			gone = append(gone, id)
+			updates = append(updates, tracker.NewRemoval(id))
 		}
 	}
-	e.logEvents(e.host.fleet.Remove(e.remainingLapseGrace(), gone...))
-	e.Apply(rows)
+	e.apply(append(updates, e.decode(rows)...))
 }
 
-// Apply applies changed entries. Only the last change of each entry is used.
-func (e endpointHandler) Apply(changes []storer.Change) {
-	last := make(map[string]int, len(changes))
-	for i, c := range changes {
-		last[c.Key()] = i
-	}
-	var gone []string
-	var entries []tracker.Entry
-	for i, c := range changes {
-		switch {
-		case last[c.Key()] != i:
-		case c.Removed():
-			gone = append(gone, c.Key())
-		default:
-			entry, err := platform.DecodeEntry(c.Row)
-			if err != nil {
-				e.host.log.Warn("entry-not-read", logger.Err(err))
-				continue
-			}
-			entries = append(entries, entry)
+// Apply applies all changes of a batch in order.
+func (e endpointHandler) Apply(changes []storer.Change) { e.apply(e.decode(changes)) }
+
+func (e endpointHandler) apply(updates []tracker.Update) {
+	e.logEvents(e.host.fleet.Apply(e.remainingLapseGrace(), updates...))
+}
+
+// decode decodes changes of entries and leaves out those that are malformed.
+func (e endpointHandler) decode(changes []storer.Change) []tracker.Update {
+	updates := make([]tracker.Update, 0, len(changes))
+	for _, c := range changes {
+		if c.Removed() {
+			updates = append(updates, tracker.NewRemoval(c.Key()))
+			continue
+		}
+		entry, err := platform.DecodeEntry(c.Row)
+		if err != nil {
+			e.host.log.Warn("entry-not-read", logger.Err(err))
+			continue
 		}
+		updates = append(updates, entry)
 	}
-	e.logEvents(e.host.fleet.Remove(e.remainingLapseGrace(), gone...))
-	e.logEvents(e.host.fleet.Upsert(entries...))
+	return updates
 }
 
 // remainingLapseGrace returns how much longer an endpoint without an entry
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -32,6 +32,9 @@
 // returns true.
 type Chooser interface {
 	Choose(r *router.Routed, avoid func(*tracker.Endpoint) bool) (selector.Choice, error)
+	// Usable reports whether an endpoint that was chosen earlier may still receive
+	// new calls.
+	Usable(e *tracker.Endpoint) bool
 }
 
 // RetryBudget limits how many calls of a service are sent again.
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -101,6 +101,7 @@
 	budget       int
 	responses    []supplier.ReserveResponse
 	reservations int
+	reserved     []*tracker.Endpoint
 }
 
 func newHarness(script map[string][]endpointFunc) *harness {
@@ -125,8 +126,9 @@
 	return list[0](ctx, out)
 }
 
-func (r *harness) Reserve(context.Context, *tracker.Endpoint, connector.Model, ...supplier.ReserveOption) (supplier.ReserveResponse, error) {
+func (r *harness) Reserve(_ context.Context, e *tracker.Endpoint, _ connector.Model, _ ...supplier.ReserveOption) (supplier.ReserveResponse, error) {
 	r.reservations++
+	r.reserved = append(r.reserved, e)
 	if len(r.responses) == 0 {
 		return supplier.NewGranted(1, 0), nil
 	}
@@ -252,6 +254,42 @@
 	})
 }
 
+// Guards against sending a call to an engine that left, or was replaced by another
+// process, while the call waited for its turn.
+func TestEngineLeavesDuringWait(t *testing.T) {
+	model := connector.NewModel("base", "a1", "")
+	ready := func(id string, born int64, draining bool) tracker.Entry {
+		return tracker.NewEntry(id, "svc", "1.1.1.1:1", "z", 8, draining, born, map[connector.Model]int64{connector.NewModel("base", "", ""): 1, model: 1})
+	}
+	tests := []struct {
+		name  string
+		leave func(f *tracker.Tracker, id string)
+		sends int
+	}{
+		{"removed", func(f *tracker.Tracker, id string) { f.Remove(0, id) }, 1},
+		{"draining", func(f *tracker.Tracker, id string) { f.Upsert(ready(id, 1, true)) }, 1},
+		{"replaced", func(f *tracker.Tracker, id string) { f.Upsert(ready(id, 2, false)) }, 1},
+		{"stays", func(*tracker.Tracker, string) {}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newHarness(map[string][]endpointFunc{"e1": {answers(200, "ok")}, "e2": {answers(200, "ok")}})
+				r.fleet.Upsert(ready("e1", 1, false), ready("e2", 1, false))
+				r.responses = []supplier.ReserveResponse{supplier.NewGranted(1, 400*time.Millisecond)}
+				time.AfterFunc(200*time.Millisecond, func() { tt.leave(r.fleet, r.reserved[0].ID()) })
+				a, err := r.Apply(t.Context(), screenedCall(t, router.NewStream(false), 2, model))
+				is.NoErr(err)
+				is.NoErr(a.Body().Close())
+				is.Equal(len(r.sent), tt.sends)
+				last := r.reserved[len(r.reserved)-1]
+				is.Equal(r.fleet.Current().Endpoint(last.ID()), last)
+			})
+		})
+	}
+}
+
 // Guards against resending a call whose caller has canceled it.
 func TestCallerLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/relayer/reserve.go
+++ b/relayer/reserve.go
@@ -41,6 +41,10 @@
 		if sleeper.Sleep(c.ctx, s.Wait()) != nil {
 			return c.expired()
 		}
+		if !c.relayer.chooser.Usable(e) {
+			c.excluded[e] = true
+			return classifier.NewUnavailable("the engine left before the call's turn", classifier.RetryAfter(c.retryAfter(0)))
+		}
 		c.version = s.Version()
 		e.Observe(m, s.Version(), true)
 		return nil
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -96,6 +96,12 @@
 	return s.chooseEngine(snapshot, r.Model(), usable, now)
 }
 
+// Usable reports whether an endpoint that was chosen earlier may still receive new
+// calls.
+func (s *Selector) Usable(e *tracker.Endpoint) bool {
+	return s.endpoints.Current().Endpoint(e.ID()) == e
+}
+
 // available returns the endpoints that are neither avoided nor ejected. If all of
 // them are ejected, it returns the ejected ones, because a service without any
 // endpoint would be worse.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -79,15 +79,38 @@
 	Gone struct{ endpointEvent }
 )
 
-// Upsert adds or updates endpoints from their entries and returns the resulting
-// events. Each call takes time linear in the number of all endpoints, so entries
-// should be passed in batches.
-func (t *Tracker) Upsert(entries ...Entry) []Event {
+// Update is a change of an endpoint's entry in the store: an Entry that was written,
+// or a Removal.
+type Update interface{ update() }
+
+// Removal is the removal of an endpoint's entry.
+type Removal struct{ id string }
+
+// NewRemoval returns the removal of the entry of the endpoint id.
+func NewRemoval(id string) Removal { return Removal{id: id} }
+
+func (Entry) update()   {}
+func (Removal) update() {}
+
+// Apply applies changes of entries in order and returns the resulting events. If
+// grace is positive, the removed entries may only have lapsed while the store was
+// unavailable: endpoints that are not draining then stay in use until the grace time
+// is over. Each call takes time linear in the number of all endpoints, so changes
+// should be passed in batches, with each state that an entry passed through: an
+// endpoint that was draining does not lapse.
+func (t *Tracker) Apply(grace time.Duration, updates ...Update) []Event {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var events []Event
-	for _, e := range entries {
-		if event := t.upsert(e); event != nil {
+	for _, u := range updates {
+		var event Event
+		switch u := u.(type) {
+		case Entry:
+			event = t.upsert(u)
+		case Removal:
+			event = t.remove(grace, u.id)
+		}
+		if event != nil {
 			events = append(events, event)
 		}
 	}
@@ -95,6 +118,26 @@
 	return events
 }
 
+// Upsert adds or updates endpoints from their entries and returns the resulting
+// events.
+func (t *Tracker) Upsert(entries ...Entry) []Event {
+	updates := make([]Update, len(entries))
+	for i, e := range entries {
+		updates[i] = e
+	}
+	return t.Apply(0, updates...)
+}
+
+// Remove applies the removal of entries and returns the resulting events; see Apply.
+func (t *Tracker) Remove(grace time.Duration, ids ...string) []Event {
+	updates := make([]Update, len(ids))
+	for i, id := range ids {
+		updates[i] = NewRemoval(id)
+	}
+	return t.Apply(grace, updates...)
+}
+
+// upsert requires mu.
 func (t *Tracker) upsert(e Entry) Event {
 	r := t.records[e.id]
 	fresh := r == nil || r.endpoint.entry.born != e.born || r.endpoint.entry.address != e.address || r.endpoint.entry.service != e.service
@@ -117,29 +160,21 @@
 	}
 }
 
-// Remove applies the removal of entries and returns the resulting events. If grace
-// is positive, the entries may only have lapsed while the store was unavailable:
-// endpoints that are not draining then stay in use until the grace time is over.
-func (t *Tracker) Remove(grace time.Duration, ids ...string) []Event {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var events []Event
-	for _, id := range ids {
-		r := t.records[id]
-		switch {
-		case r == nil:
-		case grace > 0 && !r.draining:
-			if r.expiresAt.IsZero() {
-				r.expiresAt = time.Now().Add(grace)
-			}
-			events = append(events, Lapsed{endpointEvent{id}})
-		default:
-			delete(t.records, id)
-			events = append(events, Gone{endpointEvent{id}})
+// remove requires mu.
+func (t *Tracker) remove(grace time.Duration, id string) Event {
+	r := t.records[id]
+	switch {
+	case r == nil:
+		return nil
+	case grace > 0 && !r.draining:
+		if r.expiresAt.IsZero() {
+			r.expiresAt = time.Now().Add(grace)
 		}
+		return Lapsed{endpointEvent{id}}
+	default:
+		delete(t.records, id)
+		return Gone{endpointEvent{id}}
 	}
-	t.publishAfter(events)
-	return events
 }
 
 // Expire removes the lapsed endpoints whose grace time is over and returns the
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -53,6 +53,20 @@
 	})
 }
 
+// Guards against calls to an endpoint that reported that it leaves and was removed in
+// the same batch of changes, shortly after the store was unavailable.
+func TestDrainingAndRemovedInOneBatch(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New(nil)
+	ready, draining := entry("e1", "1.1.1.1:1", false, 1, nil), entry("e1", "1.1.1.1:1", true, 1, nil)
+	tr.Upsert(ready)
+	is.Equal(eventKinds(tr.Apply(2*time.Second, draining, tracker.NewRemoval("e1"))), "Draining Gone")
+	is.Equal(len(tr.Current().Usable("svc")), 0)
+	is.Equal(eventKinds(tr.Apply(2*time.Second, tracker.NewRemoval("e1"), ready)), "Arrived")
+	is.Equal(eventKinds(tr.Apply(2*time.Second, tracker.NewRemoval("e1"), ready)), "Lapsed") // and written again
+	is.Equal(len(tr.Current().Usable("svc")), 1)
+}
+
 // Guards against counters and models of an earlier process that are kept for a new
 // process with the same id.
 func TestRestart(t *testing.T) {
