supplier: count a replaced version and its successor as two adapters

The platform's pages say that adapters on their way to an engine count towards its adapter slots. TestSlotsDuringReplacement failed before.

--- a/supplier/load.go
+++ b/supplier/load.go
@@ -90,7 +90,7 @@
 	named := max(req.minVersion, w.supplier.fleet.Current().NamedVersion(req.model))
 	for range maxLoadAttempts {
 		_, replacing := w.state.resident[req.model]
-		if !replacing && !w.makeRoom(ctx, req.model.Base()) {
+		if !w.makeRoom(ctx, req.model.Base()) {
 			return 0, 0, "all places are in use"
 		}
 		cold := replacing || !w.state.warm(req.model)
--- a/supplier/state.go
+++ b/supplier/state.go
@@ -112,21 +112,17 @@
 }
 
 // occupiedSlots returns the number of occupied adapter slots, including those of
-// adapters that are being loaded and of loads without an answer.
+// adapters that are being loaded and of loads without an answer. An adapter that is
+// replaced occupies two until its new version is loaded.
 func (s *engineState) occupiedSlots() int {
-	n := 0
-	for m := range s.uncertain {
-		if _, resident := s.resident[m]; !resident {
-			n++
-		}
-	}
+	n := len(s.uncertain)
 	for m := range s.resident {
 		if m.Adapter() != "" {
 			n++
 		}
 	}
 	for m := range s.loading {
-		if _, resident := s.resident[m]; m.Adapter() != "" && !resident {
+		if m.Adapter() != "" && !s.uncertain[m] {
 			n++
 		}
 	}
--- a/supplier/supplier_test.go
+++ b/supplier/supplier_test.go
@@ -40,6 +40,7 @@
 	mu            sync.Mutex
 	resident      map[connector.Model]int64
 	loading       map[connector.Model]time.Time
+	versions      map[connector.Model]int64 // that were ordered last
 	sequence      int64
 	inUse         map[connector.Model]int
 	unloadPending bool // an unload waits for the adapter's jobs
@@ -59,7 +60,7 @@
 func newEngine() *engine {
 	return &engine{
 		resident: map[connector.Model]int64{base: 1}, loading: make(map[connector.Model]time.Time),
-		inUse: make(map[connector.Model]int), loseAnswer: func() bool { return false },
+		versions: make(map[connector.Model]int64), inUse: make(map[connector.Model]int), loseAnswer: func() bool { return false },
 	}
 }
 
@@ -67,7 +68,7 @@
 	for m, due := range e.loading {
 		if !time.Now().Before(due) {
 			delete(e.loading, m)
-			e.resident[m] = max(e.resident[m], 1)
+			e.resident[m] = max(e.versions[m], 1)
 		}
 	}
 	e.history = append(e.history, snapshot{at: time.Now(), report: e.report()})
@@ -128,13 +129,10 @@
 		if len(e.loading) >= 4 {
 			return supplier.Conflict{}
 		}
-		if _, replaced := e.resident[m]; !replaced && len(e.resident)-1+len(e.loading) >= slots {
+		if len(e.resident)-1+len(e.loading) >= slots { // a version that is replaced occupies a slot until its successor is loaded
 			e.violations = append(e.violations, "ordered to load more adapters than there are slots")
 		}
-		e.resident[m] = version // this fake replaces a version at once
-		if version == 0 {
-			delete(e.resident, m)
-		}
+		e.versions[m] = max(version, 1)
 		e.loading[m] = time.Now().Add(loadTime * time.Duration(1+len(e.loading)))
 		e.loads++
 		e.maxConcurrent = max(e.maxConcurrent, len(e.loading))
@@ -312,10 +310,43 @@
 		time.Sleep(time.Second)
 		e.mu.Lock()
 		defer e.mu.Unlock()
+		e.completeLoads()
 		is.Equal(e.resident[model(1)], int64(2))
 	})
 }
 
+// Guards against counting a version that is replaced and its successor as one
+// adapter: both occupy a slot until the load has ended, so that one adapter too many
+// would be ordered to a full engine, during the replacement or right after it began.
+func TestSlotsDuringReplacement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngine()
+		s, fleet, _ := newSupplier(e)
+		defer s.Close()
+		for n := range slots {
+			s.Reserve(t.Context(), request(n))
+			time.Sleep(time.Second)
+		}
+		time.Sleep(2 * time.Second)
+		s.Reserve(t.Context(), request(3)) // the others are idle
+		fleet.SetNamedVersion(model(3), 2)
+		granted := func(n int, version int64) bool {
+			_, ok := s.Reserve(t.Context(), request(n, supplier.WithMinVersion(version))).(supplier.Granted)
+			return ok
+		}
+		is.True(granted(3, 2))
+		is.True(granted(8, 0))
+		time.Sleep(2 * time.Second)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.completeLoads()
+		is.Equal(e.violations, nil)
+		is.Equal(e.resident[model(3)], int64(2))
+		is.Equal(e.resident[model(8)], int64(1))
+	})
+}
+
 // Guards against orders from a host that lost its lease, and against such a host
 // refusing calls for models that the engine already holds.
 func TestLeaseLost(t *testing.T) {
