estimator: learn the speed of engines from the calls that they served

The calendar took 20 prompt tokens/ms, 30 ms between prompts and 14 ms an output token for granted, which holds for the engines of two deployments only. The new package estimates each engine from the fastest tenth of the times per prompt token in a window of its recent calls, follows an engine that turns slow by the newest sixteen, and falls back to the service and then to the settings.

Tried and dropped: the median slope of time over prompt length (Theil-Sen). It is right on an idle engine, but prompts that overlap made it swing between 3 and 215 tokens/ms.

--- /dev/null
+++ b/estimator/fit.go
@@ -0,0 +1,122 @@
+package estimator
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// window is the number of prefills that an estimate is based on.
+	window = 64
+	// recentWindow is the number of newest prefills that are compared with the whole
+	// window, to follow an engine that has become slow.
+	recentWindow = 16
+	// change is the factor between both from which on only the newest are used. An
+	// engine that has become fast shows in the fastest of the whole window.
+	change = 2
+	// minSamples is the number of prefills or generations below which an estimate is
+	// taken from the service.
+	minSamples = 8
+	// refitInterval is the number of new prefills after which the estimate is computed
+	// again.
+	refitInterval = 4
+	// sampleLifetime is the age at which a sample is no longer used.
+	sampleLifetime = 30 * time.Second
+	// The time for generation after a prompt, as a share of the prompt's time, grows
+	// with each stream that paused for too long, and falls with each other one, so that
+	// about one stream in ten pauses for nearly too long on an engine with many prompts.
+	pauseGrowth = 0.02
+	pauseDecay  = 0.002
+	maxPause    = 0.3
+	// generationWeight is the weight of one generation in the moving averages.
+	generationWeight = 1.0 / 16
+)
+
+// timedPrefill is a prefill and when it was recorded.
+type timedPrefill struct {
+	Prefill
+	at time.Time
+}
+
+// speed estimates one engine or one service. Its owner serialises the calls.
+type speed struct {
+	prefills    []timedPrefill // oldest first, at most window
+	sinceFit    int
+	generations int
+	last        time.Time // of the last sample
+	current     Estimate  // zero durations are unknown
+}
+
+// add records a sample and reports whether the estimate changed.
+func (s *speed) add(sample Sample, now time.Time) bool {
+	s.last = now
+	switch sample := sample.(type) {
+	case Prefill:
+		if len(s.prefills) == window {
+			s.prefills = slices.Delete(s.prefills, 0, 1)
+		}
+		s.prefills = append(s.prefills, timedPrefill{Prefill: sample, at: now})
+		if s.sinceFit++; s.sinceFit < refitInterval && len(s.prefills) != minSamples {
+			return false
+		}
+		s.sinceFit = 0
+		s.fit(now)
+	case Generation:
+		s.generations++
+		weight := max(generationWeight, 1/float64(s.generations))
+		perToken := float64(sample.took) / float64(sample.expectedTokens)
+		s.current.outputToken = average(s.current.outputToken, perToken, weight)
+		if sample.paused {
+			s.current.pause = min(s.current.pause+pauseGrowth, maxPause)
+		} else {
+			s.current.pause = max(s.current.pause-pauseDecay, 0)
+		}
+	}
+	return true
+}
+
+// maxOutlier bounds the effect of one generation on a moving average.
+const maxOutlier = 4
+
+func average(old time.Duration, value, weight float64) time.Duration {
+	if old > 0 {
+		value = min(max(value, float64(old)/maxOutlier), float64(old)*maxOutlier)
+	}
+	return time.Duration(float64(old)*(1-weight) + value*weight)
+}
+
+// fit computes the time of a prompt token.
+func (s *speed) fit(now time.Time) {
+	s.prefills = slices.DeleteFunc(s.prefills, func(p timedPrefill) bool { return now.Sub(p.at) > sampleLifetime })
+	s.current.samples = len(s.prefills)
+	if len(s.prefills) < minSamples {
+		return
+	}
+	token, spread := perToken(s.prefills)
+	if len(s.prefills) > recentWindow {
+		recent, recentSpread := perToken(s.prefills[len(s.prefills)-recentWindow:])
+		if recent > token*change {
+			token, spread = recent, recentSpread
+		}
+	}
+	s.current.promptToken, s.current.spread = time.Duration(token), spread
+}
+
+// fastShare is the quantile of the time per token that is used. Other work of the
+// engine, the network and a short prompt make a call slower than its prompt alone; a
+// prompt that the engine had cached in part makes it faster, which is rarer.
+const fastShare = 0.1
+
+// perToken returns the time of a prompt token in nanoseconds, and the interquartile
+// range of the samples as a share of it.
+func perToken(prefills []timedPrefill) (token, spread float64) {
+	ratios := make([]float64, len(prefills))
+	for i, p := range prefills {
+		ratios[i] = float64(p.took) / float64(p.tokens)
+	}
+	slices.Sort(ratios)
+	token = quantile(ratios, fastShare)
+	return token, (quantile(ratios, 0.75) - quantile(ratios, 0.25)) / token
+}
+
+func quantile(sorted []float64, q float64) float64 { return sorted[int(q*float64(len(sorted)-1))] }
--- /dev/null
+++ b/estimator/sample.go
@@ -0,0 +1,61 @@
+package estimator
+
+import "time"
+
+// Sample is an observation of one call at an engine: a Prefill or a Generation.
+type Sample interface{ sample() }
+
+// Prefill is the processing of a prompt, up to the first piece of the answer.
+type Prefill struct {
+	tokens int
+	took   time.Duration
+}
+
+// NewPrefill returns the sample of a prompt of the given length, whose answer began
+// after took. Network round trips are not part of took.
+func NewPrefill(tokens int, took time.Duration) Prefill { return Prefill{tokens: tokens, took: took} }
+
+// Tokens returns the length of the prompt.
+func (p Prefill) Tokens() int { return p.tokens }
+
+// Took returns the time until the first piece of the answer.
+func (p Prefill) Took() time.Duration { return p.took }
+
+// Generation is a complete output of an engine.
+type Generation struct {
+	expectedTokens int
+	took           time.Duration
+	paused         bool
+}
+
+// NewGeneration returns the sample of an output of expectedTokens, as estimated when
+// the call arrived, that took the given time from its first piece to its last one.
+// Paused is whether a pause between two events was about as long as is acceptable, or
+// longer.
+func NewGeneration(expectedTokens int, took time.Duration, paused bool) Generation {
+	return Generation{expectedTokens: expectedTokens, took: took, paused: paused}
+}
+
+// ExpectedTokens returns the estimated length of the output.
+func (g Generation) ExpectedTokens() int { return g.expectedTokens }
+
+// Took returns the time from the first piece of the output to its last one.
+func (g Generation) Took() time.Duration { return g.took }
+
+// Paused reports whether a pause between two events was too long or nearly so.
+func (g Generation) Paused() bool { return g.paused }
+
+func (Prefill) sample()    {}
+func (Generation) sample() {}
+
+// valid reports whether a sample can be used. Hosts receive samples from others.
+func valid(s Sample) bool {
+	switch s := s.(type) {
+	case Prefill:
+		return s.tokens > 0 && s.took > 0
+	case Generation:
+		return s.expectedTokens > 0 && s.took > 0
+	default:
+		return false
+	}
+}
