--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflyford/dragonflyford/chainer"
 	"github.com/dragonflyford/dragonflyford/configurer"
 	"github.com/dragonflyford/dragonflyford/enroller"
+	"github.com/dragonflyford/dragonflyford/estimator"
 	"github.com/dragonflyford/dragonflyford/exchanger"
 	"github.com/dragonflyford/dragonflyford/follower"
 	"github.com/dragonflyford/dragonflyford/logger"
@@ -80,6 +81,7 @@
 	router            *router.Router
 	fleet             *tracker.Tracker
 	members           *enroller.Enroller
+	speeds            *estimator.Estimator
 	supplier          *supplier.Supplier
 	messenger         *messenger.Messenger
 	screener          *screener.Screener
@@ -117,7 +119,8 @@
 		enroller.NewLocalHost(settings.Address(), settings.Callers(), settings.Peers(), settings.DataCentre(), settings.Region(), settings.LinkMbps()),
 		enroller.NewTiming(settings.LeaseRenew(), settings.LeaseTime(), settings.LeaseGuard(), settings.TakeoverDelay()+handoverMargin, settings.LeaseRenew()+lossMargin),
 		fleetTable, log)
-	h.supplier = supplier.New(h.engines, leases{h.members}, h.engineSpec, h.fleet, log)
+	h.speeds = estimator.New(estimator.NewEstimate(settings.PromptToken(), settings.OutputToken()), h.logSpeed)
+	h.supplier = supplier.New(h.engines, leases{h.members}, h.engineSpec, h.fleet, h.speeds, estimator.NewLoads(settings.AdapterLoad()), log)
 	h.screener = screener.New(log)
 	var err error
 	h.mirrors = map[string]*mirrorer.Mirror{
@@ -163,13 +166,26 @@
 	retryBudget := rationer.New(rationer.NewLimits(settings.RepeatRatio(), settings.RepeatSlack(), settings.RepeatWindow()), hosts)
 	relay := relayer.New(
 		selector.New(h.fleet, settings.DataCentre(), settings.Region()),
-		procurer.New(h.supplier, h.messenger, h.members),
-		h.exchanger, retryBudget, h.screener, hosts, log)
+		procurer.New(h.supplier, h.messenger, h.members, h.speeds),
+		h.exchanger, retryBudget, h.screener, h.speeds, hosts, log)
 	routed := chainer.Join[*router.Call, *router.Call, *router.Routed](h.awaiter, h.router)
 	screened := chainer.Join[*router.Call, *router.Routed, *screener.Screened](routed, h.screener)
 	return chainer.Join[*router.Call, *screener.Screened, *relayer.Answer](screened, relay)
 }
 
+// logSpeed logs a change in the speed of an engine that affects decisions.
+func (h *Host) logSpeed(c estimator.Change) {
+	h.log.Info("engine-speed-changed", logger.With(logger.KeyEndpoint, c.Engine()),
+		logger.With(logger.KeyRate, tokensPerSecond(c.To().PromptToken())), logger.With(logger.KeyCount, c.To().Samples()))
+}
+
+func tokensPerSecond(perToken time.Duration) int64 {
+	if perToken <= 0 {
+		return 0
+	}
+	return int64(time.Second / perToken)
+}
+
 func (h *Host) engineSpec(service string) *router.EngineSpec {
 	t := h.router.Current()
 	if t == nil {
--- a/configurer/entry.go
+++ b/configurer/entry.go
@@ -85,6 +85,14 @@
 			d.reject(field, "a duration above 0")
 		}
 	}
+	for field, v := range map[string]duration{
+		"engines.prompt_token": doc.Engines.PromptToken, "engines.output_token": doc.Engines.OutputToken,
+		"engines.adapter_load": doc.Engines.AdapterLoad,
+	} {
+		if v <= 0 || v > maxEngineTime {
+			d.reject(field, fmt.Sprintf("a duration above 0 and at most %v", time.Duration(maxEngineTime)))
+		}
+	}
 	if doc.Lease.Time < 2*doc.Lease.Renew {
 		d.reject("lease.time", "at least twice lease.renew")
 	}
@@ -102,6 +110,9 @@
 	}
 }
 
+// maxEngineTime is the longest time that may be assumed of an engine.
+const maxEngineTime = duration(time.Minute)
+
 // minMemoryMB is less than an idle process needs.
 const minMemoryMB = 32
 
@@ -189,5 +200,15 @@
 // IdleTimeout returns how long a caller's connection may stay idle.
 func (e *Entry) IdleTimeout() time.Duration { return time.Duration(e.doc.Limits.IdleTimeout) }
 
+// PromptToken returns the time that an engine is assumed to take for a prompt token
+// before its calls show how fast it is.
+func (e *Entry) PromptToken() time.Duration { return time.Duration(e.doc.Engines.PromptToken) }
+
+// OutputToken returns the assumed time for an output token.
+func (e *Entry) OutputToken() time.Duration { return time.Duration(e.doc.Engines.OutputToken) }
+
+// AdapterLoad returns the assumed time of an adapter's load from the weight store.
+func (e *Entry) AdapterLoad() time.Duration { return time.Duration(e.doc.Engines.AdapterLoad) }
+
 // LogLevel returns the lowest log level that is written.
 func (e *Entry) LogLevel() string { return e.doc.Log.Level }
--- a/configurer/entry_document.go
+++ b/configurer/entry_document.go
@@ -12,9 +12,18 @@
 	Repeats     entryRepeatDocument  `json:"repeats"`
 	Stop        entryStopDocument    `json:"stop"`
 	Limits      entryLimitsDocument  `json:"limits"`
+	Engines     entryEngineDocument  `json:"engines"`
 	Log         logDocument          `json:"log"`
 }
 
+// entryEngineDocument holds what is assumed of engines before their calls show how
+// fast they are.
+type entryEngineDocument struct {
+	PromptToken duration `json:"prompt_token"`
+	OutputToken duration `json:"output_token"`
+	AdapterLoad duration `json:"adapter_load"`
+}
+
 type entryNodeDocument struct {
 	Name       string `json:"name"`
 	Address    string `json:"address"` // IP address; identifies the host
@@ -74,6 +83,10 @@
 			MemoryMB: 256, BodyBytes: 4 << 20, HeaderBytes: 64 << 10,
 			ReadTimeout: duration(10 * time.Second), IdleTimeout: duration(time.Minute),
 		},
+		Engines: entryEngineDocument{
+			PromptToken: duration(50 * time.Microsecond), OutputToken: duration(14 * time.Millisecond),
+			AdapterLoad: duration(270 * time.Millisecond),
+		},
 		Log: logDocument{Level: "info"},
 	}
 }
--- a/configurer/entry_test.go
+++ b/configurer/entry_test.go
@@ -47,6 +47,8 @@
 		{"no memory", `284`, `3`, "limits.memory_mb"},
 		{"negative link", `10.0}`, `-1}`, "limits.link_mbps"},
 		{"slack is a string", `56`, `"much"`, "repeats.slack"},
+		{"engine without a speed", `"stop"`, `"engines": {"prompt_token": "0s"}, "stop"`, "engines.prompt_token"},
+		{"load of an hour", `"stop"`, `"engines": {"adapter_load": "1h"}, "stop"`, "engines.adapter_load"},
 		{"unknown field", `"stop"`, `"stopp"`, "stopp"},
 	}
 	for _, tt := range tests {
--- a/exchanger/exchange.go
+++ b/exchanger/exchange.go
@@ -194,7 +194,9 @@
 	if meta.hasLoad {
 		x.endpoint.RecordLoad(meta.running, meta.waiting)
 	}
-	return NewAnswer(resp.StatusCode, resp.Header, meta, &body{exchange: x, inner: resp.Body}, resp.ContentLength), nil
+	a := NewAnswer(resp.StatusCode, resp.Header, meta, &body{exchange: x, inner: resp.Body}, resp.ContentLength)
+	a.roundTrip = time.Duration(x.pool.roundTrip.Load())
+	return a, nil
 }
 
 // finish returns the connection to the pool if the call and the response are
--- a/exchanger/message.go
+++ b/exchanger/message.go
@@ -86,6 +86,10 @@
 	return m
 }
 
+// Waiting returns the number of calls that wait at the endpoint, or 0 if it did not
+// tell.
+func (m Meta) Waiting() int { return m.waiting }
+
 // Attempt returns the id of the call that the response belongs to, or "".
 func (m Meta) Attempt() string { return m.attempt }
 
@@ -130,6 +134,8 @@
 	meta   Meta
 	body   io.ReadCloser
 	length int64
+
+	roundTrip time.Duration
 }
 
 // NewAnswer returns an answer; length is the length of the body in bytes, or -1
@@ -153,6 +159,10 @@
 // Length returns the length of the body in bytes, or -1 if it is not known.
 func (a *Answer) Length() int64 { return a.length }
 
+// RoundTrip returns the duration of a round trip to the endpoint, or 0 if it is not
+// known.
+func (a *Answer) RoundTrip() time.Duration { return a.roundTrip }
+
 // Body returns the body. It ends with io.EOF only if the response is complete.
 // Closing it before that closes the connection, which stops the work at the
 // endpoint.
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -46,8 +46,20 @@
 // pool manages the connections to one endpoint. The idle ones form a stack, so
 // that the same few are reused and the others time out.
 type pool struct {
-	idle atomic.Pointer[stackNode]
-	open atomic.Int64
+	idle      atomic.Pointer[stackNode]
+	open      atomic.Int64
+	roundTrip atomic.Int64 // nanoseconds that the fastest new connection took; 0 before the first one
+}
+
+// recordRoundTrip records the time that a new connection took, which is one round
+// trip or more.
+func (p *pool) recordRoundTrip(d time.Duration) {
+	for {
+		old := p.roundTrip.Load()
+		if old != 0 && old <= int64(d) || p.roundTrip.CompareAndSwap(old, int64(d)) {
+			return
+		}
+	}
 }
 
 func (p *pool) push(conn *connection) {
@@ -169,11 +181,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	began := time.Now()
 	conn, err := transporter.Dial(ctx, e.Address(), ackTimeout)
 	if err != nil {
 		p.open.Add(-1)
 		return nil, nil, fmt.Errorf("connect to endpoint %s: %w", e.ID(), err)
 	}
+	p.recordRoundTrip(time.Since(began))
 	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}, p, nil
 }
 
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -92,6 +92,7 @@
 	KeyModel      Key = "model"
 	KeyOutcome    Key = "outcome"
 	KeyPeer       Key = "peer"
+	KeyRate       Key = "tokens_per_s"
 	KeyReason     Key = "reason"
 	KeyRoute      Key = "route"
 	KeySequence   Key = "sequence"
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -86,7 +86,9 @@
 	in := reserveRequestDocument{
 		Engine: request.Engine(), Model: encodeModel(request.Model()), Version: request.MinVersion(), ModelMissing: request.ModelMissing(),
 		PromptTokens: request.PromptTokens(), ExpectedOutputTokens: request.ExpectedOutputTokens(), MaxWaitUS: request.MaxWait().Microseconds(),
+		MaxLoadWaitUS: request.MaxLoadWait().Microseconds(), LastResort: request.LastResort(),
 	}
+	in.encodeSamples(request.Samples())
 	for _, used := range request.ModelsInUse() {
 		in.ModelsInUse = append(in.ModelsInUse, encodeModel(used))
 	}
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/estimator"
 	"github.com/dragonflyford/dragonflyford/messenger"
 	"github.com/dragonflyford/dragonflyford/mirrorer"
 	"github.com/dragonflyford/dragonflyford/screener"
@@ -84,9 +85,13 @@
 	h := &handler{}
 	client, address := connect(t, h)
 	request := supplier.NewReserveRequest("e1", connector.NewModel("m", "a", ""), supplier.WithMinVersion(7), supplier.WithModelMissing(true),
-		supplier.WithSize(100, 20, 300*time.Millisecond), supplier.WithModelsInUse([]connector.Model{connector.NewModel("m", "b", "")}))
+		supplier.WithSize(100, 20, 300*time.Millisecond), supplier.WithModelsInUse([]connector.Model{connector.NewModel("m", "b", "")}),
+		supplier.WithMaxLoadWait(400*time.Millisecond), supplier.WithLastResort(true),
+		supplier.WithSamples([]estimator.Sample{estimator.NewPrefill(900, 41*time.Millisecond), estimator.NewGeneration(70, time.Second, true)}))
 	for _, answer := range []supplier.ReserveResponse{
-		supplier.NewGranted(7, 25*time.Millisecond), supplier.NewDeclined("full", time.Second), supplier.NewFull(time.Second), supplier.NotOwner{},
+		supplier.NewGranted(7, 25*time.Millisecond), supplier.NewDeclined("full", time.Second), supplier.NewFull(time.Second),
+		supplier.NotOwner{},
+		supplier.NewGranted(7, time.Second).AsUnsure(), supplier.NewLoadsQueued(time.Second),
 	} {
 		is := is.New(t)
 		h.answer = answer
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/describer"
 	"github.com/dragonflyford/dragonflyford/encoder"
+	"github.com/dragonflyford/dragonflyford/estimator"
 	"github.com/dragonflyford/dragonflyford/mirrorer"
 	"github.com/dragonflyford/dragonflyford/screener"
 	"github.com/dragonflyford/dragonflyford/storer"
@@ -43,14 +44,57 @@
 	PromptTokens         int             `cbor:"6,keyasint,omitempty"`
 	MaxWaitUS            int64           `cbor:"7,keyasint,omitempty"` // maximum wait of the call for a slot
 	ExpectedOutputTokens int             `cbor:"8,keyasint,omitempty"`
+	MaxLoadWaitUS        int64           `cbor:"11,keyasint,omitempty"` // maximum wait behind loads of other models
+	LastResort           bool            `cbor:"12,keyasint,omitempty"`
+	// Samples of earlier calls at the engine.
+	Prefills    []prefillDocument    `cbor:"9,keyasint,omitempty"`
+	Generations []generationDocument `cbor:"10,keyasint,omitempty"`
 }
 
+type prefillDocument struct {
+	Tokens int   `cbor:"1,keyasint"`
+	TookUS int64 `cbor:"2,keyasint"`
+}
+
+type generationDocument struct {
+	ExpectedTokens int   `cbor:"1,keyasint"`
+	TookUS         int64 `cbor:"2,keyasint"`
+	Paused         bool  `cbor:"3,keyasint,omitempty"`
+}
+
+func (d *reserveRequestDocument) encodeSamples(samples []estimator.Sample) {
+	for _, s := range samples {
+		switch s := s.(type) {
+		case estimator.Prefill:
+			d.Prefills = append(d.Prefills, prefillDocument{Tokens: s.Tokens(), TookUS: s.Took().Microseconds()})
+		case estimator.Generation:
+			d.Generations = append(d.Generations, generationDocument{
+				ExpectedTokens: s.ExpectedTokens(), TookUS: s.Took().Microseconds(), Paused: s.Paused(),
+			})
+		}
+	}
+}
+
+func (d *reserveRequestDocument) decodeSamples() []estimator.Sample {
+	var samples []estimator.Sample
+	for _, p := range d.Prefills {
+		samples = append(samples, estimator.NewPrefill(p.Tokens, microseconds(p.TookUS)))
+	}
+	for _, g := range d.Generations {
+		samples = append(samples, estimator.NewGeneration(g.ExpectedTokens, microseconds(g.TookUS), g.Paused))
+	}
+	return samples
+}
+
+func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
 // Encoded types of a supplier.ReserveResponse.
 const (
 	stateGranted  = 1
 	stateDeclined = 2
 	stateNotOwner = 3
 	stateFull     = 4
+	stateLoads    = 5 // declined because of queued loads
 )
 
 type reserveResponseDocument struct {
@@ -58,16 +102,20 @@
 	Version int64  `cbor:"2,keyasint,omitempty"`
 	WaitUS  int64  `cbor:"3,keyasint,omitempty"`
 	Reason  string `cbor:"4,keyasint,omitempty"`
+	Unsure  bool   `cbor:"5,keyasint,omitempty"` // the owner has too few samples of the engine
 }
 
 func encodeReserveResponse(s supplier.ReserveResponse) *reserveResponseDocument {
 	switch s := s.(type) {
 	case supplier.Granted:
-		return &reserveResponseDocument{State: stateGranted, Version: s.Version(), WaitUS: s.Wait().Microseconds()}
+		return &reserveResponseDocument{State: stateGranted, Version: s.Version(), WaitUS: s.Wait().Microseconds(), Unsure: s.Unsure()}
 	case supplier.Declined:
 		if s.Full() {
 			return &reserveResponseDocument{State: stateFull, WaitUS: s.Wait().Microseconds()}
 		}
+		if s.LoadsQueued() {
+			return &reserveResponseDocument{State: stateLoads, WaitUS: s.Wait().Microseconds()}
+		}
 		return &reserveResponseDocument{State: stateDeclined, Reason: s.Reason(), WaitUS: s.Wait().Microseconds()}
 	default:
 		return &reserveResponseDocument{State: stateNotOwner}
@@ -75,12 +123,18 @@
 }
 
 func decodeReserveResponse(d *reserveResponseDocument) supplier.ReserveResponse {
-	wait := time.Duration(d.WaitUS) * time.Microsecond
+	wait := microseconds(d.WaitUS)
 	switch d.State {
 	case stateGranted:
-		return supplier.NewGranted(d.Version, wait)
+		granted := supplier.NewGranted(d.Version, wait)
+		if d.Unsure {
+			return granted.AsUnsure()
+		}
+		return granted
 	case stateFull:
 		return supplier.NewFull(wait)
+	case stateLoads:
+		return supplier.NewLoadsQueued(wait)
 	case stateDeclined:
 		return supplier.NewDeclined(d.Reason, wait)
 	default:
@@ -168,7 +222,9 @@
 		used = append(used, decodeModel(m))
 	}
 	request := supplier.NewReserveRequest(in.Engine, decodeModel(in.Model), supplier.WithMinVersion(in.Version), supplier.WithModelMissing(in.ModelMissing),
-		supplier.WithSize(in.PromptTokens, in.ExpectedOutputTokens, time.Duration(in.MaxWaitUS)*time.Microsecond), supplier.WithModelsInUse(used))
+		supplier.WithSize(in.PromptTokens, in.ExpectedOutputTokens, time.Duration(in.MaxWaitUS)*time.Microsecond), supplier.WithModelsInUse(used), supplier.WithMaxLoadWait(microseconds(in.MaxLoadWaitUS)),
+		supplier.WithLastResort(in.LastResort),
+		supplier.WithSamples(in.decodeSamples()))
 	return encodeReserveResponse(s.handler.Reserve(ctx, request)), nil
 }
 
--- a/procurer/procurer.go
+++ b/procurer/procurer.go
@@ -11,6 +11,7 @@
 
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/enroller"
+	"github.com/dragonflyford/dragonflyford/estimator"
 	"github.com/dragonflyford/dragonflyford/supplier"
 	"github.com/dragonflyford/dragonflyford/tracker"
 )
@@ -31,6 +32,14 @@
 	Self() string
 }
 
+// Samples provides what the calls of this host showed of the speed of engines.
+type Samples interface {
+	// Pending returns the samples of an engine that its owner has not received.
+	Pending(engine string) []estimator.Sample
+	// Resend makes Pending return all samples that are kept for an engine again.
+	Resend(engine string)
+}
+
 const (
 	// requestTimeout limits one request to an owner, including the order that the owner
 	// may have to send.
@@ -49,14 +58,15 @@
 	local        Local
 	remote       Remote
 	members      Members
+	samples      Samples
 	unresponsive sync.Map // host name → time.Time of the last request without an answer
 	mu           sync.Mutex
 	inUse        map[string]map[connector.Model]*modelUse // by engine id
 }
 
 // New returns a procurer.
-func New(local Local, remote Remote, members Members) *Procurer {
-	return &Procurer{local: local, remote: remote, members: members, inUse: make(map[string]map[connector.Model]*modelUse)}
+func New(local Local, remote Remote, members Members, samples Samples) *Procurer {
+	return &Procurer{local: local, remote: remote, members: members, samples: samples, inUse: make(map[string]map[connector.Model]*modelUse)}
 }
 
 // Use records that a call uses a model of an engine until release is called. The
@@ -126,6 +136,7 @@
 	if !view.Alive(host) || p.isUnresponsive(owner.Host()) {
 		return nil, errNoOwner
 	}
+	supplier.WithSamples(p.samples.Pending(e.ID()))(&req)
 	resp, err := p.remote.Reserve(ctx, host.PeerAddress(), req)
 	if err != nil {
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -133,6 +144,9 @@
 		}
 		return nil, fmt.Errorf("request capacity from owner %s: %w", owner.Host(), err)
 	}
+	if granted, ok := resp.(supplier.Granted); ok && granted.Unsure() {
+		p.samples.Resend(e.ID())
+	}
 	return resp, nil
 }
 
--- a/procurer/procurer_test.go
+++ b/procurer/procurer_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/enroller"
+	"github.com/dragonflyford/dragonflyford/estimator"
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/procurer"
 	"github.com/dragonflyford/dragonflyford/storer"
@@ -47,13 +48,32 @@
 	requests  []supplier.ReserveRequest
 	addresses []string
 	err       error
+	unsure    bool
 }
 
 func (a *recorder) Reserve(_ context.Context, address string, req supplier.ReserveRequest) (supplier.ReserveResponse, error) {
 	a.requests, a.addresses = append(a.requests, req), append(a.addresses, address)
-	return supplier.NewGranted(1, 0), a.err
+	granted := supplier.NewGranted(1, 0)
+	if a.unsure {
+		granted = granted.AsUnsure()
+	}
+	return granted, a.err
+}
+
+// samples records the engines whose samples were requested.
+type samples struct {
+	list   []estimator.Sample
+	resent []string
+}
+
+func (s *samples) Pending(string) []estimator.Sample {
+	list := s.list
+	s.list = nil
+	return list
 }
 
+func (s *samples) Resend(engine string) { s.resent = append(s.resent, engine) }
+
 type local struct{ recorder *recorder }
 
 func (l local) Reserve(ctx context.Context, req supplier.ReserveRequest) supplier.ReserveResponse {
@@ -82,7 +102,7 @@
 		claim(t, owner)
 		self.Apply(rows.rows)
 		self.Contact(9, 0)
-		p := procurer.New(local{&recorder{}}, remote, self)
+		p := procurer.New(local{&recorder{}}, remote, self, &samples{})
 		release := p.Use("e1", first)
 		ended := p.Use("e1", second)
 		ended()
@@ -100,6 +120,30 @@
 	})
 }
 
+// Guards against an owner that learns from its own calls only, and against one that
+// was restarted and does not get what the other hosts know.
+func TestSamples(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rows, remote := &membershipTable{}, &recorder{}
+		owner, self := host(rows, "owner"), host(rows, "self")
+		claim(t, owner)
+		self.Apply(rows.rows)
+		self.Contact(9, 0)
+		known := &samples{list: []estimator.Sample{estimator.NewPrefill(100, time.Millisecond)}}
+		p := procurer.New(local{&recorder{}}, remote, self, known)
+		_, err := p.Reserve(t.Context(), engine(), first)
+		is.NoErr(err)
+		is.Equal(len(remote.requests[0].Samples()), 1)
+		is.Equal(len(known.resent), 0)
+		remote.unsure = true
+		_, err = p.Reserve(t.Context(), engine(), first)
+		is.NoErr(err)
+		is.Equal(len(remote.requests[1].Samples()), 0)
+		is.Equal(known.resent, []string{"e1"})
+	})
+}
+
 // claim makes a host the owner of engine e1.
 func claim(t *testing.T, h *enroller.Enroller) {
 	t.Helper()
@@ -120,7 +164,7 @@
 		is := is.New(t)
 		rows, remote := &membershipTable{}, &recorder{err: errors.New("owner does not answer")}
 		owner, self := host(rows, "owner"), host(rows, "self")
-		p := procurer.New(local{&recorder{}}, remote, self)
+		p := procurer.New(local{&recorder{}}, remote, self, &samples{})
 		_, err := p.Reserve(t.Context(), engine(), first)
 		is.True(err != nil)
 		is.Equal(len(remote.requests), 0)
@@ -146,7 +190,7 @@
 		rows, own := &membershipTable{}, &recorder{}
 		self := host(rows, "self")
 		claim(t, self)
-		p := procurer.New(local{own}, &recorder{err: errors.New("remote must not be called")}, self)
+		p := procurer.New(local{own}, &recorder{err: errors.New("remote must not be called")}, self, &samples{})
 		_, err := p.Reserve(t.Context(), engine(), first, supplier.WithMinVersion(3))
 		is.NoErr(err)
 		is.Equal(own.requests[0].MinVersion(), int64(3))
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/exchanger"
-	"github.com/dragonflyford/dragonflyford/tracker"
 )
 
 // Answer is an endpoint's response to a call. Its body must be closed.
@@ -73,18 +72,18 @@
 // it is closed while the stream is stalled.
 type monitoredBody struct {
 	io.ReadCloser
-	endpoint *tracker.Endpoint
-	last     time.Time
-	ended    bool
+	*pace
+	ended bool
 }
 
 func (b *monitoredBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	switch {
-	case errors.Is(err, io.EOF):
+	if n > 0 {
+		b.addPiece()
+	}
+	if errors.Is(err, io.EOF) && !b.ended {
 		b.ended = true
-	case err == nil:
-		b.last = time.Now()
+		b.end()
 	}
 	return n, err
 }
--- a/relayer/callstate.go
+++ b/relayer/callstate.go
@@ -26,6 +26,9 @@
 	// counting those that only have no free turn. Loading the same adapter on more
 	// engines would only slow down the weight store.
 	maxDeclines = 3
+	// maxQueues is the maximum number of engines at which a call looks for a short
+	// queue of loads.
+	maxQueues = 5
 	// minRemaining is the minimum time until the deadline for a call to be sent.
 	minRemaining = 30 * time.Millisecond
 
@@ -39,22 +42,25 @@
 
 // callState is the state of one call while it is forwarded.
 type callState struct {
-	relayer       *Relayer
-	call          *screener.Screened
-	ctx           context.Context
-	sent          map[*tracker.Endpoint]bool // endpoints that count against the route's limit
-	excluded      map[*tracker.Endpoint]bool
-	sends         int
-	resends       int
-	declines      int                     // engines that had no capacity for the model
-	cancelSend    context.CancelCauseFunc // of the latest send
-	missingAt     *tracker.Endpoint       // engine that refused the call because the model is not loaded
-	releaseModel  func()                  // ends the use of the model at the latest endpoint
-	mayHaveRun    bool                    // whether an endpoint may have run the call
-	repeatCounted atomic.Bool             // whether the next send has already been counted against the retry budget
-	lastEventID   string                  // last event of a resumed stream
-	version       int64                   // of the model at the chosen endpoint
-	sentAt        time.Time               // latest send
+	relayer           *Relayer
+	call              *screener.Screened
+	ctx               context.Context
+	sent              map[*tracker.Endpoint]bool // endpoints that count against the route's limit
+	excluded          map[*tracker.Endpoint]bool
+	sends             int
+	resends           int
+	declines          int             // engines that had no capacity for the model
+	shortestQueue     selector.Choice // engine with the shortest queue of loads among those that declined the call
+	shortestQueueWait time.Duration
+	queues            int                     // engines at which the load of the model would have had to wait for others
+	cancelSend        context.CancelCauseFunc // of the latest send
+	missingAt         *tracker.Endpoint       // engine that refused the call because the model is not loaded
+	releaseModel      func()                  // ends the use of the model at the latest endpoint
+	mayHaveRun        bool                    // whether an endpoint may have run the call
+	repeatCounted     atomic.Bool             // whether the next send has already been counted against the retry budget
+	lastEventID       string                  // last event of a resumed stream
+	version           int64                   // of the model at the chosen endpoint
+	sentAt            time.Time               // latest send
 }
 
 // run forwards the call to endpoints until one responds. The outcome of a returned
@@ -74,16 +80,19 @@
 			return nil, err
 		}
 		choice, err := c.choose()
-		if err != nil {
-			if last != nil {
-				return nil, last
-			}
+		if err != nil && last == nil {
 			return nil, classifier.NewUnavailable("no endpoint can take the call", classifier.RetryAfter(c.retryAfter(0)), classifier.Cause(err))
 		}
-		if last = c.reserve(choice); last != nil {
-			if c.declines >= maxDeclines {
+		if err == nil {
+			last = c.reserve(choice)
+		}
+		if last != nil && (err != nil || c.declines >= maxDeclines || c.queues >= maxQueues) {
+			choice, last = c.reserveAtShortestQueue(last)
+			if last != nil {
 				return nil, last
 			}
+		}
+		if last != nil {
 			continue
 		}
 		answer, err := c.attempt(choice)
@@ -132,7 +141,7 @@
 	limit := c.call.Route().MaxAttempts()
 	choice, err := c.relayer.chooser.Choose(c.call.Routed, func(e *tracker.Endpoint) bool {
 		return c.excluded[e] || !c.sent[e] && len(c.sent) >= limit
-	})
+	}, c.shortestQueue.Endpoint() != nil)
 	if err != nil {
 		return choice, fmt.Errorf("choose endpoint: %w", err)
 	}
--- a/relayer/outcome.go
+++ b/relayer/outcome.go
@@ -47,11 +47,14 @@
 
 func (c *callState) deliver(e *tracker.Endpoint, a *exchanger.Answer) *Answer {
 	stream, streaming := c.call.Route().RepeatPolicy().(router.Stream)
+	if streaming && a.Status() == http.StatusOK {
+		c.observePrefill(e, a)
+	}
 	if streaming && stream.Resumable() && a.Status() == http.StatusOK {
 		return newAnswer(a, newResumer(c, e, a), e.ID(), c.sends, true)
 	}
 	if streaming {
-		return newAnswer(a, &monitoredBody{ReadCloser: a.Body(), endpoint: e, last: time.Now()}, e.ID(), c.sends, true)
+		return newAnswer(a, &monitoredBody{ReadCloser: a.Body(), pace: newPace(c, e)}, e.ID(), c.sends, true)
 	}
 	return newAnswer(a, a.Body(), e.ID(), c.sends, false)
 }
--- /dev/null
+++ b/relayer/pace.go
@@ -0,0 +1,65 @@
+package relayer
+
+import (
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/estimator"
+	"github.com/dragonflyford/dragonflyford/exchanger"
+	"github.com/dragonflyford/dragonflyford/tracker"
+)
+
+const (
+	// minPieces is the number of pieces of which an output must consist for its
+	// duration to be measured.
+	minPieces = 3
+	// A pause of nearPause times the acceptable one is nearly too long. One of
+	// maxPause times the acceptable one has another cause than the prompts of other
+	// calls.
+	nearPause = 0.9
+	maxPause  = 3
+)
+
+// observePrefill records how long an engine took to process the call's prompt. An
+// engine with waiting calls may not have started at once, and a resumed stream has
+// another prompt.
+func (c *callState) observePrefill(e *tracker.Endpoint, a *exchanger.Answer) {
+	if c.call.Service().EngineSpec() == nil || c.lastEventID != "" || a.Meta().Waiting() > 0 {
+		return
+	}
+	now := time.Now()
+	took := now.Sub(c.sentAt) - a.RoundTrip()
+	c.relayer.speeds.Observe(e.ID(), e.Service(), estimator.NewPrefill(c.call.PromptTokens(), took), now)
+}
+
+// pace measures the pauses of a stream from one engine.
+type pace struct {
+	call        *callState
+	endpoint    *tracker.Endpoint
+	first, last time.Time
+	pieces      int
+	longest     time.Duration // between two pieces
+}
+
+func newPace(c *callState, e *tracker.Endpoint) *pace {
+	now := time.Now()
+	return &pace{call: c, endpoint: e, first: now, last: now}
+}
+
+// addPiece records the arrival of a piece.
+func (p *pace) addPiece() {
+	now := time.Now()
+	p.longest = max(p.longest, now.Sub(p.last))
+	p.last = now
+	p.pieces++
+}
+
+// end records the complete output as a sample of the engine's speed.
+func (p *pace) end() {
+	if p.call.call.Service().EngineSpec() == nil || p.pieces < minPieces {
+		return
+	}
+	aim := p.call.call.Route().PauseAim()
+	paused := aim > 0 && float64(p.longest) > nearPause*float64(aim) && p.longest < maxPause*aim
+	p.call.relayer.speeds.Observe(p.endpoint.ID(), p.endpoint.Service(),
+		estimator.NewGeneration(p.call.call.ExpectedOutputTokens(), p.last.Sub(p.first), paused), p.last)
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/estimator"
 	"github.com/dragonflyford/dragonflyford/exchanger"
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/router"
@@ -29,9 +30,10 @@
 }
 
 // Chooser chooses the endpoint for a call. It skips endpoints for which avoid
-// returns true.
+// returns true. If loadsQueued is true, an engine that holds the call's model is
+// preferred, because loads of it would have to wait.
 type Chooser interface {
-	Choose(r *router.Routed, avoid func(*tracker.Endpoint) bool) (selector.Choice, error)
+	Choose(r *router.Routed, avoid func(*tracker.Endpoint) bool, loadsQueued bool) (selector.Choice, error)
 	// Usable reports whether an endpoint that was chosen earlier may still receive
 	// new calls.
 	Usable(e *tracker.Endpoint) bool
@@ -48,6 +50,11 @@
 	RecordCrash(m screener.Mark)
 }
 
+// SpeedObserver receives what calls show of the speed of engines.
+type SpeedObserver interface {
+	Observe(engine, service string, s estimator.Sample, now time.Time)
+}
+
 // Relayer is the last stage of the request pipeline. It is safe for concurrent use.
 type Relayer struct {
 	chooser   Chooser
@@ -55,14 +62,15 @@
 	exchanger Exchanger
 	budget    RetryBudget
 	breaks    BreakObserver
+	speeds    SpeedObserver
 	hostCount func() int
 	log       *logger.Logger
 }
 
 // New returns a relayer. hostCount returns the number of hosts that share the
 // connections that an endpoint accepts.
-func New(c Chooser, p Procurer, x Exchanger, budget RetryBudget, breaks BreakObserver, hostCount func() int, log *logger.Logger) *Relayer {
-	return &Relayer{chooser: c, procurer: p, exchanger: x, budget: budget, breaks: breaks, hostCount: hostCount, log: log.Component("relayer")}
+func New(c Chooser, p Procurer, x Exchanger, budget RetryBudget, breaks BreakObserver, speeds SpeedObserver, hostCount func() int, log *logger.Logger) *Relayer {
+	return &Relayer{chooser: c, procurer: p, exchanger: x, budget: budget, breaks: breaks, speeds: speeds, hostCount: hostCount, log: log.Component("relayer")}
 }
 
 var errSlowEndpoint = eris.New("endpoint did not respond within the send timeout")
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -16,6 +18,7 @@
 
 	"github.com/dragonflyford/dragonflyford/classifier"
 	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/estimator"
 	"github.com/dragonflyford/dragonflyford/exchanger"
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/relayer"
@@ -79,6 +82,17 @@
 	}
 }
 
+// inPieces makes the body of an answer arrive in many pieces.
+func inPieces(f endpointFunc) endpointFunc {
+	return func(ctx context.Context, out *exchanger.Outbound) (*exchanger.Answer, error) {
+		a, err := f(ctx, out)
+		if err != nil {
+			return nil, err
+		}
+		return answer(a.Status(), out, false, iotest.OneByteReader(a.Body()), -1), nil
+	}
+}
+
 type failing struct{ err error }
 
 func (f failing) Read([]byte) (int, error) {
@@ -102,6 +116,7 @@
 	responses    []supplier.ReserveResponse
 	reservations int
 	reserved     []*tracker.Endpoint
+	samples      []estimator.Sample
 }
 
 func newHarness(script map[string][]endpointFunc) *harness {
@@ -110,7 +125,7 @@
 		r.fleet.Upsert(tracker.NewEntry(id, "svc", "1.1.1.1:1", "z", 8, false, 1,
 			map[connector.Model]int64{connector.NewModel("base", "", ""): 1}))
 	}
-	r.Relayer = relayer.New(selector.New(r.fleet, "z", ""), r, r, r, r, func() int { return 1 }, logger.Nop())
+	r.Relayer = relayer.New(selector.New(r.fleet, "z", ""), r, r, r, r, r, func() int { return 1 }, logger.Nop())
 	return r
 }
 
@@ -142,7 +157,10 @@
 
 func (r *harness) Use(string, connector.Model) func() { return func() {} }
 func (r *harness) RecordRequest(string)               {}
-func (r *harness) RecordCrash(screener.Mark)          { r.breaks++ }
+func (r *harness) Observe(_, _ string, s estimator.Sample, _ time.Time) {
+	r.samples = append(r.samples, s)
+}
+func (r *harness) RecordCrash(screener.Mark) { r.breaks++ }
 
 func (r *harness) AllowRepeat(string) bool {
 	if r.repeats >= r.budget {
@@ -290,6 +308,103 @@
 	}
 }
 
+// Guards against a call that is refused, or waits for long, at the first engine whose
+// loads are queued, against one that waits for longer than it can be worth, and
+// against one that cannot ask again where its load turned out to be late.
+func TestQueuedLoads(t *testing.T) {
+	queued := func(wait time.Duration) supplier.ReserveResponse { return supplier.NewLoadsQueued(wait) }
+	long, short, granted := queued(900*time.Millisecond), queued(300*time.Millisecond), supplier.NewGranted(1, 0)
+	tests := []struct {
+		name      string
+		responses []supplier.ReserveResponse
+		asked     int
+		again     int // index of the first request for the engine that the last one names
+		fails     bool
+	}{
+		{"second engine is free", []supplier.ReserveResponse{long, granted}, 2, 1, false},
+		{"shortest queue of five", []supplier.ReserveResponse{long, long, short, long, long, granted}, 6, 2, false},
+		{"all queues too long", []supplier.ReserveResponse{queued(3 * time.Second), queued(2 * time.Second), queued(2 * time.Second), queued(2 * time.Second), queued(2 * time.Second)}, 5, 4, true},
+		{"queue grew meanwhile", []supplier.ReserveResponse{short, long, long, long, long, long}, 6, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				script := make(map[string][]endpointFunc)
+				for i := range 7 {
+					script[fmt.Sprint("e", i)] = []endpointFunc{answers(200, "ok")}
+				}
+				r := newHarness(script)
+				r.responses = tt.responses
+				a, err := r.Apply(t.Context(), screenedCall(t, router.NewStream(false), 2, connector.NewModel("base", "a1", "")))
+				is.Equal(len(r.reserved), tt.asked)
+				is.Equal(slices.Index(r.reserved, r.reserved[len(r.reserved)-1]), tt.again)
+				is.Equal(err != nil, tt.fails)
+				if err != nil {
+					is.Equal(classifier.Of(err).Outcome(), classifier.NotRun{})
+					is.True(classifier.Of(err).RetryAfter() >= 250*time.Millisecond)
+					return
+				}
+				is.NoErr(a.Body().Close())
+			})
+		})
+	}
+	t.Run("load is late", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			r := newHarness(map[string][]endpointFunc{"e1": {refuses(421), refuses(421), answers(200, "ok")}})
+			r.responses = []supplier.ReserveResponse{short, granted, granted, granted}
+			a, err := r.Apply(t.Context(), screenedCall(t, router.NewStream(false), 2, connector.NewModel("base", "a1", "")))
+			is.NoErr(err)
+			is.NoErr(a.Body().Close())
+			is.Equal(len(r.sent), 3)
+		})
+	})
+}
+
+// Guards against speeds that are learned from calls which do not show them: resumed
+// streams, refusals, and outputs of which only a part arrived.
+func TestSpeedSamples(t *testing.T) {
+	m := connector.NewModel("base", "a1", "")
+	tests := []struct {
+		name                  string
+		script                []endpointFunc
+		prefills, generations int
+	}{
+		{"complete", []endpointFunc{inPieces(streams(0, 5, nil))}, 1, 1},
+		{"refused first", []endpointFunc{refuses(421), inPieces(streams(0, 5, nil))}, 1, 1},
+		{"failed", []endpointFunc{answers(500, "no")}, 0, 0},
+		{"broken", []endpointFunc{inPieces(streams(0, 5, errReset))}, 1, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newHarness(map[string][]endpointFunc{"e1": tt.script})
+				a, err := r.Apply(t.Context(), screenedCall(t, router.NewStream(true), 1, m))
+				is.NoErr(err)
+				buf := make([]byte, 24) // an event or two
+				for err == nil {
+					time.Sleep(10 * time.Millisecond)
+					_, err = a.Body().Read(buf)
+				}
+				is.NoErr(a.Body().Close())
+				prefills, generations := 0, 0
+				for _, s := range r.samples {
+					switch s.(type) {
+					case estimator.Prefill:
+						prefills++
+					case estimator.Generation:
+						generations++
+					}
+				}
+				is.Equal(prefills, tt.prefills)
+				is.Equal(generations, tt.generations)
+			})
+		})
+	}
+}
+
 // Guards against resending a call whose caller has canceled it.
 func TestCallerLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/relayer/reserve.go
+++ b/relayer/reserve.go
@@ -18,6 +18,14 @@
 	turnStep     = 0.1
 	minTurnShare = 0.15
 
+	// firstLoadShare is how long a call may wait behind loads of other models at the
+	// first engines that it asks, as a share of the route's objective. Another engine
+	// is probably faster.
+	firstLoadShare = 0.4
+	// If all of them have loads queued, the call may wait at the one with the shortest
+	// queue for the objective, or for a tenth of its remaining time if that is longer.
+	loadPatience = 0.1
+
 	// maxFullTime is the maximum time that an engine which declined a call counts as
 	// full.
 	maxFullTime = 400 * time.Millisecond
@@ -28,13 +36,33 @@
 // reserve reserves capacity for the call on an engine. A fault means that the call
 // cannot be sent to this engine.
 func (c *callState) reserve(choice selector.Choice) error {
+	return c.reserveWithin(choice, time.Duration(firstLoadShare*float64(c.call.Route().Objective())), false)
+}
+
+// reserveAtShortestQueue reserves capacity for a call that engines declined because of
+// queued loads, at the one with the shortest queue. It returns declined if there is
+// none.
+func (c *callState) reserveAtShortestQueue(declined error) (selector.Choice, error) {
+	choice, wait := c.shortestQueue, c.shortestQueueWait
+	if choice.Endpoint() == nil {
+		return choice, declined
+	}
+	c.shortestQueue = selector.Choice{}
+	patience := max(c.call.Route().Objective(), time.Duration(loadPatience*float64(c.call.Remaining())))
+	if wait > patience {
+		return choice, classifier.NewOverloaded("too many adapters are on their way", classifier.RetryAfter(c.retryAfter(wait)))
+	}
+	return choice, c.reserveWithin(choice, patience, true)
+}
+
+func (c *callState) reserveWithin(choice selector.Choice, maxLoadWait time.Duration, lastResort bool) error {
 	e, m := choice.Endpoint(), c.call.Model()
 	if m.Base() == "" || c.call.Service().EngineSpec() == nil {
 		return nil
 	}
 	began := time.Now()
 	response, err := c.relayer.procurer.Reserve(c.ctx, e, m, supplier.WithMinVersion(choice.MinVersion()), supplier.WithModelMissing(c.missingAt == e),
-		supplier.WithSize(c.call.PromptTokens(), c.call.ExpectedOutputTokens(), c.maxTurnWait()))
+		supplier.WithSize(c.call.PromptTokens(), c.call.ExpectedOutputTokens(), c.maxTurnWait()), supplier.WithMaxLoadWait(maxLoadWait), supplier.WithLastResort(lastResort))
 	c.logReservation(choice, response, err, time.Since(began))
 	switch s := response.(type) {
 	case supplier.Granted:
@@ -46,16 +74,11 @@
 			return classifier.NewUnavailable("the engine left before the call's turn", classifier.RetryAfter(c.retryAfter(0)))
 		}
 		c.version = s.Version()
+		delete(c.excluded, e) // the call may ask again if the load is late
 		e.Observe(m, s.Version(), true)
 		return nil
 	case supplier.Declined:
-		c.excluded[e] = true
-		if s.Full() {
-			// Following calls skip the engine without requesting a reservation.
-			e.Declined(min(s.Wait(), maxFullTime))
-		} else {
-			c.declines++
-		}
+		c.recordDecline(choice, s)
 		return classifier.NewOverloaded("the engine has no place: "+s.Reason(), classifier.RetryAfter(c.retryAfter(s.Wait())))
 	}
 	if choice.ModelLoaded() && c.missingAt != e {
@@ -68,6 +91,24 @@
 		classifier.RetryAfter(c.retryAfter(retryNoOwner)), classifier.Cause(err))
 }
 
+// recordDecline records that an engine declined the call.
+func (c *callState) recordDecline(choice selector.Choice, d supplier.Declined) {
+	e := choice.Endpoint()
+	c.excluded[e] = true
+	switch {
+	case d.Full():
+		// Following calls skip the engine without requesting a reservation.
+		e.Declined(min(d.Wait(), maxFullTime))
+	case d.LoadsQueued():
+		c.queues++
+		if c.shortestQueue.Endpoint() == nil || d.Wait() < c.shortestQueueWait {
+			c.shortestQueue, c.shortestQueueWait = choice, d.Wait()
+		}
+	default:
+		c.declines++
+	}
+}
+
 // maxTurnWait returns how long the call may wait for its turn at an engine. Less
 // urgent calls may wait less, so that they are declined first under load.
 func (c *callState) maxTurnWait() time.Duration {
--- a/relayer/resumer.go
+++ b/relayer/resumer.go
@@ -34,10 +34,11 @@
 	events   []byte // complete events
 	partial  []byte // beginning of an incomplete event
 	lastID   int64  // id of the last event in or before events
+	pace     *pace  // of the first endpoint; nil once the stream was resumed
 }
 
 func newResumer(c *callState, e *tracker.Endpoint, a *exchanger.Answer) *resumer {
-	r := &resumer{call: c, endpoint: e, current: a, lastID: -1}
+	r := &resumer{call: c, endpoint: e, current: a, lastID: -1, pace: newPace(c, e)}
 	if first, err := strconv.ParseInt(c.lastEventID, 10, 64); err == nil {
 		r.lastID = first
 	}
@@ -61,6 +62,9 @@
 func (r *resumer) fill() error {
 	buf := make([]byte, eventBuffer)
 	n, err := r.current.Body().Read(buf)
+	if n > 0 && r.pace != nil {
+		r.pace.addPiece()
+	}
 	r.split(buf[:n])
 	switch {
 	case err == nil, len(r.events) > 0 && !errors.Is(err, io.EOF):
@@ -76,6 +80,10 @@
 		if len(r.events) > 0 {
 			return nil
 		}
+		if r.pace != nil {
+			r.pace.end()
+			r.pace = nil
+		}
 		return io.EOF
 	default:
 		return r.resume(err)
@@ -121,7 +129,7 @@
 func (r *resumer) resume(cause error) error {
 	c := r.call
 	_ = r.current.Body().Close()
-	r.partial = nil
+	r.partial, r.pace = nil, nil
 	if c.ctx.Err() != nil {
 		return context.Cause(c.ctx)
 	}
--- a/router/table.go
+++ b/router/table.go
@@ -51,14 +51,25 @@
 	priority     int
 	maxAttempts  int
 	targets      []Target
+	pauseAim     time.Duration
 }
 
+// RouteOption sets an optional property of a Route.
+type RouteOption func(*Route)
+
+// WithPauseAim sets the longest acceptable pause between two events of a stream.
+func WithPauseAim(d time.Duration) RouteOption { return func(r *Route) { r.pauseAim = d } }
+
 // NewRoute returns a route. Priority 0 is the most urgent.
-func NewRoute(name, host, prefix string, r RepeatPolicy, timeout, objective time.Duration, priority, maxAttempts int, targets []Target) *Route {
-	return &Route{
+func NewRoute(name, host, prefix string, r RepeatPolicy, timeout, objective time.Duration, priority, maxAttempts int, targets []Target, opts ...RouteOption) *Route {
+	route := &Route{
 		name: name, host: host, prefix: prefix, repeatPolicy: r, timeout: timeout, objective: objective,
 		priority: priority, maxAttempts: max(maxAttempts, 1), targets: targets,
 	}
+	for _, opt := range opts {
+		opt(route)
+	}
+	return route
 }
 
 // Name returns the route's name.
@@ -80,6 +91,10 @@
 // MaxAttempts returns the maximum number of endpoints that a call may be sent to.
 func (r *Route) MaxAttempts() int { return r.maxAttempts }
 
+// PauseAim returns the longest acceptable pause between two events of a stream, or 0
+// if the route sets none.
+func (r *Route) PauseAim() time.Duration { return r.pauseAim }
+
 // service returns the name of the target service for a call with the given hash,
 // by weight, or "" if the route has no targets.
 func (r *Route) service(hash uint64) string {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -45,6 +45,8 @@
 	// store costs as much as the cross-region traffic of a dozen calls, and all hosts
 	// of the region contribute to that dozen.
 	maxRemoteCalls = 4
+	// remoteWindow is the time over which the calls are counted.
+	remoteWindow = 30 * time.Second
 
 	retryWhenFull   = 400 * time.Millisecond
 	retryNoEndpoint = 500 * time.Millisecond
@@ -73,17 +75,26 @@
 	endpoints   *tracker.Tracker
 	dataCentre  string
 	region      string
-	remoteCalls sync.Map // connector.Model → *atomic.Int32, calls sent to another region
+	remoteCalls atomic.Pointer[remoteCalls]
+}
+
+// remoteCalls counts the calls of one remoteWindow that were sent to another region.
+type remoteCalls struct {
+	since   time.Time
+	byModel sync.Map // connector.Model → *atomic.Int32
 }
 
 // New returns a selector for a host in a data centre and region.
 func New(endpoints *tracker.Tracker, dataCentre, region string) *Selector {
-	return &Selector{endpoints: endpoints, dataCentre: dataCentre, region: region}
+	s := &Selector{endpoints: endpoints, dataCentre: dataCentre, region: region}
+	s.remoteCalls.Store(&remoteCalls{since: time.Now()})
+	return s
 }
 
 // Choose returns the endpoint for a call, or a fault. It skips endpoints for which
-// avoid returns true.
-func (s *Selector) Choose(r *router.Routed, avoid func(*tracker.Endpoint) bool) (Choice, error) {
+// avoid returns true. If loadsQueued is true, a load of the call's model would have to
+// wait for others, and an engine that holds it is preferred in whatever region.
+func (s *Selector) Choose(r *router.Routed, avoid func(*tracker.Endpoint) bool, loadsQueued bool) (Choice, error) {
 	snapshot := s.endpoints.Current()
 	now := time.Now()
 	usable := available(snapshot.Usable(r.Service().Name()), avoid, now)
@@ -93,7 +104,7 @@
 	if r.Service().EngineSpec() == nil || r.Model().Base() == "" {
 		return s.choosePlain(usable, now)
 	}
-	return s.chooseEngine(snapshot, r.Model(), usable, now)
+	return s.chooseEngine(snapshot, r.Model(), usable, loadsQueued, now)
 }
 
 // Usable reports whether an endpoint that was chosen earlier may still receive new
@@ -164,7 +175,7 @@
 	cached   bool
 }
 
-func (s *Selector) chooseEngine(snapshot *tracker.Snapshot, m connector.Model, list []*tracker.Endpoint, now time.Time) (Choice, error) {
+func (s *Selector) chooseEngine(snapshot *tracker.Snapshot, m connector.Model, list []*tracker.Endpoint, loadsQueued bool, now time.Time) (Choice, error) {
 	minVersion := snapshot.NamedVersion(m)
 	seed := xxhash.Sum64String(m.Base() + "/" + m.Adapter())
 	candidates := make([]candidate, 0, len(list))
@@ -190,7 +201,7 @@
 		return Choice{}, overloaded(withBase)
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.hash, a.hash) })
-	best := s.pick(candidates, m)
+	best := s.pick(candidates, m, loadsQueued, now)
 	return Choice{endpoint: best.endpoint, minVersion: minVersion, modelLoaded: best.loaded}, nil
 }
 
@@ -198,12 +209,12 @@
 // the host's own region that has the model loaded or can load it fast, else such
 // an engine in another region, else the first one in the own region. It skips
 // engines that are much busier than the least busy one.
-func (s *Selector) pick(candidates []candidate, m connector.Model) candidate {
+func (s *Selector) pick(candidates []candidate, m connector.Model, loadsQueued bool, now time.Time) candidate {
 	local, remote := leastBusy(candidates, false), leastBusy(candidates, true)
 	if c, ok := preferLoaded(local, candidate.loadsFast); ok {
 		return c
 	}
-	if c, ok := preferLoaded(remote, candidate.loadsFast); ok && (len(local) == 0 || s.allowRemote(m)) {
+	if c, ok := preferLoaded(remote, candidate.loadsFast); ok && (len(local) == 0 || loadsQueued || s.allowRemote(m, now)) {
 		return c
 	}
 	if len(local) > 0 {
@@ -214,10 +225,17 @@
 
 // allowRemote counts a call for a model that is about to go to another region, and
 // reports whether the limit on such calls permits it.
-func (s *Selector) allowRemote(m connector.Model) bool {
-	n, ok := s.remoteCalls.Load(m)
+func (s *Selector) allowRemote(m connector.Model, now time.Time) bool {
+	calls := s.remoteCalls.Load()
+	if now.Sub(calls.since) > remoteWindow {
+		next := &remoteCalls{since: now}
+		if s.remoteCalls.CompareAndSwap(calls, next) {
+			calls = next
+		}
+	}
+	n, ok := calls.byModel.Load(m)
 	if !ok {
-		n, _ = s.remoteCalls.LoadOrStore(m, &atomic.Int32{})
+		n, _ = calls.byModel.LoadOrStore(m, &atomic.Int32{})
 	}
 	return n.(*atomic.Int32).Add(1) <= maxRemoteCalls
 }
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -97,7 +98,7 @@
 			is := is.New(t)
 			f := tracker.New(regions)
 			tt.setup(f)
-			got, err := selector.New(f, "z1", "r1").Choose(routeCall(t, true, adapter), avoidNone)
+			got, err := selector.New(f, "z1", "r1").Choose(routeCall(t, true, adapter), avoidNone, false)
 			is.NoErr(err)
 			is.Equal(got.Endpoint().ID(), tt.want)
 			is.Equal(got.ModelLoaded(), tt.loaded)
@@ -115,13 +116,51 @@
 	s := selector.New(f, "z1", "r1")
 	last := ""
 	for range 10 {
-		got, err := s.Choose(routeCall(t, true, adapter), avoidNone)
+		got, err := s.Choose(routeCall(t, true, adapter), avoidNone, false)
 		is.NoErr(err)
 		last = got.Endpoint().ID()
 	}
 	is.Equal(last, "near")
 }
 
+// Guards against a count of calls to another region that is kept for ever, so that an
+// adapter that is asked for now and then is loaded in each region in the end.
+func TestRemoteCallsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := tracker.New(regions)
+		addEndpoint(f, "near", "z1")
+		addEndpoint(f, "far", "z3", adapter)
+		s := selector.New(f, "z1", "r1")
+		for range 10 {
+			got, err := s.Choose(routeCall(t, true, adapter), avoidNone, false)
+			is.NoErr(err)
+			is.Equal(got.Endpoint().ID(), "far")
+			time.Sleep(20 * time.Second)
+		}
+	})
+}
+
+// Guards against a call that waits behind the loads of other models, or is refused,
+// although an engine of another region holds its model.
+func TestHolderElsewhereWhileLoadsAreQueued(t *testing.T) {
+	is := is.New(t)
+	f := tracker.New(regions)
+	addEndpoint(f, "near", "z1")
+	addEndpoint(f, "far", "z3", adapter)
+	s := selector.New(f, "z1", "r1")
+	for range 10 {
+		got, err := s.Choose(routeCall(t, true, adapter), avoidNone, true)
+		is.NoErr(err)
+		is.Equal(got.Endpoint().ID(), "far")
+		is.True(s.Usable(got.Endpoint()))
+	}
+	f.Remove(0, "far")
+	got, err := s.Choose(routeCall(t, true, adapter), avoidNone, true)
+	is.NoErr(err)
+	is.Equal(got.Endpoint().ID(), "near")
+}
+
 // Guards against a rendezvous hash that places most adapters on one engine.
 func TestAdaptersSpreadOverEngines(t *testing.T) {
 	is := is.New(t)
@@ -132,7 +171,7 @@
 	s := selector.New(f, "z1", "r1")
 	count := make(map[string]int)
 	for i := range 400 {
-		got, err := s.Choose(routeCall(t, true, connector.NewModel("base", fmt.Sprint("a", i), "")), avoidNone)
+		got, err := s.Choose(routeCall(t, true, connector.NewModel("base", fmt.Sprint("a", i), "")), avoidNone, false)
 		is.NoErr(err)
 		count[got.Endpoint().ID()]++
 	}
@@ -148,7 +187,7 @@
 	is := is.New(t)
 	f := tracker.New(regions)
 	s := selector.New(f, "z1", "r1")
-	_, err := s.Choose(routeCall(t, true, adapter), avoidNone)
+	_, err := s.Choose(routeCall(t, true, adapter), avoidNone, false)
 	var unavailable *classifier.Unavailable
 	is.True(errors.As(err, &unavailable))
 	e := addEndpoint(f, "e", "z1", adapter)
@@ -156,7 +195,7 @@
 		e.Begin()
 	}
 	for _, engines := range []bool{true, false} {
-		_, err = s.Choose(routeCall(t, engines, adapter), avoidNone)
+		_, err = s.Choose(routeCall(t, engines, adapter), avoidNone, false)
 		var full *classifier.Overloaded
 		is.True(errors.As(err, &full))
 		is.True(full.RetryAfter() > 0)
@@ -171,7 +210,7 @@
 	near, far := addEndpoint(f, "near", "z1"), addEndpoint(f, "far", "z3")
 	s := selector.New(f, "z1", "r1")
 	choose := func() string {
-		got, err := s.Choose(routeCall(t, false, connector.Model{}), avoidNone)
+		got, err := s.Choose(routeCall(t, false, connector.Model{}), avoidNone, false)
 		is.NoErr(err)
 		return got.Endpoint().ID()
 	}
--- a/supplier/load.go
+++ b/supplier/load.go
@@ -8,12 +8,11 @@
 
 const (
 	maxLoadAttempts = 2
-	// maxLoadQueueTime is how long a load may be queued behind others.
-	maxLoadQueueTime = 900 * time.Millisecond
+	// divertedTime is how long an adapter whose load was declined counts as loaded on
+	// another engine. After it, all hosts know where it is from the engines' entries.
+	divertedTime = 3 * time.Second
 	// minIdleTime is how long an adapter must be unused before it is evicted.
 	minIdleTime = time.Second
-	// warmLoadTime is the expected time of a load from the cache of the engine's host.
-	warmLoadTime = 35 * time.Millisecond
 	// lateLoadTime is the expected remaining time of a load that is late.
 	lateLoadTime = 150 * time.Millisecond
 	// maxLoadTime is the time after which a load counts as failed.
@@ -26,11 +25,15 @@
 // scheduleLoad loads an adapter at once or queues its load behind others.
 func (w *engineWorker) scheduleLoad(ctx context.Context, req ReserveRequest) ReserveResponse {
 	now := time.Now()
+	if at, ok := w.state.divertedAt[req.model]; ok && now.Sub(at) < divertedTime && !req.lastResort {
+		return NewLoadsQueued(w.loadWait(len(w.queue)))
+	}
+	delete(w.state.divertedAt, req.model)
 	position := slices.IndexFunc(w.queue, func(q ReserveRequest) bool { return q.model == req.model })
 	switch {
 	case position >= 0:
 		w.queue[position].minVersion = max(w.queue[position].minVersion, req.minVersion)
-	case len(w.queue) == 0 && w.canStartLoad(req.model):
+	case (len(w.queue) == 0 || w.state.warm(req.model)) && w.canStartLoad(req.model):
 		version, expected, refusal := w.load(ctx, req)
 		if refusal != "" {
 			return NewDeclined(refusal, retryDeclined)
@@ -39,19 +42,27 @@
 	default:
 		position = len(w.queue)
 	}
-	wait := time.Duration(position+1) * w.supplier.loads.duration()
-	if due, ok := w.state.nextDue(); ok {
-		wait += max(time.Until(due), 0)
-	}
+	wait := w.loadWait(position)
 	if position == len(w.queue) {
-		if wait > maxLoadQueueTime {
-			return NewDeclined("too many adapters are on their way", wait)
+		if wait > req.maxLoadWait {
+			w.state.divertedAt[req.model] = now
+			return NewLoadsQueued(wait)
 		}
 		w.queue = append(w.queue, req)
 	}
 	return w.reserve(req, max(req.minVersion, w.supplier.fleet.Current().NamedVersion(req.model)), now, now.Add(wait))
 }
 
+// loadWait returns the expected time until the load at a position of the queue has
+// ended.
+func (w *engineWorker) loadWait(position int) time.Duration {
+	wait := time.Duration(position+1) * w.supplier.loads.Cold()
+	if due, ok := w.state.nextDue(); ok {
+		wait += max(time.Until(due), 0)
+	}
+	return wait
+}
+
 // makeRoom evicts idle adapters until an adapter slot is free, and reports whether
 // one is.
 func (w *engineWorker) makeRoom(ctx context.Context, base string) bool {
@@ -94,9 +105,9 @@
 			return 0, 0, "all places are in use"
 		}
 		cold := replacing || !w.state.warm(req.model)
-		expected = warmLoadTime
+		expected = w.supplier.loads.Warm()
 		if cold {
-			expected = w.supplier.loads.duration()
+			expected = w.supplier.loads.Cold()
 		}
 		w.state.uncertain[req.model] = true
 		result := w.order(ctx, loadOrder(req.model, named))
@@ -108,7 +119,7 @@
 		case Accepted:
 			w.state.loading[req.model] = pendingLoad{version: named, due: now.Add(expected), cold: cold}
 			w.state.loadAcceptedAt[req.model] = now
-			w.supplier.loads.decay()
+			w.supplier.loads.Accepted()
 			return named, expected, ""
 		case InForce:
 			w.state.resident[req.model] = named
--- a/supplier/message.go
+++ b/supplier/message.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/estimator"
 	"github.com/dragonflyford/dragonflyford/tracker"
 )
 
@@ -20,7 +21,10 @@
 	promptTokens         int
 	expectedOutputTokens int
 	maxWait              time.Duration
+	maxLoadWait          time.Duration
+	lastResort           bool
 	modelsInUse          []connector.Model
+	samples              []estimator.Sample
 }
 
 // ReserveOption sets an optional property of a ReserveRequest.
@@ -45,12 +49,28 @@
 	}
 }
 
+// WithMaxLoadWait sets how long the call may wait for the load of its model if other
+// loads of the engine come first. With 0, it is declined unless the load can start at
+// once.
+func WithMaxLoadWait(d time.Duration) ReserveOption {
+	return func(r *ReserveRequest) { r.maxLoadWait = d }
+}
+
+// WithLastResort marks a request after other engines have declined the call, too.
+func WithLastResort(last bool) ReserveOption { return func(r *ReserveRequest) { r.lastResort = last } }
+
 // WithModelsInUse lists the models that running calls of the requesting host use
 // on the engine.
 func WithModelsInUse(models []connector.Model) ReserveOption {
 	return func(r *ReserveRequest) { r.modelsInUse = models }
 }
 
+// WithSamples adds observations of earlier calls of the requesting host at the
+// engine.
+func WithSamples(samples []estimator.Sample) ReserveOption {
+	return func(r *ReserveRequest) { r.samples = samples }
+}
+
 // NewReserveRequest returns a request for capacity on an engine.
 func NewReserveRequest(engine string, m connector.Model, opts ...ReserveOption) ReserveRequest {
 	r := ReserveRequest{engine: engine, model: m}
@@ -82,10 +102,20 @@
 // MaxWait returns how long the call may wait to be sent once its model is loaded.
 func (r ReserveRequest) MaxWait() time.Duration { return r.maxWait }
 
+// MaxLoadWait returns how long the call may wait for the load of its model if other
+// loads of the engine come first.
+func (r ReserveRequest) MaxLoadWait() time.Duration { return r.maxLoadWait }
+
+// LastResort reports whether other engines have declined the call, too.
+func (r ReserveRequest) LastResort() bool { return r.lastResort }
+
 // ModelsInUse returns the models that running calls of the requesting host use
 // on the engine.
 func (r ReserveRequest) ModelsInUse() []connector.Model { return r.modelsInUse }
 
+// Samples returns observations of earlier calls of the requesting host at the engine.
+func (r ReserveRequest) Samples() []estimator.Sample { return r.samples }
+
 // ReserveResponse answers a ReserveRequest: Granted, Declined or NotOwner.
 type ReserveResponse interface{ reserveResponse() }
 
@@ -93,6 +123,7 @@
 type Granted struct {
 	version int64
 	wait    time.Duration
+	unsure  bool
 }
 
 // NewGranted returns a response that allows the call to be sent after wait, when
@@ -101,6 +132,16 @@
 	return Granted{version: version, wait: wait}
 }
 
+// AsUnsure returns the response of an owner that has too few samples of the engine.
+func (g Granted) AsUnsure() Granted {
+	g.unsure = true
+	return g
+}
+
+// Unsure reports whether the owner has too few samples of the engine and asks for
+// those that the requesting host keeps.
+func (g Granted) Unsure() bool { return g.unsure }
+
 // Version returns the version that the engine holds after the wait.
 func (g Granted) Version() int64 { return g.version }
 
@@ -112,6 +153,7 @@
 	reason string
 	wait   time.Duration
 	full   bool
+	loads  bool
 }
 
 // NewDeclined returns a refusal with its reason and the time until a retry.
@@ -125,6 +167,16 @@
 	return Declined{reason: "engine has too many calls", wait: wait, full: true}
 }
 
+// NewLoadsQueued returns a refusal because loads of other models come first, with the
+// time until the call's model would be loaded.
+func NewLoadsQueued(wait time.Duration) Declined {
+	return Declined{reason: "too many adapters are on their way", wait: wait, loads: true}
+}
+
+// LoadsQueued reports whether the call was declined only because it would have waited
+// too long for loads of other models.
+func (d Declined) LoadsQueued() bool { return d.loads }
+
 // Full reports whether the engine has no capacity for any call.
 func (d Declined) Full() bool { return d.full }
 
--- a/supplier/state.go
+++ b/supplier/state.go
@@ -28,6 +28,7 @@
 	lastResident   map[connector.Model]time.Time // time at which a model was last seen on the engine
 	loadAcceptedAt map[connector.Model]time.Time
 	unloadedAt     map[connector.Model]time.Time // time at which an unload took effect
+	divertedAt     map[connector.Model]time.Time // time at which a load was declined in favour of another engine
 }
 
 func newEngineState() *engineState {
@@ -40,6 +41,7 @@
 		lastResident:   make(map[connector.Model]time.Time),
 		loadAcceptedAt: make(map[connector.Model]time.Time),
 		unloadedAt:     make(map[connector.Model]time.Time),
+		divertedAt:     make(map[connector.Model]time.Time),
 	}
 }
 
@@ -91,6 +93,7 @@
 	old := func(_ connector.Model, at time.Time) bool { return now.Sub(at) > retention }
 	maps.DeleteFunc(s.loadAcceptedAt, old)
 	maps.DeleteFunc(s.unloadedAt, old)
+	maps.DeleteFunc(s.divertedAt, old)
 	maps.DeleteFunc(s.lastUsed, func(m connector.Model, at time.Time) bool {
 		_, resident := s.resident[m]
 		return !resident && old(m, at)
--- a/supplier/supplier.go
+++ b/supplier/supplier.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/estimator"
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/tracker"
@@ -22,7 +23,8 @@
 	engineSpec EngineSpecs
 	fleet      *tracker.Tracker
 	log        *logger.Logger
-	loads      loadEstimator
+	speeds     *estimator.Estimator
+	loads      *estimator.Loads
 
 	mu      sync.Mutex
 	workers map[*tracker.Endpoint]*engineWorker
@@ -32,10 +34,10 @@
 }
 
 // New returns a supplier. The caller must call Close.
-func New(engines Engines, leases Leases, engineSpec EngineSpecs, fleet *tracker.Tracker, log *logger.Logger) *Supplier {
+func New(engines Engines, leases Leases, engineSpec EngineSpecs, fleet *tracker.Tracker, speeds *estimator.Estimator, loads *estimator.Loads, log *logger.Logger) *Supplier {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Supplier{
-		engines: engines, leases: leases, engineSpec: engineSpec, fleet: fleet, log: log.Component("supplier"),
+		engines: engines, leases: leases, engineSpec: engineSpec, fleet: fleet, speeds: speeds, loads: loads, log: log.Component("supplier"),
 		workers: make(map[*tracker.Endpoint]*engineWorker), ctx: ctx, cancel: cancel,
 	}
 }
@@ -56,6 +58,7 @@
 	if e == nil {
 		return NewDeclined("engine is not known", retryNotOwner)
 	}
+	s.speeds.Learn(e.ID(), e.Service(), req.samples, time.Now())
 	_, _, owns := s.leases.Lease(req.engine)
 	// Scheduling a call needs no order: a host that is about to stop, or whose lease
 	// has expired, still schedules calls for the models that the engine holds.
--- a/supplier/supplier_test.go
+++ b/supplier/supplier_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/estimator"
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/supplier"
@@ -160,7 +161,8 @@
 	fleet.Upsert(tracker.NewEntry("e1", "svc", "1.1.1.1:1", "z", 8, false, 1, nil))
 	spec := router.NewEngineSpec(jobs, slots, 1000, []router.BaseModel{router.NewBaseModel("base", 500, 1)})
 	r := &leases{}
-	return supplier.New(e, r, func(string) *router.EngineSpec { return spec }, fleet, logger.Nop()), fleet, r
+	speeds := estimator.New(estimator.NewEstimate(50*time.Microsecond, 14*time.Millisecond), nil)
+	return supplier.New(e, r, func(string) *router.EngineSpec { return spec }, fleet, speeds, estimator.NewLoads(270*time.Millisecond), logger.Nop()), fleet, r
 }
 
 // withSupplier runs a test on a supplier with one engine, in virtual time.
@@ -175,7 +177,7 @@
 }
 
 func request(n int, opts ...supplier.ReserveOption) supplier.ReserveRequest {
-	return supplier.NewReserveRequest("e1", model(n), append(opts, supplier.WithSize(100, 0, 10*time.Second))...)
+	return supplier.NewReserveRequest("e1", model(n), append(opts, supplier.WithSize(100, 0, 10*time.Second), supplier.WithMaxLoadWait(900*time.Millisecond))...)
 }
 
 // Guards against loading more adapters than an engine has slots, which crashes it,
--- a/supplier/worker.go
+++ b/supplier/worker.go
@@ -85,21 +85,29 @@
 	w.usable.Store(&usable)
 }
 
-// recordUse records that calls use models.
+// recordUse records that calls use models until now, which may be the expected end of
+// a call.
 func (w *engineWorker) recordUse(models []connector.Model, now time.Time) {
 	w.recentUseMu.Lock()
 	defer w.recentUseMu.Unlock()
 	for _, m := range models {
-		w.recentUse[m] = now
+		w.recentUse[m] = later(w.recentUse[m], now)
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // mergeRecentUse moves the recorded uses to the state.
 func (w *engineWorker) mergeRecentUse() {
 	w.recentUseMu.Lock()
 	defer w.recentUseMu.Unlock()
 	for m, at := range w.recentUse {
-		w.state.lastUsed[m] = at
+		w.state.lastUsed[m] = later(w.state.lastUsed[m], at)
 	}
 	clear(w.recentUse)
 }
@@ -218,8 +226,10 @@
 	if !w.ensureReport(ctx) {
 		return NewDeclined("engine does not answer its owner", retryDeclined)
 	}
-	if req.modelMissing && now.Sub(w.state.loadAcceptedAt[req.model]) < maxLoadTime {
-		w.supplier.loads.increase()
+	if _, loading := w.state.loading[req.model]; loading && req.modelMissing {
+		// Another call has reported that the load is late.
+	} else if req.modelMissing && now.Sub(w.state.loadAcceptedAt[req.model]) < maxLoadTime {
+		w.supplier.loads.Late()
 		// The load takes longer than estimated.
 		w.state.loading[req.model] = pendingLoad{version: max(req.minVersion, w.state.resident[req.model]), due: now.Add(lateLoadTime), cold: true}
 	} else if req.modelMissing && w.state.loading[req.model].due.IsZero() && now.Sub(w.state.loadAcceptedAt[req.model]) > reportLag {
