--- a/estimator/load.go
+++ b/estimator/load.go
@@ -19,7 +19,7 @@
 	// A store that is slow for good shows as crowding first; the estimate for an idle
 	// store follows by 1 % with each load that is late.
 	crowdedGrowth = 1.01
-	idleDecay  = 0.999
+	idleDecay     = 0.999
 	// warmShare is the time of a load from the cache of the engine's host, as a share
 	// of a load from an idle weight store, and warmMargin is added to it.
 	warmShare  = 0.1
