--- a/estimator/fit.go
+++ b/estimator/fit.go
@@ -28,8 +28,9 @@
 	pauseGrowth = 0.02
 	pauseDecay  = 0.002
 	maxPause    = 0.3
-	// generationWeight is the weight of one generation in the moving averages.
-	generationWeight = 1.0 / 16
+	// generationDecay is the factor by which each generation reduces the weight of the
+	// earlier ones.
+	generationDecay = 1 - 1.0/32
 )
 
 // timedPrefill is a prefill and when it was recorded.
@@ -40,11 +41,12 @@
 
 // speed estimates one engine or one service. Its owner serialises the calls.
 type speed struct {
-	prefills    []timedPrefill // oldest first, at most window
-	sinceFit    int
-	generations int
-	last        time.Time // of the last sample
-	current     Estimate  // zero durations are unknown
+	prefills []timedPrefill // oldest first, at most window
+	sinceFit int
+	took     float64   // decayed sum of the times of generations, in nanoseconds
+	expected float64   // decayed sum of their expected tokens
+	last     time.Time // of the last sample
+	current  Estimate  // zero durations are unknown
 }
 
 // add records a sample and reports whether the estimate changed.
@@ -62,10 +64,7 @@
 		s.sinceFit = 0
 		s.fit(now)
 	case Generation:
-		s.generations++
-		weight := max(generationWeight, 1/float64(s.generations))
-		perToken := float64(sample.took) / float64(sample.expectedTokens)
-		s.current.outputToken = average(s.current.outputToken, perToken, weight)
+		s.addGeneration(sample)
 		if sample.paused {
 			s.current.pause = min(s.current.pause+pauseGrowth, maxPause)
 		} else {
@@ -75,14 +74,19 @@
 	return true
 }
 
-// maxOutlier bounds the effect of one generation on a moving average.
+// maxOutlier bounds the time of one generation, as a multiple of what was expected.
 const maxOutlier = 4
 
-func average(old time.Duration, value, weight float64) time.Duration {
-	if old > 0 {
-		value = min(max(value, float64(old)/maxOutlier), float64(old)*maxOutlier)
+// addGeneration updates the time of an output token. It is the ratio of two sums,
+// because the mean of the ratios is too high where the expected lengths are far off.
+func (s *speed) addGeneration(g Generation) {
+	took, tokens := float64(g.took), float64(g.expectedTokens)
+	if s.current.outputToken > 0 {
+		took = min(took, maxOutlier*tokens*float64(s.current.outputToken))
 	}
-	return time.Duration(float64(old)*(1-weight) + value*weight)
+	s.took = s.took*generationDecay + took
+	s.expected = s.expected*generationDecay + tokens
+	s.current.outputToken = time.Duration(s.took / s.expected)
 }
 
 // fit computes the time of a prompt token.
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -142,6 +142,8 @@
 }
 
 func (r *harness) Reserve(_ context.Context, e *tracker.Endpoint, _ connector.Model, _ ...supplier.ReserveOption) (supplier.ReserveResponse, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.reservations++
 	r.reserved = append(r.reserved, e)
 	if len(r.responses) == 0 {
@@ -296,7 +298,11 @@
 				r := newHarness(map[string][]endpointFunc{"e1": {answers(200, "ok")}, "e2": {answers(200, "ok")}})
 				r.fleet.Upsert(ready("e1", 1, false), ready("e2", 1, false))
 				r.responses = []supplier.ReserveResponse{supplier.NewGranted(1, 400*time.Millisecond)}
-				time.AfterFunc(200*time.Millisecond, func() { tt.leave(r.fleet, r.reserved[0].ID()) })
+				time.AfterFunc(200*time.Millisecond, func() {
+					r.mu.Lock()
+					defer r.mu.Unlock()
+					tt.leave(r.fleet, r.reserved[0].ID())
+				})
 				a, err := r.Apply(t.Context(), screenedCall(t, router.NewStream(false), 2, model))
 				is.NoErr(err)
 				is.NoErr(a.Body().Close())
--- a/supplier/speed_test.go
+++ b/supplier/speed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,14 +16,19 @@
 // promptEngine simulates how an engine processes prompts: one after the other in the
 // order of arrival.
 type promptEngine struct {
+	mu        sync.Mutex
+	samples   []estimator.Sample // not yet reported to the owner
 	perToken  time.Duration
 	busyUntil time.Time
 	longest   time.Duration // wait of a prompt inside the engine
 	tokens    int
 }
 
-// prefill processes a prompt that arrives at a time and returns its sample.
-func (p *promptEngine) prefill(at time.Time, tokens int) estimator.Prefill {
+// prefill processes a prompt that arrives now.
+func (p *promptEngine) prefill(tokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := time.Now()
 	start := at
 	if p.busyUntil.After(start) {
 		start = p.busyUntil
@@ -30,7 +36,16 @@
 	p.longest = max(p.longest, start.Sub(at))
 	p.busyUntil = start.Add(time.Duration(tokens) * p.perToken)
 	p.tokens += tokens
-	return estimator.NewPrefill(tokens, p.busyUntil.Sub(at))
+	p.samples = append(p.samples, estimator.NewPrefill(tokens, p.busyUntil.Sub(at)))
+}
+
+// takeSamples returns the samples since the last call.
+func (p *promptEngine) takeSamples() []estimator.Sample {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.samples
+	p.samples = nil
+	return list
 }
 
 // Guards against a calendar that grants an engine less than it can do, so that calls
@@ -72,15 +87,13 @@
 // granted calls to it. Each request carries the samples of earlier calls.
 func saturate(t *testing.T, s *supplier.Supplier, p *promptEngine, d time.Duration) {
 	t.Helper()
-	var samples []estimator.Sample
 	end := time.Now().Add(d)
 	for i := 0; time.Now().Before(end); i++ {
 		tokens := 400 + 97*i%1200
-		response := s.Reserve(t.Context(), supplier.NewReserveRequest("e1", model(1), supplier.WithSamples(samples),
+		response := s.Reserve(t.Context(), supplier.NewReserveRequest("e1", model(1), supplier.WithSamples(p.takeSamples()),
 			supplier.WithSize(tokens, 0, 200*time.Millisecond)))
-		samples = nil
 		if g, ok := response.(supplier.Granted); ok {
-			time.AfterFunc(g.Wait(), func() { samples = append(samples, p.prefill(time.Now(), tokens)) })
+			time.AfterFunc(g.Wait(), func() { p.prefill(tokens) })
 		}
 		time.Sleep(4 * time.Millisecond)
 		synctest.Wait()
