exchanger, transporter, relayer: bound heads, buffered bodies and events

The head of an answer with the interim ones before it is bounded to 32 KiB, a buffered body to 32 KiB instead of 256, an event to 64 KiB, and the head of an answer of the store, of an order or of a report to 64 KiB.

--- a/exchanger/exchange.go
+++ b/exchanger/exchange.go
@@ -30,6 +30,9 @@
 	// skipped. maxSkippedBody bounds the body of a skipped response.
 	maxResponses   = 4
 	maxSkippedBody = 1 << 20 // bytes
+	// maxHead bounds the head of a response, including those of interim responses
+	// before it.
+	maxHead = 32 << 10 // bytes
 	// idleMargin is subtracted from an endpoint's idle timeout, so that no call
 	// is sent on a connection while the endpoint closes it.
 	idleMargin = 500 * time.Millisecond
@@ -148,6 +151,8 @@
 // read returns the response that carries the call's id. Responses to earlier
 // calls on the connection may precede it.
 func (x *exchange) read(d Dialect, req *http.Request, id string) (*Answer, error) {
+	x.conn.source.bound(maxHead)
+	defer x.conn.source.unbound()
 	for range maxResponses {
 		resp, err := http.ReadResponse(x.conn.reader, req)
 		if err != nil {
@@ -158,9 +163,11 @@
 		}
 		meta := d.Meta(resp.StatusCode, resp.Header)
 		if meta.attempt != "" && meta.attempt != id {
+			x.conn.source.unbound()
 			if err := discardBody(resp); err != nil {
 				return nil, err
 			}
+			x.conn.source.bound(maxHead)
 			x.closeAfter = true
 			continue
 		}
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -190,6 +192,119 @@
 	}
 }
 
+// endless serves the beginning of a response and then a piece of it again and again,
+// until the client closes the connection.
+func endless(begin, piece string) serve {
+	block := strings.Repeat(piece, 1+(32<<10)/len(piece))
+	return func(w net.Conn, id string, _ int) bool {
+		_ = write(w, strings.ReplaceAll(begin, "ID", id))
+		for write(w, strings.ReplaceAll(block, "ID", id)) {
+		}
+		return false
+	}
+}
+
+const okHead = "HTTP/1.1 200 OK\r\nId: ID\r\nSigned: 1\r\n"
+
+// endlessHeads are responses of which the head never ends.
+var endlessHeads = []struct {
+	name  string
+	serve serve
+}{
+	{"status line", endless("HTTP/1.1 200 ", "x")},
+	{"no line at all", endless("", "x")},
+	{"empty lines", endless("", "\r\n")},
+	{"header line", endless(okHead+"Field: ", "x")},
+	{"header field name", endless(okHead, "x")},
+	{"header", endless(okHead, "Field: x\r\n")},
+	{"continued header line", endless(okHead+"Field: x\r\n", " x\r\n")},
+	{"interim responses", endless("", "HTTP/1.1 103 Early Hints\r\n\r\n")},
+	{"header of an interim response", endless("HTTP/1.1 103 Early Hints\r\n", "Field: x\r\n")},
+	{"responses to other calls", endless("", "HTTP/1.1 200 OK\r\nId: other\r\nSigned: 1\r\nContent-Length: 1\r\n\r\nx")},
+	{"body of a response to another call", endless("HTTP/1.1 200 OK\r\nId: other\r\nSigned: 1\r\nContent-Length: 100000000000\r\n\r\n", "x")},
+}
+
+// Guards against an endpoint that sends bytes without end in place of an answer: the
+// call must fail long before its deadline, and the bytes must not be kept.
+func TestBytesWithoutEnd(t *testing.T) {
+	tests := append(slices.Clone(endlessHeads),
+		[]struct {
+			name  string
+			serve serve
+		}{
+			{"trailer", endless(okHead+"Transfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n", "Field: x\r\n")},
+			{"chunk extension", endless(okHead+"Transfer-Encoding: chunked\r\n\r\n4;", "x")},
+			{"empty chunk extensions", endless(okHead+"Transfer-Encoding: chunked\r\n\r\n", "1;"+strings.Repeat("x", 900)+"\r\nx\r\n")},
+		}...)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			_, e := newPeer(t, tt.serve)
+			c := exchanger.New(dialect{})
+			defer c.Close()
+			began := time.Now()
+			got := do(t, c, e, "call-1", "body")
+			is.True(got.err != nil)
+			is.True(got.sent)
+			is.True(!errors.Is(got.err, context.DeadlineExceeded))
+			is.True(time.Since(began) < time.Second)
+			is.Equal(e.Outstanding(), 0)
+		})
+	}
+}
+
+// Guards against one endpoint that exhausts the memory of a host: 200 calls at once
+// that get bytes without end must leave most of the memory of the smallest hosts.
+func TestMemoryOfBytesWithoutEnd(t *testing.T) {
+	const calls, allowed = 200, 64 << 20 // bytes
+	bodies := append(slices.Clone(endlessHeads), []struct {
+		name  string
+		serve serve
+	}{
+		{"buffered body", endless(okHead+"Content-Length: 100000000000\r\n\r\n", "x")},
+		{"buffered body in chunks", endless(okHead+"Transfer-Encoding: chunked\r\n\r\n", "4\r\ngood\r\n")},
+	}...)
+	for _, tt := range bodies {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			_, e := newPeer(t, tt.serve)
+			c := exchanger.New(dialect{})
+			defer c.Close()
+			runtime.GC()
+			var before runtime.MemStats
+			runtime.ReadMemStats(&before)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			var running sync.WaitGroup
+			for i := range calls {
+				running.Go(func() { bufferAndHold(ctx, c, e, fmt.Sprint("call-", i)) })
+			}
+			peak := uint64(0)
+			for ctx.Err() == nil {
+				var now runtime.MemStats
+				runtime.ReadMemStats(&now)
+				peak = max(peak, now.HeapInuse)
+				time.Sleep(50 * time.Millisecond)
+			}
+			running.Wait()
+			is.True(peak < before.HeapInuse+allowed)
+		})
+	}
+}
+
+// bufferAndHold makes a call, buffers its body, and holds it until ctx ends.
+func bufferAndHold(ctx context.Context, c *exchanger.Client, e *tracker.Endpoint, id string) {
+	call := router.NewCall(id, "POST", "h", "/x", "/x", http.Header{}, nil)
+	a, err := c.Do(ctx, e, exchanger.NewOutbound(call, e.ID(), time.Now().Add(time.Second)), time.Minute, 1000)
+	if err != nil {
+		return
+	}
+	defer func() { _ = a.Body().Close() }()
+	if a.Buffer(exchanger.MaxBuffered) == nil {
+		<-ctx.Done()
+	}
+}
+
 // Guards against data of one call that is read as part of the next call on the
 // connection.
 func TestReuse(t *testing.T) {
--- a/exchanger/message.go
+++ b/exchanger/message.go
@@ -168,6 +168,10 @@
 // endpoint.
 func (a *Answer) Body() io.ReadCloser { return a.body }
 
+// MaxBuffered is the length of the body, in bytes, up to which answers should be
+// buffered. Some hundred calls at once then need a few tens of megabytes.
+const MaxBuffered = 32 << 10
+
 // Buffer reads a body of less than limit bytes into memory, so that a truncated
 // response is detected before any of it is used. A longer body is still streamed.
 func (a *Answer) Buffer(limit int64) error {
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -30,9 +30,10 @@
 // connection is a connection to an endpoint.
 type connection struct {
 	net.Conn
-	reader    *bufio.Reader
-	idleUntil time.Time // not reused after this time
-	idleSince time.Time // end of the last call
+	source    *boundedReader
+	reader    *bufio.Reader // reads from source
+	idleUntil time.Time     // not reused after this time
+	idleSince time.Time     // end of the last call
 }
 
 // stackNode is an element of the stack of idle connections. Each push allocates
@@ -188,7 +189,8 @@
 		return nil, nil, fmt.Errorf("connect to endpoint %s: %w", e.ID(), err)
 	}
 	p.recordRoundTrip(time.Since(began))
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}, p, nil
+	source := &boundedReader{Reader: conn}
+	return &connection{Conn: conn, source: source, reader: bufio.NewReaderSize(source, readBuffer)}, p, nil
 }
 
 // IsConnectionLimit reports whether a call was not sent because this host had
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -368,6 +368,70 @@
 	})
 }
 
+// letters is a body without end.
+type letters struct{ read *int }
+
+func (l letters) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	*l.read += len(p)
+	return len(p), nil
+}
+
+// Guards against an event without end, which would be kept in memory, and against its
+// beginning being passed on as a complete answer.
+func TestEventWithoutEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		read := 0
+		r := newHarness(map[string][]endpointFunc{"e1": {func(_ context.Context, out *exchanger.Outbound) (*exchanger.Answer, error) {
+			return answer(200, out, false, letters{&read}, -1), nil
+		}}})
+		a, err := r.Apply(t.Context(), screenedCall(t, router.NewStream(true), 1, connector.Model{}))
+		is.NoErr(err)
+		data, err := io.ReadAll(a.Body())
+		is.True(err != nil)
+		is.Equal(len(data), 0)
+		is.True(read <= 128<<10)
+		is.NoErr(a.Body().Close())
+	})
+}
+
+// Guards against an answer that drips on without end past the deadline of its call,
+// and against a slow one that is cut before it.
+func TestDrippingAnswer(t *testing.T) {
+	for _, kind := range []router.RepeatPolicy{router.AtMostOnce{}, router.NewStream(false), router.NewStream(true)} {
+		t.Run(fmt.Sprintf("%T", kind), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newHarness(map[string][]endpointFunc{"e1": {func(ctx context.Context, out *exchanger.Outbound) (*exchanger.Answer, error) {
+					pipe, w := io.Pipe()
+					context.AfterFunc(ctx, func() { _ = w.CloseWithError(ctx.Err()) })
+					go func() {
+						for i := 0; ; i++ {
+							time.Sleep(900 * time.Millisecond)
+							if _, err := fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, i); err != nil {
+								return
+							}
+						}
+					}()
+					return answer(200, out, false, pipe, -1), nil
+				}}})
+				began := time.Now()
+				a, err := r.Apply(t.Context(), screenedCall(t, kind, 1, connector.Model{}))
+				if err == nil {
+					_, err = io.ReadAll(a.Body())
+					is.NoErr(a.Body().Close())
+				}
+				is.True(err != nil)
+				is.Equal(time.Since(began), 4*time.Second) // the deadline of the call
+				time.Sleep(time.Second)                    // the endpoint notices
+			})
+		})
+	}
+}
+
 // Guards against speeds that are learned from calls which do not show them: resumed
 // streams, refusals, and outputs of which only a part arrived.
 func TestSpeedSamples(t *testing.T) {
--- a/relayer/resumer.go
+++ b/relayer/resumer.go
@@ -15,7 +15,7 @@
 const (
 	eventBuffer = 4 << 10 // bytes
 	// maxEvent is the maximum size of one event, in bytes.
-	maxEvent = 256 << 10
+	maxEvent = 64 << 10
 )
 
 var (
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -20,9 +20,6 @@
 	// longer, and a call sent on it would have an unknown outcome.
 	maxIdleAtMostOnce = time.Second
 	maxIdle           = time.Minute
-	// maxBuffered is the maximum number of bytes of a response that are buffered
-	// before it is passed on. A longer response is passed on as it arrives.
-	maxBuffered = 256 << 10
 )
 
 // result is the result of one send: answered, refused, unsent or lost.
@@ -89,7 +86,7 @@
 	}
 	c.sent[e], c.mayHaveRun = true, true
 	if _, streaming := c.call.Route().RepeatPolicy().(router.Stream); !streaming {
-		if err := answer.Buffer(maxBuffered); err != nil {
+		if err := answer.Buffer(exchanger.MaxBuffered); err != nil {
 			return lost{err}
 		}
 	}
--- a/transporter/client.go
+++ b/transporter/client.go
@@ -30,6 +30,8 @@
 	dialTimeout  = 2 * time.Second
 	maxIdleConns = 64
 	idleTimeout  = 30 * time.Second
+	// maxResponseHead bounds the head of a response, which is kept in memory.
+	maxResponseHead = 64 << 10 // bytes
 	// unackedTimeout is the guard time that a new lease holder waits before its
 	// first order. After it, no order of the previous holder is left in a
 	// socket buffer.
@@ -59,6 +61,8 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxResponseHead,
 	}}
 }
 
--- a/transporter/client_test.go
+++ b/transporter/client_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -212,3 +213,47 @@
 		})
 	}
 }
+
+// Guards against a peer that sends a head or a body without end: the request must fail
+// before its deadline, and the bytes must not be kept.
+func TestBytesWithoutEnd(t *testing.T) {
+	const piece = 64 << 10
+	tests := []struct{ name, begin, repeated string }{
+		{"status line", "HTTP/1.1 200 ", "x"},
+		{"header line", "HTTP/1.1 200 OK\r\nField: ", "x"},
+		{"header", "HTTP/1.1 200 OK\r\n", "Field: x\r\n"},
+		{"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{"body", "HTTP/1.1 200 OK\r\nContent-Length: 100000000000\r\n\r\n", "x"},
+		{"body in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\ngood\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = l.Close() }()
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				block := []byte(strings.Repeat(tt.repeated, piece/len(tt.repeated)))
+				_, err = io.WriteString(conn, tt.begin)
+				for err == nil {
+					_, err = conn.Write(block)
+				}
+			}()
+			c := transporter.New(l.Addr().String())
+			defer c.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			resp, err := c.Do(ctx, transporter.NewRequest(http.MethodGet, "/x", nil))
+			if err == nil {
+				_, err = transporter.ReadBody(resp, 1<<20)
+			}
+			is.True(errors.Is(err, transporter.ErrNoAnswer))
+			is.NoErr(ctx.Err())
+		})
+	}
+}
