--- a/selector/selector.go
+++ b/selector/selector.go
@@ -1,7 +1,6 @@
 package selector
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -115,8 +114,13 @@
 
 // available returns the endpoints that are neither avoided nor ejected. If all of
 // them are ejected, it returns the ejected ones, because a service without any
-// endpoint would be worse.
+// endpoint would be worse. It allocates only if there is one to leave out.
 func available(list []*tracker.Endpoint, avoid func(*tracker.Endpoint) bool, now time.Time) []*tracker.Endpoint {
+	usable := func(e *tracker.Endpoint) bool { return !avoid(e) && !e.Ejected(now) }
+	first := slices.IndexFunc(list, func(e *tracker.Endpoint) bool { return !usable(e) })
+	if first < 0 {
+		return list
+	}
 	var healthy, ejected []*tracker.Endpoint
 	for _, e := range list {
 		switch {
@@ -164,63 +168,123 @@
 	return classifier.NewOverloaded(fmt.Sprintf("all %d endpoints are full", n), classifier.RetryAfter(retryWhenFull))
 }
 
-// candidate is an engine with the properties that decide whether it is chosen for
-// one model. Candidates are ordered by rendezvous hashing.
+// place is where an engine is, as seen from the host.
+type place int
+
+const (
+	local  place = iota // in the host's own region
+	remote              // in another region
+	places
+)
+
+// candidate is the engine of a place that comes first for a model in rendezvous order.
 type candidate struct {
 	endpoint *tracker.Endpoint
 	hash     uint64
-	busy     float64
-	remote   bool
-	loaded   bool
-	cached   bool
 }
 
+// offer replaces the candidate by an engine that comes before it.
+func (c *candidate) offer(e *tracker.Endpoint, hash uint64) {
+	if c.endpoint == nil || hash > c.hash {
+		c.endpoint, c.hash = e, hash
+	}
+}
+
+// shortlist holds the first engines of one place that have the model loaded, that have
+// recently held it, so that they load it fast, and of all engines.
+type shortlist struct{ loaded, cached, any candidate }
+
+// preferred returns the first engine that serves the model without a load from the
+// weight store, or nil.
+func (l *shortlist) preferred() *tracker.Endpoint {
+	if l.loaded.endpoint != nil {
+		return l.loaded.endpoint
+	}
+	return l.cached.endpoint
+}
+
+// chooseEngine chooses among the engines of list. It reads them twice and allocates
+// nothing, because a call waits for it.
 func (s *Selector) chooseEngine(snapshot *tracker.Snapshot, m connector.Model, list []*tracker.Endpoint, loadsQueued bool, now time.Time) (Choice, error) {
-	minVersion := snapshot.NamedVersion(m)
-	seed := xxhash.Sum64String(m.Base() + "/" + m.Adapter())
-	candidates := make([]candidate, 0, len(list))
-	withBase := 0
+	withBase, capacity := 0, false
+	least := [places]float64{math.Inf(1), math.Inf(1)}
 	for _, e := range list {
 		if !e.HoldsBase(m.Base()) {
 			continue
 		}
 		withBase++
-		busy := e.EstimatedCalls(now)
-		if busy >= maxCallsPerSlot*float64(e.Slots()) || e.Waiting(now) > maxEngineQueue || e.Full(now) {
-			continue
+		if busy, ok := busyCalls(e, now); ok {
+			capacity = true
+			least[s.place(e)] = min(least[s.place(e)], busy)
 		}
-		candidates = append(candidates, candidate{
-			endpoint: e, hash: mix(seed ^ e.Hash()), busy: busy + failurePenalty*e.FailureRate()*float64(e.Slots()),
-			remote: e.Region() != s.region, loaded: e.Holds(m, minVersion), cached: e.RecentlyHeld(m),
-		})
 	}
-	if len(candidates) == 0 {
-		if withBase == 0 {
-			return Choice{}, classifier.NewUnavailable("no engine holds the base model", classifier.RetryAfter(retryNoBase))
-		}
+	switch {
+	case withBase == 0:
+		return Choice{}, classifier.NewUnavailable("no engine holds the base model", classifier.RetryAfter(retryNoBase))
+	case !capacity:
 		return Choice{}, overloaded(withBase)
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.hash, a.hash) })
-	best := s.pick(candidates, m, loadsQueued, now)
-	return Choice{endpoint: best.endpoint, minVersion: minVersion, modelLoaded: best.loaded}, nil
+	minVersion := snapshot.NamedVersion(m)
+	lists := s.shortlists(m, minVersion, list, least, now)
+	e := s.pick(&lists, m, loadsQueued, now)
+	return Choice{endpoint: e, minVersion: minVersion, modelLoaded: e.Holds(m, minVersion)}, nil
 }
 
-// pick returns an engine for a model from candidates in rendezvous order: one in
-// the host's own region that has the model loaded or can load it fast, else such
-// an engine in another region, else the first one in the own region. It skips
-// engines that are much busier than the least busy one.
-func (s *Selector) pick(candidates []candidate, m connector.Model, loadsQueued bool, now time.Time) candidate {
-	local, remote := leastBusy(candidates, false), leastBusy(candidates, true)
-	if c, ok := preferLoaded(local, candidate.loadsFast); ok {
-		return c
+// shortlists returns the shortlists of both places. It skips engines that are much
+// busier than the least busy one of their place.
+func (s *Selector) shortlists(m connector.Model, minVersion int64, list []*tracker.Endpoint, least [places]float64, now time.Time) [places]shortlist {
+	var lists [places]shortlist
+	seed := modelSeed(m)
+	for _, e := range list {
+		busy, ok := busyCalls(e, now)
+		at := s.place(e)
+		if !ok || busy > least[at]+maxImbalance*float64(e.Slots()) || !e.HoldsBase(m.Base()) {
+			continue
+		}
+		hash := mix(seed ^ e.Hash())
+		lists[at].any.offer(e, hash)
+		switch {
+		case e.Holds(m, minVersion):
+			lists[at].loaded.offer(e, hash)
+		case e.RecentlyHeld(m):
+			lists[at].cached.offer(e, hash)
+		}
+	}
+	return lists
+}
+
+// busyCalls returns the number of calls of an engine with the price of its failures,
+// or false if it gets no more calls.
+func busyCalls(e *tracker.Endpoint, now time.Time) (float64, bool) {
+	calls := e.EstimatedCalls(now)
+	if calls >= maxCallsPerSlot*float64(e.Slots()) || e.Waiting(now) > maxEngineQueue || e.Full(now) {
+		return 0, false
+	}
+	return calls + failurePenalty*e.FailureRate()*float64(e.Slots()), true
+}
+
+func (s *Selector) place(e *tracker.Endpoint) place {
+	if e.Region() == s.region {
+		return local
+	}
+	return remote
+}
+
+// pick returns an engine for a model: one in the host's own region that has the model
+// loaded or can load it fast, else such an engine in another region, else the first
+// one in the own region.
+func (s *Selector) pick(lists *[places]shortlist, m connector.Model, loadsQueued bool, now time.Time) *tracker.Endpoint {
+	if e := lists[local].preferred(); e != nil {
+		return e
 	}
-	if c, ok := preferLoaded(remote, candidate.loadsFast); ok && (len(local) == 0 || loadsQueued || s.allowRemote(m, now)) {
-		return c
+	nearest := lists[local].any.endpoint
+	if e := lists[remote].preferred(); e != nil && (nearest == nil || loadsQueued || s.allowRemote(m, now)) {
+		return e
 	}
-	if len(local) > 0 {
-		return local[0]
+	if nearest != nil {
+		return nearest
 	}
-	return remote[0]
+	return lists[remote].any.endpoint
 }
 
 // allowRemote counts a call for a model that is about to go to another region, and
@@ -240,39 +304,9 @@
 	return n.(*atomic.Int32).Add(1) <= maxRemoteCalls
 }
 
-// leastBusy returns the engines in the host's own region, or those in other
-// regions, that exceed the load of the least busy one by at most maxImbalance.
-func leastBusy(candidates []candidate, remote bool) []candidate {
-	least := math.Inf(1)
-	for _, c := range candidates {
-		if c.remote == remote {
-			least = min(least, c.busy)
-		}
-	}
-	var list []candidate
-	for _, c := range candidates {
-		if c.remote == remote && c.busy <= least+maxImbalance*float64(c.endpoint.Slots()) {
-			list = append(list, c)
-		}
-	}
-	return list
-}
-
-func (c candidate) isLoaded() bool { return c.loaded }
-
-// loadsFast reports whether a call can be served without a load from the weight
-// store.
-func (c candidate) loadsFast() bool { return c.loaded || c.cached }
-
-// preferLoaded returns the first engine that has the model loaded, else the first
-// acceptable one.
-func preferLoaded(list []candidate, acceptable func(candidate) bool) (candidate, bool) {
-	for _, accept := range []func(candidate) bool{candidate.isLoaded, acceptable} {
-		if i := slices.IndexFunc(list, accept); i >= 0 {
-			return list[i], true
-		}
-	}
-	return candidate{}, false
+// modelSeed returns a hash of a model's name.
+func modelSeed(m connector.Model) uint64 {
+	return xxhash.Sum64String(m.Base()) ^ mix(xxhash.Sum64String(m.Adapter()))
 }
 
 // mix is the finaliser of SplitMix64. It makes the orders of the engines for two
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -33,7 +33,7 @@
 	return fleet.Current().Endpoint(id)
 }
 
-func routeCall(t *testing.T, engines bool, m connector.Model) *router.Routed {
+func routeCall(t testing.TB, engines bool, m connector.Model) *router.Routed {
 	t.Helper()
 	var e *router.EngineSpec
 	if engines {
@@ -161,6 +161,17 @@
 	is.Equal(got.Endpoint().ID(), "near")
 }
 
+// Guards against a choice that allocates memory for each engine of a large service.
+func TestChoiceAllocatesNothing(t *testing.T) {
+	is := is.New(t)
+	f := tracker.New(regions)
+	for i := range 300 {
+		addEndpoint(f, fmt.Sprint("e", i), "z1", adapter)
+	}
+	s, call := selector.New(f, "z1", "r1"), routeCall(t, true, adapter)
+	is.Equal(testing.AllocsPerRun(100, func() { _, _ = s.Choose(call, avoidNone, false) }), 0.0)
+}
+
 // Guards against a rendezvous hash that places most adapters on one engine.
 func TestAdaptersSpreadOverEngines(t *testing.T) {
 	is := is.New(t)
