tracker, relayer: eject an engine from the second broken connection in a row on

A single lost answer ejected an engine for half a second; the calls for the adapters that it holds went to other engines, which loaded them too.

--- a/relayer/outcome.go
+++ b/relayer/outcome.go
@@ -128,7 +128,7 @@
 		e.Failed()
 		return final(classifier.NewExpired("the endpoint did not answer in time", classifier.MayHaveRun(), classifier.Cause(cause)))
 	default:
-		e.ConnectionFailed()
+		e.ConnectionBroken()
 		c.relayer.breaks.RecordCrash(screener.NewMark(c.call.Fingerprint(), fmt.Sprintf("%s/%d", e.ID(), e.Born())))
 	}
 	c.excluded[e] = true
--- a/relayer/resumer.go
+++ b/relayer/resumer.go
@@ -133,7 +133,7 @@
 	if c.ctx.Err() != nil {
 		return context.Cause(c.ctx)
 	}
-	r.endpoint.ConnectionFailed()
+	r.endpoint.ConnectionBroken()
 	c.excluded[r.endpoint] = true
 	if len(c.sent) >= c.call.Route().MaxAttempts() {
 		return cause
--- a/tracker/endpoint.go
+++ b/tracker/endpoint.go
@@ -198,6 +198,18 @@
 	return d
 }
 
+// ConnectionBroken records a connection that broke after a call was sent on it. The
+// endpoint is ejected from the second one in a row on: a single one may be the network
+// or a lost answer, and the calls of an ejected engine load their models elsewhere.
+func (e *Endpoint) ConnectionBroken() {
+	if e.connFailures.Load() > 0 {
+		e.ConnectionFailed()
+		return
+	}
+	e.updateFailureRate(1)
+	e.connFailures.Add(1)
+}
+
 // Declined records that the endpoint has no capacity for the duration d.
 func (e *Endpoint) Declined(d time.Duration) { e.fullUntil.Store(time.Now().Add(d).UnixNano()) }
 
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -121,6 +121,26 @@
 	})
 }
 
+// Guards against an engine that loses its calls for half a second after one answer was
+// lost, and against a crashed one that keeps getting calls.
+func TestBrokenConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr := tracker.New(nil)
+		tr.Upsert(entry("e1", "1.1.1.1:1", false, 1, nil))
+		e := tr.Current().Endpoint("e1")
+		for range 3 { // one answer in two is lost
+			e.ConnectionBroken()
+			is.True(!e.Ejected(time.Now()))
+			e.Succeeded()
+		}
+		e.ConnectionBroken()
+		e.ConnectionBroken()
+		is.True(e.Ejected(time.Now()))
+		is.True(e.FailureRate() > 0)
+	})
+}
+
 // Guards against a named version that decreases.
 func TestNamedVersion(t *testing.T) {
 	is := is.New(t)
