--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -73,6 +73,8 @@
 	meter       *meter.Meter
 	callMetrics *callMetrics
 
+	speedMetrics *speedMetrics
+
 	store             *platform.Store
 	engines           *platform.EngineClient
 	awaiter           *awaiter.Awaiter
@@ -105,6 +107,7 @@
 		h.log.Error("metric-not-registered", logger.Err(err))
 	})
 	h.callMetrics = newCallMetrics(h.meter.Scope())
+	h.speedMetrics = newSpeedMetrics(h.meter.Scope())
 	log = log.WithEventCounter(h.callMetrics.events.Inc)
 	h.log = log.Component("assembler")
 	h.store = platform.NewStore(settings.Store())
@@ -173,19 +176,6 @@
 	return chainer.Join[*router.Call, *screener.Screened, *relayer.Answer](screened, relay)
 }
 
-// logSpeed logs a change in the speed of an engine that affects decisions.
-func (h *Host) logSpeed(c estimator.Change) {
-	h.log.Info("engine-speed-changed", logger.With(logger.KeyEndpoint, c.Engine()),
-		logger.With(logger.KeyRate, tokensPerSecond(c.To().PromptToken())), logger.With(logger.KeyCount, c.To().Samples()))
-}
-
-func tokensPerSecond(perToken time.Duration) int64 {
-	if perToken <= 0 {
-		return 0
-	}
-	return int64(time.Second / perToken)
-}
-
 func (h *Host) engineSpec(service string) *router.EngineSpec {
 	t := h.router.Current()
 	if t == nil {
--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -508,3 +508,24 @@
 	out.Close()
 	is.True(time.Since(began) < 20*time.Second)
 }
+
+// Guards against a host that does not learn the speed of engines from its calls, or
+// does not tell of it.
+func TestSpeedsAreLearned(t *testing.T) {
+	d := newDeployment(t)
+	d.start(hostA)
+	client := &http.Client{}
+	defer client.CloseIdleConnections()
+	d.eventually(func() bool { // the engine has an owner and the adapter
+		status, _, _ := d.call(client, hostA, "first", "/llm/x", "m/a1")
+		return status == http.StatusOK
+	})
+	var running sync.WaitGroup
+	for i := range 24 {
+		running.Go(func() { _, _, _ = d.call(client, hostA, fmt.Sprint("call-", i), "/llm/x", "m/a1") })
+	}
+	running.Wait()
+	d.eventually(func() bool {
+		return strings.Contains(d.metrics(d.listenAddress(hostA, 4)), `event="engine-speed-changed"`)
+	})
+}
--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -29,7 +29,7 @@
 	"configuration-in-force", "version-named", "operator-row-not-read", "entry-not-read",
 	"dependency-lost", "dependency-regained", "history-lost", "source-passed-over",
 	"endpoint-arrived", "endpoint-draining", "endpoint-gone", "endpoint-lapsed",
-	"host-silent", "evidence-not-told",
+	"host-silent", "evidence-not-told", "engine-speed-changed",
 }
 
 // callMetrics are the metrics of calls and of logged events.
--- a/assembler/run.go
+++ b/assembler/run.go
@@ -25,7 +25,7 @@
 	reconcileInterval = 500 * time.Millisecond
 	markInterval      = 150 * time.Millisecond
 	markTimeout       = time.Second
-	deletionInterval  = 10 * time.Second
+	cleanupInterval   = 10 * time.Second
 	// acceptDuration is how long a stopping host still accepts connections:
 	// callers cache the last directory response that lists it for referrer.TTL.
 	acceptDuration = 2700 * time.Millisecond
@@ -156,14 +156,15 @@
 }
 
 // reconcile periodically claims engines, reconciles those that this host owns,
-// and deletes stale rows.
+// deletes stale rows, and updates what is known of the engines' speeds.
 func (h *Host) reconcile(ctx context.Context) {
-	lastDeletion := time.Now()
+	lastCleanup := time.Now()
 	for sleeper.Sleep(ctx, reconcileInterval) == nil {
 		h.members.Claim(ctx, h.ownableEngines())
 		h.supplier.Reconcile()
-		if time.Since(lastDeletion) > deletionInterval {
-			lastDeletion = time.Now()
+		if time.Since(lastCleanup) > cleanupInterval {
+			lastCleanup = time.Now()
+			h.updateSpeeds()
 			known := h.fleet.Current().All()
 			h.members.DeleteStaleRows(ctx, func(engine string) bool { return known[engine] != nil })
 		}
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -93,6 +93,7 @@
 	KeyOutcome    Key = "outcome"
 	KeyPeer       Key = "peer"
 	KeyRate       Key = "tokens_per_s"
+	KeyRateBefore Key = "tokens_per_s_before"
 	KeyReason     Key = "reason"
 	KeyRoute      Key = "route"
 	KeySequence   Key = "sequence"
