supplier: plan with fewer job slots on engines that have more jobs than planned

The owner plans the end of each job from the caller's estimate of the output. Hosts now pass on the number of jobs that an engine reported with an answer, and the owner leaves out the slots that are taken beyond its plan.

--- a/estimator/estimate.go
+++ b/estimator/estimate.go
@@ -9,6 +9,8 @@
 	pause       float64       // see DecodePause
 	samples     int           // recent prefills of the engine itself
 	spread      float64       // of the time of a prompt token; see Spread
+	jobs        int           // latest report of the engine itself
+	jobsAt      time.Time     // zero if there is none
 }
 
 // NewEstimate returns an estimate that is based on no sample.
@@ -30,6 +32,10 @@
 // share of the estimate: the smaller it is, the surer is the estimate.
 func (e Estimate) Spread() float64 { return e.spread }
 
+// Jobs returns the number of jobs of the engine at its latest report, and when that
+// arrived; the time is zero if there was none.
+func (e Estimate) Jobs() (n int, at time.Time) { return e.jobs, e.jobsAt }
+
 // Sure reports whether the estimate is based on enough samples of the engine itself.
 func (e Estimate) Sure() bool { return e.samples >= minSamples }
 
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -53,6 +53,7 @@
 	reported Estimate // at the last Change
 	own      []Sample // newest samples of this host's own calls, at most maxPending
 	pending  int      // how many of own, the newest ones, the engine's owner has not received
+	jobs     Sample   // latest Occupancy that the owner has not received, or nil
 }
 
 // New returns an estimator. It calls onChange, which may be nil, after each change of
@@ -71,6 +72,10 @@
 	if e := load(&x.engines, id); e != nil {
 		e.mu.Lock()
 		defer e.mu.Unlock()
+		if _, ok := s.(Occupancy); ok {
+			e.jobs = s
+			return
+		}
 		if len(e.own) == maxPending {
 			e.own = slices.Delete(e.own, 0, 1)
 		}
@@ -181,7 +186,7 @@
 			est.outputToken, est.pause = known.outputToken, known.pause
 		}
 	}
-	est.samples = own.samples
+	est.samples, est.jobs, est.jobsAt = own.samples, own.jobs, own.jobsAt
 	return est
 }
 
@@ -205,6 +210,10 @@
 	defer e.mu.Unlock()
 	list := slices.Clone(e.own[len(e.own)-min(e.pending, len(e.own)):])
 	e.pending = 0
+	if e.jobs != nil {
+		list = append(list, e.jobs)
+		e.jobs = nil
+	}
 	return list
 }
 
--- a/estimator/fit.go
+++ b/estimator/fit.go
@@ -63,6 +63,8 @@
 		}
 		s.sinceFit = 0
 		s.fit(now)
+	case Occupancy:
+		s.current.jobs, s.current.jobsAt = sample.jobs, now
 	case Generation:
 		s.addGeneration(sample)
 		if sample.paused {
--- a/estimator/sample.go
+++ b/estimator/sample.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// Sample is an observation of one call at an engine: a Prefill or a Generation.
+// Sample is an observation of one call at an engine: a Prefill, a Generation or an
+// Occupancy.
 type Sample interface{ sample() }
 
 // Prefill is the processing of a prompt, up to the first piece of the answer.
@@ -45,8 +46,19 @@
 // Paused reports whether a pause between two events was too long or nearly so.
 func (g Generation) Paused() bool { return g.paused }
 
+// Occupancy is the number of jobs that an engine runs or has waiting, as it reported
+// with an answer.
+type Occupancy struct{ jobs int }
+
+// NewOccupancy returns the sample of an engine with a number of jobs.
+func NewOccupancy(jobs int) Occupancy { return Occupancy{jobs: jobs} }
+
+// Jobs returns the number of jobs.
+func (o Occupancy) Jobs() int { return o.jobs }
+
 func (Prefill) sample()    {}
 func (Generation) sample() {}
+func (Occupancy) sample()  {}
 
 // valid reports whether a sample can be used. Hosts receive samples from others.
 func valid(s Sample) bool {
@@ -55,6 +67,8 @@
 		return s.tokens > 0 && s.took > 0
 	case Generation:
 		return s.expectedTokens > 0 && s.took > 0
+	case Occupancy:
+		return s.jobs >= 0
 	default:
 		return false
 	}
--- a/exchanger/message.go
+++ b/exchanger/message.go
@@ -86,9 +86,9 @@
 	return m
 }
 
-// Waiting returns the number of calls that wait at the endpoint, or 0 if it did not
-// tell.
-func (m Meta) Waiting() int { return m.waiting }
+// Load returns the number of calls that run and wait at the endpoint, or false if it
+// did not tell.
+func (m Meta) Load() (running, waiting int, ok bool) { return m.running, m.waiting, m.hasLoad }
 
 // Attempt returns the id of the call that the response belongs to, or "".
 func (m Meta) Attempt() string { return m.attempt }
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -87,7 +87,7 @@
 	request := supplier.NewReserveRequest("e1", connector.NewModel("m", "a", ""), supplier.WithMinVersion(7), supplier.WithModelMissing(true),
 		supplier.WithSize(100, 20, 300*time.Millisecond), supplier.WithModelsInUse([]connector.Model{connector.NewModel("m", "b", "")}),
 		supplier.WithMaxLoadWait(400*time.Millisecond), supplier.WithLastResort(true),
-		supplier.WithSamples([]estimator.Sample{estimator.NewPrefill(900, 41*time.Millisecond), estimator.NewGeneration(70, time.Second, true)}))
+		supplier.WithSamples([]estimator.Sample{estimator.NewPrefill(900, 41*time.Millisecond), estimator.NewGeneration(70, time.Second, true), estimator.NewOccupancy(0)}))
 	for _, answer := range []supplier.ReserveResponse{
 		supplier.NewGranted(7, 25*time.Millisecond), supplier.NewDeclined("full", time.Second), supplier.NewFull(time.Second),
 		supplier.NotOwner{},
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -49,6 +49,11 @@
 	// Samples of earlier calls at the engine.
 	Prefills    []prefillDocument    `cbor:"9,keyasint,omitempty"`
 	Generations []generationDocument `cbor:"10,keyasint,omitempty"`
+	Occupancy   *occupancyDocument   `cbor:"13,keyasint,omitempty"`
+}
+
+type occupancyDocument struct {
+	Jobs int `cbor:"1,keyasint"`
 }
 
 type prefillDocument struct {
@@ -67,6 +72,8 @@
 		switch s := s.(type) {
 		case estimator.Prefill:
 			d.Prefills = append(d.Prefills, prefillDocument{Tokens: s.Tokens(), TookUS: s.Took().Microseconds()})
+		case estimator.Occupancy:
+			d.Occupancy = &occupancyDocument{Jobs: s.Jobs()}
 		case estimator.Generation:
 			d.Generations = append(d.Generations, generationDocument{
 				ExpectedTokens: s.ExpectedTokens(), TookUS: s.Took().Microseconds(), Paused: s.Paused(),
@@ -83,6 +90,9 @@
 	for _, g := range d.Generations {
 		samples = append(samples, estimator.NewGeneration(g.ExpectedTokens, microseconds(g.TookUS), g.Paused))
 	}
+	if d.Occupancy != nil {
+		samples = append(samples, estimator.NewOccupancy(d.Occupancy.Jobs))
+	}
 	return samples
 }
 
--- a/relayer/outcome.go
+++ b/relayer/outcome.go
@@ -48,7 +48,7 @@
 func (c *callState) deliver(e *tracker.Endpoint, a *exchanger.Answer) *Answer {
 	stream, streaming := c.call.Route().RepeatPolicy().(router.Stream)
 	if streaming && a.Status() == http.StatusOK {
-		c.observePrefill(e, a)
+		c.observeAnswer(e, a)
 	}
 	if streaming && stream.Resumable() && a.Status() == http.StatusOK {
 		return newAnswer(a, newResumer(c, e, a), e.ID(), c.sends, true)
--- a/relayer/pace.go
+++ b/relayer/pace.go
@@ -19,16 +19,22 @@
 	maxPause  = 3
 )
 
-// observePrefill records how long an engine took to process the call's prompt. An
-// engine with waiting calls may not have started at once, and a resumed stream has
-// another prompt.
-func (c *callState) observePrefill(e *tracker.Endpoint, a *exchanger.Answer) {
-	if c.call.Service().EngineSpec() == nil || c.lastEventID != "" || a.Meta().Waiting() > 0 {
+// observeAnswer records how busy an engine is, and how long it took to process the
+// call's prompt. An engine with waiting calls may not have started at once, and a
+// resumed stream has another prompt.
+func (c *callState) observeAnswer(e *tracker.Endpoint, a *exchanger.Answer) {
+	if c.call.Service().EngineSpec() == nil {
 		return
 	}
 	now := time.Now()
-	took := now.Sub(c.sentAt) - a.RoundTrip()
-	c.relayer.speeds.Observe(e.ID(), e.Service(), estimator.NewPrefill(c.call.PromptTokens(), took), now)
+	running, waiting, ok := a.Meta().Load()
+	if ok {
+		c.relayer.speeds.Observe(e.ID(), e.Service(), estimator.NewOccupancy(running+waiting), now)
+	}
+	if c.lastEventID == "" && waiting == 0 {
+		took := now.Sub(c.sentAt) - a.RoundTrip()
+		c.relayer.speeds.Observe(e.ID(), e.Service(), estimator.NewPrefill(c.call.PromptTokens(), took), now)
+	}
 }
 
 // pace measures the pauses of a stream from one engine.
--- a/supplier/calendar.go
+++ b/supplier/calendar.go
@@ -1,6 +1,7 @@
 package supplier
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -18,6 +19,43 @@
 	mu       sync.Mutex
 	prefills []span // sorted, without overlaps
 	jobs     []span // from the prefill to the expected end of the output
+	// excess is how many more jobs the engine has than planned, as a moving average
+	// over its reports: some outputs are longer than expected, and a new owner does not
+	// know the jobs that an earlier one granted.
+	excess     float64
+	reportedAt time.Time
+}
+
+const (
+	// excessWeight is the weight of one report in the moving average.
+	excessWeight = 0.2
+	// maxExcess is the maximum share of an engine's job slots that is left out. An engine
+	// with fewer jobs than planned gets no more slots, because planned jobs may still be
+	// on their way to it.
+	maxExcess = 0.5
+)
+
+// report compares the number of jobs that the engine had at a time with the plan.
+func (c *calendar) report(jobs int, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !at.After(c.reportedAt) {
+		return
+	}
+	c.reportedAt = at
+	planned := 0
+	for _, j := range c.jobs {
+		if !j.start.After(at) && j.end.After(at) {
+			planned++
+		}
+	}
+	c.excess += excessWeight * (float64(jobs-planned) - c.excess)
+}
+
+// freeSlots returns how many of an engine's job slots the calendar may plan with.
+func (c *calendar) freeSlots(slots int) int {
+	limit := maxExcess * float64(slots)
+	return max(slots-int(math.Round(min(max(c.excess, 0), limit))), 1)
 }
 
 // reserve schedules a call at the first time from earliest on at which the engine
@@ -29,6 +67,7 @@
 	past := func(s span) bool { return s.end.Before(now) }
 	c.prefills = slices.DeleteFunc(c.prefills, past)
 	c.jobs = slices.DeleteFunc(c.jobs, past)
+	slots = c.freeSlots(slots)
 	start, index := c.firstPrefill(earliest, prefill)
 	for free := c.firstFreeSlot(start, slots); free.After(start); free = c.firstFreeSlot(start, slots) {
 		start, index = c.firstPrefill(free, prefill)
--- a/supplier/reserve.go
+++ b/supplier/reserve.go
@@ -32,6 +32,9 @@
 		slots = spec.Slots()
 	}
 	speed := w.supplier.speeds.Estimate(w.endpoint.ID(), w.endpoint.Service())
+	if jobs, at := speed.Jobs(); !at.IsZero() {
+		w.calendar.report(jobs, at)
+	}
 	prefill := speed.PrefillTime(req.promptTokens)
 	prefill += speed.DecodePause(prefill)
 	start, ok := w.calendar.reserve(now, earliest, earliest.Add(req.maxWait), prefill, speed.GenerationTime(req.expectedOutputTokens), slots)
--- a/supplier/speed_test.go
+++ b/supplier/speed_test.go
@@ -185,3 +185,67 @@
 		is.Equal(fmt.Sprint(e.violations), "[]")
 	})
 }
+
+// Guards against more jobs on an engine than it has slots, because the outputs are
+// longer than their callers expect or the owner was restarted, and against unused slots
+// because they are shorter. Calls that queue inside an engine cannot be moved to another
+// one.
+func TestJobsFollowReports(t *testing.T) {
+	tests := []struct {
+		name     string
+		factor   float64 // actual by expected length of the outputs
+		existing int     // jobs that an earlier owner granted
+	}{
+		{"as expected", 1, 0},
+		{"twice as long", 2, 0},
+		{"half as long", 0.5, 0},
+		{"after a restart", 1, jobs},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			withSupplier(t, func(t *testing.T, is *is.I, e *engine, s *supplier.Supplier) {
+				e.resident[model(1)] = 1
+				time.Sleep(time.Second)
+				const expected = 100 // tokens; 1.4 s
+				var mu sync.Mutex
+				running := tt.existing
+				var ended []estimator.Sample
+				end := func(took time.Duration) {
+					mu.Lock()
+					defer mu.Unlock()
+					running--
+					ended = append(ended, estimator.NewGeneration(expected, took, false))
+				}
+				for range tt.existing {
+					time.AfterFunc(2*time.Second, func() { end(2 * time.Second) })
+				}
+				var most, sum, n int
+				for i := range 2000 {
+					mu.Lock()
+					samples := append(ended, estimator.NewOccupancy(running))
+					ended = nil
+					if i > 500 {
+						most, sum, n = max(most, running), sum+running, n+1
+					}
+					mu.Unlock()
+					g, ok := s.Reserve(t.Context(), supplier.NewReserveRequest("e1", model(1), supplier.WithSamples(samples),
+						supplier.WithSize(10, expected, 200*time.Millisecond))).(supplier.Granted)
+					if ok {
+						took := time.Duration(tt.factor * expected * float64(14*time.Millisecond))
+						time.AfterFunc(g.Wait(), func() {
+							mu.Lock()
+							defer mu.Unlock()
+							running++
+							time.AfterFunc(took, func() { end(took) })
+						})
+					}
+					time.Sleep(20 * time.Millisecond)
+					synctest.Wait()
+				}
+				time.Sleep(5 * time.Second)
+				is.True(most <= jobs*5/4)
+				is.True(float64(sum)/float64(n) >= 0.75*jobs)
+			})
+		})
+	}
+}
