--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -68,11 +68,10 @@
 
 // Host is an entry host.
 type Host struct {
-	settings    atomic.Pointer[configurer.Entry]
-	log         *logger.Logger
-	meter       *meter.Meter
-	callMetrics *callMetrics
-
+	settings     atomic.Pointer[configurer.Entry]
+	log          *logger.Logger
+	meter        *meter.Meter
+	callMetrics  *callMetrics
 	speedMetrics *speedMetrics
 
 	store             *platform.Store
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -226,13 +226,3 @@
 		e.pending = len(e.own)
 	}
 }
-
-// Each calls f for each engine with its estimate.
-func (x *Estimator) Each(f func(id string, e Estimate)) {
-	x.engines.Range(func(id, v any) bool {
-		if p := v.(*engine).current.Load(); p != nil {
-			f(id.(string), *p)
-		}
-		return true
-	})
-}
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -212,28 +212,30 @@
 	is.Equal(len(host.Pending("unknown")), 0)
 }
 
-// Guards against memory that grows with engines that are long gone.
+// Guards against memory that grows with engines that are long gone, and against new
+// engines that are not estimated because of them.
 func TestPrune(t *testing.T) {
 	is := is.New(t)
 	x, now := newEstimator(nil), time.Now()
-	for i := range 6000 {
-		x.Observe(fmt.Sprint("e", i), "svc", estimator.NewPrefill(100, time.Millisecond), now)
+	observe := func(id string, now time.Time) { x.Observe(id, "svc", estimator.NewPrefill(100, time.Millisecond), now) }
+	const engines = 6000 // more than are remembered
+	for i := range engines {
+		observe(fmt.Sprint("e", i), now)
 	}
-	engines := func() int {
-		n := 0
-		x.Each(func(string, estimator.Estimate) { n++ })
-		return n
+	remembered := 0
+	for i := range engines {
+		remembered += len(x.Pending(fmt.Sprint("e", i)))
 	}
-	for range 8 {
-		x.Observe("e1", "svc", estimator.NewPrefill(100, time.Millisecond), now)
-	}
-	is.Equal(engines(), 1)
-	x.Prune(now.Add(time.Hour))
-	is.Equal(engines(), 0)
-	for range 8 {
-		x.Observe("late", "svc", estimator.NewPrefill(100, time.Millisecond), now.Add(time.Hour))
-	}
-	is.Equal(engines(), 1)
+	is.True(remembered > 1000 && remembered < engines)
+
+	later := now.Add(time.Hour)
+	observe("new", later) // makes room
+	is.Equal(len(x.Pending("new")), 1)
+	x.Resend("e0")
+	is.Equal(len(x.Pending("e0")), 0)
+	x.Prune(later.Add(time.Hour))
+	x.Resend("new")
+	is.Equal(len(x.Pending("new")), 0)
 }
 
 // Guards against an estimate of adapter loads that holds for one weight store only,
--- a/estimator/fit.go
+++ b/estimator/fit.go
@@ -14,7 +14,7 @@
 	// change is the factor between both from which on only the newest are used. An
 	// engine that has become fast shows in the fastest of the whole window.
 	change = 2
-	// minSamples is the number of prefills or generations below which an estimate is
+	// minSamples is the number of prefills below which the time of a prompt token is
 	// taken from the service.
 	minSamples = 8
 	// refitInterval is the number of new prefills after which the estimate is computed
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -195,12 +195,14 @@
 // endless serves the beginning of a response and then a piece of it again and again,
 // until the client closes the connection.
 func endless(begin, piece string) serve {
-	block := strings.Repeat(piece, 1+(32<<10)/len(piece))
+	block := []byte(strings.Repeat(piece, 1+(32<<10)/len(piece))) // shared, so that the peers need little memory
 	return func(w net.Conn, id string, _ int) bool {
 		_ = write(w, strings.ReplaceAll(begin, "ID", id))
-		for write(w, strings.ReplaceAll(block, "ID", id)) {
+		for {
+			if _, err := w.Write(block); err != nil {
+				return false
+			}
 		}
-		return false
 	}
 }
 
--- a/exchanger/message.go
+++ b/exchanger/message.go
@@ -134,7 +134,7 @@
 	meta   Meta
 	body   io.ReadCloser
 	length int64
-
+	// roundTrip is the duration of a round trip to the endpoint, or 0.
 	roundTrip time.Duration
 }
 
@@ -172,11 +172,16 @@
 // buffered. Some hundred calls at once then need a few tens of megabytes.
 const MaxBuffered = 32 << 10
 
+// minBuffer is the size of the buffer for a body of unknown length, in bytes.
+const minBuffer = 2 << 10
+
 // Buffer reads a body of less than limit bytes into memory, so that a truncated
 // response is detected before any of it is used. A longer body is still streamed.
 func (a *Answer) Buffer(limit int64) error {
 	var buf bytes.Buffer
-	n, err := io.Copy(&buf, io.LimitReader(a.body, limit))
+	expected := min(max(a.length, minBuffer), limit)
+	buf.Grow(int(expected) + bytes.MinRead) // growing step by step would leave twice as much to collect
+	n, err := buf.ReadFrom(io.LimitReader(a.body, limit))
 	if err != nil {
 		_ = a.body.Close() // the read error is more specific
 		return fmt.Errorf("read response: %w", err)
--- a/relayer/callstate.go
+++ b/relayer/callstate.go
@@ -79,20 +79,11 @@
 		if err := c.expired(); err != nil {
 			return nil, err
 		}
-		choice, err := c.choose()
-		if err != nil && last == nil {
-			return nil, classifier.NewUnavailable("no endpoint can take the call", classifier.RetryAfter(c.retryAfter(0)), classifier.Cause(err))
-		}
-		if err == nil {
-			last = c.reserve(choice)
-		}
-		if last != nil && (err != nil || c.declines >= maxDeclines || c.queues >= maxQueues) {
-			choice, last = c.reserveAtShortestQueue(last)
-			if last != nil {
-				return nil, last
-			}
+		choice, exhausted, err := c.reserveNext(last)
+		if err != nil && exhausted {
+			return nil, err
 		}
-		if last != nil {
+		if last = err; last != nil {
 			continue
 		}
 		answer, err := c.attempt(choice)
@@ -108,6 +99,25 @@
 	return nil, last
 }
 
+// reserveNext chooses an endpoint and reserves capacity on it. Last is the fault of the
+// previous endpoint, or nil. Exhausted reports that no other endpoint is to be asked.
+func (c *callState) reserveNext(last error) (choice selector.Choice, exhausted bool, err error) {
+	choice, chooseErr := c.choose()
+	switch {
+	case chooseErr == nil:
+		if last = c.reserve(choice); last == nil {
+			return choice, false, nil
+		}
+	case last == nil:
+		return choice, true, classifier.NewUnavailable("no endpoint can take the call", classifier.RetryAfter(c.retryAfter(0)), classifier.Cause(chooseErr))
+	}
+	if chooseErr == nil && c.declines < maxDeclines && c.queues < maxQueues {
+		return choice, false, last
+	}
+	choice, err = c.reserveAtShortestQueue(last)
+	return choice, true, err
+}
+
 // finalError wraps a fault after which no other endpoint is tried.
 type finalError struct{ fault error }
 
--- a/supplier/load.go
+++ b/supplier/load.go
@@ -13,8 +13,9 @@
 	divertedTime = 3 * time.Second
 	// minIdleTime is how long an adapter must be unused before it is evicted.
 	minIdleTime = time.Second
-	// lateLoadTime is the expected remaining time of a load that is late.
-	lateLoadTime = 150 * time.Millisecond
+	// lateLoadShare is the expected remaining time of a load that is late, as a share
+	// of the expected time of a load.
+	lateLoadShare = 0.5
 	// maxLoadTime is the time after which a load counts as failed.
 	maxLoadTime = 2 * time.Second
 	// inheritedLoadTime is the expected remaining time of a load that an earlier owner
--- a/supplier/worker.go
+++ b/supplier/worker.go
@@ -226,15 +226,8 @@
 	if !w.ensureReport(ctx) {
 		return NewDeclined("engine does not answer its owner", retryDeclined)
 	}
-	if _, loading := w.state.loading[req.model]; loading && req.modelMissing {
-		// Another call has reported that the load is late.
-	} else if req.modelMissing && now.Sub(w.state.loadAcceptedAt[req.model]) < maxLoadTime {
-		w.supplier.loads.Late()
-		// The load takes longer than estimated.
-		w.state.loading[req.model] = pendingLoad{version: max(req.minVersion, w.state.resident[req.model]), due: now.Add(lateLoadTime), cold: true}
-	} else if req.modelMissing && w.state.loading[req.model].due.IsZero() && now.Sub(w.state.loadAcceptedAt[req.model]) > reportLag {
-		delete(w.state.resident, req.model) // the engine's refusal is newer than the state
-		w.readReport(ctx)
+	if req.modelMissing {
+		w.correctMissing(ctx, req, now)
 	}
 	version, resident := w.state.resident[req.model]
 	if load, ok := w.state.loading[req.model]; ok && load.version >= req.minVersion {
@@ -256,6 +249,24 @@
 	return w.scheduleLoad(ctx, req)
 }
 
+// correctMissing corrects the state after the engine refused a call because it does not
+// hold the call's model: its load is late, or the state is out of date.
+func (w *engineWorker) correctMissing(ctx context.Context, req ReserveRequest, now time.Time) {
+	if _, loading := w.state.loading[req.model]; loading {
+		return // another call has already shown that the load is late
+	}
+	accepted := now.Sub(w.state.loadAcceptedAt[req.model])
+	switch {
+	case accepted < maxLoadTime:
+		w.supplier.loads.Late()
+		remaining := time.Duration(lateLoadShare * float64(w.supplier.loads.Cold()))
+		w.state.loading[req.model] = pendingLoad{version: max(req.minVersion, w.state.resident[req.model]), due: now.Add(remaining), cold: true}
+	case accepted > reportLag:
+		delete(w.state.resident, req.model) // the engine's refusal is newer than the state
+		w.readReport(ctx)
+	}
+}
+
 // baseLoaded reports whether the engine holds the given base model.
 func (w *engineWorker) baseLoaded(base string) bool {
 	_, ok := w.state.resident[connector.NewModel(base, "", "")]
--- a/transporter/client.go
+++ b/transporter/client.go
@@ -27,10 +27,9 @@
 )
 
 const (
-	dialTimeout  = 2 * time.Second
-	maxIdleConns = 64
-	idleTimeout  = 30 * time.Second
-	// maxResponseHead bounds the head of a response, which is kept in memory.
+	dialTimeout     = 2 * time.Second
+	maxIdleConns    = 64
+	idleTimeout     = 30 * time.Second
 	maxResponseHead = 64 << 10 // bytes
 	// unackedTimeout is the guard time that a new lease holder waits before its
 	// first order. After it, no order of the previous holder is left in a
@@ -61,7 +60,7 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-
+		// The head of a response is kept in memory.
 		MaxResponseHeaderBytes: maxResponseHead,
 	}}
 }
--- a/transporter/client_test.go
+++ b/transporter/client_test.go
@@ -238,6 +238,9 @@
 					return
 				}
 				defer func() { _ = conn.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
 				block := []byte(strings.Repeat(tt.repeated, piece/len(tt.repeated)))
 				_, err = io.WriteString(conn, tt.begin)
 				for err == nil {
