platform, relayer, screener: log the prompt parts of calls that an endpoint broke off

The lines of lost calls did not tell the hypotheses of the incident apart. They now name the parts that a prompt shares with others, a broken stream that cannot be resumed has a line of its own, and a mark says how many processes its call has crashed.

--- a/logger/logger.go
+++ b/logger/logger.go
@@ -91,6 +91,7 @@
 	KeyLoad       Key = "load"
 	KeyModel      Key = "model"
 	KeyOutcome    Key = "outcome"
+	KeyParts      Key = "prompt_parts"
 	KeyPeer       Key = "peer"
 	KeyRate       Key = "tokens_per_s"
 	KeyRateBefore Key = "tokens_per_s_before"
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/exchanger"
+	"github.com/dragonflyford/dragonflyford/logger"
 )
 
 // Answer is an endpoint's response to a call. Its body must be closed.
@@ -81,9 +82,14 @@
 	if n > 0 {
 		b.addPiece()
 	}
-	if errors.Is(err, io.EOF) && !b.ended {
+	switch {
+	case err == nil || b.ended:
+	case errors.Is(err, io.EOF):
 		b.ended = true
 		b.end()
+	case b.call.ctx.Err() == nil:
+		b.ended = true
+		b.call.logEvent("stream-lost", b.endpoint, logger.With(logger.KeyCount, b.pieces), logger.Err(err), b.call.promptParts())
 	}
 	return n, err
 }
--- a/relayer/callstate.go
+++ b/relayer/callstate.go
@@ -196,6 +196,12 @@
 	c.relayer.log.Info(event, append(fields, logger.Request(c.call.ID()), logger.With(logger.KeyEndpoint, e.ID()))...)
 }
 
+// promptParts is the log field that names the parts which the call's prompt shares with
+// others.
+func (c *callState) promptParts() logger.Field {
+	return logger.With(logger.KeyParts, c.call.SharedPromptParts())
+}
+
 // logResult logs the result of a send unless the endpoint answered.
 func (c *callState) logResult(e *tracker.Endpoint, res result, took time.Duration) {
 	fields := []logger.Field{
@@ -210,6 +216,6 @@
 	case unsent:
 		c.logEvent("send-not-made", e, append(fields, logger.Err(res.cause))...)
 	case lost:
-		c.logEvent("send-lost", e, append(fields, logger.Err(res.cause))...)
+		c.logEvent("send-lost", e, append(fields, logger.Err(res.cause), c.promptParts())...)
 	}
 }
--- a/router/call.go
+++ b/router/call.go
@@ -22,8 +22,13 @@
 	maxWait              time.Duration
 	promptTokens         int
 	expectedOutputTokens int
+	sharedPromptParts    []PromptPart
 }
 
+// PromptPart is the id of one part of a prompt. Calls whose prompts have a part in
+// common name the same id.
+type PromptPart string
+
 // CallOption sets an optional property of a Call.
 type CallOption func(*Call)
 
@@ -40,6 +45,12 @@
 	return func(c *Call) { c.promptTokens, c.expectedOutputTokens = prompt, expectedOutput }
 }
 
+// WithSharedPromptParts sets the parts of the prompt that other calls may have too, in
+// the order of the prompt.
+func WithSharedPromptParts(parts []PromptPart) CallOption {
+	return func(c *Call) { c.sharedPromptParts = parts }
+}
+
 // NewCall returns a call that was received now. Target is the path with its query
 // as it is forwarded; header holds the end-to-end header fields and must not be
 // modified afterwards.
@@ -86,5 +97,9 @@
 // it is not known.
 func (c *Call) ExpectedOutputTokens() int { return c.expectedOutputTokens }
 
+// SharedPromptParts returns the parts of the prompt that other calls may have too, in
+// the order of the prompt. The caller must not modify them.
+func (c *Call) SharedPromptParts() []PromptPart { return c.sharedPromptParts }
+
 // Received returns when the call was received.
 func (c *Call) Received() time.Time { return c.received }
--- a/screener/screener.go
+++ b/screener/screener.go
@@ -141,7 +141,9 @@
 		}
 		crashes[m.endpoint] = now
 		next[m.call] = crashes
-		if n := crashes.countRecent(now); n >= crashLimit {
+		n := crashes.countRecent(now)
+		s.log.Info("crash-marked", logger.With(logger.KeyCount, n), logger.With(logger.KeyEndpoint, m.endpoint))
+		if n >= crashLimit {
 			s.log.Warn("call-stopped", logger.With(logger.KeyCount, n), logger.With(logger.KeyEndpoint, m.endpoint))
 		}
 		if local {
