--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -44,6 +44,7 @@
 	plain   *emulator.Endpoint
 	address map[string]string // of each endpoint, by id
 	logs    lockedBuffer
+	stops   map[string]func() // of each host that was started
 }
 
 type lockedBuffer struct {
@@ -74,7 +75,7 @@
 func newDeployment(t testing.TB) *deployment {
 	t.Helper()
 	d := &deployment{
-		t: t, level: "info", network: int(networks.Add(1)), store: emulator.NewStore(), address: make(map[string]string),
+		t: t, level: "info", network: int(networks.Add(1)), store: emulator.NewStore(), address: make(map[string]string), stops: make(map[string]func()),
 		engine: emulator.NewEndpoint("i-engine", emulator.NewEngineOptions("m", 3, 50*time.Millisecond, 20*time.Millisecond, 20, 100*time.Millisecond)),
 		plain:  emulator.NewEndpoint("i-plain", emulator.NewServiceOptions(10*time.Millisecond)),
 	}
@@ -91,6 +92,16 @@
 	return d
 }
 
+// addEngine adds an engine to the service of the first one.
+func (d *deployment) addEngine(id string) *emulator.Endpoint {
+	e := emulator.NewEndpoint(id, emulator.NewEngineOptions("m", 3, 50*time.Millisecond, 20*time.Millisecond, 20, 100*time.Millisecond))
+	s := httptest.NewServer(e.Handler())
+	d.t.Cleanup(s.Close)
+	d.address[id] = strings.TrimPrefix(s.URL, "http://")
+	d.setEntry(e, "llm", "ready")
+	return e
+}
+
 func (d *deployment) setEntry(e *emulator.Endpoint, service, state string) {
 	d.store.Set("servers", e.ID(), e.Entry(service, d.address[e.ID()], "z1", state))
 }
@@ -170,9 +181,21 @@
 		})
 	}
 	d.t.Cleanup(stop)
+	d.stops[host] = stop
 	return stop
 }
 
+// restartAll stops hosts and starts them again once all of them have ended.
+func (d *deployment) restartAll(hosts ...string) {
+	d.t.Helper()
+	for _, host := range hosts {
+		d.stops[host]()
+	}
+	for _, host := range hosts {
+		d.start(host)
+	}
+}
+
 func (d *deployment) get(url string) int {
 	resp, err := http.Get(url)
 	if err != nil {
@@ -209,7 +232,13 @@
 // call sends a call to a host and returns the status, the body and the error that
 // ended the body.
 func (d *deployment) call(client *http.Client, host, id, path, model string) (int, string, error) {
-	req, err := emulator.NewCall(id, "h", path, "body", 5*time.Second, model).Request(d.t.Context(), d.listenAddress(host, 0))
+	return d.send(client, host, emulator.NewCall(id, "h", path, "body", 5*time.Second, model))
+}
+
+// send sends a call to a host and returns the status, the body and the error that
+// ended the body.
+func (d *deployment) send(client *http.Client, host string, c emulator.Call) (int, string, error) {
+	req, err := c.Request(d.t.Context(), d.listenAddress(host, 0))
 	if err != nil {
 		return 0, "", err
 	}
