quarantiner, screener, relayer: stop calls with a prompt part that crashes engines

Cause: a crash left a mark only on the hash of the whole call, and only if the head of the answer was missing. The calls that caused the crashes had no hash in common and had got a head, so that they left no mark.

Change: a break of an answer before the first event leaves a mark, which carries the parts that the prompt shares with others. quarantiner decides from the marks which part is fatal: three processes broke off under calls with it and no output of such a call has begun since; crashes under a part that is known say nothing of other parts. Hosts tell each other the marks until each has acknowledged them (broadcaster), with their age. A part in quarantine has a row in the store (registrar), so that hosts that join or all start again know it; the row is renewed while such calls come and deleted otherwise.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/awaiter"
+	"github.com/dragonflyford/dragonflyford/broadcaster"
 	"github.com/dragonflyford/dragonflyford/chainer"
 	"github.com/dragonflyford/dragonflyford/configurer"
 	"github.com/dragonflyford/dragonflyford/enroller"
@@ -23,6 +24,7 @@
 	"github.com/dragonflyford/dragonflyford/procurer"
 	"github.com/dragonflyford/dragonflyford/rationer"
 	"github.com/dragonflyford/dragonflyford/referrer"
+	"github.com/dragonflyford/dragonflyford/registrar"
 	"github.com/dragonflyford/dragonflyford/relayer"
 	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/screener"
@@ -33,7 +35,8 @@
 )
 
 const (
-	// tableFleet holds the rows of the system's own hosts.
+	// tableFleet holds the rows of the system's own hosts, of the owners of engines, and
+	// of prompt parts in quarantine.
 	tableFleet = "fleet"
 	// lossMargin is added to the interval between renewals of a host's row to
 	// get the time after which the host counts as lost. It allows for one
@@ -86,6 +89,8 @@
 	supplier          *supplier.Supplier
 	messenger         *messenger.Messenger
 	screener          *screener.Screener
+	evidence          *broadcaster.Broadcaster[screener.Evidence]
+	registrar         *registrar.Registrar
 	exchanger         *exchanger.Client
 	referrer          *referrer.Referrer
 	pinger            *pinger.Pinger
@@ -124,10 +129,12 @@
 	h.speeds = estimator.New(estimator.NewEstimate(settings.PromptToken(), settings.OutputToken()), h.logSpeed)
 	h.supplier = supplier.New(h.engines, leases{h.members}, h.engineSpec, h.fleet, h.speeds, estimator.NewLoads(settings.AdapterLoad()), log)
 	h.screener = screener.New(log)
+	h.evidence = broadcaster.New[screener.Evidence](screener.EvidenceLifetime)
+	h.registrar = registrar.New(h.screener, fleetTable, log)
 	var err error
 	h.mirrors = map[string]*mirrorer.Mirror{
 		platform.TableEndpoints: mirrorer.New(endpointHandler{h}),
-		tableFleet:              mirrorer.New(h.members),
+		tableFleet:              mirrorer.New(follower.Handlers{h.members, h.registrar}),
 	}
 	if h.messenger, err = messenger.New(peerHandler{h}); err != nil {
 		return nil, fmt.Errorf("build messenger: %w", err)
@@ -221,6 +228,6 @@
 	return p.host.supplier.Reserve(ctx, request)
 }
 
-func (p peerHandler) ApplyMarks(marks []screener.Mark) { p.host.screener.ApplyMarks(marks) }
+func (p peerHandler) Learn(list []screener.Evidence) { p.host.screener.Learn(list) }
 
 func (p peerHandler) Mirror(table string) *mirrorer.Mirror { return p.host.mirrors[table] }
--- a/assembler/run.go
+++ b/assembler/run.go
@@ -23,8 +23,6 @@
 
 const (
 	reconcileInterval = 500 * time.Millisecond
-	markInterval      = 150 * time.Millisecond
-	markTimeout       = time.Second
 	cleanupInterval   = 10 * time.Second
 	// acceptDuration is how long a stopping host still accepts connections:
 	// callers cache the last directory response that lists it for referrer.TTL.
@@ -83,7 +81,8 @@
 		}
 	})
 	running.Go(func() { h.reconcile(work) })
-	running.Go(func() { h.sendMarks(work) })
+	running.Go(func() { h.exchangeEvidence(work) })
+	running.Go(func() { h.storeQuarantine(work) })
 	running.Go(func() { h.reloadSettings(work, reload, read) })
 	<-ctx.Done()
 	h.stop(work, servers, inFlight)
@@ -181,31 +180,6 @@
 	return list
 }
 
-// sendMarks periodically sends new marks against calls that crash endpoints to
-// the other hosts.
-func (h *Host) sendMarks(ctx context.Context) {
-	var sending sync.WaitGroup
-	defer sending.Wait()
-	for sleeper.Sleep(ctx, markInterval) == nil {
-		marks := h.screener.TakeUnsentMarks()
-		if len(marks) == 0 {
-			continue
-		}
-		for _, peer := range h.members.View().Hosts() {
-			if peer.Name() == h.members.Self() {
-				continue
-			}
-			sending.Go(func() {
-				ctx, cancel := context.WithTimeout(ctx, markTimeout)
-				defer cancel()
-				if err := h.messenger.SendMarks(ctx, peer.PeerAddress(), marks); err != nil {
-					h.log.Warn("evidence-not-told", logger.With(logger.KeyPeer, peer.Name()), logger.Err(err))
-				}
-			})
-		}
-	}
-}
-
 // reloadSettings reads the settings again for each value received from reload.
 func (h *Host) reloadSettings(ctx context.Context, reload <-chan os.Signal, read func() (*configurer.Entry, error)) {
 	for {
--- a/enroller/view.go
+++ b/enroller/view.go
@@ -45,6 +45,9 @@
 // FirstSeen returns when this process first read a row of the host.
 func (h *Host) FirstSeen() time.Time { return h.firstSeen }
 
+// ProcessSeen returns when this process first read a row of the host's current process.
+func (h *Host) ProcessSeen() time.Time { return h.processSeen }
+
 // Owner is the owner of an engine as named by the engine's row.
 type Owner struct {
 	host    string
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -25,6 +25,30 @@
 	Contact(v storer.Version, clock time.Duration)
 }
 
+// Handlers passes the rows of one table to several handlers, in order.
+type Handlers []Handler
+
+// Replace implements Handler.
+func (h Handlers) Replace(rows []storer.Change) {
+	for _, one := range h {
+		one.Replace(rows)
+	}
+}
+
+// Apply implements Handler.
+func (h Handlers) Apply(changes []storer.Change) {
+	for _, one := range h {
+		one.Apply(changes)
+	}
+}
+
+// Contact implements Handler.
+func (h Handlers) Contact(v storer.Version, clock time.Duration) {
+	for _, one := range h {
+		one.Contact(v, clock)
+	}
+}
+
 const (
 	retryDelay = 200 * time.Millisecond // after a failure of the store
 	// responseTime is added to the time for which the store may hold a long poll. After
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -99,14 +99,9 @@
 	return decodeReserveResponse(&out), nil
 }
 
-// SendMarks sends marks of calls that crash endpoints to the host at
-// address.
-func (m *Messenger) SendMarks(ctx context.Context, address string, marks []screener.Mark) error {
-	in := &marksDocument{}
-	for _, mark := range marks {
-		in.Marks = append(in.Marks, markDocument{Call: uint64(mark.Call()), Endpoint: mark.Endpoint()})
-	}
-	return m.invoke(ctx, address, methodSendMarks, in, &emptyDocument{})
+// SendEvidence sends evidence of calls that crash endpoints to the host at address.
+func (m *Messenger) SendEvidence(ctx context.Context, address string, list []screener.Evidence) error {
+	return m.invoke(ctx, address, methodSendEvidence, encodeEvidence(list), &emptyDocument{})
 }
 
 // Snapshot returns the copy of a table that the host at address holds.
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -13,15 +13,16 @@
 	"github.com/dragonflyford/dragonflyford/encoder"
 	"github.com/dragonflyford/dragonflyford/estimator"
 	"github.com/dragonflyford/dragonflyford/mirrorer"
+	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/screener"
 	"github.com/dragonflyford/dragonflyford/storer"
 	"github.com/dragonflyford/dragonflyford/supplier"
 )
 
 const (
-	methodReserve   = "/messenger/Supply"
-	methodSendMarks = "/messenger/Accuse"
-	methodFollow    = "/messenger/Follow"
+	methodReserve      = "/messenger/Supply"
+	methodSendEvidence = "/messenger/Accuse"
+	methodFollow       = "/messenger/Follow"
 )
 
 type modelDocument struct {
@@ -152,13 +153,48 @@
 	}
 }
 
-type marksDocument struct {
+type evidenceDocument struct {
 	Marks []markDocument `cbor:"1,keyasint"`
+	Begun []string       `cbor:"2,keyasint,omitempty"`
 }
 
 type markDocument struct {
-	Call     uint64 `cbor:"1,keyasint"`
-	Endpoint string `cbor:"2,keyasint"`
+	Call     uint64   `cbor:"1,keyasint"`
+	Endpoint string   `cbor:"2,keyasint"`
+	Prompt   []string `cbor:"3,keyasint,omitempty"` // shared parts of the prompt
+	AgeUS    int64    `cbor:"4,keyasint,omitempty"` // time since the crash
+}
+
+func encodeEvidence(list []screener.Evidence) *evidenceDocument {
+	d := &evidenceDocument{}
+	for _, e := range list {
+		switch e := e.(type) {
+		case screener.Mark:
+			doc := markDocument{Call: uint64(e.Call()), Endpoint: e.Endpoint(), AgeUS: e.Age().Microseconds()}
+			for _, part := range e.Prompt() {
+				doc.Prompt = append(doc.Prompt, string(part))
+			}
+			d.Marks = append(d.Marks, doc)
+		case screener.Begun:
+			d.Begun = append(d.Begun, string(e.Part()))
+		}
+	}
+	return d
+}
+
+func decodeEvidence(d *evidenceDocument) []screener.Evidence {
+	list := make([]screener.Evidence, 0, len(d.Marks)+len(d.Begun))
+	for _, m := range d.Marks {
+		prompt := make([]router.PromptPart, 0, len(m.Prompt))
+		for _, part := range m.Prompt {
+			prompt = append(prompt, router.PromptPart(part))
+		}
+		list = append(list, screener.NewMark(screener.Fingerprint(m.Call), m.Endpoint, prompt...).Aged(max(microseconds(m.AgeUS), 0)))
+	}
+	for _, part := range d.Begun {
+		list = append(list, screener.NewBegun(router.PromptPart(part)))
+	}
+	return list
 }
 
 type emptyDocument struct{}
@@ -218,8 +254,8 @@
 type Handler interface {
 	// Reserve handles a request for capacity on an engine of this host.
 	Reserve(ctx context.Context, request supplier.ReserveRequest) supplier.ReserveResponse
-	// ApplyMarks applies marks that another host sent.
-	ApplyMarks(marks []screener.Mark)
+	// Learn applies evidence that another host sent.
+	Learn(list []screener.Evidence)
 	// Mirror returns this host's copy of a table, or nil if it has none.
 	Mirror(table string) *mirrorer.Mirror
 }
@@ -238,12 +274,8 @@
 	return encodeReserveResponse(s.handler.Reserve(ctx, request)), nil
 }
 
-func (s *service) applyMarks(_ context.Context, in *marksDocument) (*emptyDocument, error) {
-	marks := make([]screener.Mark, 0, len(in.Marks))
-	for _, m := range in.Marks {
-		marks = append(marks, screener.NewMark(screener.Fingerprint(m.Call), m.Endpoint))
-	}
-	s.handler.ApplyMarks(marks)
+func (s *service) learn(_ context.Context, in *evidenceDocument) (*emptyDocument, error) {
+	s.handler.Learn(decodeEvidence(in))
 	return &emptyDocument{}, nil
 }
 
@@ -276,6 +308,6 @@
 func describe() drpc.Description {
 	return describer.New(encoder.DRPC{},
 		describer.Unary(methodReserve, (*service).reserve),
-		describer.Unary(methodSendMarks, (*service).applyMarks),
+		describer.Unary(methodSendEvidence, (*service).learn),
 		describer.Unary(methodFollow, (*service).follow))
 }
--- /dev/null
+++ b/quarantiner/doc.go
@@ -0,0 +1,9 @@
+// Package quarantiner decides which parts of prompts crash the endpoints that begin
+// to answer calls with them. It has no clock and no network of its own.
+//
+// A fatal part crashes every endpoint, so that no call with it ever produces output.
+// A part becomes suspect when an endpoint process breaks off under a call before the
+// call's output has begun, and it is cleared as soon as the output of any call with it
+// begins. Several calls are usually lost in one crash, of which one is the cause: a
+// crash under a part that is already known to be fatal says nothing of the others.
+package quarantiner
--- /dev/null
+++ b/registrar/registrar.go
@@ -0,0 +1,217 @@
+package registrar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/encoder"
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/router"
+	"github.com/dragonflyford/dragonflyford/screener"
+	"github.com/dragonflyford/dragonflyford/storer"
+)
+
+const (
+	// keyPrefix precedes the part in the key of its row.
+	keyPrefix = "quarantine/"
+	// rowLifetime is how long a row is kept without a renewal. It is deleted up to
+	// deleteSpread later, so that not all hosts try at once.
+	rowLifetime  = 10 * time.Minute
+	deleteSpread = time.Minute
+	// maxRenewals ends a quarantine after an hour or more, so that a part is tried
+	// again although calls with it keep coming.
+	maxRenewals = 12
+	// otherHosts is how long the hosts that lost a call with a part have to store it
+	// before others do.
+	otherHosts = 2 * time.Second
+	// maxWrites limits the writes of one synchronisation.
+	maxWrites    = 8
+	writeTimeout = 1500 * time.Millisecond
+)
+
+// Quarantine holds the parts in quarantine at this host.
+type Quarantine interface {
+	Holds() []screener.Hold
+	Hold(part router.PromptPart)
+	Release(part router.PromptPart)
+	// TakeReleased returns the parts whose rows this host has to delete.
+	TakeReleased() []router.PromptPart
+}
+
+// document is the value of a row.
+type document struct {
+	Renewals int `cbor:"1,keyasint,omitempty"`
+}
+
+type row struct {
+	version  storer.Version
+	renewals int
+	seen     time.Time // when this version was first read
+	deleteAt time.Time
+}
+
+// Registrar keeps the rows of parts in quarantine. It implements follower.Handler for
+// their table.
+type Registrar struct {
+	quarantine Quarantine
+	store      storer.Committer
+	log        *logger.Logger
+	mu         sync.Mutex
+	rows       map[router.PromptPart]row
+	obsolete   map[router.PromptPart]bool // rows to delete
+}
+
+// New returns a registrar that writes to the table store.
+func New(q Quarantine, store storer.Committer, log *logger.Logger) *Registrar {
+	return &Registrar{
+		quarantine: q, store: store, log: log.Component("registrar"),
+		rows: make(map[router.PromptPart]row), obsolete: make(map[router.PromptPart]bool),
+	}
+}
+
+// Contact implements follower.Handler.
+func (*Registrar) Contact(storer.Version, time.Duration) {}
+
+// Replace applies all rows of the table.
+func (r *Registrar) Replace(changes []storer.Change) {
+	listed := make(map[string]bool, len(changes))
+	for _, c := range changes {
+		listed[c.Key()] = true
+	}
+	var gone []storer.Change
+	r.mu.Lock()
+	for part, old := range r.rows {
+		if key := keyPrefix + string(part); !listed[key] {
+			gone = append(gone, storer.NewRemoval(key, old.version))
+		}
+	}
+	r.mu.Unlock()
+	r.Apply(append(gone, changes...))
+}
+
+// Apply applies changes of rows. Rows of other kinds are left out.
+func (r *Registrar) Apply(changes []storer.Change) {
+	for _, c := range changes {
+		if part, ok := strings.CutPrefix(c.Key(), keyPrefix); ok {
+			r.apply(router.PromptPart(part), c)
+		}
+	}
+}
+
+func (r *Registrar) apply(part router.PromptPart, c storer.Change) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old, known := r.rows[part]
+	switch {
+	case known && c.Version() < old.version, known && c.Version() == old.version && !c.Removed():
+		return
+	case c.Removed():
+		delete(r.rows, part)
+		delete(r.obsolete, part)
+		if known {
+			r.quarantine.Release(part)
+			r.log.Info("part-released", logger.With(logger.KeyParts, part), logger.With(logger.KeyReason, "row deleted"))
+		}
+		return
+	}
+	doc, err := encoder.Unmarshal[document](c.Value())
+	if err != nil {
+		r.log.Warn("row-not-read", logger.With(logger.KeyParts, part), logger.Err(err))
+		return
+	}
+	now := time.Now()
+	spread := time.Duration(rand.Int64N(int64(deleteSpread)))
+	r.rows[part] = row{version: c.Version(), renewals: doc.Renewals, seen: now, deleteAt: now.Add(rowLifetime + spread)}
+	r.quarantine.Hold(part)
+	if !known {
+		r.log.Info("part-quarantined", logger.With(logger.KeyParts, part), logger.With(logger.KeyReason, "row"))
+	}
+}
+
+// Synchronise writes the rows that the quarantine of this host requires.
+func (r *Registrar) Synchronise(ctx context.Context) {
+	for _, w := range r.plan(time.Now(), r.quarantine.Holds(), r.quarantine.TakeReleased()) {
+		if err := r.write(ctx, w); err != nil {
+			r.log.Warn("quarantine-not-stored", logger.Err(err))
+		}
+	}
+}
+
+// plan returns the writes that are due.
+func (r *Registrar) plan(now time.Time, holds []screener.Hold, released []router.PromptPart) []storer.Write {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, part := range released {
+		r.obsolete[part] = true
+	}
+	var writes []storer.Write
+	for _, h := range holds {
+		stored, ok := r.rows[h.Part()]
+		switch {
+		case !ok && (h.Lost() || now.Sub(h.Since()) > otherHosts):
+			writes = append(writes, put(h.Part(), document{}, 0))
+		case ok && h.Refused().After(stored.seen) && now.Sub(stored.seen) > rowLifetime/2 && stored.renewals < maxRenewals:
+			writes = append(writes, put(h.Part(), document{Renewals: stored.renewals + 1}, stored.version))
+		}
+	}
+	for part := range r.obsolete {
+		if _, ok := r.rows[part]; !ok {
+			delete(r.obsolete, part)
+		}
+	}
+	for part, stored := range r.rows {
+		if r.obsolete[part] || now.After(stored.deleteAt) {
+			writes = append(writes, storer.NewDelete(keyPrefix+string(part), stored.version))
+		}
+	}
+	return writes[:min(len(writes), maxWrites)]
+}
+
+func put(part router.PromptPart, doc document, expected storer.Version) storer.Write {
+	value, err := encoder.Marshal(doc)
+	if err != nil {
+		panic(fmt.Sprintf("encode row of a prompt part: %v", err)) // a number can always be encoded
+	}
+	return storer.NewPut(keyPrefix+string(part), value, expected)
+}
+
+// write commits one write and applies its result. If another host was first, the row
+// that it wrote is applied.
+func (r *Registrar) write(ctx context.Context, w storer.Write) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	version, err := r.store.Commit(ctx, w)
+	var conflict *storer.RowConflict
+	switch {
+	case errors.As(err, &conflict):
+		r.Apply(conflict.Changes())
+	case err != nil:
+		return fmt.Errorf("commit row: %w", err)
+	default:
+		r.applyWrite(w, version)
+	}
+	return nil
+}
+
+func (r *Registrar) applyWrite(w storer.Write, version storer.Version) {
+	switch w := w.(type) {
+	case storer.Put:
+		r.Apply([]storer.Change{storer.NewChange(storer.NewRow(w.Key(), w.Value(), version))})
+	case storer.Delete:
+		r.Apply([]storer.Change{storer.NewRemoval(w.Key(), version)})
+	}
+}
+
+// Parts returns the parts that have a row, in order.
+func (r *Registrar) Parts() []router.PromptPart {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Sorted(maps.Keys(r.rows))
+}
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -69,31 +69,54 @@
 // two seconds or more.
 const stallThreshold = 1500 * time.Millisecond
 
-// monitoredBody is the body of a stream that records a failure of the endpoint if
-// it is closed while the stream is stalled.
+// monitoredBody is the body of a stream that cannot be resumed. It records a failure of
+// the endpoint if it is closed while the stream is stalled.
 type monitoredBody struct {
 	io.ReadCloser
 	*pace
-	ended bool
+	scanner eventScanner
+	ended   bool // completely
+	lost    bool
 }
 
 func (b *monitoredBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
 		b.addPiece()
+		b.scan(p[:n])
 	}
 	switch {
-	case err == nil || b.ended:
+	case err == nil || b.ended || b.lost:
+		return n, err
 	case errors.Is(err, io.EOF):
 		b.ended = true
 		b.end()
-	case b.call.ctx.Err() == nil:
-		b.ended = true
-		b.call.logEvent("stream-lost", b.endpoint, logger.With(logger.KeyCount, b.pieces), logger.Err(err), b.call.promptParts())
+		return n, err
 	}
+	b.lost = true
+	b.broken(err)
 	return n, err
 }
 
+func (b *monitoredBody) scan(data []byte) {
+	before := b.scanner.events
+	b.scanner.scan(data)
+	if before == 0 && b.scanner.events > 0 {
+		b.call.recordOutput()
+	}
+}
+
+// broken records that the endpoint broke the stream off.
+func (b *monitoredBody) broken(cause error) {
+	if b.call.ctx.Err() != nil {
+		return
+	}
+	b.call.logEvent("stream-lost", b.endpoint, logger.With(logger.KeyCount, b.scanner.events), logger.Err(cause), b.call.promptParts())
+	if b.scanner.events == 0 {
+		b.call.recordCrash(b.endpoint)
+	}
+}
+
 func (b *monitoredBody) Close() error {
 	if !b.ended && time.Since(b.last) > stallThreshold {
 		b.endpoint.Failed()
--- /dev/null
+++ b/relayer/events.go
@@ -0,0 +1,25 @@
+package relayer
+
+// eventScanner finds the ends of the events of a stream without keeping their data. An
+// event ends with an empty line.
+type eventScanner struct {
+	events    int
+	started   bool // data has arrived since the last complete event
+	lineEmpty bool // no data has arrived since the last end of a line
+}
+
+// scan reads the next data of the stream.
+func (s *eventScanner) scan(data []byte) {
+	for _, b := range data {
+		switch {
+		case b == '\r':
+		case b == '\n' && s.started && s.lineEmpty:
+			s.events++
+			s.started = false
+		case b == '\n':
+			s.lineEmpty = true
+		default:
+			s.started, s.lineEmpty = true, false
+		}
+	}
+}
--- a/relayer/outcome.go
+++ b/relayer/outcome.go
@@ -53,12 +53,24 @@
 	if streaming && stream.Resumable() && a.Status() == http.StatusOK {
 		return newAnswer(a, newResumer(c, e, a), e.ID(), c.sends, true)
 	}
-	if streaming {
+	if streaming && a.Status() == http.StatusOK {
 		return newAnswer(a, &monitoredBody{ReadCloser: a.Body(), pace: newPace(c, e)}, e.ID(), c.sends, true)
 	}
-	return newAnswer(a, a.Body(), e.ID(), c.sends, false)
+	if a.Status() < http.StatusMultipleChoices {
+		c.recordOutput()
+	}
+	return newAnswer(a, a.Body(), e.ID(), c.sends, streaming)
 }
 
+// recordCrash records that an endpoint broke off before the output of the call began.
+func (c *callState) recordCrash(e *tracker.Endpoint) {
+	process := fmt.Sprintf("%s/%d", e.ID(), e.Born())
+	c.relayer.crashes.RecordCrash(screener.NewMark(c.call.Fingerprint(), process, c.call.SharedPromptParts()...))
+}
+
+// recordOutput records that the output of the call began.
+func (c *callState) recordOutput() { c.relayer.crashes.RecordOutput(c.call.Call) }
+
 // repeatable reports whether the route allows the work to run more than once.
 func (c *callState) repeatable() bool {
 	switch kind := c.call.Route().RepeatPolicy().(type) {
@@ -129,7 +141,7 @@
 		return final(classifier.NewExpired("the endpoint did not answer in time", classifier.MayHaveRun(), classifier.Cause(cause)))
 	default:
 		e.ConnectionBroken()
-		c.relayer.breaks.RecordCrash(screener.NewMark(c.call.Fingerprint(), fmt.Sprintf("%s/%d", e.ID(), e.Born())))
+		c.recordCrash(e)
 	}
 	c.excluded[e] = true
 	fault := classifier.NewUncertain("the endpoint broke off", classifier.Cause(cause))
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -45,9 +45,12 @@
 	AllowRepeat(service string) bool
 }
 
-// BreakObserver receives the calls during which an endpoint broke the connection.
-type BreakObserver interface {
+// CrashObserver is told which calls crash endpoints and which do not.
+type CrashObserver interface {
+	// RecordCrash records that an endpoint broke off before the output of a call began.
 	RecordCrash(m screener.Mark)
+	// RecordOutput records that the output of a call began.
+	RecordOutput(c *router.Call)
 }
 
 // SpeedObserver receives what calls show of the speed of engines.
@@ -61,7 +64,7 @@
 	procurer  Procurer
 	exchanger Exchanger
 	budget    RetryBudget
-	breaks    BreakObserver
+	crashes   CrashObserver
 	speeds    SpeedObserver
 	hostCount func() int
 	log       *logger.Logger
@@ -69,8 +72,8 @@
 
 // New returns a relayer. hostCount returns the number of hosts that share the
 // connections that an endpoint accepts.
-func New(c Chooser, p Procurer, x Exchanger, budget RetryBudget, breaks BreakObserver, speeds SpeedObserver, hostCount func() int, log *logger.Logger) *Relayer {
-	return &Relayer{chooser: c, procurer: p, exchanger: x, budget: budget, breaks: breaks, speeds: speeds, hostCount: hostCount, log: log.Component("relayer")}
+func New(c Chooser, p Procurer, x Exchanger, budget RetryBudget, crashes CrashObserver, speeds SpeedObserver, hostCount func() int, log *logger.Logger) *Relayer {
+	return &Relayer{chooser: c, procurer: p, exchanger: x, budget: budget, crashes: crashes, speeds: speeds, hostCount: hostCount, log: log.Component("relayer")}
 }
 
 var errSlowEndpoint = eris.New("endpoint did not respond within the send timeout")
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -111,6 +111,7 @@
 	sent         []string
 	resumed      []string
 	breaks       int
+	outputs      int
 	repeats      int
 	budget       int
 	responses    []supplier.ReserveResponse
@@ -163,6 +164,7 @@
 	r.samples = append(r.samples, s)
 }
 func (r *harness) RecordCrash(screener.Mark) { r.breaks++ }
+func (r *harness) RecordOutput(*router.Call) { r.outputs++ }
 
 func (r *harness) AllowRepeat(string) bool {
 	if r.repeats >= r.budget {
@@ -574,6 +576,42 @@
 	}
 }
 
+// Guards against an endpoint that crashes when it begins to answer a call, after the
+// head of its answer, and leaves no mark on the call; and against a mark on a call that
+// had output.
+func TestCrashMarks(t *testing.T) {
+	tests := []struct {
+		name    string
+		kind    router.Stream
+		answer  endpointFunc
+		breaks  int
+		outputs int
+	}{
+		{"no head", router.NewStream(false), dropsConnection, 1, 0},
+		{"head only", router.NewStream(false), streams(0, -1, errReset), 1, 0},
+		{"head only, resumable", router.NewStream(true), streams(0, -1, errReset), 1, 0},
+		{"some events", router.NewStream(false), streams(0, 1, errReset), 0, 1},
+		{"some events, resumable", router.NewStream(true), streams(0, 1, errReset), 0, 1},
+		{"complete", router.NewStream(false), streams(0, 3, nil), 0, 1},
+		{"in pieces", router.NewStream(false), inPieces(streams(0, 3, nil)), 0, 1},
+		{"refused", router.NewStream(false), refuses(503), 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newHarness(map[string][]endpointFunc{"e1": {tt.answer}})
+				if a, err := r.Apply(t.Context(), screenedCall(t, tt.kind, 1, connector.Model{})); err == nil {
+					_, _ = io.ReadAll(a.Body()) // fails if the stream broke
+					is.NoErr(a.Body().Close())
+				}
+				is.Equal(r.breaks, tt.breaks)
+				is.Equal(r.outputs, tt.outputs)
+			})
+		})
+	}
+}
+
 // Guards against ending a stream because its endpoint pauses.
 func TestPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/relayer/resumer.go
+++ b/relayer/resumer.go
@@ -34,6 +34,7 @@
 	events   []byte // complete events
 	partial  []byte // beginning of an incomplete event
 	lastID   int64  // id of the last event in or before events
+	begun    bool   // the current endpoint has sent a complete event
 	pace     *pace  // of the first endpoint; nil once the stream was resumed
 }
 
@@ -101,6 +102,10 @@
 		if end < 0 {
 			return
 		}
+		if !r.begun {
+			r.begun = true
+			r.call.recordOutput()
+		}
 		event := r.partial[:end+len(eventEnd)]
 		r.partial = r.partial[end+len(eventEnd):]
 		id, ok := eventID(event)
@@ -134,6 +139,9 @@
 		return context.Cause(c.ctx)
 	}
 	r.endpoint.ConnectionBroken()
+	if !r.begun {
+		c.recordCrash(r.endpoint)
+	}
 	c.excluded[r.endpoint] = true
 	if len(c.sent) >= c.call.Route().MaxAttempts() {
 		return cause
@@ -151,7 +159,7 @@
 		_ = answer.body.Close()
 		return cause // the other endpoint responded with an error status
 	}
-	r.endpoint, r.current = next.endpoint, next.current
+	r.endpoint, r.current, r.begun = next.endpoint, next.current, false
 	c.logEvent("stream-resumed", r.endpoint, logger.With(logger.KeyCount, r.lastID))
 	return nil
 }
--- a/router/call.go
+++ b/router/call.go
@@ -23,6 +23,7 @@
 	promptTokens         int
 	expectedOutputTokens int
 	sharedPromptParts    []PromptPart
+	lastEvent            string
 }
 
 // PromptPart is the id of one part of a prompt. Calls whose prompts have a part in
@@ -51,6 +52,9 @@
 	return func(c *Call) { c.sharedPromptParts = parts }
 }
 
+// WithLastEvent sets the id of the last event of a stream that the caller resumes.
+func WithLastEvent(id string) CallOption { return func(c *Call) { c.lastEvent = id } }
+
 // NewCall returns a call that was received now. Target is the path with its query
 // as it is forwarded; header holds the end-to-end header fields and must not be
 // modified afterwards.
@@ -101,5 +105,9 @@
 // the order of the prompt. The caller must not modify them.
 func (c *Call) SharedPromptParts() []PromptPart { return c.sharedPromptParts }
 
+// LastEvent returns the id of the last event of a stream that the caller resumes, or ""
+// for a new stream.
+func (c *Call) LastEvent() string { return c.lastEvent }
+
 // Received returns when the call was received.
 func (c *Call) Received() time.Time { return c.received }
--- a/screener/screener.go
+++ b/screener/screener.go
@@ -21,6 +21,8 @@
 	crashLimit = 3
 	// markTTL is how long a mark counts.
 	markTTL = time.Minute
+	// EvidenceLifetime is how long hosts that join are told of a crash.
+	EvidenceLifetime = 10 * time.Minute
 	// maxTrackedCalls limits the number of calls with marks that a host keeps.
 	maxTrackedCalls = 4096
 	// stoppedRetryAfter is how long callers of a refused call should wait
@@ -28,26 +30,6 @@
 	stoppedRetryAfter = 20 * time.Second
 )
 
-// Fingerprint is a hash of the content of a call. Repeats of a call have the
-// same one, regardless of the sender.
-type Fingerprint uint64
-
-// Mark records that an endpoint process crashed while it ran a call.
-type Mark struct {
-	call     Fingerprint
-	endpoint string
-}
-
-// NewMark returns the mark of an endpoint process that crashed while it ran a
-// call.
-func NewMark(call Fingerprint, endpoint string) Mark { return Mark{call: call, endpoint: endpoint} }
-
-// Call returns the fingerprint of the call.
-func (m Mark) Call() Fingerprint { return m.call }
-
-// Endpoint returns the id of the endpoint process.
-func (m Mark) Endpoint() string { return m.endpoint }
-
 // crashTimes holds the time of the latest crash of each endpoint process.
 type crashTimes map[string]time.Time
 
@@ -72,21 +54,26 @@
 
 // Screener is the second stage of the call pipeline.
 type Screener struct {
-	log     *logger.Logger
-	mu      sync.Mutex
-	crashes atomic.Pointer[map[Fingerprint]crashTimes]
-	unsent  []Mark // not sent to other hosts yet
+	log        *logger.Logger
+	mu         sync.Mutex
+	crashes    atomic.Pointer[map[Fingerprint]crashTimes]
+	quarantine *quarantine
+	unsent     []Evidence // not sent to other hosts yet
 }
 
 // New returns a screener without marks.
 func New(log *logger.Logger) *Screener {
-	s := &Screener{log: log.Component("screener")}
+	s := &Screener{log: log.Component("screener"), quarantine: newQuarantine(time.Now())}
 	s.crashes.Store(&map[Fingerprint]crashTimes{})
 	return s
 }
 
-// Apply refuses a call that has crashed too many endpoint processes.
+// Apply refuses a call that has crashed too many endpoint processes, or whose prompt
+// has a part that is found to crash them.
 func (s *Screener) Apply(_ context.Context, r *router.Routed) (*Screened, error) {
+	if err := s.quarantine.check(r.Call); err != nil {
+		return nil, err
+	}
 	f := fingerprint(r.Call)
 	if crashes, ok := (*s.crashes.Load())[f]; ok {
 		if n := crashes.countRecent(time.Now()); n >= crashLimit {
@@ -107,31 +94,48 @@
 	return Fingerprint(h.Sum64())
 }
 
-// RecordCrash records that an endpoint process crashed while it ran a call.
-func (s *Screener) RecordCrash(m Mark) {
-	s.add([]Mark{m}, true)
+// RecordCrash records that an endpoint process crashed before the output of a call
+// began.
+func (s *Screener) RecordCrash(m Mark) { s.addMarks([]Mark{m}, true) }
+
+// Learn applies the evidence that another host sent.
+func (s *Screener) Learn(list []Evidence) {
+	var marks []Mark
+	for _, e := range list {
+		switch e := e.(type) {
+		case Mark:
+			marks = append(marks, e)
+		case Begun:
+			s.clear(e.part, false, time.Now())
+		}
+	}
+	if len(marks) > 0 {
+		s.addMarks(marks, false)
+	}
 }
 
-// ApplyMarks adds the marks that another host sent.
-func (s *Screener) ApplyMarks(marks []Mark) { s.add(marks, false) }
-
-// TakeUnsentMarks returns the marks that have not been sent to other hosts yet,
-// and clears them.
-func (s *Screener) TakeUnsentMarks() []Mark {
+// TakeUnsent returns the evidence that has not been sent to other hosts yet, and
+// clears it.
+func (s *Screener) TakeUnsent() []Evidence {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	marks := s.unsent
+	list := s.unsent
 	s.unsent = nil
-	return marks
+	return list
 }
 
-func (s *Screener) add(marks []Mark, local bool) {
+func (s *Screener) addMarks(marks []Mark, local bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	next := maps.Clone(*s.crashes.Load())
 	maps.DeleteFunc(next, func(_ Fingerprint, c crashTimes) bool { return c.countRecent(now) == 0 })
+	s.quarantine.forgetLost(now)
 	for _, m := range marks {
+		s.quarantine.recordLoss(m, local, now)
+		if local {
+			s.unsent = append(s.unsent, m)
+		}
 		if len(next) >= maxTrackedCalls && next[m.call] == nil {
 			continue
 		}
@@ -142,13 +146,10 @@
 		crashes[m.endpoint] = now
 		next[m.call] = crashes
 		n := crashes.countRecent(now)
-		s.log.Info("crash-marked", logger.With(logger.KeyCount, n), logger.With(logger.KeyEndpoint, m.endpoint))
+		s.log.Info("crash-marked", logger.With(logger.KeyCount, n), logger.With(logger.KeyEndpoint, m.endpoint), logger.With(logger.KeyParts, m.prompt))
 		if n >= crashLimit {
 			s.log.Warn("call-stopped", logger.With(logger.KeyCount, n), logger.With(logger.KeyEndpoint, m.endpoint))
 		}
-		if local {
-			s.unsent = append(s.unsent, m)
-		}
 	}
 	s.crashes.Store(&next)
 }
