relayer: take a stream that ends inside an event for broken off

An answer may have neither a length nor chunks and end with its connection.

The stream is complete only at the end of an event, after one at least unless the caller resumed it.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -69,8 +69,9 @@
 // two seconds or more.
 const stallThreshold = 1500 * time.Millisecond
 
-// monitoredBody is the body of a stream that cannot be resumed. It records a failure of
-// the endpoint if it is closed while the stream is stalled.
+// monitoredBody is the body of a stream that cannot be resumed. It fails if the stream
+// ends inside an event, and records a failure of the endpoint if it is closed while the
+// stream is stalled.
 type monitoredBody struct {
 	io.ReadCloser
 	*pace
@@ -88,10 +89,12 @@
 	switch {
 	case err == nil || b.ended || b.lost:
 		return n, err
-	case errors.Is(err, io.EOF):
+	case errors.Is(err, io.EOF) && b.scanner.complete(b.call.resumedByCaller()):
 		b.ended = true
 		b.end()
 		return n, err
+	case errors.Is(err, io.EOF):
+		err = errPartialEvent
 	}
 	b.lost = true
 	b.broken(err)
--- a/relayer/events.go
+++ b/relayer/events.go
@@ -1,5 +1,11 @@
 package relayer
 
+import "github.com/rotisserie/eris"
+
+// errPartialEvent reports a stream that ended inside an event, or before its first one.
+// The endpoint broke it off, also if the connection was closed properly.
+var errPartialEvent = eris.New("stream ended without a complete last event")
+
 // eventScanner finds the ends of the events of a stream without keeping their data. An
 // event ends with an empty line.
 type eventScanner struct {
@@ -23,3 +29,9 @@
 		}
 	}
 }
+
+// complete reports whether the stream may end here. Only a stream that was resumed may
+// have no event.
+func (s *eventScanner) complete(resumed bool) bool {
+	return !s.started && (s.events > 0 || resumed)
+}
--- a/relayer/outcome.go
+++ b/relayer/outcome.go
@@ -71,6 +71,9 @@
 // recordOutput records that the output of the call began.
 func (c *callState) recordOutput() { c.relayer.crashes.RecordOutput(c.call.Call) }
 
+// resumedByCaller reports whether the caller has a part of the stream already.
+func (c *callState) resumedByCaller() bool { return c.call.LastEvent() != "" }
+
 // repeatable reports whether the route allows the work to run more than once.
 func (c *callState) repeatable() bool {
 	switch kind := c.call.Route().RepeatPolicy().(type) {
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -525,7 +525,7 @@
 
 // Guards against a missing, duplicated or truncated event when a stream is resumed
 // after its endpoint broke the connection, and against an incomplete stream that
-// ends with io.EOF.
+// ends with io.EOF, also if it has neither a length nor chunks.
 func TestResume(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -543,6 +543,10 @@
 		{"broken twice", router.NewStream(true), streams(0, 1, errReset), streams(2, 2, errReset), "012", true, 2},
 		{"error status on resumption", router.NewStream(true), streams(0, 1, errReset), answers(500, "no"), "01", true, 2},
 		{"not resumable", router.NewStream(false), streams(0, 1, errReset), nil, "01", true, 1},
+		{"ends inside an event and resumed", router.NewStream(true), streams(0, 1, io.EOF), streams(2, 3, nil), "0123", false, 2},
+		{"ends before its first event and resumed", router.NewStream(true), streams(0, -1, nil), streams(0, 3, nil), "0123", false, 2},
+		{"ends inside an event, not resumable", router.NewStream(false), streams(0, 1, io.EOF), nil, "01", true, 1},
+		{"ends before its first event, not resumable", router.NewStream(false), streams(0, -1, nil), nil, "", true, 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -589,6 +593,7 @@
 	}{
 		{"no head", router.NewStream(false), dropsConnection, 1, 0},
 		{"head only", router.NewStream(false), streams(0, -1, errReset), 1, 0},
+		{"head only, closed", router.NewStream(false), streams(0, -1, io.EOF), 1, 0},
 		{"head only, resumable", router.NewStream(true), streams(0, -1, errReset), 1, 0},
 		{"some events", router.NewStream(false), streams(0, 1, errReset), 0, 1},
 		{"some events, resumable", router.NewStream(true), streams(0, 1, errReset), 0, 1},
--- a/relayer/resumer.go
+++ b/relayer/resumer.go
@@ -74,12 +74,11 @@
 		}
 		return nil
 	case errors.Is(err, io.EOF):
-		if len(r.partial) > 0 {
-			r.events, r.partial = append(r.events, r.partial...), nil
-			return nil
-		}
 		if len(r.events) > 0 {
-			return nil
+			return nil // the next read finds the end again
+		}
+		if len(r.partial) > 0 || r.lastID < 0 && !r.begun && !r.call.resumedByCaller() {
+			return r.resume(errPartialEvent)
 		}
 		if r.pace != nil {
 			r.pace.end()
