--- a/exchanger/message.go
+++ b/exchanger/message.go
@@ -65,6 +65,8 @@
 	running     int
 	waiting     int
 	idleTimeout time.Duration
+	limited     bool
+	limit       float64
 }
 
 // NewMeta returns the metadata of a response: the id of its call, whether the
@@ -86,6 +88,17 @@
 	return m
 }
 
+// WithLimit adds the number of requests a second that the endpoint accepts from all hosts
+// together.
+func (m Meta) WithLimit(rate float64) Meta {
+	m.limited, m.limit = true, rate
+	return m
+}
+
+// Limit returns the number of requests a second that the endpoint accepts from all hosts
+// together, or false if it named none.
+func (m Meta) Limit() (rate float64, ok bool) { return m.limit, m.limited }
+
 // Load returns the number of calls that run and wait at the endpoint, or false if it
 // did not tell.
 func (m Meta) Load() (running, waiting int, ok bool) { return m.running, m.waiting, m.hasLoad }
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -88,6 +88,7 @@
 	KeyGap        Key = "gap_ms"
 	KeyHeld       Key = "held"
 	KeyLeft       Key = "left_ms"
+	KeyLimit      Key = "requests_per_s"
 	KeyLoad       Key = "load"
 	KeyModel      Key = "model"
 	KeyOutcome    Key = "outcome"
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/exchanger"
+	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/selector"
+	"github.com/dragonflyford/dragonflyford/tracker"
 )
 
 const (
@@ -81,6 +83,7 @@
 		return lost{err}
 	}
 	c.sends++
+	c.observeLimit(e, answer.Meta())
 	if answer.Meta().Refused() {
 		return refused{answer}
 	}
@@ -93,6 +96,18 @@
 	return answered{answer}
 }
 
+// observeLimit records the rate of requests that the endpoint names in an answer.
+func (c *callState) observeLimit(e *tracker.Endpoint, m exchanger.Meta) {
+	limit := tracker.NewNoLimit(time.Now())
+	rate, named := m.Limit()
+	if named {
+		limit = tracker.NewLimit(rate, time.Now())
+	}
+	if e.RecordLimit(limit) {
+		c.logEvent("limit-changed", e, logger.With(logger.KeyLimit, rate), logger.With(logger.KeyHeld, named))
+	}
+}
+
 func (c *callState) outbound(choice selector.Choice) *exchanger.Outbound {
 	opts := []exchanger.OutboundOption{}
 	if c.call.Service().EngineSpec() != nil {
--- a/tracker/endpoint.go
+++ b/tracker/endpoint.go
@@ -60,11 +60,12 @@
 	hash         uint64
 	outstanding  atomic.Int64
 	load         atomic.Pointer[Load]
-	failureRate  atomic.Uint64 // float64 bits of the share of recent calls that failed
-	ejectedUntil atomic.Int64  // Unix nanoseconds of the runtime clock
-	fullUntil    atomic.Int64  // Unix nanoseconds
-	connFailures atomic.Int32  // consecutive connection failures
-	mu           sync.Mutex    // serialises writers of models
+	limit        atomic.Pointer[Limit] // nil if none was ever named
+	failureRate  atomic.Uint64         // float64 bits of the share of recent calls that failed
+	ejectedUntil atomic.Int64          // Unix nanoseconds of the runtime clock
+	fullUntil    atomic.Int64          // Unix nanoseconds
+	connFailures atomic.Int32          // consecutive connection failures
+	mu           sync.Mutex            // serialises writers of models
 	models       atomic.Pointer[map[connector.Model]modelState]
 	recent       atomic.Pointer[map[connector.Model]time.Time] // unloaded models and when that was observed
 }
--- /dev/null
+++ b/tracker/limit.go
@@ -0,0 +1,78 @@
+package tracker
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// limitTTL is how long a limit counts after it was last named.
+	limitTTL = 30 * time.Second
+	// liftDelay is the time after which an answer without a limit ends one. Answers on
+	// different connections may overtake each other.
+	liftDelay = time.Second
+	// limitTolerance is the relative change of a rate that counts as a change.
+	limitTolerance = 0.1
+)
+
+// Limit is the rate of requests that an endpoint accepts from all hosts together, as it
+// was last named in an answer to any host.
+type Limit struct {
+	rate float64 // a second
+	none bool    // the endpoint accepts any rate
+	at   time.Time
+}
+
+// NewLimit returns a limit of rate requests a second that was named at a time.
+func NewLimit(rate float64, at time.Time) Limit { return Limit{rate: rate, at: at} }
+
+// NewNoLimit returns the absence of a limit as of a time.
+func NewNoLimit(at time.Time) Limit { return Limit{none: true, at: at} }
+
+// Rate returns the number of requests a second, or false if there is no limit.
+func (l Limit) Rate() (perSecond float64, limited bool) { return l.rate, !l.none }
+
+// At returns when the limit was last named.
+func (l Limit) At() time.Time { return l.at }
+
+// replaces reports whether l, learned after old, takes its place.
+func (l Limit) replaces(old *Limit) bool {
+	if old == nil {
+		return !l.none
+	}
+	if l.none && !old.none {
+		return l.at.Sub(old.at) > liftDelay
+	}
+	return l.at.After(old.at)
+}
+
+// differs reports whether a host that knows old must hear of l.
+func (l Limit) differs(old *Limit) bool {
+	if old == nil || l.none || old.none || l.at.Sub(old.at) > limitTTL {
+		return old == nil || l.none != old.none || !l.none
+	}
+	return math.Abs(l.rate-old.rate) > limitTolerance*old.rate
+}
+
+// RecordLimit records a limit, or the absence of one, and reports whether that changes
+// what was known.
+func (e *Endpoint) RecordLimit(l Limit) (changed bool) {
+	for {
+		old := e.limit.Load()
+		if !l.replaces(old) {
+			return false
+		}
+		if e.limit.CompareAndSwap(old, &l) {
+			return l.differs(old)
+		}
+	}
+}
+
+// Limit returns the limit in force, or false if none is known.
+func (e *Endpoint) Limit(now time.Time) (Limit, bool) {
+	l := e.limit.Load()
+	if l == nil || l.none || now.Sub(l.at) > limitTTL {
+		return Limit{}, false
+	}
+	return *l, true
+}
