limiter, permitter, relayer: keep to the rate of requests that an endpoint names

Cause: nothing read the rate.

For each such endpoint one host, the first choice among the live ones, spaces the requests of all hosts (limiter, without clock and network); a call asks it for a turn before each send (permitter). A host that cannot reach it uses its part of half of the rate. A call for which no endpoint has a turn soon waits for as long as one that waits behind loads, and is refused at once if that would not do. The state ends with the endpoint process, when it names no rate, or 30 s after it last did.

Ruled out: repeats of refused calls (less than one a second for each engine).

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -19,6 +19,7 @@
 	"github.com/dragonflyford/dragonflyford/messenger"
 	"github.com/dragonflyford/dragonflyford/meter"
 	"github.com/dragonflyford/dragonflyford/mirrorer"
+	"github.com/dragonflyford/dragonflyford/permitter"
 	"github.com/dragonflyford/dragonflyford/pinger"
 	"github.com/dragonflyford/dragonflyford/platform"
 	"github.com/dragonflyford/dragonflyford/procurer"
@@ -89,8 +90,10 @@
 	supplier          *supplier.Supplier
 	messenger         *messenger.Messenger
 	screener          *screener.Screener
-	evidence          *broadcaster.Broadcaster[screener.Evidence]
+	evidence          *news[screener.Evidence]
 	registrar         *registrar.Registrar
+	permitter         *permitter.Permitter
+	limits            *news[permitter.Report]
 	exchanger         *exchanger.Client
 	referrer          *referrer.Referrer
 	pinger            *pinger.Pinger
@@ -129,7 +132,6 @@
 	h.speeds = estimator.New(estimator.NewEstimate(settings.PromptToken(), settings.OutputToken()), h.logSpeed)
 	h.supplier = supplier.New(h.engines, leases{h.members}, h.engineSpec, h.fleet, h.speeds, estimator.NewLoads(settings.AdapterLoad()), log)
 	h.screener = screener.New(log)
-	h.evidence = broadcaster.New[screener.Evidence](screener.EvidenceLifetime)
 	h.registrar = registrar.New(h.screener, fleetTable, log)
 	var err error
 	h.mirrors = map[string]*mirrorer.Mirror{
@@ -139,6 +141,15 @@
 	if h.messenger, err = messenger.New(peerHandler{h}); err != nil {
 		return nil, fmt.Errorf("build messenger: %w", err)
 	}
+	h.permitter = permitter.New(h.messenger, h.members, h.fleet)
+	h.evidence = &news[screener.Evidence]{
+		host: h, items: broadcaster.New[screener.Evidence](screener.EvidenceLifetime),
+		take: h.screener.TakeUnsent, send: h.messenger.SendEvidence, failure: "evidence-not-told",
+	}
+	h.limits = &news[permitter.Report]{
+		host: h, items: broadcaster.New[permitter.Report](permitter.ReportLifetime),
+		take: h.permitter.TakeUnsent, send: h.messenger.SendLimits, failure: "limit-not-told",
+	}
 	h.exchanger = exchanger.New(platform.Dialect{})
 	h.pinger = pinger.New(settings.Address(), h.neighbourAddresses, h.state, func() { h.operatorFollower.Refresh() }, log)
 	h.referrer = referrer.New(h.members, h.pinger)
@@ -175,6 +186,7 @@
 	retryBudget := rationer.New(rationer.NewLimits(settings.RepeatRatio(), settings.RepeatSlack(), settings.RepeatWindow()), hosts)
 	relay := relayer.New(
 		selector.New(h.fleet, settings.DataCentre(), settings.Region()),
+		h.permitter,
 		procurer.New(h.supplier, h.messenger, h.members, h.speeds),
 		h.exchanger, retryBudget, h.screener, h.speeds, hosts, log)
 	routed := chainer.Join[*router.Call, *router.Call, *router.Routed](h.awaiter, h.router)
@@ -230,4 +242,10 @@
 
 func (p peerHandler) Learn(list []screener.Evidence) { p.host.screener.Learn(list) }
 
+func (p peerHandler) LearnLimits(list []permitter.Report) { p.host.permitter.Learn(list) }
+
+func (p peerHandler) Admit(request permitter.Request) permitter.Response {
+	return p.host.permitter.Grant(request)
+}
+
 func (p peerHandler) Mirror(table string) *mirrorer.Mirror { return p.host.mirrors[table] }
--- a/enroller/view.go
+++ b/enroller/view.go
@@ -141,6 +141,36 @@
 	return list
 }
 
+// FirstChoice returns the name of the host that serves an endpoint for all hosts: the one
+// with the highest rendezvous hash among the live hosts of the endpoint's data centre or,
+// if there are none, of its region or else of the deployment. It returns "" if no host is
+// alive.
+func (v *View) FirstChoice(endpoint Engine) string {
+	name, best, nearest := "", uint64(0), 0
+	for _, h := range v.hosts {
+		if h.doc.Leaving || !v.Alive(h) {
+			continue
+		}
+		near, hash := proximity(h, endpoint), engineHash(endpoint, h.name)
+		if name == "" || near > nearest || near == nearest && hash > best {
+			name, best, nearest = h.name, hash, near
+		}
+	}
+	return name
+}
+
+// proximity ranks how near a host is to an endpoint.
+func proximity(h *Host, endpoint Engine) int {
+	switch {
+	case h.doc.DataCentre == endpoint.DataCentre():
+		return 2
+	case h.doc.Region == endpoint.Region():
+		return 1
+	default:
+		return 0
+	}
+}
+
 // LiveCount returns the number of hosts that were alive at the last contact with
 // the store, including those that are leaving.
 func (v *View) LiveCount() int { return v.liveCount }
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -12,12 +12,15 @@
 
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/estimator"
+	"github.com/dragonflyford/dragonflyford/limiter"
 	"github.com/dragonflyford/dragonflyford/messenger"
 	"github.com/dragonflyford/dragonflyford/mirrorer"
+	"github.com/dragonflyford/dragonflyford/permitter"
 	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/screener"
 	"github.com/dragonflyford/dragonflyford/storer"
 	"github.com/dragonflyford/dragonflyford/supplier"
+	"github.com/dragonflyford/dragonflyford/tracker"
 )
 
 type handler struct {
@@ -25,6 +28,7 @@
 	request  supplier.ReserveRequest
 	answer   supplier.ReserveResponse
 	evidence []screener.Evidence
+	limits   []permitter.Report
 	mirror   *mirrorer.Mirror
 }
 
@@ -41,6 +45,19 @@
 	h.evidence = evidence
 }
 
+func (h *handler) LearnLimits(list []permitter.Report) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.limits = list
+}
+
+func (h *handler) Admit(request permitter.Request) permitter.Response {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.limits = []permitter.Report{request.Report}
+	return permitter.NewResponse(limiter.NewDeclined(request.MaxWait()), request.Limit())
+}
+
 func (h *handler) Mirror(table string) *mirrorer.Mirror {
 	if table != "t" {
 		return nil
@@ -153,3 +170,30 @@
 	_, err := client.Reserve(ctx, "127.0.0.1:1", supplier.NewReserveRequest("e1", connector.Model{}))
 	is.True(err != nil)
 }
+
+// Guards against limits and turns that change on their way between hosts.
+func TestLimits(t *testing.T) {
+	is := is.New(t)
+	h := &handler{}
+	client, address := connect(t, h)
+	limit := tracker.NewLimit(4.5, time.Now().Add(-3*time.Second))
+	reports := []permitter.Report{permitter.NewReport("e1", 7, limit), permitter.NewReport("e2", 8, tracker.NewNoLimit(time.Now()))}
+	is.NoErr(client.SendLimits(t.Context(), address, reports))
+	is.Equal(len(h.limits), 2)
+	is.Equal(h.limits[0].Endpoint(), "e1")
+	is.Equal(h.limits[0].Born(), int64(7))
+	rate, limited := h.limits[0].Limit().Rate()
+	is.True(limited)
+	is.Equal(rate, 4.5)
+	age := time.Since(h.limits[0].Limit().At())
+	is.True(age >= 3*time.Second && age < 4*time.Second)
+	_, limited = h.limits[1].Limit().Rate()
+	is.True(!limited)
+
+	response, err := client.Admit(t.Context(), address, permitter.NewRequest(reports[0], 200*time.Millisecond))
+	is.NoErr(err)
+	is.Equal(response.Verdict(), limiter.NewDeclined(200*time.Millisecond))
+	rate, limited = response.Limit().Rate()
+	is.True(limited)
+	is.Equal(rate, 4.5)
+}
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -12,16 +12,21 @@
 	"github.com/dragonflyford/dragonflyford/describer"
 	"github.com/dragonflyford/dragonflyford/encoder"
 	"github.com/dragonflyford/dragonflyford/estimator"
+	"github.com/dragonflyford/dragonflyford/limiter"
 	"github.com/dragonflyford/dragonflyford/mirrorer"
+	"github.com/dragonflyford/dragonflyford/permitter"
 	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/screener"
 	"github.com/dragonflyford/dragonflyford/storer"
 	"github.com/dragonflyford/dragonflyford/supplier"
+	"github.com/dragonflyford/dragonflyford/tracker"
 )
 
 const (
 	methodReserve      = "/messenger/Supply"
 	methodSendEvidence = "/messenger/Accuse"
+	methodSendLimits   = "/messenger/SendLimits"
+	methodAdmit        = "/messenger/Admit"
 	methodFollow       = "/messenger/Follow"
 )
 
@@ -197,6 +202,66 @@
 	return list
 }
 
+type limitDocument struct {
+	Endpoint  string  `cbor:"1,keyasint,omitempty"`
+	Born      int64   `cbor:"2,keyasint,omitempty"`
+	Rate      float64 `cbor:"3,keyasint,omitempty"` // requests a second
+	None      bool    `cbor:"4,keyasint,omitempty"` // the endpoint accepts any rate
+	AgeUS     int64   `cbor:"5,keyasint,omitempty"` // time since the limit was named
+	MaxWaitUS int64   `cbor:"6,keyasint,omitempty"` // of a request for a turn
+}
+
+func encodeLimit(l tracker.Limit) limitDocument {
+	rate, limited := l.Rate()
+	return limitDocument{Rate: rate, None: !limited, AgeUS: time.Since(l.At()).Microseconds()}
+}
+
+func encodeLimitReport(r permitter.Report) limitDocument {
+	d := encodeLimit(r.Limit())
+	d.Endpoint, d.Born = r.Endpoint(), r.Born()
+	return d
+}
+
+func decodeLimit(d limitDocument) tracker.Limit {
+	at := time.Now().Add(-max(microseconds(d.AgeUS), 0))
+	if d.None {
+		return tracker.NewNoLimit(at)
+	}
+	return tracker.NewLimit(d.Rate, at)
+}
+
+func decodeLimitReport(d limitDocument) permitter.Report {
+	return permitter.NewReport(d.Endpoint, d.Born, decodeLimit(d))
+}
+
+type limitsDocument struct {
+	Limits []limitDocument `cbor:"1,keyasint"`
+}
+
+type turnDocument struct {
+	Granted bool          `cbor:"1,keyasint,omitempty"`
+	WaitUS  int64         `cbor:"2,keyasint,omitempty"`
+	Limit   limitDocument `cbor:"3,keyasint"`
+}
+
+func encodeTurn(r permitter.Response) *turnDocument {
+	d := &turnDocument{Limit: encodeLimit(r.Limit())}
+	switch v := r.Verdict().(type) {
+	case limiter.Granted:
+		d.Granted, d.WaitUS = true, v.Wait().Microseconds()
+	case limiter.Declined:
+		d.WaitUS = v.Wait().Microseconds()
+	}
+	return d
+}
+
+func decodeTurn(d *turnDocument) permitter.Response {
+	if d.Granted {
+		return permitter.NewResponse(limiter.NewGranted(microseconds(d.WaitUS)), decodeLimit(d.Limit))
+	}
+	return permitter.NewResponse(limiter.NewDeclined(microseconds(d.WaitUS)), decodeLimit(d.Limit))
+}
+
 type emptyDocument struct{}
 
 // followDocument requests the changes of a table after a version, or all rows.
@@ -256,6 +321,10 @@
 	Reserve(ctx context.Context, request supplier.ReserveRequest) supplier.ReserveResponse
 	// Learn applies evidence that another host sent.
 	Learn(list []screener.Evidence)
+	// LearnLimits applies news of limits that another host sent.
+	LearnLimits(list []permitter.Report)
+	// Admit handles a request for a turn at an endpoint.
+	Admit(request permitter.Request) permitter.Response
 	// Mirror returns this host's copy of a table, or nil if it has none.
 	Mirror(table string) *mirrorer.Mirror
 }
@@ -279,6 +348,19 @@
 	return &emptyDocument{}, nil
 }
 
+func (s *service) learnLimits(_ context.Context, in *limitsDocument) (*emptyDocument, error) {
+	list := make([]permitter.Report, 0, len(in.Limits))
+	for _, d := range in.Limits {
+		list = append(list, decodeLimitReport(d))
+	}
+	s.handler.LearnLimits(list)
+	return &emptyDocument{}, nil
+}
+
+func (s *service) admit(_ context.Context, in *limitDocument) (*turnDocument, error) {
+	return encodeTurn(s.handler.Admit(permitter.NewRequest(decodeLimitReport(*in), microseconds(in.MaxWaitUS)))), nil
+}
+
 func (s *service) follow(ctx context.Context, in *followDocument) (*copyDocument, error) {
 	m := s.handler.Mirror(in.Table)
 	if m == nil {
@@ -309,5 +391,7 @@
 	return describer.New(encoder.DRPC{},
 		describer.Unary(methodReserve, (*service).reserve),
 		describer.Unary(methodSendEvidence, (*service).learn),
+		describer.Unary(methodSendLimits, (*service).learnLimits),
+		describer.Unary(methodAdmit, (*service).admit),
 		describer.Unary(methodFollow, (*service).follow))
 }
--- a/relayer/callstate.go
+++ b/relayer/callstate.go
@@ -53,6 +53,8 @@
 	shortestQueue     selector.Choice // engine with the shortest queue of loads among those that declined the call
 	shortestQueueWait time.Duration
 	queues            int                     // engines at which the load of the model would have had to wait for others
+	limited           []*tracker.Endpoint     // endpoints whose next turn was too late for the call
+	patient           bool                    // the call waits longer, because no endpoint can take it soon
 	cancelSend        context.CancelCauseFunc // of the latest send
 	missingAt         *tracker.Endpoint       // engine that refused the call because the model is not loaded
 	releaseModel      func()                  // ends the use of the model at the latest endpoint
@@ -103,6 +105,9 @@
 // previous endpoint, or nil. Exhausted reports that no other endpoint is to be asked.
 func (c *callState) reserveNext(last error) (choice selector.Choice, exhausted bool, err error) {
 	choice, chooseErr := c.choose()
+	if chooseErr != nil && c.becomePatient() {
+		choice, chooseErr = c.choose()
+	}
 	switch {
 	case chooseErr == nil:
 		if last = c.reserve(choice); last == nil {
@@ -149,8 +154,9 @@
 // as many endpoints as its route allows, only those are left to choose from.
 func (c *callState) choose() (selector.Choice, error) {
 	limit := c.call.Route().MaxAttempts()
+	now, maxWait := time.Now(), c.maxLimitWait()
 	choice, err := c.relayer.chooser.Choose(c.call.Routed, func(e *tracker.Endpoint) bool {
-		return c.excluded[e] || !c.sent[e] && len(c.sent) >= limit
+		return c.excluded[e] || !c.sent[e] && len(c.sent) >= limit || e.UntilTurn(now) > maxWait
 	}, c.shortestQueue.Endpoint() != nil)
 	if err != nil {
 		return choice, fmt.Errorf("choose endpoint: %w", err)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -9,6 +9,7 @@
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/estimator"
 	"github.com/dragonflyford/dragonflyford/exchanger"
+	"github.com/dragonflyford/dragonflyford/limiter"
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/screener"
@@ -37,6 +38,9 @@
 	// Usable reports whether an endpoint that was chosen earlier may still receive
 	// new calls.
 	Usable(e *tracker.Endpoint) bool
+	// AnyLimited reports whether any endpoint of the call's service names a limit on the
+	// rate of requests.
+	AnyLimited(r *router.Routed) bool
 }
 
 // RetryBudget limits how many calls of a service are sent again.
@@ -53,6 +57,15 @@
 	RecordOutput(c *router.Call)
 }
 
+// Permitter obtains turns at endpoints that accept a limited rate of requests.
+type Permitter interface {
+	// Admit requests a turn for a call that can wait for at most maxWait.
+	Admit(ctx context.Context, e *tracker.Endpoint, maxWait time.Duration) limiter.Verdict
+	// ObserveLimit records the limit that an endpoint named in an answer, or that it named
+	// none, and reports whether that is news.
+	ObserveLimit(e *tracker.Endpoint, l tracker.Limit) (changed bool)
+}
+
 // SpeedObserver receives what calls show of the speed of engines.
 type SpeedObserver interface {
 	Observe(engine, service string, s estimator.Sample, now time.Time)
@@ -61,6 +74,7 @@
 // Relayer is the last stage of the request pipeline. It is safe for concurrent use.
 type Relayer struct {
 	chooser   Chooser
+	permitter Permitter
 	procurer  Procurer
 	exchanger Exchanger
 	budget    RetryBudget
@@ -72,8 +86,8 @@
 
 // New returns a relayer. hostCount returns the number of hosts that share the
 // connections that an endpoint accepts.
-func New(c Chooser, p Procurer, x Exchanger, budget RetryBudget, crashes CrashObserver, speeds SpeedObserver, hostCount func() int, log *logger.Logger) *Relayer {
-	return &Relayer{chooser: c, procurer: p, exchanger: x, budget: budget, crashes: crashes, speeds: speeds, hostCount: hostCount, log: log.Component("relayer")}
+func New(c Chooser, permits Permitter, p Procurer, x Exchanger, budget RetryBudget, crashes CrashObserver, speeds SpeedObserver, hostCount func() int, log *logger.Logger) *Relayer {
+	return &Relayer{chooser: c, permitter: permits, procurer: p, exchanger: x, budget: budget, crashes: crashes, speeds: speeds, hostCount: hostCount, log: log.Component("relayer")}
 }
 
 var errSlowEndpoint = eris.New("endpoint did not respond within the send timeout")
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -20,6 +20,7 @@
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/estimator"
 	"github.com/dragonflyford/dragonflyford/exchanger"
+	"github.com/dragonflyford/dragonflyford/limiter"
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/relayer"
 	"github.com/dragonflyford/dragonflyford/router"
@@ -112,6 +113,7 @@
 	resumed      []string
 	breaks       int
 	outputs      int
+	turns        map[string]limiter.Verdict // by endpoint; granted at once if there is none
 	repeats      int
 	budget       int
 	responses    []supplier.ReserveResponse
@@ -126,7 +128,7 @@
 		r.fleet.Upsert(tracker.NewEntry(id, "svc", "1.1.1.1:1", "z", 8, false, 1,
 			map[connector.Model]int64{connector.NewModel("base", "", ""): 1}))
 	}
-	r.Relayer = relayer.New(selector.New(r.fleet, "z", ""), r, r, r, r, r, func() int { return 1 }, logger.Nop())
+	r.Relayer = relayer.New(selector.New(r.fleet, "z", ""), r, r, r, r, r, r, func() int { return 1 }, logger.Nop())
 	return r
 }
 
@@ -159,7 +161,15 @@
 }
 
 func (r *harness) Use(string, connector.Model) func() { return func() {} }
-func (r *harness) RecordRequest(string)               {}
+func (r *harness) Admit(_ context.Context, e *tracker.Endpoint, _ time.Duration) limiter.Verdict {
+	if v := r.turns[e.ID()]; v != nil {
+		return v
+	}
+	return limiter.Granted{}
+}
+
+func (r *harness) ObserveLimit(e *tracker.Endpoint, l tracker.Limit) bool { return e.RecordLimit(l) }
+func (r *harness) RecordRequest(string)                                   {}
 func (r *harness) Observe(_, _ string, s estimator.Sample, _ time.Time) {
 	r.samples = append(r.samples, s)
 }
--- a/relayer/reserve.go
+++ b/relayer/reserve.go
@@ -4,10 +4,12 @@
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/limiter"
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/selector"
 	"github.com/dragonflyford/dragonflyford/sleeper"
 	"github.com/dragonflyford/dragonflyford/supplier"
+	"github.com/dragonflyford/dragonflyford/tracker"
 )
 
 const (
@@ -22,9 +24,9 @@
 	// first engines that it asks, as a share of the route's objective. Another engine
 	// is probably faster.
 	firstLoadShare = 0.4
-	// If all of them have loads queued, the call may wait at the one with the shortest
-	// queue for the objective, or for a tenth of its remaining time if that is longer.
-	loadPatience = 0.1
+	// If no endpoint can take the call soon, it may wait at one for the objective, or for
+	// this share of its remaining time if that is longer.
+	patienceShare = 0.1
 
 	// maxFullTime is the maximum time that an engine which declined a call counts as
 	// full.
@@ -48,17 +50,101 @@
 		return choice, declined
 	}
 	c.shortestQueue = selector.Choice{}
-	patience := max(c.call.Route().Objective(), time.Duration(loadPatience*float64(c.call.Remaining())))
+	patience := c.patience()
 	if wait > patience {
 		return choice, classifier.NewOverloaded("too many adapters are on their way", classifier.RetryAfter(c.retryAfter(wait)))
 	}
 	return choice, c.reserveWithin(choice, patience, true)
 }
 
+// reserveWithin obtains all that the call needs at an endpoint, and waits for its turn.
 func (c *callState) reserveWithin(choice selector.Choice, maxLoadWait time.Duration, lastResort bool) error {
+	turnAt, err := c.admit(choice.Endpoint())
+	if err != nil {
+		return err
+	}
+	wait, err := c.reserveCapacity(choice, maxLoadWait, lastResort)
+	if err != nil {
+		return err
+	}
+	return c.awaitTurn(choice.Endpoint(), max(wait, time.Until(turnAt)))
+}
+
+// admit requests a turn at an endpoint that accepts a limited rate of requests, and
+// returns its time.
+func (c *callState) admit(e *tracker.Endpoint) (time.Time, error) {
+	began := time.Now()
+	if _, limited := e.Limit(began); !limited {
+		return began, nil
+	}
+	verdict := c.relayer.permitter.Admit(c.ctx, e, c.maxLimitWait())
+	c.logTurn(e, verdict, time.Since(began))
+	declined, ok := verdict.(limiter.Declined)
+	if !ok {
+		granted, _ := verdict.(limiter.Granted)
+		return time.Now().Add(granted.Wait()), nil
+	}
+	c.excluded[e] = true
+	if !c.patient {
+		c.limited = append(c.limited, e)
+	}
+	e.RecordTurn(declined.Wait())
+	return time.Time{}, classifier.NewOverloaded("the endpoint accepts no more requests at present", classifier.RetryAfter(c.retryAfter(declined.Wait())))
+}
+
+func (c *callState) logTurn(e *tracker.Endpoint, verdict limiter.Verdict, took time.Duration) {
+	outcome, wait := "", time.Duration(0)
+	switch v := verdict.(type) {
+	case limiter.Granted:
+		outcome, wait = "granted", v.Wait()
+	case limiter.Declined:
+		outcome, wait = "declined", v.Wait()
+	}
+	c.logEvent("turn-asked", e, logger.With(logger.KeyOutcome, outcome), logger.With(logger.KeyWait, wait.Milliseconds()),
+		logger.With(logger.KeyDuration, took.Milliseconds()))
+}
+
+// maxLimitWait returns how long the call may wait for a turn at an endpoint that accepts a
+// limited rate of requests: a short time while others may be faster, then longer.
+func (c *callState) maxLimitWait() time.Duration {
+	if c.patient {
+		return c.patience()
+	}
+	return c.maxTurnWait()
+}
+
+// becomePatient makes the endpoints available again that the call left out because their
+// next turn was late. It reports false if there are none, or if it did so before.
+func (c *callState) becomePatient() bool {
+	if c.patient || !c.relayer.chooser.AnyLimited(c.call.Routed) {
+		return false
+	}
+	c.patient = true
+	for _, e := range c.limited {
+		delete(c.excluded, e)
+	}
+	return true
+}
+
+// awaitTurn waits until the call may be sent, and checks that the endpoint is still there.
+func (c *callState) awaitTurn(e *tracker.Endpoint, wait time.Duration) error {
+	if sleeper.Sleep(c.ctx, wait) != nil {
+		return c.expired()
+	}
+	if !c.relayer.chooser.Usable(e) {
+		c.excluded[e] = true
+		return classifier.NewUnavailable("the endpoint left before the call's turn", classifier.RetryAfter(c.retryAfter(0)))
+	}
+	delete(c.excluded, e) // the call may ask again if a load is late
+	return nil
+}
+
+// reserveCapacity reserves capacity for the call on an engine, and returns how long the
+// call has to wait for it.
+func (c *callState) reserveCapacity(choice selector.Choice, maxLoadWait time.Duration, lastResort bool) (wait time.Duration, err error) {
 	e, m := choice.Endpoint(), c.call.Model()
 	if m.Base() == "" || c.call.Service().EngineSpec() == nil {
-		return nil
+		return 0, nil
 	}
 	began := time.Now()
 	response, err := c.relayer.procurer.Reserve(c.ctx, e, m, supplier.WithMinVersion(choice.MinVersion()), supplier.WithModelMissing(c.missingAt == e),
@@ -66,28 +152,20 @@
 	c.logReservation(choice, response, err, time.Since(began))
 	switch s := response.(type) {
 	case supplier.Granted:
-		if sleeper.Sleep(c.ctx, s.Wait()) != nil {
-			return c.expired()
-		}
-		if !c.relayer.chooser.Usable(e) {
-			c.excluded[e] = true
-			return classifier.NewUnavailable("the engine left before the call's turn", classifier.RetryAfter(c.retryAfter(0)))
-		}
 		c.version = s.Version()
-		delete(c.excluded, e) // the call may ask again if the load is late
 		e.Observe(m, s.Version(), true)
-		return nil
+		return s.Wait(), nil
 	case supplier.Declined:
 		c.recordDecline(choice, s)
-		return classifier.NewOverloaded("the engine has no place: "+s.Reason(), classifier.RetryAfter(c.retryAfter(s.Wait())))
+		return 0, classifier.NewOverloaded("the engine has no place: "+s.Reason(), classifier.RetryAfter(c.retryAfter(s.Wait())))
 	}
 	if choice.ModelLoaded() && c.missingAt != e {
 		// An engine whose owner is unreachable still serves its loaded models.
 		c.version, _ = e.HeldVersion(m)
-		return nil
+		return 0, nil
 	}
 	c.excluded[e] = true
-	return classifier.NewOverloaded("the model is not loaded and the engine's owner does not answer",
+	return 0, classifier.NewOverloaded("the model is not loaded and the engine's owner does not answer",
 		classifier.RetryAfter(c.retryAfter(retryNoOwner)), classifier.Cause(err))
 }
 
@@ -116,6 +194,11 @@
 	return time.Duration(share * float64(c.call.Route().Objective()))
 }
 
+// patience returns how long the call may wait at an endpoint if no other one is faster.
+func (c *callState) patience() time.Duration {
+	return max(c.call.Route().Objective(), time.Duration(patienceShare*float64(c.call.Remaining())))
+}
+
 func (c *callState) logReservation(choice selector.Choice, response supplier.ReserveResponse, err error, took time.Duration) {
 	m := c.call.Model()
 	fields := []logger.Field{
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -103,7 +103,7 @@
 	if named {
 		limit = tracker.NewLimit(rate, time.Now())
 	}
-	if e.RecordLimit(limit) {
+	if c.relayer.permitter.ObserveLimit(e, limit) {
 		c.logEvent("limit-changed", e, logger.With(logger.KeyLimit, rate), logger.With(logger.KeyHeld, named))
 	}
 }
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -112,6 +112,16 @@
 	return s.endpoints.Current().Endpoint(e.ID()) == e
 }
 
+// AnyLimited reports whether any endpoint of the call's service names a limit on the rate
+// of requests.
+func (s *Selector) AnyLimited(r *router.Routed) bool {
+	now := time.Now()
+	return slices.ContainsFunc(s.endpoints.Current().Usable(r.Service().Name()), func(e *tracker.Endpoint) bool {
+		_, limited := e.Limit(now)
+		return limited
+	})
+}
+
 // available returns the endpoints that are neither avoided nor ejected. If all of
 // them are ejected, it returns the ejected ones, because a service without any
 // endpoint would be worse. It allocates only if there is one to leave out.
--- a/tracker/endpoint.go
+++ b/tracker/endpoint.go
@@ -61,6 +61,7 @@
 	outstanding  atomic.Int64
 	load         atomic.Pointer[Load]
 	limit        atomic.Pointer[Limit] // nil if none was ever named
+	nextTurn     atomic.Int64          // Unix nanoseconds; when the endpoint accepts a request again
 	failureRate  atomic.Uint64         // float64 bits of the share of recent calls that failed
 	ejectedUntil atomic.Int64          // Unix nanoseconds of the runtime clock
 	fullUntil    atomic.Int64          // Unix nanoseconds
--- a/tracker/limit.go
+++ b/tracker/limit.go
@@ -37,19 +37,20 @@
 
 // replaces reports whether l, learned after old, takes its place.
 func (l Limit) replaces(old *Limit) bool {
-	if old == nil {
-		return !l.none
-	}
-	if l.none && !old.none {
+	switch {
+	case old == nil || old.none:
+		return !l.none && (old == nil || l.at.After(old.at))
+	case l.none:
 		return l.at.Sub(old.at) > liftDelay
+	default:
+		return l.at.After(old.at)
 	}
-	return l.at.After(old.at)
 }
 
 // differs reports whether a host that knows old must hear of l.
 func (l Limit) differs(old *Limit) bool {
 	if old == nil || l.none || old.none || l.at.Sub(old.at) > limitTTL {
-		return old == nil || l.none != old.none || !l.none
+		return true
 	}
 	return math.Abs(l.rate-old.rate) > limitTolerance*old.rate
 }
@@ -62,7 +63,8 @@
 		if !l.replaces(old) {
 			return false
 		}
-		if e.limit.CompareAndSwap(old, &l) {
+		next := l
+		if e.limit.CompareAndSwap(old, &next) {
 			return l.differs(old)
 		}
 	}
@@ -76,3 +78,14 @@
 	}
 	return *l, true
 }
+
+// RecordTurn records that the endpoint accepts the next request of this host after a wait.
+func (e *Endpoint) RecordTurn(wait time.Duration) {
+	e.nextTurn.Store(time.Now().Add(wait).UnixNano())
+}
+
+// UntilTurn returns the time until the endpoint accepts a request of this host, as far as
+// is known; it is zero or negative if that is now.
+func (e *Endpoint) UntilTurn(now time.Time) time.Duration {
+	return time.Duration(e.nextTurn.Load() - now.UnixNano())
+}
