tracker, selector, relayer: send no calls to an endpoint that says it leaves

An endpoint that leaves says so in all its answers; its entry in the store says so later, or never while the store is away. Nothing read the header, so that it got calls for as long as the entry was not known (DRAIN).

--- a/exchanger/message.go
+++ b/exchanger/message.go
@@ -67,6 +67,7 @@
 	idleTimeout time.Duration
 	limited     bool
 	limit       float64
+	leaving     bool
 }
 
 // NewMeta returns the metadata of a response: the id of its call, whether the
@@ -99,6 +100,15 @@
 // together, or false if it named none.
 func (m Meta) Limit() (rate float64, ok bool) { return m.limit, m.limited }
 
+// WithLeaving adds that the endpoint is about to leave.
+func (m Meta) WithLeaving() Meta {
+	m.leaving = true
+	return m
+}
+
+// Leaving reports whether the endpoint is about to leave.
+func (m Meta) Leaving() bool { return m.leaving }
+
 // Load returns the number of calls that run and wait at the endpoint, or false if it
 // did not tell.
 func (m Meta) Load() (running, waiting int, ok bool) { return m.running, m.waiting, m.hasLoad }
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -83,7 +83,7 @@
 		return lost{err}
 	}
 	c.sends++
-	c.observeLimit(e, answer.Meta())
+	c.observe(e, answer.Meta())
 	if answer.Meta().Refused() {
 		return refused{answer}
 	}
@@ -96,8 +96,12 @@
 	return answered{answer}
 }
 
-// observeLimit records the rate of requests that the endpoint names in an answer.
-func (c *callState) observeLimit(e *tracker.Endpoint, m exchanger.Meta) {
+// observe records what the endpoint says of itself in an answer.
+func (c *callState) observe(e *tracker.Endpoint, m exchanger.Meta) {
+	if m.Leaving() && !e.Leaving() {
+		e.RecordLeaving()
+		c.logEvent("endpoint-leaving", e)
+	}
 	limit := tracker.NewNoLimit(time.Now())
 	rate, named := m.Limit()
 	if named {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -109,7 +109,7 @@
 // Usable reports whether an endpoint that was chosen earlier may still receive new
 // calls.
 func (s *Selector) Usable(e *tracker.Endpoint) bool {
-	return s.endpoints.Current().Endpoint(e.ID()) == e
+	return !e.Leaving() && s.endpoints.Current().Endpoint(e.ID()) == e
 }
 
 // AnyLimited reports whether any endpoint of the call's service names a limit on the rate
@@ -122,11 +122,12 @@
 	})
 }
 
-// available returns the endpoints that are neither avoided nor ejected. If all of
+// available returns the endpoints that are neither leaving nor avoided nor ejected. If all of
 // them are ejected, it returns the ejected ones, because a service without any
 // endpoint would be worse. It allocates only if there is one to leave out.
 func available(list []*tracker.Endpoint, avoid func(*tracker.Endpoint) bool, now time.Time) []*tracker.Endpoint {
-	usable := func(e *tracker.Endpoint) bool { return !avoid(e) && !e.Ejected(now) }
+	excluded := func(e *tracker.Endpoint) bool { return e.Leaving() || avoid(e) }
+	usable := func(e *tracker.Endpoint) bool { return !excluded(e) && !e.Ejected(now) }
 	first := slices.IndexFunc(list, func(e *tracker.Endpoint) bool { return !usable(e) })
 	if first < 0 {
 		return list
@@ -134,7 +135,7 @@
 	var healthy, ejected []*tracker.Endpoint
 	for _, e := range list {
 		switch {
-		case avoid(e):
+		case excluded(e):
 		case e.Ejected(now):
 			ejected = append(ejected, e)
 		default:
--- a/tracker/endpoint.go
+++ b/tracker/endpoint.go
@@ -61,12 +61,13 @@
 	outstanding  atomic.Int64
 	load         atomic.Pointer[Load]
 	limit        atomic.Pointer[Limit] // nil if none was ever named
-	nextTurn     atomic.Int64          // Unix nanoseconds; when the endpoint accepts a request again
-	failureRate  atomic.Uint64         // float64 bits of the share of recent calls that failed
-	ejectedUntil atomic.Int64          // Unix nanoseconds of the runtime clock
-	fullUntil    atomic.Int64          // Unix nanoseconds
-	connFailures atomic.Int32          // consecutive connection failures
-	mu           sync.Mutex            // serialises writers of models
+	leaving      atomic.Bool
+	nextTurn     atomic.Int64  // Unix nanoseconds; when the endpoint accepts a request again
+	failureRate  atomic.Uint64 // float64 bits of the share of recent calls that failed
+	ejectedUntil atomic.Int64  // Unix nanoseconds of the runtime clock
+	fullUntil    atomic.Int64  // Unix nanoseconds
+	connFailures atomic.Int32  // consecutive connection failures
+	mu           sync.Mutex    // serialises writers of models
 	models       atomic.Pointer[map[connector.Model]modelState]
 	recent       atomic.Pointer[map[connector.Model]time.Time] // unloaded models and when that was observed
 }
@@ -212,6 +213,13 @@
 	e.connFailures.Add(1)
 }
 
+// RecordLeaving records that the endpoint said in an answer that it is about to leave.
+func (e *Endpoint) RecordLeaving() { e.leaving.Store(true) }
+
+// Leaving reports whether the endpoint said in an answer that it is about to leave. Its
+// entry in the store may say so later.
+func (e *Endpoint) Leaving() bool { return e.leaving.Load() }
+
 // Declined records that the endpoint has no capacity for the duration d.
 func (e *Endpoint) Declined(d time.Duration) { e.fullUntil.Store(time.Now().Add(d).UnixNano()) }
 
