tracker, selector, relayer: leave endpoints alone for as long as they ask

An endpoint that refuses a call with 503 may name a time for which it wants no calls from this host.

It is chosen again only after it, also if no other one is left; callers are then told when to come back. TestPausedEndpoint sends more than one call in the time without the record.

--- a/exchanger/message.go
+++ b/exchanger/message.go
@@ -68,6 +68,7 @@
 	limited     bool
 	limit       float64
 	leaving     bool
+	pause       time.Duration
 }
 
 // NewMeta returns the metadata of a response: the id of its call, whether the
@@ -109,6 +110,15 @@
 // Leaving reports whether the endpoint is about to leave.
 func (m Meta) Leaving() bool { return m.leaving }
 
+// WithPause adds the time for which the endpoint wants no calls from this host.
+func (m Meta) WithPause(d time.Duration) Meta {
+	m.pause = d
+	return m
+}
+
+// Pause returns the time for which the endpoint wants no calls from this host.
+func (m Meta) Pause() time.Duration { return m.pause }
+
 // Load returns the number of calls that run and wait at the endpoint, or false if it
 // did not tell.
 func (m Meta) Load() (running, waiting int, ok bool) { return m.running, m.waiting, m.hasLoad }
--- a/relayer/callstate.go
+++ b/relayer/callstate.go
@@ -114,7 +114,7 @@
 			return choice, false, nil
 		}
 	case last == nil:
-		return choice, true, classifier.NewUnavailable("no endpoint can take the call", classifier.RetryAfter(c.retryAfter(0)), classifier.Cause(chooseErr))
+		return choice, true, classifier.NewUnavailable("no endpoint can take the call", classifier.RetryAfter(c.retryAfter(longWait(chooseErr))), classifier.Cause(chooseErr))
 	}
 	if chooseErr == nil && c.declines < maxDeclines && c.queues < maxQueues {
 		return choice, false, last
@@ -123,6 +123,15 @@
 	return choice, true, err
 }
 
+// longWait returns the retry delay of a fault if it is longer than those that are derived
+// from the time of the call, as when all endpoints want no calls for some time.
+func longWait(fault error) time.Duration {
+	if d := classifier.Of(fault).RetryAfter(); d > maxRetryAfter {
+		return d
+	}
+	return 0
+}
+
 // finalError wraps a fault after which no other endpoint is tried.
 type finalError struct{ fault error }
 
--- a/relayer/leaving_test.go
+++ b/relayer/leaving_test.go
@@ -7,9 +7,11 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/dragonflyford/dragonflyford/classifier"
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/exchanger"
 	"github.com/dragonflyford/dragonflyford/router"
@@ -40,3 +42,30 @@
 		})
 	}
 }
+
+// Guards against calls to an endpoint during the time for which it asked this host for
+// none, from calls that come then or that were refused, and against an endpoint that is
+// not used after it.
+func TestPausedEndpoint(t *testing.T) {
+	for _, kind := range []router.RepeatPolicy{router.AtMostOnce{}, router.Idempotent{}, router.NewStream(true)} {
+		for _, model := range []connector.Model{{}, connector.NewModel("base", "", "")} {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				pause := func(m exchanger.Meta) exchanger.Meta { return m.WithPause(3 * time.Second) }
+				r := newHarness(map[string][]endpointFunc{"e1": {says(503, true, pause), streams(0, 1, nil)}})
+				for range 4 {
+					_, err := r.Apply(t.Context(), screenedCall(t, kind, 3, model))
+					is.Equal(classifier.Of(err).Outcome(), classifier.NotRun{})
+					is.True(classifier.Of(err).RetryAfter() > 0)
+					time.Sleep(600 * time.Millisecond)
+				}
+				is.Equal(len(r.sent), 1)
+				time.Sleep(time.Second)
+				a, err := r.Apply(t.Context(), screenedCall(t, kind, 3, model))
+				is.NoErr(err)
+				is.NoErr(a.Body().Close())
+				is.Equal(len(r.sent), 2)
+			})
+		}
+	}
+}
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -102,6 +102,10 @@
 		e.RecordLeaving()
 		c.logEvent("endpoint-leaving", e)
 	}
+	if d := m.Pause(); d > 0 {
+		e.Pause(d)
+		c.logEvent("endpoint-paused", e, logger.With(logger.KeyWait, d.Milliseconds()))
+	}
 	limit := tracker.NewNoLimit(time.Now())
 	rate, named := m.Limit()
 	if named {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -96,9 +96,10 @@
 func (s *Selector) Choose(r *router.Routed, avoid func(*tracker.Endpoint) bool, loadsQueued bool) (Choice, error) {
 	snapshot := s.endpoints.Current()
 	now := time.Now()
-	usable := available(snapshot.Usable(r.Service().Name()), avoid, now)
+	all := snapshot.Usable(r.Service().Name())
+	usable := available(all, avoid, now)
 	if len(usable) == 0 {
-		return Choice{}, classifier.NewUnavailable("no endpoint of the service is left", classifier.RetryAfter(retryNoEndpoint))
+		return Choice{}, classifier.NewUnavailable("no endpoint of the service is left", classifier.RetryAfter(retryWhenPaused(all, now)))
 	}
 	if r.Service().EngineSpec() == nil || r.Model().Base() == "" {
 		return s.choosePlain(usable, now)
@@ -109,7 +110,7 @@
 // Usable reports whether an endpoint that was chosen earlier may still receive new
 // calls.
 func (s *Selector) Usable(e *tracker.Endpoint) bool {
-	return !e.Leaving() && s.endpoints.Current().Endpoint(e.ID()) == e
+	return acceptsCalls(e, time.Now()) && s.endpoints.Current().Endpoint(e.ID()) == e
 }
 
 // AnyLimited reports whether any endpoint of the call's service names a limit on the rate
@@ -122,11 +123,28 @@
 	})
 }
 
-// available returns the endpoints that are neither leaving nor avoided nor ejected. If all of
+// acceptsCalls reports whether an endpoint has not said that it wants no calls.
+func acceptsCalls(e *tracker.Endpoint, now time.Time) bool {
+	return !e.Leaving() && e.Paused(now) <= 0
+}
+
+// retryWhenPaused returns the time until the first of the endpoints takes calls again,
+// but at least retryNoEndpoint.
+func retryWhenPaused(list []*tracker.Endpoint, now time.Time) time.Duration {
+	first := time.Duration(0)
+	for _, e := range list {
+		if d := e.Paused(now); !e.Leaving() && d > 0 && (first == 0 || d < first) {
+			first = d
+		}
+	}
+	return max(first, retryNoEndpoint)
+}
+
+// available returns the endpoints that accept calls and are neither avoided nor ejected. If all of
 // them are ejected, it returns the ejected ones, because a service without any
 // endpoint would be worse. It allocates only if there is one to leave out.
 func available(list []*tracker.Endpoint, avoid func(*tracker.Endpoint) bool, now time.Time) []*tracker.Endpoint {
-	excluded := func(e *tracker.Endpoint) bool { return e.Leaving() || avoid(e) }
+	excluded := func(e *tracker.Endpoint) bool { return !acceptsCalls(e, now) || avoid(e) }
 	usable := func(e *tracker.Endpoint) bool { return !excluded(e) && !e.Ejected(now) }
 	first := slices.IndexFunc(list, func(e *tracker.Endpoint) bool { return !usable(e) })
 	if first < 0 {
--- a/tracker/endpoint.go
+++ b/tracker/endpoint.go
@@ -62,6 +62,7 @@
 	load         atomic.Pointer[Load]
 	limit        atomic.Pointer[Limit] // nil if none was ever named
 	leaving      atomic.Bool
+	pausedUntil  atomic.Int64  // Unix nanoseconds
 	nextTurn     atomic.Int64  // Unix nanoseconds; when the endpoint accepts a request again
 	failureRate  atomic.Uint64 // float64 bits of the share of recent calls that failed
 	ejectedUntil atomic.Int64  // Unix nanoseconds of the runtime clock
@@ -220,6 +221,15 @@
 // entry in the store may say so later.
 func (e *Endpoint) Leaving() bool { return e.leaving.Load() }
 
+// Pause records that the endpoint wants no calls from this host for the duration d.
+func (e *Endpoint) Pause(d time.Duration) { e.pausedUntil.Store(time.Now().Add(d).UnixNano()) }
+
+// Paused returns how much longer the endpoint wants no calls from this host; it is zero
+// or negative if it takes calls.
+func (e *Endpoint) Paused(now time.Time) time.Duration {
+	return time.Duration(e.pausedUntil.Load() - now.UnixNano())
+}
+
 // Declined records that the endpoint has no capacity for the duration d.
 func (e *Endpoint) Declined(d time.Duration) { e.fullUntil.Store(time.Now().Add(d).UnixNano()) }
 
