exchanger: take no repeated refusal for the answer to another send

A faulty endpoint may write an earlier refusal once more on a kept connection. Two cases were open: a refusal without a call id was accepted on a reused connection, and a call that was refused and sent again on the same connection got its own earlier refusal.

A response without an id now counts only as the first one of its connection, and a call is not sent again on a connection on which it was refused.

--- a/exchanger/exchange.go
+++ b/exchanger/exchange.go
@@ -49,7 +49,7 @@
 // reused; limit bounds the open ones. The error is a *CallError. After Do has
 // returned an answer, reads of its body fail when ctx is done.
 func (c *Client) Do(ctx context.Context, e *tracker.Endpoint, out *Outbound, maxIdle time.Duration, limit int) (*Answer, error) {
-	conn, p, err := c.take(ctx, e, maxIdle, limit)
+	conn, p, err := c.take(ctx, e, out.call.ID(), maxIdle, limit)
 	if err != nil {
 		return nil, NewCallError(false, err)
 	}
@@ -171,7 +171,7 @@
 			x.closeAfter = true
 			continue
 		}
-		return x.accept(resp, meta)
+		return x.accept(resp, meta, id)
 	}
 	return nil, errWrongCall
 }
@@ -188,11 +188,11 @@
 	return nil
 }
 
-func (x *exchange) accept(resp *http.Response, meta Meta) (*Answer, error) {
+func (x *exchange) accept(resp *http.Response, meta Meta, id string) (*Answer, error) {
 	success := resp.StatusCode < http.StatusMultipleChoices
 	switch {
-	case success && meta.attempt == "":
-		return nil, errNoID
+	case meta.attempt == "" && (success || x.conn.reused()):
+		return nil, errNoID // it may be an earlier response that was written once more
 	case success && !meta.signed:
 		return nil, errUnsigned
 	}
@@ -201,6 +201,10 @@
 	if meta.hasLoad {
 		x.endpoint.RecordLoad(meta.running, meta.waiting)
 	}
+	if meta.refused {
+		x.conn.refused = append(x.conn.refused, id)
+		x.closeAfter = x.closeAfter || len(x.conn.refused) >= maxRefused
+	}
 	a := NewAnswer(resp.StatusCode, resp.Header, meta, &body{exchange: x, inner: resp.Body}, resp.ContentLength)
 	a.roundTrip = time.Duration(x.pool.roundTrip.Load())
 	return a, nil
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,9 +34,16 @@
 	source    *boundedReader
 	reader    *bufio.Reader // reads from source
 	idleUntil time.Time     // not reused after this time
-	idleSince time.Time     // end of the last call
+	idleSince time.Time     // end of the last call; zero before the first one
+	refused   []string      // ids of the calls that were refused on it
 }
 
+// maxRefused is the number of refusals after which a connection is closed.
+const maxRefused = 16
+
+// reused reports whether another call was sent on the connection before.
+func (c *connection) reused() bool { return !c.idleSince.IsZero() }
+
 // stackNode is an element of the stack of idle connections. Each push allocates
 // a new one, so that a compare-and-swap in pop cannot succeed on a node that
 // was removed and pushed again (ABA problem).
@@ -165,16 +173,35 @@
 	return p.(*pool)
 }
 
-// take returns a connection that has been idle for at most maxIdle, or a new
-// one if fewer than limit are open.
-func (c *Client) take(ctx context.Context, e *tracker.Endpoint, maxIdle time.Duration, limit int) (*connection, *pool, error) {
-	p := c.pool(e)
+// takeIdle returns a connection that has been idle for at most maxIdle, or nil. It passes
+// over those on which the call was refused: an endpoint may write the refusal once more.
+func (p *pool) takeIdle(id string, maxIdle time.Duration) *connection {
 	now := time.Now()
+	var passed []*connection
+	defer func() {
+		for _, conn := range passed {
+			p.push(conn)
+		}
+	}()
 	for conn := p.pop(); conn != nil; conn = p.pop() {
-		if now.Before(conn.idleUntil) && now.Sub(conn.idleSince) <= maxIdle && conn.reader.Buffered() == 0 && idleAndOpen(conn.Conn) {
-			return conn, p, nil
+		switch {
+		case !now.Before(conn.idleUntil) || now.Sub(conn.idleSince) > maxIdle || conn.reader.Buffered() > 0 || !idleAndOpen(conn.Conn):
+			p.discard(conn)
+		case slices.Contains(conn.refused, id):
+			passed = append(passed, conn)
+		default:
+			return conn
 		}
-		p.discard(conn)
+	}
+	return nil
+}
+
+// take returns a connection for a call that has been idle for at most maxIdle, or a new
+// one if fewer than limit are open.
+func (c *Client) take(ctx context.Context, e *tracker.Endpoint, id string, maxIdle time.Duration, limit int) (*connection, *pool, error) {
+	p := c.pool(e)
+	if conn := p.takeIdle(id, maxIdle); conn != nil {
+		return conn, p, nil
 	}
 	if p.open.Add(1) > int64(limit) {
 		p.open.Add(-1)
