relayer, exchanger: a resumed stream without framing and without events is not complete

The second endpoint may send the head of its answer and crash. If only the end of the connection ends such a body, the stream of the caller ended as if it were complete (ORDER). It counts as broken off now; an empty answer with a length or chunks still completes a stream that broke after its last event.

--- a/exchanger/exchange.go
+++ b/exchanger/exchange.go
@@ -182,12 +182,17 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", errWrongCall, err)
 	}
-	if n == maxSkippedBody || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if n == maxSkippedBody || isUnframed(resp) {
 		return errWrongCall // too long, or delimited only by the end of the connection
 	}
 	return nil
 }
 
+// isUnframed reports whether only the end of the connection ends the body of a response.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 func (x *exchange) accept(resp *http.Response, meta Meta, id string) (*Answer, error) {
 	success := resp.StatusCode < http.StatusMultipleChoices
 	switch {
@@ -206,6 +211,9 @@
 		x.closeAfter = x.closeAfter || len(x.conn.refused) >= maxRefused
 	}
 	a := NewAnswer(resp.StatusCode, resp.Header, meta, &body{exchange: x, inner: resp.Body}, resp.ContentLength)
+	if isUnframed(resp) {
+		a = a.AsUnframed()
+	}
 	a.roundTrip = time.Duration(x.pool.roundTrip.Load())
 	return a, nil
 }
--- a/exchanger/message.go
+++ b/exchanger/message.go
@@ -167,6 +167,8 @@
 	meta   Meta
 	body   io.ReadCloser
 	length int64
+	// unframed is whether only the end of the connection ends the body.
+	unframed bool
 	// roundTrip is the duration of a round trip to the endpoint, or 0.
 	roundTrip time.Duration
 }
@@ -180,6 +182,16 @@
 // NewCallError returns the error of a call; sent is reported by Sent.
 func NewCallError(sent bool, cause error) *CallError { return &CallError{sent: sent, cause: cause} }
 
+// AsUnframed returns the answer with a body that only the end of the connection ends.
+func (a *Answer) AsUnframed() *Answer {
+	a.unframed = true
+	return a
+}
+
+// Unframed reports whether only the end of the connection ends the body, so that an end
+// does not show that the body is complete.
+func (a *Answer) Unframed() bool { return a.unframed }
+
 // Status returns the HTTP status.
 func (a *Answer) Status() int { return a.status }
 
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -75,9 +75,10 @@
 type monitoredBody struct {
 	io.ReadCloser
 	*pace
-	scanner eventScanner
-	ended   bool // completely
-	lost    bool
+	scanner    eventScanner
+	mayBeEmpty bool
+	ended      bool // completely
+	lost       bool
 }
 
 func (b *monitoredBody) Read(p []byte) (int, error) {
@@ -89,7 +90,7 @@
 	switch {
 	case err == nil || b.ended || b.lost:
 		return n, err
-	case errors.Is(err, io.EOF) && b.scanner.complete(b.call.resumedByCaller()):
+	case errors.Is(err, io.EOF) && b.scanner.complete(b.mayBeEmpty):
 		b.ended = true
 		b.end()
 		return n, err
--- a/relayer/events.go
+++ b/relayer/events.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// complete reports whether the stream may end here. Only a stream that was resumed may
-// have no event.
-func (s *eventScanner) complete(resumed bool) bool {
-	return !s.started && (s.events > 0 || resumed)
+// complete reports whether the stream may end here. Empty is whether it may have no
+// event.
+func (s *eventScanner) complete(empty bool) bool {
+	return !s.started && (s.events > 0 || empty)
 }
--- a/relayer/outcome.go
+++ b/relayer/outcome.go
@@ -54,7 +54,7 @@
 		return newAnswer(a, newResumer(c, e, a), e.ID(), c.sends, true)
 	}
 	if streaming && a.Status() == http.StatusOK {
-		return newAnswer(a, &monitoredBody{ReadCloser: a.Body(), pace: newPace(c, e)}, e.ID(), c.sends, true)
+		return newAnswer(a, &monitoredBody{ReadCloser: a.Body(), pace: newPace(c, e), mayBeEmpty: c.mayBeEmpty(a)}, e.ID(), c.sends, true)
 	}
 	if a.Status() < http.StatusMultipleChoices {
 		c.recordOutput()
@@ -71,8 +71,12 @@
 // recordOutput records that the output of the call began.
 func (c *callState) recordOutput() { c.relayer.crashes.RecordOutput(c.call.Call) }
 
-// resumedByCaller reports whether the caller has a part of the stream already.
-func (c *callState) resumedByCaller() bool { return c.call.LastEvent() != "" }
+// mayBeEmpty reports whether a stream may be complete without an event: it goes on after
+// an event that may have been the last one, and its end is not that of the connection
+// only, which an endpoint that crashes closes too.
+func (c *callState) mayBeEmpty(a *exchanger.Answer) bool {
+	return (c.call.LastEvent() != "" || c.lastEventID != "") && !a.Unframed()
+}
 
 // repeatable reports whether the route allows the work to run more than once.
 func (c *callState) repeatable() bool {
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -555,6 +555,7 @@
 		{"not resumable", router.NewStream(false), streams(0, 1, errReset), nil, "01", true, 1},
 		{"ends inside an event and resumed", router.NewStream(true), streams(0, 1, io.EOF), streams(2, 3, nil), "0123", false, 2},
 		{"ends before its first event and resumed", router.NewStream(true), streams(0, -1, nil), streams(0, 3, nil), "0123", false, 2},
+		{"broken after its last event and resumed", router.NewStream(true), streams(0, 3, errReset), streams(4, 3, nil), "0123", false, 2},
 		{"ends inside an event, not resumable", router.NewStream(false), streams(0, 1, io.EOF), nil, "01", true, 1},
 		{"ends before its first event, not resumable", router.NewStream(false), streams(0, -1, nil), nil, "", true, 1},
 	}
@@ -590,6 +591,53 @@
 	}
 }
 
+// Guards against the head or the text of an error in the middle of a stream that another
+// endpoint was to resume, and against such a stream that ends as if it were complete.
+func TestErrorOnResumption(t *testing.T) {
+	const text = "HTTP/1.1 500 Internal Server Error\r\n\r\nno"
+	tests := []struct {
+		name   string
+		second endpointFunc
+	}{
+		{"error", answers(500, text)},
+		{"error of a gateway", answers(504, text)},
+		{"not found", answers(404, text)},
+		{"refusal", refuses(503)},
+		{"refusal with a text", func(_ context.Context, out *exchanger.Outbound) (*exchanger.Answer, error) {
+			return answer(429, out, true, strings.NewReader(text), int64(len(text))), nil
+		}},
+		{"success that is no stream", answers(200, text)},
+		{"head only, ended by the end of the connection", func(ctx context.Context, out *exchanger.Outbound) (*exchanger.Answer, error) {
+			a, err := streams(2, 1, nil)(ctx, out)
+			return a.AsUnframed(), err
+		}},
+		{"success without an event", answers(204, "")},
+		{"no answer", dropsConnection},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				first := true
+				step := func(ctx context.Context, out *exchanger.Outbound) (*exchanger.Answer, error) {
+					if first {
+						first = false
+						return streams(0, 1, errReset)(ctx, out)
+					}
+					return tt.second(ctx, out)
+				}
+				r := newHarness(map[string][]endpointFunc{"e1": {step}, "e2": {step}, "e3": {step}})
+				a, err := r.Apply(t.Context(), screenedCall(t, router.NewStream(true), 3, connector.Model{}))
+				is.NoErr(err)
+				data, err := io.ReadAll(a.Body())
+				is.True(err != nil) // so that the front end breaks the connection off
+				is.NoErr(a.Body().Close())
+				is.Equal(string(data), "id: 0\ndata: 0\n\nid: 1\ndata: 1\n\n")
+			})
+		})
+	}
+}
+
 // Guards against an endpoint that crashes when it begins to answer a call, after the
 // head of its answer, and leaves no mark on the call; and against a mark on a call that
 // had output.
--- a/relayer/resumer.go
+++ b/relayer/resumer.go
@@ -77,7 +77,7 @@
 		if len(r.events) > 0 {
 			return nil // the next read finds the end again
 		}
-		if len(r.partial) > 0 || r.lastID < 0 && !r.begun && !r.call.resumedByCaller() {
+		if len(r.partial) > 0 || !r.begun && !r.call.mayBeEmpty(r.current) {
 			return r.resume(errPartialEvent)
 		}
 		if r.pace != nil {
