tracker: forget the next turn at an endpoint when its limit ends

A call avoided an endpoint until the turn that it was last told, also after the endpoint had ceased to name a rate, and for longer than a host that grants an earlier turn would need. Found while reading the change.

--- a/tracker/limit.go
+++ b/tracker/limit.go
@@ -79,13 +79,19 @@
 	return *l, true
 }
 
+// maxTurnAge is how long a late turn counts, as another host may grant an earlier one.
+const maxTurnAge = time.Second
+
 // RecordTurn records that the endpoint accepts the next request of this host after a wait.
 func (e *Endpoint) RecordTurn(wait time.Duration) {
-	e.nextTurn.Store(time.Now().Add(wait).UnixNano())
+	e.nextTurn.Store(time.Now().Add(min(wait, maxTurnAge)).UnixNano())
 }
 
 // UntilTurn returns the time until the endpoint accepts a request of this host, as far as
 // is known; it is zero or negative if that is now.
 func (e *Endpoint) UntilTurn(now time.Time) time.Duration {
+	if _, limited := e.Limit(now); !limited {
+		return 0
+	}
 	return time.Duration(e.nextTurn.Load() - now.UnixNano())
 }
