--- a/permitter/permitter.go
+++ b/permitter/permitter.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/dragonflyford/dragonflyford/avoider"
 	"github.com/dragonflyford/dragonflyford/enroller"
 	"github.com/dragonflyford/dragonflyford/limiter"
 	"github.com/dragonflyford/dragonflyford/tracker"
@@ -15,8 +16,6 @@
 const (
 	// requestTimeout limits one request to the host that spaces the requests.
 	requestTimeout = 400 * time.Millisecond
-	// unresponsiveBackoff is how long no requests are sent to a host that did not answer.
-	unresponsiveBackoff = time.Second
 	// fallbackShare is the share of a rate that all hosts together use without the host
 	// that spaces the requests.
 	fallbackShare = 0.5
@@ -97,7 +96,7 @@
 	endpoints    *tracker.Tracker
 	turns        *limiter.Limiter // at the endpoints whose requests this host spaces
 	fallback     *limiter.Limiter
-	unresponsive sync.Map // host name → time.Time of the last request without an answer
+	unresponsive avoider.Avoider
 	mu           sync.Mutex
 	unsent       []Report
 }
@@ -163,7 +162,7 @@
 	if name == p.members.Self() {
 		return p.Grant(request).verdict
 	}
-	if host := view.Host(name); host != nil && !p.isUnresponsive(name) {
+	if host := view.Host(name); host != nil && !p.unresponsive.Avoids(name) {
 		response, err := p.ask(ctx, host, request)
 		if err == nil {
 			e.RecordLimit(response.limit)
@@ -179,7 +178,7 @@
 	response, err := p.remote.Admit(ctx, host.PeerAddress(), r)
 	if err != nil {
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			p.unresponsive.Store(host.Name(), time.Now())
+			p.unresponsive.RecordFailure(host.Name())
 		}
 		return Response{}, fmt.Errorf("request turn from host %s: %w", host.Name(), err)
 	}
@@ -211,10 +210,3 @@
 	}
 	return NewResponse(p.turns.Admit(r.process(), rate, r.maxWait, now), limit)
 }
-
-// isUnresponsive reports whether a host failed to answer within the last
-// unresponsiveBackoff.
-func (p *Permitter) isUnresponsive(host string) bool {
-	at, ok := p.unresponsive.Load(host)
-	return ok && time.Since(at.(time.Time)) < unresponsiveBackoff
-}
--- a/procurer/procurer.go
+++ b/procurer/procurer.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/dragonflyford/dragonflyford/avoider"
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/enroller"
 	"github.com/dragonflyford/dragonflyford/estimator"
@@ -44,9 +45,6 @@
 	// requestTimeout limits one request to an owner, including the order that the owner
 	// may have to send.
 	requestTimeout = 700 * time.Millisecond
-	// unresponsiveBackoff is how long no requests are sent to a host that did not
-	// answer.
-	unresponsiveBackoff = time.Second
 	// maxModelsInUse limits the models in use that one request lists.
 	maxModelsInUse = 64
 )
@@ -59,7 +57,7 @@
 	remote       Remote
 	members      Members
 	samples      Samples
-	unresponsive sync.Map // host name → time.Time of the last request without an answer
+	unresponsive avoider.Avoider
 	mu           sync.Mutex
 	inUse        map[string]map[connector.Model]*modelUse // by engine id
 }
@@ -133,14 +131,14 @@
 		return p.local.Reserve(ctx, req), nil
 	}
 	host := view.Host(owner.Host())
-	if !view.Alive(host) || p.isUnresponsive(owner.Host()) {
+	if !view.Alive(host) || p.unresponsive.Avoids(owner.Host()) {
 		return nil, errNoOwner
 	}
 	supplier.WithSamples(p.samples.Pending(e.ID()))(&req)
 	resp, err := p.remote.Reserve(ctx, host.PeerAddress(), req)
 	if err != nil {
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			p.unresponsive.Store(owner.Host(), time.Now())
+			p.unresponsive.RecordFailure(owner.Host())
 		}
 		return nil, fmt.Errorf("request capacity from owner %s: %w", owner.Host(), err)
 	}
@@ -149,10 +147,3 @@
 	}
 	return resp, nil
 }
-
-// isUnresponsive reports whether a host failed to answer within the last
-// unresponsiveBackoff.
-func (p *Procurer) isUnresponsive(host string) bool {
-	at, ok := p.unresponsive.Load(host)
-	return ok && time.Since(at.(time.Time)) < unresponsiveBackoff
-}
