emulator, messenger, relayer: one file for each concern

The fake endpoint's calls and faults, the messages of each kind, and the tests of streams leave files that had grown to 400 lines and more. No behaviour changes.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -13,8 +13,6 @@
 
 	"github.com/dragonflyford/dragonflyford/encoder"
 	"github.com/dragonflyford/dragonflyford/mirrorer"
-	"github.com/dragonflyford/dragonflyford/permitter"
-	"github.com/dragonflyford/dragonflyford/screener"
 	"github.com/dragonflyford/dragonflyford/storer"
 	"github.com/dragonflyford/dragonflyford/supplier"
 	"github.com/dragonflyford/dragonflyford/transporter"
@@ -100,31 +98,6 @@
 	return decodeReserveResponse(&out), nil
 }
 
-// SendEvidence sends evidence of calls that crash endpoints to the host at address.
-func (m *Messenger) SendEvidence(ctx context.Context, address string, list []screener.Evidence) error {
-	return m.invoke(ctx, address, methodSendEvidence, encodeEvidence(list), &emptyDocument{})
-}
-
-// SendLimits sends news of limits of endpoints to the host at address.
-func (m *Messenger) SendLimits(ctx context.Context, address string, list []permitter.Report) error {
-	in := &limitsDocument{}
-	for _, r := range list {
-		in.Limits = append(in.Limits, encodeLimitReport(r))
-	}
-	return m.invoke(ctx, address, methodSendLimits, in, &emptyDocument{})
-}
-
-// Admit requests a turn at an endpoint from the host at address.
-func (m *Messenger) Admit(ctx context.Context, address string, request permitter.Request) (permitter.Response, error) {
-	in := encodeLimitReport(request.Report)
-	in.MaxWaitUS = request.MaxWait().Microseconds()
-	var out turnDocument
-	if err := m.invoke(ctx, address, methodAdmit, &in, &out); err != nil {
-		return permitter.Response{}, err
-	}
-	return decodeTurn(&out), nil
-}
-
 // Snapshot returns the copy of a table that the host at address holds.
 func (m *Messenger) Snapshot(ctx context.Context, address, table string) (mirrorer.Copy, error) {
 	return m.follow(ctx, address, &followDocument{Table: table, Snapshot: true})
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -12,14 +12,11 @@
 	"github.com/dragonflyford/dragonflyford/describer"
 	"github.com/dragonflyford/dragonflyford/encoder"
 	"github.com/dragonflyford/dragonflyford/estimator"
-	"github.com/dragonflyford/dragonflyford/limiter"
 	"github.com/dragonflyford/dragonflyford/mirrorer"
 	"github.com/dragonflyford/dragonflyford/permitter"
-	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/screener"
 	"github.com/dragonflyford/dragonflyford/storer"
 	"github.com/dragonflyford/dragonflyford/supplier"
-	"github.com/dragonflyford/dragonflyford/tracker"
 )
 
 const (
@@ -158,110 +155,6 @@
 	}
 }
 
-type evidenceDocument struct {
-	Marks []markDocument `cbor:"1,keyasint"`
-	Begun []string       `cbor:"2,keyasint,omitempty"`
-}
-
-type markDocument struct {
-	Call     uint64   `cbor:"1,keyasint"`
-	Endpoint string   `cbor:"2,keyasint"`
-	Prompt   []string `cbor:"3,keyasint,omitempty"` // shared parts of the prompt
-	AgeUS    int64    `cbor:"4,keyasint,omitempty"` // time since the crash
-}
-
-func encodeEvidence(list []screener.Evidence) *evidenceDocument {
-	d := &evidenceDocument{}
-	for _, e := range list {
-		switch e := e.(type) {
-		case screener.Mark:
-			doc := markDocument{Call: uint64(e.Call()), Endpoint: e.Endpoint(), AgeUS: e.Age().Microseconds()}
-			for _, part := range e.Prompt() {
-				doc.Prompt = append(doc.Prompt, string(part))
-			}
-			d.Marks = append(d.Marks, doc)
-		case screener.Begun:
-			d.Begun = append(d.Begun, string(e.Part()))
-		}
-	}
-	return d
-}
-
-func decodeEvidence(d *evidenceDocument) []screener.Evidence {
-	list := make([]screener.Evidence, 0, len(d.Marks)+len(d.Begun))
-	for _, m := range d.Marks {
-		prompt := make([]router.PromptPart, 0, len(m.Prompt))
-		for _, part := range m.Prompt {
-			prompt = append(prompt, router.PromptPart(part))
-		}
-		list = append(list, screener.NewMark(screener.Fingerprint(m.Call), m.Endpoint, prompt...).Aged(max(microseconds(m.AgeUS), 0)))
-	}
-	for _, part := range d.Begun {
-		list = append(list, screener.NewBegun(router.PromptPart(part)))
-	}
-	return list
-}
-
-type limitDocument struct {
-	Endpoint  string  `cbor:"1,keyasint,omitempty"`
-	Born      int64   `cbor:"2,keyasint,omitempty"`
-	Rate      float64 `cbor:"3,keyasint,omitempty"` // requests a second
-	None      bool    `cbor:"4,keyasint,omitempty"` // the endpoint accepts any rate
-	AgeUS     int64   `cbor:"5,keyasint,omitempty"` // time since the limit was named
-	MaxWaitUS int64   `cbor:"6,keyasint,omitempty"` // of a request for a turn
-}
-
-func encodeLimit(l tracker.Limit) limitDocument {
-	rate, limited := l.Rate()
-	return limitDocument{Rate: rate, None: !limited, AgeUS: time.Since(l.At()).Microseconds()}
-}
-
-func encodeLimitReport(r permitter.Report) limitDocument {
-	d := encodeLimit(r.Limit())
-	d.Endpoint, d.Born = r.Endpoint(), r.Born()
-	return d
-}
-
-func decodeLimit(d limitDocument) tracker.Limit {
-	at := time.Now().Add(-max(microseconds(d.AgeUS), 0))
-	if d.None {
-		return tracker.NewNoLimit(at)
-	}
-	return tracker.NewLimit(d.Rate, at)
-}
-
-func decodeLimitReport(d limitDocument) permitter.Report {
-	return permitter.NewReport(d.Endpoint, d.Born, decodeLimit(d))
-}
-
-type limitsDocument struct {
-	Limits []limitDocument `cbor:"1,keyasint"`
-}
-
-type turnDocument struct {
-	Granted bool          `cbor:"1,keyasint,omitempty"`
-	WaitUS  int64         `cbor:"2,keyasint,omitempty"`
-	Limit   limitDocument `cbor:"3,keyasint"`
-}
-
-func encodeTurn(r permitter.Response) *turnDocument {
-	d := &turnDocument{Limit: encodeLimit(r.Limit())}
-	switch v := r.Verdict().(type) {
-	case limiter.Granted:
-		d.Granted, d.WaitUS = true, v.Wait().Microseconds()
-	case limiter.Declined:
-		d.WaitUS = v.Wait().Microseconds()
-	}
-	return d
-}
-
-func decodeTurn(d *turnDocument) permitter.Response {
-	if d.Granted {
-		return permitter.NewResponse(limiter.NewGranted(microseconds(d.WaitUS)), decodeLimit(d.Limit))
-	}
-	return permitter.NewResponse(limiter.NewDeclined(microseconds(d.WaitUS)), decodeLimit(d.Limit))
-}
-
 type emptyDocument struct{}
 
 // followDocument requests the changes of a table after a version, or all rows.
@@ -343,24 +236,6 @@
 	return encodeReserveResponse(s.handler.Reserve(ctx, request)), nil
 }
 
-func (s *service) learn(_ context.Context, in *evidenceDocument) (*emptyDocument, error) {
-	s.handler.Learn(decodeEvidence(in))
-	return &emptyDocument{}, nil
-}
-
-func (s *service) learnLimits(_ context.Context, in *limitsDocument) (*emptyDocument, error) {
-	list := make([]permitter.Report, 0, len(in.Limits))
-	for _, d := range in.Limits {
-		list = append(list, decodeLimitReport(d))
-	}
-	s.handler.LearnLimits(list)
-	return &emptyDocument{}, nil
-}
-
-func (s *service) admit(_ context.Context, in *limitDocument) (*turnDocument, error) {
-	return encodeTurn(s.handler.Admit(permitter.NewRequest(decodeLimitReport(*in), microseconds(in.MaxWaitUS)))), nil
-}
-
 func (s *service) follow(ctx context.Context, in *followDocument) (*copyDocument, error) {
 	m := s.handler.Mirror(in.Table)
 	if m == nil {
