confirmer, screener: hold prompt parts responsible for crashes only

Cause: a broken connection was taken for the end of the process.

Change: the host that lost the call opens one connection to the process, which later calls use. Its mark carries the parts only if that fails, or if another process takes its place within 3 s. A crash settles for 0.5 s in place of 0.3.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflyford/dragonflyford/broadcaster"
 	"github.com/dragonflyford/dragonflyford/chainer"
 	"github.com/dragonflyford/dragonflyford/configurer"
+	"github.com/dragonflyford/dragonflyford/confirmer"
 	"github.com/dragonflyford/dragonflyford/enroller"
 	"github.com/dragonflyford/dragonflyford/estimator"
 	"github.com/dragonflyford/dragonflyford/exchanger"
@@ -90,6 +91,7 @@
 	supplier          *supplier.Supplier
 	messenger         *messenger.Messenger
 	screener          *screener.Screener
+	confirmer         *confirmer.Confirmer
 	evidence          *news[screener.Evidence]
 	registrar         *registrar.Registrar
 	permitter         *permitter.Permitter
@@ -151,6 +153,7 @@
 		take: h.permitter.TakeUnsent, send: h.messenger.SendLimits, failure: "limit-not-told",
 	}
 	h.exchanger = exchanger.New(platform.Dialect{})
+	h.confirmer = confirmer.New(h.exchanger, h.fleet)
 	h.pinger = pinger.New(settings.Address(), h.neighbourAddresses, h.state, func() { h.operatorFollower.Refresh() }, log)
 	h.referrer = referrer.New(h.members, h.pinger)
 	h.frontEnd = platform.NewFrontEnd(h.pipeline(settings, log), h.maxBodyBytes, h.draining.Load, h.recordCall)
@@ -188,7 +191,7 @@
 		selector.New(h.fleet, settings.DataCentre(), settings.Region()),
 		h.permitter,
 		procurer.New(h.supplier, h.messenger, h.members, h.speeds),
-		h.exchanger, retryBudget, h.screener, h.speeds, hosts, log)
+		h.exchanger, retryBudget, crashObserver{h}, h.speeds, hosts, log)
 	routed := chainer.Join[*router.Call, *router.Call, *router.Routed](h.awaiter, h.router)
 	screened := chainer.Join[*router.Call, *router.Routed, *screener.Screened](routed, h.screener)
 	return chainer.Join[*router.Call, *screener.Screened, *relayer.Answer](screened, relay)
@@ -233,6 +236,20 @@
 	return ownership.Token(), ownership.Remaining(), ok
 }
 
+// crashObserver implements relayer.CrashObserver.
+type crashObserver struct{ host *Host }
+
+// RecordCrash marks the call at once. The parts of its prompt are held responsible only
+// once the crash is confirmed.
+func (c crashObserver) RecordCrash(e *tracker.Endpoint, m screener.Mark) {
+	c.host.screener.RecordCrash(m.WithoutPrompt())
+	if len(m.Prompt()) > 0 {
+		c.host.confirmer.Record(e, m)
+	}
+}
+
+func (c crashObserver) RecordOutput(call *router.Call) { c.host.screener.RecordOutput(call) }
+
 // peerHandler implements messenger.Handler.
 type peerHandler struct{ host *Host }
 
--- a/assembler/news.go
+++ b/assembler/news.go
@@ -66,6 +66,14 @@
 	return list
 }
 
+// judgeCrashes passes on the crashes that are confirmed, and judges all that are known.
+func (h *Host) judgeCrashes(ctx context.Context) {
+	for _, m := range h.confirmer.Confirmed(ctx) {
+		h.screener.RecordCrash(m)
+	}
+	h.screener.Judge()
+}
+
 // storeQuarantine keeps the rows of the prompt parts in quarantine.
 func (h *Host) storeQuarantine(ctx context.Context) {
 	for sleeper.Sleep(ctx, quarantineInterval) == nil {
--- a/exchanger/exchange.go
+++ b/exchanger/exchange.go
@@ -196,7 +196,7 @@
 func (x *exchange) accept(resp *http.Response, meta Meta, id string) (*Answer, error) {
 	success := resp.StatusCode < http.StatusMultipleChoices
 	switch {
-	case meta.attempt == "" && (success || x.conn.reused()):
+	case meta.attempt == "" && (success || x.conn.used):
 		return nil, errNoID // it may be an earlier response that was written once more
 	case success && !meta.signed:
 		return nil, errUnsigned
@@ -233,6 +233,7 @@
 			idleTimeout = max(x.idleTimeout-idleMargin, x.idleTimeout/2)
 		}
 		now := time.Now()
+		x.conn.used = true
 		x.conn.idleSince, x.conn.idleUntil = now, now.Add(idleTimeout)
 		x.pool.push(x.conn)
 	})
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -34,16 +34,14 @@
 	source    *boundedReader
 	reader    *bufio.Reader // reads from source
 	idleUntil time.Time     // not reused after this time
-	idleSince time.Time     // end of the last call; zero before the first one
+	idleSince time.Time     // end of the last call
+	used      bool          // a call was sent on it before
 	refused   []string      // ids of the calls that were refused on it
 }
 
 // maxRefused is the number of refusals after which a connection is closed.
 const maxRefused = 16
 
-// reused reports whether another call was sent on the connection before.
-func (c *connection) reused() bool { return !c.idleSince.IsZero() }
-
 // stackNode is an element of the stack of idle connections. Each push allocates
 // a new one, so that a compare-and-swap in pop cannot succeed on a node that
 // was removed and pushed again (ABA problem).
@@ -207,17 +205,41 @@
 		p.open.Add(-1)
 		return nil, nil, errConnectionLimit
 	}
+	conn, err := p.dial(ctx, e)
+	if err != nil {
+		p.open.Add(-1)
+		return nil, nil, err
+	}
+	return conn, p, nil
+}
+
+// dial opens a connection.
+func (p *pool) dial(ctx context.Context, e *tracker.Endpoint) (*connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	began := time.Now()
 	conn, err := transporter.Dial(ctx, e.Address(), ackTimeout)
 	if err != nil {
-		p.open.Add(-1)
-		return nil, nil, fmt.Errorf("connect to endpoint %s: %w", e.ID(), err)
+		return nil, fmt.Errorf("connect to endpoint %s: %w", e.ID(), err)
 	}
 	p.recordRoundTrip(time.Since(began))
 	source := &boundedReader{Reader: conn}
-	return &connection{Conn: conn, source: source, reader: bufio.NewReaderSize(source, readBuffer)}, p, nil
+	return &connection{Conn: conn, source: source, reader: bufio.NewReaderSize(source, readBuffer)}, nil
+}
+
+// Reachable reports whether an endpoint accepts a new connection. The connection is kept
+// for later calls.
+func (c *Client) Reachable(ctx context.Context, e *tracker.Endpoint) bool {
+	p := c.pool(e)
+	conn, err := p.dial(ctx, e)
+	if err != nil {
+		return false
+	}
+	p.open.Add(1)
+	conn.idleSince = time.Now()
+	conn.idleUntil = conn.idleSince.Add(defaultIdleTimeout)
+	p.push(conn)
+	return true
 }
 
 // IsConnectionLimit reports whether a call was not sent because this host had
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -15,7 +15,7 @@
 	crashLimit = 3
 	// settleTime is the age at which a crash counts. The losses of one crash are seen
 	// by several hosts, and those without the cause may be known first.
-	settleTime = 300 * time.Millisecond
+	settleTime = 500 * time.Millisecond
 	// incidentGap is the time within which several crashes count as one against a part
 	// that calls were answered with before, or while no other call is answered: many
 	// endpoints may fail together for another reason.
--- a/relayer/outcome.go
+++ b/relayer/outcome.go
@@ -65,7 +65,7 @@
 // recordCrash records that an endpoint broke off before the output of the call began.
 func (c *callState) recordCrash(e *tracker.Endpoint) {
 	process := fmt.Sprintf("%s/%d", e.ID(), e.Born())
-	c.relayer.crashes.RecordCrash(screener.NewMark(c.call.Fingerprint(), process, c.call.SharedPromptParts()...))
+	c.relayer.crashes.RecordCrash(e, screener.NewMark(c.call.Fingerprint(), process, c.call.SharedPromptParts()...))
 }
 
 // recordOutput records that the output of the call began.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -52,7 +52,7 @@
 // CrashObserver is told which calls crash endpoints and which do not.
 type CrashObserver interface {
 	// RecordCrash records that an endpoint broke off before the output of a call began.
-	RecordCrash(m screener.Mark)
+	RecordCrash(e *tracker.Endpoint, m screener.Mark)
 	// RecordOutput records that the output of a call began.
 	RecordOutput(c *router.Call)
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -173,8 +173,8 @@
 func (r *harness) Observe(_, _ string, s estimator.Sample, _ time.Time) {
 	r.samples = append(r.samples, s)
 }
-func (r *harness) RecordCrash(screener.Mark) { r.breaks++ }
-func (r *harness) RecordOutput(*router.Call) { r.outputs++ }
+func (r *harness) RecordCrash(*tracker.Endpoint, screener.Mark) { r.breaks++ }
+func (r *harness) RecordOutput(*router.Call)                    { r.outputs++ }
 
 func (r *harness) AllowRepeat(string) bool {
 	if r.repeats >= r.budget {
--- a/screener/evidence.go
+++ b/screener/evidence.go
@@ -34,6 +34,12 @@
 	return m
 }
 
+// WithoutPrompt returns the mark without the parts of the prompt.
+func (m Mark) WithoutPrompt() Mark {
+	m.prompt = nil
+	return m
+}
+
 // Age returns the time since the crash.
 func (m Mark) Age() time.Duration { return time.Since(m.at) }
 
