permitter: grant half of a named rate while hosts may disagree

A host that leaves or has just joined and the hosts that have not read its row yet asked different hosts for turns, and each of these granted the whole rate.

A host now grants the whole rate only while every host knows that it is the one that spaces the requests (View.SettledChoice).

Ruled out: the requests of a host that does not know the rate yet; there were three of them in the failing window.

--- a/enroller/view.go
+++ b/enroller/view.go
@@ -141,22 +141,55 @@
 	return list
 }
 
+// settleTime is the time after which every host that reaches the store, directly or
+// through another host, knows that a host has joined or is leaving.
+const settleTime = contactTimeout
+
 // FirstChoice returns the name of the host that serves an endpoint for all hosts: the one
 // with the highest rendezvous hash among the live hosts of the endpoint's data centre or,
 // if there are none, of its region or else of the deployment. It returns "" if no host is
 // alive.
 func (v *View) FirstChoice(endpoint Engine) string {
-	name, best, nearest := "", uint64(0), 0
+	if h := v.firstChoice(endpoint, v.serving); h != nil {
+		return h.name
+	}
+	return ""
+}
+
+// SettledChoice reports whether all hosts know by now that the host with the given name is
+// the first choice for an endpoint. They may not while that host has just joined, while a
+// better one has just left, and while this host does not reach the store.
+func (v *View) SettledChoice(endpoint Engine, name string) bool {
+	if time.Since(v.lastContact) > contactTimeout {
+		return false
+	}
+	counted := func(h *Host) bool {
+		if h.doc.Leaving {
+			return time.Since(h.changedAt) <= settleTime
+		}
+		return v.serving(h)
+	}
+	h := v.firstChoice(endpoint, counted)
+	return h != nil && h.name == name && !h.doc.Leaving && time.Since(h.processSeen) > settleTime
+}
+
+func (v *View) serving(h *Host) bool { return !h.doc.Leaving && v.Alive(h) }
+
+// firstChoice returns the first choice for an endpoint among the hosts that are eligible,
+// or nil if none is.
+func (v *View) firstChoice(endpoint Engine, eligible func(*Host) bool) *Host {
+	var first *Host
+	best, nearest := uint64(0), 0
 	for _, h := range v.hosts {
-		if h.doc.Leaving || !v.Alive(h) {
+		if !eligible(h) {
 			continue
 		}
 		near, hash := proximity(h, endpoint), engineHash(endpoint, h.name)
-		if name == "" || near > nearest || near == nearest && hash > best {
-			name, best, nearest = h.name, hash, near
+		if first == nil || near > nearest || near == nearest && hash > best {
+			first, best, nearest = h, hash, near
 		}
 	}
-	return name
+	return first
 }
 
 // proximity ranks how near a host is to an endpoint.
--- a/permitter/permitter.go
+++ b/permitter/permitter.go
@@ -17,7 +17,8 @@
 	// requestTimeout limits one request to the host that spaces the requests.
 	requestTimeout = 400 * time.Millisecond
 	// fallbackShare is the share of a rate that all hosts together use without the host
-	// that spaces the requests.
+	// that spaces the requests, and the share that a host grants while another one may
+	// space the requests, too.
 	fallbackShare = 0.5
 	// maxUnsent limits the reports that are kept until they are taken.
 	maxUnsent = 1024
@@ -208,5 +209,16 @@
 	if !limited {
 		return NewResponse(limiter.Granted{}, limit)
 	}
+	if !p.spacesAlone(r.Report) {
+		rate *= fallbackShare
+	}
 	return NewResponse(p.turns.Admit(r.process(), rate, r.maxWait, now), limit)
 }
+
+// spacesAlone reports whether no other host spaces the requests to an endpoint. For a
+// while after a host has joined or left, hosts may disagree on which one does; each that
+// is not sure then grants a part of the rate.
+func (p *Permitter) spacesAlone(r Report) bool {
+	e := p.endpoint(r)
+	return e != nil && p.members.View().SettledChoice(e, p.members.Self())
+}
--- a/permitter/permitter_test.go
+++ b/permitter/permitter_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,6 +26,7 @@
 	next  storer.Version
 	hosts map[string]*host
 	cut   map[string]bool
+	lag   time.Duration // until the other hosts see a row
 }
 
 type host struct {
@@ -47,11 +50,26 @@
 			changes = append(changes, change)
 		}
 	}
+	version, hosts := c.next, maps.Clone(c.hosts)
+	deliver := func() {
+		for _, h := range hosts {
+			h.Enroller.Apply(changes)
+			h.Contact(version, 0)
+		}
+	}
+	if c.lag == 0 {
+		deliver()
+	} else {
+		time.AfterFunc(c.lag, deliver)
+	}
+	return version, nil
+}
+
+// contact tells each host that the store answers.
+func (c *cluster) contact() {
 	for _, h := range c.hosts {
-		h.Enroller.Apply(changes)
 		h.Contact(c.next, 0)
 	}
-	return c.next, nil
 }
 
 var errCut = errors.New("host is cut off")
@@ -145,7 +163,9 @@
 					h.ObserveLimit(h.endpoint(), tracker.NewLimit(rate, time.Now()))
 				}
 				granted := 0
+				time.Sleep(3*time.Second + time.Millisecond) // all hosts know each other
 				for i := range seconds * 20 {
+					c.contact()
 					if i == seconds*10 && tt.event != nil {
 						tt.event(t, c)
 					}
@@ -168,6 +188,77 @@
 	}
 }
 
+// Guards against two hosts that both space the requests to an endpoint at its whole rate,
+// because one of them has joined or is leaving and the others do not know yet.
+func TestHostsDisagree(t *testing.T) {
+	const (
+		rate   = 4.0
+		lag    = 2 * time.Second
+		window = 4 * time.Second
+		step   = 50 * time.Millisecond
+	)
+	tests := []struct {
+		name  string
+		event func(t *testing.T, c *cluster) *host // returns the host that others misjudge
+	}{
+		{"the first choice leaves", func(t *testing.T, c *cluster) *host {
+			first := c.hosts[c.hosts["h0"].View().FirstChoice(c.hosts["h0"].endpoint())]
+			first.Leave(t.Context())
+			return first
+		}},
+		{"a new first choice joins", func(t *testing.T, c *cluster) *host {
+			for i := 0; ; i++ {
+				h := c.join(t, fmt.Sprint("late", i))
+				h.endpoint().RecordLimit(tracker.NewLimit(rate, time.Now()))
+				if h.View().FirstChoice(h.endpoint()) == h.Self() {
+					return h
+				}
+				delete(c.hosts, h.Self())
+				delete(c.rows, "host/"+h.Self())
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 4)
+				time.Sleep(3*time.Second + time.Millisecond) // all hosts know each other
+				for _, h := range c.hosts {
+					h.endpoint().RecordLimit(tracker.NewLimit(rate, time.Now()))
+				}
+				c.lag = lag
+				var arrivals []time.Time
+				hosts := maps.Clone(c.hosts)
+				for began := time.Now(); time.Since(began) < 3*window; time.Sleep(step) {
+					if since := time.Since(began); since >= window && since < window+step {
+						h := tt.event(t, c)
+						hosts[h.Self()] = h
+					}
+					c.contact()
+					for _, h := range hosts {
+						h.endpoint().RecordLimit(tracker.NewLimit(rate, time.Now()))
+						if g, ok := h.Admit(t.Context(), h.endpoint(), window/10).(limiter.Granted); ok {
+							arrivals = append(arrivals, time.Now().Add(g.Wait()))
+						}
+					}
+				}
+				slices.SortFunc(arrivals, time.Time.Compare)
+				for i, first := range arrivals {
+					n := 0
+					for _, at := range arrivals[i:] {
+						if at.Sub(first) <= window {
+							n++
+						}
+					}
+					if bound := int(1.5 * rate * window.Seconds()); n > bound {
+						t.Fatalf("%d requests within %v, at most %d may", n, window, bound)
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against a host that does not hear of a limit, or of its end, until it has sent
 // requests of its own, and against news of an endpoint process that is gone.
 func TestNews(t *testing.T) {
