--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -104,6 +104,7 @@
 	operatorFollower  *follower.Follower
 	endpointFollower  *follower.Follower
 	followers         []*follower.Follower
+	era               atomic.Uint64 // latest era of the store that a follower has reached
 	draining          atomic.Bool
 }
 
@@ -138,7 +139,7 @@
 	var err error
 	h.mirrors = map[string]*mirrorer.Mirror{
 		platform.TableEndpoints: mirrorer.New(endpointHandler{h}),
-		tableFleet:              mirrorer.New(follower.Handlers{h.members, h.registrar}),
+		tableFleet:              mirrorer.New(follower.Handlers{h.members, h.registrar, eraHandler{h}}),
 	}
 	if h.messenger, err = messenger.New(peerHandler{h}); err != nil {
 		return nil, fmt.Errorf("build messenger: %w", err)
--- a/assembler/handlers.go
+++ b/assembler/handlers.go
@@ -13,10 +13,33 @@
 // entry stays in use. A live endpoint has written its entry again by then.
 const lapseGrace = 2200 * time.Millisecond
 
+// observeEra makes all followers ask the store once one of them knows that it has been
+// restored. The others may wait for changes on connections that are dead.
+func (h *Host) observeEra(v storer.Version) {
+	old := h.era.Load()
+	if v.Era() <= old || !h.era.CompareAndSwap(old, v.Era()) {
+		return
+	}
+	for _, f := range h.followers {
+		f.EndEra()
+	}
+}
+
+// eraHandler observes the era of a table and nothing else.
+type eraHandler struct{ host *Host }
+
+func (eraHandler) Restored()                                   {}
+func (eraHandler) Replace([]storer.Change)                     {}
+func (eraHandler) Apply([]storer.Change)                       {}
+func (e eraHandler) Contact(v storer.Version, _ time.Duration) { e.host.observeEra(v) }
+
 // operatorHandler applies configurations and named versions.
 type operatorHandler struct{ host *Host }
 
-func (operatorHandler) Contact(storer.Version, time.Duration) {}
+func (o operatorHandler) Contact(v storer.Version, _ time.Duration) { o.host.observeEra(v) }
+
+// Restored does nothing: an older configuration or named version has no effect.
+func (operatorHandler) Restored() {}
 
 // Replace applies all rows. A removed row has no effect: a configuration stays in
 // force until a newer one arrives.
@@ -34,7 +57,7 @@
 	h := o.host
 	row, err := platform.DecodeOperatorRow(c.Row)
 	if err != nil {
-		h.log.Warn("operator-row-not-read", logger.With(logger.KeyVersion, uint64(c.Version())), logger.Err(err))
+		h.log.Warn("operator-row-not-read", logger.With(logger.KeyVersion, c.Version().Number()), logger.Err(err))
 		return
 	}
 	switch n := row.(type) {
@@ -56,7 +79,11 @@
 // endpointHandler applies the entries of endpoints.
 type endpointHandler struct{ host *Host }
 
-func (e endpointHandler) Contact(storer.Version, time.Duration) {
+// Restored announces entries that may be older than those known.
+func (e endpointHandler) Restored() { e.host.fleet.Restored() }
+
+func (e endpointHandler) Contact(v storer.Version, _ time.Duration) {
+	e.host.observeEra(v)
 	e.logEvents(e.host.fleet.Expire())
 	e.host.setEndpointsKnown()
 }
@@ -73,7 +100,13 @@
 			updates = append(updates, tracker.NewRemoval(id))
 		}
 	}
-	e.apply(append(updates, e.decode(rows)...))
+	for _, u := range e.decode(rows) {
+		if entry, ok := u.(tracker.Entry); ok {
+			u = tracker.NewListed(entry)
+		}
+		updates = append(updates, u)
+	}
+	e.apply(updates)
 }
 
 // Apply applies all changes of a batch in order.
--- a/enroller/claim.go
+++ b/enroller/claim.go
@@ -40,7 +40,7 @@
 // change hands.
 func (e *Enroller) Claim(ctx context.Context, engines []Engine) {
 	v := e.View()
-	if !e.mayClaim(v) {
+	if !e.mayClaim(v) || e.reclaim(ctx, v, engines) {
 		return
 	}
 	writes := make([]storer.Write, 0, maxClaims)
@@ -72,6 +72,9 @@
 		}
 	}
 	if len(taken) > 0 {
+		e.mu.Lock()
+		earliest = max(earliest, e.settledAt)
+		e.mu.Unlock()
 		e.commitClaim(ctx, taken, writes, earliest)
 	}
 }
@@ -166,7 +169,9 @@
 	return xxhash.Sum64String(engine.ID() + "\x00" + host)
 }
 
-func (e *Enroller) commitClaim(ctx context.Context, engines []string, writes []storer.Write, earliest time.Duration) {
+// commitClaim claims engines, to which orders may be given from earliest on, and reports
+// whether it is known which host owns them now.
+func (e *Enroller) commitClaim(ctx context.Context, engines []string, writes []storer.Write, earliest time.Duration) (known bool) {
 	ctx, cancel := context.WithTimeout(ctx, min(e.timing.renew, renewTimeout))
 	defer cancel()
 	// The delay must be in place before the claim can become visible in the view.
@@ -177,11 +182,11 @@
 	case errors.As(err, &conflict):
 		e.Apply(conflict.Changes())
 		e.log.Info("claim-lost", logger.With(logger.KeyCount, len(engines)), logger.Err(err))
-		return
+		return true
 	case err != nil:
 		// If the claim was committed, the change feed of the table delivers it.
 		e.log.Warn("claim-uncertain", logger.With(logger.KeyCount, len(engines)), logger.Err(err))
-		return
+		return false
 	}
 	changes := make([]storer.Change, 0, len(engines))
 	for _, w := range writes {
@@ -191,6 +196,7 @@
 	}
 	e.Apply(changes)
 	e.log.Info("engines-claimed", logger.With(logger.KeyCount, len(engines)), logger.With(logger.KeyToken, uint64(version)))
+	return true
 }
 
 func (e *Enroller) delayOrders(engines []string, earliest time.Duration) {
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -75,16 +76,24 @@
 	renewed       bool // the last renewal succeeded
 	pending       atomic.Pointer[renewal]
 	storeAnswered chan struct{} // holds a value after the store has answered
+	restored      chan struct{} // holds a value after the store has been restored
+	process       uint64        // random
 
 	mu             sync.Mutex // serialises writers of view
 	view           atomic.Pointer[View]
 	earliestOrders atomic.Pointer[map[string]time.Duration] // by engine: when orders may first be sent, on clock
 	joinedAt       time.Time                                // when this process first wrote its row
+	// After a restore of the store, another host may act on rows that are lost until
+	// settledAt, on clock. Kept holds the engines that this host owned without
+	// interruption.
+	settledAt time.Duration
+	kept      map[string]bool
 }
 
 // New returns an enroller. Run starts the renewals.
 func New(self LocalHost, timing Timing, store storer.Committer, log *logger.Logger, opts ...Option) *Enroller {
-	e := &Enroller{self: self, timing: timing, store: store, log: log.Component("enroller"), clock: bootTime, storeAnswered: make(chan struct{}, 1)}
+	e := &Enroller{self: self, timing: timing, store: store, log: log.Component("enroller"), clock: bootTime, storeAnswered: make(chan struct{}, 1),
+		restored: make(chan struct{}, 1), process: rand.Uint64(), kept: make(map[string]bool)}
 	for _, opt := range opts {
 		opt(e)
 	}
@@ -119,8 +128,9 @@
 
 // Owns returns this host's ownership of an engine, and false if the host may
 // not send orders to it now.
-func (e *Enroller) Owns(engine string) (Ownership, bool) {
-	view := e.View()
+func (e *Enroller) Owns(engine string) (Ownership, bool) { return e.owns(e.View(), engine) }
+
+func (e *Enroller) owns(view *View, engine string) (Ownership, bool) {
 	owner, ok := view.Owner(engine)
 	if !ok || owner.host != e.self.name || e.leaving.Load() || uint64(view.version) < e.leaseVersion.Load() {
 		return Ownership{}, false
@@ -153,6 +163,10 @@
 		if clock > 0 {
 			v.storeClockZero = now.Add(-clock)
 		}
+		if v.lastContact.IsZero() && e.eraUnsettled(v, version.Era()) {
+			e.awaitSettled()
+			e.delayRestoredOwnerships(v)
+		}
 		if sinceContact := now.Sub(v.lastContact); sinceContact > contactTimeout {
 			for name, h := range v.hosts {
 				again := *h
@@ -242,13 +256,16 @@
 	}
 	now := time.Now()
 	h := &Host{name: name, doc: doc, version: c.Version(), changedAt: now, firstSeen: now, processSeen: now}
-	if old == nil || old.doc.Leaving != doc.Leaving {
+	if old != nil && c.Version().Era() > old.version.Era() {
+		h.takeNewer(old, v)
+	}
+	if old == nil || old.doc.Leaving != h.doc.Leaving {
 		e.log.Info("host-seen", logger.With(logger.KeyPeer, name),
-			logger.With(logger.KeyVersion, uint64(c.Version())), logger.With(logger.KeyOutcome, hostState(doc.Leaving)))
+			logger.With(logger.KeyVersion, c.Version().Number()), logger.With(logger.KeyOutcome, hostState(h.doc.Leaving)))
 	}
 	if old != nil {
 		h.firstSeen = old.firstSeen
-		if doc.Sequence > old.doc.Sequence {
+		if h.doc.Process == old.doc.Process {
 			h.processSeen = old.processSeen
 		}
 	}
@@ -281,6 +298,7 @@
 		// before the end of its takeover delay.
 		e.setEarliestOrders([]string{engine}, e.clock()+e.timing.takeoverDelay)
 	}
+	e.applyRestored(engine, doc.Host)
 	v.owners[engine] = Owner{host: doc.Host, version: c.Version()}
 	if !known || old.host != doc.Host {
 		e.log.Info("owner-changed", logger.With(logger.KeyEndpoint, engine), logger.With(logger.KeyPeer, doc.Host),
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -46,15 +46,16 @@
 		return 0, err
 	}
 	var present []storer.Change
-	conflict := ""
+	conflict, pastEra := "", false
 	for _, w := range writes {
 		row, ok := t.rows[w.Key()]
 		if ok {
 			present = append(present, storer.NewChange(row))
 		}
-		if row.Version() != w.Expected() {
+		if row.Version().Number() != w.Expected().Number() { // the store knows of no eras
 			conflict = w.Key()
 		}
+		pastEra = pastEra || w.Expected() != 0 && w.Expected().Era() != t.version.Era()
 	}
 	if conflict != "" {
 		return 0, storer.NewRowConflict(conflict, present)
@@ -68,7 +69,7 @@
 			delete(t.rows, w.Key())
 		}
 	}
-	if t.lost[by] {
+	if t.lost[by] || pastEra {
 		return 0, storer.ErrUncertain
 	}
 	return t.version, nil
@@ -79,6 +80,7 @@
 	*enroller.Enroller
 	name   string
 	table  *table
+	era    uint64       // of the rows that were passed
 	cut    atomic.Bool  // writes fail at once and the table is not read
 	hung   atomic.Bool  // writes get no answer and the table is not read
 	blind  atomic.Bool  // writes succeed but the table is not read
@@ -122,6 +124,10 @@
 		rows = append(rows, storer.NewChange(r))
 	}
 	h.table.mu.Unlock()
+	if version.Era() > h.era {
+		h.era = version.Era()
+		h.Restored()
+	}
 	h.Replace(rows)
 	h.Contact(version, h.table.clock())
 }
--- a/enroller/renewal.go
+++ b/enroller/renewal.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/logger"
@@ -24,6 +25,10 @@
 // considered dead and the renewal is cancelled.
 const hungAfter = 500 * time.Millisecond
 
+// restoredSpread is the time over which all hosts renew their rows after the store has
+// been restored.
+const restoredSpread = 500 * time.Millisecond
+
 // renewal is a renewal whose answer is pending.
 type renewal struct {
 	began  time.Time
@@ -44,7 +49,7 @@
 // it also returns as soon as the store answers another request.
 func (e *Enroller) waitForRenewal(ctx context.Context) error {
 	if e.renewed {
-		return sleeper.Sleep(ctx, e.timing.renew)
+		return e.waitOrRestored(ctx, e.timing.renew)
 	}
 	again, cancel := context.WithTimeout(ctx, min(e.timing.renew, renewRetryDelay))
 	defer cancel()
@@ -55,6 +60,20 @@
 	return ctx.Err()
 }
 
+// waitOrRestored blocks for the duration d, or until the store has been restored, which
+// may have lost the latest renewal.
+func (e *Enroller) waitOrRestored(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-e.restored:
+		return sleeper.Sleep(ctx, rand.N(restoredSpread))
+	case <-ctx.Done():
+	}
+	return ctx.Err()
+}
+
 func (e *Enroller) renewOnce(ctx context.Context) {
 	limited, cancel := context.WithTimeout(ctx, min(e.timing.renew, renewTimeout))
 	defer cancel()
@@ -92,6 +111,7 @@
 	doc := hostDocument{
 		Callers: e.self.callers, Peers: e.self.peers, DataCentre: e.self.dataCentre, Region: e.self.region,
 		Leaving: e.leaving.Load(), Sequence: e.sequence, ClockMS: stamp.Milliseconds(), Link: e.self.link,
+		Process: e.process, Eras: e.View().knownEras(),
 	}
 	e.mu.Unlock()
 	value, err := encodeRow(doc)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -16,6 +16,9 @@
 
 // Handler receives the rows of a table.
 type Handler interface {
+	// Restored reports that the store has been restored from an older copy. Replace
+	// follows, with rows of which some may be older than those passed before.
+	Restored()
 	// Replace replaces the rows with all rows of the table.
 	Replace(rows []storer.Change)
 	// Apply applies changed rows.
@@ -28,6 +31,13 @@
 // Handlers passes the rows of one table to several handlers, in order.
 type Handlers []Handler
 
+// Restored implements Handler.
+func (h Handlers) Restored() {
+	for _, one := range h {
+		one.Restored()
+	}
+}
+
 // Replace implements Handler.
 func (h Handlers) Replace(rows []storer.Change) {
 	for _, one := range h {
@@ -82,6 +92,7 @@
 	failing     bool          // a call to the store failed and none has succeeded since
 	refreshAge  time.Duration // minimum age of a long poll that a refresh may end
 	recoveredAt atomic.Int64  // Unix nanoseconds; 0 before the first loss
+	eraEnded    atomic.Bool   // the store has been restored, as another table shows
 }
 
 // New returns a follower of a table. Wait is how long the store may hold a long poll
@@ -111,6 +122,13 @@
 	}
 }
 
+// EndEra requests a new call that the store answers at once, because it has been restored.
+// A call that waits for changes since a version of the earlier era may miss some.
+func (f *Follower) EndEra() {
+	f.eraEnded.Store(true)
+	f.Refresh()
+}
+
 // untilRefresh returns a context that is cancelled by the next refresh, but not before
 // the long poll has reached its minimum age.
 func (f *Follower) untilRefresh(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -151,13 +169,13 @@
 func (f *Follower) failed(err error) {
 	if errors.Is(err, storer.ErrHistoryLost) {
 		f.synced = false
-		f.log.Warn("history-lost", logger.With(logger.KeyDependency, f.name), logger.With(logger.KeyVersion, uint64(f.version)))
+		f.log.Warn("history-lost", logger.With(logger.KeyDependency, f.name), logger.With(logger.KeyVersion, f.version.Number()))
 		return
 	}
 	if !f.failing {
 		f.failing = true
 		f.log.Warn("dependency-lost", logger.With(logger.KeyDependency, "store "+f.name), logger.Err(err),
-			logger.With(logger.KeyVersion, uint64(f.version)))
+			logger.With(logger.KeyVersion, f.version.Number()))
 	}
 }
 
@@ -170,11 +188,22 @@
 	if err != nil {
 		return err
 	}
-	if f.failing {
+	restored := f.version != 0 && changes.Version().Era() > f.version.Era()
+	if restored && f.synced {
+		// The changes since the version of another era are not those since that state.
+		f.synced = false
+		return nil
+	}
+	if f.failing || restored {
 		f.failing = false
 		f.recoveredAt.Store(time.Now().UnixNano())
 		f.log.Info("dependency-regained", logger.With(logger.KeyDependency, "store "+f.name),
-			logger.With(logger.KeyVersion, uint64(changes.Version())))
+			logger.With(logger.KeyVersion, changes.Version().Number()))
+	}
+	if restored {
+		f.log.Warn("store-restored", logger.With(logger.KeyDependency, f.name), logger.With(logger.KeyEra, changes.Version().Era()),
+			logger.With(logger.KeyVersion, changes.Version().Number()))
+		f.handler.Restored()
 	}
 	if f.synced {
 		f.handler.Apply(changes.List())
@@ -197,7 +226,11 @@
 	if f.synced {
 		ctx, cancel := f.untilRefresh(ctx)
 		defer cancel()
-		changes, err := f.feed.Follow(ctx, f.version, f.wait)
+		wait := f.wait
+		if f.failing || f.eraEnded.Swap(false) {
+			wait = 0 // the answer shows at once whether the store has been restored
+		}
+		changes, err := f.feed.Follow(ctx, f.version, wait)
 		if errors.Is(context.Cause(ctx), errRefresh) {
 			return storer.Changes{}, errRefresh
 		}
@@ -215,7 +248,8 @@
 
 func (f *Follower) checkVersion(c storer.Changes) error {
 	if c.Version() < f.version {
-		return fmt.Errorf("got table version %d after version %d: %w", c.Version(), f.version, errStale)
+		return fmt.Errorf("got table version %d of era %d after version %d of era %d: %w",
+			c.Version().Number(), c.Version().Era(), f.version.Number(), f.version.Era(), errStale)
 	}
 	return nil
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -71,6 +71,12 @@
 	}
 }
 
+func (h *handler) Restored() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.received = append(h.received, "restored")
+}
+
 func (h *handler) Replace(rows []storer.Change)          { h.record("=", rows) }
 func (h *handler) Apply(rows []storer.Change)            { h.record("+", rows) }
 func (h *handler) Contact(storer.Version, time.Duration) {}
@@ -105,6 +111,43 @@
 	})
 }
 
+// Guards against a store that comes back from an older copy: against a table that is
+// taken for outdated, and against changes of the new era that are applied to the rows of
+// the old one.
+func TestRestored(t *testing.T) {
+	old, lower, higher := storer.NewVersion(1, 90), storer.NewVersion(2, 40), storer.NewVersion(2, 95)
+	tests := []struct {
+		name  string
+		steps []step
+		want  []string
+	}{
+		{"the history is lost", []step{
+			{keys: []string{"a"}, version: old}, {err: storer.ErrHistoryLost}, {keys: []string{"b"}, version: lower},
+		}, []string{"=a", "restored", "=b"}},
+		{"the version was given out again", []step{
+			{keys: []string{"a"}, version: old}, {keys: []string{"gap"}, version: higher}, {keys: []string{"b"}, version: higher},
+		}, []string{"=a", "restored", "=b"}},
+		{"a late answer of the old era", []step{
+			{keys: []string{"a"}, version: lower}, {keys: []string{"late"}, version: old}, {keys: []string{"b"}, version: higher},
+		}, []string{"=a", "+b"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				h := &handler{}
+				fol := follower.New("t", &feed{steps: tt.steps}, h, time.Hour, time.Millisecond, logger.Nop())
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				fol.Run(ctx)
+				is.Equal(h.received, tt.want)
+				_, recovered := fol.SinceRecovery()
+				is.True(recovered)
+			})
+		})
+	}
+}
+
 // Guards against a long poll on a dead connection that is not ended when other hosts
 // report changes.
 func TestRefresh(t *testing.T) {
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -103,6 +103,7 @@
 	KeyStatus     Key = "status"
 	KeyToken      Key = "token"
 	KeyVersion    Key = "version"
+	KeyEra        Key = "era"
 	KeyWait       Key = "wait_ms"
 	KeyDependency Key = "dependency"
 )
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -67,6 +67,7 @@
 
 type discardHandler struct{}
 
+func (discardHandler) Restored()                             {}
 func (discardHandler) Replace([]storer.Change)               {}
 func (discardHandler) Apply([]storer.Change)                 {}
 func (discardHandler) Contact(storer.Version, time.Duration) {}
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -34,6 +34,15 @@
 	return &Mirror{next: next, rows: make(map[string]storer.Change), changed: make(chan struct{})}
 }
 
+// Restored implements follower.Handler. Until the next contact the mirror has no rows for
+// other hosts, so that none of them gets rows of two eras.
+func (m *Mirror) Restored() {
+	m.mu.Lock()
+	m.contact = time.Time{}
+	m.mu.Unlock()
+	m.next.Restored()
+}
+
 // Replace implements follower.Handler.
 func (m *Mirror) Replace(rows []storer.Change) {
 	m.mu.Lock()
@@ -41,7 +50,7 @@
 	for _, r := range rows {
 		m.rows[r.Key()] = r
 	}
-	m.history, m.historyStart = nil, 0
+	m.history, m.historyStart = nil, 0 // the start is set at the next contact
 	m.mu.Unlock()
 	m.next.Replace(rows)
 }
@@ -112,7 +121,8 @@
 
 // Follow returns the changes after a version as soon as there is one, or no changes
 // after wait. It fails with storer.ErrHistoryLost if the history does not reach back
-// to the version, and with storer.ErrUnavailable before the first contact.
+// to the version, and with storer.ErrUnavailable before the first contact and while the
+// mirror is in an earlier era.
 func (m *Mirror) Follow(ctx context.Context, after storer.Version, wait time.Duration) (Copy, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -146,7 +156,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
-	case m.contact.IsZero():
+	case m.contact.IsZero(), v.Era() > m.version.Era():
 		return Copy{}, nil, storer.ErrUnavailable
 	case v < m.historyStart:
 		return Copy{}, nil, storer.ErrHistoryLost
--- a/mirrorer/mirrorer_test.go
+++ b/mirrorer/mirrorer_test.go
@@ -15,6 +15,7 @@
 
 type sink struct{ received int }
 
+func (s *sink) Restored()                             {}
 func (s *sink) Replace(rows []storer.Change)          { s.received += len(rows) }
 func (s *sink) Apply(rows []storer.Change)            { s.received += len(rows) }
 func (s *sink) Contact(storer.Version, time.Duration) {}
@@ -64,6 +65,31 @@
 	})
 }
 
+// Guards against hosts that get rows of two eras as one table, or that are told that
+// nothing has changed by a host that does not know of a restore yet.
+func TestRestored(t *testing.T) {
+	is := is.New(t)
+	m := mirrorer.New(&sink{})
+	old, restored := storer.NewVersion(1, 90), storer.NewVersion(2, 40)
+	m.Replace([]storer.Change{row("a", old)})
+	m.Contact(old, 0)
+	_, err := m.Follow(t.Context(), restored, 0)
+	is.True(errors.Is(err, storer.ErrUnavailable)) // the mirror is behind
+
+	m.Restored()
+	m.Replace([]storer.Change{row("b", restored)})
+	_, err = m.Snapshot()
+	is.True(errors.Is(err, storer.ErrUnavailable)) // the version is not known yet
+	m.Contact(restored, 0)
+	_, err = m.Follow(t.Context(), old, 0)
+	is.True(errors.Is(err, storer.ErrHistoryLost))
+	whole, err := m.Snapshot()
+	is.NoErr(err)
+	is.Equal(whole.Changes().Version(), restored)
+	_, err = m.Follow(t.Context(), restored, 0)
+	is.NoErr(err)
+}
+
 // Guards against a history that grows without bound, and against evicted changes that
 // a follower misses without an error.
 func TestHistory(t *testing.T) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -31,6 +31,9 @@
 	// otherHosts is how long the hosts that lost a call with a part have to store it
 	// before others do.
 	otherHosts = 2 * time.Second
+	// deletionMemory is how long a deletion is remembered. A store that is restored
+	// loses the writes of a shorter time.
+	deletionMemory = time.Minute
 	// maxWrites limits the writes of one synchronisation.
 	maxWrites    = 8
 	writeTimeout = 1500 * time.Millisecond
@@ -65,7 +68,9 @@
 	log        *logger.Logger
 	mu         sync.Mutex
 	rows       map[router.PromptPart]row
-	obsolete   map[router.PromptPart]bool // rows to delete
+	obsolete   map[router.PromptPart]bool      // rows to delete
+	deleted    map[router.PromptPart]time.Time // when the deletion of a row was read
+	restored   bool                            // the next rows are from a restored copy of the store
 }
 
 // New returns a registrar that writes to the table store.
@@ -73,12 +78,22 @@
 	return &Registrar{
 		quarantine: q, store: store, log: log.Component("registrar"),
 		rows: make(map[router.PromptPart]row), obsolete: make(map[router.PromptPart]bool),
+		deleted: make(map[router.PromptPart]time.Time),
 	}
 }
 
 // Contact implements follower.Handler.
 func (*Registrar) Contact(storer.Version, time.Duration) {}
 
+// Restored implements follower.Handler. A row that the store has lost is written again,
+// and one that had been deleted is deleted again.
+func (r *Registrar) Restored() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.restored = true
+	clear(r.rows)
+}
+
 // Replace applies all rows of the table.
 func (r *Registrar) Replace(changes []storer.Change) {
 	listed := make(map[string]bool, len(changes))
@@ -94,6 +109,9 @@
 	}
 	r.mu.Unlock()
 	r.Apply(append(gone, changes...))
+	r.mu.Lock()
+	r.restored = false
+	r.mu.Unlock()
 }
 
 // Apply applies changes of rows. Rows of other kinds are left out.
@@ -115,6 +133,7 @@
 	case c.Removed():
 		delete(r.rows, part)
 		delete(r.obsolete, part)
+		r.deleted[part] = time.Now()
 		if known {
 			r.quarantine.Release(part)
 			r.log.Info("part-released", logger.With(logger.KeyParts, part), logger.With(logger.KeyReason, "row deleted"))
@@ -129,6 +148,12 @@
 	now := time.Now()
 	spread := time.Duration(rand.Int64N(int64(deleteSpread)))
 	r.rows[part] = row{version: c.Version(), renewals: doc.Renewals, seen: now, deleteAt: now.Add(rowLifetime + spread)}
+	if _, was := r.deleted[part]; was && r.restored {
+		r.obsolete[part] = true
+		r.log.Info("row-obsolete", logger.With(logger.KeyParts, part), logger.With(logger.KeyReason, "deleted before the store was restored"))
+		return
+	}
+	delete(r.deleted, part)
 	r.quarantine.Hold(part)
 	if !known {
 		r.log.Info("part-quarantined", logger.With(logger.KeyParts, part), logger.With(logger.KeyReason, "row"))
@@ -161,6 +186,7 @@
 			writes = append(writes, put(h.Part(), document{Renewals: stored.renewals + 1}, stored.version))
 		}
 	}
+	maps.DeleteFunc(r.deleted, func(_ router.PromptPart, at time.Time) bool { return now.Sub(at) > deletionMemory })
 	for part := range r.obsolete {
 		if _, ok := r.rows[part]; !ok {
 			delete(r.obsolete, part)
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -171,6 +171,36 @@
 	})
 }
 
+// Guards against a part that is released because the store has lost its row, and against
+// one that is held again because the store lists a row that had been deleted.
+func TestRestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tb := &table{rows: make(map[string]storer.Row)}
+		h := tb.newHost()
+		h.crash("sound")
+		h.Synchronise(t.Context())
+		saved := tb.rows["quarantine/sound"]
+		h.RecordOutput(routed(t, "sound").Call)
+		h.Synchronise(t.Context())
+		h.crash("dead")
+		h.Synchronise(t.Context())
+		is.Equal(h.held(), []string{"dead"})
+
+		restored := storer.NewRow(saved.Key(), saved.Value(), storer.NewVersion(1, saved.Version().Number()))
+		tb.version = storer.NewVersion(1, uint64(tb.version))
+		tb.rows = map[string]storer.Row{restored.Key(): restored}
+		h.Restored()
+		h.Replace([]storer.Change{storer.NewChange(restored)})
+		is.Equal(h.held(), []string{"dead"})
+		time.Sleep(3 * time.Second)
+		h.Synchronise(t.Context())
+		is.Equal(len(tb.rows), 1)
+		_, stored := tb.rows["quarantine/dead"]
+		is.True(stored)
+	})
+}
+
 // Guards against rows of others that are taken for parts, and against a row that
 // cannot be read.
 func TestOtherRows(t *testing.T) {
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -41,8 +41,30 @@
 // Version is the version of a row. In a Table, it counts the writes of the row. In a
 // Feed, it is the version of the whole table as of the row's last write. Zero stands
 // for a row that does not exist.
+//
+// A store that is restored from a copy gives numbers out again, so that a number names a
+// state only together with the era, which rises with each restore. A Version holds both,
+// the era in the high bits: any version of a later era is greater than one of an earlier
+// era.
 type Version uint64
 
+// versionNumberBits is enough for a thousand commits a second over 30 years. A version of
+// one of the first 8,192 eras is exact also where numbers are floats of 64 bits.
+const versionNumberBits = 40
+
+const maxVersionNumber = 1<<versionNumberBits - 1
+
+// NewVersion returns the version with a number of an era.
+func NewVersion(era, number uint64) Version {
+	return Version(era<<versionNumberBits | min(number, maxVersionNumber))
+}
+
+// Era returns how often the store had been restored when it gave the version out.
+func (v Version) Era() uint64 { return uint64(v) >> versionNumberBits }
+
+// Number returns the number of the version within its era.
+func (v Version) Number() uint64 { return uint64(v) & maxVersionNumber }
+
 // Row is a row of the table.
 type Row struct {
 	key     string
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -126,7 +126,7 @@
 			// The other host started to follow the table later. The store may have a
 			// longer history.
 			s.log.Info("history-short", logger.With(logger.KeyDependency, s.table), logger.With(logger.KeyPeer, p.name),
-				logger.With(logger.KeyVersion, uint64(after)))
+				logger.With(logger.KeyVersion, after.Number()))
 		} else if changes, ok := s.accept(p, copied, err); ok {
 			return changes, nil
 		}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -40,13 +40,19 @@
 	regions  map[string]string // by data centre
 	mu       sync.Mutex
 	records  map[string]*record
+	departed map[string]departure // processes that were removed lately, by endpoint
+	doubtful map[string]doubt     // entries of such processes in a restored copy, by endpoint
+	restored time.Time            // when the store was last restored from an older copy
 	versions map[connector.Model]int64
 	current  atomic.Pointer[Snapshot]
 }
 
 // New returns a tracker without endpoints. Regions maps data centres to regions.
 func New(regions map[string]string) *Tracker {
-	t := &Tracker{regions: regions, records: make(map[string]*record), versions: make(map[connector.Model]int64)}
+	t := &Tracker{
+		regions: regions, records: make(map[string]*record), versions: make(map[connector.Model]int64),
+		departed: make(map[string]departure), doubtful: make(map[string]doubt),
+	}
 	t.current.Store(&Snapshot{})
 	return t
 }
@@ -79,10 +85,16 @@
 	Gone struct{ endpointEvent }
 )
 
-// Update is a change of an endpoint's entry in the store: an Entry that was written,
-// or a Removal.
+// Update is a change of an endpoint's entry in the store: an Entry that was written, one
+// that is Listed, or a Removal.
 type Update interface{ update() }
 
+// Listed is an entry that was read with the whole table, at whatever time it was written.
+type Listed struct{ Entry }
+
+// NewListed returns an entry that was read with the whole table.
+func NewListed(e Entry) Listed { return Listed{Entry: e} }
+
 // Removal is the removal of an endpoint's entry.
 type Removal struct{ id string }
 
@@ -107,6 +119,8 @@
 		switch u := u.(type) {
 		case Entry:
 			event = t.upsert(u)
+		case Listed:
+			event = t.list(u.Entry)
 		case Removal:
 			event = t.remove(grace, u.id)
 		}
@@ -147,6 +161,7 @@
 	} else {
 		r.endpoint.merge(e.models, time.Now())
 	}
+	delete(t.doubtful, e.id)
 	r.expiresAt = time.Time{}
 	changed := fresh || r.draining != e.draining
 	r.draining = e.draining
@@ -162,6 +177,7 @@
 
 // remove requires mu.
 func (t *Tracker) remove(grace time.Duration, id string) Event {
+	delete(t.doubtful, id)
 	r := t.records[id]
 	switch {
 	case r == nil:
@@ -172,7 +188,7 @@
 		}
 		return Lapsed{endpointEvent{id}}
 	default:
-		delete(t.records, id)
+		t.forget(id, r)
 		return Gone{endpointEvent{id}}
 	}
 }
@@ -186,10 +202,11 @@
 	now := time.Now()
 	for id, r := range t.records {
 		if !r.expiresAt.IsZero() && now.After(r.expiresAt) {
-			delete(t.records, id)
+			t.forget(id, r)
 			events = append(events, Gone{endpointEvent{id}})
 		}
 	}
+	events = append(events, t.expireDeparted(now)...)
 	t.publishAfter(events)
 	return events
 }
