relayer, pinner, archiver: keep a stream at the software version that began it

pinner decides from the versions that serve and the record of the stream; archiver stores a record for each stream that begins at another version than the base version of its service, and one row for each service. A stream without a record began at the base version, so that nothing is written for streams while one version serves, and all is known again after a kill of all hosts. If the version is not known, the call is refused and has not run.

--- /dev/null
+++ b/archiver/archiver_test.go
@@ -0,0 +1,239 @@
+package archiver_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/archiver"
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/pinner"
+	"github.com/dragonflyford/dragonflyford/storer"
+)
+
+const lifetime = time.Minute
+
+// table is a fake of a table of the store.
+type table struct {
+	mu      sync.Mutex
+	rows    map[string]storer.Row
+	version storer.Version
+	commits int
+	away    bool
+	lost    bool // the answers of commits
+}
+
+func newTable() *table { return &table{rows: make(map[string]storer.Row)} }
+
+func (tb *table) set(away, lost bool) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.away, tb.lost = away, lost
+}
+
+func (tb *table) count() int {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	return len(tb.rows)
+}
+
+func (tb *table) Commit(_ context.Context, writes ...storer.Write) (storer.Version, error) {
+	time.Sleep(4 * time.Millisecond)
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	if tb.away {
+		return 0, storer.ErrUnavailable
+	}
+	tb.commits++
+	var present []storer.Change
+	conflict := ""
+	for _, w := range writes {
+		old, ok := tb.rows[w.Key()]
+		if ok {
+			present = append(present, storer.NewChange(old))
+		}
+		if old.Version() != w.Expected() {
+			conflict = w.Key()
+		}
+	}
+	if conflict != "" {
+		return 0, storer.NewRowConflict(conflict, present)
+	}
+	tb.version++
+	for _, w := range writes {
+		switch w := w.(type) {
+		case storer.Put:
+			tb.rows[w.Key()] = storer.NewRow(w.Key(), w.Value(), tb.version)
+		case storer.Delete:
+			delete(tb.rows, w.Key())
+		}
+	}
+	if tb.lost {
+		return 0, storer.ErrUncertain
+	}
+	return tb.version, nil
+}
+
+func (tb *table) Get(_ context.Context, key string) (storer.Row, bool, error) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	if tb.away {
+		return storer.Row{}, false, storer.ErrUnavailable
+	}
+	row, ok := tb.rows[key]
+	return row, ok, nil
+}
+
+func (tb *table) Snapshot(context.Context) (storer.Changes, error) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	var list []storer.Change
+	for _, r := range tb.rows {
+		list = append(list, storer.NewChange(r))
+	}
+	return storer.NewChanges(list, tb.version, 0), nil
+}
+
+// host is an archiver with its pinner.
+type host struct {
+	*archiver.Archiver
+	pinner *pinner.Pinner
+}
+
+// start runs an archiver that has read the table of the hosts, until stop is called.
+func start(t *testing.T, hosts, records *table) (h host, stop func()) {
+	t.Helper()
+	p := pinner.New(lifetime)
+	h = host{archiver.New(p, hosts, records, lifetime, logger.Nop()), p}
+	all, _ := hosts.Snapshot(t.Context())
+	h.Replace(all.List())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { h.Run(ctx); close(done) }()
+	return h, func() { cancel(); <-done }
+}
+
+// serve makes versions serve for a time, and writes the state of the service.
+func (h host) serve(t *testing.T, d time.Duration, versions ...string) {
+	t.Helper()
+	for end := time.Now().Add(d); ; time.Sleep(time.Second) {
+		h.pinner.Observe("s", time.Now(), versions...)
+		h.Synchronise(t.Context())
+		if !time.Now().Before(end) {
+			return
+		}
+	}
+}
+
+func (h host) resolve(t *testing.T, stream string) string {
+	t.Helper()
+	switch v := h.Resolve(t.Context(), "s", stream).(type) {
+	case pinner.Anywhere:
+		return "anywhere"
+	case pinner.Only:
+		return v.Version()
+	default:
+		return "undecided"
+	}
+}
+
+// Guards against a host that does not know at which version a stream began at another
+// host, which has ended since, and against writes while one version serves.
+func TestRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		hosts, records := newTable(), newTable()
+		a, stop := start(t, hosts, records)
+		a.serve(t, 5*time.Second, "v1")
+		is.NoErr(a.Record(t.Context(), "s", "before", "v1"))
+		is.Equal(a.resolve(t, "before"), "anywhere")
+		is.Equal(records.commits, 0)
+		is.Equal(hosts.commits, 1)
+
+		a.serve(t, 5*time.Second, "v1", "v2")
+		var calls sync.WaitGroup
+		for i := range 200 {
+			calls.Go(func() { is.NoErr(a.Record(t.Context(), "s", fmt.Sprint("new", i), "v2")) })
+		}
+		calls.Wait()
+		is.True(records.commits < 20) // in batches
+		is.NoErr(a.Record(t.Context(), "s", "old", "v1"))
+		stop()
+
+		b, stop := start(t, hosts, records)
+		defer stop()
+		b.serve(t, 0, "v2") // the old version has left
+		is.Equal(b.resolve(t, "new7"), "v2")
+		is.Equal(b.resolve(t, "old"), "v1")
+		is.Equal(b.resolve(t, "before"), "v1")
+		is.Equal(b.resolve(t, ""), "undecided") // the caller does not name the stream
+
+		b.serve(t, lifetime+5*time.Second, "v2")
+		is.Equal(b.resolve(t, "later"), "anywhere")
+	})
+}
+
+// Guards against a stream that goes on at a wrong version because its record is not
+// stored yet, or is lost, and against a record that is never stored.
+func TestStoreFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		hosts, records := newTable(), newTable()
+		a, stop := start(t, hosts, records)
+		defer stop()
+		a.serve(t, 5*time.Second, "v1")
+		a.serve(t, 5*time.Second, "v1", "v2")
+
+		records.set(false, true) // answers are lost
+		go func() {
+			time.Sleep(time.Second)
+			records.set(false, false)
+		}()
+		is.NoErr(a.Record(t.Context(), "s", "lost", "v2"))
+		is.Equal(a.resolve(t, "lost"), "v2")
+		time.Sleep(5 * time.Second)
+
+		records.set(true, false)
+		limited, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		is.True(a.Record(limited, "s", "late", "v2") != nil)
+		is.Equal(a.resolve(t, "late"), "v2")         // known here
+		is.Equal(a.resolve(t, "other"), "undecided") // another host may have a record
+		records.set(false, false)
+		is.Equal(a.resolve(t, "another"), "undecided") // other hosts may still store theirs
+		time.Sleep(5 * time.Second)
+		is.Equal(a.resolve(t, "another"), "v1")
+		is.Equal(records.count(), 2)
+
+		a.Restored()
+		is.Equal(a.resolve(t, "another"), "undecided") // its record may be lost
+		is.Equal(a.resolve(t, "late"), "v2")
+	})
+}
+
+// Guards against records that are kept for ever.
+func TestDeleteOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		hosts, records := newTable(), newTable()
+		a, stop := start(t, hosts, records)
+		defer stop()
+		a.serve(t, time.Second, "v1")
+		for i := range 120 {
+			is.NoErr(a.Record(t.Context(), "s", fmt.Sprint("new", i), "v2"))
+		}
+		listed, err := a.DeleteOld(t.Context())
+		is.NoErr(err)
+		is.Equal(listed, 120)
+		time.Sleep(lifetime + time.Second)
+		is.NoErr(a.Record(t.Context(), "s", "young", "v2"))
+		_, err = a.DeleteOld(t.Context())
+		is.NoErr(err)
+		is.Equal(records.count(), 1)
+	})
+}
--- /dev/null
+++ b/archiver/doc.go
@@ -0,0 +1,5 @@
+// Package archiver keeps in the store at which software versions streams began, so that
+// any host knows where a stream may go on, also after all hosts have started again. While
+// one version of each service serves, it stores one row for each service and nothing for
+// a stream.
+package archiver
--- /dev/null
+++ b/archiver/queue.go
@@ -0,0 +1,127 @@
+package archiver
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/dragonflyford/dragonflyford/sleeper"
+)
+
+const (
+	// maxQueued limits the records that wait for the store.
+	maxQueued = 4096
+	// maxBatch limits the records of one write.
+	maxBatch = 50
+	// retryDelay is the time between two attempts to write.
+	retryDelay = 200 * time.Millisecond
+)
+
+var errQueueFull = eris.New("too many records wait for the store")
+
+// recordDocument is the value of the row of a stream.
+type recordDocument struct {
+	Version string `cbor:"1,keyasint"`
+}
+
+// record is the software version at which a stream began.
+type record struct {
+	key     string
+	version string
+	stored  chan struct{} // closed when the store has it
+}
+
+func newRecord(service, stream, version string) *record {
+	return &record{key: recordKey(service, stream), version: version, stored: make(chan struct{})}
+}
+
+// recordKey returns the key of a stream's row. Ids of callers may have any length.
+func recordKey(service, stream string) string {
+	sum := sha256.Sum256([]byte(service + "\x00" + stream))
+	return hex.EncodeToString(sum[:16])
+}
+
+// queue holds the records that are not stored yet. Those that arrive while a write is
+// under way are written together.
+type queue struct {
+	store   func(ctx context.Context, batch []*record) error
+	arrived chan struct{}
+	mu      sync.Mutex
+	waiting []*record
+	byKey   map[string]*record
+}
+
+func newQueue(store func(ctx context.Context, batch []*record) error) *queue {
+	return &queue{store: store, arrived: make(chan struct{}, 1), byKey: make(map[string]*record)}
+}
+
+// add queues a record and waits until it is stored.
+func (q *queue) add(ctx context.Context, r *record) error {
+	q.mu.Lock()
+	if len(q.waiting) >= maxQueued {
+		q.mu.Unlock()
+		return errQueueFull
+	}
+	q.waiting = append(q.waiting, r)
+	q.byKey[r.key] = r
+	q.mu.Unlock()
+	select {
+	case q.arrived <- struct{}{}:
+	default: // a signal is already pending
+	}
+	select {
+	case <-r.stored:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// find returns the record of a stream that is not stored yet.
+func (q *queue) find(service, stream string) (*record, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r, ok := q.byKey[recordKey(service, stream)]
+	return r, ok
+}
+
+// run writes the records that arrive until ctx is done.
+func (q *queue) run(ctx context.Context) {
+	for {
+		select {
+		case <-q.arrived:
+		case <-ctx.Done():
+			return
+		}
+		for batch := q.next(); len(batch) > 0; batch = q.next() {
+			if err := q.store(ctx, batch); err != nil {
+				if sleeper.Sleep(ctx, retryDelay) != nil {
+					return
+				}
+				continue
+			}
+			q.remove(batch)
+		}
+	}
+}
+
+func (q *queue) next() []*record {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return append([]*record(nil), q.waiting[:min(len(q.waiting), maxBatch)]...)
+}
+
+// remove removes the first records, which are stored.
+func (q *queue) remove(batch []*record) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.waiting = append([]*record(nil), q.waiting[len(batch):]...)
+	for _, r := range batch {
+		delete(q.byKey, r.key)
+		close(r.stored)
+	}
+}
--- /dev/null
+++ b/archiver/rows.go
@@ -0,0 +1,78 @@
+package archiver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/encoder"
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/storer"
+)
+
+// store writes records. A record that exists already is that of an earlier attempt whose
+// answer was lost.
+func (a *Archiver) store(ctx context.Context, batch []*record) error {
+	exists := make(map[string]bool)
+	for len(exists) < len(batch) {
+		writes := make([]storer.Write, 0, len(batch))
+		for _, r := range batch {
+			if exists[r.key] {
+				continue
+			}
+			value, err := encoder.Marshal(recordDocument{Version: r.version})
+			if err != nil {
+				return fmt.Errorf("encode record: %w", err)
+			}
+			writes = append(writes, storer.NewPut(r.key, value, 0))
+		}
+		limited, cancel := context.WithTimeout(ctx, writeTimeout)
+		_, err := a.records.Commit(limited, writes...)
+		cancel()
+		var conflict *storer.RowConflict
+		switch {
+		case err == nil:
+			return nil
+		case !errors.As(err, &conflict) || len(conflict.Changes()) == 0:
+			a.failedAt.Store(time.Now().UnixNano())
+			a.log.Warn("records-not-stored", logger.With(logger.KeyCount, len(writes)), logger.Err(err))
+			return fmt.Errorf("commit records: %w", err)
+		}
+		for _, c := range conflict.Changes() {
+			exists[c.Key()] = true
+		}
+	}
+	return nil
+}
+
+// DeleteOld deletes the records that it has listed for longer than a stream lasts, and
+// returns the number of all that it has listed. One host at a time should call it.
+func (a *Archiver) DeleteOld(ctx context.Context) (listed int, err error) {
+	all, err := a.records.Snapshot(ctx)
+	if err != nil {
+		return 0, fmt.Errorf("list records: %w", err)
+	}
+	var writes []storer.Write
+	now := time.Now()
+	stamps := make(map[string]time.Time, len(all.List()))
+	for _, c := range all.List() {
+		first, known := a.stamps[c.Key()]
+		if !known {
+			first = now
+		}
+		stamps[c.Key()] = first
+		if now.Sub(first) > a.lifetime {
+			writes = append(writes, storer.NewDelete(c.Key(), c.Version()))
+		}
+	}
+	a.stamps = stamps
+	for len(writes) > 0 {
+		n := min(len(writes), maxBatch)
+		if _, err := a.records.Commit(ctx, writes[:n]...); err != nil {
+			return len(all.List()), fmt.Errorf("delete records: %w", err)
+		}
+		writes = writes[n:]
+	}
+	return len(all.List()), nil
+}
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dragonflyford/dragonflyford/archiver"
 	"github.com/dragonflyford/dragonflyford/awaiter"
 	"github.com/dragonflyford/dragonflyford/broadcaster"
 	"github.com/dragonflyford/dragonflyford/chainer"
@@ -22,6 +23,7 @@
 	"github.com/dragonflyford/dragonflyford/mirrorer"
 	"github.com/dragonflyford/dragonflyford/permitter"
 	"github.com/dragonflyford/dragonflyford/pinger"
+	"github.com/dragonflyford/dragonflyford/pinner"
 	"github.com/dragonflyford/dragonflyford/platform"
 	"github.com/dragonflyford/dragonflyford/procurer"
 	"github.com/dragonflyford/dragonflyford/rationer"
@@ -93,6 +95,8 @@
 	screener          *screener.Screener
 	confirmer         *confirmer.Confirmer
 	evidence          *news[screener.Evidence]
+	pinner            *pinner.Pinner
+	archiver          *archiver.Archiver
 	registrar         *registrar.Registrar
 	permitter         *permitter.Permitter
 	limits            *news[permitter.Report]
@@ -136,10 +140,12 @@
 	h.supplier = supplier.New(h.engines, leases{h.members}, h.engineSpec, h.fleet, h.speeds, estimator.NewLoads(settings.AdapterLoad()), log)
 	h.screener = screener.New(log)
 	h.registrar = registrar.New(h.screener, fleetTable, log)
+	h.pinner = pinner.New(streamLifetime)
+	h.archiver = archiver.New(h.pinner, fleetTable, h.store.Table(tableStreams), streamLifetime, log)
 	var err error
 	h.mirrors = map[string]*mirrorer.Mirror{
 		platform.TableEndpoints: mirrorer.New(endpointHandler{h}),
-		tableFleet:              mirrorer.New(follower.Handlers{h.members, h.registrar, eraHandler{h}}),
+		tableFleet:              mirrorer.New(follower.Handlers{h.members, h.registrar, h.archiver, eraHandler{h}}),
 	}
 	if h.messenger, err = messenger.New(peerHandler{h}); err != nil {
 		return nil, fmt.Errorf("build messenger: %w", err)
@@ -192,7 +198,7 @@
 		selector.New(h.fleet, settings.DataCentre(), settings.Region()),
 		h.permitter,
 		procurer.New(h.supplier, h.messenger, h.members, h.speeds),
-		h.exchanger, retryBudget, crashObserver{h}, h.speeds, hosts, log)
+		h.exchanger, retryBudget, crashObserver{h}, h.archiver, h.speeds, hosts, log)
 	routed := chainer.Join[*router.Call, *router.Call, *router.Routed](h.awaiter, h.router)
 	screened := chainer.Join[*router.Call, *router.Routed, *screener.Screened](routed, h.screener)
 	return chainer.Join[*router.Call, *screener.Screened, *relayer.Answer](screened, relay)
--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -95,11 +95,23 @@
 // addEngine adds an engine to the service of the first one.
 func (d *deployment) addEngine(id string) *emulator.Endpoint {
 	e := emulator.NewEndpoint(id, emulator.NewEngineOptions("m", 3, 50*time.Millisecond, 20*time.Millisecond, 20, 100*time.Millisecond))
+	d.addEndpoint(e, "llm")
+	return e
+}
+
+// addEndpoint adds an endpoint to a service.
+func (d *deployment) addEndpoint(e *emulator.Endpoint, service string) {
 	s := httptest.NewServer(e.Handler())
 	d.t.Cleanup(s.Close)
-	d.address[id] = strings.TrimPrefix(s.URL, "http://")
-	d.setEntry(e, "llm", "ready")
-	return e
+	d.address[e.ID()] = strings.TrimPrefix(s.URL, "http://")
+	d.setEntry(e, service, "ready")
+}
+
+// configureStreams writes a configuration with a resumable streaming route.
+func (d *deployment) configureStreams(version int) {
+	d.store.Set("op", "config", fmt.Appendf(nil, `{"version":%d,"routes":[
+		{"name":"stream","host":"h","prefix":"/llm/","route_type":"streaming","timeout_ms":10000,"target_latency_ms":1000,"service":"streams","max_attempts":2,"can_resume":true,"gap_aim_ms":300}],
+		"services":[{"name":"streams","max_conns":100}],"limits":{"max_body_bytes":1000,"idle_timeout_ms":6000}}`, version))
 }
 
 func (d *deployment) setEntry(e *emulator.Endpoint, service, state string) {
--- a/assembler/run.go
+++ b/assembler/run.go
@@ -84,6 +84,8 @@
 	running.Go(func() { h.evidence.run(work, func() { h.judgeCrashes(work) }) })
 	running.Go(func() { h.limits.run(work, func() {}) })
 	running.Go(func() { h.storeQuarantine(work) })
+	running.Go(func() { h.archiver.Run(work) })
+	running.Go(func() { h.keepSoftwareVersions(work) })
 	running.Go(func() { h.reloadSettings(work, reload, read) })
 	<-ctx.Done()
 	h.stop(work, servers, inFlight)
--- /dev/null
+++ b/assembler/software.go
@@ -0,0 +1,74 @@
+package assembler
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/sleeper"
+)
+
+const (
+	// tableStreams holds the software versions at which streams began.
+	tableStreams = "streams"
+	// streamLifetime is the time after which no caller resumes a stream. It has to exceed
+	// the longest time that callers wait.
+	streamLifetime = 2 * time.Minute
+	// softwareInterval is the time between two looks at the versions that serve.
+	softwareInterval = 250 * time.Millisecond
+	// recordInterval is the time between two looks at the records of streams.
+	recordInterval = time.Minute
+)
+
+// softwareDuty is what one host does for all: it writes the software versions of services.
+type softwareDuty struct{}
+
+func (softwareDuty) ID() string         { return "software" }
+func (softwareDuty) DataCentre() string { return "" }
+func (softwareDuty) Region() string     { return "" }
+
+// keepSoftwareVersions observes which versions of endpoints' software serve, and keeps
+// what the store holds of them.
+func (h *Host) keepSoftwareVersions(ctx context.Context) {
+	lastLook := time.Now()
+	mayBeLeft := true // an earlier process may have stored records
+	for sleeper.Sleep(ctx, softwareInterval) == nil {
+		mayBeLeft = h.observeSoftware() || mayBeLeft
+		if h.members.View().FirstChoice(softwareDuty{}) != h.members.Self() {
+			continue
+		}
+		h.archiver.Synchronise(ctx)
+		if !mayBeLeft || time.Since(lastLook) < recordInterval {
+			continue
+		}
+		lastLook = time.Now()
+		listed, err := h.archiver.DeleteOld(ctx)
+		if err != nil {
+			h.log.Warn("records-not-deleted", logger.Err(err))
+		}
+		mayBeLeft = err != nil || listed > 0
+	}
+}
+
+// observeSoftware records the versions that serve, and reports whether a service has
+// several.
+func (h *Host) observeSoftware() (mixed bool) {
+	byService := make(map[string]map[string]bool)
+	for _, e := range h.fleet.Current().All() {
+		if e.Software() == "" {
+			continue
+		}
+		if byService[e.Service()] == nil {
+			byService[e.Service()] = make(map[string]bool)
+		}
+		byService[e.Service()][e.Software()] = true
+	}
+	now := time.Now()
+	for service, versions := range byService {
+		h.pinner.Observe(service, now, slices.Sorted(maps.Keys(versions))...)
+		mixed = mixed || len(versions) > 1
+	}
+	return mixed
+}
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -100,6 +100,7 @@
 	KeyRoute      Key = "route"
 	KeySequence   Key = "sequence"
 	KeyService    Key = "service"
+	KeySoftware   Key = "software"
 	KeyStatus     Key = "status"
 	KeyToken      Key = "token"
 	KeyVersion    Key = "version"
--- a/relayer/callstate.go
+++ b/relayer/callstate.go
@@ -61,6 +61,7 @@
 	mayHaveRun        bool                    // whether an endpoint may have run the call
 	repeatCounted     atomic.Bool             // whether the next send has already been counted against the retry budget
 	lastEventID       string                  // last event of a resumed stream
+	software          string                  // version of the software at which the stream began; "" for any
 	version           int64                   // of the model at the chosen endpoint
 	sentAt            time.Time               // latest send
 }
@@ -165,7 +166,7 @@
 	limit := c.call.Route().MaxAttempts()
 	now, maxWait := time.Now(), c.maxLimitWait()
 	choice, err := c.relayer.chooser.Choose(c.call.Routed, func(e *tracker.Endpoint) bool {
-		return c.excluded[e] || !c.sent[e] && len(c.sent) >= limit || e.UntilTurn(now) > maxWait
+		return c.excluded[e] || c.otherSoftware(e) || !c.sent[e] && len(c.sent) >= limit || e.UntilTurn(now) > maxWait
 	}, c.shortestQueue.Endpoint() != nil)
 	if err != nil {
 		return choice, fmt.Errorf("choose endpoint: %w", err)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflyford/dragonflyford/exchanger"
 	"github.com/dragonflyford/dragonflyford/limiter"
 	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/pinner"
 	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/screener"
 	"github.com/dragonflyford/dragonflyford/selector"
@@ -66,6 +67,15 @@
 	ObserveLimit(e *tracker.Endpoint, l tracker.Limit) (changed bool)
 }
 
+// StreamArchive knows at which software versions streams began.
+type StreamArchive interface {
+	// Record records that a stream of a service began at a version, and returns when that
+	// is stored.
+	Record(ctx context.Context, service, stream, version string) error
+	// Resolve returns where a stream may go on.
+	Resolve(ctx context.Context, service, stream string) pinner.Verdict
+}
+
 // SpeedObserver receives what calls show of the speed of engines.
 type SpeedObserver interface {
 	Observe(engine, service string, s estimator.Sample, now time.Time)
@@ -79,6 +89,7 @@
 	exchanger Exchanger
 	budget    RetryBudget
 	crashes   CrashObserver
+	streams   StreamArchive
 	speeds    SpeedObserver
 	hostCount func() int
 	log       *logger.Logger
@@ -86,8 +97,8 @@
 
 // New returns a relayer. hostCount returns the number of hosts that share the
 // connections that an endpoint accepts.
-func New(c Chooser, permits Permitter, p Procurer, x Exchanger, budget RetryBudget, crashes CrashObserver, speeds SpeedObserver, hostCount func() int, log *logger.Logger) *Relayer {
-	return &Relayer{chooser: c, permitter: permits, procurer: p, exchanger: x, budget: budget, crashes: crashes, speeds: speeds, hostCount: hostCount, log: log.Component("relayer")}
+func New(c Chooser, permits Permitter, p Procurer, x Exchanger, budget RetryBudget, crashes CrashObserver, streams StreamArchive, speeds SpeedObserver, hostCount func() int, log *logger.Logger) *Relayer {
+	return &Relayer{chooser: c, permitter: permits, procurer: p, exchanger: x, budget: budget, crashes: crashes, streams: streams, speeds: speeds, hostCount: hostCount, log: log.Component("relayer")}
 }
 
 var errSlowEndpoint = eris.New("endpoint did not respond within the send timeout")
@@ -99,7 +110,11 @@
 	ctx, cancel := context.WithDeadline(ctx, s.Deadline())
 	r.budget.RecordRequest(s.Service().Name())
 	c := &callState{relayer: r, call: s, ctx: ctx, sent: make(map[*tracker.Endpoint]bool), excluded: make(map[*tracker.Endpoint]bool)}
-	answer, err := c.run()
+	err := c.pinResumed()
+	var answer *Answer
+	if err == nil {
+		answer, err = c.run()
+	}
 	if err != nil {
 		cancel()
 		c.release()
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -22,6 +22,7 @@
 	"github.com/dragonflyford/dragonflyford/exchanger"
 	"github.com/dragonflyford/dragonflyford/limiter"
 	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/pinner"
 	"github.com/dragonflyford/dragonflyford/relayer"
 	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/screener"
@@ -120,6 +121,8 @@
 	reservations int
 	reserved     []*tracker.Endpoint
 	samples      []estimator.Sample
+	verdict      pinner.Verdict // on streams that callers resume
+	recorded     []string       // versions at which streams began
 }
 
 func newHarness(script map[string][]endpointFunc) *harness {
@@ -128,7 +131,7 @@
 		r.fleet.Upsert(tracker.NewEntry(id, "svc", "1.1.1.1:1", "z", 8, false, 1,
 			map[connector.Model]int64{connector.NewModel("base", "", ""): 1}))
 	}
-	r.Relayer = relayer.New(selector.New(r.fleet, "z", ""), r, r, r, r, r, r, func() int { return 1 }, logger.Nop())
+	r.Relayer = relayer.New(selector.New(r.fleet, "z", ""), r, r, r, r, r, r, r, func() int { return 1 }, logger.Nop())
 	return r
 }
 
@@ -176,6 +179,13 @@
 func (r *harness) RecordCrash(*tracker.Endpoint, screener.Mark) { r.breaks++ }
 func (r *harness) RecordOutput(*router.Call)                    { r.outputs++ }
 
+func (r *harness) Record(_ context.Context, _, stream, version string) error {
+	r.recorded = append(r.recorded, stream+"="+version)
+	return nil
+}
+
+func (r *harness) Resolve(context.Context, string, string) pinner.Verdict { return r.verdict }
+
 func (r *harness) AllowRepeat(string) bool {
 	if r.repeats >= r.budget {
 		return false
@@ -184,7 +194,7 @@
 	return true
 }
 
-func screenedCall(t *testing.T, kind router.RepeatPolicy, attempts int, m connector.Model) *screener.Screened {
+func screenedCall(t *testing.T, kind router.RepeatPolicy, attempts int, m connector.Model, opts ...router.CallOption) *screener.Screened {
 	t.Helper()
 	var engines *router.EngineSpec
 	if m.Base() != "" {
@@ -194,7 +204,8 @@
 	routes.Adopt(router.NewTable(1, []*router.Route{
 		router.NewRoute("r", "h", "/", kind, 5*time.Second, time.Second, 1, attempts, []router.Target{router.NewTarget("svc", 1)}),
 	}, []*router.Service{router.NewService("svc", 100, engines)}))
-	call := router.NewCall("id", "POST", "h", "/x", "/x", http.Header{}, nil, router.WithModel(m), router.WithMaxWait(4*time.Second))
+	opts = append(opts, router.WithModel(m), router.WithMaxWait(4*time.Second))
+	call := router.NewCall("id", "POST", "h", "/x", "/x", http.Header{}, nil, opts...)
 	routed, err := routes.Apply(t.Context(), call)
 	if err != nil {
 		t.Fatal(err)
--- a/relayer/resumer.go
+++ b/relayer/resumer.go
@@ -114,6 +114,7 @@
 		if ok {
 			r.lastID = id
 		}
+		r.call.pinBegun(r.endpoint)
 		r.events = append(r.events, event...)
 	}
 }
--- /dev/null
+++ b/relayer/software_test.go
@@ -0,0 +1,104 @@
+package relayer_test
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/pinner"
+	"github.com/dragonflyford/dragonflyford/router"
+	"github.com/dragonflyford/dragonflyford/tracker"
+)
+
+// setSoftware replaces the endpoints of a harness by ones that name a software version.
+func (r *harness) setSoftware(versions map[string]string) {
+	for id, version := range versions {
+		r.fleet.Upsert(tracker.NewEntry(id, "svc", "1.1.1.1:1", "z", 8, false, 2, nil).WithSoftware(version))
+	}
+}
+
+// Guards against a stream that holds events of two software versions: one that its
+// endpoint broke off, and one that its caller resumes.
+func TestStreamKeepsSoftware(t *testing.T) {
+	tests := []struct {
+		name     string
+		versions map[string]string
+		first    endpointFunc // of e1
+		second   endpointFunc // of e2
+		verdict  pinner.Verdict
+		opts     []router.CallOption
+		want     string // events; "refused" if the call is
+		fails    bool
+		recorded string
+	}{
+		{
+			"broken off, another version is left", map[string]string{"e1": "v1", "e2": "v2"},
+			streams(0, 1, errReset), streams(2, 3, nil), nil, nil, "01", true, "id=v1",
+		},
+		{
+			"broken off, the same version is left", map[string]string{"e1": "v1", "e2": "v1"},
+			streams(0, 1, errReset), streams(2, 3, nil), nil, nil, "0123", false, "id=v1",
+		},
+		{
+			"broken off before its first event", map[string]string{"e1": "v1", "e2": "v2"},
+			streams(0, -1, errReset), streams(0, 3, nil), nil, nil, "0123", false, "id=v2",
+		},
+		{
+			"no version is named", map[string]string{"e1": "", "e2": ""},
+			streams(0, 1, errReset), streams(2, 3, nil), nil, nil, "0123", false, "",
+		},
+		{
+			"resumed by its caller", map[string]string{"e1": "v1", "e2": "v2"},
+			streams(0, 9, nil), streams(2, 3, nil), pinner.NewOnly("v2"), []router.CallOption{router.WithLastEvent("1")}, "23", false, "",
+		},
+		{
+			"resumed by its caller, its version is gone", map[string]string{"e1": "v1", "e2": "v1"},
+			streams(0, 9, nil), streams(0, 9, nil), pinner.NewOnly("v2"), []router.CallOption{router.WithLastEvent("1")}, "refused", true, "",
+		},
+		{
+			"resumed by its caller, its version is not known", map[string]string{"e1": "v1", "e2": "v2"},
+			streams(0, 9, nil), streams(0, 9, nil), pinner.Undecided{}, []router.CallOption{router.WithLastEvent("1")}, "refused", true, "",
+		},
+		{
+			"resumed by its caller, one version serves", map[string]string{"e1": "v1", "e2": "v1"},
+			streams(2, 3, nil), streams(2, 3, nil), pinner.Anywhere{}, []router.CallOption{router.WithLastEvent("1")}, "23", false, "",
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newHarness(map[string][]endpointFunc{"e1": {tt.first}, "e2": {tt.second}})
+				r.setSoftware(tt.versions)
+				for range 8 { // e1 is chosen first
+					r.fleet.Current().Endpoint("e2").Begin()
+				}
+				r.verdict = tt.verdict
+				a, err := r.Apply(t.Context(), screenedCall(t, router.NewStream(true), 2, connector.Model{}, tt.opts...))
+				if tt.want == "refused" {
+					is.True(err != nil)
+					is.Equal(len(r.sent), 0)
+					is.True(classifier.Of(err).RetryAfter() > 0)
+					return
+				}
+				is.NoErr(err)
+				data, err := io.ReadAll(a.Body())
+				is.NoErr(a.Body().Close())
+				is.Equal(err != nil, tt.fails)
+				got := ""
+				for line := range strings.Lines(string(data)) {
+					if value, ok := strings.CutPrefix(line, "data: "); ok {
+						got += strings.TrimSpace(value)
+					}
+				}
+				is.Equal(got, tt.want)
+				is.Equal(strings.Join(r.recorded, " "), tt.recorded)
+			})
+		})
+	}
+}
--- a/router/call.go
+++ b/router/call.go
@@ -24,6 +24,7 @@
 	expectedOutputTokens int
 	sharedPromptParts    []PromptPart
 	lastEvent            string
+	resumes              string
 }
 
 // PromptPart is the id of one part of a prompt. Calls whose prompts have a part in
@@ -55,6 +56,10 @@
 // WithLastEvent sets the id of the last event of a stream that the caller resumes.
 func WithLastEvent(id string) CallOption { return func(c *Call) { c.lastEvent = id } }
 
+// WithResumes sets the id of the attempt that brought the first event of a stream that the
+// caller resumes.
+func WithResumes(id string) CallOption { return func(c *Call) { c.resumes = id } }
+
 // NewCall returns a call that was received now. Target is the path with its query
 // as it is forwarded; header holds the end-to-end header fields and must not be
 // modified afterwards.
@@ -109,5 +114,9 @@
 // for a new stream.
 func (c *Call) LastEvent() string { return c.lastEvent }
 
+// Resumes returns the id of the attempt that brought the first event of a stream that the
+// caller resumes, or "" if it names none.
+func (c *Call) Resumes() string { return c.resumes }
+
 // Received returns when the call was received.
 func (c *Call) Received() time.Time { return c.received }
--- a/tracker/endpoint.go
+++ b/tracker/endpoint.go
@@ -22,6 +22,7 @@
 	draining   bool
 	born       int64
 	models     map[connector.Model]int64
+	software   string
 }
 
 // NewEntry returns an entry. Born is the start time of the endpoint's process in
@@ -35,6 +36,12 @@
 	}
 }
 
+// WithSoftware returns the entry with the version of the endpoint's software.
+func (e Entry) WithSoftware(version string) Entry {
+	e.software = version
+	return e
+}
+
 // ID returns the endpoint's id.
 func (e Entry) ID() string { return e.id }
 
@@ -106,6 +113,9 @@
 // Born returns the start time of the endpoint's process in Unix milliseconds.
 func (e *Endpoint) Born() int64 { return e.entry.born }
 
+// Software returns the version of the endpoint's software, or "" if it names none.
+func (e *Endpoint) Software() string { return e.entry.software }
+
 // Begin records the start of a call to the endpoint.
 func (e *Endpoint) Begin() { e.outstanding.Add(1) }
 
