--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -92,8 +92,10 @@
 
 // New returns an enroller. Run starts the renewals.
 func New(self LocalHost, timing Timing, store storer.Committer, log *logger.Logger, opts ...Option) *Enroller {
-	e := &Enroller{self: self, timing: timing, store: store, log: log.Component("enroller"), clock: bootTime, storeAnswered: make(chan struct{}, 1),
-		restored: make(chan struct{}, 1), process: rand.Uint64(), kept: make(map[string]bool)}
+	e := &Enroller{
+		self: self, timing: timing, store: store, log: log.Component("enroller"), clock: bootTime, storeAnswered: make(chan struct{}, 1),
+		restored: make(chan struct{}, 1), process: rand.Uint64(), kept: make(map[string]bool),
+	}
 	for _, opt := range opts {
 		opt(e)
 	}
