configurer, tracker: read the report interval and the lifetime of streams from settings

The time for which entries of a restored copy are put aside follows from the interval of the endpoints' reports, which differs between deployments. The time after which no caller resumes a stream is a setting as well.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -130,7 +130,7 @@
 	h.awaiter, markMet = awaiter.New(2, log)
 	h.setRoutesKnown, h.setEndpointsKnown = markMet[0], markMet[1]
 	h.router = router.New()
-	h.fleet = tracker.New(settings.Regions())
+	h.fleet = tracker.New(settings.Regions(), tracker.WithReportInterval(settings.ReportInterval()))
 	fleetTable := h.store.Table(tableFleet)
 	h.members = enroller.New(
 		enroller.NewLocalHost(settings.Address(), settings.Callers(), settings.Peers(), settings.DataCentre(), settings.Region(), settings.LinkMbps()),
@@ -140,8 +140,8 @@
 	h.supplier = supplier.New(h.engines, leases{h.members}, h.engineSpec, h.fleet, h.speeds, estimator.NewLoads(settings.AdapterLoad()), log)
 	h.screener = screener.New(log)
 	h.registrar = registrar.New(h.screener, fleetTable, log)
-	h.pinner = pinner.New(streamLifetime)
-	h.archiver = archiver.New(h.pinner, fleetTable, h.store.Table(tableStreams), streamLifetime, log)
+	h.pinner = pinner.New(settings.StreamLifetime())
+	h.archiver = archiver.New(h.pinner, fleetTable, h.store.Table(tableStreams), settings.StreamLifetime(), log)
 	var err error
 	h.mirrors = map[string]*mirrorer.Mirror{
 		platform.TableEndpoints: mirrorer.New(endpointHandler{h}),
--- a/assembler/software.go
+++ b/assembler/software.go
@@ -13,9 +13,6 @@
 const (
 	// tableStreams holds the software versions at which streams began.
 	tableStreams = "streams"
-	// streamLifetime is the time after which no caller resumes a stream. It has to exceed
-	// the longest time that callers wait.
-	streamLifetime = 2 * time.Minute
 	// softwareInterval is the time between two looks at the versions that serve.
 	softwareInterval = 250 * time.Millisecond
 	// recordInterval is the time between two looks at the records of streams.
--- a/configurer/entry.go
+++ b/configurer/entry.go
@@ -79,6 +79,7 @@
 	for field, v := range map[string]duration{
 		"lease.renew": doc.Lease.Renew, "lease.time": doc.Lease.Time, "lease.guard": doc.Lease.Guard,
 		"repeats.window": doc.Repeats.Window, "stop.grace": doc.Stop.Grace,
+		"endpoints.report_interval": doc.Endpoints.ReportInterval, "streams.lifetime": doc.Streams.Lifetime,
 		"limits.read_timeout": doc.Limits.ReadTimeout, "limits.idle_timeout": doc.Limits.IdleTimeout,
 	} {
 		if v <= 0 {
@@ -210,5 +211,11 @@
 // AdapterLoad returns the assumed time of an adapter's load from the weight store.
 func (e *Entry) AdapterLoad() time.Duration { return time.Duration(e.doc.Engines.AdapterLoad) }
 
+// ReportInterval returns the time between two reports of an endpoint to the store.
+func (e *Entry) ReportInterval() time.Duration { return time.Duration(e.doc.Endpoints.ReportInterval) }
+
+// StreamLifetime returns the time after which no caller resumes a stream.
+func (e *Entry) StreamLifetime() time.Duration { return time.Duration(e.doc.Streams.Lifetime) }
+
 // LogLevel returns the lowest log level that is written.
 func (e *Entry) LogLevel() string { return e.doc.Log.Level }
--- a/configurer/entry_document.go
+++ b/configurer/entry_document.go
@@ -4,16 +4,18 @@
 
 // entryDocument is the settings file of an entry host on the users' platform.
 type entryDocument struct {
-	Node        entryNodeDocument    `json:"node"`
-	Listen      entryListenDocument  `json:"listen"`
-	DataCentres []dataCentreDocument `json:"data_centres"`
-	Store       entryStoreDocument   `json:"store"`
-	Lease       entryLeaseDocument   `json:"lease"`
-	Repeats     entryRepeatDocument  `json:"repeats"`
-	Stop        entryStopDocument    `json:"stop"`
-	Limits      entryLimitsDocument  `json:"limits"`
-	Engines     entryEngineDocument  `json:"engines"`
-	Log         logDocument          `json:"log"`
+	Node        entryNodeDocument     `json:"node"`
+	Listen      entryListenDocument   `json:"listen"`
+	DataCentres []dataCentreDocument  `json:"data_centres"`
+	Store       entryStoreDocument    `json:"store"`
+	Lease       entryLeaseDocument    `json:"lease"`
+	Repeats     entryRepeatDocument   `json:"repeats"`
+	Stop        entryStopDocument     `json:"stop"`
+	Limits      entryLimitsDocument   `json:"limits"`
+	Engines     entryEngineDocument   `json:"engines"`
+	Endpoints   entryEndpointDocument `json:"endpoints"`
+	Streams     entryStreamDocument   `json:"streams"`
+	Log         logDocument           `json:"log"`
 }
 
 // entryEngineDocument holds what is assumed of engines before their calls show how
@@ -61,6 +63,14 @@
 	Window duration `json:"window"`
 }
 
+type entryEndpointDocument struct {
+	ReportInterval duration `json:"report_interval"` // of endpoints to the store
+}
+
+type entryStreamDocument struct {
+	Lifetime duration `json:"lifetime"` // after it, no caller resumes a stream
+}
+
 type entryStopDocument struct {
 	Grace duration `json:"grace"`
 }
@@ -87,6 +97,8 @@
 			PromptToken: duration(50 * time.Microsecond), OutputToken: duration(14 * time.Millisecond),
 			AdapterLoad: duration(270 * time.Millisecond),
 		},
-		Log: logDocument{Level: "info"},
+		Endpoints: entryEndpointDocument{ReportInterval: duration(1200 * time.Millisecond)},
+		Streams:   entryStreamDocument{Lifetime: duration(2 * time.Minute)},
+		Log:       logDocument{Level: "info"},
 	}
 }
--- a/configurer/entry_test.go
+++ b/configurer/entry_test.go
@@ -49,6 +49,8 @@
 		{"slack is a string", `56`, `"much"`, "repeats.slack"},
 		{"engine without a speed", `"stop"`, `"engines": {"prompt_token": "0s"}, "stop"`, "engines.prompt_token"},
 		{"load of an hour", `"stop"`, `"engines": {"adapter_load": "1h"}, "stop"`, "engines.adapter_load"},
+		{"no time between reports", `"stop"`, `"endpoints": {"report_interval": "0s"}, "stop"`, "endpoints.report_interval"},
+		{"streams without end", `"stop"`, `"streams": {"lifetime": "-1s"}, "stop"`, "streams.lifetime"},
 		{"unknown field", `"stop"`, `"stopp"`, "stopp"},
 	}
 	for _, tt := range tests {
@@ -73,7 +75,7 @@
 		`{{listen_addrs.front}}`: "10.0.0.1:1", `{{listen_addrs.ready}}`: "10.0.0.1:2", `{{listen_addrs.directory}}`: "10.0.0.1:3",
 		`{{platform_config.address}}`: "10.0.0.9:1", `{{limits.memory_mb}}`: "284", `{{limits.link_mbps}}`: "10.0",
 		`{{bounds.lease_ms}}`: "3000", `{{bounds.budget_ratio}}`: "0.2", `{{bounds.retry_slack}}`: "56",
-		`{{bounds.budget_window_s}}`: "10", `{{bounds.grace_s}}`: "8",
+		`{{bounds.budget_window_s}}`: "10", `{{bounds.grace_s}}`: "8", `{{heartbeat_ms}}`: "1200",
 		`{{#zones}} { "name": "{{@}}", "region": "{{.}}" } {{,}}{{/zones}}`: `{ "name": "z", "region": "r" }`,
 	} {
 		text = strings.ReplaceAll(text, from, to)
--- a/tracker/departure.go
+++ b/tracker/departure.go
@@ -6,10 +6,12 @@
 	// departureMemory is how long a process that was removed is remembered. A store that
 	// is restored loses the writes of a shorter time.
 	departureMemory = time.Minute
-	// doubtTime is how long a process that was removed is not used although a restored
-	// copy of the store still lists it. The store removes the entry of a process that is
-	// silent for three reports, which are some 1.2 s apart.
-	doubtTime = 5 * time.Second
+	// doubtfulReports is the time, in reports of a process, for which one that was removed
+	// is not used although a restored copy of the store still lists it. The store removes
+	// the entry of a process that is silent for three reports.
+	doubtfulReports = 4
+	// defaultReportInterval is the time between two reports if none is set.
+	defaultReportInterval = 1200 * time.Millisecond
 )
 
 // departure is a process that was removed.
@@ -27,6 +29,14 @@
 	until    time.Time
 }
 
+// Option sets an optional property of a Tracker.
+type Option func(*Tracker)
+
+// WithReportInterval sets the time between two reports of a process to the store.
+func WithReportInterval(d time.Duration) Option { return func(t *Tracker) { t.reportInterval = d } }
+
+func (t *Tracker) doubtTime() time.Duration { return doubtfulReports * t.reportInterval }
+
 // Restored reports that the store has been restored from an older copy, so that it may
 // list processes that have left since, or that leave.
 func (t *Tracker) Restored() {
@@ -41,7 +51,7 @@
 	t.departed[id] = departure{born: r.endpoint.entry.born, draining: r.draining, at: time.Now()}
 }
 
-// list applies an entry that the store lists. For doubtTime after a restore, an entry of a
+// list applies an entry that the store lists. For a time after a restore, an entry of a
 // process that is known to have left, or to leave, is set aside. It requires mu.
 func (t *Tracker) list(e Entry) Event {
 	now := time.Now()
@@ -49,11 +59,11 @@
 	if r := t.records[e.id]; r != nil {
 		d, left = departure{born: r.endpoint.entry.born, draining: true}, r.draining
 	}
-	if now.Sub(t.restored) > doubtTime || e.draining || !left || d.born != e.born {
+	if now.Sub(t.restored) > t.doubtTime() || e.draining || !left || d.born != e.born {
 		return t.upsert(e)
 	}
 	if _, known := t.doubtful[e.id]; !known {
-		t.doubtful[e.id] = doubt{entry: e, draining: d.draining, until: now.Add(doubtTime)}
+		t.doubtful[e.id] = doubt{entry: e, draining: d.draining, until: now.Add(t.doubtTime())}
 	}
 	return nil
 }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -37,21 +37,26 @@
 
 // Tracker maintains the registry and publishes snapshots of it.
 type Tracker struct {
-	regions  map[string]string // by data centre
-	mu       sync.Mutex
-	records  map[string]*record
-	departed map[string]departure // processes that were removed lately, by endpoint
-	doubtful map[string]doubt     // entries of such processes in a restored copy, by endpoint
-	restored time.Time            // when the store was last restored from an older copy
-	versions map[connector.Model]int64
-	current  atomic.Pointer[Snapshot]
+	regions        map[string]string // by data centre
+	reportInterval time.Duration
+	mu             sync.Mutex
+	records        map[string]*record
+	departed       map[string]departure // processes that were removed lately, by endpoint
+	doubtful       map[string]doubt     // entries of such processes in a restored copy, by endpoint
+	restored       time.Time            // when the store was last restored from an older copy
+	versions       map[connector.Model]int64
+	current        atomic.Pointer[Snapshot]
 }
 
 // New returns a tracker without endpoints. Regions maps data centres to regions.
-func New(regions map[string]string) *Tracker {
+func New(regions map[string]string, opts ...Option) *Tracker {
 	t := &Tracker{
 		regions: regions, records: make(map[string]*record), versions: make(map[connector.Model]int64),
 		departed: make(map[string]departure), doubtful: make(map[string]doubt),
+		reportInterval: defaultReportInterval,
+	}
+	for _, opt := range opts {
+		opt(t)
 	}
 	t.current.Store(&Snapshot{})
 	return t
