--- a/tracker/departure.go
+++ b/tracker/removed.go
@@ -3,27 +3,27 @@
 import "time"
 
 const (
-	// departureMemory is how long a process that was removed is remembered. A store that
+	// removalMemory is how long a process that was removed is remembered. A store that
 	// is restored loses the writes of a shorter time.
-	departureMemory = time.Minute
-	// doubtfulReports is the time, in reports of a process, for which one that was removed
+	removalMemory = time.Minute
+	// verifyReports is the time, in reports of a process, for which one that was removed
 	// is not used although a restored copy of the store still lists it. The store removes
 	// the entry of a process that is silent for three reports.
-	doubtfulReports = 4
+	verifyReports = 4
 	// defaultReportInterval is the time between two reports if none is set.
 	defaultReportInterval = 1200 * time.Millisecond
 )
 
-// departure is a process that was removed.
-type departure struct {
+// removedProcess is a process that was removed.
+type removedProcess struct {
 	born     int64
 	draining bool
 	at       time.Time
 }
 
-// doubt is an entry of a process that was removed, or said that it leaves, before the
+// unverifiedEntry is an entry of a process that was removed, or said that it leaves, before the
 // store was restored. After the latter only an entry that is written anew counts.
-type doubt struct {
+type unverifiedEntry struct {
 	entry    Entry
 	draining bool
 	until    time.Time
@@ -35,7 +35,7 @@
 // WithReportInterval sets the time between two reports of a process to the store.
 func WithReportInterval(d time.Duration) Option { return func(t *Tracker) { t.reportInterval = d } }
 
-func (t *Tracker) doubtTime() time.Duration { return doubtfulReports * t.reportInterval }
+func (t *Tracker) verifyTime() time.Duration { return verifyReports * t.reportInterval }
 
 // Restored reports that the store has been restored from an older copy, so that it may
 // list processes that have left since, or that leave.
@@ -48,42 +48,42 @@
 // forget removes a record. It requires mu.
 func (t *Tracker) forget(id string, r *record) {
 	delete(t.records, id)
-	t.departed[id] = departure{born: r.endpoint.entry.born, draining: r.draining, at: time.Now()}
+	t.removed[id] = removedProcess{born: r.endpoint.entry.born, draining: r.draining, at: time.Now()}
 }
 
 // list applies an entry that the store lists. For a time after a restore, an entry of a
 // process that is known to have left, or to leave, is set aside. It requires mu.
 func (t *Tracker) list(e Entry) Event {
 	now := time.Now()
-	d, left := t.departed[e.id]
+	d, left := t.removed[e.id]
 	if r := t.records[e.id]; r != nil {
-		d, left = departure{born: r.endpoint.entry.born, draining: true}, r.draining
+		d, left = removedProcess{born: r.endpoint.entry.born, draining: true}, r.draining
 	}
-	if now.Sub(t.restored) > t.doubtTime() || e.draining || !left || d.born != e.born {
+	if now.Sub(t.restored) > t.verifyTime() || e.draining || !left || d.born != e.born {
 		return t.upsert(e)
 	}
-	if _, known := t.doubtful[e.id]; !known {
-		t.doubtful[e.id] = doubt{entry: e, draining: d.draining, until: now.Add(t.doubtTime())}
+	if _, known := t.unverified[e.id]; !known {
+		t.unverified[e.id] = unverifiedEntry{entry: e, draining: d.draining, until: now.Add(t.verifyTime())}
 	}
 	return nil
 }
 
-// expireDeparted uses the entries that are listed for long enough to be those of live
-// processes, forgets old departures, and returns the resulting events. It requires mu.
-func (t *Tracker) expireDeparted(now time.Time) []Event {
+// expireRemoved uses the entries that are listed for long enough to be those of live
+// processes, forgets old removals, and returns the resulting events. It requires mu.
+func (t *Tracker) expireRemoved(now time.Time) []Event {
 	var events []Event
-	for id, d := range t.doubtful {
+	for id, d := range t.unverified {
 		if d.draining || now.Before(d.until) {
 			continue
 		}
-		delete(t.doubtful, id)
+		delete(t.unverified, id)
 		if event := t.upsert(d.entry); event != nil {
 			events = append(events, event)
 		}
 	}
-	for id, d := range t.departed {
-		if now.Sub(d.at) > departureMemory {
-			delete(t.departed, id)
+	for id, d := range t.removed {
+		if now.Sub(d.at) > removalMemory {
+			delete(t.removed, id)
 		}
 	}
 	return events
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -41,9 +41,9 @@
 	reportInterval time.Duration
 	mu             sync.Mutex
 	records        map[string]*record
-	departed       map[string]departure // processes that were removed lately, by endpoint
-	doubtful       map[string]doubt     // entries of such processes in a restored copy, by endpoint
-	restored       time.Time            // when the store was last restored from an older copy
+	removed        map[string]removedProcess  // processes that were removed lately, by endpoint
+	unverified     map[string]unverifiedEntry // entries of such processes in a restored copy, by endpoint
+	restored       time.Time                  // when the store was last restored from an older copy
 	versions       map[connector.Model]int64
 	current        atomic.Pointer[Snapshot]
 }
@@ -52,7 +52,7 @@
 func New(regions map[string]string, opts ...Option) *Tracker {
 	t := &Tracker{
 		regions: regions, records: make(map[string]*record), versions: make(map[connector.Model]int64),
-		departed: make(map[string]departure), doubtful: make(map[string]doubt),
+		removed: make(map[string]removedProcess), unverified: make(map[string]unverifiedEntry),
 		reportInterval: defaultReportInterval,
 	}
 	for _, opt := range opts {
@@ -166,7 +166,7 @@
 	} else {
 		r.endpoint.merge(e.models, time.Now())
 	}
-	delete(t.doubtful, e.id)
+	delete(t.unverified, e.id)
 	r.expiresAt = time.Time{}
 	changed := fresh || r.draining != e.draining
 	r.draining = e.draining
@@ -182,7 +182,7 @@
 
 // remove requires mu.
 func (t *Tracker) remove(grace time.Duration, id string) Event {
-	delete(t.doubtful, id)
+	delete(t.unverified, id)
 	r := t.records[id]
 	switch {
 	case r == nil:
@@ -211,7 +211,7 @@
 			events = append(events, Gone{endpointEvent{id}})
 		}
 	}
-	events = append(events, t.expireDeparted(now)...)
+	events = append(events, t.expireRemoved(now)...)
 	t.publishAfter(events)
 	return events
 }
