follower: end a long poll of an earlier era at once

The end of an era now ends a long poll whatever its age, and the whole table is read without a pause.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -86,6 +86,7 @@
 	pause   time.Duration
 	log     *logger.Logger
 	refresh chan struct{}
+	endEra  chan struct{}
 
 	version     storer.Version
 	synced      bool          // the whole table was read and no change since has been missed
@@ -99,7 +100,7 @@
 // while nothing changes. Pause is the time between two calls; it batches changes and
 // so reduces the number of calls.
 func New(name string, feed storer.Feed, handler Handler, wait, pause time.Duration, log *logger.Logger) *Follower {
-	return &Follower{name: name, feed: feed, handler: handler, wait: wait, pause: pause, log: log.Component("follower"), refresh: make(chan struct{}, 1), refreshAge: minRefreshAge}
+	return &Follower{name: name, feed: feed, handler: handler, wait: wait, pause: pause, log: log.Component("follower"), refresh: make(chan struct{}, 1), endEra: make(chan struct{}, 1), refreshAge: minRefreshAge}
 }
 
 // SinceRecovery returns the time since the store last recovered from a failure, or
@@ -126,11 +127,14 @@
 // A call that waits for changes since a version of the earlier era may miss some.
 func (f *Follower) EndEra() {
 	f.eraEnded.Store(true)
-	f.Refresh()
+	select {
+	case f.endEra <- struct{}{}:
+	default: // the end is already pending
+	}
 }
 
-// untilRefresh returns a context that is cancelled by the next refresh, but not before
-// the long poll has reached its minimum age.
+// untilRefresh returns a context that is cancelled by the end of the era, or by the next
+// refresh, but by that not before the long poll has reached its minimum age.
 func (f *Follower) untilRefresh(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	minAge := time.NewTimer(f.refreshAge)
@@ -138,12 +142,17 @@
 		defer minAge.Stop()
 		select {
 		case <-minAge.C:
+		case <-f.endEra:
+			cancel(errRefresh)
+			return
 		case <-ctx.Done():
 			return
 		}
 		select {
 		case <-f.refresh:
 			cancel(errRefresh)
+		case <-f.endEra:
+			cancel(errRefresh)
 		case <-ctx.Done():
 		}
 	}()
@@ -160,6 +169,9 @@
 			pause = retryDelay
 			f.failed(err)
 		}
+		if f.synced && f.eraEnded.Load() {
+			pause = 0 // the handler may have rows that the store has lost
+		}
 		if sleeper.Sleep(ctx, pause) != nil {
 			return
 		}
@@ -192,7 +204,7 @@
 	if restored && f.synced {
 		// The changes since the version of another era are not those since that state.
 		f.synced = false
-		return nil
+		return f.step(ctx)
 	}
 	if f.failing || restored {
 		f.failing = false
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -148,6 +148,32 @@
 	}
 }
 
+// Guards against a host that misses what was written since a restore of the store because
+// its long poll, for changes since a version of the earlier era, goes on.
+func TestEndEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		old, restored := storer.NewVersion(1, 90), storer.NewVersion(2, 95)
+		f := &feed{steps: []step{{keys: []string{"a"}, version: old}}}
+		h := &handler{}
+		fol := follower.New("t", f, h, time.Hour, time.Minute, logger.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { fol.Run(ctx); close(done) }()
+		time.Sleep(time.Minute + 100*time.Millisecond) // the long poll has just begun
+		f.mu.Lock()
+		f.steps = []step{{version: restored}, {keys: []string{"b"}, version: restored}}
+		f.mu.Unlock()
+		fol.EndEra()
+		time.Sleep(100 * time.Millisecond)
+		h.mu.Lock()
+		is.Equal(h.received, []string{"=a", "restored", "=b"})
+		h.mu.Unlock()
+		cancel()
+		<-done
+	})
+}
+
 // Guards against a long poll on a dead connection that is not ended when other hosts
 // report changes.
 func TestRefresh(t *testing.T) {
