soaker: restore the store from an older copy once in each run

Operators and endpoints write their rows again. The moment comes from a source of its own, so that the other faults of a seed stay the same.

--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -82,7 +82,7 @@
 		running.Go(func() { c.run(ctx, n, caller) })
 	}
 	time.Sleep(4 * time.Second) // until each engine has an owner
-	cl.injectFaults(t, random)
+	cl.injectFaults(t, random, seed)
 	for _, h := range cl.hosts {
 		cl.eventually(h.name+" serves again", recoveryTime, func() bool {
 			status, err := cl.probe(h, "/look/x", 0)
@@ -148,8 +148,9 @@
 
 // injectFaults injects faults for the time of -duration and waits until all are
 // repaired.
-func (cl *cluster) injectFaults(t *testing.T, random *rand.Rand) {
+func (cl *cluster) injectFaults(t *testing.T, random *rand.Rand, seed uint64) {
 	var repairs sync.WaitGroup
+	repairs.Go(func() { cl.restoreStore(t, seed) })
 	for deadline := time.Now().Add(*durationFlag); time.Now().Before(deadline); {
 		name, repair := cl.fault(random)
 		t.Logf("%s", name)
@@ -159,6 +160,30 @@
 	repairs.Wait()
 }
 
+// restoreStore restores the store from a copy that is up to lostTime old, at a moment of a
+// run that the seed determines. Operators and endpoints write their rows again. It has a
+// source of randomness of its own, so that the other faults of a seed stay the same.
+func (cl *cluster) restoreStore(t *testing.T, seed uint64) {
+	const lostTime = 5 * time.Second
+	random := rand.New(rand.NewPCG(seed, 1))
+	time.Sleep(time.Duration(random.Int64N(int64(*durationFlag / 2))))
+	saved := cl.store.Copy()
+	lost := time.Duration(random.Int64N(int64(lostTime)))
+	time.Sleep(lost)
+	cl.store.Inject(emulator.Down{})
+	time.Sleep(500 * time.Millisecond)
+	cl.mu.Lock() // no configuration is written in between
+	defer cl.mu.Unlock()
+	written := cl.store.Rows("op")
+	cl.store.Restore(saved)
+	cl.store.Inject(emulator.HealthyStore{})
+	time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
+	for key, value := range written {
+		cl.store.Set("op", key, value)
+	}
+	t.Logf("store restored from %v before", lost)
+}
+
 // fault injects one random fault. It returns the fault's name and a function that
 // waits for the end of the fault and repairs it.
 func (cl *cluster) fault(random *rand.Rand) (name string, repair func()) {
