assembler, relayer, pinner: say things once in tests, name the outbox

Verdicts print themselves; tests of streams share the reading of events; the test of late calls builds them with the fake caller and fails without the refusal, as before. No behaviour changes.

--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -132,14 +132,7 @@
 
 func (h host) resolve(t *testing.T, stream string) string {
 	t.Helper()
-	switch v := h.Resolve(t.Context(), "s", stream).(type) {
-	case pinner.Anywhere:
-		return "anywhere"
-	case pinner.Only:
-		return v.Version()
-	default:
-		return "undecided"
-	}
+	return fmt.Sprint(h.Resolve(t.Context(), "s", stream))
 }
 
 // Guards against a host that does not know at which version a stream began at another
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -94,12 +94,12 @@
 	messenger         *messenger.Messenger
 	screener          *screener.Screener
 	confirmer         *confirmer.Confirmer
-	evidence          *news[screener.Evidence]
+	evidence          *outbox[screener.Evidence]
 	pinner            *pinner.Pinner
 	archiver          *archiver.Archiver
 	registrar         *registrar.Registrar
 	permitter         *permitter.Permitter
-	limits            *news[permitter.Report]
+	limits            *outbox[permitter.Report]
 	exchanger         *exchanger.Client
 	referrer          *referrer.Referrer
 	pinger            *pinger.Pinger
@@ -151,11 +151,11 @@
 		return nil, fmt.Errorf("build messenger: %w", err)
 	}
 	h.permitter = permitter.New(h.messenger, h.members, h.fleet)
-	h.evidence = &news[screener.Evidence]{
+	h.evidence = &outbox[screener.Evidence]{
 		host: h, items: broadcaster.New[screener.Evidence](screener.EvidenceLifetime),
 		take: h.screener.TakeUnsent, send: h.messenger.SendEvidence, failure: "evidence-not-told",
 	}
-	h.limits = &news[permitter.Report]{
+	h.limits = &outbox[permitter.Report]{
 		host: h, items: broadcaster.New[permitter.Report](permitter.ReportLifetime),
 		take: h.permitter.TakeUnsent, send: h.messenger.SendLimits, failure: "limit-not-told",
 	}
--- a/assembler/latecall_test.go
+++ b/assembler/latecall_test.go
@@ -1,12 +1,11 @@
 package assembler_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,6 +14,24 @@
 	"github.com/dragonflyford/dragonflyford/platform/emulator"
 )
 
+// slowBody is a body whose second half is sent once release is closed.
+type slowBody struct {
+	halves  []string
+	release chan struct{}
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if len(b.halves) == 0 {
+		return 0, io.EOF
+	}
+	if len(b.halves) == 1 {
+		<-b.release
+	}
+	n := copy(p, b.halves[0])
+	b.halves = b.halves[1:]
+	return n, nil
+}
+
 // Guards against a call whose body ends late in a planned stop, and that is passed on and
 // cut without an answer when the grace time ends.
 func TestLateCallInPlannedStop(t *testing.T) {
@@ -28,28 +45,27 @@
 	stopped := make(chan struct{})
 	go func() { stop(); close(stopped) }()
 	time.Sleep(2 * time.Second) // callers with an old directory response still connect
-	conns := make([]net.Conn, 4)
-	for i := range conns {
-		conn, err := net.Dial("tcp", d.listenAddress(hostA, 0))
-		is.NoErr(err)
-		defer func() { _ = conn.Close() }()
-		_, err = fmt.Fprintf(conn, "POST /post/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: late-%d\r\nX-Deadline-Ms: 5000\r\nContent-Length: 4\r\n\r\nbo", i)
+	release := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range 4 {
+		req, err := emulator.NewCall(fmt.Sprint("late-", i), "h", "/post/x", "body", 5*time.Second, "").Request(t.Context(), d.listenAddress(hostA, 0))
 		is.NoErr(err)
-		conns[i] = conn
+		req.Body = io.NopCloser(&slowBody{halves: []string{"bo", "dy"}, release: release})
+		callers.Go(func() {
+			resp, err := (&http.Client{Transport: &http.Transport{}}).Do(req)
+			if err != nil {
+				t.Errorf("call %d is cut: %v", i, err)
+				return
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+				t.Errorf("call %d gets status %d", i, resp.StatusCode)
+			}
+		})
 	}
 	time.Sleep(1500 * time.Millisecond)
-	for i, conn := range conns {
-		_, err := io.WriteString(conn, "dy")
-		is.NoErr(err)
-		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		if err != nil {
-			t.Errorf("call %d is cut: %v", i, err)
-			continue
-		}
-		is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
-		is.True(resp.Header.Get("Retry-After") != "")
-		is.NoErr(resp.Body.Close())
-	}
+	close(release)
+	callers.Wait()
 	<-stopped
 	is.Equal(len(slow.Runs()), 0)
 }
--- a/assembler/news.go
+++ b/assembler/outbox.go
@@ -11,13 +11,13 @@
 )
 
 const (
-	newsInterval       = 150 * time.Millisecond
-	newsTimeout        = time.Second
+	outboxInterval     = 150 * time.Millisecond
+	outboxTimeout      = time.Second
 	quarantineInterval = 300 * time.Millisecond
 )
 
-// news tells the other hosts what this host has learned.
-type news[T any] struct {
+// outbox sends to the other hosts what this host has learned.
+type outbox[T any] struct {
 	host    *Host
 	items   *broadcaster.Broadcaster[T]
 	take    func() []T // returns what has not been told yet
@@ -25,11 +25,11 @@
 	failure string // event of the log line if a host was not told
 }
 
-// run tells the news until ctx ends. Each interval begins with the function before.
-func (n *news[T]) run(ctx context.Context, before func()) {
+// run sends the items until ctx ends. Each interval begins with the function before.
+func (n *outbox[T]) run(ctx context.Context, before func()) {
 	var sending sync.WaitGroup
 	defer sending.Wait()
-	for sleeper.Sleep(ctx, newsInterval) == nil {
+	for sleeper.Sleep(ctx, outboxInterval) == nil {
 		before()
 		now := time.Now()
 		n.items.Add(now, n.take()...)
@@ -39,13 +39,13 @@
 	}
 }
 
-func (n *news[T]) deliver(ctx context.Context, d *broadcaster.Delivery[T]) {
+func (n *outbox[T]) deliver(ctx context.Context, d *broadcaster.Delivery[T]) {
 	peer := n.host.members.View().Host(d.Peer())
 	if peer == nil {
 		d.Failed(time.Now())
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, newsTimeout)
+	ctx, cancel := context.WithTimeout(ctx, outboxTimeout)
 	defer cancel()
 	if err := n.send(ctx, peer.PeerAddress(), d.Items()); err != nil {
 		d.Failed(time.Now())
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -42,6 +42,15 @@
 // Version returns the version at which the stream may go on.
 func (o Only) Version() string { return o.version }
 
+// String returns the verdict for logs and messages.
+func (Anywhere) String() string { return "anywhere" }
+
+// String returns the version.
+func (o Only) String() string { return o.version }
+
+// String returns the verdict for logs and messages.
+func (Undecided) String() string { return "undecided" }
+
 func (Anywhere) verdict()  {}
 func (Only) verdict()      {}
 func (Undecided) verdict() {}
--- a/pinner/pinner_test.go
+++ b/pinner/pinner_test.go
@@ -12,17 +12,6 @@
 
 const lifetime = time.Minute
 
-func describe(v pinner.Verdict) string {
-	switch v := v.(type) {
-	case pinner.Anywhere:
-		return "anywhere"
-	case pinner.Only:
-		return v.Version()
-	default:
-		return "undecided"
-	}
-}
-
 // Guards against a stream that goes on at another software version than the one that began
 // it, and against one that is not resumed although its version is known.
 func TestDecide(t *testing.T) {
@@ -53,7 +42,7 @@
 				p.Store("s", *tt.state)
 			}
 			tt.serve(p)
-			if got := describe(p.Decide("s", tt.record, start.Add(tt.after))); got != tt.want {
+			if got := fmt.Sprint(p.Decide("s", tt.record, start.Add(tt.after))); got != tt.want {
 				t.Errorf("got %s, want %s", got, tt.want)
 			}
 		})
@@ -107,8 +96,8 @@
 	p.Store("chat", pinner.NewState("v1", true))
 	now := time.Unix(0, 0)
 	p.Observe("chat", now, "v1", "v2")
-	fmt.Println(describe(p.Decide("chat", pinner.NewRecorded("v2"), now)))
-	fmt.Println(describe(p.Decide("chat", pinner.Unrecorded{}, now)))
+	fmt.Println(fmt.Sprint(p.Decide("chat", pinner.NewRecorded("v2"), now)))
+	fmt.Println(fmt.Sprint(p.Decide("chat", pinner.Unrecorded{}, now)))
 	// Output:
 	// v2
 	// v1
--- a/relayer/software_test.go
+++ b/relayer/software_test.go
@@ -108,13 +108,7 @@
 				data, err := io.ReadAll(a.Body())
 				is.NoErr(a.Body().Close())
 				is.Equal(err != nil, tt.fails)
-				got := ""
-				for line := range strings.Lines(string(data)) {
-					if value, ok := strings.CutPrefix(line, "data: "); ok {
-						got += strings.TrimSpace(value)
-					}
-				}
-				is.Equal(got, tt.want)
+				is.Equal(eventData(data), tt.want)
 				is.Equal(strings.Join(r.recorded, " "), tt.recorded)
 			})
 		})
--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -17,6 +17,17 @@
 	"github.com/dragonflyford/dragonflyford/router"
 )
 
+// eventData returns the data of all events of a stream.
+func eventData(stream []byte) string {
+	text := ""
+	for line := range strings.Lines(string(stream)) {
+		if value, ok := strings.CutPrefix(line, "data: "); ok {
+			text += strings.TrimSpace(value)
+		}
+	}
+	return text
+}
+
 // Guards against an event without end, which would be kept in memory, and against its
 // beginning being passed on as a complete answer.
 func TestEventWithoutEnd(t *testing.T) {
@@ -115,13 +126,7 @@
 				data, err := io.ReadAll(a.Body())
 				is.NoErr(a.Body().Close())
 				is.Equal(err != nil, tt.fails)
-				got := ""
-				for line := range strings.Lines(string(data)) {
-					if value, ok := strings.CutPrefix(line, "data: "); ok {
-						got += strings.TrimSpace(value)
-					}
-				}
-				is.Equal(got, tt.want)
+				is.Equal(eventData(data), tt.want)
 				is.Equal(len(r.sent), tt.sent)
 			})
 		})
