subscriber, mirrorer, enroller: carry the age of a table from copy to copy

A host that reads a table from the copy of another host counted it as new, and that host in turn could have read it from a third one. While the store was away for all hosts, all of them counted as dead for some seconds, because their rows were compared with the time at which the last copy came (found with a test of records on other hosts: no host was left to ask). A copy that another host held during a long poll was half a second older than it said.

Changes now hold how long ago the store confirmed them, handlers are told, and a copy of a copy is as old as the first one.

A host that the store does not answer uses the copy of any host of its data centre that has been in contact since the store failed it. Before, the host that the others read from had no other source. Copies from before the failure are not used, so that all hosts return to the store at once when it is back.

enroller TestAliveByOldCopy, mirrorer TestAgeOfCopy and subscriber TestSourceWithoutStore fail without the change.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -76,7 +76,7 @@
 func (a *Archiver) Restored() { a.restoredAt.Store(time.Now().UnixNano()) }
 
 // Contact implements follower.Handler.
-func (*Archiver) Contact(storer.Version, time.Duration) {}
+func (*Archiver) Contact(storer.Version, time.Duration, time.Duration) {}
 
 // Replace implements follower.Handler.
 func (a *Archiver) Replace(rows []storer.Change) {
--- a/assembler/handlers.go
+++ b/assembler/handlers.go
@@ -28,15 +28,15 @@
 // eraHandler observes the era of a table and nothing else.
 type eraHandler struct{ host *Host }
 
-func (eraHandler) Restored()                                   {}
-func (eraHandler) Replace([]storer.Change)                     {}
-func (eraHandler) Apply([]storer.Change)                       {}
-func (e eraHandler) Contact(v storer.Version, _ time.Duration) { e.host.observeEra(v) }
+func (eraHandler) Restored()                                      {}
+func (eraHandler) Replace([]storer.Change)                        {}
+func (eraHandler) Apply([]storer.Change)                          {}
+func (e eraHandler) Contact(v storer.Version, _, _ time.Duration) { e.host.observeEra(v) }
 
 // operatorHandler applies configurations and named versions.
 type operatorHandler struct{ host *Host }
 
-func (o operatorHandler) Contact(v storer.Version, _ time.Duration) { o.host.observeEra(v) }
+func (o operatorHandler) Contact(v storer.Version, _, _ time.Duration) { o.host.observeEra(v) }
 
 // Restored does nothing: an older configuration or named version has no effect.
 func (operatorHandler) Restored() {}
@@ -82,7 +82,7 @@
 // Restored announces entries that may be older than those known.
 func (e endpointHandler) Restored() { e.host.fleet.Restored() }
 
-func (e endpointHandler) Contact(v storer.Version, _ time.Duration) {
+func (e endpointHandler) Contact(v storer.Version, _, _ time.Duration) {
 	e.host.observeEra(v)
 	e.logEvents(e.host.fleet.Expire())
 	e.host.setEndpointsKnown()
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -155,11 +155,12 @@
 }
 
 // Contact records that the store answered and that all rows up to version have
-// been applied. clock is the store's steady clock, or 0 if it is unknown. After
+// been applied. clock is the store's steady clock, or 0 if it is unknown, and age how long
+// ago the store confirmed the rows, if they are from the copy of another host. After
 // a loss of contact the rows of all hosts count as renewed now, because their
 // renewals may have been missed. A renewal that failed, or has been pending
 // since the contact was lost, is retried at once.
-func (e *Enroller) Contact(version storer.Version, clock time.Duration) {
+func (e *Enroller) Contact(version storer.Version, clock, age time.Duration) {
 	e.update(func(v *View) {
 		now := time.Now()
 		if clock > 0 {
@@ -179,7 +180,7 @@
 				v.hosts[name] = &again
 			}
 		}
-		v.lastContact, v.version = now, version
+		v.lastContact, v.confirmed, v.version = now, now.Add(-age), version
 	})
 	if r := e.pending.Load(); r != nil && time.Since(r.began) >= hungAfter {
 		r.cancel()
@@ -231,7 +232,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	old := e.view.Load()
-	next := &View{hosts: maps.Clone(old.hosts), owners: maps.Clone(old.owners), lastContact: old.lastContact, version: old.version, storeClockZero: old.storeClockZero, lostAfter: old.lostAfter}
+	next := &View{hosts: maps.Clone(old.hosts), owners: maps.Clone(old.owners), lastContact: old.lastContact, confirmed: old.confirmed, version: old.version, storeClockZero: old.storeClockZero, lostAfter: old.lostAfter}
 	if next.hosts == nil {
 		next.hosts, next.owners = make(map[string]*Host), make(map[string]Owner)
 	}
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -129,7 +129,7 @@
 		h.Restored()
 	}
 	h.Replace(rows)
-	h.Contact(version, h.table.clock())
+	h.Contact(version, h.table.clock(), 0)
 }
 
 // run renews the lease and syncs the table until ctx is done.
@@ -471,3 +471,26 @@
 		}
 	})
 }
+
+// Guards against hosts that all count as dead while the store is away for all, because an
+// old copy of the table at another host counts as new.
+func TestAliveByOldCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tab := newTable()
+		a, b := join(tab, "h1", "z1"), join(tab, "h2", "z1")
+		defer start(t, a, b)()
+		time.Sleep(8 * time.Second)
+		a.cut.Store(true)
+		b.cut.Store(true)
+		version, clock := tab.latest(), tab.clock()
+		for age := time.Duration(0); age < 3*time.Second; age += time.Second { // copies of copies
+			a.Contact(version, clock+age, age)
+			time.Sleep(time.Second)
+		}
+		for range 40 {
+			is.True(a.View().Alive(a.View().Host("h2")))
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
--- a/enroller/view.go
+++ b/enroller/view.go
@@ -65,7 +65,8 @@
 type View struct {
 	hosts          map[string]*Host
 	owners         map[string]Owner
-	lastContact    time.Time      // last answer of the store; zero before the first
+	lastContact    time.Time      // last answer of the store, or of a host with a copy; zero before the first
+	confirmed      time.Time      // when the store confirmed the rows; earlier than lastContact if they are from a copy
 	version        storer.Version // all changes up to this version have been applied
 	storeClockZero time.Time      // when the store's steady clock was 0; zero if unknown
 	lostAfter      time.Duration  // time without a renewal after which a host is not alive
@@ -123,8 +124,8 @@
 		return false
 	}
 	now := time.Now()
-	if sinceContact := now.Sub(v.lastContact); sinceContact > contactTimeout {
-		now = v.lastContact
+	if now.Sub(v.confirmed) > contactTimeout {
+		now = v.confirmed
 	}
 	return now.Sub(v.renewedAt(h)) <= v.lostAfter
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -24,8 +24,9 @@
 	// Apply applies changed rows.
 	Apply(changes []storer.Change)
 	// Contact reports a response from the store: the version of the table that the
-	// rows are at, and the store's monotonic clock, or 0 if it has none.
-	Contact(v storer.Version, clock time.Duration)
+	// rows are at, the store's monotonic clock, or 0 if it has none, and how long ago the
+	// store confirmed the rows, if they come from the copy of another host.
+	Contact(v storer.Version, clock, age time.Duration)
 }
 
 // Handlers passes the rows of one table to several handlers, in order.
@@ -53,9 +54,9 @@
 }
 
 // Contact implements Handler.
-func (h Handlers) Contact(v storer.Version, clock time.Duration) {
+func (h Handlers) Contact(v storer.Version, clock, age time.Duration) {
 	for _, one := range h {
-		one.Contact(v, clock)
+		one.Contact(v, clock, age)
 	}
 }
 
@@ -224,7 +225,7 @@
 		f.synced = true
 	}
 	f.version, f.refreshAge = changes.Version(), minRefreshAge
-	f.handler.Contact(f.version, changes.Clock())
+	f.handler.Contact(f.version, changes.Clock(), changes.Age())
 	return nil
 }
 
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -77,9 +77,9 @@
 	h.received = append(h.received, "restored")
 }
 
-func (h *handler) Replace(rows []storer.Change)          { h.record("=", rows) }
-func (h *handler) Apply(rows []storer.Change)            { h.record("+", rows) }
-func (h *handler) Contact(storer.Version, time.Duration) {}
+func (h *handler) Replace(rows []storer.Change)                         { h.record("=", rows) }
+func (h *handler) Apply(rows []storer.Change)                           { h.record("+", rows) }
+func (h *handler) Contact(storer.Version, time.Duration, time.Duration) {}
 
 // Guards against changes that are missed when the store fails or loses its history,
 // and against a response that is older than an earlier one.
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -67,10 +67,10 @@
 
 type discardHandler struct{}
 
-func (discardHandler) Restored()                             {}
-func (discardHandler) Replace([]storer.Change)               {}
-func (discardHandler) Apply([]storer.Change)                 {}
-func (discardHandler) Contact(storer.Version, time.Duration) {}
+func (discardHandler) Restored()                                            {}
+func (discardHandler) Replace([]storer.Change)                              {}
+func (discardHandler) Apply([]storer.Change)                                {}
+func (discardHandler) Contact(storer.Version, time.Duration, time.Duration) {}
 
 func connect(t *testing.T, h *handler) (*messenger.Messenger, string) {
 	t.Helper()
@@ -145,7 +145,7 @@
 	_, err := client.Snapshot(t.Context(), address, "t")
 	is.True(errors.Is(err, storer.ErrUnavailable)) // not read yet
 	h.mirror.Replace([]storer.Change{storer.NewChange(storer.NewRow("k", []byte("v"), 3))})
-	h.mirror.Contact(4, time.Minute)
+	h.mirror.Contact(4, time.Minute, 0)
 	whole, err := client.Snapshot(t.Context(), address, "t")
 	is.NoErr(err)
 	is.Equal(whole.Changes().List()[0].Key(), "k")
@@ -154,7 +154,7 @@
 	_, err = client.Follow(t.Context(), address, "t", 1, time.Second)
 	is.True(errors.Is(err, storer.ErrHistoryLost))
 	h.mirror.Apply([]storer.Change{storer.NewRemoval("k", 6)})
-	h.mirror.Contact(6, time.Minute)
+	h.mirror.Contact(6, time.Minute, 0)
 	changes, err := client.Follow(t.Context(), address, "t", 4, time.Second)
 	is.NoErr(err)
 	is.True(changes.Changes().List()[0].Removed())
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -75,17 +75,17 @@
 }
 
 // Contact implements follower.Handler.
-func (m *Mirror) Contact(v storer.Version, clock time.Duration) {
+func (m *Mirror) Contact(v storer.Version, clock, age time.Duration) {
 	m.mu.Lock()
 	if m.historyStart == 0 && len(m.history) == 0 {
 		m.historyStart = v
 	}
 	m.version, m.clock = v, clock
-	m.contact = time.Now()
+	m.contact = time.Now().Add(-age) // a copy of a copy is as old as the first one
 	close(m.changed)
 	m.changed = make(chan struct{})
 	m.mu.Unlock()
-	m.next.Contact(v, clock)
+	m.next.Contact(v, clock, age)
 }
 
 // Copy holds rows or changes of a mirror and the age of its last contact with the
@@ -134,7 +134,8 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return c, nil
+			c, _, err = m.after(after) // older by now
+			return c, err
 		case <-ctx.Done():
 			return Copy{}, ctx.Err()
 		}
--- a/mirrorer/mirrorer_test.go
+++ b/mirrorer/mirrorer_test.go
@@ -15,10 +15,10 @@
 
 type sink struct{ received int }
 
-func (s *sink) Restored()                             {}
-func (s *sink) Replace(rows []storer.Change)          { s.received += len(rows) }
-func (s *sink) Apply(rows []storer.Change)            { s.received += len(rows) }
-func (s *sink) Contact(storer.Version, time.Duration) {}
+func (s *sink) Restored()                                            {}
+func (s *sink) Replace(rows []storer.Change)                         { s.received += len(rows) }
+func (s *sink) Apply(rows []storer.Change)                           { s.received += len(rows) }
+func (s *sink) Contact(storer.Version, time.Duration, time.Duration) {}
 
 func row(key string, v storer.Version) storer.Change {
 	return storer.NewChange(storer.NewRow(key, nil, v))
@@ -34,7 +34,7 @@
 		_, err := m.Snapshot()
 		is.True(errors.Is(err, storer.ErrUnavailable)) // no contact yet
 		m.Replace([]storer.Change{row("a", 1), row("b", 2)})
-		m.Contact(5, 100*time.Second)
+		m.Contact(5, 100*time.Second, 0)
 		whole, err := m.Snapshot()
 		is.NoErr(err)
 		is.Equal(len(whole.Changes().List()), 2)
@@ -46,7 +46,7 @@
 		go func() {
 			time.Sleep(time.Second)
 			m.Apply([]storer.Change{row("c", 7), storer.NewRemoval("a", 8)})
-			m.Contact(8, 101*time.Second)
+			m.Contact(8, 101*time.Second, 0)
 		}()
 		got, err := m.Follow(t.Context(), 5, 10*time.Second)
 		is.NoErr(err)
@@ -72,7 +72,7 @@
 	m := mirrorer.New(&sink{})
 	old, restored := storer.NewVersion(1, 90), storer.NewVersion(2, 40)
 	m.Replace([]storer.Change{row("a", old)})
-	m.Contact(old, 0)
+	m.Contact(old, 0, 0)
 	_, err := m.Follow(t.Context(), restored, 0)
 	is.True(errors.Is(err, storer.ErrUnavailable)) // the mirror is behind
 
@@ -80,7 +80,7 @@
 	m.Replace([]storer.Change{row("b", restored)})
 	_, err = m.Snapshot()
 	is.True(errors.Is(err, storer.ErrUnavailable)) // the version is not known yet
-	m.Contact(restored, 0)
+	m.Contact(restored, 0, 0)
 	_, err = m.Follow(t.Context(), old, 0)
 	is.True(errors.Is(err, storer.ErrHistoryLost))
 	whole, err := m.Snapshot()
@@ -96,10 +96,10 @@
 	is := is.New(t)
 	m := mirrorer.New(&sink{})
 	m.Replace(nil)
-	m.Contact(1, 0)
+	m.Contact(1, 0, 0)
 	for v := storer.Version(2); v < 5000; v++ {
 		m.Apply([]storer.Change{row(fmt.Sprint(v), v)})
-		m.Contact(v, 0)
+		m.Contact(v, 0, 0)
 	}
 	_, err := m.Follow(t.Context(), 100, 0)
 	is.True(errors.Is(err, storer.ErrHistoryLost))
@@ -107,3 +107,21 @@
 	is.NoErr(err)
 	is.Equal(len(got.Changes().List()), 99)
 }
+
+// Guards against a copy of a copy that counts as younger than the first one, so that two
+// hosts that follow each other take old tables for new ones.
+func TestAgeOfCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := mirrorer.New(&sink{})
+		m.Replace(nil)
+		m.Contact(5, 0, time.Second)
+		time.Sleep(time.Second)
+		whole, err := m.Snapshot()
+		is.NoErr(err)
+		is.Equal(whole.Age(), 2*time.Second)
+		got, err := m.Follow(t.Context(), 5, 500*time.Millisecond)
+		is.NoErr(err)
+		is.Equal(got.Age(), 2500*time.Millisecond)
+	})
+}
--- a/permitter/permitter_test.go
+++ b/permitter/permitter_test.go
@@ -54,7 +54,7 @@
 	deliver := func() {
 		for _, h := range hosts {
 			h.Enroller.Apply(changes)
-			h.Contact(version, 0)
+			h.Contact(version, 0, 0)
 		}
 	}
 	if c.lag == 0 {
@@ -68,7 +68,7 @@
 // contact tells each host that the store answers.
 func (c *cluster) contact() {
 	for _, h := range c.hosts {
-		h.Contact(c.next, 0)
+		h.Contact(c.next, 0, 0)
 	}
 }
 
--- a/procurer/procurer_test.go
+++ b/procurer/procurer_test.go
@@ -101,7 +101,7 @@
 		owner, self := host(rows, "owner"), host(rows, "self")
 		claim(t, owner)
 		self.Apply(rows.rows)
-		self.Contact(9, 0)
+		self.Contact(9, 0, 0)
 		p := procurer.New(local{&recorder{}}, remote, self, &samples{})
 		release := p.Use("e1", first)
 		ended := p.Use("e1", second)
@@ -129,7 +129,7 @@
 		owner, self := host(rows, "owner"), host(rows, "self")
 		claim(t, owner)
 		self.Apply(rows.rows)
-		self.Contact(9, 0)
+		self.Contact(9, 0, 0)
 		known := &samples{list: []estimator.Sample{estimator.NewPrefill(100, time.Millisecond)}}
 		p := procurer.New(local{&recorder{}}, remote, self, known)
 		_, err := p.Reserve(t.Context(), engine(), first)
@@ -151,7 +151,7 @@
 	done := make(chan struct{})
 	go func() { h.Run(ctx); close(done) }()
 	time.Sleep(4 * time.Second)
-	h.Contact(5, 0)
+	h.Contact(5, 0, 0)
 	h.Claim(t.Context(), []enroller.Engine{engine()})
 	cancel()
 	<-done
@@ -170,7 +170,7 @@
 		is.Equal(len(remote.requests), 0)
 		claim(t, owner)
 		self.Apply(rows.rows)
-		self.Contact(9, 0)
+		self.Contact(9, 0, 0)
 		for range 5 {
 			_, err = p.Reserve(t.Context(), engine(), first)
 			is.True(err != nil)
--- a/referrer/referrer_test.go
+++ b/referrer/referrer_test.go
@@ -79,7 +79,7 @@
 				writeRow(t.Context(), self)
 				self.Apply(rows.rows)
 				time.Sleep(3 * time.Second)
-				self.Contact(1, 0)
+				self.Contact(1, 0, 0)
 				is.Equal(referrer.New(self, tt.liveness).Addresses(tt.region, tt.dataCentre), tt.want)
 			})
 		})
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -83,7 +83,7 @@
 }
 
 // Contact implements follower.Handler.
-func (*Registrar) Contact(storer.Version, time.Duration) {}
+func (*Registrar) Contact(storer.Version, time.Duration, time.Duration) {}
 
 // Restored implements follower.Handler. A row that the store has lost is written again,
 // and one that had been deleted is deleted again.
--- a/storer/feed.go
+++ b/storer/feed.go
@@ -33,6 +33,7 @@
 	list    []Change
 	version Version
 	clock   time.Duration
+	age     time.Duration
 }
 
 // NewChanges returns changes, which must be in the order in which they were
@@ -45,6 +46,15 @@
 // Clock returns the store's monotonic clock at the time of its response, or 0.
 func (c Changes) Clock() time.Duration { return c.clock }
 
+// Aged returns the changes as those of a copy that agreed with the store a time ago.
+func (c Changes) Aged(age time.Duration) Changes {
+	c.age = age
+	return c
+}
+
+// Age returns how long ago the store confirmed the changes; 0 for an answer of its own.
+func (c Changes) Age() time.Duration { return c.age }
+
 // List returns the changes. The caller must not modify the slice.
 func (c Changes) List() []Change { return c.list }
 
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -60,6 +60,7 @@
 	log       *logger.Logger
 	skippedAt map[string]time.Time // by host; used only by the follower's goroutine
 	source    string
+	failing   time.Time // since when the store does not answer this host; zero if it does
 }
 
 var _ storer.Feed = (*Subscriber)(nil)
@@ -75,11 +76,13 @@
 
 // chooseSource returns the host of the data centre that follows the table at the
 // store: among the hosts with the widest link that are not skipped, the first by
-// hash. It returns false if that is this host.
+// hash. It returns false if that is this host. This host is skipped, too, while the store
+// does not answer it: other hosts may reach the store.
 func (s *Subscriber) chooseSource() (Peer, bool) {
 	best, found := s.self, false
+	skipSelf := s.skipped(s.self)
 	for _, p := range s.peers() {
-		if time.Since(s.skippedAt[p.name]) >= skipTime && s.preferred(p, best) {
+		if !s.skipped(p) && (skipSelf && !found || s.preferred(p, best)) {
 			best, found = p, true
 		}
 	}
@@ -90,6 +93,9 @@
 	return best, found
 }
 
+// skipped reports whether a host has failed lately.
+func (s *Subscriber) skipped(p Peer) bool { return time.Since(s.skippedAt[p.name]) < skipTime }
+
 func (s *Subscriber) preferred(a, b Peer) bool {
 	if a.link != b.link {
 		return a.link > b.link
@@ -110,6 +116,7 @@
 		}
 	}
 	changes, err := s.store.Snapshot(ctx)
+	s.recordStore(ctx, err)
 	if err != nil {
 		return changes, fmt.Errorf("read from the store: %w", err)
 	}
@@ -133,20 +140,45 @@
 		wait = 0 // return changes missed during the failed call at once
 	}
 	changes, err := s.store.Follow(ctx, after, wait)
+	s.recordStore(ctx, err)
 	if err != nil {
 		return changes, fmt.Errorf("follow at the store: %w", err)
 	}
 	return changes, nil
 }
 
+// recordStore records the result of a call to the store, which says nothing if the call was
+// ended by its caller.
+func (s *Subscriber) recordStore(ctx context.Context, err error) {
+	switch {
+	case err == nil, errors.Is(err, storer.ErrHistoryLost):
+		s.failing = time.Time{}
+		delete(s.skippedAt, s.self.name)
+	case !errors.Is(ctx.Err(), context.Canceled):
+		s.skippedAt[s.self.name] = time.Now()
+		if s.failing.IsZero() {
+			s.failing = time.Now()
+		}
+	}
+}
+
+// substitutes reports whether a copy of a host that is asked only because the store does not
+// answer this one shows that the store answers that host.
+func (s *Subscriber) substitutes(p Peer, c mirrorer.Copy) bool {
+	return s.preferred(p, s.self) || c.Age() < time.Since(s.failing)
+}
+
 // accept returns the changes received from another host. If the call failed or the copy
 // is too old, it skips the host for skipTime and returns false.
 func (s *Subscriber) accept(p Peer, c mirrorer.Copy, err error) (storer.Changes, bool) {
 	if err == nil && c.Age() > s.maxAge {
 		err = errStale
 	}
+	if err == nil && !s.substitutes(p, c) {
+		return storer.Changes{}, false // the store may answer this host by now
+	}
 	if err == nil {
-		return c.Changes(), true
+		return c.Changes().Aged(c.Age()), true
 	}
 	s.skippedAt[p.name] = time.Now()
 	s.log.Warn("source-passed-over", logger.With(logger.KeyDependency, s.table), logger.With(logger.KeyPeer, p.name),
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -146,3 +146,39 @@
 		is.Equal(r.calls, tt.wantCalls)
 	}
 }
+
+// brokenFeed is a store that does not answer this host.
+type brokenFeed struct{ feed }
+
+func (f *brokenFeed) Follow(context.Context, storer.Version, time.Duration) (storer.Changes, error) {
+	f.calls++
+	return storer.Changes{}, storer.ErrUnavailable
+}
+
+// Guards against a host that the store does not answer and that uses no copy of a host that
+// it would not choose otherwise; against a copy that counts as new although it is not; and
+// against hosts that go on with each other's copies once the store is back for all.
+func TestSourceWithoutStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store, r := &brokenFeed{}, &remote{age: time.Second}
+		s := subscriber.New("t", store, r, subscriber.NewPeer("self", "", 100),
+			func() []subscriber.Peer { return []subscriber.Peer{subscriber.NewPeer("narrow", "a", 10)} }, 1300*time.Millisecond, logger.Nop())
+		follow := func() (storer.Changes, error) { return s.Follow(t.Context(), 1, 0) }
+		_, err := follow()
+		is.True(err != nil) // it chose itself
+		_, err = follow()
+		is.True(err != nil) // the copy is from before the failure
+		is.Equal(store.calls, 2)
+		time.Sleep(1100 * time.Millisecond)
+		got, err := follow()
+		is.NoErr(err)
+		is.Equal(got.Age(), time.Second)
+		is.Equal(store.calls, 2)
+
+		r.age = 2 * time.Second // the other host has lost the store, too
+		_, err = follow()
+		is.True(err != nil)
+		is.Equal(store.calls, 3)
+	})
+}
