enroller: stop the orders to an engine before its owner row is deleted

Cause: every ten seconds a host deleted the owner rows of its engines that had no entry at that moment. An entry is also missing for some seconds when the engine cannot report and goes on. The host still owned the engine until its copy of the table showed the deletion, and whoever claimed the engine found no row, took that for an engine that nobody had owned, and waited for nothing. The claim was ruled out as the place for the fix: a delay there would hold up the first orders of every new engine.

It stops its orders first, deletes the row one takeover delay later, and takes the engine back only with a row of a new version, because a deletion without an answer counts as done and as not done.

--- a/assembler/run.go
+++ b/assembler/run.go
@@ -163,12 +163,13 @@
 	lastCleanup := time.Now()
 	for sleeper.Sleep(ctx, reconcileInterval) == nil {
 		h.members.Claim(ctx, h.ownableEngines())
+		known := h.fleet.Current().All()
+		h.members.Release(ctx, func(engine string) bool { return known[engine] != nil })
 		h.supplier.Reconcile()
 		if time.Since(lastCleanup) > cleanupInterval {
 			lastCleanup = time.Now()
 			h.updateSpeeds()
-			known := h.fleet.Current().All()
-			h.members.DeleteStaleRows(ctx, func(engine string) bool { return known[engine] != nil })
+			h.members.DeleteStaleRows(ctx)
 		}
 	}
 }
--- a/enroller/claim.go
+++ b/enroller/claim.go
@@ -215,28 +215,22 @@
 	e.earliestOrders.Store(&next)
 }
 
-// DeleteStaleRows deletes the rows of hosts that have not been renewed for
-// staleAfter, and the owner rows of this host whose engines no longer exist.
-func (e *Enroller) DeleteStaleRows(ctx context.Context, live func(engine string) bool) {
+// DeleteStaleRows deletes the rows of hosts that have not been renewed for staleAfter.
+func (e *Enroller) DeleteStaleRows(ctx context.Context) {
 	v := e.View()
 	if !e.mayClaim(v) {
 		return
 	}
 	var writes []storer.Write
 	for name, h := range v.hosts {
-		if name != e.self.name && time.Since(h.changedAt) > staleAfter {
+		if name != e.self.name && time.Since(h.changedAt) > staleAfter && len(writes) < maxClaims {
 			writes = append(writes, storer.NewDelete(hostPrefix+name, h.version))
 		}
 	}
-	for engine, o := range v.owners {
-		if o.host == e.self.name && !live(engine) {
-			writes = append(writes, storer.NewDelete(ownerPrefix+engine, o.version))
-		}
-	}
 	if len(writes) == 0 {
 		return
 	}
-	if _, err := e.store.Commit(ctx, writes[:min(len(writes), maxClaims)]...); err != nil {
+	if _, err := e.store.Commit(ctx, writes...); err != nil {
 		e.log.Warn("rows-not-removed", logger.Err(err))
 	}
 }
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -82,6 +82,7 @@
 	mu             sync.Mutex // serialises writers of view
 	view           atomic.Pointer[View]
 	earliestOrders atomic.Pointer[map[string]time.Duration] // by engine: when orders may first be sent, on clock
+	releases       atomic.Pointer[map[string]release]       // engines of this host that have no entry
 	joinedAt       time.Time                                // when this process first wrote its row
 	// After a restore of the store, another host may act on rows that are lost until
 	// settledAt, on clock. Kept holds the engines that this host owned without
@@ -101,6 +102,7 @@
 	}
 	e.view.Store(&View{lostAfter: timing.lostAfter})
 	e.earliestOrders.Store(&map[string]time.Duration{})
+	e.releases.Store(&map[string]release{})
 	return e
 }
 
@@ -139,7 +141,7 @@
 	}
 	now := e.clock()
 	left := time.Duration(e.leaseEnd.Load()) - now
-	if left <= 0 || now < (*e.earliestOrders.Load())[engine] {
+	if left <= 0 || now < (*e.earliestOrders.Load())[engine] || (*e.releases.Load())[engine].stops() {
 		return Ownership{}, false
 	}
 	return Ownership{token: owner.Token(), remaining: left}, true
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -25,6 +25,8 @@
 	version storer.Version
 	fail    map[string]error // error that commits return, by host
 	lost    map[string]bool  // writes are applied but their answers are lost, by host
+
+	deletionsFail bool // without an effect
 }
 
 func newTable() *table {
@@ -48,6 +50,9 @@
 	var present []storer.Change
 	conflict, pastEra := "", false
 	for _, w := range writes {
+		if _, deletes := w.(storer.Delete); deletes && t.deletionsFail {
+			return 0, storer.ErrUncertain
+		}
 		row, ok := t.rows[w.Key()]
 		if ok {
 			present = append(present, storer.NewChange(row))
