--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -12,6 +12,7 @@
 	"github.com/dragonflyford/dragonflyford/encoder"
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/pinner"
+	"github.com/dragonflyford/dragonflyford/replicator"
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
@@ -20,6 +21,9 @@
 	keyPrefix = "software/"
 	// lookupTimeout limits the time of one lookup.
 	lookupTimeout = time.Second
+	// storeGrace is how much longer a call waits for the store once other hosts have
+	// answered, and for other hosts once the store has.
+	storeGrace = 300 * time.Millisecond
 	// settleTime is how long after the store has answered again records may be missing
 	// that hosts could not store before.
 	settleTime = 2 * time.Second
@@ -32,13 +36,30 @@
 	storer.Committer
 	// Get returns a row, or false if there is none.
 	Get(ctx context.Context, key string) (storer.Row, bool, error)
+	// Era returns the latest era of the store's answers, from any table.
+	Era() uint64
 	Snapshot(ctx context.Context) (storer.Changes, error)
 }
 
+// Replicas are the records that other hosts keep in their memory.
+type Replicas interface {
+	// Replicate has other hosts keep a record. The channel receives nil once enough do.
+	Replicate(r replicator.Record) <-chan error
+	// ReplicateToAll has all other hosts keep a record. The channel receives nil once they do.
+	ReplicateToAll(r replicator.Record) <-chan error
+	// Share has other hosts keep a record soon.
+	Share(r replicator.Record)
+	// Find asks the hosts that may keep a record. Each gives one answer.
+	Find(ctx context.Context, service, key string) <-chan pinner.Answer
+	// Own returns the records of the streams that began at this host.
+	Own() []replicator.Record
+}
+
 // stateDocument is the value of the row of a service.
 type stateDocument struct {
 	Base  string `cbor:"1,keyasint"`
 	Mixed bool   `cbor:"2,keyasint,omitempty"`
+	Era   uint64 `cbor:"3,keyasint,omitempty"` // latest era of which no record is missing
 }
 
 // Archiver keeps the rows of services and the records of streams. It implements
@@ -50,21 +71,25 @@
 	log      *logger.Logger
 	queue    *queue
 	records  Records
-
-	restoredAt atomic.Int64         // Unix nanoseconds; 0 if the store has not been restored
-	failedAt   atomic.Int64         // Unix nanoseconds of the last failed call to the store
-	stamps     map[string]time.Time // when a record was first listed, by key; used by DeleteOld only
-	mu         sync.Mutex
-	rows       map[string]storer.Version // by service
+	replicas Replicas
+
+	failedAt    atomic.Int64              // Unix nanoseconds of the last failed call to the store
+	endpointsAt atomic.Pointer[time.Time] // when the endpoints were read last
+	statesAt    atomic.Pointer[time.Time] // when the rows of services were read last
+	stamps      map[string]time.Time      // when a record was first listed, by key; used by DeleteOld only
+	mu          sync.Mutex
+	rows        map[string]storer.Version // by service
 }
 
 // New returns an archiver. Hosts is the table of the hosts, and lifetime the time after
 // which a stream is over.
-func New(p *pinner.Pinner, hosts storer.Committer, records Records, lifetime time.Duration, log *logger.Logger) *Archiver {
+func New(p *pinner.Pinner, hosts storer.Committer, records Records, replicas Replicas, lifetime time.Duration, log *logger.Logger) *Archiver {
 	a := &Archiver{
-		pinner: p, hosts: hosts, records: records, lifetime: lifetime, log: log.Component("archiver"),
+		pinner: p, hosts: hosts, records: records, replicas: replicas, lifetime: lifetime, log: log.Component("archiver"),
 		rows: make(map[string]storer.Version), stamps: make(map[string]time.Time),
 	}
+	a.endpointsAt.Store(&time.Time{})
+	a.statesAt.Store(&time.Time{})
 	a.queue = newQueue(a.store)
 	return a
 }
@@ -72,11 +97,40 @@
 // Run stores records until ctx is done.
 func (a *Archiver) Run(ctx context.Context) { a.queue.run(ctx) }
 
-// Restored implements follower.Handler. The store may have lost records.
-func (a *Archiver) Restored() { a.restoredAt.Store(time.Now().UnixNano()) }
+// Restored implements follower.Handler. The store may have lost records, which this host
+// writes again as far as the streams began here.
+func (a *Archiver) Restored() {
+	now := time.Now()
+	for _, r := range a.replicas.Own() {
+		if _, ok := a.pinner.Recording(r.Service(), r.Version(), now).(pinner.Stored); !ok {
+			continue
+		}
+		if err := a.queue.add(newRecord(r)); err != nil {
+			a.log.Warn("records-not-stored", logger.Err(err))
+			return
+		}
+	}
+}
 
 // Contact implements follower.Handler.
-func (*Archiver) Contact(storer.Version, time.Duration, time.Duration) {}
+func (a *Archiver) Contact(v storer.Version, _, age time.Duration) {
+	now := time.Now()
+	a.pinner.ReachEra(v.Era(), now)
+	at := now.Add(-age)
+	a.statesAt.Store(&at)
+}
+
+// EndpointsRead records that the table of the endpoints has been read as it was some time
+// ago.
+func (a *Archiver) EndpointsRead(age time.Duration) {
+	at := time.Now().Add(-age)
+	a.endpointsAt.Store(&at)
+}
+
+// Reading returns when the tables were read last.
+func (a *Archiver) Reading() pinner.Reading {
+	return pinner.NewReading(*a.endpointsAt.Load(), *a.statesAt.Load())
+}
 
 // Replace implements follower.Handler.
 func (a *Archiver) Replace(rows []storer.Change) {
@@ -119,9 +173,10 @@
 		return
 	}
 	a.rows[service] = c.Version()
-	a.pinner.Store(service, pinner.NewState(doc.Base, doc.Mixed))
+	a.pinner.ReachEra(c.Version().Era(), time.Now())
+	a.pinner.Store(service, pinner.NewState(doc.Base, doc.Mixed).InEra(doc.Era))
 	a.log.Info("software-state", logger.With(logger.KeyService, service), logger.With(logger.KeySoftware, doc.Base),
-		logger.With(logger.KeyHeld, doc.Mixed))
+		logger.With(logger.KeyHeld, doc.Mixed), logger.With(logger.KeyEra, doc.Era))
 }
 
 // Synchronise writes the rows of services whose state has changed, and deletes the
@@ -129,7 +184,7 @@
 func (a *Archiver) Synchronise(ctx context.Context) {
 	now := time.Now()
 	for _, service := range a.pinner.Services() {
-		state, due := a.pinner.Plan(service, now)
+		state, due := a.pinner.Plan(service, a.Reading(), now)
 		if !due {
 			continue
 		}
@@ -142,7 +197,7 @@
 func (a *Archiver) write(ctx context.Context, service string, state pinner.State) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	value, err := encoder.Marshal(stateDocument{Base: state.Base(), Mixed: state.Mixed()})
+	value, err := encoder.Marshal(stateDocument{Base: state.Base(), Mixed: state.Mixed(), Era: state.Era()})
 	if err != nil {
 		return fmt.Errorf("encode row: %w", err)
 	}
@@ -162,57 +217,3 @@
 	a.Apply([]storer.Change{storer.NewChange(storer.NewRow(key, value, version))})
 	return nil
 }
-
-// Record stores that a stream of a service began at a version, unless that need not be
-// stored. It returns when the record is stored or ctx is done; in the latter case it goes
-// on to try.
-func (a *Archiver) Record(ctx context.Context, service, stream, version string) error {
-	if !a.pinner.NeedsRecord(service, version) {
-		return nil
-	}
-	if err := a.queue.add(ctx, newRecord(service, stream, version)); err != nil {
-		return fmt.Errorf("record software version of a stream: %w", err)
-	}
-	return nil
-}
-
-// Resolve returns where a stream that began with the given call may go on.
-func (a *Archiver) Resolve(ctx context.Context, service, stream string) pinner.Verdict {
-	if !a.pinner.NeedsLookup(service, time.Now()) {
-		return pinner.Anywhere{}
-	}
-	return a.pinner.Decide(service, a.lookUp(ctx, service, stream), time.Now())
-}
-
-func (a *Archiver) lookUp(ctx context.Context, service, stream string) pinner.Record {
-	if stream == "" {
-		return pinner.Unread{} // the caller does not name the stream
-	}
-	if r, ok := a.queue.find(service, stream); ok {
-		return pinner.NewRecorded(r.version)
-	}
-	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
-	defer cancel()
-	row, found, err := a.records.Get(ctx, recordKey(service, stream))
-	switch {
-	case err != nil:
-		a.failedAt.Store(time.Now().UnixNano())
-		return pinner.Unread{}
-	case !found && !a.complete(time.Now()):
-		return pinner.Unread{}
-	case !found:
-		return pinner.Unrecorded{}
-	}
-	doc, err := encoder.Unmarshal[recordDocument](row.Value())
-	if err != nil {
-		a.log.Warn("row-not-read", logger.Request(stream), logger.Err(err))
-		return pinner.Unread{}
-	}
-	return pinner.NewRecorded(doc.Version)
-}
-
-// complete reports whether the store has the records of all streams that may go on.
-func (a *Archiver) complete(now time.Time) bool {
-	since := func(at *atomic.Int64) time.Duration { return now.Sub(time.Unix(0, at.Load())) }
-	return since(&a.restoredAt) > a.lifetime && since(&a.failedAt) > settleTime
-}
--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/dragonflyford/dragonflyford/archiver"
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/pinner"
+	"github.com/dragonflyford/dragonflyford/replicator"
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
@@ -24,6 +26,7 @@
 	rows    map[string]storer.Row
 	version storer.Version
 	commits int
+	era     uint64
 	away    bool
 	lost    bool // the answers of commits
 }
@@ -36,6 +39,13 @@
 	tb.away, tb.lost = away, lost
 }
 
+// restore begins a new era. The rows stay.
+func (tb *table) restore() {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.era++
+}
+
 func (tb *table) count() int {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
@@ -89,6 +99,12 @@
 	return row, ok, nil
 }
 
+func (tb *table) Era() uint64 {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	return tb.era
+}
+
 func (tb *table) Snapshot(context.Context) (storer.Changes, error) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
@@ -99,30 +115,110 @@
 	return storer.NewChanges(list, tb.version, 0), nil
 }
 
+// peerCount is the number of other hosts that may keep a record.
+const peerCount = 4
+
+// peers stand for the other hosts, which all keep each record.
+type peers struct {
+	mu       sync.Mutex
+	records  map[string]string // versions by key
+	own      []replicator.Record
+	shared   int
+	silent   bool
+	coverage pinner.Coverage
+}
+
+func newPeers() *peers {
+	return &peers{records: make(map[string]string), coverage: pinner.Incomplete{}}
+}
+
+func (p *peers) set(silent bool, c pinner.Coverage) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent, p.coverage = silent, c
+}
+
+func (p *peers) Replicate(r replicator.Record) <-chan error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	done := make(chan error, 1)
+	p.own = append(p.own, r)
+	if p.silent {
+		done <- errors.New("no host answers")
+		return done
+	}
+	p.records[r.Key()] = r.Version()
+	done <- nil
+	return done
+}
+
+func (p *peers) ReplicateToAll(r replicator.Record) <-chan error { return p.Replicate(r) }
+
+func (p *peers) Share(r replicator.Record) {
+	p.Replicate(r)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shared++
+}
+
+func (p *peers) Find(_ context.Context, _, key string) <-chan pinner.Answer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	answers := make(chan pinner.Answer, peerCount)
+	defer close(answers)
+	for range peerCount {
+		version, found := p.records[key]
+		switch {
+		case p.silent:
+			answers <- pinner.NewAbsent(pinner.Unknown{})
+		case found:
+			answers <- pinner.NewFound(version)
+		default:
+			answers <- pinner.NewAbsent(p.coverage)
+		}
+	}
+	return answers
+}
+
+func (p *peers) Own() []replicator.Record {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.own
+}
+
 // host is an archiver with its pinner.
 type host struct {
 	*archiver.Archiver
 	pinner *pinner.Pinner
+	hosts  *table
 }
 
 // start runs an archiver that has read the table of the hosts, until stop is called.
-func start(t *testing.T, hosts, records *table) (h host, stop func()) {
+func start(t *testing.T, hosts, records *table, others *peers) (h host, stop func()) {
 	t.Helper()
 	p := pinner.New(lifetime)
-	h = host{archiver.New(p, hosts, records, lifetime, logger.Nop()), p}
+	h = host{archiver.New(p, hosts, records, others, lifetime, logger.Nop()), p, hosts}
 	all, _ := hosts.Snapshot(t.Context())
 	h.Replace(all.List())
+	h.read()
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { h.Run(ctx); close(done) }()
 	return h, func() { cancel(); <-done }
 }
 
+// read makes the tables current.
+func (h host) read() {
+	h.Contact(storer.NewVersion(h.hosts.Era(), 1), 0, 0)
+	h.EndpointsRead(0)
+}
+
 // serve makes versions serve for a time, and writes the state of the service.
 func (h host) serve(t *testing.T, d time.Duration, versions ...string) {
 	t.Helper()
 	for end := time.Now().Add(d); ; time.Sleep(time.Second) {
-		h.pinner.Observe("s", time.Now(), versions...)
+		h.read()
+		h.pinner.Observe("s", h.Reading(), time.Now(), versions...)
 		h.Synchronise(t.Context())
 		if !time.Now().Before(end) {
 			return
@@ -130,8 +226,10 @@
 	}
 }
 
+// resolve looks a stream up at a host whose tables are current.
 func (h host) resolve(t *testing.T, stream string) string {
 	t.Helper()
+	h.read()
 	return fmt.Sprint(h.Resolve(t.Context(), "s", stream))
 }
 
@@ -141,7 +239,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		hosts, records := newTable(), newTable()
-		a, stop := start(t, hosts, records)
+		a, stop := start(t, hosts, records, newPeers())
 		a.serve(t, 5*time.Second, "v1")
 		is.NoErr(a.Record(t.Context(), "s", "before", "v1"))
 		is.Equal(a.resolve(t, "before"), "anywhere")
@@ -158,7 +256,7 @@
 		is.NoErr(a.Record(t.Context(), "s", "old", "v1"))
 		stop()
 
-		b, stop := start(t, hosts, records)
+		b, stop := start(t, hosts, records, newPeers())
 		defer stop()
 		b.serve(t, 0, "v2") // the old version has left
 		is.Equal(b.resolve(t, "new7"), "v2")
@@ -177,11 +275,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		hosts, records := newTable(), newTable()
-		a, stop := start(t, hosts, records)
+		others := newPeers()
+		a, stop := start(t, hosts, records, others)
 		defer stop()
 		a.serve(t, 5*time.Second, "v1")
 		a.serve(t, 5*time.Second, "v1", "v2")
 
+		others.set(true, pinner.Incomplete{})
 		records.set(false, true) // answers are lost
 		go func() {
 			time.Sleep(time.Second)
@@ -198,11 +298,14 @@
 		is.Equal(a.resolve(t, "late"), "v2")         // known here
 		is.Equal(a.resolve(t, "other"), "undecided") // another host may have a record
 		records.set(false, false)
+		others.set(false, pinner.Incomplete{})
 		is.Equal(a.resolve(t, "another"), "undecided") // other hosts may still store theirs
 		time.Sleep(5 * time.Second)
 		is.Equal(a.resolve(t, "another"), "v1")
 		is.Equal(records.count(), 2)
 
+		hosts.restore()
+		records.restore()
 		a.Restored()
 		is.Equal(a.resolve(t, "another"), "undecided") // its record may be lost
 		is.Equal(a.resolve(t, "late"), "v2")
@@ -214,7 +317,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		hosts, records := newTable(), newTable()
-		a, stop := start(t, hosts, records)
+		a, stop := start(t, hosts, records, newPeers())
 		defer stop()
 		a.serve(t, time.Second, "v1")
 		for i := range 120 {
@@ -230,3 +333,41 @@
 		is.Equal(records.count(), 1)
 	})
 }
+
+// Guards against an event of a stream that goes out although its record would end with this
+// host, and against streams that wait for long while the store is away.
+func TestRecordOutlivesHost(t *testing.T) {
+	tests := []struct {
+		name         string
+		away, silent bool
+		kept         bool
+	}{
+		{"store and hosts answer", false, false, true},
+		{"store away", true, false, true},
+		{"no host answers", false, true, true},
+		{"nobody answers", true, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				hosts, records, others := newTable(), newTable(), newPeers()
+				a, stop := start(t, hosts, records, others)
+				defer stop()
+				a.serve(t, 5*time.Second, "v1")
+				a.serve(t, 10*time.Second, "v1", "v2")
+				is.True(!a.Avoid("s", "v2"))
+				records.set(tt.away, false)
+				others.set(tt.silent, pinner.Incomplete{})
+				began := time.Now()
+				limited, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				err := a.Record(limited, "s", "stream", "v2")
+				is.Equal(err == nil, tt.kept)
+				is.True(!tt.kept || time.Since(began) <= 300*time.Millisecond)
+				is.Equal(a.Avoid("s", "v2"), tt.away) // the next streams begin elsewhere if they can
+				is.True(!a.Avoid("s", "v1"))
+			})
+		})
+	}
+}
--- a/archiver/queue.go
+++ b/archiver/queue.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/dragonflyford/dragonflyford/replicator"
 	"github.com/dragonflyford/dragonflyford/sleeper"
 )
 
@@ -28,21 +27,14 @@
 	Version string `cbor:"1,keyasint"`
 }
 
-// record is the software version at which a stream began.
+// record is a record that waits for the store.
 type record struct {
-	key     string
-	version string
-	stored  chan struct{} // closed when the store has it
+	replicator.Record
+	stored chan struct{} // closed when the store has it
 }
 
-func newRecord(service, stream, version string) *record {
-	return &record{key: recordKey(service, stream), version: version, stored: make(chan struct{})}
-}
-
-// recordKey returns the key of a stream's row. Ids of callers may have any length.
-func recordKey(service, stream string) string {
-	sum := sha256.Sum256([]byte(service + "\x00" + stream))
-	return hex.EncodeToString(sum[:16])
+func newRecord(r replicator.Record) *record {
+	return &record{Record: r, stored: make(chan struct{})}
 }
 
 // queue holds the records that are not stored yet. Those that arrive while a write is
@@ -59,33 +51,30 @@
 	return &queue{store: store, arrived: make(chan struct{}, 1), byKey: make(map[string]*record)}
 }
 
-// add queues a record and waits until it is stored.
-func (q *queue) add(ctx context.Context, r *record) error {
+// add queues a record unless it waits already.
+func (q *queue) add(r *record) error {
 	q.mu.Lock()
+	defer q.mu.Unlock()
+	if _, known := q.byKey[r.Key()]; known {
+		return nil
+	}
 	if len(q.waiting) >= maxQueued {
-		q.mu.Unlock()
 		return errQueueFull
 	}
 	q.waiting = append(q.waiting, r)
-	q.byKey[r.key] = r
-	q.mu.Unlock()
+	q.byKey[r.Key()] = r
 	select {
 	case q.arrived <- struct{}{}:
 	default: // a signal is already pending
 	}
-	select {
-	case <-r.stored:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
+	return nil
 }
 
-// find returns the record of a stream that is not stored yet.
-func (q *queue) find(service, stream string) (*record, bool) {
+// find returns the record with a key that is not stored yet.
+func (q *queue) find(key string) (*record, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	r, ok := q.byKey[recordKey(service, stream)]
+	r, ok := q.byKey[key]
 	return r, ok
 }
 
@@ -121,7 +110,7 @@
 	defer q.mu.Unlock()
 	q.waiting = append([]*record(nil), q.waiting[len(batch):]...)
 	for _, r := range batch {
-		delete(q.byKey, r.key)
+		delete(q.byKey, r.Key())
 		close(r.stored)
 	}
 }
--- a/archiver/rows.go
+++ b/archiver/rows.go
@@ -18,14 +18,14 @@
 	for len(exists) < len(batch) {
 		writes := make([]storer.Write, 0, len(batch))
 		for _, r := range batch {
-			if exists[r.key] {
+			if exists[r.Key()] {
 				continue
 			}
-			value, err := encoder.Marshal(recordDocument{Version: r.version})
+			value, err := encoder.Marshal(recordDocument{Version: r.Version()})
 			if err != nil {
 				return fmt.Errorf("encode record: %w", err)
 			}
-			writes = append(writes, storer.NewPut(r.key, value, 0))
+			writes = append(writes, storer.NewPut(r.Key(), value, 0))
 		}
 		limited, cancel := context.WithTimeout(ctx, writeTimeout)
 		_, err := a.records.Commit(limited, writes...)
--- /dev/null
+++ b/archiver/streams.go
@@ -0,0 +1,171 @@
+package archiver
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/encoder"
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/pinner"
+	"github.com/dragonflyford/dragonflyford/replicator"
+)
+
+// Avoid reports whether a stream should begin at another version if it can, because the
+// store does not take records now.
+func (a *Archiver) Avoid(service, version string) bool {
+	now := time.Now()
+	if _, ok := a.pinner.Recording(service, version, now).(pinner.Stored); !ok {
+		return false
+	}
+	return a.failedWithin(now, settleTime)
+}
+
+// Record records that a stream of a service began at a version, if the absence of a record
+// would not say so. It returns nil once the record outlives this host: the store or enough
+// other hosts have it. It waits a moment for both. If it returns an error, the record may
+// come to be known none the less.
+func (a *Archiver) Record(ctx context.Context, service, stream, version string) error {
+	began := replicator.NewRecord(service, stream, version)
+	switch a.pinner.Recording(service, version, time.Now()).(type) {
+	case pinner.NotRecorded:
+		return nil
+	case pinner.Shared:
+		a.replicas.Share(began)
+		return nil
+	}
+	return a.awaitOne(ctx, a.enqueue(began).stored, a.replicas.Replicate(began))
+}
+
+// enqueue has a record stored.
+func (a *Archiver) enqueue(of replicator.Record) *record {
+	r := newRecord(of)
+	if err := a.queue.add(r); err != nil {
+		a.log.Warn("records-not-stored", logger.With(logger.KeyService, of.Service()), logger.Err(err))
+	}
+	return r
+}
+
+// awaitOne returns nil once a record is stored or kept by other hosts, after a grace time
+// for the other of the two.
+func (a *Archiver) awaitOne(ctx context.Context, stored <-chan struct{}, replicated <-chan error) error {
+	var grace <-chan time.Time
+	kept := false
+	for stored != nil || replicated != nil {
+		select {
+		case <-stored:
+			stored, kept = nil, true
+		case err := <-replicated:
+			replicated, kept = nil, kept || err == nil
+		case <-grace:
+			return nil
+		case <-ctx.Done():
+			if kept {
+				return nil
+			}
+			return fmt.Errorf("record software version of a stream: %w", context.Cause(ctx))
+		}
+		if kept && grace == nil {
+			grace = time.After(storeGrace)
+		}
+	}
+	return nil
+}
+
+// Resolve returns where a stream that began with the given call may go on.
+func (a *Archiver) Resolve(ctx context.Context, service, stream string) pinner.Verdict {
+	if !a.pinner.NeedsLookup(service, a.Reading(), time.Now()) {
+		return pinner.Anywhere{}
+	}
+	record := a.lookUp(ctx, service, stream)
+	return a.pinner.Decide(service, record, a.Reading(), time.Now())
+}
+
+// lookUp asks the hosts that may keep the record of a stream and the store.
+func (a *Archiver) lookUp(ctx context.Context, service, stream string) pinner.Record {
+	if stream == "" {
+		return pinner.Unread{} // the caller does not name the stream
+	}
+	key := replicator.Key(service, stream)
+	if r, ok := a.queue.find(key); ok {
+		return pinner.NewRecorded(r.Version())
+	}
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	stored := make(chan pinner.Answer, 1)
+	go func() { stored <- a.read(ctx, service, key) }() // ends with ctx
+	hosts, store := collect(a.replicas.Find(ctx, service, key), stored)
+	record := a.pinner.Assess(hosts, store)
+	a.log.Info("stream-looked-up", logger.Request(stream), logger.With(logger.KeyService, service),
+		logger.With(logger.KeyOutcome, fmt.Sprintf("%T", record)), logger.With(logger.KeyReason, describe(hosts, store)))
+	return record
+}
+
+// collect returns the answers of the hosts and of the store. It returns early if a record
+// is found, and waits for the store for a grace time only once all hosts have answered.
+func collect(answers, stored <-chan pinner.Answer) (hosts []pinner.Answer, store pinner.Answer) {
+	store = pinner.NewAbsent(pinner.Unknown{})
+	var grace <-chan time.Time
+	for answers != nil || stored != nil {
+		select {
+		case answer, ok := <-answers:
+			if !ok {
+				answers, grace = nil, time.After(storeGrace)
+				continue
+			}
+			hosts = append(hosts, answer)
+			if _, found := answer.(pinner.Found); found {
+				return hosts, store
+			}
+		case store = <-stored:
+			stored = nil
+			if _, found := store.(pinner.Found); found {
+				return hosts, store
+			}
+		case <-grace:
+			return hosts, store
+		}
+	}
+	return hosts, store
+}
+
+// describe returns the answers for the log, the store's last.
+func describe(hosts []pinner.Answer, store pinner.Answer) string {
+	text := ""
+	for _, a := range append(hosts, store) {
+		switch a := a.(type) {
+		case pinner.Found:
+			text += "found "
+		case pinner.Absent:
+			text += fmt.Sprintf("%T ", a.Coverage())
+		}
+	}
+	return text
+}
+
+// read reads the record of a stream at the store.
+func (a *Archiver) read(ctx context.Context, service, key string) pinner.Answer {
+	row, found, err := a.records.Get(ctx, key)
+	now := time.Now()
+	a.pinner.ReachEra(a.records.Era(), now) // the answer may be the first one after a restore
+	switch {
+	case err != nil:
+		a.failedAt.Store(now.UnixNano())
+		return pinner.NewAbsent(pinner.Unknown{})
+	case !found && a.failedWithin(now, settleTime):
+		return pinner.NewAbsent(pinner.Incomplete{}) // hosts may still store what they could not before
+	case !found:
+		return pinner.NewAbsent(a.pinner.StoreCoverage(service, now))
+	}
+	doc, err := encoder.Unmarshal[recordDocument](row.Value())
+	if err != nil {
+		a.log.Warn("row-not-read", logger.With(logger.KeyService, service), logger.Err(err))
+		return pinner.NewAbsent(pinner.Unknown{})
+	}
+	return pinner.NewFound(doc.Version)
+}
+
+// failedWithin reports whether a call to the store has failed within a span before now.
+func (a *Archiver) failedWithin(now time.Time, span time.Duration) bool {
+	return now.Sub(time.Unix(0, a.failedAt.Load())) <= span
+}
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -30,6 +30,7 @@
 	"github.com/dragonflyford/dragonflyford/referrer"
 	"github.com/dragonflyford/dragonflyford/registrar"
 	"github.com/dragonflyford/dragonflyford/relayer"
+	"github.com/dragonflyford/dragonflyford/replicator"
 	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/screener"
 	"github.com/dragonflyford/dragonflyford/selector"
@@ -96,6 +97,7 @@
 	confirmer         *confirmer.Confirmer
 	evidence          *outbox[screener.Evidence]
 	pinner            *pinner.Pinner
+	replicator        *replicator.Replicator
 	archiver          *archiver.Archiver
 	registrar         *registrar.Registrar
 	permitter         *permitter.Permitter
@@ -141,15 +143,16 @@
 	h.screener = screener.New(log)
 	h.registrar = registrar.New(h.screener, fleetTable, log)
 	h.pinner = pinner.New(settings.StreamLifetime())
-	h.archiver = archiver.New(h.pinner, fleetTable, h.store.Table(tableStreams), settings.StreamLifetime(), log)
 	var err error
+	if h.messenger, err = messenger.New(peerHandler{h}); err != nil {
+		return nil, fmt.Errorf("build messenger: %w", err)
+	}
+	h.replicator = replicator.New(h.messenger, h.members, h.pinner.Coverage, settings.StreamLifetime(), log)
+	h.archiver = archiver.New(h.pinner, fleetTable, h.store.Table(tableStreams), h.replicator, settings.StreamLifetime(), log)
 	h.mirrors = map[string]*mirrorer.Mirror{
 		platform.TableEndpoints: mirrorer.New(endpointHandler{h}),
 		tableFleet:              mirrorer.New(follower.Handlers{h.members, h.registrar, h.archiver, eraHandler{h}}),
 	}
-	if h.messenger, err = messenger.New(peerHandler{h}); err != nil {
-		return nil, fmt.Errorf("build messenger: %w", err)
-	}
 	h.permitter = permitter.New(h.messenger, h.members, h.fleet)
 	h.evidence = &outbox[screener.Evidence]{
 		host: h, items: broadcaster.New[screener.Evidence](screener.EvidenceLifetime),
@@ -272,4 +275,10 @@
 	return p.host.permitter.Grant(request)
 }
 
+func (p peerHandler) KeepRecords(list []replicator.Record) { p.host.replicator.Keep(list) }
+
+func (p peerHandler) FindRecord(service, key string) pinner.Answer {
+	return p.host.replicator.Answer(service, key)
+}
+
 func (p peerHandler) Mirror(table string) *mirrorer.Mirror { return p.host.mirrors[table] }
--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -45,6 +45,7 @@
 	address map[string]string // of each endpoint, by id
 	logs    lockedBuffer
 	stops   map[string]func() // of each host that was started
+	storeOf map[string]string // address of the store, of hosts that do not use the server's
 }
 
 type lockedBuffer struct {
@@ -75,7 +76,7 @@
 func newDeployment(t testing.TB) *deployment {
 	t.Helper()
 	d := &deployment{
-		t: t, level: "info", network: int(networks.Add(1)), store: emulator.NewStore(), address: make(map[string]string), stops: make(map[string]func()),
+		t: t, level: "info", network: int(networks.Add(1)), store: emulator.NewStore(), address: make(map[string]string), stops: make(map[string]func()), storeOf: make(map[string]string),
 		engine: emulator.NewEndpoint("i-engine", emulator.NewEngineOptions("m", 3, 50*time.Millisecond, 20*time.Millisecond, 20, 100*time.Millisecond)),
 		plain:  emulator.NewEndpoint("i-plain", emulator.NewServiceOptions(10*time.Millisecond)),
 	}
@@ -143,6 +144,10 @@
 func (d *deployment) build(host string) (*assembler.Host, *configurer.Entry) {
 	d.t.Helper()
 	address := d.hostAddress(host)
+	store, ok := d.storeOf[host]
+	if !ok {
+		store = strings.TrimPrefix(d.server.URL, "http://")
+	}
 	settings, err := configurer.ParseEntry(fmt.Appendf(nil, `{
 		"node": {"name": %q, "address": %q, "data_centre": "z1", "region": "r1"},
 		"listen": {"callers": %q, "readiness": %q, "directory": %q, "peers": %q, "metrics": %q},
@@ -150,7 +155,7 @@
 		"store": {"address": %q},
 		"lease": {"renew": "300ms", "time": "2s", "guard": "300ms", "turns": "500ms"},
 		"stop": {"grace": "5s"}}`,
-		address, address, d.listenAddress(host, 0), d.listenAddress(host, 1), d.listenAddress(host, 2), d.listenAddress(host, 3), d.listenAddress(host, 4), strings.TrimPrefix(d.server.URL, "http://")))
+		address, address, d.listenAddress(host, 0), d.listenAddress(host, 1), d.listenAddress(host, 2), d.listenAddress(host, 3), d.listenAddress(host, 4), store))
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/assembler/handlers.go
+++ b/assembler/handlers.go
@@ -82,9 +82,10 @@
 // Restored announces entries that may be older than those known.
 func (e endpointHandler) Restored() { e.host.fleet.Restored() }
 
-func (e endpointHandler) Contact(v storer.Version, _, _ time.Duration) {
+func (e endpointHandler) Contact(v storer.Version, _, age time.Duration) {
 	e.host.observeEra(v)
 	e.logEvents(e.host.fleet.Expire())
+	e.host.archiver.EndpointsRead(age)
 	e.host.setEndpointsKnown()
 }
 
--- /dev/null
+++ b/assembler/lostrecord_test.go
@@ -0,0 +1,140 @@
+package assembler_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/platform/emulator"
+)
+
+const (
+	hostC = "3"
+	// knownTime is the time after which all hosts know a new software version, and streams
+	// begin at it although the base version serves.
+	knownTime = 8 * time.Second
+	streams   = 6 // that begin at once
+)
+
+// newerAlone is a fault of the endpoints of the base version: streams begin at the other one.
+var newerAlone = emulator.RejectsCalls{}
+
+// versions is a deployment whose streams are served by endpoints of two software versions.
+type versions struct {
+	*deployment
+	base  *emulator.Endpoint // of version v1
+	newer *emulator.Endpoint // of version v2
+	next  atomic.Int64       // number of a caller's attempt
+}
+
+// newVersions returns a deployment without hosts.
+func newVersions(t *testing.T) *versions {
+	d := &versions{
+		deployment: newDeployment(t),
+		base:       emulator.NewEndpoint("i-base", emulator.NewStreamOptions(20*time.Millisecond, 40)),
+		newer:      emulator.NewEndpoint("i-newer", emulator.NewStreamOptions(20*time.Millisecond, 40)),
+	}
+	d.newer.SetSoftware("v2")
+	d.addEndpoint(d.base, "streams")
+	d.configureStreams(2)
+	return d
+}
+
+// addNewer adds the endpoint of the new version.
+func (d *versions) addNewer() { d.addEndpoint(d.newer, "streams") }
+
+// beginAll starts streams at a host at once, and returns those that began.
+func (d *versions) beginAll(host string) []string {
+	d.t.Helper()
+	var begun []string
+	var mu sync.Mutex
+	var callers sync.WaitGroup
+	for range streams {
+		callers.Go(func() {
+			id := fmt.Sprint("begun-", d.next.Add(1))
+			if err := d.begin(host, id); err != nil {
+				d.t.Log(err, d.logs.lines(id))
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			begun = append(begun, id)
+		})
+	}
+	callers.Wait()
+	return begun
+}
+
+// beginAtNewer starts streams at the new version.
+func (d *versions) beginAtNewer(host string) []string {
+	d.t.Helper()
+	d.base.Inject(newerAlone)
+	defer d.base.Inject(emulator.HealthyEndpoint{})
+	list := d.beginAll(host)
+	for _, id := range list {
+		if d.newer.Runs()[id] == 0 {
+			d.t.Errorf("stream %s did not begin at the new version", id)
+		}
+	}
+	return list
+}
+
+// resumeAll takes streams up at a host and returns how many go on. It fails the test if one
+// goes on at another version.
+func (d *versions) resumeAll(host string, list []string) int {
+	d.t.Helper()
+	goOn := 0
+	for _, stream := range list {
+		again := fmt.Sprint("again-", d.next.Add(1))
+		status, err := d.resume(host, again, stream)
+		if err != nil {
+			d.t.Error(err)
+		}
+		if d.newer.Runs()[stream] > 0 && d.base.Runs()[again] > 0 || d.base.Runs()[stream] > 0 && d.newer.Runs()[again] > 0 {
+			d.t.Errorf("stream %s goes on at another version", stream)
+		}
+		if status == http.StatusOK {
+			goOn++
+		}
+	}
+	return goOn
+}
+
+// Guards against a stream that goes on at another software version because its record was
+// lost with the host that could not store it, and against streams that do not go on while
+// the store is away for all hosts.
+func TestRecordOutlivesHost(t *testing.T) {
+	t.Parallel()
+	for _, baseServes := range []bool{false} {
+		t.Run(fmt.Sprint("base version takes streams: ", baseServes), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := newVersions(t)
+			d.addNewer()
+			for _, host := range []string{hostA, hostB, hostC} {
+				d.start(host)
+			}
+			time.Sleep(knownTime)
+			d.store.Inject(emulator.Down{})
+			time.Sleep(time.Second)
+			var list []string
+			if baseServes {
+				list = d.beginAll(hostA)
+			} else {
+				list = d.beginAtNewer(hostA)
+			}
+			is.Equal(len(list), streams)
+			d.stops[hostA]()
+			whileAway := d.resumeAll(hostB, list)
+			d.store.Inject(emulator.HealthyStore{})
+			time.Sleep(time.Second)
+			is.Equal(d.resumeAll(hostC, list), len(list))
+			is.Equal(whileAway, len(list))
+		})
+	}
+}
--- a/assembler/run.go
+++ b/assembler/run.go
@@ -85,6 +85,7 @@
 	running.Go(func() { h.limits.run(work, func() {}) })
 	running.Go(func() { h.storeQuarantine(work) })
 	running.Go(func() { h.archiver.Run(work) })
+	running.Go(func() { h.replicator.Run(work) })
 	running.Go(func() { h.keepSoftwareVersions(work) })
 	running.Go(func() { h.reloadSettings(work, reload, read) })
 	<-ctx.Done()
@@ -94,6 +95,7 @@
 
 func (h *Host) close() {
 	h.supplier.Close()
+	h.replicator.Close()
 	h.exchanger.Close()
 	h.engines.Close()
 	h.store.Close()
--- a/assembler/software.go
+++ b/assembler/software.go
@@ -62,9 +62,9 @@
 		}
 		byService[e.Service()][e.Software()] = true
 	}
-	now := time.Now()
+	now, reading := time.Now(), h.archiver.Reading()
 	for service, versions := range byService {
-		h.pinner.Observe(service, now, slices.Sorted(maps.Keys(versions))...)
+		h.pinner.Observe(service, reading, now, slices.Sorted(maps.Keys(versions))...)
 		mixed = mixed || len(versions) > 1
 	}
 	return mixed
--- a/assembler/software_test.go
+++ b/assembler/software_test.go
@@ -78,7 +78,7 @@
 			second.SetSoftware("v2")
 			second.Restart()
 			d.setEntry(second, "streams", "ready")
-			time.Sleep(2500 * time.Millisecond)
+			time.Sleep(knownTime) // streams begin at the new version once all hosts know it
 			var streams []string
 			var callers sync.WaitGroup
 			for i := range 8 { // at once, so that both endpoints get some
--- a/enroller/view.go
+++ b/enroller/view.go
@@ -1,8 +1,12 @@
 package enroller
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
@@ -193,6 +197,21 @@
 	return first
 }
 
+// Ranked returns the first n live hosts by the rendezvous hash of a key, the best first. It
+// does not depend on the host that asks.
+func (v *View) Ranked(key string, n int) []*Host {
+	hashes := make(map[*Host]uint64, len(v.hosts))
+	list := make([]*Host, 0, len(v.hosts))
+	for name, h := range v.hosts {
+		if v.serving(h) {
+			hashes[h] = xxhash.Sum64String(key + "\x00" + name)
+			list = append(list, h)
+		}
+	}
+	slices.SortFunc(list, func(a, b *Host) int { return cmp.Compare(hashes[b], hashes[a]) })
+	return list[:min(n, len(list))]
+}
+
 // proximity ranks how near a host is to an endpoint.
 func proximity(h *Host, endpoint Engine) int {
 	switch {
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -16,6 +16,8 @@
 	"github.com/dragonflyford/dragonflyford/messenger"
 	"github.com/dragonflyford/dragonflyford/mirrorer"
 	"github.com/dragonflyford/dragonflyford/permitter"
+	"github.com/dragonflyford/dragonflyford/pinner"
+	"github.com/dragonflyford/dragonflyford/replicator"
 	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/screener"
 	"github.com/dragonflyford/dragonflyford/storer"
@@ -30,6 +32,8 @@
 	evidence []screener.Evidence
 	limits   []permitter.Report
 	mirror   *mirrorer.Mirror
+	records  []replicator.Record
+	coverage pinner.Coverage
 }
 
 func (h *handler) Reserve(_ context.Context, request supplier.ReserveRequest) supplier.ReserveResponse {
@@ -58,6 +62,23 @@
 	return permitter.NewResponse(limiter.NewDeclined(request.MaxWait()), request.Limit())
 }
 
+func (h *handler) KeepRecords(list []replicator.Record) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.records = append(h.records, list...)
+}
+
+func (h *handler) FindRecord(_, key string) pinner.Answer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range h.records {
+		if r.Key() == key {
+			return pinner.NewFound(r.Version())
+		}
+	}
+	return pinner.NewAbsent(h.coverage)
+}
+
 func (h *handler) Mirror(table string) *mirrorer.Mirror {
 	if table != "t" {
 		return nil
@@ -198,3 +219,22 @@
 	is.True(limited)
 	is.Equal(rate, 4.5)
 }
+
+// Guards against an absent record whose meaning is lost between two hosts.
+func TestRecords(t *testing.T) {
+	is := is.New(t)
+	h := &handler{coverage: pinner.Incomplete{}}
+	client, address := connect(t, h)
+	record := replicator.NewRecord("s", "stream", "v2")
+	is.NoErr(client.Replicate(t.Context(), address, []replicator.Record{record}))
+	is.Equal(h.records, []replicator.Record{record})
+	got, err := client.Find(t.Context(), address, "s", record.Key())
+	is.NoErr(err)
+	is.Equal(got, pinner.NewFound("v2"))
+	for _, c := range []pinner.Coverage{pinner.Incomplete{}, pinner.NewComplete(90 * time.Second)} {
+		h.coverage = c
+		got, err := client.Find(t.Context(), address, "s", "other")
+		is.NoErr(err)
+		is.Equal(got, pinner.NewAbsent(c))
+	}
+}
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -14,6 +14,8 @@
 	"github.com/dragonflyford/dragonflyford/estimator"
 	"github.com/dragonflyford/dragonflyford/mirrorer"
 	"github.com/dragonflyford/dragonflyford/permitter"
+	"github.com/dragonflyford/dragonflyford/pinner"
+	"github.com/dragonflyford/dragonflyford/replicator"
 	"github.com/dragonflyford/dragonflyford/screener"
 	"github.com/dragonflyford/dragonflyford/storer"
 	"github.com/dragonflyford/dragonflyford/supplier"
@@ -25,6 +27,8 @@
 	methodSendLimits   = "/messenger/SendLimits"
 	methodAdmit        = "/messenger/Admit"
 	methodFollow       = "/messenger/Follow"
+	methodReplicate    = "/messenger/Replicate"
+	methodFind         = "/messenger/Find"
 )
 
 type modelDocument struct {
@@ -218,6 +222,10 @@
 	LearnLimits(list []permitter.Report)
 	// Admit handles a request for a turn at an endpoint.
 	Admit(request permitter.Request) permitter.Response
+	// KeepRecords keeps records of streams that began at another host.
+	KeepRecords(list []replicator.Record)
+	// FindRecord returns what this host knows of the record of a stream.
+	FindRecord(service, key string) pinner.Answer
 	// Mirror returns this host's copy of a table, or nil if it has none.
 	Mirror(table string) *mirrorer.Mirror
 }
@@ -268,5 +276,7 @@
 		describer.Unary(methodSendEvidence, (*service).learn),
 		describer.Unary(methodSendLimits, (*service).learnLimits),
 		describer.Unary(methodAdmit, (*service).admit),
-		describer.Unary(methodFollow, (*service).follow))
+		describer.Unary(methodFollow, (*service).follow),
+		describer.Unary(methodReplicate, (*service).replicate),
+		describer.Unary(methodFind, (*service).find))
 }
--- /dev/null
+++ b/pinner/answer_test.go
@@ -0,0 +1,76 @@
+package pinner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/pinner"
+)
+
+// Guards against the absence of a record that counts as proof although the sources that say
+// so may lack it, and against one that does not count although they cannot.
+func TestAssess(t *testing.T) {
+	complete := pinner.NewAbsent(pinner.NewComplete(lifetime))
+	young := pinner.NewAbsent(pinner.NewComplete(lifetime / 2))
+	incomplete := pinner.NewAbsent(pinner.Incomplete{})
+	silent := pinner.NewAbsent(pinner.Unknown{})
+	found := pinner.NewFound("v2")
+	recorded, unrecorded, unread := pinner.NewRecorded("v2"), pinner.Unrecorded{}, pinner.Unread{}
+	tests := []struct {
+		name  string
+		hosts []pinner.Answer
+		store pinner.Answer
+		want  pinner.Record
+	}{
+		{"one host has it", []pinner.Answer{complete, complete, found, complete, complete}, complete, recorded},
+		{"the store has it", []pinner.Answer{incomplete, silent, silent, silent, silent}, found, recorded},
+		{"the store has it, the hosts do not", []pinner.Answer{complete, complete, complete, complete, complete}, found, recorded},
+		{"no host has it and the store is away", []pinner.Answer{complete, complete, complete, silent, silent}, silent, unrecorded},
+		{"too few hosts answer and the store is away", []pinner.Answer{complete, complete, silent, silent, silent}, silent, unread},
+		{"hosts have just started and the store is away", []pinner.Answer{young, young, young, young, young}, silent, unread},
+		{"hosts have just started and the store is complete", []pinner.Answer{young, young, incomplete, silent, silent}, complete, unrecorded},
+		{"all hosts have just started after a restore", []pinner.Answer{young, young, incomplete, incomplete, incomplete}, young, unread},
+		{"after a restore", []pinner.Answer{complete, complete, complete, incomplete, silent}, incomplete, unrecorded},
+		{"hosts may hold what the store lacks", []pinner.Answer{incomplete, silent, silent, silent, silent}, complete, unread},
+		{"two hosts, the other one is gone", []pinner.Answer{complete, silent}, silent, unrecorded},
+		{"one host", []pinner.Answer{complete}, silent, unrecorded},
+		{"one host that has just started", []pinner.Answer{incomplete}, silent, unread},
+		{"no host is known", nil, silent, unread},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is.New(t).Equal(pinner.New(lifetime).Assess(tt.hosts, tt.store), tt.want)
+		})
+	}
+}
+
+// Guards against a process that has just started, or stood still, and says that a stream has
+// no record although it was not told of it, and against one that never says so.
+func TestCoverage(t *testing.T) {
+	is := is.New(t)
+	p := pinner.New(lifetime)
+	now := time.Unix(1000, 0)
+	covers := func() bool {
+		c, ok := p.Coverage("s", now).(pinner.Complete)
+		return ok && c.Span() >= lifetime
+	}
+	observe := func(d time.Duration, versions ...string) {
+		for end := now.Add(d); now.Before(end); now = now.Add(time.Second) {
+			p.Observe("s", pinner.NewReading(now, now), now, versions...)
+		}
+		p.Observe("s", pinner.NewReading(now, now), now, versions...)
+	}
+	is.Equal(p.Coverage("s", now), pinner.Incomplete{})
+	p.ReachEra(0, now)
+	p.Store("s", pinner.NewState("v1", true))
+	observe(lifetime/2, "v1", "v2")
+	is.True(!covers()) // started during a release
+	observe(lifetime, "v1", "v2")
+	is.True(covers())
+	now = now.Add(6 * time.Second)
+	is.Equal(p.Coverage("s", now), pinner.Incomplete{}) // stands still
+	observe(time.Second, "v1", "v2")
+	is.True(!covers()) // missed records meanwhile
+}
--- a/pinner/pinner_test.go
+++ b/pinner/pinner_test.go
@@ -16,7 +16,10 @@
 // it, and against one that is not resumed although its version is known.
 func TestDecide(t *testing.T) {
 	start := time.Unix(1000, 0)
-	mixed := func(p *pinner.Pinner) { p.Observe("s", start, "v1", "v2") }
+	observe := func(versions ...string) func(p *pinner.Pinner) {
+		return func(p *pinner.Pinner) { p.Observe("s", pinner.NewReading(start, start), start, versions...) }
+	}
+	mixed := observe("v1", "v2")
 	tests := []struct {
 		name   string
 		state  *pinner.State
@@ -25,14 +28,14 @@
 		record pinner.Record
 		want   string
 	}{
-		{"one version serves", new(pinner.NewState("v1", false)), func(p *pinner.Pinner) { p.Observe("s", start, "v1") }, 0, pinner.Unrecorded{}, "anywhere"},
-		{"one version serves and the store is away", new(pinner.NewState("v1", false)), func(p *pinner.Pinner) { p.Observe("s", start, "v1") }, 0, pinner.Unread{}, "anywhere"},
-		{"the state is not read yet", nil, func(p *pinner.Pinner) { p.Observe("s", start, "v2") }, 0, pinner.Unread{}, "undecided"},
+		{"one version serves", new(pinner.NewState("v1", false)), observe("v1"), 0, pinner.Unrecorded{}, "anywhere"},
+		{"one version serves and the store is away", new(pinner.NewState("v1", false)), observe("v1"), 0, pinner.Unread{}, "anywhere"},
+		{"the state is not read yet", nil, observe("v2"), 0, pinner.Unread{}, "undecided"},
 		{"release under way, recorded", new(pinner.NewState("v1", true)), mixed, 0, pinner.NewRecorded("v2"), "v2"},
 		{"release under way, begun before it", new(pinner.NewState("v1", true)), mixed, 0, pinner.Unrecorded{}, "v1"},
 		{"release under way, seen here only", new(pinner.NewState("v1", false)), mixed, 0, pinner.Unrecorded{}, "v1"},
 		{"release under way and the store is away", new(pinner.NewState("v1", true)), mixed, 0, pinner.Unread{}, "undecided"},
-		{"the old version has just left", new(pinner.NewState("v1", true)), func(p *pinner.Pinner) { p.Observe("s", start, "v2") }, 0, pinner.Unrecorded{}, "v1"},
+		{"the old version has just left", new(pinner.NewState("v1", true)), observe("v2"), 0, pinner.Unrecorded{}, "v1"},
 		{"the old version left long ago", new(pinner.NewState("v2", false)), mixed, 2 * lifetime, pinner.Unrecorded{}, "anywhere"},
 	}
 	for _, tt := range tests {
@@ -42,7 +45,8 @@
 				p.Store("s", *tt.state)
 			}
 			tt.serve(p)
-			if got := fmt.Sprint(p.Decide("s", tt.record, start.Add(tt.after))); got != tt.want {
+			now := start.Add(tt.after)
+			if got := fmt.Sprint(p.Decide("s", tt.record, pinner.NewReading(now, now), now)); got != tt.want {
 				t.Errorf("got %s, want %s", got, tt.want)
 			}
 		})
@@ -51,16 +55,17 @@
 
 // Guards against records for each stream although one version serves, and against a
 // stream at another version than the base version that has none.
-func TestNeedsRecord(t *testing.T) {
+func TestRecording(t *testing.T) {
 	is := is.New(t)
 	p := pinner.New(lifetime)
-	is.True(p.NeedsRecord("s", "v1")) // the state is not known
-	is.True(!p.NeedsRecord("s", ""))  // the endpoint names no version
+	now := time.Unix(1000, 0)
+	is.Equal(p.Recording("s", "v1", now), pinner.Stored{})    // the state is not known
+	is.Equal(p.Recording("s", "", now), pinner.NotRecorded{}) // the endpoint names no version
 	p.Store("s", pinner.NewState("v1", false))
-	is.True(!p.NeedsRecord("s", "v1"))
-	is.True(p.NeedsRecord("s", "v2"))
+	is.Equal(p.Recording("s", "v1", now), pinner.NotRecorded{})
+	is.Equal(p.Recording("s", "v2", now), pinner.Stored{})
 	p.Forget("s")
-	is.True(p.NeedsRecord("s", "v1"))
+	is.Equal(p.Recording("s", "v1", now), pinner.Stored{})
 }
 
 // Guards against a base version that changes while a stream without a record may go on,
@@ -69,12 +74,15 @@
 	is := is.New(t)
 	p := pinner.New(lifetime)
 	now := time.Unix(1000, 0)
-	_, due := p.Plan("s", now)
+	_, due := p.Plan("s", pinner.NewReading(now, now), now)
 	is.True(!due) // nothing serves
 	step := func(d time.Duration, versions ...string) string {
-		now = now.Add(d)
-		p.Observe("s", now, versions...)
-		state, due := p.Plan("s", now)
+		for end := now.Add(d); now.Before(end); { // without a gap
+			now = now.Add(min(time.Second, end.Sub(now)))
+			p.Observe("s", pinner.NewReading(now, now), now, versions...)
+		}
+		p.Observe("s", pinner.NewReading(now, now), now, versions...)
+		state, due := p.Plan("s", pinner.NewReading(now, now), now)
 		if !due {
 			return ""
 		}
@@ -95,9 +103,10 @@
 	p := pinner.New(time.Minute)
 	p.Store("chat", pinner.NewState("v1", true))
 	now := time.Unix(0, 0)
-	p.Observe("chat", now, "v1", "v2")
-	fmt.Println(fmt.Sprint(p.Decide("chat", pinner.NewRecorded("v2"), now)))
-	fmt.Println(fmt.Sprint(p.Decide("chat", pinner.Unrecorded{}, now)))
+	reading := pinner.NewReading(now, now) // of the tables
+	p.Observe("chat", reading, now, "v1", "v2")
+	fmt.Println(fmt.Sprint(p.Decide("chat", pinner.NewRecorded("v2"), reading, now)))
+	fmt.Println(fmt.Sprint(p.Decide("chat", pinner.Unrecorded{}, reading, now)))
 	// Output:
 	// v2
 	// v1
--- a/relayer/callstate.go
+++ b/relayer/callstate.go
@@ -62,6 +62,7 @@
 	repeatCounted     atomic.Bool             // whether the next send has already been counted against the retry budget
 	lastEventID       string                  // last event of a resumed stream
 	software          string                  // version of the software at which the stream began; "" for any
+	anySoftware       bool                    // no endpoint is left out for the version of its software
 	version           int64                   // of the model at the chosen endpoint
 	sentAt            time.Time               // latest send
 }
@@ -106,6 +107,9 @@
 // previous endpoint, or nil. Exhausted reports that no other endpoint is to be asked.
 func (c *callState) reserveNext(last error) (choice selector.Choice, exhausted bool, err error) {
 	choice, chooseErr := c.choose()
+	if chooseErr != nil && c.allowAnySoftware() {
+		choice, chooseErr = c.choose()
+	}
 	if chooseErr != nil && c.becomePatient() {
 		choice, chooseErr = c.choose()
 	}
@@ -117,7 +121,7 @@
 	case last == nil:
 		return choice, true, classifier.NewUnavailable("no endpoint can take the call", classifier.RetryAfter(c.retryAfter(longWait(chooseErr))), classifier.Cause(chooseErr))
 	}
-	if chooseErr == nil && c.declines < maxDeclines && c.queues < maxQueues {
+	if chooseErr == nil && (c.declines < maxDeclines && c.queues < maxQueues || c.allowAnySoftware()) {
 		return choice, false, last
 	}
 	choice, err = c.reserveAtShortestQueue(last)
@@ -166,7 +170,7 @@
 	limit := c.call.Route().MaxAttempts()
 	now, maxWait := time.Now(), c.maxLimitWait()
 	choice, err := c.relayer.chooser.Choose(c.call.Routed, func(e *tracker.Endpoint) bool {
-		return c.excluded[e] || c.otherSoftware(e) || !c.sent[e] && len(c.sent) >= limit || e.UntilTurn(now) > maxWait
+		return c.excluded[e] || c.otherSoftware(e) || c.avoidsSoftware(e) || !c.sent[e] && len(c.sent) >= limit || e.UntilTurn(now) > maxWait
 	}, c.shortestQueue.Endpoint() != nil)
 	if err != nil {
 		return choice, fmt.Errorf("choose endpoint: %w", err)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -69,8 +69,11 @@
 
 // StreamArchive knows at which software versions streams began.
 type StreamArchive interface {
-	// Record records that a stream of a service began at a version, and returns when that
-	// is stored.
+	// Avoid reports whether a stream should begin at another version if it can, because it
+	// may not be possible to record it.
+	Avoid(service, version string) bool
+	// Record records that a stream of a service began at a version, and returns nil when
+	// the record outlives this host.
 	Record(ctx context.Context, service, stream, version string) error
 	// Resolve returns where a stream may go on.
 	Resolve(ctx context.Context, service, stream string) pinner.Verdict
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -123,6 +123,8 @@
 	samples      []estimator.Sample
 	verdict      pinner.Verdict // on streams that callers resume
 	recorded     []string       // versions at which streams began
+	avoided      string         // version at which streams should not begin
+	recordFault  error          // of the records of streams
 }
 
 func newHarness(script map[string][]endpointFunc) *harness {
@@ -181,9 +183,11 @@
 
 func (r *harness) Record(_ context.Context, _, stream, version string) error {
 	r.recorded = append(r.recorded, stream+"="+version)
-	return nil
+	return r.recordFault
 }
 
+func (r *harness) Avoid(_, version string) bool { return r.avoided != "" && version == r.avoided }
+
 func (r *harness) Resolve(context.Context, string, string) pinner.Verdict { return r.verdict }
 
 func (r *harness) AllowRepeat(string) bool {
--- a/relayer/resumer.go
+++ b/relayer/resumer.go
@@ -66,7 +66,9 @@
 	if n > 0 && r.pace != nil {
 		r.pace.addPiece()
 	}
-	r.split(buf[:n])
+	if split := r.split(buf[:n]); split != nil {
+		return split
+	}
 	switch {
 	case err == nil, len(r.events) > 0 && !errors.Is(err, io.EOF):
 		if len(r.partial) > maxEvent {
@@ -93,13 +95,14 @@
 var errEventTooLong = errors.New("stream event exceeds the maximum size")
 
 // split appends data to the partial event and moves the complete events to events.
-// It drops events that were returned before.
-func (r *resumer) split(data []byte) {
+// It drops events that were returned before. It returns an error if the stream cannot be
+// recorded.
+func (r *resumer) split(data []byte) error {
 	r.partial = append(r.partial, data...)
 	for {
 		end := bytes.Index(r.partial, eventEnd)
 		if end < 0 {
-			return
+			return nil
 		}
 		if !r.begun {
 			r.begun = true
@@ -114,7 +117,9 @@
 		if ok {
 			r.lastID = id
 		}
-		r.call.pinBegun(r.endpoint)
+		if err := r.call.pinBegun(r.endpoint); err != nil {
+			return err
+		}
 		r.events = append(r.events, event...)
 	}
 }
--- a/relayer/software.go
+++ b/relayer/software.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/dragonflyford/dragonflyford/classifier"
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/pinner"
@@ -12,15 +14,43 @@
 )
 
 // recordTimeout limits the time for which the first event of a stream waits until the
-// version at which it began is stored.
+// version at which it began is known to others.
 const recordTimeout = time.Second
 
+// errNotRecorded reports a stream that was broken off before its first event, because the
+// version at which it began may be lost with this host.
+var errNotRecorded = eris.New("the software version that began the stream could not be recorded")
+
 // otherSoftware reports whether the call is a stream that began at another version of the
 // endpoint's software.
 func (c *callState) otherSoftware(e *tracker.Endpoint) bool {
 	return c.software != "" && e.Software() != c.software
 }
 
+// avoidsSoftware reports whether the call is a stream that should not begin at an endpoint
+// while others can take it.
+func (c *callState) avoidsSoftware(e *tracker.Endpoint) bool {
+	return c.choosesSoftware() && !c.anySoftware && c.relayer.streams.Avoid(c.call.Service().Name(), e.Software())
+}
+
+// choosesSoftware reports whether the call is a stream that begins at this host and that
+// its caller may resume at another one.
+func (c *callState) choosesSoftware() bool {
+	stream, ok := c.call.Route().RepeatPolicy().(router.Stream)
+	return ok && stream.Resumable() && c.call.LastEvent() == "" && c.software == ""
+}
+
+// allowAnySoftware lets a stream begin at endpoints that it has avoided, because no other
+// one can take it. It reports false if it did so before.
+func (c *callState) allowAnySoftware() bool {
+	if c.anySoftware || !c.choosesSoftware() {
+		return false
+	}
+	c.anySoftware = true
+	c.declines, c.queues = 0, 0
+	return true
+}
+
 // pinResumed restricts a stream that the caller resumes to the endpoints whose software
 // has the version at which it began. It returns a fault if that version is not known.
 func (c *callState) pinResumed() error {
@@ -41,19 +71,22 @@
 }
 
 // pinBegun restricts the stream to endpoints of one software version, and records that it
-// began there. The caller of a stream gets no event before that is stored, because it may
-// resume the stream at another host.
-func (c *callState) pinBegun(e *tracker.Endpoint) {
+// began there. The caller of a stream gets no event before the record outlives this host,
+// because it may resume the stream at another one. After an error the stream has to be
+// broken off: the record may become known, so that the call must not run at another version.
+func (c *callState) pinBegun(e *tracker.Endpoint) error {
 	if c.software != "" || e.Software() == "" {
-		return
+		return nil
 	}
 	c.software = e.Software()
 	if c.call.LastEvent() != "" {
-		return // an earlier attempt brought the first event
+		return nil // an earlier attempt brought the first event
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, recordTimeout)
 	defer cancel()
 	if err := c.relayer.streams.Record(ctx, c.call.Service().Name(), c.call.ID(), c.software); err != nil {
 		c.logEvent("stream-not-recorded", e, logger.With(logger.KeySoftware, c.software), logger.Err(err))
+		return errNotRecorded
 	}
+	return nil
 }
--- a/relayer/software_test.go
+++ b/relayer/software_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -114,3 +115,48 @@
 		})
 	}
 }
+
+// Guards against a stream that begins at a version that cannot be recorded although another
+// one can take it, and against one that is refused because no other one can.
+func TestAvoidedSoftware(t *testing.T) {
+	for _, others := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			r := newHarness(map[string][]endpointFunc{"e1": {streams(0, 3, nil)}, "e2": {streams(0, 3, nil)}})
+			versions, want := map[string]string{"e1": "v2", "e2": "v1"}, "id=v1"
+			if !others {
+				versions["e2"], want = "v2", "id=v2"
+			}
+			r.setSoftware(versions)
+			for range 8 { // e1 is chosen first
+				r.fleet.Current().Endpoint("e2").Begin()
+			}
+			r.avoided = "v2"
+			a, err := r.Apply(t.Context(), screenedCall(t, router.NewStream(true), 2, connector.Model{}))
+			is.NoErr(err)
+			data, err := io.ReadAll(a.Body())
+			is.NoErr(err)
+			is.NoErr(a.Body().Close())
+			is.Equal(eventData(data), "0123")
+			is.Equal(strings.Join(r.recorded, " "), want)
+		})
+	}
+}
+
+// Guards against an event that goes out although the version that wrote it may be lost, and
+// against a run at another version, which the record would then contradict.
+func TestNotRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newHarness(map[string][]endpointFunc{"e1": {streams(0, 3, nil)}, "e2": {streams(0, 3, nil)}})
+		r.setSoftware(map[string]string{"e1": "v2", "e2": "v1"})
+		r.recordFault = errors.New("nobody keeps the record")
+		a, err := r.Apply(t.Context(), screenedCall(t, router.NewStream(true), 2, connector.Model{}))
+		is.NoErr(err)
+		data, err := io.ReadAll(a.Body())
+		is.True(err != nil)
+		is.Equal(len(data), 0)
+		is.NoErr(a.Body().Close())
+		is.Equal(len(r.sent), 1)
+	})
+}
