pinner, archiver: look streams up at hosts whose tables are old or that may not know a version

Cause: a host that knows one version takes each stream for one that may go on anywhere, however old its tables are. The choice of the endpoint was ruled out: the verdict came without a look-up.

One version now counts only while the tables are current: those of the endpoints for 3.5 s, those of the services for 6 s, by the age that copies carry. A host whose tables are older asks the hosts that keep records, which tell what began where, also while the store is away for all. A version that was seen less than 5 s ago is avoided, so that all hosts with current tables know it before streams begin at it; if no other version can take a stream, its record goes to all hosts first.

--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -371,3 +371,25 @@
 		})
 	}
 }
+
+// Guards against a host that has read the tables long ago and takes a stream up at the one
+// version that it knows, and against one that refuses it although other hosts know.
+func TestOutOfStep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		hosts, records, others := newTable(), newTable(), newPeers()
+		a, stop := start(t, hosts, records, others)
+		defer stop()
+		a.serve(t, 5*time.Second, "v1")
+		others.Replicate(replicator.NewRecord("s", "newer", "v2"))
+		records.set(true, false) // for this host
+		time.Sleep(7 * time.Second)
+		resolve := func(stream string) string { return fmt.Sprint(a.Resolve(t.Context(), "s", stream)) }
+		is.Equal(resolve("newer"), "v2")
+		is.Equal(resolve("other"), "undecided")
+		others.set(false, pinner.NewComplete(lifetime))
+		is.Equal(resolve("other"), "v1")
+		others.set(true, pinner.Incomplete{})
+		is.Equal(resolve("newer"), "undecided")
+	})
+}
--- a/archiver/streams.go
+++ b/archiver/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -11,14 +12,14 @@
 	"github.com/dragonflyford/dragonflyford/replicator"
 )
 
-// Avoid reports whether a stream should begin at another version if it can, because the
-// store does not take records now.
+// Avoid reports whether a stream should begin at another version if it can: the store does
+// not take records now, or other hosts may not know the version yet.
 func (a *Archiver) Avoid(service, version string) bool {
 	now := time.Now()
 	if _, ok := a.pinner.Recording(service, version, now).(pinner.Stored); !ok {
 		return false
 	}
-	return a.failedWithin(now, settleTime)
+	return a.failedWithin(now, settleTime) || a.pinner.Young(service, version, now)
 }
 
 // Record records that a stream of a service began at a version, if the absence of a record
@@ -27,13 +28,17 @@
 // come to be known none the less.
 func (a *Archiver) Record(ctx context.Context, service, stream, version string) error {
 	began := replicator.NewRecord(service, stream, version)
-	switch a.pinner.Recording(service, version, time.Now()).(type) {
+	now := time.Now()
+	switch a.pinner.Recording(service, version, now).(type) {
 	case pinner.NotRecorded:
 		return nil
 	case pinner.Shared:
 		a.replicas.Share(began)
 		return nil
 	}
+	if a.pinner.Young(service, version, now) {
+		return a.awaitAll(ctx, began)
+	}
 	return a.awaitOne(ctx, a.enqueue(began).stored, a.replicas.Replicate(began))
 }
 
@@ -46,6 +51,24 @@
 	return r
 }
 
+// awaitAll returns nil once all hosts know the record, and with it a version that they may
+// not have read of yet. It is stored, too.
+func (a *Archiver) awaitAll(ctx context.Context, began replicator.Record) error {
+	r := a.enqueue(began)
+	select {
+	case err := <-a.replicas.ReplicateToAll(began):
+		switch {
+		case errors.Is(err, replicator.ErrAlone):
+			return a.awaitOne(ctx, r.stored, nil)
+		case err != nil:
+			return fmt.Errorf("tell all hosts of a new software version: %w", err)
+		}
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("tell all hosts of a new software version: %w", context.Cause(ctx))
+	}
+}
+
 // awaitOne returns nil once a record is stored or kept by other hosts, after a grace time
 // for the other of the two.
 func (a *Archiver) awaitOne(ctx context.Context, stored <-chan struct{}, replicated <-chan error) error {
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -275,7 +275,13 @@
 	return p.host.permitter.Grant(request)
 }
 
-func (p peerHandler) KeepRecords(list []replicator.Record) { p.host.replicator.Keep(list) }
+func (p peerHandler) KeepRecords(list []replicator.Record) {
+	now := time.Now()
+	for _, r := range list {
+		p.host.pinner.Learn(r.Service(), r.Version(), now)
+	}
+	p.host.replicator.Keep(list)
+}
 
 func (p peerHandler) FindRecord(service, key string) pinner.Answer {
 	return p.host.replicator.Answer(service, key)
--- a/assembler/lostrecord_test.go
+++ b/assembler/lostrecord_test.go
@@ -3,11 +3,15 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
 	"github.com/dragonflyford/dragonflyford/platform/emulator"
@@ -138,3 +142,68 @@
 		})
 	}
 }
+
+// cutStore is a connection to the store of a deployment that can be cut.
+type cutStore struct {
+	cut   atomic.Bool
+	store http.Handler
+}
+
+func (c *cutStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c.cut.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	c.store.ServeHTTP(w, r)
+}
+
+// sourceFirst returns a host and two others of which it is the source for both tables, so
+// that it reads them at the store itself. That depends on a hash.
+func (d *versions) sourceFirst() (source string, others []string) {
+	hash := func(table string, host int) uint64 {
+		return xxhash.Sum64String(table + "\x00" + d.hostAddress(strconv.Itoa(host)))
+	}
+	least := func(host int) uint64 { return min(hash("fleet", host), hash("servers", host)) }
+	best := 1
+	for host := 2; host < 250; host++ {
+		if least(host) > least(best) {
+			best = host
+		}
+	}
+	for host := 1; host < 250 && len(others) < 2; host++ {
+		if max(hash("fleet", host), hash("servers", host)) < least(best) {
+			others = append(others, strconv.Itoa(host))
+		}
+	}
+	return strconv.Itoa(best), others
+}
+
+// Guards against a host that takes a stream up at another software version because it has
+// not learned of the version that began the stream: the store does not answer this host,
+// or the host has stood still; and against streams that do not go on at it.
+func TestHostOutOfStep(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newVersions(t)
+	late, others := d.sourceFirst()
+	is.Equal(len(others), 2)
+	link := &cutStore{store: d.store.Handler()}
+	server := httptest.NewServer(link)
+	t.Cleanup(server.Close)
+	d.storeOf[late] = strings.TrimPrefix(server.URL, "http://")
+	for _, host := range append(others, late) {
+		d.start(host)
+	}
+	time.Sleep(3 * time.Second)
+	before := d.beginAll(others[1])
+	link.cut.Store(true)
+	time.Sleep(200 * time.Millisecond)
+	d.addNewer()
+	time.Sleep(2500 * time.Millisecond) // the others know the version
+	list := d.beginAtNewer(others[0])
+	is.True(len(list) > 0)
+	d.resumeAll(late, list)
+	time.Sleep(knownTime)
+	list = append(d.beginAtNewer(others[1]), before...)
+	is.Equal(d.resumeAll(late, list), len(list))
+}
--- a/pinner/answer_test.go
+++ b/pinner/answer_test.go
@@ -46,6 +46,36 @@
 	}
 }
 
+// Guards against a host that takes any stream for one that may go on anywhere although it
+// may have missed that another version serves.
+func TestOutOfStep(t *testing.T) {
+	start := time.Unix(1000, 0)
+	tests := []struct {
+		name    string
+		reading pinner.Reading // at start
+		look    bool
+	}{
+		{"tables are current", pinner.NewReading(start, start), false},
+		{"never read", pinner.Reading{}, true},
+		{"endpoints are old", pinner.NewReading(start.Add(-4*time.Second), start), true},
+		{"states are old", pinner.NewReading(start, start.Add(-7*time.Second)), true},
+		{"another host told of a version", pinner.NewReading(start, start), true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			p := pinner.New(lifetime)
+			p.ReachEra(0, start)
+			p.Store("s", pinner.NewState("v1", false))
+			p.Observe("s", pinner.NewReading(start, start), start, "v1")
+			if tt.name == "another host told of a version" {
+				p.Learn("s", "v2", start)
+			}
+			is.Equal(p.NeedsLookup("s", tt.reading, start), tt.look)
+		})
+	}
+}
+
 // Guards against a process that has just started, or stood still, and says that a stream has
 // no record although it was not told of it, and against one that never says so.
 func TestCoverage(t *testing.T) {
@@ -74,3 +104,21 @@
 	observe(time.Second, "v1", "v2")
 	is.True(!covers()) // missed records meanwhile
 }
+
+// Guards against a stream that begins at a version which other hosts do not know yet.
+func TestBegin(t *testing.T) {
+	is := is.New(t)
+	p := pinner.New(lifetime)
+	now := time.Unix(1000, 0)
+	p.ReachEra(0, now)
+	p.Store("s", pinner.NewState("v1", true))
+	p.Observe("s", pinner.NewReading(now, now), now, "v1", "v2")
+	is.True(p.Young("s", "v2", now))
+	is.True(!p.Young("s", "v1", now)) // needs no record
+	for range 60 {
+		now = now.Add(time.Second)
+		p.Observe("s", pinner.NewReading(now, now), now, "v1", "v2")
+	}
+	is.True(!p.Young("s", "v2", now))
+	is.Equal(p.Recording("s", "v1", now), pinner.NotRecorded{})
+}
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -103,6 +103,9 @@
 	// copies that are 1.3 and 3 s old at most.
 	maxEndpointsAge = 3500 * time.Millisecond
 	maxStatesAge    = 6 * time.Second
+	// newVersionDelay is how long streams avoid a version that has just been seen, so that
+	// all hosts whose tables are current know it before a stream begins at it.
+	newVersionDelay = 5 * time.Second
 	// maxGap is the time without an observation after which a host has stood still, or has
 	// been without the tables, for so long that it may have missed versions and records.
 	maxGap = 5 * time.Second
@@ -212,6 +215,25 @@
 	})
 }
 
+// Learn records that a stream began at a version, as another host tells. This host may not
+// have read yet that the version serves.
+func (p *Pinner) Learn(name, version string, now time.Time) {
+	if s := p.service(name); version == "" || s.stored && s.state.base == version || elapsed(s.seen[version], now) < time.Second {
+		return
+	}
+	p.update(name, func(s *service) {
+		seen, firstSeen := maps.Clone(s.seen), maps.Clone(s.firstSeen)
+		if seen == nil {
+			seen, firstSeen = make(map[string]time.Time), make(map[string]time.Time)
+		}
+		if _, known := seen[version]; !known {
+			firstSeen[version] = now
+		}
+		seen[version] = now
+		s.seen, s.firstSeen = seen, firstSeen
+	})
+}
+
 // observeTime records that the service was observed now, and what that says of the streams
 // that began before.
 func (p *Pinner) observeTime(s *service, reading Reading, now time.Time) {
@@ -278,6 +300,13 @@
 	return NotRecorded{}
 }
 
+// Young reports whether a version was seen first so lately that other hosts may not know it.
+func (p *Pinner) Young(name, version string, now time.Time) bool {
+	s := p.service(name)
+	first, known := s.firstSeen[version]
+	return s.stored && known && elapsed(first, now) < newVersionDelay && s.state.base != version
+}
+
 // Coverage returns how far back this host would hold the records of streams of a service
 // that it is told of.
 func (p *Pinner) Coverage(name string, now time.Time) Coverage {
@@ -314,7 +343,7 @@
 // as long as a stream lasts.
 func (p *Pinner) NeedsLookup(name string, reading Reading, now time.Time) bool {
 	s := p.service(name)
-	return !s.stored || p.mixed(s, now) || !p.completeState(s) && !p.covered(s, now)
+	return !s.stored || p.mixed(s, now) || !reading.current(now) || !p.completeState(s) && !p.covered(s, now)
 }
 
 // Decide returns where a stream of a service may go on.
