pinner, archiver: keep with the state of a service in which era its records are complete

Cause: that records may be lost was known only to processes that saw the era of the store rise. A process that starts later knew nothing of it and took a record that is absent for one that never was. The copies of tables were ruled out: the host read the rows of the new era.

The row of a service now names the latest era of which no record is missing. Until then the store's absence of a record proves nothing, to no process. After a restore hosts write the records of their own streams again. A look-up counts the era of the answer that it got, which may be the first one after a restore.

--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -39,6 +39,13 @@
 	tb.away, tb.lost = away, lost
 }
 
+// clear removes all rows.
+func (tb *table) clear() {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	clear(tb.rows)
+}
+
 // restore begins a new era. The rows stay.
 func (tb *table) restore() {
 	tb.mu.Lock()
@@ -393,3 +400,24 @@
 		is.Equal(resolve("newer"), "undecided")
 	})
 }
+
+// Guards against records that a restore loses for good although their hosts live, and
+// against a look-up that trusts the store before this host knows of the restore.
+func TestRecordsAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		hosts, records, others := newTable(), newTable(), newPeers()
+		a, stop := start(t, hosts, records, others)
+		defer stop()
+		a.serve(t, 5*time.Second, "v1")
+		a.serve(t, 10*time.Second, "v1", "v2")
+		is.NoErr(a.Record(t.Context(), "s", "stream", "v2"))
+		is.Equal(a.resolve(t, "other"), "v1")
+		records.clear()
+		records.restore()
+		is.Equal(a.resolve(t, "other"), "undecided")
+		a.Restored()
+		time.Sleep(time.Second)
+		is.Equal(records.count(), 1)
+	})
+}
--- a/assembler/lostrecord_test.go
+++ b/assembler/lostrecord_test.go
@@ -109,6 +109,17 @@
 	return goOn
 }
 
+// restore takes the store away and brings it back from a copy. What endpoints wrote is
+// written again.
+func (d *versions) restore(c emulator.Copy) {
+	d.store.Inject(emulator.Down{})
+	time.Sleep(500 * time.Millisecond)
+	d.store.Restore(c)
+	d.setEntry(d.base, "streams", "ready")
+	d.setEntry(d.newer, "streams", "ready")
+	d.store.Inject(emulator.HealthyStore{})
+}
+
 // Guards against a stream that goes on at another software version because its record was
 // lost with the host that could not store it, and against streams that do not go on while
 // the store is away for all hosts.
@@ -207,3 +218,45 @@
 	list = append(d.beginAtNewer(others[1]), before...)
 	is.Equal(d.resumeAll(late, list), len(list))
 }
+
+// Guards against a host that takes a stream up at another software version after the store
+// came back without the record of the stream: a host that started after that, or all hosts
+// after they have ended; and against streams that do not go on where other hosts know them.
+func TestRecordLostInRestore(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name    string
+		after   func(d *versions) // the restore
+		host    string            // at which the streams are taken up
+		goingOn int               // least number of streams at the new version that go on
+	}{
+		{"host added", func(d *versions) { d.start(hostC) }, hostC, streams},
+		{"host added, the one of the streams gone", func(d *versions) {
+			d.stops[hostA]()
+			d.start(hostC)
+		}, hostC, streams},
+		{"restored twice, host added", func(d *versions) {
+			d.restore(d.store.Copy())
+			d.start(hostC)
+		}, hostC, streams},
+		{"all hosts start again", func(d *versions) { d.restartAll(hostA, hostB) }, hostB, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := newVersions(t)
+			d.addNewer()
+			for _, host := range []string{hostA, hostB} {
+				d.start(host)
+			}
+			time.Sleep(knownTime)
+			saved := d.store.Copy()
+			list := d.beginAtNewer(hostA)
+			is.Equal(len(list), streams)
+			d.restore(saved)
+			tt.after(d)
+			is.True(d.resumeAll(tt.host, list) >= tt.goingOn)
+		})
+	}
+}
--- a/pinner/answer_test.go
+++ b/pinner/answer_test.go
@@ -1,6 +1,7 @@
 package pinner_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -103,6 +104,16 @@
 	is.Equal(p.Coverage("s", now), pinner.Incomplete{}) // stands still
 	observe(time.Second, "v1", "v2")
 	is.True(!covers()) // missed records meanwhile
+
+	p.Store("s", pinner.NewState("v1", false))
+	observe(lifetime, "v1")
+	p.ReachEra(1, now)
+	now = now.Add(6 * time.Second)
+	observe(time.Second, "v1")
+	is.True(!covers()) // the state may be older than a release
+	p.Store("s", pinner.NewState("v1", false).InEra(1))
+	observe(time.Second, "v1")
+	is.True(covers()) // one version has served, so there are no records
 }
 
 // Guards against a stream that begins at a version which other hosts do not know yet.
@@ -122,3 +133,41 @@
 	is.True(!p.Young("s", "v2", now))
 	is.Equal(p.Recording("s", "v1", now), pinner.NotRecorded{})
 }
+
+// Guards against a base version that changes although the host that decides so has not read
+// the tables all the while, and against a state of a new era that stands in for lost records.
+func TestPlanInDoubt(t *testing.T) {
+	is := is.New(t)
+	p := pinner.New(lifetime)
+	start := time.Unix(1000, 0)
+	now := start
+	p.ReachEra(0, now)
+	p.Store("s", pinner.NewState("v1", true))
+	observe := func(d time.Duration, current bool) {
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(time.Second)
+			reading := pinner.NewReading(now, now)
+			if !current {
+				reading = pinner.NewReading(start, start)
+			}
+			p.Observe("s", reading, now, "v2")
+		}
+	}
+	plan := func() string {
+		state, due := p.Plan("s", pinner.NewReading(now, now), now)
+		if !due {
+			return ""
+		}
+		return fmt.Sprint(state.Base(), " ", state.Mixed(), " ", state.Era())
+	}
+	observe(10*time.Second, true)
+	observe(lifetime, false)
+	_, due := p.Plan("s", pinner.NewReading(start, start), now)
+	is.True(!due)
+	observe(lifetime-time.Second, true)
+	is.Equal(plan(), "") // another version may have served while the tables were not read
+	p.ReachEra(1, now)
+	is.Equal(plan(), "") // records may be lost
+	observe(lifetime+time.Second, true)
+	is.Equal(plan(), "v2 false 1")
+}
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -161,8 +161,6 @@
 type eraStart struct {
 	era uint64
 	at  time.Time
-
-	risen bool // while this host was running
 }
 
 // New returns a pinner. Lifetime is the time after which a stream is over.
@@ -179,7 +177,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if last := p.era.Load(); last.at.IsZero() || era > last.era {
-		p.era.Store(&eraStart{era: era, at: now, risen: !last.at.IsZero()})
+		p.era.Store(&eraStart{era: era, at: now})
 	}
 }
 
@@ -254,7 +252,7 @@
 }
 
 // completeState reports whether the stored state holds for the latest era.
-func (p *Pinner) completeState(s service) bool { return s.stored }
+func (p *Pinner) completeState(s service) bool { return s.stored && s.state.era >= p.era.Load().era }
 
 // Store records the state of a service that the store holds.
 func (p *Pinner) Store(name string, state State) {
@@ -331,11 +329,14 @@
 }
 
 // StoreCoverage returns how far back the records of the store reach.
-func (p *Pinner) StoreCoverage(_ string, now time.Time) Coverage {
-	if era := p.era.Load(); era.risen {
+func (p *Pinner) StoreCoverage(name string, now time.Time) Coverage {
+	if p.completeState(p.service(name)) {
+		return NewComplete(p.lifetime)
+	}
+	if era := p.era.Load(); !era.at.IsZero() {
 		return NewComplete(elapsed(era.at, now))
 	}
-	return NewComplete(p.lifetime)
+	return Incomplete{}
 }
 
 // NeedsLookup reports whether the record of a stream that goes on has to be looked for. It
