pinner: tell other hosts of all streams that begin while a host knows too little

Cause: streams at the base version have no record, so that nothing showed where they began once records might be lost, also for those that began later.

Others need not: they prove by their own records that a stream has none. So nothing is told for a stream while one version serves, nor for longer than two minutes after a start.

--- a/assembler/lostrecord_test.go
+++ b/assembler/lostrecord_test.go
@@ -125,7 +125,7 @@
 // the store is away for all hosts.
 func TestRecordOutlivesHost(t *testing.T) {
 	t.Parallel()
-	for _, baseServes := range []bool{false} {
+	for _, baseServes := range []bool{true, false} {
 		t.Run(fmt.Sprint("base version takes streams: ", baseServes), func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
@@ -260,3 +260,25 @@
 		})
 	}
 }
+
+// Guards against streams that are refused when they are taken up again after a restore of
+// the store, although they began at the base version, of which no record can be lost.
+func TestStreamsGoOnAfterRestore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newVersions(t)
+	d.addNewer()
+	for _, host := range []string{hostA, hostB, hostC} {
+		d.start(host)
+	}
+	time.Sleep(knownTime)
+	saved := d.store.Copy()
+	list := d.beginAll(hostA)
+	d.restore(saved)
+	time.Sleep(time.Second)
+	list = append(list, d.beginAll(hostA)...)
+	is.Equal(len(list), 2*streams)
+	time.Sleep(time.Second)
+	d.stops[hostA]()
+	is.Equal(d.resumeAll(hostB, list), len(list))
+}
--- a/pinner/answer_test.go
+++ b/pinner/answer_test.go
@@ -116,7 +116,9 @@
 	is.True(covers()) // one version has served, so there are no records
 }
 
-// Guards against a stream that begins at a version which other hosts do not know yet.
+// Guards against a stream that begins at a version which other hosts do not know yet, and
+// against streams that nobody is told of although their hosts cannot prove that they have
+// no record.
 func TestBegin(t *testing.T) {
 	is := is.New(t)
 	p := pinner.New(lifetime)
@@ -126,6 +128,7 @@
 	p.Observe("s", pinner.NewReading(now, now), now, "v1", "v2")
 	is.True(p.Young("s", "v2", now))
 	is.True(!p.Young("s", "v1", now)) // needs no record
+	is.Equal(p.Recording("s", "v1", now), pinner.Shared{})
 	for range 60 {
 		now = now.Add(time.Second)
 		p.Observe("s", pinner.NewReading(now, now), now, "v1", "v2")
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -294,6 +294,8 @@
 		return NotRecorded{}
 	case !s.stored || s.state.base != version:
 		return Stored{}
+	case p.mixed(s, now) && !p.covered(s, now):
+		return Shared{}
 	}
 	return NotRecorded{}
 }
