screener: renew the marks of a call that is refused and sent again

Cause: a mark counts for a minute, and calls that are refused crash nothing, so that the absence of new crashes ended the stop. Refusing a call now renews its marks here and on the other hosts, each 20 s at most and for an hour.

screener TestStoppedCallStaysStopped fails without the change.

--- a/screener/screener.go
+++ b/screener/screener.go
@@ -21,6 +21,12 @@
 	crashLimit = 3
 	// markTTL is how long a mark counts.
 	markTTL = time.Minute
+	// renewInterval is the least time between two renewals of the marks of a call that is
+	// refused and sent again.
+	renewInterval = 20 * time.Second
+	// maxStop is how long marks are renewed. The call may have met endpoints that crashed
+	// for another reason.
+	maxStop = time.Hour
 	// EvidenceLifetime is how long hosts that join are told of a crash.
 	EvidenceLifetime = 10 * time.Minute
 	// maxTrackedCalls limits the number of calls with marks that a host keeps.
@@ -30,12 +36,32 @@
 	stoppedRetryAfter = 20 * time.Second
 )
 
-// crashTimes holds the time of the latest crash of each endpoint process.
-type crashTimes map[string]time.Time
+// crashTimes holds the time of the latest crash of each endpoint process under a call, or
+// of its renewal.
+type crashTimes struct {
+	byProcess map[string]time.Time
+	first     time.Time // when the first of them was recorded
+}
+
+// latest returns the time of the latest crash or renewal.
+func (c crashTimes) latest() time.Time {
+	var latest time.Time
+	for _, at := range c.byProcess {
+		if at.After(latest) {
+			latest = at
+		}
+	}
+	return latest
+}
+
+// renewable reports whether the marks are due to be renewed.
+func (c crashTimes) renewable(now time.Time) bool {
+	return now.Sub(c.latest()) >= renewInterval && now.Sub(c.first) <= maxStop
+}
 
 func (c crashTimes) countRecent(now time.Time) int {
 	n := 0
-	for _, at := range c {
+	for _, at := range c.byProcess {
 		if now.Sub(at) < markTTL {
 			n++
 		}
@@ -76,7 +102,11 @@
 	}
 	f := fingerprint(r.Call)
 	if crashes, ok := (*s.crashes.Load())[f]; ok {
-		if n := crashes.countRecent(time.Now()); n >= crashLimit {
+		now := time.Now()
+		if n := crashes.countRecent(now); n >= crashLimit {
+			if crashes.renewable(now) {
+				s.renew(f, now)
+			}
 			return nil, classifier.NewStopped(fmt.Sprintf("%d endpoints broke off while they ran the call", n),
 				classifier.RetryAfter(stoppedRetryAfter))
 		}
@@ -84,6 +114,22 @@
 	return &Screened{Routed: r, fingerprint: f}, nil
 }
 
+// renew keeps a call that is sent again refused on all hosts. That it crashes no endpoint
+// while it is refused does not show that it has become sound.
+func (s *Screener) renew(f Fingerprint, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	crashes := (*s.crashes.Load())[f]
+	if !crashes.renewable(now) {
+		return // another call was faster
+	}
+	marks := make([]Mark, 0, len(crashes.byProcess))
+	for process := range crashes.byProcess {
+		marks = append(marks, NewMark(f, process))
+	}
+	s.applyMarks(marks, true)
+}
+
 func fingerprint(c *router.Call) Fingerprint {
 	h := xxhash.New()
 	for _, part := range []string{c.Method(), c.Host(), c.Target(), c.Model().Base(), c.Model().Adapter()} {
@@ -127,6 +173,11 @@
 func (s *Screener) addMarks(marks []Mark, local bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.applyMarks(marks, local)
+}
+
+// applyMarks requires mu.
+func (s *Screener) applyMarks(marks []Mark, local bool) {
 	now := time.Now()
 	next := maps.Clone(*s.crashes.Load())
 	maps.DeleteFunc(next, func(_ Fingerprint, c crashTimes) bool { return c.countRecent(now) == 0 })
@@ -136,14 +187,15 @@
 		if local {
 			s.unsent = append(s.unsent, m)
 		}
-		if len(next) >= maxTrackedCalls && next[m.call] == nil {
+		old, known := next[m.call]
+		if len(next) >= maxTrackedCalls && !known {
 			continue
 		}
-		crashes := maps.Clone(next[m.call])
-		if crashes == nil {
-			crashes = make(crashTimes)
+		crashes := crashTimes{byProcess: maps.Clone(old.byProcess), first: old.first}
+		if !known {
+			crashes = crashTimes{byProcess: make(map[string]time.Time), first: now}
 		}
-		crashes[m.endpoint] = now
+		crashes.byProcess[m.endpoint] = now
 		next[m.call] = crashes
 		n := crashes.countRecent(now)
 		s.log.Info("crash-marked", logger.With(logger.KeyCount, n), logger.With(logger.KeyEndpoint, m.endpoint), logger.With(logger.KeyParts, m.prompt))
--- a/screener/screener_test.go
+++ b/screener/screener_test.go
@@ -56,6 +56,39 @@
 	})
 }
 
+// Guards against a request that reaches endpoints again a minute after it was stopped,
+// although its callers have sent it all the while and it was refused, at any host; and
+// against one that is refused for ever.
+func TestStoppedCallStaysStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		local, remote := screener.New(logger.Nop()), screener.New(logger.Nop())
+		s, err := local.Apply(t.Context(), newRouted(t, "a", "bad"))
+		is.NoErr(err)
+		for _, endpoint := range []string{"e1", "e2", "e3"} {
+			local.RecordCrash(screener.NewMark(s.Fingerprint(), endpoint))
+		}
+		remote.Learn(local.TakeUnsent())
+		told := 0
+		for range 59 * 60 / 5 {
+			time.Sleep(5 * time.Second)
+			_, err := local.Apply(t.Context(), newRouted(t, "b", "bad"))
+			is.True(err != nil)
+			news := local.TakeUnsent()
+			told += len(news)
+			remote.Learn(news)
+		}
+		_, err = remote.Apply(t.Context(), newRouted(t, "c", "bad"))
+		is.True(err != nil)
+		is.True(told <= 3*59*60/20)
+		for range 30 {
+			time.Sleep(5 * time.Second)
+			_, err = local.Apply(t.Context(), newRouted(t, "d", "bad"))
+		}
+		is.NoErr(err)
+	})
+}
+
 func routedWithParts(t *testing.T, parts ...router.PromptPart) *router.Routed {
 	t.Helper()
 	r := newRouted(t, "id", "body")
