tracker: keep what calls learned of a process whose entry comes back

A longer pause was also replaced by a shorter one of an answer that came later.

A process whose entry returns within a minute is the endpoint that it was, and the later of two pauses holds. tracker TestEntryReturns fails without the change.

--- a/tracker/endpoint.go
+++ b/tracker/endpoint.go
@@ -232,7 +232,16 @@
 func (e *Endpoint) Leaving() bool { return e.leaving.Load() }
 
 // Pause records that the endpoint wants no calls from this host for the duration d.
-func (e *Endpoint) Pause(d time.Duration) { e.pausedUntil.Store(time.Now().Add(d).UnixNano()) }
+// A longer one that it asked for before stays in force.
+func (e *Endpoint) Pause(d time.Duration) {
+	until := time.Now().Add(d).UnixNano()
+	for {
+		old := e.pausedUntil.Load()
+		if old >= until || e.pausedUntil.CompareAndSwap(old, until) {
+			return
+		}
+	}
+}
 
 // Paused returns how much longer the endpoint wants no calls from this host; it is zero
 // or negative if it takes calls.
--- a/tracker/removed.go
+++ b/tracker/removed.go
@@ -16,6 +16,7 @@
 
 // removedProcess is a process that was removed.
 type removedProcess struct {
+	endpoint *Endpoint
 	born     int64
 	draining bool
 	at       time.Time
@@ -48,7 +49,23 @@
 // forget removes a record. It requires mu.
 func (t *Tracker) forget(id string, r *record) {
 	delete(t.records, id)
-	t.removed[id] = removedProcess{born: r.endpoint.entry.born, draining: r.draining, at: time.Now()}
+	t.removed[id] = removedProcess{endpoint: r.endpoint, born: r.endpoint.entry.born, draining: r.draining, at: time.Now()}
+}
+
+// returned returns the endpoint of a process whose entry was removed lately and is there
+// again. What calls have learned of it still holds: it may want no calls for a time, leave,
+// or accept a limited rate. It requires mu.
+func (t *Tracker) returned(e Entry) *Endpoint {
+	if d, ok := t.removed[e.id]; ok && d.endpoint.entry.sameProcess(e) {
+		return d.endpoint
+	}
+	return nil
+}
+
+// sameProcess reports whether two entries are of one process that has not changed.
+func (e Entry) sameProcess(other Entry) bool {
+	return e.id == other.id && e.born == other.born && e.address == other.address && e.service == other.service &&
+		e.dataCentre == other.dataCentre && e.slots == other.slots && e.software == other.software
 }
 
 // list applies an entry that the store lists. For a time after a restore, an entry of a
--- a/tracker/removed_test.go
+++ b/tracker/removed_test.go
@@ -47,3 +47,35 @@
 		})
 	}
 }
+
+// Guards against calls to a process that asked for none, said that it leaves, or named a
+// rate, after its entry was missing for a moment; and against another process that is taken
+// for it.
+func TestEntryReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr := tracker.New(nil)
+		first, next := entry("e1", "1.1.1.1:1", false, 1, nil), entry("e1", "1.1.1.1:1", false, 2, nil)
+		tr.Upsert(first)
+		e := tr.Current().Endpoint("e1")
+		e.RecordLeaving()
+		e.Pause(20 * time.Second)
+		e.Pause(time.Second) // an answer that was late
+		e.RecordLimit(tracker.NewLimit(3, time.Now()))
+		tr.Remove(0, "e1")
+		is.True(tr.Current().Endpoint("e1") == nil)
+		time.Sleep(5 * time.Second)
+		tr.Expire()
+		tr.Upsert(first)
+		e = tr.Current().Endpoint("e1")
+		is.True(e.Leaving())
+		is.Equal(e.Paused(time.Now()), 15*time.Second)
+		_, limited := e.Limit(time.Now())
+		is.True(limited)
+
+		tr.Upsert(next)
+		e = tr.Current().Endpoint("e1")
+		is.True(!e.Leaving())
+		is.True(e.Paused(time.Now()) <= 0)
+	})
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -160,12 +160,16 @@
 func (t *Tracker) upsert(e Entry) Event {
 	r := t.records[e.id]
 	fresh := r == nil || r.endpoint.entry.born != e.born || r.endpoint.entry.address != e.address || r.endpoint.entry.service != e.service
-	if fresh {
-		r = &record{endpoint: newEndpoint(e, t.regions[e.dataCentre])}
-		t.records[e.id] = r
-	} else {
+	switch known := t.returned(e); {
+	case !fresh:
 		r.endpoint.merge(e.models, time.Now())
+	case known != nil:
+		r = &record{endpoint: known}
+		known.merge(e.models, time.Now())
+	default:
+		r = &record{endpoint: newEndpoint(e, t.regions[e.dataCentre])}
 	}
+	t.records[e.id] = r
 	delete(t.unverified, e.id)
 	r.expiresAt = time.Time{}
 	changed := fresh || r.draining != e.draining
