relayer: end streams at an event without end, and resume them elsewhere

An endpoint that sent an event without end in a stream that cannot be resumed was passed on until the deadline of the call, as operators of other systems report for bytes that are no answer (memory was bounded already). A resumable stream ended there although another endpoint could have gone on, and the endpoint did not count as failed.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -70,7 +70,7 @@
 const stallThreshold = 1500 * time.Millisecond
 
 // monitoredBody is the body of a stream that cannot be resumed. It fails if the stream
-// ends inside an event, and records a failure of the endpoint if it is closed while the
+// ends inside an event or an event exceeds the maximum size, and records a failure of the endpoint if it is closed while the
 // stream is stalled.
 type monitoredBody struct {
 	io.ReadCloser
@@ -88,6 +88,9 @@
 		b.scan(p[:n])
 	}
 	switch {
+	case err == nil && !b.lost && b.scanner.size > maxEvent:
+		b.endpoint.Failed()
+		err = errEventTooLong
 	case err == nil || b.ended || b.lost:
 		return n, err
 	case errors.Is(err, io.EOF) && b.scanner.complete(b.mayBeEmpty):
--- a/relayer/events.go
+++ b/relayer/events.go
@@ -10,6 +10,7 @@
 // event ends with an empty line.
 type eventScanner struct {
 	events    int
+	size      int  // bytes since the last complete event
 	started   bool // data has arrived since the last complete event
 	lineEmpty bool // no data has arrived since the last end of a line
 }
@@ -17,11 +18,12 @@
 // scan reads the next data of the stream.
 func (s *eventScanner) scan(data []byte) {
 	for _, b := range data {
+		s.size++
 		switch {
 		case b == '\r':
 		case b == '\n' && s.started && s.lineEmpty:
 			s.events++
-			s.started = false
+			s.started, s.size = false, 0
 		case b == '\n':
 			s.lineEmpty = true
 		default:
--- a/relayer/resumer.go
+++ b/relayer/resumer.go
@@ -72,7 +72,7 @@
 	switch {
 	case err == nil, len(r.events) > 0 && !errors.Is(err, io.EOF):
 		if len(r.partial) > maxEvent {
-			return errEventTooLong
+			return r.resume(errEventTooLong)
 		}
 		return nil
 	case errors.Is(err, io.EOF):
