--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -30,6 +30,8 @@
 	"dependency-lost", "dependency-regained", "history-lost", "source-passed-over",
 	"endpoint-arrived", "endpoint-draining", "endpoint-gone", "endpoint-lapsed", "endpoint-leaving", "endpoint-paused",
 	"host-silent", "evidence-not-told", "engine-speed-changed",
+	"engine-released", "release-uncertain",
+	"stream-pinned", "stream-looked-up", "stream-version-unknown", "stream-not-recorded", "records-not-stored", "record-not-replicated", "record-lookup-failed",
 }
 
 // callMetrics are the metrics of calls and of logged events.
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -196,7 +196,7 @@
 	defer cancel()
 	answer, err := r.remote.Find(ctx, peer.PeerAddress(), service, key)
 	if err != nil {
-		r.log.Warn("record-not-found-out", logger.With(logger.KeyPeer, peer.Name()), logger.Err(err))
+		r.log.Warn("record-lookup-failed", logger.With(logger.KeyPeer, peer.Name()), logger.Err(err))
 		return pinner.NewAbsent(pinner.Unknown{})
 	}
 	return answer
