pinner, archiver, relayer: begin no stream that only hosts know while the base version serves

While the store takes no records and the base version serves, streams now begin at that version only, and the first event of another one waits for the store. Records that only hosts have go out with events only where no stream can be joined for the lack of them: the base version has left. Considered: a new run at the base version for streams that could not be recorded; the same attempt then has runs at two versions, and its record may be known. Such a stream is broken off before its first event, and its caller tries again.

--- a/archiver/queue.go
+++ b/archiver/queue.go
@@ -30,11 +30,12 @@
 // record is a record that waits for the store.
 type record struct {
 	replicator.Record
+	queued time.Time
 	stored chan struct{} // closed when the store has it
 }
 
 func newRecord(r replicator.Record) *record {
-	return &record{Record: r, stored: make(chan struct{})}
+	return &record{Record: r, queued: time.Now(), stored: make(chan struct{})}
 }
 
 // queue holds the records that are not stored yet. Those that arrive while a write is
@@ -78,6 +79,16 @@
 	return r, ok
 }
 
+// lateAfter is the age of a waiting record from which the store counts as not storing.
+const lateAfter = 600 * time.Millisecond
+
+// late reports whether a record has waited for long.
+func (q *queue) late(now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiting) > 0 && now.Sub(q.waiting[0].queued) > lateAfter
+}
+
 // run writes the records that arrive until ctx is done.
 func (q *queue) run(ctx context.Context) {
 	for {
--- a/archiver/streams.go
+++ b/archiver/streams.go
@@ -12,20 +12,17 @@
 	"github.com/dragonflyford/dragonflyford/replicator"
 )
 
-// Avoid reports whether a stream should begin at another version if it can: the store does
-// not take records now, or other hosts may not know the version yet.
-func (a *Archiver) Avoid(service, version string) bool {
+// Beginning returns whether a stream may begin at a version.
+func (a *Archiver) Beginning(service, version string) pinner.Beginning {
 	now := time.Now()
-	if _, ok := a.pinner.Recording(service, version, now).(pinner.Stored); !ok {
-		return false
-	}
-	return a.failedWithin(now, settleTime) || a.pinner.Young(service, version, now)
+	storing := !a.queue.late(now) && !a.failedWithin(now, settleTime)
+	return a.pinner.Beginning(service, version, storing, now)
 }
 
 // Record records that a stream of a service began at a version, if the absence of a record
-// would not say so. It returns nil once the record outlives this host: the store or enough
-// other hosts have it. It waits a moment for both. If it returns an error, the record may
-// come to be known none the less.
+// would not say so. It returns nil once the store has the record or, while the base version
+// does not serve, enough other hosts have it. It waits a moment for both. If it returns an
+// error, the record may come to be known none the less.
 func (a *Archiver) Record(ctx context.Context, service, stream, version string) error {
 	began := replicator.NewRecord(service, stream, version)
 	now := time.Now()
@@ -39,9 +36,28 @@
 	if a.pinner.Young(service, version, now) {
 		return a.awaitAll(ctx, began)
 	}
+	if a.pinner.BaseServes(service) {
+		return a.awaitStored(ctx, began)
+	}
 	return a.awaitOne(ctx, a.enqueue(began).stored, a.replicas.Replicate(began))
 }
 
+// awaitStored returns nil once a record is stored, after a grace time for other hosts, which
+// know it if the store comes back from an older copy.
+func (a *Archiver) awaitStored(ctx context.Context, began replicator.Record) error {
+	r, replicated := a.enqueue(began), a.replicas.Replicate(began)
+	select {
+	case <-r.stored:
+	case <-ctx.Done():
+		return fmt.Errorf("store software version of a stream: %w", context.Cause(ctx))
+	}
+	select {
+	case <-replicated:
+	case <-time.After(storeGrace):
+	}
+	return nil
+}
+
 // enqueue has a record stored.
 func (a *Archiver) enqueue(of replicator.Record) *record {
 	r := newRecord(of)
@@ -55,6 +71,13 @@
 // not have read of yet. It is stored, too.
 func (a *Archiver) awaitAll(ctx context.Context, began replicator.Record) error {
 	r := a.enqueue(began)
+	if a.pinner.BaseServes(began.Service()) {
+		select {
+		case <-r.stored:
+		case <-ctx.Done():
+			return fmt.Errorf("store software version of a stream: %w", context.Cause(ctx))
+		}
+	}
 	select {
 	case err := <-a.replicas.ReplicateToAll(began):
 		switch {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -69,9 +69,8 @@
 
 // StreamArchive knows at which software versions streams began.
 type StreamArchive interface {
-	// Avoid reports whether a stream should begin at another version if it can, because it
-	// may not be possible to record it.
-	Avoid(service, version string) bool
+	// Beginning returns whether a stream of a service may begin at a version.
+	Beginning(service, version string) pinner.Beginning
 	// Record records that a stream of a service began at a version, and returns nil when
 	// the record outlives this host.
 	Record(ctx context.Context, service, stream, version string) error
--- a/relayer/software.go
+++ b/relayer/software.go
@@ -27,10 +27,19 @@
 	return c.software != "" && e.Software() != c.software
 }
 
-// avoidsSoftware reports whether the call is a stream that should not begin at an endpoint
-// while others can take it.
+// avoidsSoftware reports whether the call is a stream that must not begin at an endpoint, or
+// should not while others can take it.
 func (c *callState) avoidsSoftware(e *tracker.Endpoint) bool {
-	return c.choosesSoftware() && !c.anySoftware && c.relayer.streams.Avoid(c.call.Service().Name(), e.Software())
+	if !c.choosesSoftware() {
+		return false
+	}
+	switch c.relayer.streams.Beginning(c.call.Service().Name(), e.Software()).(type) {
+	case pinner.Barred:
+		return true
+	case pinner.Avoided:
+		return !c.anySoftware
+	}
+	return false
 }
 
 // choosesSoftware reports whether the call is a stream that begins at this host and that
