--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -16,7 +16,7 @@
 }
 
 // NewState returns a state. Base is the version at which the streams without a record
-// began. Mixed tells that other versions serve or have served lately.
+// began. Mixed is whether other versions serve or have served lately.
 func NewState(base string, mixed bool) State { return State{base: base, mixed: mixed} }
 
 // InEra returns the state with the latest era of the store of which it is known that no
@@ -35,69 +35,6 @@
 // Mixed reports whether other versions serve or have served lately.
 func (s State) Mixed() bool { return s.mixed }
 
-// Verdict is where a stream may go on: Anywhere, Only or Undecided.
-type Verdict interface{ verdict() }
-
-type (
-	// Anywhere means that only one version has served since the stream can have begun.
-	Anywhere struct{}
-	// Only means that the stream may go on at one version only.
-	Only struct{ version string }
-	// Undecided means that the version at which the stream began is not known now.
-	Undecided struct{}
-)
-
-// NewOnly returns the verdict that a stream may go on at a version.
-func NewOnly(version string) Only { return Only{version: version} }
-
-// Version returns the version at which the stream may go on.
-func (o Only) Version() string { return o.version }
-
-// String returns the verdict for logs and messages.
-func (Anywhere) String() string { return "anywhere" }
-
-// String returns the version.
-func (o Only) String() string { return o.version }
-
-// String returns the verdict for logs and messages.
-func (Undecided) String() string { return "undecided" }
-
-func (Anywhere) verdict()  {}
-func (Only) verdict()      {}
-func (Undecided) verdict() {}
-
-// Record is what is known of the record of a stream: Recorded, Unrecorded or Unread.
-type Record interface{ record() }
-
-type (
-	// Recorded is a stream that began at a version.
-	Recorded struct{ version string }
-	// Unrecorded is a stream that has no record, and would have one if it had begun at
-	// another version than the base version.
-	Unrecorded struct{}
-	// Unread is a stream whose record could not be read, or may not be stored yet.
-	Unread struct{}
-)
-
-// NewRecorded returns the record of a stream that began at a version.
-func NewRecorded(version string) Recorded { return Recorded{version: version} }
-
-func (Recorded) record()   {}
-func (Unrecorded) record() {}
-func (Unread) record()     {}
-
-// Reading tells when the tables were read last, directly or through another host.
-type Reading struct {
-	endpoints time.Time
-	states    time.Time
-}
-
-// NewReading returns when the table of the endpoints and that of the services' states were
-// read last; zero if never.
-func NewReading(endpoints, states time.Time) Reading {
-	return Reading{endpoints: endpoints, states: states}
-}
-
 const (
 	// Ages up to which tables count as current. They are read every 1.1 and 2.2 s from
 	// copies that are 1.3 and 3 s old at most.
@@ -114,28 +51,17 @@
 	firstEra = 1
 )
 
-// current reports whether the tables were read lately.
-func (r Reading) current(now time.Time) bool {
-	return elapsed(r.endpoints, now) <= maxEndpointsAge && elapsed(r.states, now) <= maxStatesAge
-}
-
-// elapsed returns the time since at by the clock that has advanced more: the monotonic one
-// stands still while the machine is suspended.
-func elapsed(at, now time.Time) time.Duration {
-	return max(now.Sub(at), now.Round(0).Sub(at.Round(0)))
-}
-
 // service is what is known of a service. It is immutable.
 type service struct {
-	state      State
-	stored     bool
-	firstSeen  map[string]time.Time // when a version was seen first
-	seen       map[string]time.Time // when a version last served
-	current    time.Time            // last observation with current tables
-	since      time.Time            // start of the observations with current tables without a gap
-	observed   time.Time            // last observation
-	running    time.Time            // start of the observations without a gap
-	coveredNow bool                 // no stream of before the start of this host can have a record
+	state     State
+	stored    bool
+	firstSeen map[string]time.Time // when a version was seen first
+	seen      map[string]time.Time // when a version last served
+	current   time.Time            // last observation with current tables
+	since     time.Time            // start of the observations with current tables without a gap
+	observed  time.Time            // last observation
+	running   time.Time            // start of the observations without a gap
+	coversAll bool                 // no stream that began before this host started can have a record
 }
 
 // others reports whether another version than the base version has served since a time.
@@ -236,7 +162,7 @@
 // that began before.
 func (p *Pinner) observeTime(s *service, reading Reading, now time.Time) {
 	if elapsed(s.observed, now) > maxGap {
-		s.running, s.coveredNow = now, false
+		s.running, s.coversAll = now, false
 	}
 	s.observed = now
 	if !reading.current(now) {
@@ -247,7 +173,7 @@
 	}
 	s.current = now
 	if s.stored && !s.state.mixed && p.completeState(*s) && !s.others(now.Add(-p.lifetime)) {
-		s.coveredNow = true
+		s.coversAll = true
 	}
 }
 
@@ -268,84 +194,6 @@
 // Services returns the services that are known, in order.
 func (p *Pinner) Services() []string { return slices.Sorted(maps.Keys(*p.services.Load())) }
 
-// Recording is how the version at which a stream begins has to be kept: NotRecorded, Shared
-// or Stored.
-type Recording interface{ recording() }
-
-type (
-	// NotRecorded means that the absence of a record says enough.
-	NotRecorded struct{}
-	// Shared means that other hosts are told, because the absence of a record may not prove
-	// to them that the stream began at the base version.
-	Shared struct{}
-	// Stored means that the record has to outlive this host before an event goes out.
-	Stored struct{}
-)
-
-func (NotRecorded) recording() {}
-func (Shared) recording()      {}
-func (Stored) recording()      {}
-
-// Recording returns how a stream that begins at a version has to be recorded.
-func (p *Pinner) Recording(name, version string, now time.Time) Recording {
-	s := p.service(name)
-	switch {
-	case version == "":
-		return NotRecorded{}
-	case !s.stored || s.state.base != version:
-		return Stored{}
-	case p.mixed(s, now) && !p.covered(s, now):
-		return Shared{}
-	}
-	return NotRecorded{}
-}
-
-// Beginning is whether a stream may begin at a version: Allowed, Avoided or Barred.
-type Beginning interface{ beginning() }
-
-type (
-	// Allowed means that a stream may begin at the version.
-	Allowed struct{}
-	// Avoided means that a stream should begin at another version if one can take it.
-	Avoided struct{}
-	// Barred means that a stream must not begin at the version.
-	Barred struct{}
-)
-
-func (Allowed) beginning() {}
-func (Avoided) beginning() {}
-func (Barred) beginning()  {}
-
-// Beginning returns whether a stream may begin at a version. If records cannot be stored,
-// those of the streams that begin are lost if all hosts end, so that the streams would go on
-// at the base version if that serves.
-func (p *Pinner) Beginning(name, version string, storing bool, now time.Time) Beginning {
-	_, recorded := p.Recording(name, version, now).(Stored)
-	switch {
-	case !recorded:
-		return Allowed{}
-	case !storing && p.BaseServes(name):
-		return Barred{}
-	case !storing || p.Young(name, version, now):
-		return Avoided{}
-	}
-	return Allowed{}
-}
-
-// BaseServes reports whether the base version of a service serves.
-func (p *Pinner) BaseServes(name string) bool {
-	s := p.service(name)
-	at, seen := s.seen[s.state.base]
-	return s.stored && seen && at.Equal(s.observed)
-}
-
-// Young reports whether a version was seen first so lately that other hosts may not know it.
-func (p *Pinner) Young(name, version string, now time.Time) bool {
-	s := p.service(name)
-	first, known := s.firstSeen[version]
-	return s.stored && known && elapsed(first, now) < newVersionDelay && s.state.base != version
-}
-
 // Coverage returns how far back this host would hold the records of streams of a service
 // that it is told of.
 func (p *Pinner) Coverage(name string, now time.Time) Coverage {
@@ -353,7 +201,7 @@
 	switch {
 	case s.observed.IsZero(), elapsed(s.observed, now) > maxGap:
 		return Incomplete{}
-	case s.coveredNow:
+	case s.coversAll:
 		return NewComplete(p.lifetime)
 	}
 	return NewComplete(elapsed(s.running, now))
@@ -361,7 +209,7 @@
 
 // covered reports whether this host would hold the records of all streams that may go on.
 func (p *Pinner) covered(s service, now time.Time) bool {
-	return s.coveredNow || elapsed(s.running, now) >= p.lifetime
+	return s.coversAll || elapsed(s.running, now) >= p.lifetime
 }
 
 // mixed reports whether several versions serve or have served lately.
@@ -409,44 +257,3 @@
 	}
 	return Undecided{}
 }
-
-// Plan returns the state that the store should hold of a service, and false if it does.
-// The base version changes once no other version has served for the lifetime of a stream,
-// so that no stream without a record can have begun at the old one.
-func (p *Pinner) Plan(name string, reading Reading, now time.Time) (State, bool) {
-	s := p.service(name)
-	versions := slices.Sorted(maps.Keys(s.seen))
-	switch {
-	case len(versions) == 0 || !reading.current(now):
-		return State{}, false
-	case !s.stored:
-		return p.firstState(s, versions), true
-	case !s.state.mixed && s.others(now.Add(-p.lifetime)):
-		return NewState(s.state.base, true).InEra(s.state.era), true
-	case s.state.mixed && len(versions) == 1 && elapsed(s.since, now) > p.lifetime:
-		return NewState(versions[0], false).InEra(p.era.Load().era), true
-	case !p.completeState(s) && p.nothingLost(s, now):
-		return NewState(s.state.base, s.state.mixed).InEra(p.era.Load().era), true
-	}
-	return State{}, false
-}
-
-// firstState returns the state of a service that has none. It may be new, or its state may
-// have been lost.
-func (p *Pinner) firstState(s service, versions []string) State {
-	era := p.era.Load().era
-	if s.state.base != "" {
-		return NewState(s.state.base, len(versions) > 1 || versions[0] != s.state.base).InEra(s.state.era)
-	}
-	state := NewState(versions[0], len(versions) > 1)
-	if era <= firstEra {
-		return state.InEra(era)
-	}
-	return state
-}
-
-// nothingLost reports whether no stream that may go on has lost its record: no other version
-// has served, or the store was restored so long ago that all streams of before are over.
-func (p *Pinner) nothingLost(s service, now time.Time) bool {
-	return s.coveredNow && !p.mixed(s, now) || elapsed(p.era.Load().at, now) > p.lifetime
-}
