--- a/enroller/claim.go
+++ b/enroller/claim.go
@@ -7,8 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/storer"
 )
@@ -156,19 +154,15 @@
 	if !slices.Contains(group, self.name) {
 		return false
 	}
-	own := engineHash(engine, self.name)
+	own := rendezvousHash(engine.ID(), self.name)
 	for _, name := range group {
-		if engineHash(engine, name) > own {
+		if rendezvousHash(engine.ID(), name) > own {
 			return false
 		}
 	}
 	return true
 }
 
-func engineHash(engine Engine, host string) uint64 {
-	return xxhash.Sum64String(engine.ID() + "\x00" + host)
-}
-
 // commitClaim claims engines, to which orders may be given from earliest on, and reports
 // whether it is known which host owns them now.
 func (e *Enroller) commitClaim(ctx context.Context, engines []string, writes []storer.Write, earliest time.Duration) (known bool) {
--- a/enroller/view.go
+++ b/enroller/view.go
@@ -189,7 +189,7 @@
 		if !eligible(h) {
 			continue
 		}
-		near, hash := proximity(h, endpoint), engineHash(endpoint, h.name)
+		near, hash := proximity(h, endpoint), rendezvousHash(endpoint.ID(), h.name)
 		if first == nil || near > nearest || near == nearest && hash > best {
 			first, best, nearest = h, hash, near
 		}
@@ -204,7 +204,7 @@
 	list := make([]*Host, 0, len(v.hosts))
 	for name, h := range v.hosts {
 		if v.serving(h) {
-			hashes[h] = xxhash.Sum64String(key + "\x00" + name)
+			hashes[h] = rendezvousHash(key, name)
 			list = append(list, h)
 		}
 	}
@@ -212,6 +212,9 @@
 	return list[:min(n, len(list))]
 }
 
+// rendezvousHash ranks a host for a key. All hosts compute the same.
+func rendezvousHash(key, host string) uint64 { return xxhash.Sum64String(key + "\x00" + host) }
+
 // proximity ranks how near a host is to an endpoint.
 func proximity(h *Host, endpoint Engine) int {
 	switch {
