--- a/archiver/queue.go
+++ b/archiver/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -38,6 +39,16 @@
 	return &record{Record: r, queued: time.Now(), stored: make(chan struct{})}
 }
 
+// await returns nil once the store has the record.
+func (r *record) await(ctx context.Context) error {
+	select {
+	case <-r.stored:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("store software version of a stream: %w", context.Cause(ctx))
+	}
+}
+
 // queue holds the records that are not stored yet. Those that arrive while a write is
 // under way are written together.
 type queue struct {
--- a/archiver/streams.go
+++ b/archiver/streams.go
@@ -46,10 +46,8 @@
 // know it if the store comes back from an older copy.
 func (a *Archiver) awaitStored(ctx context.Context, began replicator.Record) error {
 	r, replicated := a.enqueue(began), a.replicas.Replicate(began)
-	select {
-	case <-r.stored:
-	case <-ctx.Done():
-		return fmt.Errorf("store software version of a stream: %w", context.Cause(ctx))
+	if err := r.await(ctx); err != nil {
+		return err
 	}
 	select {
 	case <-replicated:
@@ -58,11 +56,11 @@
 	return nil
 }
 
-// enqueue has a record stored.
-func (a *Archiver) enqueue(of replicator.Record) *record {
-	r := newRecord(of)
+// enqueue has a record stored. If the queue is full, the record never is.
+func (a *Archiver) enqueue(began replicator.Record) *record {
+	r := newRecord(began)
 	if err := a.queue.add(r); err != nil {
-		a.log.Warn("records-not-stored", logger.With(logger.KeyService, of.Service()), logger.Err(err))
+		a.log.Warn("records-not-stored", logger.With(logger.KeyService, began.Service()), logger.Err(err))
 	}
 	return r
 }
@@ -72,10 +70,8 @@
 func (a *Archiver) awaitAll(ctx context.Context, began replicator.Record) error {
 	r := a.enqueue(began)
 	if a.pinner.BaseServes(began.Service()) {
-		select {
-		case <-r.stored:
-		case <-ctx.Done():
-			return fmt.Errorf("store software version of a stream: %w", context.Cause(ctx))
+		if err := r.await(ctx); err != nil {
+			return err
 		}
 	}
 	select {
