--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -73,6 +73,12 @@
 	return h.Answer(service, key), nil
 }
 
+func (c *cluster) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls
+}
+
 func (c *cluster) setDown(down bool, hosts ...int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -145,7 +151,7 @@
 			is.Equal(found+absent, 5)
 			c.setDown(false, i%30, (i+1)%30)
 		}
-		is.True(c.calls <= 100*(4+5))
+		is.True(c.count() <= 100*(4+5))
 		found, absent := find(t, hosts[0], "unknown")
 		is.Equal(found, 0)
 		is.Equal(absent, 5)
@@ -191,7 +197,7 @@
 		time.Sleep(time.Second)
 		cancel()
 		<-done
-		is.Equal(c.calls, 4)
+		is.Equal(c.count(), 4)
 		is.Equal(len(hosts[0].Own()), 100)
 		found, _ := find(t, hosts[3], "stream7")
 		is.Equal(found, 5)
