enroller: wait for leases whose renewals a restore of the store may have lost

A host had stopped as planned, another one had taken its engine over, and the store came back from a copy without both. The first one started again and owned the engine at once, while the other one went on by the lost row.

Cause: a host that starts looked at the renewals in the copy and took leases for ended whose latest renewals were lost. The fake of the table told such hosts of the restore, which a follower does not; it now reads the table as a follower does, and TestRestoredStore fails without the change where the host of the copy starts again.

A row of an earlier era now counts as renewed for a minute more, the longest time whose writes a restore loses (as in tracker and registrar).

--- a/enroller/harness_test.go
+++ b/enroller/harness_test.go
@@ -83,6 +83,7 @@
 	*enroller.Enroller
 	name   string
 	table  *table
+	read   bool         // rows were passed
 	era    uint64       // of the rows that were passed
 	cut    atomic.Bool  // writes fail at once and the table is not read
 	hung   atomic.Bool  // writes get no answer and the table is not read
@@ -127,10 +128,10 @@
 		rows = append(rows, storer.NewChange(r))
 	}
 	h.table.mu.Unlock()
-	if version.Era() > h.era {
-		h.era = version.Era()
+	if h.read && version.Era() > h.era { // as a follower that reads the table for the first time
 		h.Restored()
 	}
+	h.read, h.era = true, version.Era()
 	h.Replace(rows)
 	h.Contact(version, h.table.clock(), 0)
 }
--- a/enroller/restore.go
+++ b/enroller/restore.go
@@ -8,6 +8,9 @@
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
+// maxLost is the longest time whose writes the store loses when it is restored.
+const maxLost = time.Minute
+
 // Restored reports that the store has been restored from an older copy, whose rows
 // Replace passes next. Hosts learn of it at different times, so that for a while one
 // may own an engine by a row that is lost while the copy names another owner. Orders
@@ -37,13 +40,14 @@
 }
 
 // eraUnsettled reports whether any host may not know yet that the store has been
-// restored: its row is of an earlier era, and its lease may be valid.
+// restored: its row is of an earlier era, and its lease may be valid. The copy may lack its
+// latest renewals.
 func (e *Enroller) eraUnsettled(v *View, era uint64) bool {
 	for _, h := range v.hosts {
 		if h.doc.Eras == 0 || h.doc.Eras > era {
 			continue // a host that knows no rows owns nothing
 		}
-		if v.storeClockZero.IsZero() || time.Since(v.writtenAt(h)) <= e.timing.lease+e.timing.guard {
+		if v.storeClockZero.IsZero() || time.Since(v.writtenAt(h)) <= e.timing.lease+e.timing.guard+maxLost {
 			return true
 		}
 	}
--- a/enroller/restore_test.go
+++ b/enroller/restore_test.go
@@ -90,6 +90,28 @@
 			time.Sleep(20 * time.Second)
 			is.Equal(owned(again)+owned(b), len(engines))
 		}},
+		{"a planned stop and a takeover are lost, and the host starts again", func(t *testing.T, is *is.I, a, b *host) {
+			a.cut.Store(true) // no renewal for a lease and its guard before the copy ends
+			b.cut.Store(true)
+			time.Sleep(3 * time.Second)
+			saved := a.table.save()
+			a.cut.Store(false)
+			b.cut.Store(false)
+			time.Sleep(2 * time.Second)
+			a.Leave(t.Context())
+			a.cut.Store(true)
+			time.Sleep(6 * time.Second)
+			is.Equal(owned(b), len(engines))
+			a.table.restore(saved)
+			b.blind.Store(true) // does not know of the restore yet
+			again := join(a.table, "h1", "z1")
+			defer start(t, again)()
+			defer watch(t, 3*time.Second, again, b)()
+			time.Sleep(2 * time.Second)
+			b.blind.Store(false)
+			time.Sleep(30 * time.Second)
+			is.Equal(owned(again)+owned(b), len(engines))
+		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) { withPair(t, tt.test) })
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -34,6 +34,7 @@
 	{1, "none: a fixed seed keeps the CI run short and its faults the same"},
 	{123, "the fake engine unloaded an adapter in use at once; the platform's engines wait for its calls to end"},
 	{102, "the fake engine reported state older than its configured lag; seen in a build without the check of configuration versions"},
+	{31122, "a host that started after a restore of the store owned engines at once, while the owner by lost rows went on"},
 	{9301, "the owner counted a version that is replaced and its successor as one adapter; seen once, beside processes of an older build"},
 }
 
