relayer: ask no more engines for a stream whose service has one software version

Streams that may be resumed asked up to six engines for a place instead of three once all had declined, in any service: the second round for versions that were avoided began although none was.

The second round now needs an endpoint that was left out. TestDeclinedStream fails without the change (6 places asked for, 3 may).

--- a/relayer/callstate.go
+++ b/relayer/callstate.go
@@ -62,7 +62,8 @@
 	repeatCounted     atomic.Bool             // whether the next send has already been counted against the retry budget
 	lastEventID       string                  // last event of a resumed stream
 	software          string                  // version of the software at which the stream began; "" for any
-	anySoftware       bool                    // no endpoint is left out for the version of its software
+	avoidedAny        bool                    // an endpoint was left out for the version of its software
+	anySoftware       bool                    // none is left out any more
 	version           int64                   // of the model at the chosen endpoint
 	sentAt            time.Time               // latest send
 }
--- a/relayer/software.go
+++ b/relayer/software.go
@@ -37,6 +37,7 @@
 	case pinner.Barred:
 		return true
 	case pinner.Avoided:
+		c.avoidedAny = c.avoidedAny || !c.anySoftware
 		return !c.anySoftware
 	}
 	return false
@@ -50,9 +51,9 @@
 }
 
 // allowAnySoftware lets a stream begin at endpoints that it has avoided, because no other
-// one can take it. It reports false if it did so before.
+// one can take it. It reports false if there are none, or if it did so before.
 func (c *callState) allowAnySoftware() bool {
-	if c.anySoftware || !c.choosesSoftware() {
+	if c.anySoftware || !c.avoidedAny || !c.choosesSoftware() {
 		return false
 	}
 	c.anySoftware = true
--- a/relayer/software_test.go
+++ b/relayer/software_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -13,6 +15,7 @@
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/pinner"
 	"github.com/dragonflyford/dragonflyford/router"
+	"github.com/dragonflyford/dragonflyford/supplier"
 	"github.com/dragonflyford/dragonflyford/tracker"
 )
 
@@ -157,6 +160,27 @@
 	}
 }
 
+// Guards against a stream that asks more engines than others because its service could have
+// several software versions: each that is asked may load the model.
+func TestDeclinedStream(t *testing.T) {
+	for _, kind := range []router.RepeatPolicy{router.NewStream(true), router.NewStream(false)} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			script := make(map[string][]endpointFunc)
+			for i := range 8 {
+				script[fmt.Sprint("e", i)] = []endpointFunc{streams(0, 3, nil)}
+			}
+			r := newHarness(script)
+			for range 8 {
+				r.responses = append(r.responses, supplier.NewDeclined("no place", time.Second))
+			}
+			_, err := r.Apply(t.Context(), screenedCall(t, kind, 2, connector.NewModel("base", "a", "")))
+			is.True(err != nil)
+			is.Equal(r.reservations, 3)
+		})
+	}
+}
+
 // Guards against an event that goes out although the version that wrote it may be lost, and
 // against a run at another version, which the record would then contradict.
 func TestNotRecorded(t *testing.T) {
