--- a/archiver/streams.go
+++ b/archiver/streams.go
@@ -80,11 +80,11 @@
 		case errors.Is(err, replicator.ErrAlone):
 			return a.awaitOne(ctx, r.stored, nil)
 		case err != nil:
-			return fmt.Errorf("tell all hosts of a new software version: %w", err)
+			return fmt.Errorf("replicate a record to all hosts: %w", err)
 		}
 		return nil
 	case <-ctx.Done():
-		return fmt.Errorf("tell all hosts of a new software version: %w", context.Cause(ctx))
+		return fmt.Errorf("replicate a record to all hosts: %w", context.Cause(ctx))
 	}
 }
 
--- a/pinner/beginning.go
+++ b/pinner/beginning.go
@@ -9,7 +9,7 @@
 type (
 	// NotRecorded means that the absence of a record says enough.
 	NotRecorded struct{}
-	// Shared means that other hosts are told, because the absence of a record may not prove
+	// Shared means that the record is sent to other hosts in the background, because the absence of a record may not prove
 	// to them that the stream began at the base version.
 	Shared struct{}
 	// Stored means that the record has to outlive this host before an event goes out.
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -46,8 +46,8 @@
 	// maxGap is the time without an observation after which a host has stood still, or has
 	// been without the tables, for so long that it may have missed versions and records.
 	maxGap = 5 * time.Second
-	// firstEra is the latest era in which a service without a state can be new. Numbers of
-	// eras start at 0 or 1.
+	// firstEra is the era of a store that was never restored, in which a service without a
+	// state is new. The platform counts from 1; a store that names no era is in era 0.
 	firstEra = 1
 )
 
@@ -119,7 +119,7 @@
 	p.services.Store(&next)
 }
 
-// Observe records that versions of a service serve, as read when reading tells.
+// Observe records that versions of a service serve, from tables of the age that reading gives.
 func (p *Pinner) Observe(name string, reading Reading, now time.Time, versions ...string) {
 	p.update(name, func(s *service) {
 		seen, firstSeen := make(map[string]time.Time, len(versions)), make(map[string]time.Time, len(versions))
@@ -139,7 +139,7 @@
 	})
 }
 
-// Learn records that a stream began at a version, as another host tells. This host may not
+// Learn records that a stream began at a version, as another host reports. This host may not
 // have read yet that the version serves.
 func (p *Pinner) Learn(name, version string, now time.Time) {
 	if s := p.service(name); version == "" || s.stored && s.state.base == version || elapsed(s.seen[version], now) < time.Second {
@@ -195,7 +195,7 @@
 func (p *Pinner) Services() []string { return slices.Sorted(maps.Keys(*p.services.Load())) }
 
 // Coverage returns how far back this host would hold the records of streams of a service
-// that it is told of.
+// that other hosts send to it.
 func (p *Pinner) Coverage(name string, now time.Time) Coverage {
 	s := p.service(name)
 	switch {
--- a/pinner/reading.go
+++ b/pinner/reading.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Reading tells when the tables were read last, directly or through another host.
+// Reading holds when the tables were read last, directly or through another host.
 type Reading struct {
 	endpoints time.Time
 	states    time.Time
--- a/relayer/software.go
+++ b/relayer/software.go
@@ -17,7 +17,7 @@
 // version at which it began is known to others.
 const recordTimeout = time.Second
 
-// errNotRecorded reports a stream that was broken off before its first event, because the
+// errNotRecorded reports a stream that was aborted before its first event, because the
 // version at which it began may be lost with this host.
 var errNotRecorded = eris.New("the software version that began the stream could not be recorded")
 
@@ -83,7 +83,7 @@
 // pinBegun restricts the stream to endpoints of one software version, and records that it
 // began there. The caller of a stream gets no event before the record outlives this host,
 // because it may resume the stream at another one. After an error the stream has to be
-// broken off: the record may become known, so that the call must not run at another version.
+// aborted: the record may become known, so that the call must not run at another version.
 func (c *callState) pinBegun(e *tracker.Endpoint) error {
 	if c.software != "" || e.Software() == "" {
 		return nil
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// copies is the number of other hosts that are told of a record, and minCopies how many
+	// copies is the number of other hosts that receive a record, and minCopies how many
 	// of them have to keep it, so that it outlives its host and one more.
 	copies    = 4
 	minCopies = 2
@@ -47,7 +47,7 @@
 	Self() string
 }
 
-// Coverage tells how far back this host was told of the records of a service.
+// Coverage returns how far back this host has received the records of a service.
 type Coverage func(service string, now time.Time) pinner.Coverage
 
 // Replicator keeps records and has other hosts keep them. It is safe for concurrent use.
@@ -135,7 +135,7 @@
 	return err
 }
 
-// Share keeps the record of a stream that began here, and tells other hosts soon.
+// Share keeps the record of a stream that began here, and sends it to other hosts in the background.
 func (r *Replicator) Share(record Record) {
 	r.memory.add(time.Now(), true, record)
 	r.mu.Lock()
@@ -148,19 +148,24 @@
 // Close waits for the requests to other hosts. No record may be added from then on.
 func (r *Replicator) Close() { r.work.Wait() }
 
-// Run tells other hosts of the records that are shared, until ctx is done.
+// Run sends shared records to other hosts until ctx is done, and those that are left then.
 func (r *Replicator) Run(ctx context.Context) {
 	for sleeper.Sleep(ctx, shareInterval) == nil {
-		byPeer := make(map[*enroller.Host][]Record)
-		for _, record := range r.takeUnshared() {
-			for _, p := range r.keepers(record.key, copies, false) {
-				byPeer[p] = append(byPeer[p], record)
-			}
-		}
-		for p, list := range byPeer {
-			r.work.Go(func() { _ = r.send(p, list) }) // logged; the record is missing there
+		r.sendUnshared()
+	}
+	r.sendUnshared()
+}
+
+func (r *Replicator) sendUnshared() {
+	byPeer := make(map[*enroller.Host][]Record)
+	for _, record := range r.takeUnshared() {
+		for _, p := range r.keepers(record.key, copies, false) {
+			byPeer[p] = append(byPeer[p], record)
 		}
 	}
+	for p, list := range byPeer {
+		r.work.Go(func() { _ = r.send(p, list) }) // logged; the record is missing there
+	}
 }
 
 func (r *Replicator) takeUnshared() []Record {
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -209,6 +209,21 @@
 	})
 }
 
+// Guards against shared records that are lost in a planned stop.
+func TestShareAtStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, hosts := newCluster(t, 5)
+		ctx, cancel := context.WithCancel(t.Context())
+		hosts[0].Share(replicator.NewRecord("s", "last", "v1"))
+		cancel()
+		hosts[0].Run(ctx)
+		hosts[0].Close()
+		found, _ := find(t, hosts[3], "last")
+		is.Equal(found, 5)
+	})
+}
+
 // Guards against a host that says that a stream has no record although it had to drop some.
 func TestFullMemory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
