pinner, replicator: keep coverage while a service has no endpoints, and forget old records

A host counted as one that had stood still for a service whose endpoints were all gone for five seconds, so that its absent records proved nothing for two minutes and streams that were resumed could be refused. A service that is known is now observed also without endpoints (pinner TestCoverageWithoutEndpoints has the pattern).

A host that received no new records kept the old ones for ever, and answered with them; a look-up now drops those that are over.

--- a/assembler/software.go
+++ b/assembler/software.go
@@ -63,6 +63,11 @@
 		byService[e.Service()][e.Software()] = true
 	}
 	now, reading := time.Now(), h.archiver.Reading()
+	for _, service := range h.pinner.Services() {
+		if byService[service] == nil { // no endpoint is left, but records of its streams still arrive
+			h.pinner.Observe(service, reading, now)
+		}
+	}
 	for service, versions := range byService {
 		h.pinner.Observe(service, reading, now, slices.Sorted(maps.Keys(versions))...)
 		mixed = mixed || len(versions) > 1
--- a/pinner/answer_test.go
+++ b/pinner/answer_test.go
@@ -116,6 +116,27 @@
 	is.True(covers()) // one version has served, so there are no records
 }
 
+// Guards against a host that no longer proves that a stream has no record because all
+// endpoints of the service were gone for a while, although it has run all the time.
+func TestCoverageWithoutEndpoints(t *testing.T) {
+	is := is.New(t)
+	p := pinner.New(lifetime)
+	now := time.Unix(1000, 0)
+	p.ReachEra(0, now)
+	p.Store("s", pinner.NewState("v1", true))
+	for i := range 61 {
+		versions := []string{"v1", "v2"}
+		if i > 20 && i < 40 {
+			versions = nil
+		}
+		p.Observe("s", pinner.NewReading(now, now), now, versions...)
+		now = now.Add(time.Second)
+	}
+	c, ok := p.Coverage("s", now).(pinner.Complete)
+	is.True(ok)
+	is.True(c.Span() >= lifetime)
+}
+
 // Guards against a stream that begins at a version which other hosts do not know yet, and
 // against streams that nobody is told of although their hosts cannot prove that they have
 // no record.
--- a/replicator/memory.go
+++ b/replicator/memory.go
@@ -59,9 +59,10 @@
 	m.order = m.order[1:]
 }
 
-func (m *memory) find(key string) (Record, bool) {
+func (m *memory) find(now time.Time, key string) (Record, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.expire(now)
 	e, ok := m.byKey[key]
 	return e.Record, ok
 }
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -72,10 +72,10 @@
 
 // Answer returns what this host knows of the record of a stream.
 func (r *Replicator) Answer(service, key string) pinner.Answer {
-	if record, ok := r.memory.find(key); ok {
+	now := time.Now()
+	if record, ok := r.memory.find(now, key); ok {
 		return pinner.NewFound(record.version)
 	}
-	now := time.Now()
 	if c, ok := r.coverage(service, now).(pinner.Complete); ok {
 		return pinner.NewAbsent(pinner.NewComplete(min(c.Span(), r.memory.span(now))))
 	}
