enroller, storer: derive the time until engines are given up, one bound for lost writes

The 30 s for which an owner keeps an engine without an entry held for reports each 1.2 s only; they are now 25 reports of the interval in the settings (TestReportInterval). The minute whose writes a restore may lose stood in enroller, tracker and registrar; it is storer.MaxLost.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -137,7 +137,7 @@
 	h.members = enroller.New(
 		enroller.NewLocalHost(settings.Address(), settings.Callers(), settings.Peers(), settings.DataCentre(), settings.Region(), settings.LinkMbps()),
 		enroller.NewTiming(settings.LeaseRenew(), settings.LeaseTime(), settings.LeaseGuard(), settings.TakeoverDelay()+handoverMargin, settings.LeaseRenew()+lossMargin),
-		fleetTable, log)
+		fleetTable, log, enroller.WithReportInterval(settings.ReportInterval()))
 	h.speeds = estimator.New(estimator.NewEstimate(settings.PromptToken(), settings.OutputToken()), h.logSpeed)
 	h.supplier = supplier.New(h.engines, leases{h.members}, h.engineSpec, h.fleet, h.speeds, estimator.NewLoads(settings.AdapterLoad()), log)
 	h.screener = screener.New(log)
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -57,6 +57,11 @@
 // WithClock replaces the clock by which lease times are measured.
 func WithClock(now func() time.Duration) Option { return func(e *Enroller) { e.clock = now } }
 
+// WithReportInterval sets the time between two reports of an engine to the store.
+func WithReportInterval(d time.Duration) Option {
+	return func(e *Enroller) { e.reportInterval = d }
+}
+
 // Enroller renews the row of this host and caches the rows of all hosts and
 // engines.
 type Enroller struct {
@@ -66,6 +71,8 @@
 	log    *logger.Logger
 	clock  func() time.Duration
 
+	reportInterval time.Duration // of engines
+
 	leaseEnd atomic.Int64 // on clock; 0 before the first lease
 	// leaseVersion is the row version of the first renewal after a period
 	// without a lease. Other hosts may have taken engines over before that
@@ -94,7 +101,7 @@
 // New returns an enroller. Run starts the renewals.
 func New(self LocalHost, timing Timing, store storer.Committer, log *logger.Logger, opts ...Option) *Enroller {
 	e := &Enroller{
-		self: self, timing: timing, store: store, log: log.Component("enroller"), clock: bootTime, storeAnswered: make(chan struct{}, 1),
+		self: self, timing: timing, store: store, log: log.Component("enroller"), clock: bootTime, reportInterval: defaultReportInterval, storeAnswered: make(chan struct{}, 1),
 		restored: make(chan struct{}, 1), process: rand.Uint64(), kept: make(map[string]bool),
 	}
 	for _, opt := range opts {
--- a/enroller/harness_test.go
+++ b/enroller/harness_test.go
@@ -110,12 +110,12 @@
 	lostAfter     = 4 * time.Second
 )
 
-func join(t *table, name, dataCentre string) *host {
+func join(t *table, name, dataCentre string, opts ...enroller.Option) *host {
 	h := &host{name: name, table: t}
 	start := time.Now()
 	clock := func() time.Duration { return time.Since(start) + time.Duration(h.frozen.Load()) }
 	h.Enroller = enroller.New(enroller.NewLocalHost(name, name+":1", name+":2", dataCentre, "r-"+dataCentre, 0),
-		enroller.NewTiming(renew, lease, guard, takeoverDelay, lostAfter), h, logger.Nop(), enroller.WithClock(clock))
+		enroller.NewTiming(renew, lease, guard, takeoverDelay, lostAfter), h, logger.Nop(), append(opts, enroller.WithClock(clock))...)
 	return h
 }
 
--- a/enroller/release.go
+++ b/enroller/release.go
@@ -11,9 +11,12 @@
 )
 
 const (
-	// releaseAfter is how long an engine has no entry until its owner gives it up. The entry
-	// of an engine that goes on may be missing for some seconds.
-	releaseAfter = 30 * time.Second
+	// releaseReports is for how many reports an engine has no entry until its owner gives it
+	// up. The entry of an engine that cannot report for some seconds and goes on is removed
+	// after three.
+	releaseReports = 25
+	// defaultReportInterval is the time between two reports if none is set.
+	defaultReportInterval = 1200 * time.Millisecond
 	// deletionMemory is how long a deletion is remembered after the row has gone, because an
 	// older copy of the table may still show the row.
 	deletionMemory = time.Minute
@@ -31,7 +34,7 @@
 // stops reports whether the engine gets no orders.
 func (r release) stops() bool { return r.stopped != 0 }
 
-// Release gives up the engines of this host that have had no entry for releaseAfter: it
+// Release gives up the engines of this host that have had no entry for releaseReports: it
 // stops their orders, and deletes their rows later. It takes those back that have returned.
 func (e *Enroller) Release(ctx context.Context, live func(engine string) bool) {
 	v := e.View()
@@ -80,7 +83,7 @@
 func (e *Enroller) advance(engine string, r release) release {
 	now := e.clock()
 	switch {
-	case !r.stops() && now-r.missing >= releaseAfter:
+	case !r.stops() && now-r.missing >= releaseReports*e.reportInterval:
 		r.stopped = now
 		e.log.Info("engine-released", logger.With(logger.KeyEndpoint, engine), logger.With(logger.KeyAge, (now-r.missing).Milliseconds()))
 	case r.stops() && now-r.stopped >= e.timing.takeoverDelay:
--- a/enroller/release_test.go
+++ b/enroller/release_test.go
@@ -49,7 +49,7 @@
 // back while the row is being deleted; the owner reads the table late, or the answers to
 // its writes are lost.
 func TestMissingEntry(t *testing.T) {
-	const longMissing = 31 * time.Second // until orders stop
+	const longMissing = 31 * time.Second // until orders stop: 25 reports of 1.2 s, and the next look
 	tests := []struct {
 		name    string
 		missing time.Duration
@@ -103,3 +103,24 @@
 		})
 	}
 }
+
+// Guards against a time until orders stop that holds for one interval of reports only.
+func TestReportInterval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tab, s := newTable(), &entries{}
+		a := join(tab, "h1", "z1", enroller.WithReportInterval(4*time.Second))
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		defer running.Wait()
+		defer cancel()
+		running.Go(func() { a.run(ctx) })
+		running.Go(func() { a.reconcile(ctx, s) })
+		time.Sleep(8 * time.Second)
+		s.setMissing(true)
+		time.Sleep(98 * time.Second)
+		is.Equal(owned(a), len(engines))
+		time.Sleep(4 * time.Second)
+		is.Equal(owned(a), 0)
+	})
+}
--- a/enroller/restore.go
+++ b/enroller/restore.go
@@ -8,9 +8,6 @@
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
-// maxLost is the longest time whose writes the store loses when it is restored.
-const maxLost = time.Minute
-
 // Restored reports that the store has been restored from an older copy, whose rows
 // Replace passes next. Hosts learn of it at different times, so that for a while one
 // may own an engine by a row that is lost while the copy names another owner. Orders
@@ -47,7 +44,7 @@
 		if h.doc.Eras == 0 || h.doc.Eras > era {
 			continue // a host that knows no rows owns nothing
 		}
-		if v.storeClockZero.IsZero() || time.Since(v.writtenAt(h)) <= e.timing.lease+e.timing.guard+maxLost {
+		if v.storeClockZero.IsZero() || time.Since(v.writtenAt(h)) <= e.timing.lease+e.timing.guard+storer.MaxLost {
 			return true
 		}
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -31,9 +31,8 @@
 	// otherHosts is how long the hosts that lost a call with a part have to store it
 	// before others do.
 	otherHosts = 2 * time.Second
-	// deletionMemory is how long a deletion is remembered. A store that is restored
-	// loses the writes of a shorter time.
-	deletionMemory = time.Minute
+	// deletionMemory is how long a deletion is remembered.
+	deletionMemory = storer.MaxLost
 	// maxWrites limits the writes of one synchronisation.
 	maxWrites    = 8
 	writeTimeout = 1500 * time.Millisecond
--- a/storer/feed.go
+++ b/storer/feed.go
@@ -28,6 +28,9 @@
 // Removed reports whether the row was removed.
 func (c Change) Removed() bool { return c.removed }
 
+// MaxLost is the longest time whose writes a store loses when it is restored from a copy.
+const MaxLost = time.Minute
+
 // Changes holds the rows that changed up to a version.
 type Changes struct {
 	list    []Change
--- a/tracker/removed.go
+++ b/tracker/removed.go
@@ -1,11 +1,14 @@
 package tracker
 
-import "time"
+import (
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/storer"
+)
 
 const (
-	// removalMemory is how long a process that was removed is remembered. A store that
-	// is restored loses the writes of a shorter time.
-	removalMemory = time.Minute
+	// removalMemory is how long a process that was removed is remembered.
+	removalMemory = storer.MaxLost
 	// verifyReports is the time, in reports of a process, for which one that was removed
 	// is not used although a restored copy of the store still lists it. The store removes
 	// the entry of a process that is silent for three reports.
