archiver: do not count a look-up that was cancelled as a failure of the store

Callers saw streams refused, and no new streams at the newer version of an endpoint's software, for two seconds after another stream had gone on by the record of another host.

Cause: a look-up cancels its read at the store when another host has the record, and the cancelled read counted as a failure. Beginning then bars versions whose records cannot be stored, and an absent record of the store proves nothing. Also, a look-up waited 0.3 s for the store although no other answer could decide.

TestSlowStore fails without the change: Barred in place of Allowed.

--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -258,3 +258,23 @@
 		is.Equal(records.count(), 1)
 	})
 }
+
+// Guards against a store that counts as failing because a look-up did not need its answer,
+// so that streams are refused or may not begin at a version, and against a look-up that
+// gives up a slow store although nothing else can tell.
+func TestSlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		hosts, records, others := newTable(), newTable(), newPeers()
+		a, stop := start(t, hosts, records, others)
+		defer stop()
+		a.serve(t, 5*time.Second, "v1")
+		a.serve(t, 10*time.Second, "v1", "v2")
+		is.NoErr(a.Record(t.Context(), "s", "stream", "v2"))
+		records.delay = 500 * time.Millisecond
+		is.Equal(a.resolve(t, "stream"), "v2") // other hosts know it
+		time.Sleep(time.Second)
+		is.Equal(a.Beginning("s", "v2"), pinner.Allowed{})
+		is.Equal(a.resolve(t, "other"), "v1") // only the store can tell
+	})
+}
--- a/archiver/fake_test.go
+++ b/archiver/fake_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/dragonflyford/dragonflyford/pinner"
 	"github.com/dragonflyford/dragonflyford/replicator"
+	"github.com/dragonflyford/dragonflyford/sleeper"
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
@@ -19,7 +20,8 @@
 	commits int
 	era     uint64
 	away    bool
-	lost    bool // the answers of commits
+	lost    bool          // the answers of commits
+	delay   time.Duration // of reads
 }
 
 func newTable() *table { return &table{rows: make(map[string]storer.Row)} }
@@ -87,10 +89,10 @@
 	return tb.version, nil
 }
 
-func (tb *table) Get(_ context.Context, key string) (storer.Row, bool, error) {
+func (tb *table) Get(ctx context.Context, key string) (storer.Row, bool, error) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	if tb.away {
+	if tb.away || sleeper.Sleep(ctx, tb.delay) != nil {
 		return storer.Row{}, false, storer.ErrUnavailable
 	}
 	row, ok := tb.rows[key]
--- a/archiver/streams.go
+++ b/archiver/streams.go
@@ -136,7 +136,7 @@
 	defer cancel()
 	stored := make(chan pinner.Answer, 1)
 	go func() { stored <- a.read(ctx, service, key) }() // ends with ctx
-	hosts, store := collect(a.replicas.Find(ctx, service, key), stored)
+	hosts, store := a.collect(ctx, a.replicas.Find(ctx, service, key), stored)
 	record := a.pinner.Assess(hosts, store)
 	a.log.Info("stream-looked-up", logger.Request(stream), logger.With(logger.KeyService, service),
 		logger.With(logger.KeyOutcome, fmt.Sprintf("%T", record)), logger.With(logger.KeyReason, describe(hosts, store)))
@@ -144,15 +144,19 @@
 }
 
 // collect returns the answers of the hosts and of the store. It returns early if a record
-// is found, and waits for the store for a grace time only once all hosts have answered.
-func collect(answers, stored <-chan pinner.Answer) (hosts []pinner.Answer, store pinner.Answer) {
+// is found. Once all hosts have answered, it waits for the store for a grace time only if
+// they prove that there is no record.
+func (a *Archiver) collect(ctx context.Context, answers, stored <-chan pinner.Answer) (hosts []pinner.Answer, store pinner.Answer) {
 	store = pinner.NewAbsent(pinner.Unknown{})
 	var grace <-chan time.Time
 	for answers != nil || stored != nil {
 		select {
 		case answer, ok := <-answers:
 			if !ok {
-				answers, grace = nil, time.After(storeGrace)
+				answers = nil
+				if _, open := a.pinner.Assess(hosts, store).(pinner.Unread); !open {
+					grace = time.After(storeGrace)
+				}
 				continue
 			}
 			hosts = append(hosts, answer)
@@ -166,6 +170,8 @@
 			}
 		case <-grace:
 			return hosts, store
+		case <-ctx.Done():
+			return hosts, store
 		}
 	}
 	return hosts, store
@@ -191,6 +197,8 @@
 	now := time.Now()
 	a.pinner.ReachEra(a.records.Era(), now) // the answer may be the first one after a restore
 	switch {
+	case err != nil && errors.Is(ctx.Err(), context.Canceled):
+		return pinner.NewAbsent(pinner.Unknown{}) // the hosts' answers were enough
 	case err != nil:
 		a.failedAt.Store(now.UnixNano())
 		return pinner.NewAbsent(pinner.Unknown{})
