assembler: hold calls until a host that starts has read the table of the hosts

Callers that took streams up at a host which had just started were refused, also if the store had the record: the host knew neither the hosts that may keep it nor the base version of the service. The call is held until that table is read, for half a second at most as for the other tables.

TestTakenUpAtStart: 1 of 6 streams went on before, 6 of 6 now.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -87,6 +87,7 @@
 	awaiter           *awaiter.Awaiter
 	setRoutesKnown    func() // to be called once routes are known
 	setEndpointsKnown func() // to be called once the endpoints are known
+	setMembersKnown   func() // to be called once the hosts and the services' software versions are known
 	router            *router.Router
 	fleet             *tracker.Tracker
 	members           *enroller.Enroller
@@ -129,8 +130,8 @@
 	h.store = platform.NewStore(settings.Store())
 	h.engines = platform.NewEngineClient(settings.Address())
 	var markMet []func()
-	h.awaiter, markMet = awaiter.New(2, log)
-	h.setRoutesKnown, h.setEndpointsKnown = markMet[0], markMet[1]
+	h.awaiter, markMet = awaiter.New(3, log)
+	h.setRoutesKnown, h.setEndpointsKnown, h.setMembersKnown = markMet[0], markMet[1], markMet[2]
 	h.router = router.New()
 	h.fleet = tracker.New(settings.Regions(), tracker.WithReportInterval(settings.ReportInterval()))
 	fleetTable := h.store.Table(tableFleet)
@@ -151,7 +152,7 @@
 	h.archiver = archiver.New(h.pinner, fleetTable, h.store.Table(tableStreams), h.replicator, settings.StreamLifetime(), log)
 	h.mirrors = map[string]*mirrorer.Mirror{
 		platform.TableEndpoints: mirrorer.New(endpointHandler{h}),
-		tableFleet:              mirrorer.New(follower.Handlers{h.members, h.registrar, h.archiver, eraHandler{h}}),
+		tableFleet:              mirrorer.New(follower.Handlers{h.members, h.registrar, h.archiver, memberHandler{h}}),
 	}
 	h.permitter = permitter.New(h.messenger, h.members, h.fleet)
 	h.evidence = &outbox[screener.Evidence]{
--- a/assembler/handlers.go
+++ b/assembler/handlers.go
@@ -25,13 +25,18 @@
 	}
 }
 
-// eraHandler observes the era of a table and nothing else.
-type eraHandler struct{ host *Host }
+// memberHandler observes that the table of the hosts has been read, and its era.
+type memberHandler struct{ host *Host }
 
-func (eraHandler) Restored()                                      {}
-func (eraHandler) Replace([]storer.Change)                        {}
-func (eraHandler) Apply([]storer.Change)                          {}
-func (e eraHandler) Contact(v storer.Version, _, _ time.Duration) { e.host.observeEra(v) }
+func (memberHandler) Restored()               {}
+func (memberHandler) Replace([]storer.Change) {}
+func (memberHandler) Apply([]storer.Change)   {}
+
+// Contact implements follower.Handler.
+func (m memberHandler) Contact(v storer.Version, _, _ time.Duration) {
+	m.host.observeEra(v)
+	m.host.setMembersKnown()
+}
 
 // operatorHandler applies configurations and named versions.
 type operatorHandler struct{ host *Host }
--- a/assembler/lostrecord_test.go
+++ b/assembler/lostrecord_test.go
@@ -285,3 +285,27 @@
 	d.stops[hostA]()
 	is.Equal(d.resumeAll(hostB, list), len(list))
 }
+
+// Guards against streams that are refused at a host which has just started and does not know
+// yet which hosts may hold their records.
+func TestTakenUpAtStart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newVersions(t)
+	d.addNewer()
+	for _, host := range []string{hostA, hostB} {
+		d.start(host)
+	}
+	time.Sleep(knownTime)
+	list := d.beginAll(hostA)
+	slow := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("table") == "fleet" {
+			time.Sleep(300 * time.Millisecond)
+		}
+		d.store.Handler().ServeHTTP(w, r)
+	}))
+	t.Cleanup(slow.Close)
+	d.storeOf[hostC] = strings.TrimPrefix(slow.URL, "http://")
+	d.start(hostC)
+	is.Equal(d.resumeAll(hostC, list), len(list))
+}
