--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -96,6 +96,7 @@
 	// interruption.
 	settledAt time.Duration
 	kept      map[string]bool
+	copiedAt  map[uint64]time.Time // by era, a time up to which the copy that began it has all writes
 }
 
 // New returns an enroller. Run starts the renewals.
@@ -103,6 +104,7 @@
 	e := &Enroller{
 		self: self, timing: timing, store: store, log: log.Component("enroller"), clock: bootTime, reportInterval: defaultReportInterval, storeAnswered: make(chan struct{}, 1),
 		restored: make(chan struct{}, 1), process: rand.Uint64(), kept: make(map[string]bool),
+		copiedAt: make(map[uint64]time.Time),
 	}
 	for _, opt := range opts {
 		opt(e)
@@ -119,6 +121,9 @@
 // Self returns the name of this host.
 func (e *Enroller) Self() string { return e.self.name }
 
+// Process returns the id of this process, which differs from that of the one before it.
+func (e *Enroller) Process() uint64 { return e.process }
+
 // DataCentre returns the data centre of this host.
 func (e *Enroller) DataCentre() string { return e.self.dataCentre }
 
@@ -202,6 +207,7 @@
 
 // Replace applies a snapshot of all rows of the table.
 func (e *Enroller) Replace(rows []storer.Change) {
+	e.observeCopy(rows)
 	listed := make(map[string]bool, len(rows))
 	for _, r := range rows {
 		listed[r.Key()] = true
--- a/enroller/renewal.go
+++ b/enroller/renewal.go
@@ -75,7 +75,7 @@
 }
 
 func (e *Enroller) renewOnce(ctx context.Context) {
-	limited, cancel := context.WithTimeout(ctx, min(e.timing.renew, renewTimeout))
+	limited, cancel := context.WithTimeout(ctx, e.renewLimit())
 	defer cancel()
 	select {
 	case <-e.storeAnswered: // discard a signal from before this attempt
@@ -95,6 +95,9 @@
 	}
 }
 
+// renewLimit returns the time after which a renewal without an answer is abandoned.
+func (e *Enroller) renewLimit() time.Duration { return min(e.timing.renew, renewTimeout) }
+
 func (e *Enroller) ownVersion() storer.Version {
 	if h := e.View().Host(e.self.name); h != nil {
 		return h.version
@@ -123,7 +126,8 @@
 	var conflict *storer.RowConflict
 	if errors.As(err, &conflict) {
 		// The row was written by an earlier renewal whose answer was lost, or by the
-		// previous process of this host.
+		// previous process of this host, or is that of an older copy of the store.
+		e.observeCopy(conflict.Changes())
 		e.Apply(conflict.Changes())
 		version, err = e.store.Commit(ctx, storer.NewPut(key, value, e.ownVersion()))
 	}
--- a/enroller/view.go
+++ b/enroller/view.go
@@ -49,6 +49,9 @@
 // FirstSeen returns when this process first read a row of the host.
 func (h *Host) FirstSeen() time.Time { return h.firstSeen }
 
+// Process returns the id of the host's current process.
+func (h *Host) Process() uint64 { return h.doc.Process }
+
 // ProcessSeen returns when this process first read a row of the host's current process.
 func (h *Host) ProcessSeen() time.Time { return h.processSeen }
 
@@ -146,9 +149,9 @@
 	return list
 }
 
-// settleTime is the time after which every host that reaches the store, directly or
+// SettleTime is the time after which every host that reaches the store, directly or
 // through another host, knows that a host has joined or is leaving.
-const settleTime = contactTimeout
+const SettleTime = contactTimeout
 
 // FirstChoice returns the name of the host that serves an endpoint for all hosts: the one
 // with the highest rendezvous hash among the live hosts of the endpoint's data centre or,
@@ -170,12 +173,12 @@
 	}
 	counted := func(h *Host) bool {
 		if h.doc.Leaving {
-			return time.Since(h.changedAt) <= settleTime
+			return time.Since(h.changedAt) <= SettleTime
 		}
 		return v.serving(h)
 	}
 	h := v.firstChoice(endpoint, counted)
-	return h != nil && h.name == name && !h.doc.Leaving && time.Since(h.processSeen) > settleTime
+	return h != nil && h.name == name && !h.doc.Leaving && time.Since(h.processSeen) > SettleTime
 }
 
 func (v *View) serving(h *Host) bool { return !h.doc.Leaving && v.Alive(h) }
@@ -197,6 +200,11 @@
 	return first
 }
 
+// Serving returns the live hosts that are not leaving, in no particular order.
+func (v *View) Serving() []*Host {
+	return slices.DeleteFunc(v.Hosts(), func(h *Host) bool { return !v.Alive(h) })
+}
+
 // Ranked returns the first n live hosts by the rendezvous hash of a key, the best first. It
 // does not depend on the host that asks.
 func (v *View) Ranked(key string, n int) []*Host {
--- a/pinner/answer_test.go
+++ b/pinner/answer_test.go
@@ -70,7 +70,7 @@
 			p.Store("s", pinner.NewState("v1", false))
 			p.Observe("s", pinner.NewReading(start, start), start, "v1")
 			if tt.name == "another host told of a version" {
-				p.Learn("s", "v2", start)
+				p.Learn("s", "v2", start, start)
 			}
 			is.Equal(p.NeedsLookup("s", tt.reading, start), tt.look)
 		})
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -60,7 +60,10 @@
 	current   time.Time            // last observation with current tables
 	since     time.Time            // start of the observations with current tables without a gap
 	observed  time.Time            // last observation
-	running   time.Time            // start of the observations without a gap
+	running   time.Time            // start of the observations without a gap, or earlier after CatchUp
+	resumed   time.Time            // start of the observations without a gap
+	caughtUp  bool                 // since then other hosts have sent the records that this host lacked
+	restated  uint64               // latest era in which hosts have stored again what the restore may have lost
 	coversAll bool                 // no stream that began before this host started can have a record
 }
 
@@ -139,10 +142,10 @@
 	})
 }
 
-// Learn records that a stream began at a version, as another host reports. This host may not
-// have read yet that the version serves.
-func (p *Pinner) Learn(name, version string, now time.Time) {
-	if s := p.service(name); version == "" || s.stored && s.state.base == version || elapsed(s.seen[version], now) < time.Second {
+// Learn records that a stream began at a version at a time, as another host reports. This
+// host may not have read yet that the version serves.
+func (p *Pinner) Learn(name, version string, at, now time.Time) {
+	if s := p.service(name); version == "" || s.stored && s.state.base == version || elapsed(s.seen[version], at) < time.Second {
 		return
 	}
 	p.update(name, func(s *service) {
@@ -153,7 +156,7 @@
 		if _, known := seen[version]; !known {
 			firstSeen[version] = now
 		}
-		seen[version] = now
+		seen[version] = at
 		s.seen, s.firstSeen = seen, firstSeen
 	})
 }
@@ -162,7 +165,7 @@
 // that began before.
 func (p *Pinner) observeTime(s *service, reading Reading, now time.Time) {
 	if elapsed(s.observed, now) > maxGap {
-		s.running, s.coversAll = now, false
+		s.running, s.resumed, s.coversAll, s.caughtUp = now, now, false, false
 	}
 	s.observed = now
 	if !reading.current(now) {
@@ -212,6 +215,31 @@
 	return s.coversAll || elapsed(s.running, now) >= p.lifetime
 }
 
+// MayCatchUp reports whether other hosts may hold records that this host lacks, and since
+// when it has received those of streams that begin. It lacks none while one version serves.
+func (p *Pinner) MayCatchUp(now time.Time) (since time.Time, ok bool) {
+	for _, s := range *p.services.Load() {
+		if s.resumed.IsZero() || s.caughtUp || p.covered(s, now) || !p.mixed(s, now) {
+			continue
+		}
+		if ok = true; s.resumed.After(since) {
+			since = s.resumed
+		}
+	}
+	return since, ok
+}
+
+// CatchUp records that other hosts have sent the records that this host lacked, and from
+// which time on it lacks none of a service.
+func (p *Pinner) CatchUp(name string, from time.Time) {
+	p.update(name, func(s *service) {
+		s.caughtUp = true
+		if from.Before(s.running) {
+			s.running = from
+		}
+	})
+}
+
 // mixed reports whether several versions serve or have served lately.
 func (p *Pinner) mixed(s service, now time.Time) bool {
 	return s.state.mixed || s.others(now.Add(-p.lifetime))
--- a/pinner/plan.go
+++ b/pinner/plan.go
@@ -42,7 +42,9 @@
 }
 
 // nothingLost reports whether no stream that may go on has lost its record: no other version
-// has served, or the store was restored so long ago that all streams of before are over.
+// has served, hosts have stored again what was lost, or the store was restored so long ago
+// that all streams of before are over.
 func (p *Pinner) nothingLost(s service, now time.Time) bool {
-	return s.coversAll && !p.mixed(s, now) || elapsed(p.era.Load().at, now) > p.lifetime
+	latest := p.era.Load()
+	return s.coversAll && !p.mixed(s, now) || s.restated == latest.era || elapsed(latest.at, now) > p.lifetime
 }
