replicator, messenger: send records to the hosts that take the place of their keepers

Callers that took streams up were refused where hosts had ended one after the other: the records of the streams ended with the hosts that kept them, and a host that started counted as one that knows nothing for two minutes. Records that found no live host, or more than 4,096 in 200 ms, were dropped.

A host now knows which processes have a copy of each record, sends it to those that become keepers, and asks the others, when it starts, whether they have sent what it should keep. Records are grouped on the wire.

TestKeepersEndInTurn, TestCatchUp, TestCatchUpTogether and TestShareAlone are new.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -51,8 +51,8 @@
 	Share(r replicator.Record)
 	// Find asks the hosts that may keep a record. Each gives one answer.
 	Find(ctx context.Context, service, key string) <-chan pinner.Answer
-	// Own returns the records of the streams that began at this host.
-	Own() []replicator.Record
+	// Responsible returns the records that this host has to store again after a restore.
+	Responsible() []replicator.Record
 }
 
 // stateDocument is the value of the row of a service.
@@ -98,10 +98,10 @@
 func (a *Archiver) Run(ctx context.Context) { a.queue.run(ctx) }
 
 // Restored implements follower.Handler. The store may have lost records, which this host
-// writes again as far as the streams began here.
+// writes again as far as the streams began here or at a host that has ended.
 func (a *Archiver) Restored() {
 	now := time.Now()
-	for _, r := range a.replicas.Own() {
+	for _, r := range a.replicas.Responsible() {
 		if _, ok := a.pinner.Recording(r.Service(), r.Version(), now).(pinner.Stored); !ok {
 			continue
 		}
--- a/archiver/fake_test.go
+++ b/archiver/fake_test.go
@@ -180,7 +180,7 @@
 	return answers
 }
 
-func (p *peers) Own() []replicator.Record {
+func (p *peers) Responsible() []replicator.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.own
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -148,7 +148,7 @@
 	if h.messenger, err = messenger.New(peerHandler{h}); err != nil {
 		return nil, fmt.Errorf("build messenger: %w", err)
 	}
-	h.replicator = replicator.New(h.messenger, h.members, h.pinner.Coverage, settings.StreamLifetime(), log)
+	h.replicator = replicator.New(h.messenger, h.members, h.pinner, settings.StreamLifetime(), log)
 	h.archiver = archiver.New(h.pinner, fleetTable, h.store.Table(tableStreams), h.replicator, settings.StreamLifetime(), log)
 	h.mirrors = map[string]*mirrorer.Mirror{
 		platform.TableEndpoints: mirrorer.New(endpointHandler{h}),
@@ -279,7 +279,7 @@
 func (p peerHandler) KeepRecords(list []replicator.Record) {
 	now := time.Now()
 	for _, r := range list {
-		p.host.pinner.Learn(r.Service(), r.Version(), now)
+		p.host.pinner.Learn(r.Service(), r.Version(), now.Add(-r.Age()), now)
 	}
 	p.host.replicator.Keep(list)
 }
@@ -288,4 +288,8 @@
 	return p.host.replicator.Answer(service, key)
 }
 
+func (p peerHandler) RecordStatus(process uint64) replicator.Status {
+	return p.host.replicator.Status(process, 0)
+}
+
 func (p peerHandler) Mirror(table string) *mirrorer.Mirror { return p.host.mirrors[table] }
--- a/assembler/run.go
+++ b/assembler/run.go
@@ -87,6 +87,7 @@
 	running.Go(func() { h.archiver.Run(work) })
 	running.Go(func() { h.replicator.Run(work) })
 	running.Go(func() { h.keepSoftwareVersions(work) })
+	running.Go(func() { h.catchUpRecords(work) })
 	running.Go(func() { h.reloadSettings(work, reload, read) })
 	<-ctx.Done()
 	h.stop(work, servers, inFlight)
--- a/assembler/software.go
+++ b/assembler/software.go
@@ -17,6 +17,8 @@
 	softwareInterval = 250 * time.Millisecond
 	// recordInterval is the time between two looks at the records of streams.
 	recordInterval = time.Minute
+	// catchUpInterval is the time between two requests for the records that other hosts hold.
+	catchUpInterval = time.Second
 )
 
 // softwareDuty is what one host does for all: it writes the software versions of services.
@@ -49,6 +51,20 @@
 	}
 }
 
+// catchUpRecords takes over the records of streams that other hosts hold when this host has
+// started, or has stood still, while several versions of a service serve.
+func (h *Host) catchUpRecords(ctx context.Context) {
+	for sleeper.Sleep(ctx, catchUpInterval) == nil {
+		from, ok := h.replicator.CatchUp(ctx)
+		if !ok {
+			continue
+		}
+		for service, at := range from {
+			h.pinner.CatchUp(service, at)
+		}
+	}
+}
+
 // observeSoftware records the versions that serve, and reports whether a service has
 // several.
 func (h *Host) observeSoftware() (mixed bool) {
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -79,6 +79,11 @@
 	return pinner.NewAbsent(h.coverage)
 }
 
+func (h *handler) RecordStatus(process uint64) replicator.Status {
+	restatement := pinner.NewRestatement(3, map[string]time.Duration{"s": time.Minute}, map[uint64]time.Duration{3: time.Second})
+	return replicator.NewStatus(process == 7, process == 7, process, restatement)
+}
+
 func (h *handler) Mirror(table string) *mirrorer.Mirror {
 	if table != "t" {
 		return nil
@@ -228,6 +233,14 @@
 	record := replicator.NewRecord("s", "stream", "v2")
 	is.NoErr(client.Replicate(t.Context(), address, []replicator.Record{record}))
 	is.Equal(h.records, []replicator.Record{record})
+	others := []replicator.Record{
+		replicator.NewRecord("s", "older", "v2").From(7).Aged(90 * time.Second),
+		replicator.NewRecord("s", "third", "v3").From(7),
+		replicator.NewRecord("s", "fourth", "v2").From(7).Aged(time.Second),
+	}
+	is.NoErr(client.Replicate(t.Context(), address, others))
+	is.Equal(h.records, []replicator.Record{record, others[0], others[2], others[1]}) // by version and host
+	is.True(client.Replicate(t.Context(), address, []replicator.Record{replicator.DecodedRecord("s", "no key", "v2")}) != nil)
 	got, err := client.Find(t.Context(), address, "s", record.Key())
 	is.NoErr(err)
 	is.Equal(got, pinner.NewFound("v2"))
@@ -237,4 +250,9 @@
 		is.NoErr(err)
 		is.Equal(got, pinner.NewAbsent(c))
 	}
+	for _, process := range []uint64{7, 8} {
+		status, err := client.Status(t.Context(), address, process)
+		is.NoErr(err)
+		is.Equal(status, h.RecordStatus(process))
+	}
 }
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -29,6 +29,7 @@
 	methodFollow       = "/messenger/Follow"
 	methodReplicate    = "/messenger/Replicate"
 	methodFind         = "/messenger/Find"
+	methodStatus       = "/messenger/RecordStatus"
 )
 
 type modelDocument struct {
@@ -226,6 +227,8 @@
 	KeepRecords(list []replicator.Record)
 	// FindRecord returns what this host knows of the record of a stream.
 	FindRecord(service, key string) pinner.Answer
+	// RecordStatus returns what this host has sent to a process of another host.
+	RecordStatus(process uint64) replicator.Status
 	// Mirror returns this host's copy of a table, or nil if it has none.
 	Mirror(table string) *mirrorer.Mirror
 }
@@ -278,5 +281,6 @@
 		describer.Unary(methodAdmit, (*service).admit),
 		describer.Unary(methodFollow, (*service).follow),
 		describer.Unary(methodReplicate, (*service).replicate),
-		describer.Unary(methodFind, (*service).find))
+		describer.Unary(methodFind, (*service).find),
+		describer.Unary(methodStatus, (*service).status))
 }
--- a/replicator/memory.go
+++ b/replicator/memory.go
@@ -1,49 +1,60 @@
 package replicator
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
 
-// maxRecords limits the records that a host keeps; some 200 bytes each.
+// maxRecords limits the records that a host keeps; some 250 bytes each.
 const maxRecords = 32768
 
 // entry is a record that the memory keeps.
 type entry struct {
 	Record
-	at  time.Time // when it was added
-	own bool      // the stream began at this host
+	at   time.Time // when the stream began
+	kept []uint64  // processes of other hosts that have the record
 }
 
 // memory holds the records of the lifetime of a stream.
 type memory struct {
 	lifetime time.Duration
 	mu       sync.Mutex
-	byKey    map[string]entry
-	order    []entry   // by time
+	byKey    map[string]*entry
+	order    []*entry  // by time
 	dropped  time.Time // of the latest record that was dropped before its time
 }
 
 func newMemory(lifetime time.Duration) *memory {
-	return &memory{lifetime: lifetime, byKey: make(map[string]entry)}
+	return &memory{lifetime: lifetime, byKey: make(map[string]*entry)}
 }
 
-// add adds records. Those that are known are left as they are.
-func (m *memory) add(now time.Time, own bool, records ...Record) {
+// newEntry returns the entry of a record that processes of other hosts have.
+func newEntry(now time.Time, r Record, kept ...uint64) *entry {
+	return &entry{Record: r, at: now.Add(-r.age), kept: kept}
+}
+
+// add adds entries. Records that are known are left as they are.
+func (m *memory) add(now time.Time, entries ...*entry) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.expire(now)
-	for _, r := range records {
-		if _, known := m.byKey[r.key]; known {
+	for _, e := range entries {
+		if _, known := m.byKey[e.key]; known || e.age > m.lifetime {
 			continue
 		}
-		if len(m.order) >= maxRecords {
-			m.dropped = m.order[0].at
-			m.removeFirst()
-		}
-		e := entry{Record: r, at: now, own: own}
-		m.byKey[r.key] = e
-		m.order = append(m.order, e)
+		i, _ := slices.BinarySearchFunc(m.order, e.at, func(old *entry, at time.Time) int {
+			if old.at.After(at) {
+				return 1
+			}
+			return -1 // records of the same time stay in the order in which they were added
+		})
+		m.byKey[e.key] = e
+		m.order = slices.Insert(m.order, i, e)
+	}
+	m.expire(now)
+	for len(m.order) > maxRecords {
+		m.dropped = m.order[0].at
+		m.removeFirst()
 	}
 }
 
@@ -63,8 +74,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expire(now)
-	e, ok := m.byKey[key]
-	return e.Record, ok
+	if e, ok := m.byKey[key]; ok {
+		return e.Record, true
+	}
+	return Record{}, false
 }
 
 // span returns the time before now in which no record was dropped.
@@ -74,16 +87,39 @@
 	return now.Sub(m.dropped)
 }
 
-// ownRecords returns the records of the streams that began at this host.
-func (m *memory) ownRecords(now time.Time) []Record {
+// records returns all records with their ages.
+func (m *memory) records(now time.Time) []Record {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expire(now)
-	var list []Record
+	list := make([]Record, 0, len(m.order))
 	for _, e := range m.order {
-		if e.own {
-			list = append(list, e.Record)
+		list = append(list, e.Aged(now.Sub(e.at)))
+	}
+	return list
+}
+
+// lacking returns the records with some keys that a process may lack, with their ages.
+func (m *memory) lacking(now time.Time, process uint64, keys []string) []Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire(now)
+	var list []Record
+	for _, key := range keys {
+		if e, ok := m.byKey[key]; ok && !slices.Contains(e.kept, process) {
+			list = append(list, e.Aged(now.Sub(e.at)))
 		}
 	}
 	return list
 }
+
+// markKept records that a process has copies of records.
+func (m *memory) markKept(process uint64, records []Record) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range records {
+		if e, ok := m.byKey[r.key]; ok && !slices.Contains(e.kept, process) {
+			e.kept = append(e.kept, process)
+		}
+	}
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -22,8 +23,9 @@
 	requestTimeout = 600 * time.Millisecond
 	// shareInterval is the time in which records that nobody waits for are collected.
 	shareInterval = 200 * time.Millisecond
-	// maxUnshared limits the records that are collected.
-	maxUnshared = 4096
+	// retryDelay is the time after which records are sent again to a host that did not
+	// answer.
+	retryDelay = time.Second
 )
 
 var (
@@ -39,16 +41,28 @@
 	Replicate(ctx context.Context, address string, records []Record) error
 	// Find asks the host for the record of a stream of a service.
 	Find(ctx context.Context, address, service, key string) (pinner.Answer, error)
+	// Status asks the host which of its records a process of this host has received.
+	Status(ctx context.Context, address string, process uint64) (Status, error)
 }
 
 // Members provides the hosts.
 type Members interface {
 	View() *enroller.View
 	Self() string
+	Process() uint64
+	CopiedAt() map[uint64]time.Time
 }
 
-// Coverage returns how far back this host has received the records of a service.
-type Coverage func(service string, now time.Time) pinner.Coverage
+// Coverage is how far back this host has received the records of services.
+type Coverage interface {
+	// Coverage returns how far back the records of a service reach.
+	Coverage(service string, now time.Time) pinner.Coverage
+	// Services returns the services that are known.
+	Services() []string
+	// MayCatchUp reports whether other hosts may hold records that this host has not
+	// received, and since when it has been without them.
+	MayCatchUp(now time.Time) (since time.Time, ok bool)
+}
 
 // Replicator keeps records and has other hosts keep them. It is safe for concurrent use.
 type Replicator struct {
@@ -59,7 +73,9 @@
 	log      *logger.Logger
 	work     sync.WaitGroup
 	mu       sync.Mutex
-	unshared []Record
+	pending  []string // keys of records whose keepers have not been looked at
+	outboxes outboxes
+	catchUp  catchUp
 }
 
 // New returns a replicator. Lifetime is the time after which a stream is over.
@@ -67,8 +83,39 @@
 	return &Replicator{remote: remote, members: members, coverage: coverage, memory: newMemory(lifetime), log: log.Component("replicator")}
 }
 
-// Keep keeps records of another host.
-func (r *Replicator) Keep(records []Record) { r.memory.add(time.Now(), false, records...) }
+// Keep keeps records of another host, which sends them to the other keepers, too. A host
+// that has joined lately may not be known there yet.
+func (r *Replicator) Keep(records []Record) {
+	now := time.Now()
+	entries := make([]*entry, 0, len(records))
+	var pending []string
+	for _, record := range records {
+		e := newEntry(now, record)
+		for _, h := range r.keepers(record.key, copies, false) {
+			if now.Sub(h.ProcessSeen()) > enroller.SettleTime {
+				e.kept = append(e.kept, h.Process())
+			}
+		}
+		if len(e.kept) < copies {
+			pending = append(pending, record.key)
+		}
+		entries = append(entries, e)
+	}
+	r.memory.add(now, entries...)
+	r.addPending(pending...)
+}
+
+// keepOwn keeps the record of a stream that began at this host.
+func (r *Replicator) keepOwn(record Record) {
+	now := time.Now()
+	r.memory.add(now, newEntry(now, record.From(r.members.Process())))
+}
+
+func (r *Replicator) addPending(keys ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pending = append(r.pending, keys...)
+}
 
 // Answer returns what this host knows of the record of a stream.
 func (r *Replicator) Answer(service, key string) pinner.Answer {
@@ -76,14 +123,16 @@
 	if record, ok := r.memory.find(now, key); ok {
 		return pinner.NewFound(record.version)
 	}
-	if c, ok := r.coverage(service, now).(pinner.Complete); ok {
-		return pinner.NewAbsent(pinner.NewComplete(min(c.Span(), r.memory.span(now))))
-	}
-	return pinner.NewAbsent(pinner.Incomplete{})
+	return pinner.NewAbsent(r.coverageOf(service, now))
 }
 
-// Own returns the records of the streams that began at this host.
-func (r *Replicator) Own() []Record { return r.memory.ownRecords(time.Now()) }
+// coverageOf returns how far back the records of a service reach here.
+func (r *Replicator) coverageOf(service string, now time.Time) pinner.Coverage {
+	if c, ok := r.coverage.Coverage(service, now).(pinner.Complete); ok {
+		return pinner.NewComplete(min(c.Span(), r.memory.span(now)))
+	}
+	return pinner.Incomplete{}
+}
 
 // Replicate keeps the record of a stream that began here, and has other hosts keep it. The
 // channel receives nil once enough of them do, or why they do not.
@@ -98,29 +147,34 @@
 }
 
 func (r *Replicator) replicate(record Record, copies, minCopies int) <-chan error {
-	r.memory.add(time.Now(), true, record)
+	r.keepOwn(record)
 	peers := r.keepers(record.key, copies, false)
 	done := make(chan error, 1)
 	if len(peers) == 0 {
+		r.addPending(record.key)
 		done <- ErrAlone
 		return done
 	}
 	results := make(chan error, len(peers))
 	for _, p := range peers {
-		r.work.Go(func() { results <- r.send(p, []Record{record}) })
+		r.work.Go(func() { results <- r.send(p, []Record{record.From(r.members.Process())}) })
 	}
 	r.work.Go(func() {
 		kept := 0
 		for range peers {
-			if err := <-results; err == nil {
-				kept++
+			if err := <-results; err != nil {
+				continue
 			}
-			if kept >= min(minCopies, len(peers)) {
+			if kept++; kept == min(minCopies, len(peers)) {
 				done <- nil
-				return
 			}
 		}
-		done <- errTooFewCopies
+		if kept < len(peers) {
+			r.addPending(record.key) // sent again, also to hosts that take the place of others
+		}
+		if kept < min(minCopies, len(peers)) {
+			done <- errTooFewCopies
+		}
 	})
 	return done
 }
@@ -131,49 +185,82 @@
 	err := r.remote.Replicate(ctx, peer.PeerAddress(), records)
 	if err != nil {
 		r.log.Warn("record-not-replicated", logger.With(logger.KeyPeer, peer.Name()), logger.With(logger.KeyCount, len(records)), logger.Err(err))
+		return fmt.Errorf("send records to host: %w", err)
 	}
-	return err
+	r.memory.markKept(peer.Process(), records)
+	return nil
 }
 
 // Share keeps the record of a stream that began here, and sends it to other hosts in the background.
 func (r *Replicator) Share(record Record) {
-	r.memory.add(time.Now(), true, record)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.unshared) < maxUnshared {
-		r.unshared = append(r.unshared, record)
-	}
+	r.keepOwn(record)
+	r.addPending(record.key)
 }
 
 // Close waits for the requests to other hosts. No record may be added from then on.
 func (r *Replicator) Close() { r.work.Wait() }
 
-// Run sends shared records to other hosts until ctx is done, and those that are left then.
+// Run sends records to the hosts that should keep them and may lack them until ctx is done,
+// and once more then.
 func (r *Replicator) Run(ctx context.Context) {
 	for sleeper.Sleep(ctx, shareInterval) == nil {
-		r.sendUnshared()
+		r.sendPending()
 	}
-	r.sendUnshared()
+	r.sendPending()
 }
 
-func (r *Replicator) sendUnshared() {
-	byPeer := make(map[*enroller.Host][]Record)
-	for _, record := range r.takeUnshared() {
-		for _, p := range r.keepers(record.key, copies, false) {
-			byPeer[p] = append(byPeer[p], record)
+// sendPending sends shared records, and all records to the hosts that have become keepers
+// because others have ended or joined.
+func (r *Replicator) sendPending() {
+	now, hosts := time.Now(), r.others()
+	byProcess := make(map[uint64][]string)
+	for _, key := range r.takePending(now, hosts) {
+		for _, h := range r.keepers(key, copies, false) {
+			byProcess[h.Process()] = append(byProcess[h.Process()], key)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for process, box := range r.outboxes.byProcess {
+		box.keys = append(box.keys, byProcess[process]...)
+		if keys := box.take(now); keys != nil {
+			host := box.host
+			r.work.Go(func() { r.deliver(host, box, keys) })
 		}
 	}
-	for p, list := range byPeer {
-		r.work.Go(func() { _ = r.send(p, list) }) // logged; the record is missing there
+}
+
+// takePending returns the keys of the records whose keepers are to be looked at: those of
+// all records if hosts have joined or ended. Without other hosts the records wait for that.
+func (r *Replicator) takePending(now time.Time, hosts []*enroller.Host) []string {
+	members := r.members.Process()
+	for _, h := range hosts {
+		members ^= h.Process() // does not depend on the order
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	pending := r.pending
+	r.pending = nil
+	if members == r.outboxes.members {
+		return pending
 	}
+	r.outboxes.reset(members, hosts)
+	pending = pending[:0]
+	for _, record := range r.memory.records(now) {
+		pending = append(pending, record.key)
+	}
+	return pending
 }
 
-func (r *Replicator) takeUnshared() []Record {
+// deliver sends the records with keys from an outbox that the host may lack.
+func (r *Replicator) deliver(host *enroller.Host, box *outbox, keys []string) {
+	var err error
+	if records := r.memory.lacking(time.Now(), host.Process(), keys); len(records) > 0 {
+		err = r.send(host, records)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	list := r.unshared
-	r.unshared = nil
-	return list
+	box.finish(time.Now(), keys, err)
 }
 
 // Find asks the hosts that may keep the record of a stream, this one included, and returns
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -41,10 +43,12 @@
 
 // cluster is a number of hosts that call each other.
 type cluster struct {
-	hosts map[string]*replicator.Replicator // by address
-	mu    sync.Mutex
-	down  map[string]bool // by address
-	calls int
+	table   *table
+	members map[int]*enroller.Enroller
+	hosts   map[string]*replicator.Replicator // by address
+	mu      sync.Mutex
+	down    map[string]bool // by address
+	calls   int
 }
 
 func (c *cluster) reach(address string) (*replicator.Replicator, error) {
@@ -73,6 +77,32 @@
 	return h.Answer(service, key), nil
 }
 
+func (c *cluster) Status(_ context.Context, address string, process uint64) (replicator.Status, error) {
+	h, err := c.reach(address)
+	if err != nil {
+		return replicator.Status{}, err
+	}
+	return h.Status(process, 0), nil
+}
+
+// coverage is that of a host that lacks no record, or of one that lacks those of the time
+// before it started.
+type coverage struct {
+	started time.Time
+	behind  bool
+}
+
+func (c coverage) Coverage(string, time.Time) pinner.Coverage {
+	if c.behind {
+		return pinner.NewComplete(time.Since(c.started))
+	}
+	return pinner.NewComplete(lifetime)
+}
+
+func (coverage) Services() []string { return []string{"s"} }
+
+func (c coverage) MayCatchUp(time.Time) (time.Time, bool) { return c.started, c.behind }
+
 func (c *cluster) count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -92,33 +122,60 @@
 // newCluster returns hosts that know each other and hold complete records.
 func newCluster(t *testing.T, n int) (*cluster, []*replicator.Replicator) {
 	t.Helper()
-	tab := &table{rows: make(map[string]storer.Change)}
-	c := &cluster{hosts: make(map[string]*replicator.Replicator), down: make(map[string]bool)}
-	var members []*enroller.Enroller
+	c := &cluster{
+		table: &table{rows: make(map[string]storer.Change)}, members: make(map[int]*enroller.Enroller),
+		hosts: make(map[string]*replicator.Replicator), down: make(map[string]bool),
+	}
+	var list []*replicator.Replicator
 	for i := range n {
-		e := enroller.New(enroller.NewLocalHost(fmt.Sprintf("10.0.0.%d", i), "", address(i), "z", "r", 0),
-			enroller.NewTiming(time.Hour, time.Hour, time.Hour, time.Hour, time.Hour), tab, logger.Nop())
-		ctx, cancel := context.WithCancel(t.Context())
-		go e.Run(ctx)
-		synctest.Wait()
-		cancel()
-		members = append(members, e)
+		list = append(list, c.start(t, i, coverage{}))
 	}
+	return c, list
+}
+
+// start starts a process of a host, which knows nothing of the one before it.
+func (c *cluster) start(t *testing.T, host int, covers coverage) *replicator.Replicator {
+	t.Helper()
+	e := enroller.New(enroller.NewLocalHost(fmt.Sprintf("10.0.0.%d", host), "", address(host), "z", "r", 0),
+		enroller.NewTiming(time.Hour, time.Hour, time.Hour, time.Hour, time.Hour), c.table, logger.Nop())
+	ctx, cancel := context.WithCancel(t.Context())
+	go e.Run(ctx)
 	synctest.Wait()
-	var rows []storer.Change
-	for _, r := range tab.rows {
-		rows = append(rows, r)
-	}
-	covers := func(string, time.Time) pinner.Coverage { return pinner.NewComplete(lifetime) }
-	var list []*replicator.Replicator
-	for i, e := range members {
+	cancel()
+	synctest.Wait()
+	r := replicator.New(c, e, covers, lifetime, logger.Nop())
+	c.mu.Lock()
+	c.hosts[address(host)] = r
+	c.mu.Unlock()
+	c.members[host] = e
+	c.publish()
+	return r
+}
+
+// publish passes the rows of the hosts to all.
+func (c *cluster) publish() {
+	rows := slices.Collect(maps.Values(c.table.rows))
+	for _, e := range c.members {
 		e.Replace(rows)
-		e.Contact(tab.version, 0, 0)
-		r := replicator.New(c, e, covers, lifetime, logger.Nop())
-		c.hosts[address(i)] = r
-		list = append(list, r)
+		e.Contact(c.table.version, 0, 0)
 	}
-	return c, list
+}
+
+// end ends a host, whose row is removed.
+func (c *cluster) end(host int) {
+	c.setDown(true, host)
+	delete(c.members, host)
+	delete(c.table.rows, fmt.Sprintf("host/10.0.0.%d", host))
+	c.publish()
+}
+
+// replace ends a host and starts it again some seconds later.
+func (c *cluster) replace(t *testing.T, host int, covers coverage) *replicator.Replicator {
+	t.Helper()
+	c.end(host)
+	time.Sleep(3 * time.Second)
+	c.setDown(false, host)
+	return c.start(t, host, covers)
 }
 
 // find returns what hosts answer, in short.
@@ -198,12 +255,12 @@
 		cancel()
 		<-done
 		is.Equal(c.count(), 4)
-		is.Equal(len(hosts[0].Own()), 100)
+		is.Equal(len(hosts[0].Responsible()), 100)
 		found, _ := find(t, hosts[3], "stream7")
 		is.Equal(found, 5)
 
 		time.Sleep(lifetime + time.Second)
-		is.Equal(len(hosts[0].Own()), 0)
+		is.Equal(len(hosts[0].Responsible()), 0)
 		is.Equal(hosts[3].Answer("s", replicator.Key("s", "stream7")), pinner.NewAbsent(pinner.NewComplete(lifetime)))
 	})
 }
@@ -238,6 +295,125 @@
 	})
 }
 
+// run runs a host until the end of the test.
+func run(t *testing.T, r *replicator.Replicator) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { r.Run(ctx); close(done) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		r.Close()
+	})
+}
+
+// Guards against records that end with their keepers although their streams go on: hosts
+// that end one after the other leave fewer and fewer copies.
+func TestKeepersEndInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, hosts := newCluster(t, 8)
+		for _, h := range hosts {
+			run(t, h)
+		}
+		for i := range 40 {
+			is.NoErr(<-hosts[0].Replicate(replicator.NewRecord("s", fmt.Sprint("stream", i), "v2")))
+		}
+		time.Sleep(5 * time.Second)
+		before := c.count()
+		for i := range hosts {
+			hosts[i] = c.replace(t, i, coverage{})
+			run(t, hosts[i])
+			time.Sleep(2 * time.Second)
+		}
+		is.True(c.count()-before <= 8*2*7*7) // at each change one batch of each host to each other one
+		for i := range 40 {
+			found, absent := find(t, hosts[i%8], fmt.Sprint("stream", i))
+			is.Equal(found, 5)
+			is.Equal(absent, 0)
+		}
+		time.Sleep(lifetime) // copies of copies are as old as the first one
+		found, _ := find(t, hosts[0], "stream0")
+		is.Equal(found, 0)
+	})
+}
+
+// Guards against shared records that are dropped while no other host is known, as just
+// after a restore of the store.
+func TestShareAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, hosts := newCluster(t, 1)
+		run(t, hosts[0])
+		hosts[0].Share(replicator.NewRecord("s", "first", "v1"))
+		time.Sleep(2 * time.Second)
+		c.start(t, 1, coverage{})
+		time.Sleep(time.Second)
+		found, _ := find(t, hosts[0], "first")
+		is.Equal(found, 2)
+	})
+}
+
+// Guards against a host that starts and claims to lack no record before others have sent
+// theirs, and against one that lacks records for a stream's lifetime although others have
+// sent them.
+func TestCatchUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, hosts := newCluster(t, 6)
+		for _, h := range hosts[1:] {
+			run(t, h)
+		}
+		for i := range 20 {
+			is.NoErr(<-hosts[0].Replicate(replicator.NewRecord("s", fmt.Sprint("stream", i), "v2")))
+		}
+		time.Sleep(5 * time.Second)
+		started := time.Now()
+		h := c.replace(t, 0, coverage{started: started, behind: true})
+		c.setDown(true, 1, 2)
+		_, ok := h.CatchUp(t.Context())
+		is.True(!ok) // the others have not sent their records
+		time.Sleep(time.Second)
+		_, ok = h.CatchUp(t.Context())
+		is.True(!ok) // two hosts do not answer
+		c.setDown(false, 2)
+		time.Sleep(2 * time.Second)
+		from, ok := h.CatchUp(t.Context())
+		is.True(ok) // one host may have ended
+		is.True(!from["s"].After(time.Now().Add(-lifetime)))
+		c.setDown(false, 1)
+		time.Sleep(2 * time.Second)
+		for i := range 20 {
+			found, _ := find(t, h, fmt.Sprint("stream", i))
+			is.Equal(found, 5)
+		}
+	})
+}
+
+// Guards against hosts that start together and count each other's empty memories as proof,
+// and that wait for each other for ever.
+func TestCatchUpTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, hosts := newCluster(t, 6)
+		for _, h := range hosts[3:] {
+			run(t, h)
+		}
+		started := time.Now()
+		for i := range 3 {
+			hosts[i] = c.replace(t, i, coverage{started: started, behind: true})
+			run(t, hosts[i])
+		}
+		for range 12 {
+			time.Sleep(time.Second)
+			from, ok := hosts[0].CatchUp(t.Context())
+			is.Equal(ok, time.Since(started) > 10*time.Second)
+			is.True(!ok || !from["s"].Before(started))
+		}
+	})
+}
+
 func ExampleKey() {
 	fmt.Println(len(replicator.Key("chat", "an id of any length")))
 	// Output:
