archiver, assembler: store records again after a restore, and say when none is missing

Callers that took streams up were refused for two minutes after a restore once the hosts that knew the streams had ended: an absent record of the store proved nothing for that long, because nobody knew when hosts had stored again what was lost.

Each host stores again the records of streams that began there or at a host that has ended, and the host that keeps the states of services asks all others whether that is done. The row of the service then says that no record is missing.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -72,6 +72,7 @@
 	queue    *queue
 	records  Records
 	replicas Replicas
+	restated restatement
 
 	failedAt    atomic.Int64              // Unix nanoseconds of the last failed call to the store
 	endpointsAt atomic.Pointer[time.Time] // when the endpoints were read last
@@ -97,21 +98,6 @@
 // Run stores records until ctx is done.
 func (a *Archiver) Run(ctx context.Context) { a.queue.run(ctx) }
 
-// Restored implements follower.Handler. The store may have lost records, which this host
-// writes again as far as the streams began here or at a host that has ended.
-func (a *Archiver) Restored() {
-	now := time.Now()
-	for _, r := range a.replicas.Responsible() {
-		if _, ok := a.pinner.Recording(r.Service(), r.Version(), now).(pinner.Stored); !ok {
-			continue
-		}
-		if err := a.queue.add(newRecord(r)); err != nil {
-			a.log.Warn("records-not-stored", logger.Err(err))
-			return
-		}
-	}
-}
-
 // Contact implements follower.Handler.
 func (a *Archiver) Contact(v storer.Version, _, age time.Duration) {
 	now := time.Now()
--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -259,6 +259,41 @@
 	})
 }
 
+// Guards against a host that says that the store has all records again while it has yet to
+// store some, and against records that are stored again without end.
+func TestRestatedEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		hosts, records, others := newTable(), newTable(), newPeers()
+		a, stop := start(t, hosts, records, others)
+		defer stop()
+		a.serve(t, 5*time.Second, "v1")
+		a.serve(t, 10*time.Second, "v1", "v2")
+		for i := range 120 {
+			is.NoErr(a.Record(t.Context(), "s", fmt.Sprint("stream", i), "v2"))
+		}
+		records.clear()
+		records.restore()
+		hosts.restore()
+		records.set(true, false)
+		is.Equal(a.RestatedEra(), uint64(0))
+		a.Restored()
+		time.Sleep(time.Second)
+		is.Equal(a.RestatedEra(), uint64(0)) // the store is away
+		records.set(false, false)
+		a.read()
+		time.Sleep(time.Second)
+		is.Equal(a.RestatedEra(), uint64(1))
+		is.Equal(records.count(), 120)
+		commits := records.commits
+		for range 10 {
+			a.Restate()
+			time.Sleep(250 * time.Millisecond)
+		}
+		is.Equal(records.commits, commits)
+	})
+}
+
 // Guards against a store that counts as failing because a look-up did not need its answer,
 // so that streams are refused or may not begin at a version, and against a look-up that
 // gives up a slow store although nothing else can tell.
--- a/archiver/fake_test.go
+++ b/archiver/fake_test.go
@@ -44,6 +44,10 @@
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	tb.era++
+	tb.version = storer.NewVersion(tb.era, tb.version.Number())
+	for key, r := range tb.rows {
+		tb.rows[key] = storer.NewRow(key, r.Value(), storer.NewVersion(tb.era, r.Version().Number()))
+	}
 }
 
 func (tb *table) count() int {
--- a/archiver/rows.go
+++ b/archiver/rows.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/encoder"
@@ -15,6 +16,7 @@
 // answer was lost.
 func (a *Archiver) store(ctx context.Context, batch []*record) error {
 	exists := make(map[string]bool)
+	era := uint64(math.MaxUint64) // the earliest of the answers
 	for len(exists) < len(batch) {
 		writes := make([]storer.Write, 0, len(batch))
 		for _, r := range batch {
@@ -28,11 +30,12 @@
 			writes = append(writes, storer.NewPut(r.Key(), value, 0))
 		}
 		limited, cancel := context.WithTimeout(ctx, writeTimeout)
-		_, err := a.records.Commit(limited, writes...)
+		version, err := a.records.Commit(limited, writes...)
 		cancel()
 		var conflict *storer.RowConflict
 		switch {
 		case err == nil:
+			a.restated.add(min(era, version.Era()), batch)
 			return nil
 		case !errors.As(err, &conflict) || len(conflict.Changes()) == 0:
 			a.failedAt.Store(time.Now().UnixNano())
@@ -41,8 +44,10 @@
 		}
 		for _, c := range conflict.Changes() {
 			exists[c.Key()] = true
+			era = min(era, c.Version().Era())
 		}
 	}
+	a.restated.add(era, batch)
 	return nil
 }
 
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -289,7 +289,7 @@
 }
 
 func (p peerHandler) RecordStatus(process uint64) replicator.Status {
-	return p.host.replicator.Status(process, 0)
+	return p.host.replicator.Status(process, p.host.archiver.RestatedEra())
 }
 
 func (p peerHandler) Mirror(table string) *mirrorer.Mirror { return p.host.mirrors[table] }
--- a/assembler/lostrecord_test.go
+++ b/assembler/lostrecord_test.go
@@ -107,6 +107,8 @@
 		}
 		if status == http.StatusOK {
 			goOn++
+		} else {
+			d.t.Log(status, d.logs.lines(again), d.logs.lines(stream))
 		}
 	}
 	return goOn
@@ -286,6 +288,28 @@
 	is.Equal(d.resumeAll(hostB, list), len(list))
 }
 
+// Guards against streams that are refused after a restore of the store because all hosts
+// have ended since, and against those that then go on at another software version.
+func TestAllHostsEndAfterRestore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newVersions(t)
+	d.addNewer()
+	for _, host := range []string{hostA, hostB, hostC} {
+		d.start(host)
+	}
+	time.Sleep(knownTime + 4*time.Second) // the copy has renewals of hosts
+	saved := d.store.Copy()
+	time.Sleep(2 * time.Second) // hosts can tell renewals before the copy from those after the restore
+	list := append(d.beginAll(hostA), d.beginAtNewer(hostB)...)
+	d.restore(saved)
+	time.Sleep(6 * time.Second)
+	list = append(list, d.beginAtNewer(hostA)...)
+	is.Equal(len(list), 3*streams)
+	d.restartAll(hostA, hostB, hostC)
+	is.Equal(d.resumeAll(hostC, list), len(list))
+}
+
 // Guards against streams that are refused at a host which has just started and does not know
 // yet which hosts may hold their records.
 func TestTakenUpAtStart(t *testing.T) {
--- a/assembler/software.go
+++ b/assembler/software.go
@@ -19,6 +19,9 @@
 	recordInterval = time.Minute
 	// catchUpInterval is the time between two requests for the records that other hosts hold.
 	catchUpInterval = time.Second
+	// restateInterval is the time between two requests for what other hosts have stored
+	// again after a restore of the store.
+	restateInterval = time.Second
 )
 
 // softwareDuty is what one host does for all: it writes the software versions of services.
@@ -33,11 +36,17 @@
 func (h *Host) keepSoftwareVersions(ctx context.Context) {
 	lastLook := time.Now()
 	mayBeLeft := true // an earlier process may have stored records
+	var lastRestate time.Time
 	for sleeper.Sleep(ctx, softwareInterval) == nil {
 		mayBeLeft = h.observeSoftware() || mayBeLeft
+		h.archiver.Restate()
 		if h.members.View().FirstChoice(softwareDuty{}) != h.members.Self() {
 			continue
 		}
+		if time.Since(lastRestate) > restateInterval && h.pinner.AwaitsRestatement(time.Now()) {
+			lastRestate = time.Now()
+			h.collectRestatements(ctx)
+		}
 		h.archiver.Synchronise(ctx)
 		if !mayBeLeft || time.Since(lastLook) < recordInterval {
 			continue
@@ -51,6 +60,20 @@
 	}
 }
 
+// collectRestatements asks all hosts whether they have stored again what a restore of the
+// store may have lost.
+func (h *Host) collectRestatements(ctx context.Context) {
+	hosts, ok := h.replicator.Restatements(ctx)
+	if !ok {
+		return
+	}
+	own := h.replicator.Status(h.members.Process(), h.archiver.RestatedEra())
+	hosts = append(hosts, own.Restatement)
+	for _, service := range h.pinner.Services() {
+		h.pinner.Restate(service, hosts)
+	}
+}
+
 // catchUpRecords takes over the records of streams that other hosts hold when this host has
 // started, or has stood still, while several versions of a service serve.
 func (h *Host) catchUpRecords(ctx context.Context) {
