storer, platform, enroller: keep transactions within what the store accepts

Engines of many hosts that ended at once stayed without an owner: a claim of 40 engines with checks of more than 20 former owners has over 100 entries, the store rejects it, and it was sent again each half second.

storer.Batch counts entries and bytes; claims and deletions are split by it. platform refuses a transaction that is too large before it is sent, and reports a permanent rejection as such. A rejected claim is made smaller and waits longer each time.

TestRejectedClaim, TestBatch and TestRejectedCommit are new.

--- a/archiver/queue.go
+++ b/archiver/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/dragonflyford/dragonflyford/replicator"
 	"github.com/dragonflyford/dragonflyford/sleeper"
+	"github.com/dragonflyford/dragonflyford/storer"
 )
 
 const (
@@ -108,31 +110,49 @@
 		case <-ctx.Done():
 			return
 		}
-		for batch := q.next(); len(batch) > 0; batch = q.next() {
-			if err := q.store(ctx, batch); err != nil {
-				if sleeper.Sleep(ctx, retryDelay) != nil {
-					return
+		for size := maxBatch; ; {
+			batch := q.next(size)
+			if len(batch) == 0 {
+				break
+			}
+			err := q.store(ctx, batch)
+			switch {
+			case err == nil:
+				q.remove(batch)
+				for _, r := range batch {
+					close(r.stored)
 				}
 				continue
+			case rejected(err) && len(batch) == 1:
+				q.remove(batch) // it would be rejected again; whoever waits for it gives up
+			case rejected(err):
+				size = 1
+			}
+			if sleeper.Sleep(ctx, retryDelay) != nil {
+				return
 			}
-			q.remove(batch)
 		}
 	}
 }
 
-func (q *queue) next() []*record {
+// rejected reports whether the store would reject the same write again.
+func rejected(err error) bool {
+	return errors.Is(err, storer.ErrTooLarge) || errors.Is(err, storer.ErrRejected)
+}
+
+// next returns the first records, up to a number.
+func (q *queue) next(size int) []*record {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return append([]*record(nil), q.waiting[:min(len(q.waiting), maxBatch)]...)
+	return append([]*record(nil), q.waiting[:min(len(q.waiting), size)]...)
 }
 
-// remove removes the first records, which are stored.
+// remove removes the first records.
 func (q *queue) remove(batch []*record) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.waiting = append([]*record(nil), q.waiting[len(batch):]...)
 	for _, r := range batch {
 		delete(q.byKey, r.Key())
-		close(r.stored)
 	}
 }
--- a/archiver/rows.go
+++ b/archiver/rows.go
@@ -72,12 +72,10 @@
 		}
 	}
 	a.stamps = stamps
-	for len(writes) > 0 {
-		n := min(len(writes), maxBatch)
-		if _, err := a.records.Commit(ctx, writes[:n]...); err != nil {
+	for _, batch := range storer.Batches(writes) {
+		if _, err := a.records.Commit(ctx, batch.Writes()...); err != nil {
 			return len(all.List()), fmt.Errorf("delete records: %w", err)
 		}
-		writes = writes[n:]
 	}
 	return len(all.List()), nil
 }
--- a/enroller/claim.go
+++ b/enroller/claim.go
@@ -19,13 +19,41 @@
 	// started at the same time may first be seen.
 	joinWindow = 2500 * time.Millisecond
 	// maxClaims limits the number of engines claimed, or rows deleted, in one
-	// transaction.
+	// transaction. More that have vacant owners may not fit.
 	maxClaims = 40
 	// staleAfter is how long the row of a host that stopped renewing it is
 	// kept.
 	staleAfter = 5 * time.Minute
 )
 
+// claims limits the claims of a host after the store has rejected one.
+type claims struct {
+	limit     int           // engines of the next claim; 0 for maxClaims
+	delay     time.Duration // since the latest rejection
+	notBefore time.Duration // on the enroller's clock
+}
+
+// Bounds of the time until the next claim after the store has rejected one.
+const (
+	minClaimDelay = time.Second
+	maxClaimDelay = time.Minute
+)
+
+func (c claims) size() int {
+	if c.limit == 0 {
+		return maxClaims
+	}
+	return c.limit
+}
+
+// reject makes the next claim smaller, and delays it more each time: one that is rejected
+// would be rejected again.
+func (c *claims) reject(engines int, now time.Duration) {
+	c.limit = max(engines/2, 1)
+	c.delay = min(max(2*c.delay, minClaimDelay), maxClaimDelay)
+	c.notBefore = now + c.delay
+}
+
 // Engine is an engine that needs an owner.
 type Engine interface {
 	ID() string
@@ -38,10 +66,10 @@
 // change hands.
 func (e *Enroller) Claim(ctx context.Context, engines []Engine) {
 	v := e.View()
-	if !e.mayClaim(v) || e.reclaim(ctx, v, engines) {
+	if e.clock() < e.claims.notBefore || !e.mayClaim(v) || e.reclaim(ctx, v, engines) {
 		return
 	}
-	writes := make([]storer.Write, 0, maxClaims)
+	var batch storer.Batch
 	var taken []string
 	var earliest time.Duration
 	checked := make(map[string]bool)
@@ -56,24 +84,24 @@
 			e.log.Error("claim-not-encoded", logger.Err(err))
 			return
 		}
-		writes = append(writes, storer.NewPut(ownerPrefix+engine.ID(), value, owner.version))
+		group := []storer.Write{storer.NewPut(ownerPrefix+engine.ID(), value, owner.version)}
 		if old := v.hosts[owner.host]; old != nil && !checked[owner.host] {
-			checked[owner.host] = true
-			writes = append(writes, storer.NewCheck(hostPrefix+owner.host, old.version))
+			group = append(group, storer.NewCheck(hostPrefix+owner.host, old.version))
 		}
+		if len(taken) == e.claims.size() || !batch.Add(group...) {
+			break // the others are claimed at the next call
+		}
+		checked[owner.host] = true
 		if owned {
 			earliest = max(earliest, e.earliestOrder(v.hosts[owner.host]))
 		}
 		taken = append(taken, engine.ID())
-		if len(taken) == maxClaims {
-			break
-		}
 	}
 	if len(taken) > 0 {
 		e.mu.Lock()
 		earliest = max(earliest, e.settledAt)
 		e.mu.Unlock()
-		e.commitClaim(ctx, taken, writes, earliest)
+		e.commitClaim(ctx, taken, batch.Writes(), earliest)
 	}
 }
 
@@ -177,11 +205,16 @@
 		e.Apply(conflict.Changes())
 		e.log.Info("claim-lost", logger.With(logger.KeyCount, len(engines)), logger.Err(err))
 		return true
+	case errors.Is(err, storer.ErrTooLarge), errors.Is(err, storer.ErrRejected):
+		e.claims.reject(len(engines), e.clock())
+		e.log.Error("claim-rejected", logger.With(logger.KeyCount, len(engines)), logger.Err(err))
+		return false
 	case err != nil:
 		// If the claim was committed, the change feed of the table delivers it.
 		e.log.Warn("claim-uncertain", logger.With(logger.KeyCount, len(engines)), logger.Err(err))
 		return false
 	}
+	e.claims = claims{}
 	changes := make([]storer.Change, 0, len(engines))
 	for _, w := range writes {
 		if put, ok := w.(storer.Put); ok {
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -90,6 +90,7 @@
 	view           atomic.Pointer[View]
 	earliestOrders atomic.Pointer[map[string]time.Duration] // by engine: when orders may first be sent, on clock
 	releases       atomic.Pointer[map[string]release]       // engines of this host that have no entry
+	claims         claims                                   // used by Claim only
 	joinedAt       time.Time                                // when this process first wrote its row
 	// After a restore of the store, another host may act on rows that are lost until
 	// settledAt, on clock. Kept holds the engines that this host owned without
--- a/enroller/harness_test.go
+++ b/enroller/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -25,6 +26,8 @@
 	lost    map[string]bool  // writes are applied but their answers are lost, by host
 
 	deletionsFail bool // without an effect
+	rejecting     atomic.Bool // claims of engines
+	rejected      atomic.Int64
 }
 
 func newTable() *table {
@@ -45,6 +48,15 @@
 	if err := t.fail[by]; err != nil {
 		return 0, err
 	}
+	entries, claims := 0, false
+	for _, w := range writes {
+		entries += storer.Entries(w)
+		claims = claims || strings.HasPrefix(w.Key(), "owner/")
+	}
+	if entries > storer.MaxEntries || claims && t.rejecting.Load() {
+		t.rejected.Add(1)
+		return 0, storer.ErrRejected
+	}
 	var present []storer.Change
 	conflict, pastEra := "", false
 	for _, w := range writes {
@@ -157,7 +169,7 @@
 
 var engines = []enroller.Engine{engine("e1"), engine("e2"), engine("e3"), engine("e4"), engine("e5"), engine("e6")}
 
-func (h *host) claimLoop(ctx context.Context) {
+func (h *host) claimLoop(ctx context.Context, engines []enroller.Engine) {
 	for ctx.Err() == nil {
 		h.Claim(ctx, engines)
 		time.Sleep(500 * time.Millisecond)
@@ -166,12 +178,18 @@
 
 // start runs hosts until stop is called.
 func start(t *testing.T, hosts ...*host) (stop func()) {
+	t.Helper()
+	return startWith(t, engines, hosts...)
+}
+
+// startWith runs hosts that share some engines until stop is called.
+func startWith(t *testing.T, engines []enroller.Engine, hosts ...*host) (stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	for _, h := range hosts {
 		running.Go(func() { h.run(ctx) })
-		running.Go(func() { h.claimLoop(ctx) })
+		running.Go(func() { h.claimLoop(ctx, engines) })
 	}
 	return func() {
 		cancel()
--- a/storer/feed.go
+++ b/storer/feed.go
@@ -77,7 +77,8 @@
 // Committer applies conditional writes.
 type Committer interface {
 	// Commit applies all writes or none and returns the new version of the rows. It
-	// fails like Table.Commit.
+	// fails like Table.Commit, with ErrTooLarge if the writes exceed a Batch, or with
+	// ErrRejected.
 	Commit(ctx context.Context, writes ...Write) (Version, error)
 }
 
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -18,6 +18,12 @@
 	ErrUnavailable = eris.New("service unavailable")
 	// ErrUncertain reports a write that may or may not have been applied.
 	ErrUncertain = eris.New("write may or may not have been applied")
+	// ErrTooLarge reports a commit that was not sent, because it has more entries or bytes
+	// than the service takes.
+	ErrTooLarge = eris.New("commit is too large")
+	// ErrRejected reports a commit that the service does not accept. It had no effect, and
+	// would be rejected again.
+	ErrRejected = eris.New("commit was rejected")
 )
 
 // ConflictError reports the row whose version did not match.
