--- a/enroller/claim.go
+++ b/enroller/claim.go
@@ -19,7 +19,8 @@
 	// started at the same time may first be seen.
 	joinWindow = 2500 * time.Millisecond
 	// maxClaims limits the number of engines claimed, or rows deleted, in one
-	// transaction. More that have vacant owners may not fit.
+	// transaction. A claim that checks the rows of many former owners has fewer, as a
+	// storer.Batch takes no more.
 	maxClaims = 40
 	// staleAfter is how long the row of a host that stopped renewing it is
 	// kept.
