--- a/enroller/harness_test.go
+++ b/enroller/harness_test.go
@@ -25,7 +25,7 @@
 	fail    map[string]error // error that commits return, by host
 	lost    map[string]bool  // writes are applied but their answers are lost, by host
 
-	deletionsFail bool // without an effect
+	deletionsFail bool        // without an effect
 	rejecting     atomic.Bool // claims of engines
 	rejected      atomic.Int64
 }
