relayer, exchanger: do not mark calls to endpoints that send bytes without end as crashing

Callers were refused with "3 endpoints broke off while they ran the call" where endpoints sent heads or events without end: the host gave the answer up, counted that as a crash of the endpoint under the call, and all hosts refused the call after three. A sick endpoint also got the next call, because a first broken connection ejects nobody.

TestCrashMarks (three cases) and TestEndlessIsEjected fail without the change.

--- a/exchanger/bound.go
+++ b/exchanger/bound.go
@@ -6,8 +6,8 @@
 	"github.com/rotisserie/eris"
 )
 
-// errTooLong reports a head of a response without end.
-var errTooLong = eris.New("head of the response exceeds the maximum length")
+// ErrTooLong reports a head of a response without end.
+var ErrTooLong = eris.New("head of the response exceeds the maximum length")
 
 // boundedReader reads at most a number of bytes while a bound is set. An endpoint in
 // trouble may send a head without end, which would be kept in memory.
@@ -28,7 +28,7 @@
 		return b.Reader.Read(p)
 	}
 	if b.left == 0 {
-		return 0, errTooLong
+		return 0, ErrTooLong
 	}
 	n, err := b.Reader.Read(p[:min(len(p), b.left)])
 	b.left -= n
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -89,7 +89,7 @@
 	}
 	switch {
 	case err == nil && !b.lost && b.scanner.size > maxEvent:
-		b.endpoint.Failed()
+		b.endpoint.ConnectionFailed()
 		err = errEventTooLong
 	case err == nil || b.ended || b.lost:
 		return n, err
@@ -119,7 +119,7 @@
 		return
 	}
 	b.call.logEvent("stream-lost", b.endpoint, logger.With(logger.KeyCount, b.scanner.events), logger.Err(cause), b.call.promptParts())
-	if b.scanner.events == 0 {
+	if b.scanner.events == 0 && !endless(cause) {
 		b.call.recordCrash(b.endpoint)
 	}
 }
--- a/relayer/outcome.go
+++ b/relayer/outcome.go
@@ -62,6 +62,25 @@
 	return newAnswer(a, a.Body(), e.ID(), c.sends, streaming)
 }
 
+// recordLoss records that an endpoint broke off, and whether that was before the output of
+// the call began. One that sends bytes without end is ejected at once, as no network
+// explains that, and has not crashed: the call must not be refused for it elsewhere.
+func (c *callState) recordLoss(e *tracker.Endpoint, cause error, beforeOutput bool) {
+	if endless(cause) {
+		e.ConnectionFailed()
+		return
+	}
+	e.ConnectionBroken()
+	if beforeOutput {
+		c.recordCrash(e)
+	}
+}
+
+// endless reports whether an endpoint sent a head or an event without end.
+func endless(cause error) bool {
+	return errors.Is(cause, exchanger.ErrTooLong) || errors.Is(cause, errEventTooLong)
+}
+
 // recordCrash records that an endpoint broke off before the output of the call began.
 func (c *callState) recordCrash(e *tracker.Endpoint) {
 	process := fmt.Sprintf("%s/%d", e.ID(), e.Born())
@@ -147,8 +166,7 @@
 		e.Failed()
 		return final(classifier.NewExpired("the endpoint did not answer in time", classifier.MayHaveRun(), classifier.Cause(cause)))
 	default:
-		e.ConnectionBroken()
-		c.recordCrash(e)
+		c.recordLoss(e, cause, true)
 	}
 	c.excluded[e] = true
 	fault := classifier.NewUncertain("the endpoint broke off", classifier.Cause(cause))
--- a/relayer/resumer.go
+++ b/relayer/resumer.go
@@ -143,10 +143,7 @@
 	if c.ctx.Err() != nil {
 		return context.Cause(c.ctx)
 	}
-	r.endpoint.ConnectionBroken()
-	if !r.begun {
-		c.recordCrash(r.endpoint)
-	}
+	c.recordLoss(r.endpoint, cause, !r.begun)
 	c.excluded[r.endpoint] = true
 	if len(c.sent) >= c.call.Route().MaxAttempts() {
 		return cause
--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -185,6 +185,32 @@
 	}
 }
 
+func endlessHead(context.Context, *exchanger.Outbound) (*exchanger.Answer, error) {
+	return nil, fmt.Errorf("read response: %w", exchanger.ErrTooLong)
+}
+
+func endlessEvent(_ context.Context, out *exchanger.Outbound) (*exchanger.Answer, error) {
+	return answer(200, out, false, letters{new(int)}, -1), nil
+}
+
+// Guards against an endpoint that sends bytes without end and gets the next call, too.
+func TestEndlessIsEjected(t *testing.T) {
+	for _, f := range []endpointFunc{endlessHead, endlessEvent} {
+		for _, resumable := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newHarness(map[string][]endpointFunc{"e1": {f}})
+				if a, err := r.Apply(t.Context(), screenedCall(t, router.NewStream(resumable), 1, connector.Model{})); err == nil {
+					_, err = io.ReadAll(a.Body())
+					is.True(err != nil)
+					is.NoErr(a.Body().Close())
+				}
+				is.True(r.fleet.Current().Endpoint("e1").Ejected(time.Now()))
+			})
+		}
+	}
+}
+
 // Guards against an endpoint that crashes when it begins to answer a call, after the
 // head of its answer, and leaves no mark on the call; and against a mark on a call that
 // had output.
@@ -205,6 +231,9 @@
 		{"complete", router.NewStream(false), streams(0, 3, nil), 0, 1},
 		{"in pieces", router.NewStream(false), inPieces(streams(0, 3, nil)), 0, 1},
 		{"refused", router.NewStream(false), refuses(503), 0, 0},
+		{"head without end", router.NewStream(true), endlessHead, 0, 0},
+		{"event without end", router.NewStream(false), endlessEvent, 0, 0},
+		{"event without end, resumable", router.NewStream(true), endlessEvent, 0, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
