--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -295,7 +295,7 @@
 
 // Guards against a store that counts as failing because a look-up did not need its answer,
 // so that streams are refused or may not begin at a version, and against a look-up that
-// gives up a slow store although nothing else can tell.
+// does not wait for a slow store although no other source knows.
 func TestSlowStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -305,6 +305,6 @@
 		is.Equal(a.resolve(t, "stream"), "v2") // other hosts know it
 		time.Sleep(time.Second)
 		is.Equal(a.Beginning("s", "v2"), pinner.Allowed{})
-		is.Equal(a.resolve(t, "other"), "v1") // only the store can tell
+		is.Equal(a.resolve(t, "other"), "v1") // only the store knows
 	})
 }
--- a/assembler/lostrecord_test.go
+++ b/assembler/lostrecord_test.go
@@ -294,7 +294,7 @@
 	d := newVersions(t)
 	d.startMixed(hostA, hostB, hostC)
 	saved := d.store.Copy()
-	time.Sleep(2 * time.Second) // hosts can tell renewals before the copy from those after the restore
+	time.Sleep(2 * time.Second) // older than a renewal may take, so that hosts know the age of the copy
 	list := append(d.beginAll(hostA), d.beginAtNewer(hostB)...)
 	d.restore(saved)
 	time.Sleep(6 * time.Second)
--- a/enroller/copied.go
+++ b/enroller/copied.go
@@ -14,7 +14,7 @@
 const clockError = time.Second
 
 // CopiedAt returns, by the era that a restore of the store began, a time up to which the copy
-// has all writes. It has no time of a restore that this process has not seen.
+// has all writes. Restores before this process started are missing.
 func (e *Enroller) CopiedAt() map[uint64]time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/relayer/outcome.go
+++ b/relayer/outcome.go
@@ -62,9 +62,9 @@
 	return newAnswer(a, a.Body(), e.ID(), c.sends, streaming)
 }
 
-// recordLoss records that an endpoint broke off, and whether that was before the output of
-// the call began. One that sends bytes without end is ejected at once, as no network
-// explains that, and has not crashed: the call must not be refused for it elsewhere.
+// recordLoss records that a call was lost at an endpoint, and whether that was before its
+// output began. An endpoint that sends bytes without end is ejected at once, because the
+// network cannot be the cause. It has not crashed, so that the call gets no crash mark.
 func (c *callState) recordLoss(e *tracker.Endpoint, cause error, beforeOutput bool) {
 	if endless(cause) {
 		e.ConnectionFailed()
--- a/replicator/catchup.go
+++ b/replicator/catchup.go
@@ -17,8 +17,8 @@
 	// maxSilent is the number of hosts that need not confirm: an ended host counts as live
 	// for some seconds, and each record has two copies besides the one at its origin.
 	maxSilent = minCopies - 1
-	// catchUpTime is the time after which hosts count that are still catching up
-	// themselves. Hosts that start together would wait for each other.
+	// catchUpTime is the time after which the answers of hosts count that may lack records
+	// themselves. Without it, hosts that start together would never be done.
 	catchUpTime = 10 * time.Second
 )
 
