--- a/classifier/fault.go
+++ b/classifier/fault.go
@@ -63,6 +63,8 @@
 	InProgress struct{ base }
 	// Overloaded reports that a limit of the node is reached.
 	Overloaded struct{ base }
+	// QuotaExceeded reports that the quota of the caller's workspace is used up.
+	QuotaExceeded struct{ base }
 	// Unavailable reports that a dependency of the request cannot be reached.
 	Unavailable struct{ base }
 	// Withheld reports that the node cannot determine which of two bundles is in
@@ -145,6 +147,11 @@
 	return &Overloaded{newBase(NotRun{}, detail, opts)}
 }
 
+// NewQuotaExceeded returns a QuotaExceeded fault; the work did not run.
+func NewQuotaExceeded(detail string, opts ...Option) *QuotaExceeded {
+	return &QuotaExceeded{newBase(NotRun{}, detail, opts)}
+}
+
 // NewUnavailable returns an Unavailable fault; the work did not run unless
 // MayHaveRun is given.
 func NewUnavailable(detail string, opts ...Option) *Unavailable {
@@ -210,6 +217,8 @@
 		return unknownCopy(f)
 	case *Overloaded:
 		return unknownCopy(f)
+	case *QuotaExceeded:
+		return unknownCopy(f)
 	case *Unavailable:
 		return unknownCopy(f)
 	case *Withheld:
--- a/exchanger/message.go
+++ b/exchanger/message.go
@@ -17,6 +17,8 @@
 	deadline  time.Time
 	version   int64
 	lastEvent string
+	workspace string
+	keyed     bool
 }
 
 // OutboundOption sets an optional property of an Outbound.
@@ -29,6 +31,12 @@
 // ResumeAfter resumes a stream after the event with an id.
 func ResumeAfter(event string) OutboundOption { return func(o *Outbound) { o.lastEvent = event } }
 
+// ForWorkspace names the workspace of the call to the endpoint in place of the caller's key.
+// The name is empty for a call that needs no key.
+func ForWorkspace(name string) OutboundOption {
+	return func(o *Outbound) { o.workspace, o.keyed = name, true }
+}
+
 // NewOutbound returns a call to the endpoint process whose id is instance. The
 // endpoint stops work on the call at the deadline.
 func NewOutbound(c *router.Call, instance string, deadline time.Time, opts ...OutboundOption) *Outbound {
@@ -56,6 +64,10 @@
 // for a new stream.
 func (o *Outbound) LastEvent() string { return o.lastEvent }
 
+// Workspace returns the name of the call's workspace, or "" if the call needs no key. It
+// returns false if the deployment has no workspaces.
+func (o *Outbound) Workspace() (name string, ok bool) { return o.workspace, o.keyed }
+
 // Meta is the metadata of a response, decoded from its header.
 type Meta struct {
 	attempt     string
--- a/relayer/reserve.go
+++ b/relayer/reserve.go
@@ -190,7 +190,7 @@
 // maxTurnWait returns how long the call may wait for its turn at an engine. Less
 // urgent calls may wait less, so that they are declined first under load.
 func (c *callState) maxTurnWait() time.Duration {
-	share := max(turnShare-turnStep*float64(c.call.Route().Priority()), minTurnShare)
+	share := max(turnShare-turnStep*float64(c.call.Priority()), minTurnShare)
 	return time.Duration(share * float64(c.call.Route().Objective()))
 }
 
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -124,6 +124,13 @@
 			opts = append(opts, exchanger.ExpectVersion(max(choice.MinVersion(), c.version)))
 		}
 	}
+	if c.call.Table().HasWorkspaces() {
+		name := ""
+		if w := c.call.Workspace(); w != nil {
+			name = w.Name()
+		}
+		opts = append(opts, exchanger.ForWorkspace(name))
+	}
 	if c.lastEventID != "" {
 		opts = append(opts, exchanger.ResumeAfter(c.lastEventID))
 	}
--- a/router/call.go
+++ b/router/call.go
@@ -25,6 +25,8 @@
 	sharedPromptParts    []PromptPart
 	lastEvent            string
 	resumes              string
+	key                  string
+	countedTokens        int
 }
 
 // PromptPart is the id of one part of a prompt. Calls whose prompts have a part in
@@ -60,6 +62,12 @@
 // caller resumes.
 func WithResumes(id string) CallOption { return func(c *Call) { c.resumes = id } }
 
+// WithKey sets the key of the workspace that the caller presents.
+func WithKey(key string) CallOption { return func(c *Call) { c.key = key } }
+
+// WithCountedTokens sets the number of tokens that the call counts as against a quota.
+func WithCountedTokens(n int) CallOption { return func(c *Call) { c.countedTokens = n } }
+
 // NewCall returns a call that was received now. Target is the path with its query
 // as it is forwarded; header holds the end-to-end header fields and must not be
 // modified afterwards.
@@ -118,5 +126,9 @@
 // caller resumes, or "" if it names none.
 func (c *Call) Resumes() string { return c.resumes }
 
+// Key returns the key of the workspace that the caller presents, or "". It must not be
+// logged.
+func (c *Call) Key() string { return c.key }
+
 // Received returns when the call was received.
 func (c *Call) Received() time.Time { return c.received }
--- a/router/router.go
+++ b/router/router.go
@@ -19,6 +19,8 @@
 	route    *Route
 	service  *Service
 	deadline time.Time
+	// workspace is nil before the call was authenticated, and if it needs no key.
+	workspace *Workspace
 }
 
 // Table returns the routing table that the call was routed with.
@@ -33,6 +35,25 @@
 // Deadline returns the earlier of the caller's and the route's deadline.
 func (r *Routed) Deadline() time.Time { return r.deadline }
 
+// WithWorkspace returns the call as one of a workspace.
+func (r *Routed) WithWorkspace(w *Workspace) *Routed {
+	c := *r
+	c.workspace = w
+	return &c
+}
+
+// Workspace returns the workspace that the call belongs to, or nil.
+func (r *Routed) Workspace() *Workspace { return r.workspace }
+
+// Priority returns the priority of the call's workspace, or that of its route; 0 is the
+// most urgent.
+func (r *Routed) Priority() int {
+	if r.workspace != nil {
+		return r.workspace.priority
+	}
+	return r.route.priority
+}
+
 // Remaining returns the time until the deadline.
 func (r *Routed) Remaining() time.Duration { return time.Until(r.deadline) }
 
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -111,3 +111,42 @@
 		is.Equal(got.Deadline().Sub(got.Received()), want)
 	}
 }
+
+// Guards against a key that opens another workspace, and against a quota that counts a call
+// by less than its tokens.
+func TestWorkspaces(t *testing.T) {
+	is := is.New(t)
+	tokens := router.NewQuota(router.NewTokens(200), 1000, 500)
+	first := router.NewWorkspace("first", []string{"k1", "k2"}, 1, tokens)
+	second := router.NewWorkspace("second", []string{"k3", ""}, 0, router.Quota{})
+	table := router.NewTable(1, nil, nil, router.WithWorkspaces([]*router.Workspace{first, second}))
+	is.True(table.HasWorkspaces())
+	for key, want := range map[string]*router.Workspace{
+		"k1": first, "k2": first, "k3": second, "": nil, "k": nil, "k1\x00": nil, string(make([]byte, 300)): nil,
+	} {
+		is.Equal(table.WorkspaceByKey(key), want)
+	}
+	is.True(!router.NewTable(1, nil, nil).HasWorkspaces())
+
+	is.Equal(tokens.Cost(call("a", "h", "/", router.WithCountedTokens(1171))), 1171.0)
+	is.Equal(tokens.Cost(call("a", "h", "/")), 200.0)
+	is.Equal(router.NewQuota(router.Requests{}, 5, 1).Cost(call("a", "h", "/", router.WithCountedTokens(1171))), 1.0)
+	is.True(!second.Quota().Limited())
+}
+
+// The look-up of a key is on the path of each call.
+func BenchmarkWorkspaceByKey(b *testing.B) {
+	const workspaces = 100_000
+	list := make([]*router.Workspace, workspaces)
+	for i := range list {
+		list[i] = router.NewWorkspace(fmt.Sprint("w", i), []string{fmt.Sprintf("key-%020d", i)}, 1, router.Quota{})
+	}
+	table := router.NewTable(1, nil, nil, router.WithWorkspaces(list))
+	key := fmt.Sprintf("key-%020d", workspaces/2)
+	b.ReportAllocs()
+	for b.Loop() {
+		if table.WorkspaceByKey(key) == nil {
+			b.Fatal("key is not known")
+		}
+	}
+}
--- a/router/table.go
+++ b/router/table.go
@@ -52,6 +52,7 @@
 	maxAttempts  int
 	targets      []Target
 	pauseAim     time.Duration
+	keyless      bool
 }
 
 // RouteOption sets an optional property of a Route.
@@ -60,6 +61,9 @@
 // WithPauseAim sets the longest acceptable pause between two events of a stream.
 func WithPauseAim(d time.Duration) RouteOption { return func(r *Route) { r.pauseAim = d } }
 
+// WithoutKey makes calls on the route need no key of a workspace.
+func WithoutKey() RouteOption { return func(r *Route) { r.keyless = true } }
+
 // NewRoute returns a route. Priority 0 is the most urgent.
 func NewRoute(name, host, prefix string, r RepeatPolicy, timeout, objective time.Duration, priority, maxAttempts int, targets []Target, opts ...RouteOption) *Route {
 	route := &Route{
@@ -95,6 +99,9 @@
 // if the route sets none.
 func (r *Route) PauseAim() time.Duration { return r.pauseAim }
 
+// Keyless reports whether calls need no key of a workspace.
+func (r *Route) Keyless() bool { return r.keyless }
+
 // service returns the name of the target service for a call with the given hash,
 // by weight, or "" if the route has no targets.
 func (r *Route) service(hash uint64) string {
@@ -215,10 +222,12 @@
 
 // Table is one version of the routes and services. It is immutable.
 type Table struct {
-	version      int64
-	limits       Limits
-	routesByHost map[string][]*Route // longest prefix first
-	services     map[string]*Service
+	version        int64
+	limits         Limits
+	routesByHost   map[string][]*Route // longest prefix first
+	services       map[string]*Service
+	workspaces     map[string]*Workspace // nil if calls need no keys
+	workspaceByKey map[keyHash]*Workspace
 }
 
 // NewTable returns a table of the given version.
--- /dev/null
+++ b/router/workspace.go
@@ -0,0 +1,128 @@
+package router
+
+import "crypto/sha256"
+
+// Unit is what a quota counts: Requests or Tokens.
+type Unit interface{ unit() }
+
+type (
+	// Requests counts each call as one.
+	Requests struct{}
+	// Tokens counts the tokens of a call.
+	Tokens struct{ plain int }
+)
+
+// NewTokens returns a unit in which a call without token counts counts as plain tokens.
+func NewTokens(plain int) Tokens { return Tokens{plain: plain} }
+
+// Plain returns what a call without token counts counts as.
+func (t Tokens) Plain() int { return t.plain }
+
+func (Requests) unit() {}
+func (Tokens) unit()   {}
+
+// Quota limits the calls of a workspace over all hosts together. The zero value has no
+// limit.
+type Quota struct {
+	unit  Unit
+	rate  float64 // units a second
+	burst float64 // units
+}
+
+// NewQuota returns a quota of rate units a second and a burst of units beyond it.
+func NewQuota(u Unit, rate, burst float64) Quota { return Quota{unit: u, rate: rate, burst: burst} }
+
+// Unit returns what the quota counts.
+func (q Quota) Unit() Unit { return q.unit }
+
+// Rate returns the units a second that the quota allows.
+func (q Quota) Rate() float64 { return q.rate }
+
+// Burst returns the units that the quota allows at once.
+func (q Quota) Burst() float64 { return q.burst }
+
+// Limited reports whether the quota limits anything.
+func (q Quota) Limited() bool { return q.rate > 0 }
+
+// Cost returns the units that a call counts as.
+func (q Quota) Cost(c *Call) float64 {
+	tokens, ok := q.unit.(Tokens)
+	switch {
+	case !ok:
+		return 1
+	case c.countedTokens > 0:
+		return float64(c.countedTokens)
+	default:
+		return float64(tokens.plain)
+	}
+}
+
+// keyHash identifies a key. The table holds no keys in plain text, and the time of a
+// look-up tells nothing about them.
+type keyHash [sha256.Size]byte
+
+// maxKeyLength is in bytes. A longer key is unknown, so that hashing it costs nothing.
+const maxKeyLength = 256
+
+func hashKey(key string) keyHash {
+	var buf [maxKeyLength]byte // avoids an allocation
+	return sha256.Sum256(buf[:copy(buf[:], key)])
+}
+
+// Workspace is a customer of the deployment, whose calls carry one of its keys.
+type Workspace struct {
+	name     string
+	keys     []keyHash
+	priority int
+	quota    Quota
+}
+
+// NewWorkspace returns a workspace. Its priority replaces that of the routes; 0 is the most
+// urgent.
+func NewWorkspace(name string, keys []string, priority int, q Quota) *Workspace {
+	w := &Workspace{name: name, priority: priority, quota: q}
+	for _, k := range keys {
+		if k != "" && len(k) <= maxKeyLength {
+			w.keys = append(w.keys, hashKey(k))
+		}
+	}
+	return w
+}
+
+// Name returns the workspace's name.
+func (w *Workspace) Name() string { return w.name }
+
+// Priority returns the priority of the workspace's calls; 0 is the most urgent.
+func (w *Workspace) Priority() int { return w.priority }
+
+// Quota returns the quota of the workspace.
+func (w *Workspace) Quota() Quota { return w.quota }
+
+// WithWorkspaces makes calls on routes that are not keyless require a key of one of the
+// workspaces.
+func WithWorkspaces(list []*Workspace) TableOption {
+	return func(t *Table) {
+		t.workspaces = make(map[string]*Workspace, len(list))
+		t.workspaceByKey = make(map[keyHash]*Workspace)
+		for _, w := range list {
+			t.workspaces[w.name] = w
+			for _, k := range w.keys {
+				t.workspaceByKey[k] = w
+			}
+		}
+	}
+}
+
+// HasWorkspaces reports whether calls require a key.
+func (t *Table) HasWorkspaces() bool { return t.workspaces != nil }
+
+// Workspace returns the workspace with the given name, or nil.
+func (t *Table) Workspace(name string) *Workspace { return t.workspaces[name] }
+
+// WorkspaceByKey returns the workspace that a key belongs to, or nil.
+func (t *Table) WorkspaceByKey(key string) *Workspace {
+	if key == "" || len(key) > maxKeyLength {
+		return nil
+	}
+	return t.workspaceByKey[hashKey(key)]
+}
