relayer: keep a call at the only endpoint that can take it

Callers of a service with one endpoint got 502 and 503 on a loaded machine, at hosts with and without other load. Log lines of the failed calls of TestBytesWithoutEndBesideOthers show two causes:

- The send timeout of 0.7 of the objective canceled idempotent work in favour of another endpoint that did not exist (502 "the endpoint broke off"; 504 if the deadline passed meanwhile).
- One connection that took longer than 0.6 s excluded the only endpoint for the rest of the call (503 "no endpoint could be reached").

The send timeout now cancels a send only if another endpoint can take the call at that time, and a call whose only endpoint could not be connected to tries a second connection after 0.1 s. An error status of the only endpoint is passed on in place of a 502.

The assembler's test prints the log lines of a call that fails; its load and bounds are unchanged.

--- a/assembler/endless_test.go
+++ b/assembler/endless_test.go
@@ -100,7 +100,7 @@
 				began := time.Now()
 				status, _, err := d.call(http.DefaultClient, host, id, "/look/x", "")
 				if err != nil || status != http.StatusOK {
-					t.Errorf("call at host %s beside endless answers: status %d after %v, error %v", host, status, time.Since(began), err)
+					t.Errorf("call %s at host %s beside endless answers: status %d after %v, error %v, log %v", id, host, status, time.Since(began), err, d.logs.lines(id))
 				}
 				for took, old := int64(time.Since(began)), slowest.Load(); took > old && !slowest.CompareAndSwap(old, took); {
 					old = slowest.Load()
--- a/relayer/callstate.go
+++ b/relayer/callstate.go
@@ -13,6 +13,7 @@
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/screener"
 	"github.com/dragonflyford/dragonflyford/selector"
+	"github.com/dragonflyford/dragonflyford/sleeper"
 	"github.com/dragonflyford/dragonflyford/tracker"
 )
 
@@ -29,6 +30,8 @@
 	// maxQueues is the maximum number of engines at which a call looks for a short
 	// queue of loads.
 	maxQueues = 5
+	// reconnectPause is the delay before a second connection to the only endpoint.
+	reconnectPause = 100 * time.Millisecond
 	// minRemaining is the minimum time until the deadline for a call to be sent.
 	minRemaining = 30 * time.Millisecond
 
@@ -53,6 +56,7 @@
 	shortestQueue     selector.Choice // engine with the shortest queue of loads among those that declined the call
 	shortestQueueWait time.Duration
 	queues            int                     // engines at which the load of the model would have had to wait for others
+	unreached         []*tracker.Endpoint     // endpoints that got no byte of the call
 	limited           []*tracker.Endpoint     // endpoints whose next turn was too late for the call
 	patient           bool                    // the call waits longer, because no endpoint can take it soon
 	cancelSend        context.CancelCauseFunc // of the latest send
@@ -114,6 +118,9 @@
 	if chooseErr != nil && c.becomePatient() {
 		choice, chooseErr = c.choose()
 	}
+	if chooseErr != nil && c.allowReconnect() {
+		choice, chooseErr = c.choose()
+	}
 	switch {
 	case chooseErr == nil:
 		if last = c.reserve(choice); last == nil {
@@ -129,6 +136,17 @@
 	return choice, true, err
 }
 
+// allowReconnect makes the only endpoint available again to which no connection could be
+// made, after a pause. A single connection attempt fails for causes that are gone with the
+// next one, such as a lost packet. It reports false if the call has tried two connections.
+func (c *callState) allowReconnect() bool {
+	if c.sends > 0 || len(c.unreached) != 1 || sleeper.Sleep(c.ctx, reconnectPause) != nil {
+		return false
+	}
+	delete(c.excluded, c.unreached[0])
+	return true
+}
+
 // longWait returns the retry delay of a fault if it is longer than those that are derived
 // from the time of the call, as when all endpoints want no calls for some time.
 func longWait(fault error) time.Duration {
@@ -196,6 +214,7 @@
 		return nil, c.handleRefusal(e, res.answer)
 	case unsent:
 		c.excluded[e] = true
+		c.unreached = append(c.unreached, e)
 		if !exchanger.IsConnectionLimit(res.cause) && c.ctx.Err() == nil {
 			e.ConnectionFailed()
 		}
--- a/relayer/outcome.go
+++ b/relayer/outcome.go
@@ -29,14 +29,14 @@
 )
 
 // finish returns the response of an endpoint. If the endpoint failed and the call
-// may be repeated at another one, it returns an error instead.
+// may be repeated at another one that can take it, it returns an error instead.
 func (c *callState) finish(e *tracker.Endpoint, a *exchanger.Answer) (*Answer, error) {
 	if a.Status() < http.StatusInternalServerError {
 		e.Succeeded()
 		return c.deliver(e, a), nil
 	}
 	e.Failed()
-	if c.repeatable() && c.call.Remaining() > minRemaining && len(c.sent) < c.call.Route().MaxAttempts() && c.allowRepeat() {
+	if c.repeatable() && c.call.Remaining() > minRemaining && len(c.sent) < c.call.Route().MaxAttempts() && c.anotherThan(e)() && c.allowRepeat() {
 		discard(a)
 		c.excluded[e] = true
 		c.repeatCounted.Store(true)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -36,6 +36,9 @@
 // preferred, because loads of it would have to wait.
 type Chooser interface {
 	Choose(r *router.Routed, avoid func(*tracker.Endpoint) bool, loadsQueued bool) (selector.Choice, error)
+	// AnyLeft reports whether an endpoint for which avoid returns false could be sent
+	// the call now.
+	AnyLeft(r *router.Routed, avoid func(*tracker.Endpoint) bool) bool
 	// Usable reports whether an endpoint that was chosen earlier may still receive
 	// new calls.
 	Usable(e *tracker.Endpoint) bool
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/exchanger"
@@ -60,10 +61,12 @@
 	ctx, abort := context.WithCancelCause(c.ctx)
 	c.cancelSend = abort // the last send is canceled with the call's context
 	if timeout := c.sendTimeout(); timeout > 0 && c.sends+1 < maxSends {
+		another := c.anotherThan(e)
 		timer := time.AfterFunc(timeout, func() {
-			// A send to a slow endpoint is canceled only if the retry budget
-			// allows another one.
-			if c.relayer.budget.AllowRepeat(c.call.Service().Name()) {
+			// A send to a slow endpoint is canceled only if another endpoint can
+			// take the call and the retry budget allows it. Without another one,
+			// the slow answer is better than none.
+			if another() && c.relayer.budget.AllowRepeat(c.call.Service().Name()) {
 				c.repeatCounted.Store(true)
 				abort(errSlowEndpoint)
 			}
@@ -147,6 +150,19 @@
 	return max(share, minSendTimeout)
 }
 
+// anotherThan returns a function that reports whether the call could be sent to an endpoint
+// other than e and those that are excluded now. It may be called by any goroutine.
+func (c *callState) anotherThan(e *tracker.Endpoint) func() bool {
+	excluded := maps.Clone(c.excluded)
+	maxWait := c.maxLimitWait()
+	return func() bool {
+		now := time.Now()
+		return c.relayer.chooser.AnyLeft(c.call.Routed, func(other *tracker.Endpoint) bool {
+			return other == e || excluded[other] || other.UntilTurn(now) > maxWait
+		})
+	}
+}
+
 // anotherAllowed reports whether the route allows one more endpoint after the next
 // send.
 func (c *callState) anotherAllowed() bool { return len(c.sent)+1 < c.call.Route().MaxAttempts() }
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -113,6 +113,23 @@
 	return acceptsCalls(e, time.Now()) && s.endpoints.Current().Endpoint(e.ID()) == e
 }
 
+// AnyLeft reports whether the call could be sent to an endpoint now that avoid does not
+// return true for. Unlike Choose, it does not count an ejected endpoint.
+func (s *Selector) AnyLeft(r *router.Routed, avoid func(*tracker.Endpoint) bool) bool {
+	now := time.Now()
+	plain := r.Service().EngineSpec() == nil || r.Model().Base() == ""
+	return slices.ContainsFunc(s.endpoints.Current().Usable(r.Service().Name()), func(e *tracker.Endpoint) bool {
+		if !acceptsCalls(e, now) || e.Ejected(now) || avoid(e) {
+			return false
+		}
+		if plain {
+			return plainFill(e, now) < maxPlainCallsPerSlot
+		}
+		_, capacity := busyCalls(e, now)
+		return capacity && e.HoldsBase(r.Model().Base())
+	})
+}
+
 // AnyLimited reports whether any endpoint of the call's service names a limit on the rate
 // of requests.
 func (s *Selector) AnyLimited(r *router.Routed) bool {
@@ -181,7 +198,7 @@
 	var best *tracker.Endpoint
 	var bestCost float64
 	for _, e := range list {
-		fill := e.EstimatedCalls(now) / float64(e.Slots())
+		fill := plainFill(e, now)
 		cost := fill + s.distance(e) + failurePenalty*e.FailureRate()
 		if fill < maxPlainCallsPerSlot && (best == nil || cost < bestCost) {
 			best, bestCost = e, cost
@@ -193,6 +210,11 @@
 	return Choice{endpoint: best, modelLoaded: true}, nil
 }
 
+// plainFill returns the number of calls per slot at an endpoint that is not an engine.
+func plainFill(e *tracker.Endpoint, now time.Time) float64 {
+	return e.EstimatedCalls(now) / float64(e.Slots())
+}
+
 func overloaded(n int) error {
 	return classifier.NewOverloaded(fmt.Sprintf("all %d endpoints are full", n), classifier.RetryAfter(retryWhenFull))
 }
