pacer, tracker, selector: add adaptive limits of calls in flight

Each host now learns a limit per endpoint from its answers: load header with slots and pace, refusals, time-outs and broken connections.

All of it is behind the setting endpoints.adaptive (default false).

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -133,7 +133,7 @@
 	h.awaiter, markMet = awaiter.New(3, log)
 	h.setRoutesKnown, h.setEndpointsKnown, h.setMembersKnown = markMet[0], markMet[1], markMet[2]
 	h.router = router.New()
-	h.fleet = tracker.New(settings.Regions(), tracker.WithReportInterval(settings.ReportInterval()))
+	h.fleet = tracker.New(settings.Regions(), h.trackerOptions(settings)...)
 	fleetTable := h.store.Table(tableFleet)
 	h.members = enroller.New(
 		enroller.NewLocalHost(settings.Address(), settings.Callers(), settings.Peers(), settings.DataCentre(), settings.Region(), settings.LinkMbps()),
@@ -178,6 +178,23 @@
 	return h, nil
 }
 
+// trackerOptions returns the options of the registry of endpoints.
+func (h *Host) trackerOptions(settings *configurer.Entry) []tracker.Option {
+	opts := []tracker.Option{tracker.WithReportInterval(settings.ReportInterval())}
+	if settings.AdaptiveLimits() {
+		opts = append(opts, tracker.WithAdaptiveLimits(h.sharingHosts))
+	}
+	return opts
+}
+
+// sharingHosts returns the number of hosts that share the endpoints. After a restart of all
+// hosts, the rows of most are too old to count as alive until they are renewed. A host that
+// took itself for one of few would flood the endpoints.
+func (h *Host) sharingHosts() int {
+	v := h.members.View()
+	return max(v.LiveCount(), v.KnownCount()/2, 1)
+}
+
 // followThroughPeers returns a follower of a table that only one host of each
 // data centre reads from the store; the others read it from that host.
 func (h *Host) followThroughPeers(table string, wait, pause, maxAge time.Duration, log *logger.Logger) *follower.Follower {
--- a/configurer/entry.go
+++ b/configurer/entry.go
@@ -214,6 +214,10 @@
 // ReportInterval returns the time between two reports of an endpoint to the store.
 func (e *Entry) ReportInterval() time.Duration { return time.Duration(e.doc.Endpoints.ReportInterval) }
 
+// AdaptiveLimits reports whether the limits of calls in flight at plain endpoints follow the
+// endpoints' answers.
+func (e *Entry) AdaptiveLimits() bool { return e.doc.Endpoints.Adaptive }
+
 // StreamLifetime returns the time after which no caller resumes a stream.
 func (e *Entry) StreamLifetime() time.Duration { return time.Duration(e.doc.Streams.Lifetime) }
 
--- a/configurer/entry_document.go
+++ b/configurer/entry_document.go
@@ -65,6 +65,7 @@
 
 type entryEndpointDocument struct {
 	ReportInterval duration `json:"report_interval"` // of endpoints to the store
+	Adaptive       bool     `json:"adaptive"`        // limits of calls in flight follow the endpoints' answers
 }
 
 type entryStreamDocument struct {
--- a/enroller/view.go
+++ b/enroller/view.go
@@ -239,6 +239,9 @@
 // the store, including those that are leaving.
 func (v *View) LiveCount() int { return v.liveCount }
 
+// KnownCount returns the number of hosts that have a row, alive or not.
+func (v *View) KnownCount() int { return len(v.hosts) }
+
 func (v *View) countLive() int {
 	n := 0
 	for _, h := range v.hosts {
--- a/exchanger/exchange.go
+++ b/exchanger/exchange.go
@@ -51,11 +51,13 @@
 func (c *Client) Do(ctx context.Context, e *tracker.Endpoint, out *Outbound, maxIdle time.Duration, limit int) (*Answer, error) {
 	conn, p, err := c.take(ctx, e, out.call.ID(), maxIdle, limit)
 	if err != nil {
+		out.begin()
 		return nil, NewCallError(false, err)
 	}
-	x := &exchange{conn: conn, pool: p, endpoint: e, written: make(chan struct{})}
+	x := &exchange{conn: conn, pool: p, endpoint: e, begunAt: time.Now(), written: make(chan struct{})}
 	x.stopAbort = context.AfterFunc(ctx, x.abort)
 	e.Begin()
+	out.begin()
 	answer, err := x.run(c.dialect, out)
 	if err != nil {
 		x.finish(false)
@@ -72,6 +74,8 @@
 	conn        *connection
 	pool        *pool
 	endpoint    *tracker.Endpoint
+	begunAt     time.Time
+	ran         bool // the endpoint answered without a refusal or an error of its own
 	stopAbort   func() bool
 	sent        atomic.Bool
 	written     chan struct{} // closed when the write has ended
@@ -203,9 +207,8 @@
 	}
 	x.idleTimeout = meta.idleTimeout
 	x.closeAfter = x.closeAfter || resp.Close
-	if meta.hasLoad {
-		x.endpoint.RecordLoad(meta.running, meta.waiting)
-	}
+	x.ran = !meta.refused && resp.StatusCode < http.StatusInternalServerError
+	x.endpoint.RecordAnswer(x.begunAt, meta.refused && resp.StatusCode == http.StatusServiceUnavailable, meta.load)
 	if meta.refused {
 		x.conn.refused = append(x.conn.refused, id)
 		x.closeAfter = x.closeAfter || len(x.conn.refused) >= maxRefused
@@ -223,6 +226,9 @@
 func (x *exchange) finish(complete bool) {
 	x.finishOnce.Do(func() {
 		x.endpoint.End()
+		if complete && x.ran {
+			x.endpoint.Completed(time.Since(x.begunAt))
+		}
 		active := x.stopAbort()
 		if !complete || !active || x.closeAfter || !x.writeComplete() || x.conn.reader.Buffered() > 0 {
 			x.pool.discard(x.conn)
--- a/exchanger/message.go
+++ b/exchanger/message.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/dragonflyford/dragonflyford/pacer"
 	"github.com/dragonflyford/dragonflyford/router"
 )
 
@@ -19,6 +20,7 @@
 	lastEvent string
 	workspace string
 	keyed     bool
+	onBegin   func()
 }
 
 // OutboundOption sets an optional property of an Outbound.
@@ -37,6 +39,9 @@
 	return func(o *Outbound) { o.workspace, o.keyed = name, true }
 }
 
+// OnBegin calls f once the call counts as in flight at the endpoint, or cannot be sent to it.
+func OnBegin(f func()) OutboundOption { return func(o *Outbound) { o.onBegin = f } }
+
 // NewOutbound returns a call to the endpoint process whose id is instance. The
 // endpoint stops work on the call at the deadline.
 func NewOutbound(c *router.Call, instance string, deadline time.Time, opts ...OutboundOption) *Outbound {
@@ -47,6 +52,13 @@
 	return o
 }
 
+// begin reports that the call counts as in flight at the endpoint, or cannot be sent to it.
+func (o *Outbound) begin() {
+	if o.onBegin != nil {
+		o.onBegin()
+	}
+}
+
 // Call returns the call.
 func (o *Outbound) Call() *router.Call { return o.call }
 
@@ -73,9 +85,7 @@
 	attempt     string
 	refused     bool
 	signed      bool
-	hasLoad     bool
-	running     int
-	waiting     int
+	load        pacer.Load
 	idleTimeout time.Duration
 	limited     bool
 	limit       float64
@@ -91,7 +101,19 @@
 
 // WithLoad adds the number of calls that run and wait at the endpoint.
 func (m Meta) WithLoad(running, waiting int) Meta {
-	m.hasLoad, m.running, m.waiting = true, running, waiting
+	m.load = pacer.NewLoad(running, waiting)
+	return m
+}
+
+// WithSlots adds the number of calls that the endpoint runs at once to its load.
+func (m Meta) WithSlots(n int) Meta {
+	m.load = m.load.WithSlots(n)
+	return m
+}
+
+// WithPace adds the present duration of work, as a multiple of the usual one, to the load.
+func (m Meta) WithPace(pace float64) Meta {
+	m.load = m.load.WithPace(pace)
 	return m
 }
 
@@ -133,7 +155,10 @@
 
 // Load returns the number of calls that run and wait at the endpoint, or false if it
 // did not tell.
-func (m Meta) Load() (running, waiting int, ok bool) { return m.running, m.waiting, m.hasLoad }
+func (m Meta) Load() (running, waiting int, ok bool) { return m.load.Calls() }
+
+// Report returns all that the endpoint told of its load; the zero value if nothing.
+func (m Meta) Report() pacer.Load { return m.load }
 
 // Attempt returns the id of the call that the response belongs to, or "".
 func (m Meta) Attempt() string { return m.attempt }
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -82,6 +82,7 @@
 const (
 	KeyAge        Key = "age_ms"
 	KeyAttempt    Key = "attempt"
+	KeyCalls      Key = "calls"
 	KeyCount      Key = "count"
 	KeyDuration   Key = "duration_ms"
 	KeyEndpoint   Key = "endpoint"
@@ -92,6 +93,7 @@
 	KeyLoad       Key = "load"
 	KeyModel      Key = "model"
 	KeyOutcome    Key = "outcome"
+	KeyPace       Key = "pace"
 	KeyParts      Key = "prompt_parts"
 	KeyPeer       Key = "peer"
 	KeyRate       Key = "tokens_per_s"
--- /dev/null
+++ b/pacer/pacer.go
@@ -0,0 +1,367 @@
+package pacer
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// targetWaiting is the number of waiting calls per slot that the limits aim at. The
+	// arrivals of many hosts vary, and a slot without a waiting call would stay idle.
+	targetWaiting = 0.5
+	// minTargetWaiting is the least number of waiting calls that the limits aim at.
+	minTargetWaiting = 1.0
+	// ceilingShare is the share of a queue, as a refusal has shown its length, that the
+	// limits aim at.
+	ceilingShare = 0.4
+	// gain is the exponent of the ratio between the load that is aimed at and the one
+	// reported. A limit follows in several steps, because other hosts change theirs by the
+	// same report.
+	gain = 0.5
+	// maxRise and maxFall bound one change of the limit by a report.
+	maxRise = 2.0
+	maxFall = 0.25
+	// idleShare is the share of the slots below which an endpoint counts as idle. The limit
+	// then follows the load in one step of at most maxIdleRise, and rises up to one call
+	// also if it is not in use, so that a burst of calls meets no limit.
+	idleShare   = 0.5
+	maxIdleRise = 8.0
+	// probeTime is the longest time between two calls of a host that has no answer yet, or
+	// whose last answer showed an idle endpoint.
+	probeTime = 3 * time.Second
+	// blindStart and blindRise are the changes of a limit that is in use, by an answer
+	// without a load: before and after the first sign that the endpoint is busy.
+	blindStart = 1.6
+	blindRise  = 1.1
+	// refusalFall, timeoutFall and brokenFall are the changes by a refusal, by a time-out
+	// and by a broken connection.
+	refusalFall = 0.7
+	timeoutFall = 0.7
+	brokenFall  = 0.25
+	// minShare is the lowest limit, as a share of the equal share of the slots. The calls
+	// that it lets through show when the endpoint recovers.
+	minShare = 0.1
+	// recovery is the time constant with which a limit returns to the equal share while
+	// no answer changes it.
+	recovery = 2 * time.Second
+	// holdCycles is the number of times between two calls, at the present limit, for which
+	// a limit stays without an answer.
+	holdCycles = 2.0
+	minHold    = time.Second
+	// defaultOccupancy is the assumed time for which a call is in flight, if nothing at
+	// all is known.
+	defaultOccupancy = 200 * time.Millisecond
+	minOccupancy     = time.Millisecond
+	// minWait is the shortest time after which a host looks for room again.
+	minWait = 5 * time.Millisecond
+)
+
+// Moment is what a decision depends on besides the endpoint's answers.
+type Moment struct {
+	now   time.Time
+	hosts int
+	usual time.Duration
+}
+
+// At returns a moment. Hosts is the number of hosts that share the endpoint. Usual is the
+// time that a call is expected to take as long as the endpoint has not answered any, or 0.
+func At(now time.Time, hosts int, usual time.Duration) Moment {
+	return Moment{now: now, hosts: max(hosts, 1), usual: usual}
+}
+
+// Load is the load that an endpoint reports in an answer. The zero value stands for an
+// answer without one.
+type Load struct {
+	known            bool
+	running, waiting int
+	slots            int     // 0 if not reported
+	pace             float64 // 0 if not reported
+}
+
+// NewLoad returns a load: the calls of all hosts that run and wait.
+func NewLoad(running, waiting int) Load { return Load{known: true, running: running, waiting: waiting} }
+
+// WithSlots returns the load with the number of calls that the endpoint runs at once.
+func (l Load) WithSlots(n int) Load {
+	l.slots = n
+	return l
+}
+
+// WithPace returns the load with the duration of work as a multiple of the usual one.
+func (l Load) WithPace(pace float64) Load {
+	l.pace = pace
+	return l
+}
+
+// Calls returns the calls of all hosts that run and wait, or false if they are not reported.
+func (l Load) Calls() (running, waiting int, ok bool) { return l.running, l.waiting, l.known }
+
+// Slots returns the number of calls that the endpoint runs at once, or 0 if it is not
+// reported.
+func (l Load) Slots() int { return l.slots }
+
+// Pace returns the duration of work as a multiple of the usual one, or 0 if it is not
+// reported.
+func (l Load) Pace() float64 { return l.pace }
+
+func (l Load) total() float64 { return float64(l.running + l.waiting) }
+
+// Pacer holds the limit of one endpoint process as one host sees it. It is not safe for
+// concurrent use.
+type Pacer struct {
+	slots     float64
+	ceiling   float64 // total of calls at which the endpoint refused one; 0 if it did not
+	rate      float64 // requests a second that the endpoint accepts from all hosts; 0 if it named none
+	limit     float64 // 0 until the number of hosts is known
+	changedAt time.Time
+	updatedAt time.Time // of the latest answer or change
+	blocked   bool      // a call found no room since the latest change
+	idle      bool      // the latest load was that of an idle endpoint
+	pressed   bool      // the endpoint has shown that it can be too busy
+	credit    float64   // of the last, fractional call; a call takes 1
+	creditAt  time.Time
+	waiting   float64 // waiting calls per slot in the latest load
+	speed     speed
+}
+
+// New returns the pacer of a new endpoint process. Phase is a random number from 0 to 1,
+// so that the hosts do not send their first calls at the same time.
+func New(slots int, phase float64) *Pacer {
+	return &Pacer{slots: float64(max(slots, 1)), credit: min(max(phase, 0), 1)}
+}
+
+// Limit returns the number of calls that this host may have in flight.
+func (p *Pacer) Limit(m Moment) float64 { return p.limitAt(m) }
+
+// Pace returns the duration of work as a multiple of the usual one.
+func (p *Pacer) Pace(now time.Time) float64 { return p.speed.current(now) }
+
+// ReportedPace returns the pace if the endpoint reports it itself, else 1.
+func (p *Pacer) ReportedPace(now time.Time) float64 {
+	if !p.speed.told {
+		return 1
+	}
+	return p.speed.current(now)
+}
+
+// Usual returns the time that a call usually takes without waiting, or 0 if none has been
+// answered.
+func (p *Pacer) Usual() time.Duration { return seconds(p.speed.usual) }
+
+// Slots returns the number of calls that the endpoint runs at once.
+func (p *Pacer) Slots() float64 { return p.slots }
+
+// share returns the equal share of the endpoint's slots.
+func (p *Pacer) share(m Moment) float64 { return p.slots / float64(m.hosts) }
+
+// target returns the total of calls that the limits aim at.
+func (p *Pacer) target() float64 {
+	total := p.slots + max(targetWaiting*p.slots, minTargetWaiting)
+	if p.ceiling > 0 {
+		total = min(total, p.slots+ceilingShare*(p.ceiling-p.slots))
+	}
+	if p.rate > 0 && !p.speed.occupancy.at.IsZero() {
+		total = min(total, max(p.rate*p.speed.occupancy.value, 1))
+	}
+	return max(total, 1)
+}
+
+// limitAt returns the limit at a time: the latest one, returning to the equal share once
+// no answer has come for long.
+func (p *Pacer) limitAt(m Moment) float64 {
+	share := p.share(m)
+	if p.limit == 0 {
+		return share
+	}
+	hold := max(minHold, seconds(holdCycles*p.occupancy(m).Seconds()/min(p.limit, 1)))
+	idle := m.now.Sub(p.updatedAt) - hold
+	if idle <= 0 {
+		return p.limit
+	}
+	return share + (p.limit-share)*math.Exp(-float64(idle)/float64(recovery))
+}
+
+// occupancy returns the time for which a call is expected to be in flight.
+func (p *Pacer) occupancy(m Moment) time.Duration {
+	switch {
+	case !p.speed.occupancy.at.IsZero():
+		return max(seconds(p.speed.occupancy.value), minOccupancy)
+	case m.usual > 0:
+		return m.usual
+	default:
+		return defaultOccupancy
+	}
+}
+
+// Room reports whether the host may send one more call to the endpoint while own calls of
+// it are in flight. If not, it returns when room is expected.
+func (p *Pacer) Room(m Moment, own int) (wait time.Duration, ok bool) {
+	limit := p.limitAt(m)
+	whole := math.Floor(limit)
+	p.accrue(m, limit-whole)
+	occupancy := p.occupancy(m)
+	switch {
+	case float64(own) < whole:
+		return 0, true
+	case float64(own) == whole && p.credit >= 1:
+		return 0, true
+	case float64(own) == whole && limit > whole:
+		wait = seconds((1 - p.credit) / p.creditRate(m, limit-whole))
+		if own > 0 {
+			wait = min(wait, occupancy/time.Duration(own))
+		}
+	default:
+		wait = occupancy / time.Duration(own)
+	}
+	p.blocked = true
+	return max(wait, minWait), false
+}
+
+// Take is Room for a call that is sent at once.
+func (p *Pacer) Take(m Moment, own int) bool {
+	if _, ok := p.Room(m, own); !ok {
+		return false
+	}
+	if float64(own) >= math.Floor(p.limitAt(m)) {
+		p.credit--
+	}
+	return true
+}
+
+// accrue adds the credit since the last call of accrue. The credit of a limit of 0.25
+// reaches one call in four times the time for which a call is in flight.
+func (p *Pacer) accrue(m Moment, fraction float64) {
+	if p.creditAt.IsZero() {
+		p.creditAt = m.now
+		return
+	}
+	elapsed := max(m.now.Sub(p.creditAt), 0)
+	p.creditAt = m.now
+	p.credit = min(p.credit+elapsed.Seconds()*p.creditRate(m, fraction), 1)
+}
+
+// creditRate returns the credit that a fraction of a call yields in a second.
+func (p *Pacer) creditRate(m Moment, fraction float64) float64 {
+	rate := fraction / p.occupancy(m).Seconds()
+	if (p.updatedAt.IsZero() || p.idle) && fraction > 0 {
+		return max(rate, 1/probeTime.Seconds())
+	}
+	return rate
+}
+
+// Answered records an answer to a call that was sent at a time.
+func (p *Pacer) Answered(m Moment, sent time.Time, l Load) {
+	p.record(m, l)
+	if !p.begin(m, sent) {
+		return
+	}
+	switch {
+	case l.known:
+		p.followLoad(m, max(l.total(), 1))
+	case p.speed.current(m.now) > p.target()/p.slots:
+		// Longer durations may come from a queue or from a slow machine. The equal share of
+		// the slots is no flood in either case.
+		p.pressed = true
+		p.follow(m, p.target()/p.slots/p.speed.current(m.now), 1)
+	case p.blocked && p.pressed:
+		p.change(m, blindRise, minShare)
+	case p.blocked:
+		p.change(m, blindStart, minShare)
+	}
+}
+
+// followLoad changes the limit by the number of calls at the endpoint.
+func (p *Pacer) followLoad(m Moment, total float64) {
+	ratio := p.target() / total
+	switch {
+	case !p.idle:
+		p.follow(m, ratio, minShare)
+	case p.blocked:
+		p.change(m, min(ratio, maxIdleRise), minShare)
+	case p.limit < 1:
+		p.change(m, min(ratio, maxIdleRise, 1/p.limit), minShare)
+	}
+}
+
+// follow scales the limit by a ratio between the load that is aimed at and the present
+// one. A limit that is not in use does not rise: the load says nothing about it.
+func (p *Pacer) follow(m Moment, ratio, floor float64) {
+	if ratio > 1 && !p.blocked {
+		return
+	}
+	p.change(m, min(max(math.Pow(ratio, gain), maxFall), maxRise), floor)
+}
+
+// Refused records a refusal of a call that was sent at a time.
+func (p *Pacer) Refused(m Moment, sent time.Time, l Load) {
+	p.record(m, l)
+	p.pressed, p.idle = true, false
+	factor := refusalFall
+	if total := l.total(); l.known && total >= p.slots {
+		p.ceiling = total
+		factor = min(factor, p.target()/total)
+	}
+	if p.begin(m, sent) {
+		p.change(m, max(factor, maxFall), minShare)
+	}
+}
+
+// TimedOut records a call, sent at a time, that the endpoint did not answer in time.
+func (p *Pacer) TimedOut(m Moment, sent time.Time) {
+	p.pressed, p.idle = true, false
+	if p.begin(m, sent) {
+		p.change(m, timeoutFall, minShare)
+	}
+}
+
+// Broken records a connection that could not be opened, or that broke.
+func (p *Pacer) Broken(m Moment) {
+	p.idle = false
+	p.limit = p.limitAt(m)
+	p.change(m, brokenFall, minShare)
+}
+
+// Completed records that a call ran to its end and for how long it was in flight.
+func (p *Pacer) Completed(m Moment, took time.Duration) {
+	p.speed.addDuration(took, p.waiting, m.now)
+}
+
+// Named records the number of requests a second that the endpoint accepts from all hosts,
+// or 0 if it accepts any.
+func (p *Pacer) Named(perSecond float64) { p.rate = perSecond }
+
+// record records the parts of a load that do not change the limit.
+func (p *Pacer) record(m Moment, l Load) {
+	if l.slots > 0 && float64(l.slots) != p.slots {
+		// What a refusal showed of the queue no longer holds.
+		p.slots, p.ceiling = float64(l.slots), 0
+	}
+	if l.pace > 0 {
+		p.speed.addPace(l.pace, m.now)
+	}
+	if l.known {
+		p.waiting = float64(l.waiting) / p.slots
+		p.idle = l.total() < max(idleShare*p.slots, 1+idleShare)
+		if l.total() > p.ceiling {
+			p.ceiling = 0
+		}
+	}
+}
+
+// begin prepares a change by the answer to a call. It reports false if the call was sent
+// before the latest change, whose effect the answer does not show.
+func (p *Pacer) begin(m Moment, sent time.Time) bool {
+	p.limit = p.limitAt(m)
+	p.updatedAt = m.now
+	return !sent.Before(p.changedAt)
+}
+
+// change scales the limit, which stays above floor as a share of the equal share of the
+// slots.
+func (p *Pacer) change(m Moment, factor, floor float64) {
+	next := max(p.limit*factor, min(floor*p.share(m), p.limit))
+	p.limit = min(next, max(p.target(), p.share(m)))
+	p.changedAt, p.updatedAt, p.blocked = m.now, m.now, false
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/pacer/speed.go
@@ -0,0 +1,100 @@
+package pacer
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// paceTime is the time constant of the average of reported paces, which change many
+	// times a second.
+	paceTime = time.Second
+	// paceMemory is the time constant with which the last average returns to the usual
+	// pace while no answer comes. An endpoint that was slow gets calls again, which show
+	// how fast it is now.
+	paceMemory = 4 * time.Second
+	// minPace and maxPace bound a reported pace, so that a malformed one does no lasting
+	// harm.
+	minPace = 0.1
+	maxPace = 50.0
+)
+
+// average is an exponential moving average of samples that come at irregular times.
+type average struct {
+	value float64
+	at    time.Time // of the latest sample; zero if there is none
+}
+
+// add adds a sample. The weight of older samples falls with the time constant.
+func (a *average) add(sample float64, now time.Time, constant time.Duration) {
+	if a.at.IsZero() {
+		a.value, a.at = sample, now
+		return
+	}
+	elapsed := max(now.Sub(a.at), 0)
+	weight := 1 - math.Exp(-float64(elapsed)/float64(constant))
+	a.value += weight * (sample - a.value)
+	a.at = now
+}
+
+// speed is what the answers of an endpoint show of its speed.
+type speed struct {
+	pace average // duration of work as a multiple of the usual one
+	// told is whether the endpoint reports its pace itself.
+	told      bool
+	usual     float64 // seconds that a call usually takes without waiting; 0 if not known
+	recent    average // seconds that recent calls took without waiting
+	occupancy average // seconds for which recent calls were in flight
+	count     int     // durations that were recorded
+}
+
+const (
+	// durationTime is the time constant of the averages of durations.
+	durationTime = time.Second
+	// warmUp is the number of calls of a new process whose durations are not compared with
+	// the usual one: caches are cold.
+	warmUp = 3
+	// usualFall and usualRise are the weights with which a duration that is shorter or
+	// longer than the usual one changes it. The usual duration is that of an endpoint
+	// without load, which the short ones show.
+	usualFall = 0.1
+	usualRise = 0.004
+)
+
+// addPace records a reported pace, 1 being the usual one.
+func (s *speed) addPace(pace float64, now time.Time) {
+	s.told = true
+	s.pace.add(min(max(pace, minPace), maxPace), now, paceTime)
+}
+
+// addDuration records the duration of a call that met the given number of waiting calls
+// per slot.
+func (s *speed) addDuration(took time.Duration, waiting float64, now time.Time) {
+	s.count++
+	s.occupancy.add(took.Seconds(), now, durationTime)
+	work := took.Seconds() / (1 + waiting)
+	s.recent.add(work, now, durationTime)
+	if s.told {
+		work /= s.pace.value
+	}
+	switch {
+	case s.usual == 0:
+		s.usual = work
+	case s.count <= warmUp || work < s.usual:
+		s.usual += usualFall * (work - s.usual)
+	default:
+		s.usual += usualRise * (work - s.usual)
+	}
+	if !s.told && s.count > warmUp && s.usual > 0 {
+		s.pace.add(min(max(work/s.usual, minPace), maxPace), now, paceTime)
+	}
+}
+
+// current returns the pace at a time.
+func (s *speed) current(now time.Time) float64 {
+	if s.pace.at.IsZero() {
+		return 1
+	}
+	age := max(now.Sub(s.pace.at), 0)
+	return 1 + (s.pace.value-1)*math.Exp(-float64(age)/float64(paceMemory))
+}
--- a/relayer/callstate.go
+++ b/relayer/callstate.go
@@ -65,12 +65,15 @@
 	avoidedAny        bool                    // an endpoint was left out for the version of its software
 	anySoftware       bool                    // none is left out any more
 	version           int64                   // of the model at the chosen endpoint
+	claimed           *tracker.Endpoint       // endpoint at which the call counts as in flight before it is
+	roomUntil         time.Time               // how long the call may wait for room; zero before it does
 	sentAt            time.Time               // latest send
 }
 
 // run forwards the call to endpoints until one responds. The outcome of a returned
 // fault is NotRun only if no endpoint may have run the call.
 func (c *callState) run() (*Answer, error) {
+	defer c.unclaim()
 	answer, err := c.tryEndpoints()
 	if err != nil && c.mayHaveRun {
 		return nil, classifier.AsUnknown(classifier.Of(err))
@@ -114,13 +117,16 @@
 	if chooseErr != nil && c.becomePatient() {
 		choice, chooseErr = c.choose()
 	}
+	if chooseErr != nil {
+		choice, chooseErr = c.chooseWithRoom(choice, chooseErr)
+	}
 	switch {
 	case chooseErr == nil:
 		if last = c.reserve(choice); last == nil {
 			return choice, false, nil
 		}
 	case last == nil:
-		return choice, true, classifier.NewUnavailable("no endpoint can take the call", classifier.RetryAfter(c.retryAfter(longWait(chooseErr))), classifier.Cause(chooseErr))
+		return choice, true, classifier.NewUnavailable("no endpoint can take the call", classifier.RetryAfter(c.retryWhenRoom(chooseErr)), classifier.Cause(chooseErr))
 	}
 	if chooseErr == nil && (c.declines < maxDeclines && c.queues < maxQueues || c.allowAnySoftware()) {
 		return choice, false, last
@@ -168,6 +174,7 @@
 // choose returns an endpoint that is not excluded. Once the call has been sent to
 // as many endpoints as its route allows, only those are left to choose from.
 func (c *callState) choose() (selector.Choice, error) {
+	c.unclaim()
 	limit := c.call.Route().MaxAttempts()
 	now, maxWait := time.Now(), c.maxLimitWait()
 	choice, err := c.relayer.chooser.Choose(c.call.Routed, func(e *tracker.Endpoint) bool {
@@ -176,6 +183,9 @@
 	if err != nil {
 		return choice, fmt.Errorf("choose endpoint: %w", err)
 	}
+	if choice.Claimed() {
+		c.claimed = choice.Endpoint()
+	}
 	return choice, nil
 }
 
@@ -189,6 +199,9 @@
 	began := time.Now()
 	res := c.send(choice)
 	c.logResult(e, res, time.Since(began))
+	if limit, fallen := e.AnnounceLimit(time.Now()); fallen {
+		c.logEvent("endpoint-limit-lowered", e, logger.With(logger.KeyCalls, limit), logger.With(logger.KeyPace, e.Pace(time.Now())))
+	}
 	switch res := res.(type) {
 	case answered:
 		return c.finish(e, res.answer)
--- a/relayer/outcome.go
+++ b/relayer/outcome.go
@@ -157,6 +157,7 @@
 	switch {
 	case slow:
 		e.Failed()
+		e.TimedOut(c.sentAt)
 	case errors.Is(c.ctx.Err(), context.Canceled):
 		if time.Since(c.sentAt) > c.call.Route().Objective() {
 			e.Failed() // the caller canceled after waiting past the objective
@@ -164,6 +165,7 @@
 		return final(classifier.NewCanceled("the caller went away"))
 	case c.ctx.Err() != nil:
 		e.Failed()
+		e.TimedOut(c.sentAt)
 		return final(classifier.NewExpired("the endpoint did not answer in time", classifier.MayHaveRun(), classifier.Cause(cause)))
 	default:
 		c.recordLoss(e, cause, true)
--- /dev/null
+++ b/relayer/room.go
@@ -0,0 +1,81 @@
+package relayer
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/selector"
+	"github.com/dragonflyford/dragonflyford/sleeper"
+)
+
+const (
+	// minRoomPause and maxRoomPause bound the time after which a call that waits for room
+	// looks again. Room may come earlier than expected.
+	minRoomPause = 5 * time.Millisecond
+	maxRoomPause = 100 * time.Millisecond
+	// maxRetryShare is the longest retry delay as a share of the call's remaining time.
+	// Callers comply with delays of up to a third of it.
+	maxRetryShare = 0.3
+)
+
+// unclaim ends the claim on the chosen endpoint, because the call has begun there or is not
+// sent.
+func (c *callState) unclaim() {
+	if c.claimed != nil {
+		c.claimed.Unclaim()
+		c.claimed = nil
+	}
+}
+
+// roomWait returns when room is expected at an endpoint, or false if a fault has another
+// cause than a lack of room.
+func roomWait(fault error) (time.Duration, bool) {
+	if !errors.Is(fault, selector.ErrNoRoom) {
+		return 0, false
+	}
+	return classifier.Of(fault).RetryAfter(), true
+}
+
+// chooseWithRoom waits for room if that is why no endpoint was chosen, and if room is
+// expected in the time that the call can wait.
+func (c *callState) chooseWithRoom(choice selector.Choice, fault error) (selector.Choice, error) {
+	for {
+		wait, full := roomWait(fault)
+		if !full || !c.awaitRoom(wait) {
+			return choice, fault
+		}
+		if choice, fault = c.choose(); fault == nil {
+			return choice, nil
+		}
+	}
+}
+
+// awaitRoom waits before the call looks for room again. It reports false if room is expected
+// too late for the call.
+func (c *callState) awaitRoom(expected time.Duration) bool {
+	now := time.Now()
+	if c.roomUntil.IsZero() {
+		patience := max(c.maxTurnWait(), time.Duration(patienceShare*float64(c.call.Remaining())))
+		c.roomUntil = now.Add(min(patience, c.call.Remaining()-minRemaining))
+	}
+	if now.Add(expected).After(c.roomUntil) {
+		return false
+	}
+	pause := min(max(expected, minRoomPause), maxRoomPause)
+	pause = time.Duration((0.5 + rand.Float64()/2) * float64(pause))
+	return sleeper.Sleep(c.ctx, pause) == nil
+}
+
+// retryWhenRoom returns the retry delay of a call that no endpoint can take: until room is
+// expected, with jitter, if that is known.
+func (c *callState) retryWhenRoom(fault error) time.Duration {
+	wait, full := roomWait(fault)
+	if !full {
+		return c.retryAfter(longWait(fault))
+	}
+	wait += time.Duration(rand.Float64() * retryAfterJitter * float64(wait))
+	longest := time.Duration(maxRetryShare * float64(c.call.Remaining()))
+	return max(min(wait, longest), minRetryAfter)
+}
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -72,6 +72,7 @@
 	}
 	c.sentAt = time.Now()
 	answer, err := c.relayer.exchanger.Do(ctx, e, c.outbound(choice), c.maxIdle(), c.connections())
+	c.unclaim()
 	if err != nil {
 		defer abort(nil)
 		var callErr *exchanger.CallError
@@ -118,6 +119,9 @@
 
 func (c *callState) outbound(choice selector.Choice) *exchanger.Outbound {
 	opts := []exchanger.OutboundOption{}
+	if c.claimed != nil {
+		opts = append(opts, exchanger.OnBegin(c.unclaim))
+	}
 	if c.call.Service().EngineSpec() != nil {
 		if choice.MinVersion() > 0 {
 			// The engine may have a newer version than this host knows of.
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -57,6 +57,7 @@
 	endpoint    *tracker.Endpoint
 	minVersion  int64
 	modelLoaded bool
+	claimed     bool
 }
 
 func (c Choice) Endpoint() *tracker.Endpoint { return c.endpoint }
@@ -69,6 +70,10 @@
 // this host knows. It is always true for services without engines.
 func (c Choice) ModelLoaded() bool { return c.modelLoaded }
 
+// Claimed reports whether the call counts as in flight at the endpoint already. The caller
+// must end the claim with tracker.Endpoint.Unclaim.
+func (c Choice) Claimed() bool { return c.claimed }
+
 // Selector chooses endpoints for the calls of one host.
 type Selector struct {
 	endpoints   *tracker.Tracker
@@ -97,11 +102,15 @@
 	snapshot := s.endpoints.Current()
 	now := time.Now()
 	all := snapshot.Usable(r.Service().Name())
+	plain := r.Service().EngineSpec() == nil || r.Model().Base() == ""
+	if plain && len(all) > 0 && all[0].Paced() {
+		return s.choosePaced(r, all, avoid, now)
+	}
 	usable := available(all, avoid, now)
 	if len(usable) == 0 {
 		return Choice{}, classifier.NewUnavailable("no endpoint of the service is left", classifier.RetryAfter(retryWhenPaused(all, now)))
 	}
-	if r.Service().EngineSpec() == nil || r.Model().Base() == "" {
+	if plain {
 		return s.choosePlain(usable, now)
 	}
 	return s.chooseEngine(snapshot, r.Model(), usable, loadsQueued, now)
@@ -289,7 +298,9 @@
 	if calls >= maxCallsPerSlot*float64(e.Slots()) || e.Waiting(now) > maxEngineQueue || e.Full(now) {
 		return 0, false
 	}
-	return calls + failurePenalty*e.FailureRate()*float64(e.Slots()), true
+	// A slow engine with few calls takes as long as a usual one with more of them.
+	pace := e.ReportedPace(now)
+	return (calls+1)*pace - 1 + failurePenalty*e.FailureRate()*float64(e.Slots()), true
 }
 
 func (s *Selector) place(e *tracker.Endpoint) place {
--- a/tracker/endpoint.go
+++ b/tracker/endpoint.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/pacer"
 )
 
 // Entry is an endpoint's entry in the store.
@@ -78,6 +79,7 @@
 	mu           sync.Mutex    // serialises writers of models
 	models       atomic.Pointer[map[connector.Model]modelState]
 	recent       atomic.Pointer[map[connector.Model]time.Time] // unloaded models and when that was observed
+	pacing       *pacing                                       // nil without adaptive limits
 }
 
 func newEndpoint(entry Entry, region string) *Endpoint {
@@ -130,13 +132,29 @@
 type Load struct {
 	running int
 	waiting int
-	own     int // calls from this host in flight at the time of the report
+	slots   int     // calls that the endpoint runs at once; 0 if not reported
+	pace    float64 // duration of work as a multiple of the usual one; 0 if not reported
+	own     int     // calls from this host in flight at the time of the report
 	seen    time.Time
 }
 
 // RecordLoad records the load that the endpoint reported in a response.
 func (e *Endpoint) RecordLoad(running, waiting int) {
-	e.load.Store(&Load{running: running, waiting: waiting, own: e.Outstanding(), seen: time.Now()})
+	e.RecordAnswer(time.Now(), false, pacer.NewLoad(running, waiting))
+}
+
+// RecordAnswer records the load that the endpoint reported in its response to a call that
+// was sent at a time. Refused is whether it had no capacity for the call.
+func (e *Endpoint) RecordAnswer(sent time.Time, refused bool, l pacer.Load) {
+	if running, waiting, ok := l.Calls(); ok {
+		e.load.Store(&Load{
+			running: running, waiting: waiting, slots: l.Slots(), pace: l.Pace(),
+			own: e.Outstanding(), seen: time.Now(),
+		})
+	}
+	if e.pacing != nil {
+		e.pacing.answered(sent, refused, l)
+	}
 }
 
 // loadTTL is how long a load report is used. Short jobs of a plain service start
@@ -206,6 +224,9 @@
 // how long.
 func (e *Endpoint) ConnectionFailed() time.Duration {
 	e.updateFailureRate(1)
+	if e.pacing != nil {
+		e.pacing.broken()
+	}
 	n := min(e.connFailures.Add(1), maxConnFailures)
 	d := min(firstEjection<<(n-1), maxEjection)
 	e.ejectedUntil.Store(time.Now().Add(d).UnixNano())
@@ -220,6 +241,9 @@
 		e.ConnectionFailed()
 		return
 	}
+	if e.pacing != nil {
+		e.pacing.broken()
+	}
 	e.updateFailureRate(1)
 	e.connFailures.Add(1)
 }
--- a/tracker/limit.go
+++ b/tracker/limit.go
@@ -65,6 +65,9 @@
 		}
 		next := l
 		if e.limit.CompareAndSwap(old, &next) {
+			if e.pacing != nil {
+				e.pacing.named(l.rate)
+			}
 			return l.differs(old)
 		}
 	}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -45,6 +45,7 @@
 	unverified     map[string]unverifiedEntry // entries of such processes in a restored copy, by endpoint
 	restored       time.Time                  // when the store was last restored from an older copy
 	versions       map[connector.Model]int64
+	paces          *paces // nil without adaptive limits
 	current        atomic.Pointer[Snapshot]
 }
 
@@ -168,6 +169,7 @@
 		known.merge(e.models, time.Now())
 	default:
 		r = &record{endpoint: newEndpoint(e, t.regions[e.dataCentre])}
+		r.endpoint.pacing = t.paces.endpoint(e)
 	}
 	t.records[e.id] = r
 	delete(t.unverified, e.id)
