accountant, allotter: add quotas of workspaces over all hosts

Callers of a workspace could use any rate, because no host knew what the others sent on. A quota owner, the first host by rendezvous hash of the workspace's name, holds the token bucket, and the others ask it by the new method Draw before they send a call on. Hosts that do not reach it ask the next host in rank, or use a share of their own.

--- /dev/null
+++ b/accountant/accountant.go
@@ -0,0 +1,192 @@
+package accountant
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+const (
+	// idleTime is the time without a draw after which a bucket is forgotten if the whole rate
+	// fills it by then.
+	idleTime = time.Minute
+	// maxBuckets limits the memory. It is far above the number of workspaces of a
+	// configuration.
+	maxBuckets = 1 << 16
+)
+
+// Verdict is the answer to a draw: Granted or Exceeded.
+type Verdict interface{ verdict() }
+
+type (
+	// Granted means that the call may be sent.
+	Granted struct{}
+	// Exceeded means that the quota is used up.
+	Exceeded struct{ wait time.Duration }
+)
+
+// NewExceeded returns a refusal. Wait is the time after which the caller may try again.
+func NewExceeded(wait time.Duration) Exceeded { return Exceeded{wait: wait} }
+
+// Wait returns the time after which the caller may try again.
+func (e Exceeded) Wait() time.Duration { return e.wait }
+
+func (Granted) verdict()  {}
+func (Exceeded) verdict() {}
+
+// Terms are the rate and the burst of a quota as of a version of the configuration.
+type Terms struct {
+	version int64
+	rate    float64 // units a second
+	burst   float64 // units
+}
+
+// NewTerms returns the terms of a quota.
+func NewTerms(version int64, rate, burst float64) Terms {
+	return Terms{version: version, rate: rate, burst: burst}
+}
+
+// Version returns the version of the configuration that set the terms.
+func (t Terms) Version() int64 { return t.version }
+
+// Rate returns the units a second.
+func (t Terms) Rate() float64 { return t.rate }
+
+// Burst returns the units that may be drawn at once.
+func (t Terms) Burst() float64 { return t.burst }
+
+// Part is the part of a quota that a bucket grants.
+type Part struct {
+	rate  float64 // share of the rate
+	start float64 // level of a new bucket in units
+}
+
+// NewPart returns a part with a share of the rate. A new bucket starts with a number of units,
+// which is negative if its first call has to wait.
+func NewPart(rate, start float64) Part { return Part{rate: rate, start: start} }
+
+// Whole returns the whole of a quota.
+func (t Terms) Whole() Part { return NewPart(1, t.burst) }
+
+// bucket is the state of a quota.
+type bucket struct {
+	terms   Terms
+	share   float64 // of the rate, as of the latest draw
+	level   float64 // units that may be drawn at updated
+	updated time.Time
+	retries Retries
+}
+
+// Accountant holds the buckets of workspaces. It is safe for concurrent use.
+type Accountant struct {
+	overdraft bool
+	mu        sync.Mutex
+	buckets   map[string]*bucket
+	swept     time.Time
+}
+
+// Option sets an optional property of an Accountant.
+type Option func(*Accountant)
+
+// WithOverdraft lets each bucket that is not empty be overdrawn by one call, so that a part
+// of a quota which is smaller than a call still serves some.
+func WithOverdraft() Option { return func(a *Accountant) { a.overdraft = true } }
+
+// New returns an accountant without buckets.
+func New(opts ...Option) *Accountant {
+	a := &Accountant{buckets: make(map[string]*bucket)}
+	for _, opt := range opts {
+		opt(a)
+	}
+	return a
+}
+
+// Draw charges the cost of a call to a workspace.
+func (a *Accountant) Draw(workspace string, t Terms, p Part, cost float64, now time.Time) Verdict {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b := a.bucket(workspace, t, p, now)
+	b.refill(t, p, now)
+	// A call that is larger than the burst needs a full bucket and leaves it overdrawn.
+	needed := min(cost, b.terms.burst)
+	if a.overdraft {
+		needed = 0
+	}
+	if b.level >= needed {
+		b.level -= cost
+		return Granted{}
+	}
+	rate := b.terms.rate * p.rate
+	return Exceeded{b.retries.Next(now, perSecond(needed-b.level, rate), perSecond(cost, rate))}
+}
+
+// Return gives the cost of a call that did not run back to a workspace.
+func (a *Accountant) Return(workspace string, cost float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if b := a.buckets[workspace]; b != nil && cost > 0 {
+		b.level = min(b.level+cost, b.terms.burst)
+	}
+}
+
+// Limit lowers the level of a workspace's bucket to a share of its burst. It is for a host
+// that becomes the owner of a quota again, while others may have granted it.
+func (a *Accountant) Limit(workspace string, share float64, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if b := a.buckets[workspace]; b != nil {
+		b.refill(b.terms, NewPart(b.share, 0), now)
+		b.level = min(b.level, share*b.terms.burst)
+	}
+}
+
+// Buckets returns the number of buckets that are kept.
+func (a *Accountant) Buckets() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.buckets)
+}
+
+// bucket returns the bucket of a workspace. It requires mu.
+func (a *Accountant) bucket(workspace string, t Terms, p Part, now time.Time) *bucket {
+	if now.Sub(a.swept) >= idleTime {
+		a.swept = now
+		maps.DeleteFunc(a.buckets, func(_ string, b *bucket) bool { return b.idle(now) })
+	}
+	b := a.buckets[workspace]
+	if b != nil && !b.idle(now) {
+		return b
+	}
+	if b == nil && len(a.buckets) >= maxBuckets {
+		for name := range a.buckets {
+			delete(a.buckets, name)
+			break
+		}
+	}
+	b = &bucket{terms: t, share: p.rate, level: p.start, updated: now}
+	a.buckets[workspace] = b
+	return b
+}
+
+// idle reports whether a bucket has had no draw for so long that the quota is unused, whoever
+// granted it.
+func (b *bucket) idle(now time.Time) bool {
+	age := now.Sub(b.updated)
+	return age >= idleTime && b.level+age.Seconds()*b.terms.rate >= b.terms.burst
+}
+
+// refill adds what has become available since the last draw. Terms of an older version of
+// the configuration are not used. The share of the rate may have changed at any moment
+// since then, so that the smaller one counts.
+func (b *bucket) refill(t Terms, p Part, now time.Time) {
+	rate := b.terms.rate
+	if t.version > b.terms.version {
+		b.terms, rate = t, min(rate, t.rate)
+	}
+	if elapsed := now.Sub(b.updated); elapsed > 0 {
+		b.level += elapsed.Seconds() * rate * min(b.share, p.rate)
+		b.updated = now
+	}
+	b.share = p.rate
+	b.level = min(b.level, b.terms.burst)
+}
--- /dev/null
+++ b/allotter/lending.go
@@ -0,0 +1,143 @@
+package allotter
+
+import (
+	"sync"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/accountant"
+)
+
+const (
+	// presenceInterval is the time between two messages that a host sends to a quota owner
+	// without a call.
+	presenceInterval = time.Second
+	// presenceTime is how long after its last message a host counts as one that reaches this
+	// host. It allows for a late message.
+	presenceTime = 1500 * time.Millisecond
+	// halfShare is the share that a host has of its equal part of the rate while another host
+	// may grant the rest of that part.
+	halfShare = 0.5
+	// startShare is the share of a burst that the bucket of a new quota owner starts with.
+	startShare = 0.5
+)
+
+// lender is a host that asks this one for tokens of a workspace.
+type lender struct {
+	since    time.Time // first message without a gap
+	last     time.Time
+	fallback bool // the host has another quota owner, which does not answer it
+}
+
+// heard reports whether the host has sent a message lately.
+func (l *lender) heard(now time.Time) bool { return now.Sub(l.last) <= presenceTime }
+
+// weight returns the share that this host may grant of a lender's equal part of the rate.
+// Another host may still grant the rest: the one that the lender asked before, the one that
+// does not answer it, or the lender itself, which has its own bucket while it reaches nobody.
+// A lender that is not heard any more may have another quota owner if the membership is not
+// current.
+func (l *lender) weight(current bool, now time.Time) float64 {
+	switch {
+	case !l.heard(now) && (l.fallback || !current):
+		return 0
+	case !l.heard(now), l.fallback, now.Sub(l.since) <= presenceTime:
+		return halfShare
+	default:
+		return 1
+	}
+}
+
+// lending is what the hosts of a deployment lend this host of the quota of a workspace.
+type lending struct {
+	lenders map[string]*lender
+	began   time.Time // since then there has been a lender without a gap
+	last    time.Time // latest message
+	share   float64   // of the rate, as of the latest count
+}
+
+// lendings holds the lenders by workspace. The sum of what all hosts grant of a workspace's
+// rate stays within the rate, because each host lends its equal part to one host at a time.
+type lendings struct {
+	mu          sync.Mutex
+	byWorkspace map[string]*lending
+}
+
+// record records a message of a host, and reports whether it is the first one after a time
+// in which no host sent any.
+func (s *lendings) record(workspace, host string, fallback bool, now time.Time) (began bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.byWorkspace[workspace]
+	if l == nil {
+		l = &lending{lenders: make(map[string]*lender)}
+		s.byWorkspace[workspace] = l
+	}
+	if began = now.Sub(l.last) > presenceTime; began {
+		l.began = now
+	}
+	l.last = now
+	h := l.lenders[host]
+	if h == nil {
+		h = &lender{since: now}
+		l.lenders[host] = h
+	}
+	if !h.heard(now) || h.fallback != fallback {
+		h.since = now
+	}
+	h.last, h.fallback = now, fallback
+	return began
+}
+
+// part returns the part of a quota that this host grants.
+func (s *lendings) part(workspace string, t accountant.Terms, now time.Time) accountant.Part {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.byWorkspace[workspace]
+	if l == nil {
+		return accountant.NewPart(0, 0)
+	}
+	start := startShare * t.Burst()
+	if l.share > halfShare && now.Sub(l.began) > 2*presenceTime {
+		start = t.Burst()
+	}
+	return accountant.NewPart(l.share, start)
+}
+
+// count updates the shares of all workspaces. No draw walks the lenders.
+func (s *lendings) count(hosts int, current bool, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.byWorkspace {
+		l.count(hosts, current, now)
+	}
+}
+
+func (l *lending) count(hosts int, current bool, now time.Time) {
+	sum, heard := 0.0, 0
+	for _, h := range l.lenders {
+		sum += h.weight(current, now)
+		if h.heard(now) {
+			heard++
+		}
+	}
+	l.share = min(sum/float64(max(hosts, 1)), 1)
+	if !current && heard < hosts-hosts/10 {
+		l.share *= halfShare // the rest may have another quota owner, which counts these hosts as lost
+	}
+}
+
+// sweep forgets the lenders that have left, and workspaces without any.
+func (s *lendings) sweep(live func(host string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for workspace, l := range s.byWorkspace {
+		for host := range l.lenders {
+			if !live(host) {
+				delete(l.lenders, host)
+			}
+		}
+		if len(l.lenders) == 0 {
+			delete(s.byWorkspace, workspace)
+		}
+	}
+}
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dragonflyford/dragonflyford/accountant"
+	"github.com/dragonflyford/dragonflyford/allotter"
 	"github.com/dragonflyford/dragonflyford/archiver"
 	"github.com/dragonflyford/dragonflyford/awaiter"
 	"github.com/dragonflyford/dragonflyford/broadcaster"
@@ -81,6 +83,7 @@
 	meter        *meter.Meter
 	callMetrics  *callMetrics
 	speedMetrics *speedMetrics
+	quotaMetrics *quotaMetrics
 
 	store             *platform.Store
 	engines           *platform.EngineClient
@@ -94,6 +97,7 @@
 	speeds            *estimator.Estimator
 	supplier          *supplier.Supplier
 	messenger         *messenger.Messenger
+	allotter          *allotter.Allotter
 	screener          *screener.Screener
 	confirmer         *confirmer.Confirmer
 	evidence          *outbox[screener.Evidence]
@@ -125,6 +129,7 @@
 	})
 	h.callMetrics = newCallMetrics(h.meter.Scope())
 	h.speedMetrics = newSpeedMetrics(h.meter.Scope())
+	h.quotaMetrics = newQuotaMetrics(h.meter.Scope())
 	log = log.WithEventCounter(h.callMetrics.events.Inc)
 	h.log = log.Component("assembler")
 	h.store = platform.NewStore(settings.Store())
@@ -148,6 +153,7 @@
 	if h.messenger, err = messenger.New(peerHandler{h}); err != nil {
 		return nil, fmt.Errorf("build messenger: %w", err)
 	}
+	h.allotter = allotter.New(h.messenger, h.members, h.router, h.quotaMetrics, log)
 	h.replicator = replicator.New(h.messenger, h.members, h.pinner, settings.StreamLifetime(), log)
 	h.archiver = archiver.New(h.pinner, fleetTable, h.store.Table(tableStreams), h.replicator, settings.StreamLifetime(), log)
 	h.mirrors = map[string]*mirrorer.Mirror{
@@ -204,8 +210,8 @@
 		procurer.New(h.supplier, h.messenger, h.members, h.speeds),
 		h.exchanger, retryBudget, crashObserver{h}, h.archiver, h.speeds, hosts, log)
 	routed := chainer.Join[*router.Call, *router.Call, *router.Routed](h.awaiter, h.router)
-	screened := chainer.Join[*router.Call, *router.Routed, *screener.Screened](routed, h.screener)
-	return chainer.Join[*router.Call, *screener.Screened, *relayer.Answer](screened, relay)
+	screened := chainer.Join[*router.Routed, *screener.Screened, *relayer.Answer](h.screener, relay)
+	return chainer.Join[*router.Call, *router.Routed, *relayer.Answer](routed, allotter.Wrap(h.allotter, screened))
 }
 
 func (h *Host) engineSpec(service string) *router.EngineSpec {
@@ -276,6 +282,12 @@
 	return p.host.permitter.Grant(request)
 }
 
+func (p peerHandler) Draw(request allotter.Request) accountant.Verdict {
+	return p.host.allotter.Grant(request)
+}
+
+func (p peerHandler) HearPresence(presence allotter.Presence) { p.host.allotter.Hear(presence) }
+
 func (p peerHandler) KeepRecords(list []replicator.Record) {
 	now := time.Now()
 	for _, r := range list {
--- a/assembler/run.go
+++ b/assembler/run.go
@@ -83,6 +83,7 @@
 	running.Go(func() { h.reconcile(work) })
 	running.Go(func() { h.evidence.run(work, func() { h.judgeCrashes(work) }) })
 	running.Go(func() { h.limits.run(work, func() {}) })
+	running.Go(func() { h.allotter.Run(work) })
 	running.Go(func() { h.storeQuarantine(work) })
 	running.Go(func() { h.archiver.Run(work) })
 	running.Go(func() { h.replicator.Run(work) })
--- a/avoider/avoider.go
+++ b/avoider/avoider.go
@@ -3,6 +3,7 @@
 package avoider
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -31,3 +32,15 @@
 	a.failures.CompareAndDelete(host, at)
 	return false
 }
+
+// Do sends a request to a host, which has to answer within the timeout. It records a failure
+// unless the caller gave up earlier.
+func (a *Avoider) Do(ctx context.Context, host string, timeout time.Duration, send func(context.Context) error) error {
+	limited, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	err := send(limited)
+	if err != nil && ctx.Err() == nil {
+		a.RecordFailure(host)
+	}
+	return err
+}
--- /dev/null
+++ b/enroller/ranking.go
@@ -0,0 +1,48 @@
+package enroller
+
+// rankedHosts is the number of hosts of a ranking. The first one that answers decides, and
+// a host that reaches neither of two decides for itself.
+const rankedHosts = 2
+
+// Ranking is the order of the live hosts of a view for a key.
+type Ranking struct {
+	hosts []*Host
+	live  int
+}
+
+// Hosts returns the first two serving hosts by the rendezvous hash of the key, the best
+// first. The caller must not modify the list.
+func (r *Ranking) Hosts() []*Host { return r.hosts }
+
+// Live returns the number of serving hosts.
+func (r *Ranking) Live() int { return r.live }
+
+// Ranking returns the ranking of the hosts for a key. It is computed once a view and key, and
+// counts the hosts that were alive at that time; the next contact to the store brings a new
+// view. The keys have to be few, such as the names of the configuration.
+func (v *View) Ranking(key string) *Ranking {
+	if r, ok := v.rankings.Load(key); ok {
+		return r.(*Ranking)
+	}
+	r, _ := v.rankings.LoadOrStore(key, v.rank(key))
+	return r.(*Ranking)
+}
+
+func (v *View) rank(key string) *Ranking {
+	r := &Ranking{hosts: make([]*Host, 0, rankedHosts+1)}
+	hashes := make([]uint64, 0, rankedHosts+1)
+	for name, h := range v.hosts {
+		if !v.serving(h) {
+			continue
+		}
+		r.live++
+		hash := rendezvousHash(key, name)
+		r.hosts, hashes = append(r.hosts, h), append(hashes, hash)
+		for i := len(hashes) - 1; i > 0 && hashes[i] > hashes[i-1]; i-- {
+			hashes[i], hashes[i-1] = hashes[i-1], hashes[i]
+			r.hosts[i], r.hosts[i-1] = r.hosts[i-1], r.hosts[i]
+		}
+		r.hosts, hashes = r.hosts[:min(len(hashes), rankedHosts)], hashes[:min(len(hashes), rankedHosts)]
+	}
+	return r
+}
--- a/enroller/view.go
+++ b/enroller/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -78,6 +79,7 @@
 	storeClockZero time.Time      // when the store's steady clock was 0; zero if unknown
 	lostAfter      time.Duration  // time without a renewal after which a host is not alive
 	liveCount      int
+	rankings       sync.Map // by key, *Ranking
 }
 
 // Host returns the host with the given name, or nil.
@@ -153,6 +155,10 @@
 // through another host, knows that a host has joined or is leaving.
 const SettleTime = contactTimeout
 
+// Current reports whether the store confirmed the rows lately. If it did not, other hosts may
+// have joined, or may take this one for lost.
+func (v *View) Current() bool { return time.Since(v.confirmed) <= contactTimeout }
+
 // FirstChoice returns the name of the host that serves an endpoint for all hosts: the one
 // with the highest rendezvous hash among the live hosts of the endpoint's data centre or,
 // if there are none, of its region or else of the deployment. It returns "" if no host is
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dragonflyford/dragonflyford/accountant"
+	"github.com/dragonflyford/dragonflyford/allotter"
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/estimator"
 	"github.com/dragonflyford/dragonflyford/limiter"
@@ -34,6 +36,9 @@
 	mirror   *mirrorer.Mirror
 	records  []replicator.Record
 	coverage pinner.Coverage
+	draw     allotter.Request
+	presence allotter.Presence
+	verdict  accountant.Verdict
 }
 
 func (h *handler) Reserve(_ context.Context, request supplier.ReserveRequest) supplier.ReserveResponse {
@@ -62,6 +67,19 @@
 	return permitter.NewResponse(limiter.NewDeclined(request.MaxWait()), request.Limit())
 }
 
+func (h *handler) Draw(r allotter.Request) accountant.Verdict {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.draw = r
+	return h.verdict
+}
+
+func (h *handler) HearPresence(p allotter.Presence) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.presence = p
+}
+
 func (h *handler) KeepRecords(list []replicator.Record) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -256,3 +274,27 @@
 		is.Equal(status, h.RecordStatus(process))
 	}
 }
+
+// Guards against draws and presences that change on their way between hosts, and against a
+// refusal that arrives as a grant.
+func TestQuotas(t *testing.T) {
+	is := is.New(t)
+	h := &handler{verdict: accountant.Granted{}}
+	client, address := connect(t, h)
+	request := allotter.NewRequest("a", "w", accountant.NewTerms(7, 1000.5, 2000), 16.5).Returning(3.5)
+	for _, r := range []allotter.Request{request, request.AsFallback()} {
+		verdict, err := client.Draw(t.Context(), address, r)
+		is.NoErr(err)
+		is.Equal(verdict, h.verdict)
+		is.Equal(h.draw, r)
+		h.verdict = accountant.NewExceeded(70 * time.Millisecond)
+	}
+	for _, list := range [][]allotter.Quota{
+		{allotter.NewQuota("w", 0), allotter.NewQuota("v", 12)},
+		{allotter.NewQuota("w", 0)},
+	} {
+		p := allotter.NewPresence("a", list, len(list) == 1)
+		is.NoErr(client.SendPresence(t.Context(), address, p))
+		is.Equal(h.presence, p)
+	}
+}
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -8,6 +8,8 @@
 
 	"storj.io/drpc"
 
+	"github.com/dragonflyford/dragonflyford/accountant"
+	"github.com/dragonflyford/dragonflyford/allotter"
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/describer"
 	"github.com/dragonflyford/dragonflyford/encoder"
@@ -30,6 +32,8 @@
 	methodReplicate    = "/messenger/Replicate"
 	methodFind         = "/messenger/Find"
 	methodStatus       = "/messenger/RecordStatus"
+	methodDraw         = "/messenger/Draw"
+	methodSendPresence = "/messenger/SendPresence"
 )
 
 type modelDocument struct {
@@ -223,6 +227,10 @@
 	LearnLimits(list []permitter.Report)
 	// Admit handles a request for a turn at an endpoint.
 	Admit(request permitter.Request) permitter.Response
+	// Draw handles a request for the tokens of a call.
+	Draw(r allotter.Request) accountant.Verdict
+	// HearPresence records that another host reaches this one.
+	HearPresence(p allotter.Presence)
 	// KeepRecords keeps records of streams that began at another host.
 	KeepRecords(list []replicator.Record)
 	// FindRecord returns what this host knows of the record of a stream.
@@ -282,5 +290,7 @@
 		describer.Unary(methodFollow, (*service).follow),
 		describer.Unary(methodReplicate, (*service).replicate),
 		describer.Unary(methodFind, (*service).find),
-		describer.Unary(methodStatus, (*service).status))
+		describer.Unary(methodStatus, (*service).status),
+		describer.Unary(methodDraw, (*service).draw),
+		describer.Unary(methodSendPresence, (*service).hear))
 }
--- a/permitter/permitter.go
+++ b/permitter/permitter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -174,13 +173,12 @@
 }
 
 func (p *Permitter) ask(ctx context.Context, host *enroller.Host, r Request) (Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
-	response, err := p.remote.Admit(ctx, host.PeerAddress(), r)
+	var response Response
+	err := p.unresponsive.Do(ctx, host.Name(), requestTimeout, func(ctx context.Context) (err error) {
+		response, err = p.remote.Admit(ctx, host.PeerAddress(), r)
+		return err
+	})
 	if err != nil {
-		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			p.unresponsive.RecordFailure(host.Name())
-		}
 		return Response{}, fmt.Errorf("request turn from host %s: %w", host.Name(), err)
 	}
 	return response, nil
--- a/router/workspace.go
+++ b/router/workspace.go
@@ -1,6 +1,10 @@
 package router
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
+	"iter"
+	"maps"
+)
 
 // Unit is what a quota counts: Requests or Tokens.
 type Unit interface{ unit() }
@@ -119,6 +123,9 @@
 // Workspace returns the workspace with the given name, or nil.
 func (t *Table) Workspace(name string) *Workspace { return t.workspaces[name] }
 
+// Workspaces returns all workspaces, in no particular order.
+func (t *Table) Workspaces() iter.Seq[*Workspace] { return maps.Values(t.workspaces) }
+
 // WorkspaceByKey returns the workspace that a key belongs to, or nil.
 func (t *Table) WorkspaceByKey(key string) *Workspace {
 	if key == "" || len(key) > maxKeyLength {
