estimator, procurer, supplier: send no prompts to an engine whose machine is slowed down

Streams of callers paused for too long: an engine shares its machine, and while other work slows it down by a factor of 2.5, for about half a second, a prompt of usual length stalls all streams on it for longer than the aim. Engines report the factor with each answer. A host that sees a notable one tells the engine's owner at once, and the owner schedules no prompt until 0.25 s after the last report.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -94,6 +94,7 @@
 	speeds            *estimator.Estimator
 	supplier          *supplier.Supplier
 	messenger         *messenger.Messenger
+	procurer          *procurer.Procurer
 	screener          *screener.Screener
 	confirmer         *confirmer.Confirmer
 	evidence          *outbox[screener.Evidence]
@@ -148,6 +149,7 @@
 	if h.messenger, err = messenger.New(peerHandler{h}); err != nil {
 		return nil, fmt.Errorf("build messenger: %w", err)
 	}
+	h.procurer = procurer.New(h.supplier, h.messenger, h.members, h.speeds)
 	h.replicator = replicator.New(h.messenger, h.members, h.pinner, settings.StreamLifetime(), log)
 	h.archiver = archiver.New(h.pinner, fleetTable, h.store.Table(tableStreams), h.replicator, settings.StreamLifetime(), log)
 	h.mirrors = map[string]*mirrorer.Mirror{
@@ -201,7 +203,7 @@
 	relay := relayer.New(
 		selector.New(h.fleet, settings.DataCentre(), settings.Region()),
 		h.permitter,
-		procurer.New(h.supplier, h.messenger, h.members, h.speeds),
+		h.procurer,
 		h.exchanger, retryBudget, crashObserver{h}, h.archiver, h.speeds, hosts, log)
 	routed := chainer.Join[*router.Call, *router.Call, *router.Routed](h.awaiter, h.router)
 	screened := chainer.Join[*router.Call, *router.Routed, *screener.Screened](routed, h.screener)
@@ -292,4 +294,10 @@
 	return p.host.replicator.Status(process, p.host.archiver.RestatedEra())
 }
 
+func (p peerHandler) LearnSpeed(r procurer.SpeedReport) {
+	if e := p.host.fleet.Current().Endpoint(r.Engine()); e != nil {
+		p.host.speeds.Learn(e.ID(), e.Service(), []estimator.Sample{r.Slowdown()}, time.Now())
+	}
+}
+
 func (p peerHandler) Mirror(table string) *mirrorer.Mirror { return p.host.mirrors[table] }
--- a/assembler/run.go
+++ b/assembler/run.go
@@ -97,6 +97,7 @@
 func (h *Host) close() {
 	h.supplier.Close()
 	h.replicator.Close()
+	h.procurer.Close()
 	h.exchanger.Close()
 	h.engines.Close()
 	h.store.Close()
--- a/estimator/estimate.go
+++ b/estimator/estimate.go
@@ -11,6 +11,7 @@
 	spread      float64       // of the time of a prompt token; see Spread
 	jobs        int           // latest report of the engine itself
 	jobsAt      time.Time     // zero if there is none
+	slowAt      time.Time     // latest report of a notable slowdown; zero if a later report denies it
 }
 
 // NewEstimate returns an estimate that is based on no sample.
@@ -36,6 +37,20 @@
 // arrived; the time is zero if there was none.
 func (e Estimate) Jobs() (n int, at time.Time) { return e.jobs, e.jobsAt }
 
+// slowHold is how long an engine counts as slow after it last reported so. Calls that it
+// gets meanwhile would stall its streams for longer than usual, and without calls it reports
+// nothing.
+const slowHold = 250 * time.Millisecond
+
+// SlowUntil returns the time at which the engine is expected to work at its usual speed again,
+// or the zero time if it does so.
+func (e Estimate) SlowUntil() time.Time {
+	if e.slowAt.IsZero() {
+		return time.Time{}
+	}
+	return e.slowAt.Add(slowHold)
+}
+
 // Sure reports whether the estimate is based on enough samples of the engine itself.
 func (e Estimate) Sure() bool { return e.samples >= minSamples }
 
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -72,9 +72,12 @@
 	if e := load(&x.engines, id); e != nil {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		if _, ok := s.(Occupancy); ok {
+		switch s.(type) {
+		case Occupancy:
 			e.jobs = s
 			return
+		case Slowdown:
+			return // over before the next request to the owner
 		}
 		if len(e.own) == maxPending {
 			e.own = slices.Delete(e.own, 0, 1)
@@ -186,7 +189,7 @@
 			est.outputToken, est.pause = known.outputToken, known.pause
 		}
 	}
-	est.samples, est.jobs, est.jobsAt = own.samples, own.jobs, own.jobsAt
+	est.samples, est.jobs, est.jobsAt, est.slowAt = own.samples, own.jobs, own.jobsAt, own.slowAt
 	return est
 }
 
--- a/estimator/fit.go
+++ b/estimator/fit.go
@@ -65,6 +65,11 @@
 		s.fit(now)
 	case Occupancy:
 		s.current.jobs, s.current.jobsAt = sample.jobs, now
+	case Slowdown:
+		s.current.slowAt = time.Time{}
+		if sample.Notable() {
+			s.current.slowAt = now
+		}
 	case Generation:
 		s.addGeneration(sample)
 		if sample.paused {
--- a/estimator/sample.go
+++ b/estimator/sample.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Sample is an observation of one call at an engine: a Prefill, a Generation or an
-// Occupancy.
+// Sample is an observation of one call at an engine: a Prefill, a Generation, an
+// Occupancy or a Slowdown.
 type Sample interface{ sample() }
 
 // Prefill is the processing of a prompt, up to the first piece of the answer.
@@ -56,10 +56,32 @@
 // Jobs returns the number of jobs.
 func (o Occupancy) Jobs() int { return o.jobs }
 
+// Slowdown is how much longer than usual work takes on the machine of an engine, as the
+// engine reported with an answer. Other work of the machine causes it, and it passes within
+// a second.
+type Slowdown struct{ factor float64 }
+
+// NewSlowdown returns the sample of an engine whose work takes factor times as long as usual.
+func NewSlowdown(factor float64) Slowdown { return Slowdown{factor: factor} }
+
+// Factor returns the duration of work as a multiple of the usual one.
+func (s Slowdown) Factor() float64 { return s.factor }
+
+// notableSlowdown is the factor from which on prompts should wait. Below it, a pause that is
+// planned to be acceptable stays so.
+const notableSlowdown = 1.25
+
+// Notable reports whether prompts should wait until the slowdown is over.
+func (s Slowdown) Notable() bool { return s.factor >= notableSlowdown }
+
+func (Slowdown) sample()   {}
 func (Prefill) sample()    {}
 func (Generation) sample() {}
 func (Occupancy) sample()  {}
 
+// maxSlowdown is the highest factor that is taken for a report.
+const maxSlowdown = 1000
+
 // valid reports whether a sample can be used. Hosts receive samples from others.
 func valid(s Sample) bool {
 	switch s := s.(type) {
@@ -69,6 +91,8 @@
 		return s.expectedTokens > 0 && s.took > 0
 	case Occupancy:
 		return s.jobs >= 0
+	case Slowdown:
+		return s.factor > 0 && s.factor <= maxSlowdown
 	default:
 		return false
 	}
--- a/exchanger/message.go
+++ b/exchanger/message.go
@@ -76,6 +76,7 @@
 	hasLoad     bool
 	running     int
 	waiting     int
+	pace        float64
 	idleTimeout time.Duration
 	limited     bool
 	limit       float64
@@ -95,6 +96,15 @@
 	return m
 }
 
+// WithPace adds the duration of work as a multiple of the usual one.
+func (m Meta) WithPace(pace float64) Meta {
+	m.pace = pace
+	return m
+}
+
+// Pace returns the duration of work as a multiple of the usual one, or 0.
+func (m Meta) Pace() float64 { return m.pace }
+
 // WithIdleTimeout adds the time after which the endpoint closes an idle
 // connection.
 func (m Meta) WithIdleTimeout(d time.Duration) Meta {
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -17,6 +17,7 @@
 	"github.com/dragonflyford/dragonflyford/mirrorer"
 	"github.com/dragonflyford/dragonflyford/permitter"
 	"github.com/dragonflyford/dragonflyford/pinner"
+	"github.com/dragonflyford/dragonflyford/procurer"
 	"github.com/dragonflyford/dragonflyford/replicator"
 	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/screener"
@@ -34,6 +35,13 @@
 	mirror   *mirrorer.Mirror
 	records  []replicator.Record
 	coverage pinner.Coverage
+	speed    procurer.SpeedReport
+}
+
+func (h *handler) LearnSpeed(r procurer.SpeedReport) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.speed = r
 }
 
 func (h *handler) Reserve(_ context.Context, request supplier.ReserveRequest) supplier.ReserveResponse {
@@ -147,6 +155,16 @@
 	}
 }
 
+// Guards against a slowdown that is altered by the encoding.
+func TestReportSpeed(t *testing.T) {
+	is := is.New(t)
+	h := &handler{}
+	client, address := connect(t, h)
+	report := procurer.NewSpeedReport("e1", estimator.NewSlowdown(2.5))
+	is.NoErr(client.ReportSpeed(t.Context(), address, report))
+	is.Equal(h.speed, report)
+}
+
 // Guards against evidence and table copies that are lost between hosts.
 func TestSendEvidenceAndFollow(t *testing.T) {
 	is := is.New(t)
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -15,6 +15,7 @@
 	"github.com/dragonflyford/dragonflyford/mirrorer"
 	"github.com/dragonflyford/dragonflyford/permitter"
 	"github.com/dragonflyford/dragonflyford/pinner"
+	"github.com/dragonflyford/dragonflyford/procurer"
 	"github.com/dragonflyford/dragonflyford/replicator"
 	"github.com/dragonflyford/dragonflyford/screener"
 	"github.com/dragonflyford/dragonflyford/storer"
@@ -30,6 +31,7 @@
 	methodReplicate    = "/messenger/Replicate"
 	methodFind         = "/messenger/Find"
 	methodStatus       = "/messenger/RecordStatus"
+	methodReportSpeed  = "/messenger/ReportSpeed"
 )
 
 type modelDocument struct {
@@ -229,6 +231,9 @@
 	FindRecord(service, key string) pinner.Answer
 	// RecordStatus returns what this host has sent to a process of another host.
 	RecordStatus(process uint64) replicator.Status
+	// LearnSpeed records what a call of another host showed of the speed of an engine that
+	// this host owns.
+	LearnSpeed(r procurer.SpeedReport)
 	// Mirror returns this host's copy of a table, or nil if it has none.
 	Mirror(table string) *mirrorer.Mirror
 }
@@ -282,5 +287,6 @@
 		describer.Unary(methodFollow, (*service).follow),
 		describer.Unary(methodReplicate, (*service).replicate),
 		describer.Unary(methodFind, (*service).find),
-		describer.Unary(methodStatus, (*service).status))
+		describer.Unary(methodStatus, (*service).status),
+		describer.Unary(methodReportSpeed, (*service).learnSpeed))
 }
--- a/procurer/procurer.go
+++ b/procurer/procurer.go
@@ -25,6 +25,8 @@
 // Remote reserves capacity on the engines of the host at an address.
 type Remote interface {
 	Reserve(ctx context.Context, address string, req supplier.ReserveRequest) (supplier.ReserveResponse, error)
+	// ReportSpeed tells the host at an address of the speed of an engine that it owns.
+	ReportSpeed(ctx context.Context, address string, r SpeedReport) error
 }
 
 // Members provides the owners of engines.
@@ -60,6 +62,7 @@
 	unresponsive avoider.Avoider
 	mu           sync.Mutex
 	inUse        map[string]map[connector.Model]*modelUse // by engine id
+	reports      reports
 }
 
 // New returns a procurer.
--- a/procurer/procurer_test.go
+++ b/procurer/procurer_test.go
@@ -45,6 +45,8 @@
 
 // recorder is an owner that records the requests it receives.
 type recorder struct {
+	mu        sync.Mutex
+	reports   []procurer.SpeedReport
 	requests  []supplier.ReserveRequest
 	addresses []string
 	err       error
@@ -60,6 +62,14 @@
 	return granted, a.err
 }
 
+func (a *recorder) ReportSpeed(ctx context.Context, _ string, r procurer.SpeedReport) error {
+	a.mu.Lock()
+	a.reports = append(a.reports, r)
+	a.mu.Unlock()
+	<-ctx.Done() // the owner does not answer
+	return ctx.Err()
+}
+
 // samples records the engines whose samples were requested.
 type samples struct {
 	list   []estimator.Sample
@@ -120,6 +130,37 @@
 	})
 }
 
+// Guards against an owner that learns of a slowdown only when it is over, and against reports
+// that pile up for an owner that does not answer.
+func TestSlowdownIsReportedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rows, remote := &membershipTable{}, &recorder{}
+		owner, self := host(rows, "owner"), host(rows, "self")
+		claim(t, owner)
+		self.Apply(rows.rows)
+		self.Contact(9, 0, 0)
+		p := procurer.New(local{&recorder{}}, remote, self, &samples{})
+		defer p.Close()
+		reported := func() int {
+			synctest.Wait()
+			remote.mu.Lock()
+			defer remote.mu.Unlock()
+			return len(remote.reports)
+		}
+		p.Report(engine(), estimator.NewSlowdown(2.5))
+		is.Equal(reported(), 1)
+		is.Equal(remote.reports[0], procurer.NewSpeedReport("e1", estimator.NewSlowdown(2.5)))
+		for range 10 {
+			p.Report(engine(), estimator.NewSlowdown(2.5))
+		}
+		is.Equal(reported(), 1) // one at a time
+		time.Sleep(time.Second)
+		p.Report(engine(), estimator.NewSlowdown(2.5))
+		is.Equal(reported(), 2)
+	})
+}
+
 // Guards against an owner that learns from its own calls only, and against one that
 // was restarted and does not get what the other hosts know.
 func TestSamples(t *testing.T) {
--- a/relayer/harness_test.go
+++ b/relayer/harness_test.go
@@ -144,6 +144,8 @@
 	return list[0](ctx, out)
 }
 
+func (r *harness) Report(*tracker.Endpoint, estimator.Slowdown) {}
+
 func (r *harness) Reserve(_ context.Context, e *tracker.Endpoint, _ connector.Model, _ ...supplier.ReserveOption) (supplier.ReserveResponse, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/relayer/pace.go
+++ b/relayer/pace.go
@@ -31,12 +31,26 @@
 	if ok {
 		c.relayer.speeds.Observe(e.ID(), e.Service(), estimator.NewOccupancy(running+waiting), now)
 	}
+	c.observeSlowdown(e, a.Meta().Pace(), now)
 	if c.lastEventID == "" && waiting == 0 {
 		took := now.Sub(c.sentAt) - a.RoundTrip()
 		c.relayer.speeds.Observe(e.ID(), e.Service(), estimator.NewPrefill(c.call.PromptTokens(), took), now)
 	}
 }
 
+// observeSlowdown records how much longer than usual work takes on the engine's machine. A
+// slowdown passes soon, so that the engine's owner is told at once.
+func (c *callState) observeSlowdown(e *tracker.Endpoint, factor float64, now time.Time) {
+	if factor <= 0 {
+		return // not reported
+	}
+	s := estimator.NewSlowdown(factor)
+	c.relayer.speeds.Observe(e.ID(), e.Service(), s, now)
+	if s.Notable() {
+		c.relayer.procurer.Report(e, s)
+	}
+}
+
 // pace measures the pauses of a stream from one engine.
 type pace struct {
 	call        *callState
--- a/supplier/reserve.go
+++ b/supplier/reserve.go
@@ -37,6 +37,9 @@
 	}
 	prefill := speed.PrefillTime(req.promptTokens)
 	prefill += speed.DecodePause(prefill)
+	if until := speed.SlowUntil(); until.After(earliest) {
+		earliest = until
+	}
 	start, ok := w.calendar.reserve(now, earliest, earliest.Add(req.maxWait), prefill, speed.GenerationTime(req.expectedOutputTokens), slots)
 	if !ok {
 		return NewFull(start.Sub(now))
--- a/supplier/speed_test.go
+++ b/supplier/speed_test.go
@@ -100,6 +100,36 @@
 	}
 }
 
+// Guards against prompts that are sent to an engine while its machine is slowed down by
+// other work, so that the streams on it pause for longer than planned, and against an engine
+// that gets no more calls because it reports nothing without them.
+func TestNoPromptsDuringSlowdown(t *testing.T) {
+	withSupplier(t, func(t *testing.T, is *is.I, e *engine, s *supplier.Supplier) {
+		e.resident[model(1)] = 1
+		time.Sleep(time.Second)
+		wait := func(factor float64) time.Duration {
+			var samples []estimator.Sample
+			if factor > 0 {
+				samples = append(samples, estimator.NewSlowdown(factor))
+			}
+			granted, ok := s.Reserve(t.Context(), supplier.NewReserveRequest("e1", model(1),
+				supplier.WithSamples(samples), supplier.WithSize(10, 0, 100*time.Millisecond))).(supplier.Granted)
+			is.True(ok)
+			time.Sleep(20 * time.Millisecond) // the engine is free again
+			return granted.Wait()
+		}
+		is.Equal(wait(0), time.Duration(0))
+		is.Equal(wait(1.1), time.Duration(0)) // as good as usual
+		slow := wait(2.5)
+		is.True(slow >= 100*time.Millisecond)
+		is.True(wait(0) >= slow-50*time.Millisecond) // still slow
+		is.Equal(wait(1), time.Duration(0))          // a later report denies it
+		is.True(wait(2.5) > 0)
+		time.Sleep(time.Second)
+		is.Equal(wait(0), time.Duration(0)) // nothing is known any more
+	})
+}
+
 // Guards against an owner that does not tell the hosts that it has too few samples,
 // after its restart.
 func TestUnsureOwner(t *testing.T) {
