--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -17,6 +17,7 @@
 	"github.com/dragonflyford/dragonflyford/mirrorer"
 	"github.com/dragonflyford/dragonflyford/permitter"
 	"github.com/dragonflyford/dragonflyford/pinner"
+	"github.com/dragonflyford/dragonflyford/procurer"
 	"github.com/dragonflyford/dragonflyford/replicator"
 	"github.com/dragonflyford/dragonflyford/screener"
 	"github.com/dragonflyford/dragonflyford/storer"
@@ -34,6 +35,7 @@
 	methodStatus       = "/messenger/RecordStatus"
 	methodDraw         = "/messenger/Draw"
 	methodSendPresence = "/messenger/SendPresence"
+	methodReportSpeed  = "/messenger/ReportSpeed"
 )
 
 type modelDocument struct {
@@ -237,6 +239,9 @@
 	FindRecord(service, key string) pinner.Answer
 	// RecordStatus returns what this host has sent to a process of another host.
 	RecordStatus(process uint64) replicator.Status
+	// LearnSpeed records what a call of another host showed of the speed of an engine that
+	// this host owns.
+	LearnSpeed(r procurer.SpeedReport)
 	// Mirror returns this host's copy of a table, or nil if it has none.
 	Mirror(table string) *mirrorer.Mirror
 }
@@ -292,5 +297,6 @@
 		describer.Unary(methodFind, (*service).find),
 		describer.Unary(methodStatus, (*service).status),
 		describer.Unary(methodDraw, (*service).draw),
-		describer.Unary(methodSendPresence, (*service).hear))
+		describer.Unary(methodSendPresence, (*service).hear),
+		describer.Unary(methodReportSpeed, (*service).learnSpeed))
 }
