enroller, replicator: await hosts whose rows a restore of the store has lost

A stream could go on at another software version after a restore of the store: its copy lacked the rows of hosts, so that for a moment a host counted no other one as live, took the restatements of all (none) for complete, and wrote that no record of a stream is missing.

The view now keeps the other hosts that were serving before a restore until their rows are back. Restatements waits for them, and a host that counts no other one as live waits as well, until the rows have been followed for as long as a live host may take to renew its row. After that, a host whose row is still missing counts as terminated unless it answers. A deployment of one host gets its answer after that time. A host that awaits others reports so in the set of members of its status, so that a host that has just started, and does not know them, waits too.

The times of the copies of the store are kept for the 16 latest eras. The decision whether a host has caught up is separate from the requests and the clock.

--- a/enroller/copied.go
+++ b/enroller/copied.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -13,6 +14,11 @@
 // that an answer of the store takes.
 const clockError = time.Second
 
+// MaxCopies is the number of eras for which the time of the copy is kept. More restores than
+// that within the lifetime of a stream leave the records of streams unconfirmed until those
+// streams are over.
+const MaxCopies = 16
+
 // CopiedAt returns, by the era that a restore of the store began, a time up to which the copy
 // has all writes. Restores before this process started are missing.
 func (e *Enroller) CopiedAt() map[uint64]time.Time {
@@ -43,6 +49,14 @@
 		at := v.storeClockZero.Add(time.Duration(doc.ClockMS)*time.Millisecond - clockError)
 		if at.Before(v.confirmed.Add(-e.renewLimit()-clockError)) && at.After(e.copiedAt[era]) {
 			e.copiedAt[era] = at
+			e.dropOldCopies()
 		}
 	}
 }
+
+// dropOldCopies drops the times of the oldest eras. The caller must hold mu.
+func (e *Enroller) dropOldCopies() {
+	for len(e.copiedAt) > MaxCopies {
+		delete(e.copiedAt, slices.Min(slices.Collect(maps.Keys(e.copiedAt))))
+	}
+}
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -195,6 +195,7 @@
 				v.hosts[name] = &again
 			}
 		}
+		v.reachEra(version.Era(), now)
 		v.lastContact, v.confirmed, v.version = now, now.Add(-age), version
 	})
 	if r := e.pending.Load(); r != nil && time.Since(r.began) >= hungAfter {
@@ -248,7 +249,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	old := e.view.Load()
-	next := &View{hosts: maps.Clone(old.hosts), owners: maps.Clone(old.owners), lastContact: old.lastContact, confirmed: old.confirmed, version: old.version, storeClockZero: old.storeClockZero, lostAfter: old.lostAfter}
+	next := &View{hosts: maps.Clone(old.hosts), owners: maps.Clone(old.owners), lastContact: old.lastContact, confirmed: old.confirmed, version: old.version, storeClockZero: old.storeClockZero, lostAfter: old.lostAfter, awaited: old.awaited}
 	if next.hosts == nil {
 		next.hosts, next.owners = make(map[string]*Host), make(map[string]Owner)
 	}
--- a/enroller/restore.go
+++ b/enroller/restore.go
@@ -13,6 +13,7 @@
 // may own an engine by a row that is lost while the copy names another owner. Orders
 // go on only to engines that this host has owned without interruption.
 func (e *Enroller) Restored() {
+	e.update(func(v *View) { v.awaitHosts(e.self.name) })
 	e.mu.Lock()
 	view := e.view.Load()
 	clear(e.kept)
--- a/enroller/view.go
+++ b/enroller/view.go
@@ -78,6 +78,7 @@
 	storeClockZero time.Time      // when the store's steady clock was 0; zero if unknown
 	lostAfter      time.Duration  // time without a renewal after which a host is not alive
 	liveCount      int
+	awaited        awaited
 }
 
 // Host returns the host with the given name, or nil.
--- a/replicator/catchup.go
+++ b/replicator/catchup.go
@@ -33,7 +33,8 @@
 
 // NewStatus returns a status. Sent is whether the process has received all of the records
 // that it should keep, and final whether the host itself does not expect older records of
-// others. Members identifies the set of hosts that the host takes to be live.
+// others. Members identifies the set of hosts that the host takes to be live, or that may be
+// although a restore of the store has lost their rows.
 func NewStatus(sent, final bool, members uint64, restatement pinner.Restatement) Status {
 	return Status{sent: sent, final: final, members: members, Restatement: restatement}
 }
@@ -77,9 +78,10 @@
 		copies[begun] = now.Sub(at)
 	}
 	_, behind := r.coverage.MayCatchUp(now)
+	awaited := r.awaitedMembers()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return NewStatus(r.outboxes.sent(process), !behind, r.outboxes.members, pinner.NewRestatement(era, spans, copies))
+	return NewStatus(r.outboxes.sent(process), !behind, r.outboxes.members^awaited, pinner.NewRestatement(era, spans, copies))
 }
 
 // CatchUp asks other hosts whether this one has received all of the records that they hold
@@ -97,7 +99,13 @@
 	r.mu.Unlock()
 	hosts := r.others()
 	r.askStatus(ctx, hosts, time.Since(since) > catchUpTime)
-	return r.caughtUp(hosts)
+	r.mu.Lock()
+	result, ok := r.catchUp.result(hosts, r.coverage.Services())
+	r.mu.Unlock()
+	if ok {
+		r.log.Info("records-caught-up", logger.With(logger.KeyCount, len(hosts)), logger.With(logger.KeyAge, time.Since(since).Milliseconds()))
+	}
+	return result, ok
 }
 
 // askStatus asks hosts that have not confirmed.
@@ -139,15 +147,13 @@
 	return list
 }
 
-// caughtUp returns the times from which on this host lacks no record, if enough hosts have
-// confirmed.
-func (r *Replicator) caughtUp(hosts []*enroller.Host) (map[string]time.Time, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// result returns the times by service from which on this host lacks no record, if enough of
+// the other live hosts have confirmed that they have sent theirs.
+func (c catchUp) result(hosts []*enroller.Host, services []string) (map[string]time.Time, bool) {
 	var list []confirmation
 	for _, h := range hosts {
-		if c, ok := r.catchUp.confirmed[h.Process()]; ok {
-			list = append(list, c)
+		if one, ok := c.confirmed[h.Process()]; ok {
+			list = append(list, one)
 		}
 	}
 	needed := max(len(hosts)-maxSilent, 1)
@@ -155,14 +161,13 @@
 		return nil, false
 	}
 	result := make(map[string]time.Time)
-	for _, service := range r.coverage.Services() {
+	for _, service := range services {
 		times := make([]time.Time, 0, len(list))
-		for _, c := range list {
-			times = append(times, c.since(service))
+		for _, one := range list {
+			times = append(times, one.since(service))
 		}
 		slices.SortFunc(times, time.Time.Compare)
 		result[service] = times[needed-1]
 	}
-	r.log.Info("records-caught-up", logger.With(logger.KeyCount, len(list)), logger.With(logger.KeyAge, time.Since(r.catchUp.since).Milliseconds()))
 	return result, true
 }
--- a/replicator/harness_test.go
+++ b/replicator/harness_test.go
@@ -18,7 +18,10 @@
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
-const lifetime = time.Minute
+const (
+	lifetime  = time.Minute
+	lostAfter = 40 * time.Second // the row of a host that is written once counts that long
+)
 
 // table is a fake of the table of the hosts.
 type table struct {
@@ -115,6 +118,8 @@
 	}
 }
 
+func rowKey(host int) string { return fmt.Sprintf("host/10.0.0.%d", host) }
+
 func address(host int) string { return fmt.Sprintf("10.0.0.%d:9000", host) }
 
 // newCluster returns hosts that know each other and hold complete records.
@@ -135,21 +140,34 @@
 func (c *cluster) start(t *testing.T, host int, covers coverage) *replicator.Replicator {
 	t.Helper()
 	e := enroller.New(enroller.NewLocalHost(fmt.Sprintf("10.0.0.%d", host), "", address(host), "z", "r", 0),
-		enroller.NewTiming(time.Hour, time.Hour, time.Hour, time.Hour, time.Hour), c.table, logger.Nop())
-	ctx, cancel := context.WithCancel(t.Context())
-	go e.Run(ctx)
-	synctest.Wait()
-	cancel()
-	synctest.Wait()
+		enroller.NewTiming(time.Hour, time.Hour, time.Hour, time.Hour, lostAfter), c.table, logger.Nop())
+	c.members[host] = e
+	c.renewRow(t, host)
 	r := replicator.New(c, e, covers, lifetime, logger.Nop())
 	c.mu.Lock()
 	c.hosts[address(host)] = r
 	c.mu.Unlock()
-	c.members[host] = e
 	c.publish()
 	return r
 }
 
+// renewRow makes a host write its row.
+func (c *cluster) renewRow(t *testing.T, host int) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	go c.members[host].Run(ctx)
+	synctest.Wait()
+	cancel()
+	synctest.Wait()
+}
+
+// renew makes a host write its row, and passes it to all.
+func (c *cluster) renew(t *testing.T, host int) {
+	t.Helper()
+	c.renewRow(t, host)
+	c.publish()
+}
+
 // publish passes the rows of the hosts to all.
 func (c *cluster) publish() {
 	rows := slices.Collect(maps.Values(c.table.rows))
@@ -163,7 +181,7 @@
 func (c *cluster) end(host int) {
 	c.setDown(true, host)
 	delete(c.members, host)
-	delete(c.table.rows, fmt.Sprintf("host/10.0.0.%d", host))
+	delete(c.table.rows, rowKey(host))
 	c.publish()
 }
 
