--- a/archiver/rows.go
+++ b/archiver/rows.go
@@ -72,7 +72,7 @@
 		}
 	}
 	a.stamps = stamps
-	for _, batch := range storer.Batches(writes) {
+	for _, batch := range storer.Batches(a.records, writes) {
 		if _, err := a.records.Commit(ctx, batch.Writes()...); err != nil {
 			return len(all.List()), fmt.Errorf("delete records: %w", err)
 		}
--- a/enroller/claim.go
+++ b/enroller/claim.go
@@ -70,7 +70,7 @@
 	if e.clock() < e.claims.notBefore || !e.mayClaim(v) || e.reclaim(ctx, v, engines) {
 		return
 	}
-	var batch storer.Batch
+	batch := storer.NewBatch(e.store)
 	var taken []string
 	var earliest time.Duration
 	checked := make(map[string]bool)
--- a/enroller/harness_test.go
+++ b/enroller/harness_test.go
@@ -53,7 +53,7 @@
 		entries += storer.Entries(w)
 		claims = claims || strings.HasPrefix(w.Key(), "owner/")
 	}
-	if entries > storer.MaxEntries || claims && t.rejecting.Load() {
+	if entries > maxEntries || claims && t.rejecting.Load() {
 		t.rejected.Add(1)
 		return 0, storer.ErrRejected
 	}
@@ -103,6 +103,12 @@
 	frozen atomic.Int64 // nanoseconds for which the process was suspended
 }
 
+// maxEntries is the number of entries that the table takes in one commit.
+const maxEntries = 100
+
+// MaxEntries implements storer.Limited.
+func (h *host) MaxEntries() int { return maxEntries }
+
 func (h *host) Commit(ctx context.Context, writes ...storer.Write) (storer.Version, error) {
 	if h.hung.Load() {
 		<-ctx.Done()
--- a/storer/batch.go
+++ b/storer/batch.go
@@ -1,8 +1,8 @@
 package storer
 
+import "math"
+
 const (
-	// MaxEntries is how many entries a commit to a Committer may have.
-	MaxEntries = 100
 	// maxBatchBytes bounds the keys and values of a batch. A store may take 1 MB of them
 	// with their encoding, which makes them up to twice as large.
 	maxBatchBytes = 400_000
@@ -29,11 +29,27 @@
 	return n
 }
 
-// Batch is a set of writes that fits into one commit. The zero value is empty.
+// Limited is a Committer that takes a limited number of entries in one commit.
+type Limited interface {
+	// MaxEntries returns the largest number of entries of a commit.
+	MaxEntries() int
+}
+
+// Batch is a set of writes that fits into one commit.
 type Batch struct {
-	writes  []Write
-	entries int
-	bytes   int
+	writes     []Write
+	maxEntries int
+	entries    int
+	bytes      int
+}
+
+// NewBatch returns an empty batch for a committer. The number of entries is not limited
+// unless the committer is Limited.
+func NewBatch(c Committer) *Batch {
+	if l, ok := c.(Limited); ok {
+		return &Batch{maxEntries: l.MaxEntries()}
+	}
+	return &Batch{maxEntries: math.MaxInt}
 }
 
 // Add adds writes that have to be in one commit, and reports whether they fit. If not, the
@@ -44,7 +60,7 @@
 		entries += Entries(w)
 		bytes += size(w)
 	}
-	if entries > MaxEntries || bytes > maxBatchBytes && len(b.writes) > 0 {
+	if entries > b.maxEntries || bytes > maxBatchBytes && len(b.writes) > 0 {
 		return false
 	}
 	b.writes = append(b.writes, group...)
@@ -55,12 +71,12 @@
 // Writes returns the writes of the batch in the order in which they were added.
 func (b *Batch) Writes() []Write { return b.writes }
 
-// Batches splits writes that do not depend on each other into batches.
-func Batches(writes []Write) []Batch {
-	var list []Batch
+// Batches splits writes that do not depend on each other into batches for a committer.
+func Batches(c Committer, writes []Write) []*Batch {
+	var list []*Batch
 	for _, w := range writes {
 		if len(list) == 0 || !list[len(list)-1].Add(w) {
-			var next Batch
+			next := NewBatch(c)
 			next.Add(w)
 			list = append(list, next)
 		}
--- a/storer/batch_test.go
+++ b/storer/batch_test.go
@@ -9,12 +9,17 @@
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
+// limited is a store that takes 100 entries in one commit.
+type limited struct{ storer.Committer }
+
+func (limited) MaxEntries() int { return 100 }
+
 func ExampleBatches() {
 	var writes []storer.Write
 	for i := range 120 {
 		writes = append(writes, storer.NewDelete(fmt.Sprint("key", i), 7))
 	}
-	for _, b := range storer.Batches(writes) {
+	for _, b := range storer.Batches(limited{}, writes) {
 		fmt.Println(len(b.Writes()), "writes")
 	}
 	// Output:
@@ -28,7 +33,7 @@
 func TestBatch(t *testing.T) {
 	is := is.New(t)
 	large := make([]byte, 300_000)
-	var b storer.Batch
+	b := storer.NewBatch(limited{})
 	for i := range 48 {
 		is.True(b.Add(storer.NewPut(fmt.Sprint("key", i), nil, 0)))
 	}
@@ -39,7 +44,7 @@
 	is.True(b.Add(storer.NewCheck("a", 1), storer.NewCheck("b", 1)))
 	is.True(!b.Add(storer.NewCheck("c", 1)))
 
-	var alone storer.Batch
+	alone := storer.NewBatch(limited{})
 	is.True(alone.Add(storer.NewPut("large", append(large, large...), 0)))
 	is.True(!alone.Add(storer.NewCheck("a", 1)))
 }
