--- a/enroller/view.go
+++ b/enroller/view.go
@@ -80,6 +80,7 @@
 	lostAfter      time.Duration  // time without a renewal after which a host is not alive
 	liveCount      int
 	rankings       sync.Map // by key, *Ranking
+	awaited        awaited
 }
 
 // Host returns the host with the given name, or nil.
