allotter: lend equal parts of a rate to the host that is reached

With a fixed half of the rate for a host that takes a quota owner's place, two sides of a partition granted one and a half times the rate for as long as it lasted. Each host now lends its equal part of the rate to one host at a time, by its draws or by a presence a second, and a bucket fills at the sum of what it is lent. A host that was not answered reports what others granted once the owner answers again, so that an owner which freezes again and again does not grant the same tokens a second time.

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -120,15 +120,26 @@
 	return Exceeded{b.retries.Next(now, perSecond(needed-b.level, rate), perSecond(cost, rate))}
 }
 
-// Return gives the cost of a call that did not run back to a workspace.
+// Return gives the cost of calls that did not run back to a workspace.
 func (a *Accountant) Return(workspace string, cost float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if b := a.buckets[workspace]; b != nil && cost > 0 {
+	if b := a.buckets[workspace]; b != nil {
 		b.level = min(b.level+cost, b.terms.burst)
 	}
 }
 
+// Charge takes what another bucket granted in place of this one. It leaves an empty bucket at
+// worst, so that no call has to wait for what was granted long ago.
+func (a *Accountant) Charge(workspace string, cost float64, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if b := a.buckets[workspace]; b != nil {
+		b.refill(b.terms, NewPart(b.share, 0), now)
+		b.level = max(b.level-cost, min(b.level, 0))
+	}
+}
+
 // Limit lowers the level of a workspace's bucket to a share of its burst. It is for a host
 // that becomes the owner of a quota again, while others may have granted it.
 func (a *Accountant) Limit(workspace string, share float64, now time.Time) {
--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 
 	"github.com/dragonflyford/dragonflyford/accountant"
 	"github.com/dragonflyford/dragonflyford/avoider"
@@ -23,6 +25,13 @@
 	maxLocalRefusal = 100 * time.Millisecond
 )
 
+// backoff is how long calls do not ask a host that did not answer. Presences ask it every
+// presenceInterval in the meantime, and calls do so again once it has answered one.
+const backoff = 3 * presenceInterval
+
+// ErrEnded reports that no process accepts connections at the address of a host.
+var ErrEnded = eris.New("the host's process has ended")
+
 // Remote sends messages to the host at an address.
 type Remote interface {
 	// Draw asks for the tokens of a call.
@@ -51,9 +60,10 @@
 	lendings     *lendings
 	owned        *accountant.Accountant // what this host grants to all hosts
 	alone        *accountant.Accountant // what this host grants itself while it reaches no other one
-	unresponsive avoider.Avoider
+	unresponsive *avoider.Avoider
+	ended        sync.Map // names of hosts whose process had ended when they were asked last
 	refusals     sync.Map // workspace → *refusal
-	returns      returns
+	reports      reports
 }
 
 // New returns an allotter. Run has to be called for it to keep its place among the hosts.
@@ -62,7 +72,8 @@
 		remote: remote, members: members, tables: tables, observer: observer, log: log.Component("allotter"),
 		lendings: &lendings{byWorkspace: make(map[string]*lending)},
 		owned:    accountant.New(), alone: accountant.New(accountant.WithOverdraft()),
-		returns: returns{tokens: make(map[account]float64)},
+		unresponsive: avoider.New(avoider.WithBackoff(backoff)),
+		reports:      reports{returned: make(map[account]float64), elsewhere: make(map[account]float64)},
 	}
 }
 
@@ -84,61 +95,118 @@
 		if a.unresponsive.Avoids(h.Name()) {
 			continue
 		}
-		r := NewRequest(a.members.Self(), workspace, t, cost)
-		var source Source = Owner{}
-		if i > 0 {
-			r, source = r.AsFallback(), Second{}
-		}
+		r := NewRequest(a.members.Self(), workspace, t, cost).As(a.role(ranking, i))
 		verdict, err := a.ask(ctx, h, r)
 		if err == nil {
 			a.recordRefusal(workspace, verdict, cost, now)
-			return charge{verdict: verdict, source: source, account: account{h.Name(), workspace}}
+			a.recordElsewhere(ranking, i, workspace, verdict, cost)
+			return charge{verdict: verdict, source: sourceOf(i), account: account{h.Name(), workspace}}
 		}
 		if ctx.Err() != nil {
-			return charge{verdict: accountant.NewExceeded(0), source: Owner{}}
+			return charge{verdict: accountant.NewExceeded(0), source: sourceOf(i)}
 		}
 	}
-	verdict := a.drawAlone(workspace, t, cost, ranking.Live(), now)
+	verdict := a.drawAlone(workspace, t, cost, ranking, now)
+	a.recordElsewhere(ranking, len(ranking.Hosts()), workspace, verdict, cost)
 	return charge{verdict: verdict, source: Alone{}, account: account{workspace: workspace}}
 }
 
+// recordElsewhere records a grant of another host than the quota owner, which is told of it
+// once it answers again. It counted this host's part as its own in the meantime, unless it
+// has been silent for long.
+func (a *Allotter) recordElsewhere(r *enroller.Ranking, index int, workspace string, v accountant.Verdict, cost float64) {
+	if _, granted := v.(accountant.Granted); !granted || index == 0 || len(r.Hosts()) == 0 {
+		return
+	}
+	owner := account{r.Hosts()[0].Name(), workspace}
+	if _, whole := a.role(r, index).(Substitute); whole {
+		a.reports.forget(owner)
+		return
+	}
+	a.reports.addElsewhere(owner, cost)
+}
+
+// role returns what the host at an index of a ranking is to this one.
+func (a *Allotter) role(r *enroller.Ranking, index int) Role {
+	if index == 0 {
+		return Primary{}
+	}
+	for _, h := range r.Hosts()[:index] {
+		if _, ended := a.ended.Load(h.Name()); !ended && a.unresponsive.Silent(h.Name()) < silenceTime {
+			return Standby{}
+		}
+	}
+	return Substitute{}
+}
+
+func sourceOf(index int) Source {
+	if index == 0 {
+		return Owner{}
+	}
+	return Second{}
+}
+
 // ask sends a request to a host, which may be this one.
 func (a *Allotter) ask(ctx context.Context, h *enroller.Host, r Request) (accountant.Verdict, error) {
-	key := account{h.Name(), r.workspace}
+	returned, elsewhere := a.reports.take(account{h.Name(), r.workspace})
+	r = r.Returning(returned).After(elsewhere)
 	if h.Name() == a.members.Self() {
-		return a.Grant(r.Returning(a.returns.take(key))), nil
+		return a.Grant(r), nil
 	}
-	r = r.Returning(a.returns.take(key))
 	var verdict accountant.Verdict
-	err := a.unresponsive.Do(ctx, h.Name(), requestTimeout, func(ctx context.Context) (err error) {
+	err := a.send(ctx, h, func(ctx context.Context) (err error) {
 		verdict, err = a.remote.Draw(ctx, h.PeerAddress(), r)
 		return err
 	})
 	if err != nil {
-		if ctx.Err() == nil {
-			a.log.Warn("quota-owner-silent", logger.With(logger.KeyPeer, h.Name()), logger.Err(err))
-		}
+		a.reports.restore(account{h.Name(), r.workspace}, elsewhere)
 		return nil, fmt.Errorf("draw from host %s: %w", h.Name(), err)
 	}
 	return verdict, nil
 }
 
-// drawAlone charges a call to this host's own share. The first call waits, by a part of the
-// time in which its tokens become available that differs between hosts: all of them may be
-// cut off at the same moment.
-func (a *Allotter) drawAlone(workspace string, t accountant.Terms, cost float64, hosts int, now time.Time) accountant.Verdict {
+// send sends a message to another host. It sends it again if the first attempt fails early: its
+// connection may have been that of an earlier process, and a new one shows whether there is
+// a process.
+func (a *Allotter) send(ctx context.Context, h *enroller.Host, message func(context.Context) error) error {
+	known := a.unresponsive.Avoids(h.Name())
+	err := a.unresponsive.Do(ctx, h.Name(), requestTimeout, func(ctx context.Context) error {
+		err := message(ctx)
+		if err != nil && ctx.Err() == nil && !errors.Is(err, ErrEnded) {
+			err = message(ctx)
+		}
+		return err
+	})
+	if err != nil && errors.Is(err, ErrEnded) {
+		a.ended.Store(h.Name(), struct{}{})
+	} else if err == nil || ctx.Err() == nil {
+		a.ended.Delete(h.Name())
+	}
+	if err != nil && ctx.Err() == nil && !known {
+		a.log.Warn("quota-owner-silent", logger.With(logger.KeyPeer, h.Name()), logger.Err(err))
+	}
+	return err
+}
+
+// drawAlone charges a call to this host's own part of the rate. The first call waits, by a part
+// of the time in which its tokens become available that differs between hosts: all of them
+// may be cut off at the same moment.
+func (a *Allotter) drawAlone(workspace string, t accountant.Terms, cost float64, r *enroller.Ranking, now time.Time) accountant.Verdict {
 	const steps = 1 << 10
 	phase := float64(xxhash.Sum64String(a.members.Self()+"\x00"+workspace)%steps) / steps
-	return a.alone.Draw(workspace, t, accountant.NewPart(halfShare/float64(max(hosts, 1)), -phase*cost), cost, now)
+	share := halfShare
+	// Hosts that do not see this one's row share the rate among them.
+	if _, whole := a.role(r, len(r.Hosts())).(Substitute); whole && a.members.View().Current() {
+		share = 1
+	}
+	return a.alone.Draw(workspace, t, accountant.NewPart(share/float64(max(r.Live(), 1)), -phase*cost), cost, now)
 }
 
 // Grant decides on the request of a host, which may be this one.
 func (a *Allotter) Grant(r Request) accountant.Verdict {
 	now := time.Now()
-	a.hear(r.workspace, r.from, r.fallback, now)
-	if r.returned > 0 {
-		a.owned.Return(r.workspace, r.returned)
-	}
+	a.hear(r.workspace, r.from, r.role, now)
+	a.settle(r.workspace, r.returned, r.elsewhere, now)
 	t := a.newest(r)
 	return a.owned.Draw(r.workspace, t, a.lendings.part(r.workspace, t, now), r.cost, now)
 }
@@ -162,8 +230,8 @@
 }
 
 // hear records that a host reaches this one.
-func (a *Allotter) hear(workspace, host string, fallback bool, now time.Time) {
-	if a.lendings.record(workspace, host, fallback, now) {
+func (a *Allotter) hear(workspace, host string, role Role, now time.Time) {
+	if a.lendings.record(workspace, host, role, now) {
 		// Another host granted the quota until now.
 		a.owned.Limit(workspace, startShare, now)
 		a.count()
@@ -174,10 +242,18 @@
 func (a *Allotter) Hear(p Presence) {
 	now := time.Now()
 	for _, q := range p.quotas {
-		a.hear(q.workspace, p.from, p.fallback, now)
-		if q.returned > 0 {
-			a.owned.Return(q.workspace, q.returned)
-		}
+		a.hear(q.workspace, p.from, p.role, now)
+		a.settle(q.workspace, q.returned, q.elsewhere, now)
+	}
+}
+
+// settle applies what a host reports of earlier calls of a workspace.
+func (a *Allotter) settle(workspace string, returned, elsewhere float64, now time.Time) {
+	if returned > 0 {
+		a.owned.Return(workspace, returned)
+	}
+	if elsewhere > 0 {
+		a.owned.Charge(workspace, elsewhere, now)
 	}
 }
 
--- a/allotter/lending.go
+++ b/allotter/lending.go
@@ -14,7 +14,13 @@
 	// presenceTime is how long after its last message a host counts as one that reaches this
 	// host. It allows for a late message.
 	presenceTime = 1500 * time.Millisecond
-	// halfShare is the share that a host has of its equal part of the rate while another host
+	// retainTime is how long after its last message the quota owner keeps half of a host's part,
+	// which it granted before. A host that has reached nobody for longer uses its whole part.
+	retainTime = 2 * presenceTime
+	// silenceTime is how long a quota owner has to be silent before a host lends its whole part
+	// to another one. It is longer than retainTime by the time that a message may take.
+	silenceTime = retainTime + 500*time.Millisecond
+	// halfShare is the share that a host grants of an equal part of the rate while another host
 	// may grant the rest of that part.
 	halfShare = 0.5
 	// startShare is the share of a burst that the bucket of a new quota owner starts with.
@@ -23,9 +29,9 @@
 
 // lender is a host that asks this one for tokens of a workspace.
 type lender struct {
-	since    time.Time // first message without a gap
-	last     time.Time
-	fallback bool // the host has another quota owner, which does not answer it
+	since time.Time // first message without a gap
+	last  time.Time
+	role  Role
 }
 
 // heard reports whether the host has sent a message lately.
@@ -33,18 +39,28 @@
 
 // weight returns the share that this host may grant of a lender's equal part of the rate.
 // Another host may still grant the rest: the one that the lender asked before, the one that
-// does not answer it, or the lender itself, which has its own bucket while it reaches nobody.
-// A lender that is not heard any more may have another quota owner if the membership is not
-// current.
+// has just stopped to answer it, or the lender itself, which has its own bucket while it
+// reaches nobody. Current tells whether this host knows who the quota owner is.
 func (l *lender) weight(current bool, now time.Time) float64 {
-	switch {
-	case !l.heard(now) && (l.fallback || !current):
-		return 0
-	case !l.heard(now), l.fallback, now.Sub(l.since) <= presenceTime:
-		return halfShare
+	age := now.Sub(l.last)
+	switch l.role.(type) {
+	case Standby:
+		if l.heard(now) {
+			return halfShare
+		}
+	case Substitute:
+		if l.heard(now) {
+			return 1
+		}
 	default:
-		return 1
+		switch {
+		case l.heard(now) && now.Sub(l.since) > presenceTime:
+			return 1
+		case l.heard(now), current && age <= retainTime:
+			return halfShare
+		}
 	}
+	return 0
 }
 
 // lending is what the hosts of a deployment lend this host of the quota of a workspace.
@@ -64,7 +80,7 @@
 
 // record records a message of a host, and reports whether it is the first one after a time
 // in which no host sent any.
-func (s *lendings) record(workspace, host string, fallback bool, now time.Time) (began bool) {
+func (s *lendings) record(workspace, host string, role Role, now time.Time) (began bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.byWorkspace[workspace]
@@ -78,13 +94,13 @@
 	l.last = now
 	h := l.lenders[host]
 	if h == nil {
-		h = &lender{since: now}
+		h = &lender{since: now, role: role}
 		l.lenders[host] = h
 	}
-	if !h.heard(now) || h.fallback != fallback {
+	if !h.heard(now) || h.role != role {
 		h.since = now
 	}
-	h.last, h.fallback = now, fallback
+	h.last, h.role = now, role
 	return began
 }
 
--- a/allotter/message.go
+++ b/allotter/message.go
@@ -2,6 +2,24 @@
 
 import "github.com/dragonflyford/dragonflyford/accountant"
 
+// Role is what a host is to one that asks it for tokens: Primary, Standby or Substitute.
+type Role interface{ role() }
+
+type (
+	// Primary is the quota owner.
+	Primary struct{}
+	// Standby takes the place of a quota owner that has just stopped to answer. That one may
+	// still grant a part of the quota.
+	Standby struct{}
+	// Substitute takes the place of a quota owner that has ended, or has not answered for so
+	// long that it grants nothing for the host that asks.
+	Substitute struct{}
+)
+
+func (Primary) role()    {}
+func (Standby) role()    {}
+func (Substitute) role() {}
+
 // Request asks a host for the tokens of a call.
 type Request struct {
 	from      string
@@ -9,12 +27,13 @@
 	terms     accountant.Terms
 	cost      float64
 	returned  float64
-	fallback  bool
+	elsewhere float64
+	role      Role
 }
 
 // NewRequest returns the request of the host named from to charge cost to a workspace.
 func NewRequest(from, workspace string, t accountant.Terms, cost float64) Request {
-	return Request{from: from, workspace: workspace, terms: t, cost: cost}
+	return Request{from: from, workspace: workspace, terms: t, cost: cost, role: Primary{}}
 }
 
 // Returning returns the request with the tokens of earlier calls that did not run.
@@ -23,10 +42,16 @@
 	return r
 }
 
-// AsFallback returns the request as one to a host that is not the quota owner, because that
-// one does not answer.
-func (r Request) AsFallback() Request {
-	r.fallback = true
+// After returns the request with the tokens that hosts other than the quota owner granted
+// because it did not answer.
+func (r Request) After(elsewhere float64) Request {
+	r.elsewhere = elsewhere
+	return r
+}
+
+// As returns the request as one to a host in another role than that of the quota owner.
+func (r Request) As(role Role) Request {
+	r.role = role
 	return r
 }
 
@@ -45,25 +70,30 @@
 // Returned returns the tokens of earlier calls that did not run.
 func (r Request) Returned() float64 { return r.returned }
 
-// Fallback reports whether the quota owner does not answer.
-func (r Request) Fallback() bool { return r.fallback }
+// Elsewhere returns the tokens that hosts other than the quota owner granted lately.
+func (r Request) Elsewhere() float64 { return r.elsewhere }
+
+// Role returns what the host that is asked is to the one that asks.
+func (r Request) Role() Role { return r.role }
 
 // Presence tells a host which workspaces it owns the quotas of, as seen by another host.
 type Presence struct {
-	from     string
-	quotas   []Quota
-	fallback bool
+	from   string
+	quotas []Quota
+	role   Role
 }
 
-// Quota names a workspace whose quota a host asks for, and the tokens that it returns.
+// Quota names a workspace whose quota a host asks for, and what it reports of earlier calls.
 type Quota struct {
 	workspace string
 	returned  float64
+	elsewhere float64
 }
 
-// NewQuota returns the name of a workspace and the tokens of calls that did not run.
-func NewQuota(workspace string, returned float64) Quota {
-	return Quota{workspace: workspace, returned: returned}
+// NewQuota returns the name of a workspace, the tokens of calls that did not run, and those
+// that hosts other than the quota owner granted because it did not answer.
+func NewQuota(workspace string, returned, elsewhere float64) Quota {
+	return Quota{workspace: workspace, returned: returned, elsewhere: elsewhere}
 }
 
 // Workspace returns the name of the workspace.
@@ -72,10 +102,12 @@
 // Returned returns the tokens of calls that did not run.
 func (q Quota) Returned() float64 { return q.returned }
 
-// NewPresence returns the presence of the host named from. Fallback tells that the quota owner
-// does not answer.
-func NewPresence(from string, list []Quota, fallback bool) Presence {
-	return Presence{from: from, quotas: list, fallback: fallback}
+// Elsewhere returns the tokens that hosts other than the quota owner granted lately.
+func (q Quota) Elsewhere() float64 { return q.elsewhere }
+
+// NewPresence returns the presence of the host named from, which sends it to a host in a role.
+func NewPresence(from string, list []Quota, role Role) Presence {
+	return Presence{from: from, quotas: list, role: role}
 }
 
 // From returns the name of the host.
@@ -84,5 +116,5 @@
 // Quotas returns the workspaces. The caller must not modify them.
 func (p Presence) Quotas() []Quota { return p.quotas }
 
-// Fallback reports whether the quota owner does not answer.
-func (p Presence) Fallback() bool { return p.fallback }
+// Role returns what the host that gets the presence is to the one that sends it.
+func (p Presence) Role() Role { return p.role }
--- a/allotter/presence.go
+++ b/allotter/presence.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/enroller"
-	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/sleeper"
 )
@@ -50,45 +48,66 @@
 
 // recipient is a host that gets a presence.
 type recipient struct {
-	host     *enroller.Host
-	fallback bool
+	host *enroller.Host
+	role Role
 }
 
 // sendPresences tells the quota owners of all workspaces that this host reaches them, and
 // those next in rank where an owner does not answer. Each of them gets one message for all
 // of its workspaces.
 func (a *Allotter) sendPresences(ctx context.Context, view *enroller.View, table *router.Table) {
-	quotas := make(map[recipient][]Quota)
+	var open []string
 	for w := range table.Workspaces() {
-		if !w.Quota().Limited() {
-			continue
+		if w.Quota().Limited() {
+			open = append(open, w.Name())
 		}
-		for i, h := range view.Ranking(w.Name()).Hosts() {
-			if !a.unresponsive.Avoids(h.Name()) {
-				to := recipient{h, i > 0}
-				quotas[to] = append(quotas[to], NewQuota(w.Name(), a.returns.take(account{h.Name(), w.Name()})))
-				break
+	}
+	for i := 0; len(open) > 0; i++ {
+		quotas := make(map[recipient][]Quota)
+		for _, workspace := range open {
+			ranking := view.Ranking(workspace)
+			if i < len(ranking.Hosts()) {
+				h := ranking.Hosts()[i]
+				to := recipient{h, a.role(ranking, i)}
+				quotas[to] = append(quotas[to], a.report(h.Name(), workspace))
 			}
 		}
+		open = a.sendTo(ctx, quotas)
 	}
-	a.returns.clear()
+	a.reports.clear()
+}
+
+// report returns what a host is told of earlier calls of a workspace.
+func (a *Allotter) report(host, workspace string) Quota {
+	returned, elsewhere := a.reports.take(account{host, workspace})
+	return NewQuota(workspace, returned, elsewhere)
+}
+
+// sendTo sends presences to hosts and returns the workspaces of those that do not answer.
+func (a *Allotter) sendTo(ctx context.Context, quotas map[recipient][]Quota) (unheard []string) {
+	var mu sync.Mutex
 	var running sync.WaitGroup
 	for to, list := range quotas {
-		p := NewPresence(a.members.Self(), list, to.fallback)
+		p := NewPresence(a.members.Self(), list, to.role)
 		if to.host.Name() == a.members.Self() {
 			a.Hear(p)
 			continue
 		}
-		running.Go(func() { a.sendPresence(ctx, to.host, p) })
+		running.Go(func() {
+			err := a.send(ctx, to.host, func(ctx context.Context) error {
+				return a.remote.SendPresence(ctx, to.host.PeerAddress(), p)
+			})
+			if err == nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for _, q := range list {
+				a.reports.restore(account{to.host.Name(), q.workspace}, q.elsewhere)
+				unheard = append(unheard, q.workspace)
+			}
+		})
 	}
 	running.Wait()
-}
-
-func (a *Allotter) sendPresence(ctx context.Context, h *enroller.Host, p Presence) {
-	err := a.unresponsive.Do(ctx, h.Name(), requestTimeout, func(ctx context.Context) error {
-		return a.remote.SendPresence(ctx, h.PeerAddress(), p)
-	})
-	if err != nil && ctx.Err() == nil {
-		a.log.Warn("quota-owner-silent", logger.With(logger.KeyPeer, h.Name()), logger.Err(fmt.Errorf("send presence: %w", err)))
-	}
+	return unheard
 }
--- a/allotter/stage.go
+++ b/allotter/stage.go
@@ -59,6 +59,6 @@
 	case a.members.Self():
 		a.owned.Return(from.workspace, cost)
 	default:
-		a.returns.add(from, cost)
+		a.reports.addReturned(from, cost)
 	}
 }
--- a/avoider/avoider.go
+++ b/avoider/avoider.go
@@ -8,38 +8,90 @@
 	"time"
 )
 
-// backoff is how long no requests are sent to a host that did not answer.
-const backoff = time.Second
+// defaultBackoff is how long no requests are sent to a host that did not answer.
+const defaultBackoff = time.Second
 
 // Avoider holds the hosts that did not answer. The zero value is ready for use, also
 // concurrently.
 type Avoider struct {
-	failures sync.Map // host name → time.Time of the last request without an answer
+	backoff  time.Duration // 0 for defaultBackoff
+	failures sync.Map      // host name → silence
+}
+
+// silence is the time in which a host answered no request.
+type silence struct {
+	first time.Time // first request without an answer
+	last  time.Time
+}
+
+// Option sets an optional property of an Avoider.
+type Option func(*Avoider)
+
+// WithBackoff sets how long no requests are sent to a host that did not answer.
+func WithBackoff(d time.Duration) Option { return func(a *Avoider) { a.backoff = d } }
+
+// New returns an avoider that avoids no host.
+func New(opts ...Option) *Avoider {
+	a := &Avoider{backoff: defaultBackoff}
+	for _, opt := range opts {
+		opt(a)
+	}
+	return a
 }
 
 // RecordFailure records that a host did not answer.
-func (a *Avoider) RecordFailure(host string) { a.failures.Store(host, time.Now()) }
+func (a *Avoider) RecordFailure(host string) {
+	s := silence{first: time.Now(), last: time.Now()}
+	if known, ok := a.failures.Load(host); ok && !a.over(known.(silence)) {
+		s.first = known.(silence).first
+	}
+	a.failures.Store(host, s)
+}
+
+// RecordAnswer records that a host answered.
+func (a *Avoider) RecordAnswer(host string) { a.failures.Delete(host) }
 
 // Avoids reports whether a host failed to answer within the backoff.
 func (a *Avoider) Avoids(host string) bool {
-	at, ok := a.failures.Load(host)
+	known, ok := a.failures.Load(host)
 	if !ok {
 		return false
 	}
-	if time.Since(at.(time.Time)) < backoff {
-		return true
+	if a.over(known.(silence)) {
+		a.failures.CompareAndDelete(host, known)
+		return false
+	}
+	return true
+}
+
+// over reports whether a host may be asked again.
+func (a *Avoider) over(s silence) bool {
+	backoff := a.backoff
+	if backoff == 0 {
+		backoff = defaultBackoff
+	}
+	return time.Since(s.last) >= backoff
+}
+
+// Silent returns the time since a host that is avoided began to give no answers, or 0 if it is
+// not avoided.
+func (a *Avoider) Silent(host string) time.Duration {
+	if known, ok := a.failures.Load(host); ok && !a.over(known.(silence)) {
+		return time.Since(known.(silence).first)
 	}
-	a.failures.CompareAndDelete(host, at)
-	return false
+	return 0
 }
 
-// Do sends a request to a host, which has to answer within the timeout. It records a failure
-// unless the caller gave up earlier.
+// Do sends a request to a host, which has to answer within the timeout. It records the answer,
+// or a failure unless the caller gave up earlier.
 func (a *Avoider) Do(ctx context.Context, host string, timeout time.Duration, send func(context.Context) error) error {
 	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := send(limited)
-	if err != nil && ctx.Err() == nil {
+	switch {
+	case err == nil:
+		a.RecordAnswer(host)
+	case ctx.Err() == nil:
 		a.RecordFailure(host)
 	}
 	return err
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -281,8 +281,8 @@
 	is := is.New(t)
 	h := &handler{verdict: accountant.Granted{}}
 	client, address := connect(t, h)
-	request := allotter.NewRequest("a", "w", accountant.NewTerms(7, 1000.5, 2000), 16.5).Returning(3.5)
-	for _, r := range []allotter.Request{request, request.AsFallback()} {
+	request := allotter.NewRequest("a", "w", accountant.NewTerms(7, 1000.5, 2000), 16.5).Returning(3.5).After(7)
+	for _, r := range []allotter.Request{request, request.As(allotter.Standby{}), request.As(allotter.Substitute{})} {
 		verdict, err := client.Draw(t.Context(), address, r)
 		is.NoErr(err)
 		is.Equal(verdict, h.verdict)
@@ -290,11 +290,12 @@
 		h.verdict = accountant.NewExceeded(70 * time.Millisecond)
 	}
 	for _, list := range [][]allotter.Quota{
-		{allotter.NewQuota("w", 0), allotter.NewQuota("v", 12)},
-		{allotter.NewQuota("w", 0)},
+		{allotter.NewQuota("w", 0, 0), allotter.NewQuota("v", 12, 3)},
+		{allotter.NewQuota("w", 0, 0)},
 	} {
-		p := allotter.NewPresence("a", list, len(list) == 1)
+		p := allotter.NewPresence("a", list, allotter.Substitute{})
 		is.NoErr(client.SendPresence(t.Context(), address, p))
 		is.Equal(h.presence, p)
 	}
+	is.True(errors.Is(client.SendPresence(t.Context(), "127.0.0.1:1", allotter.Presence{}), allotter.ErrEnded))
 }
