configurer: settings quotas.window, quotas.over and quotas.slack

A deployment may state by how much the calls of a workspace may exceed its quota in a window. The template renders the settings only where the bounds are given.

--- a/configurer/entry.go
+++ b/configurer/entry.go
@@ -78,7 +78,7 @@
 	}
 	for field, v := range map[string]duration{
 		"lease.renew": doc.Lease.Renew, "lease.time": doc.Lease.Time, "lease.guard": doc.Lease.Guard,
-		"repeats.window": doc.Repeats.Window, "stop.grace": doc.Stop.Grace,
+		"repeats.window": doc.Repeats.Window, "quotas.window": doc.Quotas.Window, "stop.grace": doc.Stop.Grace,
 		"endpoints.report_interval": doc.Endpoints.ReportInterval, "streams.lifetime": doc.Streams.Lifetime,
 		"limits.read_timeout": doc.Limits.ReadTimeout, "limits.idle_timeout": doc.Limits.IdleTimeout,
 	} {
@@ -100,6 +100,12 @@
 	if doc.Repeats.Ratio < 0 || doc.Repeats.Slack < 0 {
 		d.reject("repeats", "numbers of 0 or more")
 	}
+	if doc.Quotas.Over < 0 || doc.Quotas.Over > 1 {
+		d.reject("quotas.over", "a number from 0 to 1")
+	}
+	if doc.Quotas.Slack < 0 {
+		d.reject("quotas.slack", "a number of 0 or more")
+	}
 	if doc.Limits.MemoryMB < minMemoryMB {
 		d.reject("limits.memory_mb", fmt.Sprintf("at least %d", minMemoryMB))
 	}
@@ -179,6 +185,16 @@
 // RepeatWindow returns the time window in which repeats are counted.
 func (e *Entry) RepeatWindow() time.Duration { return time.Duration(e.doc.Repeats.Window) }
 
+// QuotaWindow returns the time window in which the calls of a workspace are bounded.
+func (e *Entry) QuotaWindow() time.Duration { return time.Duration(e.doc.Quotas.Window) }
+
+// QuotaOver returns the share of what a quota allows in a window by which all hosts together
+// may exceed it.
+func (e *Entry) QuotaOver() float64 { return e.doc.Quotas.Over }
+
+// QuotaSlack returns the units by which all hosts together may exceed a quota in addition.
+func (e *Entry) QuotaSlack() float64 { return e.doc.Quotas.Slack }
+
 // StopGrace returns the time between the request to stop and the end of the
 // process.
 func (e *Entry) StopGrace() time.Duration { return time.Duration(e.doc.Stop.Grace) }
--- a/configurer/entry_document.go
+++ b/configurer/entry_document.go
@@ -10,6 +10,7 @@
 	Store       entryStoreDocument    `json:"store"`
 	Lease       entryLeaseDocument    `json:"lease"`
 	Repeats     entryRepeatDocument   `json:"repeats"`
+	Quotas      entryQuotaDocument    `json:"quotas"`
 	Stop        entryStopDocument     `json:"stop"`
 	Limits      entryLimitsDocument   `json:"limits"`
 	Engines     entryEngineDocument   `json:"engines"`
@@ -63,6 +64,14 @@
 	Window duration `json:"window"`
 }
 
+// entryQuotaDocument is the bound on the calls of a workspace that run in any window: what its
+// quota allows in it, over as a share of that more, and slack.
+type entryQuotaDocument struct {
+	Window duration `json:"window"`
+	Over   float64  `json:"over"`
+	Slack  float64  `json:"slack"` // units
+}
+
 type entryEndpointDocument struct {
 	ReportInterval duration `json:"report_interval"` // of endpoints to the store
 }
@@ -88,6 +97,7 @@
 	return entryDocument{
 		Lease:   entryLeaseDocument{Renew: duration(6 * time.Second), Time: duration(12 * time.Second), Guard: duration(time.Second), TakeoverDelay: duration(3 * time.Second)},
 		Repeats: entryRepeatDocument{Ratio: 0.1, Slack: 20, Window: duration(10 * time.Second)},
+		Quotas:  entryQuotaDocument{Window: duration(8 * time.Second), Over: 0.1, Slack: 11_000},
 		Stop:    entryStopDocument{Grace: duration(8 * time.Second)},
 		Limits: entryLimitsDocument{
 			MemoryMB: 256, BodyBytes: 4 << 20, HeaderBytes: 64 << 10,
--- a/configurer/entry_test.go
+++ b/configurer/entry_test.go
@@ -51,6 +51,9 @@
 		{"load of an hour", `"stop"`, `"engines": {"adapter_load": "1h"}, "stop"`, "engines.adapter_load"},
 		{"no time between reports", `"stop"`, `"endpoints": {"report_interval": "0s"}, "stop"`, "endpoints.report_interval"},
 		{"streams without end", `"stop"`, `"streams": {"lifetime": "-1s"}, "stop"`, "streams.lifetime"},
+		{"quota window of no time", `"stop"`, `"quotas": {"window": "0s"}, "stop"`, "quotas.window"},
+		{"quota exceeded by more than itself", `"stop"`, `"quotas": {"over": 1.5}, "stop"`, "quotas.over"},
+		{"negative quota slack", `"stop"`, `"quotas": {"slack": -1}, "stop"`, "quotas.slack"},
 		{"unknown field", `"stop"`, `"stopp"`, "stopp"},
 	}
 	for _, tt := range tests {
@@ -69,18 +72,29 @@
 	is := is.New(t)
 	src, err := os.ReadFile("../deploy/entry.json")
 	is.NoErr(err)
-	text := string(src)
+	section := regexp.MustCompile(`\{\{#bounds\.quota_window_s\}\}(.*)\{\{/bounds\.quota_window_s\}\}`)
+	for _, quotas := range []string{"$1", ""} { // the bound is set, or not
+		e, err := configurer.ParseEntry([]byte(render(section.ReplaceAllString(string(src), quotas))))
+		is.NoErr(err)
+		want := 8 * time.Second // default
+		if quotas != "" {
+			want = 5 * time.Second
+		}
+		is.Equal(e.QuotaWindow(), want)
+	}
+}
+
+// render replaces the names of a template by values.
+func render(text string) string {
 	for from, to := range map[string]string{
 		`{{ip}}`: "10.0.0.1", `{{internal_ports.0}}`: "4", `{{internal_ports.1}}`: "5",
 		`{{listen_addrs.front}}`: "10.0.0.1:1", `{{listen_addrs.ready}}`: "10.0.0.1:2", `{{listen_addrs.directory}}`: "10.0.0.1:3",
 		`{{platform_config.address}}`: "10.0.0.9:1", `{{limits.memory_mb}}`: "284", `{{limits.link_mbps}}`: "10.0",
 		`{{bounds.lease_ms}}`: "3000", `{{bounds.budget_ratio}}`: "0.2", `{{bounds.retry_slack}}`: "56",
-		`{{bounds.budget_window_s}}`: "10", `{{bounds.grace_s}}`: "8", `{{heartbeat_ms}}`: "1200",
+		`{{bounds.budget_window_s}}`: "10", `{{bounds.grace_s}}`: "8", `{{bounds.quota_window_s}}`: "5", `{{bounds.quota_over}}`: "0.1", `{{bounds.quota_slack}}`: "11000", `{{heartbeat_ms}}`: "1200",
 		`{{#zones}} { "name": "{{@}}", "region": "{{.}}" } {{,}}{{/zones}}`: `{ "name": "z", "region": "r" }`,
 	} {
 		text = strings.ReplaceAll(text, from, to)
 	}
-	text = regexp.MustCompile(`\{\{\w+\}\}`).ReplaceAllString(text, "name")
-	_, err = configurer.ParseEntry([]byte(text))
-	is.NoErr(err)
+	return regexp.MustCompile(`\{\{\w+\}\}`).ReplaceAllString(text, "name")
 }
