--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -75,10 +75,13 @@
 	level   float64 // units that may be drawn at updated
 	updated time.Time
 	retries Retries
+	late    float64 // units that were returned late, of those that still count in the window
+	lateAt  time.Time
 }
 
 // Accountant holds the buckets of workspaces. It is safe for concurrent use.
 type Accountant struct {
+	bounds    Bounds
 	overdraft bool
 	mu        sync.Mutex
 	buckets   map[string]*bucket
@@ -93,8 +96,8 @@
 func WithOverdraft() Option { return func(a *Accountant) { a.overdraft = true } }
 
 // New returns an accountant without buckets.
-func New(opts ...Option) *Accountant {
-	a := &Accountant{buckets: make(map[string]*bucket)}
+func New(b Bounds, opts ...Option) *Accountant {
+	a := &Accountant{bounds: b, buckets: make(map[string]*bucket)}
 	for _, opt := range opts {
 		opt(a)
 	}
@@ -121,10 +124,24 @@
 }
 
 // Return gives the cost of calls that did not run back to a workspace.
-func (a *Accountant) Return(workspace string, cost float64) {
+func (a *Accountant) Return(workspace string, cost float64, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if b := a.buckets[workspace]; b != nil {
+		b.refill(b.terms, NewPart(b.share, 0), now)
+		b.level = min(b.level+cost, b.terms.burst)
+	}
+}
+
+// ReturnLate gives the cost of calls that did not run and took long to end back to a workspace.
+// The bucket has filled up since they were charged, so that it may grant the same tokens
+// twice; what is given back in a window is limited to half of what the bounds allow.
+func (a *Accountant) ReturnLate(workspace string, cost float64, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if b := a.buckets[workspace]; b != nil {
+		b.refill(b.terms, NewPart(b.share, 0), now)
+		cost = b.takeCredit(cost, lateShare*a.bounds.allowance(b.terms), a.bounds.window, now)
 		b.level = min(b.level+cost, b.terms.burst)
 	}
 }
--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -67,13 +67,13 @@
 }
 
 // New returns an allotter. Run has to be called for it to keep its place among the hosts.
-func New(remote Remote, members Members, tables Tables, observer Observer, log *logger.Logger) *Allotter {
+func New(remote Remote, members Members, tables Tables, observer Observer, b accountant.Bounds, log *logger.Logger) *Allotter {
 	return &Allotter{
 		remote: remote, members: members, tables: tables, observer: observer, log: log.Component("allotter"),
 		lendings: &lendings{byWorkspace: make(map[string]*lending)},
-		owned:    accountant.New(), alone: accountant.New(accountant.WithOverdraft()),
+		owned:    accountant.New(b), alone: accountant.New(b, accountant.WithOverdraft()),
 		unresponsive: avoider.New(avoider.WithBackoff(backoff)),
-		reports:      reports{returned: make(map[account]float64), elsewhere: make(map[account]float64)},
+		reports:      reports{byAccount: make(map[account]Report)},
 	}
 }
 
@@ -120,10 +120,10 @@
 	}
 	owner := account{r.Hosts()[0].Name(), workspace}
 	if _, whole := a.role(r, index).(Substitute); whole {
-		a.reports.forget(owner)
+		_ = a.reports.take(owner) // it granted nothing for this host lately
 		return
 	}
-	a.reports.addElsewhere(owner, cost)
+	a.reports.add(owner, NewReport(0, 0, cost))
 }
 
 // role returns what the host at an index of a ranking is to this one.
@@ -148,8 +148,7 @@
 
 // ask sends a request to a host, which may be this one.
 func (a *Allotter) ask(ctx context.Context, h *enroller.Host, r Request) (accountant.Verdict, error) {
-	returned, elsewhere := a.reports.take(account{h.Name(), r.workspace})
-	r = r.Returning(returned).After(elsewhere)
+	r = r.With(a.reports.take(account{h.Name(), r.workspace}))
 	if h.Name() == a.members.Self() {
 		return a.Grant(r), nil
 	}
@@ -159,7 +158,7 @@
 		return err
 	})
 	if err != nil {
-		a.reports.restore(account{h.Name(), r.workspace}, elsewhere)
+		a.reports.restore(account{h.Name(), r.workspace}, r.report)
 		return nil, fmt.Errorf("draw from host %s: %w", h.Name(), err)
 	}
 	return verdict, nil
@@ -199,65 +198,5 @@
 	if _, whole := a.role(r, len(r.Hosts())).(Substitute); whole && a.members.View().Current() {
 		share = 1
 	}
-	return a.alone.Draw(workspace, t, accountant.NewPart(share/float64(max(r.Live(), 1)), -phase*cost), cost, now)
-}
-
-// Grant decides on the request of a host, which may be this one.
-func (a *Allotter) Grant(r Request) accountant.Verdict {
-	now := time.Now()
-	a.hear(r.workspace, r.from, r.role, now)
-	a.settle(r.workspace, r.returned, r.elsewhere, now)
-	t := a.newest(r)
-	return a.owned.Draw(r.workspace, t, a.lendings.part(r.workspace, t, now), r.cost, now)
-}
-
-// newest returns the newer one of the terms that the host that asks knows and those that this
-// host knows.
-func (a *Allotter) newest(r Request) accountant.Terms {
-	table := a.tables.Current()
-	if table == nil || table.Version() <= r.terms.Version() {
-		return r.terms
-	}
-	w := table.Workspace(r.workspace)
-	if w == nil || !w.Quota().Limited() {
-		return r.terms
-	}
-	return termsOf(table, w)
-}
-
-func termsOf(t *router.Table, w *router.Workspace) accountant.Terms {
-	return accountant.NewTerms(t.Version(), w.Quota().Rate(), w.Quota().Burst())
-}
-
-// hear records that a host reaches this one.
-func (a *Allotter) hear(workspace, host string, role Role, now time.Time) {
-	if a.lendings.record(workspace, host, role, now) {
-		// Another host granted the quota until now.
-		a.owned.Limit(workspace, startShare, now)
-		a.count()
-	}
-}
-
-// Hear records the presence of another host.
-func (a *Allotter) Hear(p Presence) {
-	now := time.Now()
-	for _, q := range p.quotas {
-		a.hear(q.workspace, p.from, p.role, now)
-		a.settle(q.workspace, q.returned, q.elsewhere, now)
-	}
-}
-
-// settle applies what a host reports of earlier calls of a workspace.
-func (a *Allotter) settle(workspace string, returned, elsewhere float64, now time.Time) {
-	if returned > 0 {
-		a.owned.Return(workspace, returned)
-	}
-	if elsewhere > 0 {
-		a.owned.Charge(workspace, elsewhere, now)
-	}
-}
-
-func (a *Allotter) count() {
-	view := a.members.View()
-	a.lendings.count(view.Ranking("").Live(), view.Current(), time.Now())
+	return a.alone.Draw(workspace, t, accountant.NewPart(share/float64(max(r.Serving(), 1)), -phase*cost), cost, now)
 }
--- a/allotter/harness_test.go
+++ b/allotter/harness_test.go
@@ -122,7 +122,7 @@
 	h := &host{name: name, region: region, router: router.New(), cluster: c}
 	h.members = enroller.New(enroller.NewLocalHost(name, name, name, place, place, 0), timing, store{c, name}, logger.Nop(),
 		enroller.WithClock(func() time.Duration { return time.Since(c.began) }))
-	h.quotas = allotter.New(remote{c, h}, h.members, h.router, c, logger.Nop())
+	h.quotas = allotter.New(remote{c, h}, h.members, h.router, c, accountant.NewBounds(window, over, slack), logger.Nop())
 	h.stage = allotter.Wrap[struct{}](h.quotas, h)
 	ctx, cancel := context.WithCancel(c.t.Context())
 	h.stop = cancel
--- a/allotter/message.go
+++ b/allotter/message.go
@@ -20,14 +20,36 @@
 func (Standby) role()    {}
 func (Substitute) role() {}
 
+// Report tells a host of earlier calls of a workspace, in tokens.
+type Report struct {
+	returned  float64
+	late      float64
+	elsewhere float64
+}
+
+// NewReport returns a report. Returned and late are what the host granted to calls that did not
+// run; late counts the calls that took long to end. Elsewhere is what others granted lately
+// because the host did not answer.
+func NewReport(returned, late, elsewhere float64) Report {
+	return Report{returned: returned, late: late, elsewhere: elsewhere}
+}
+
+// Returned returns what was granted to calls that did not run, without late ones.
+func (r Report) Returned() float64 { return r.returned }
+
+// Late returns what was granted to calls that took long to end, and did not run.
+func (r Report) Late() float64 { return r.late }
+
+// Elsewhere returns what others granted lately because the host did not answer.
+func (r Report) Elsewhere() float64 { return r.elsewhere }
+
 // Request asks a host for the tokens of a call.
 type Request struct {
 	from      string
 	workspace string
 	terms     accountant.Terms
 	cost      float64
-	returned  float64
-	elsewhere float64
+	report    Report
 	role      Role
 }
 
@@ -36,16 +58,9 @@
 	return Request{from: from, workspace: workspace, terms: t, cost: cost, role: Primary{}}
 }
 
-// Returning returns the request with the tokens of earlier calls that did not run.
-func (r Request) Returning(tokens float64) Request {
-	r.returned = tokens
-	return r
-}
-
-// After returns the request with the tokens that hosts other than the quota owner granted
-// because it did not answer.
-func (r Request) After(elsewhere float64) Request {
-	r.elsewhere = elsewhere
+// With returns the request with a report on earlier calls.
+func (r Request) With(report Report) Request {
+	r.report = report
 	return r
 }
 
@@ -67,11 +82,8 @@
 // Cost returns the tokens to charge.
 func (r Request) Cost() float64 { return r.cost }
 
-// Returned returns the tokens of earlier calls that did not run.
-func (r Request) Returned() float64 { return r.returned }
-
-// Elsewhere returns the tokens that hosts other than the quota owner granted lately.
-func (r Request) Elsewhere() float64 { return r.elsewhere }
+// Report returns the report on earlier calls.
+func (r Request) Report() Report { return r.report }
 
 // Role returns what the host that is asked is to the one that asks.
 func (r Request) Role() Role { return r.role }
@@ -83,27 +95,20 @@
 	role   Role
 }
 
-// Quota names a workspace whose quota a host asks for, and what it reports of earlier calls.
+// Quota names a workspace whose quota a host asks for, and reports on earlier calls.
 type Quota struct {
 	workspace string
-	returned  float64
-	elsewhere float64
+	report    Report
 }
 
-// NewQuota returns the name of a workspace, the tokens of calls that did not run, and those
-// that hosts other than the quota owner granted because it did not answer.
-func NewQuota(workspace string, returned, elsewhere float64) Quota {
-	return Quota{workspace: workspace, returned: returned, elsewhere: elsewhere}
-}
+// NewQuota returns the name of a workspace with a report.
+func NewQuota(workspace string, r Report) Quota { return Quota{workspace: workspace, report: r} }
 
 // Workspace returns the name of the workspace.
 func (q Quota) Workspace() string { return q.workspace }
 
-// Returned returns the tokens of calls that did not run.
-func (q Quota) Returned() float64 { return q.returned }
-
-// Elsewhere returns the tokens that hosts other than the quota owner granted lately.
-func (q Quota) Elsewhere() float64 { return q.elsewhere }
+// Report returns the report on earlier calls.
+func (q Quota) Report() Report { return q.report }
 
 // NewPresence returns the presence of the host named from, which sends it to a host in a role.
 func NewPresence(from string, list []Quota, role Role) Presence {
--- a/allotter/presence.go
+++ b/allotter/presence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -69,18 +70,14 @@
 			if i < len(ranking.Hosts()) {
 				h := ranking.Hosts()[i]
 				to := recipient{h, a.role(ranking, i)}
-				quotas[to] = append(quotas[to], a.report(h.Name(), workspace))
+				quotas[to] = append(quotas[to], NewQuota(workspace, a.reports.take(account{h.Name(), workspace})))
 			}
 		}
 		open = a.sendTo(ctx, quotas)
 	}
-	a.reports.clear()
-}
-
-// report returns what a host is told of earlier calls of a workspace.
-func (a *Allotter) report(host, workspace string) Quota {
-	returned, elsewhere := a.reports.take(account{host, workspace})
-	return NewQuota(workspace, returned, elsewhere)
+	a.reports.clear(func(key account) bool {
+		return slices.ContainsFunc(view.Ranking(key.workspace).Hosts(), func(h *enroller.Host) bool { return h.Name() == key.host })
+	})
 }
 
 // sendTo sends presences to hosts and returns the workspaces of those that do not answer.
@@ -103,7 +100,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			for _, q := range list {
-				a.reports.restore(account{to.host.Name(), q.workspace}, q.elsewhere)
+				a.reports.restore(account{to.host.Name(), q.workspace}, q.report)
 				unheard = append(unheard, q.workspace)
 			}
 		})
--- a/allotter/refusal.go
+++ b/allotter/refusal.go
@@ -46,7 +46,7 @@
 	if cost < r.cost || !now.Before(r.until) {
 		return 0, false
 	}
-	hosts := max(a.members.View().Ranking(workspace).Live(), 1)
+	hosts := max(a.members.View().ServingCount(), 1)
 	step := time.Duration(cost / t.Rate() * float64(hosts) * float64(time.Second))
 	return r.retries.Next(now, r.retryAt.Sub(now), min(step, accountant.MaxWait)), true
 }
--- a/allotter/reports.go
+++ b/allotter/reports.go
@@ -12,47 +12,42 @@
 // messages of their own.
 type reports struct {
 	mu        sync.Mutex
-	returned  map[account]float64 // tokens that the host granted to calls that did not run
-	elsewhere map[account]float64 // tokens that others granted because the host did not answer
+	byAccount map[account]Report
 }
 
-func (r *reports) addReturned(key account, tokens float64) {
+func (r *reports) add(key account, more Report) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.returned[key] += tokens
+	sum := r.byAccount[key]
+	r.byAccount[key] = NewReport(sum.returned+more.returned, sum.late+more.late, sum.elsewhere+more.elsewhere)
 }
 
-func (r *reports) addElsewhere(key account, tokens float64) {
+// take returns the report on an account, and forgets it.
+func (r *reports) take(key account) Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.elsewhere[key] += tokens
-}
-
-// take returns what is to be reported of an account, and forgets it.
-func (r *reports) take(key account) (returned, elsewhere float64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	returned, elsewhere = r.returned[key], r.elsewhere[key]
-	delete(r.returned, key)
-	delete(r.elsewhere, key)
-	return returned, elsewhere
+	report, ok := r.byAccount[key]
+	if ok {
+		delete(r.byAccount, key)
+	}
+	return report
 }
 
-// restore puts back what a host was not told because it did not answer. Tokens are not
-// returned later: they may have been, and the bucket has filled up again.
-func (r *reports) restore(key account, elsewhere float64) {
-	if elsewhere > 0 {
-		r.addElsewhere(key, elsewhere)
+// restore puts back a report that got no answer. Tokens are not returned again, because the
+// host may have taken them back.
+func (r *reports) restore(key account, report Report) {
+	if report.elsewhere > 0 {
+		r.add(key, NewReport(0, 0, report.elsewhere))
 	}
 }
 
-// forget drops the report of an account.
-func (r *reports) forget(key account) { _, _ = r.take(key) }
-
-// clear drops the returned tokens that were not sent with the latest presences: those hosts are
-// not asked any more.
-func (r *reports) clear() {
+// clear drops the reports to hosts that are not asked any more.
+func (r *reports) clear(asked func(account) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	clear(r.returned)
+	for key := range r.byAccount {
+		if !asked(key) {
+			delete(r.byAccount, key)
+		}
+	}
 }
--- a/allotter/stage.go
+++ b/allotter/stage.go
@@ -10,9 +10,9 @@
 	"github.com/dragonflyford/dragonflyford/router"
 )
 
-// maxReturnAge is the age after which the tokens of a call that did not run are not returned.
-// The bucket has filled up again by then, so that they would exceed the quota.
-const maxReturnAge = 2 * time.Second
+// lateAfter is the age after which the tokens of a call that did not run are returned as late
+// ones. The bucket has filled up again by then, so that they could exceed the quota.
+const lateAfter = 250 * time.Millisecond
 
 // stage charges calls before it passes them to the rest of the pipeline.
 type stage[O any] struct {
@@ -44,21 +44,25 @@
 	}
 	answer, err := s.inner.Apply(ctx, r)
 	if err != nil {
-		if _, ok := classifier.Of(err).Outcome().(classifier.NotRun); ok && time.Since(began) < maxReturnAge {
-			s.allotter.giveBack(charged.account, cost)
+		if _, ok := classifier.Of(err).Outcome().(classifier.NotRun); ok {
+			s.allotter.giveBack(charged.account, cost, time.Since(began))
 		}
 	}
 	return answer, err
 }
 
 // giveBack returns the tokens of a call that did not run to where they were taken from.
-func (a *Allotter) giveBack(from account, cost float64) {
+func (a *Allotter) giveBack(from account, cost float64, age time.Duration) {
+	report := NewReport(cost, 0, 0)
+	if age > lateAfter {
+		report = NewReport(0, cost, 0)
+	}
 	switch from.host {
 	case "":
-		a.alone.Return(from.workspace, cost)
+		a.alone.Return(from.workspace, report.returned, time.Now())
 	case a.members.Self():
-		a.owned.Return(from.workspace, cost)
+		a.settle(from.workspace, report, time.Now())
 	default:
-		a.reports.addReturned(from, cost)
+		a.reports.add(from, report)
 	}
 }
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -153,7 +153,8 @@
 	if h.messenger, err = messenger.New(peerHandler{h}); err != nil {
 		return nil, fmt.Errorf("build messenger: %w", err)
 	}
-	h.allotter = allotter.New(h.messenger, h.members, h.router, h.quotaMetrics, log)
+	h.allotter = allotter.New(h.messenger, h.members, h.router, h.quotaMetrics,
+		accountant.NewBounds(settings.QuotaWindow(), settings.QuotaOver(), settings.QuotaSlack()), log)
 	h.replicator = replicator.New(h.messenger, h.members, h.pinner, settings.StreamLifetime(), log)
 	h.archiver = archiver.New(h.pinner, fleetTable, h.store.Table(tableStreams), h.replicator, settings.StreamLifetime(), log)
 	h.mirrors = map[string]*mirrorer.Mirror{
--- a/enroller/ranking.go
+++ b/enroller/ranking.go
@@ -6,16 +6,16 @@
 
 // Ranking is the order of the live hosts of a view for a key.
 type Ranking struct {
-	hosts []*Host
-	live  int
+	hosts   []*Host
+	serving int
 }
 
 // Hosts returns the first two serving hosts by the rendezvous hash of the key, the best
 // first. The caller must not modify the list.
 func (r *Ranking) Hosts() []*Host { return r.hosts }
 
-// Live returns the number of serving hosts.
-func (r *Ranking) Live() int { return r.live }
+// Serving returns the number of hosts that were ranked.
+func (r *Ranking) Serving() int { return r.serving }
 
 // Ranking returns the ranking of the hosts for a key. It is computed once a view and key, and
 // counts the hosts that were alive at that time; the next contact to the store brings a new
@@ -35,7 +35,7 @@
 		if !v.serving(h) {
 			continue
 		}
-		r.live++
+		r.serving++
 		hash := rendezvousHash(key, name)
 		r.hosts, hashes = append(r.hosts, h), append(hashes, hash)
 		for i := len(hashes) - 1; i > 0 && hashes[i] > hashes[i-1]; i-- {
@@ -46,3 +46,6 @@
 	}
 	return r
 }
+
+// ServingCount returns the number of live hosts that are not leaving.
+func (v *View) ServingCount() int { return v.Ranking("").serving }
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -281,7 +281,7 @@
 	is := is.New(t)
 	h := &handler{verdict: accountant.Granted{}}
 	client, address := connect(t, h)
-	request := allotter.NewRequest("a", "w", accountant.NewTerms(7, 1000.5, 2000), 16.5).Returning(3.5).After(7)
+	request := allotter.NewRequest("a", "w", accountant.NewTerms(7, 1000.5, 2000), 16.5).With(allotter.NewReport(3.5, 4, 7))
 	for _, r := range []allotter.Request{request, request.As(allotter.Standby{}), request.As(allotter.Substitute{})} {
 		verdict, err := client.Draw(t.Context(), address, r)
 		is.NoErr(err)
@@ -290,8 +290,8 @@
 		h.verdict = accountant.NewExceeded(70 * time.Millisecond)
 	}
 	for _, list := range [][]allotter.Quota{
-		{allotter.NewQuota("w", 0, 0), allotter.NewQuota("v", 12, 3)},
-		{allotter.NewQuota("w", 0, 0)},
+		{allotter.NewQuota("w", allotter.Report{}), allotter.NewQuota("v", allotter.NewReport(0, 12, 3))},
+		{allotter.NewQuota("w", allotter.Report{})},
 	} {
 		p := allotter.NewPresence("a", list, allotter.Substitute{})
 		is.NoErr(client.SendPresence(t.Context(), address, p))
--- a/messenger/quotas.go
+++ b/messenger/quotas.go
@@ -12,15 +12,14 @@
 
 // drawDocument asks for the tokens of a call.
 type drawDocument struct {
-	From      string  `cbor:"1,keyasint"`
-	Workspace string  `cbor:"2,keyasint"`
-	Version   int64   `cbor:"3,keyasint"` // of the configuration
-	Rate      float64 `cbor:"4,keyasint"`
-	Burst     float64 `cbor:"5,keyasint,omitempty"`
-	Cost      float64 `cbor:"6,keyasint,omitempty"`
-	Returned  float64 `cbor:"7,keyasint,omitempty"`
-	Role      int     `cbor:"8,keyasint,omitempty"`
-	Elsewhere float64 `cbor:"9,keyasint,omitempty"`
+	From      string          `cbor:"1,keyasint"`
+	Workspace string          `cbor:"2,keyasint"`
+	Version   int64           `cbor:"3,keyasint"` // of the configuration
+	Rate      float64         `cbor:"4,keyasint"`
+	Burst     float64         `cbor:"5,keyasint,omitempty"`
+	Cost      float64         `cbor:"6,keyasint,omitempty"`
+	Report    *reportDocument `cbor:"7,keyasint,omitempty"`
+	Role      int             `cbor:"8,keyasint,omitempty"`
 }
 
 type drawnDocument struct {
@@ -28,13 +27,27 @@
 	WaitUS  int64 `cbor:"2,keyasint,omitempty"`
 }
 
+// reportDocument reports on earlier calls of a workspace, in tokens.
+type reportDocument struct {
+	Returned  float64 `cbor:"1,keyasint,omitempty"`
+	Late      float64 `cbor:"2,keyasint,omitempty"`
+	Elsewhere float64 `cbor:"3,keyasint,omitempty"`
+}
+
 // presenceDocument tells that a host reaches the owner of quotas.
 type presenceDocument struct {
-	From       string    `cbor:"1,keyasint"`
-	Workspaces []string  `cbor:"2,keyasint"`
-	Returned   []float64 `cbor:"3,keyasint,omitempty"` // by workspace; none if no tokens are returned
-	Role       int       `cbor:"4,keyasint,omitempty"`
-	Elsewhere  []float64 `cbor:"5,keyasint,omitempty"` // by workspace; none if there are no such tokens
+	From       string                    `cbor:"1,keyasint"`
+	Workspaces []string                  `cbor:"2,keyasint"`
+	Reports    map[string]reportDocument `cbor:"3,keyasint,omitempty"` // by workspace; those that are not empty
+	Role       int                       `cbor:"4,keyasint,omitempty"`
+}
+
+func encodeReport(r allotter.Report) reportDocument {
+	return reportDocument{Returned: r.Returned(), Late: r.Late(), Elsewhere: r.Elsewhere()}
+}
+
+func decodeReport(d reportDocument) allotter.Report {
+	return allotter.NewReport(d.Returned, d.Late, d.Elsewhere)
 }
 
 // Encoded types of an allotter.Role.
@@ -67,15 +80,22 @@
 }
 
 func encodeDraw(r allotter.Request) *drawDocument {
-	return &drawDocument{
+	d := &drawDocument{
 		From: r.From(), Workspace: r.Workspace(), Version: r.Terms().Version(), Rate: r.Terms().Rate(), Burst: r.Terms().Burst(),
-		Cost: r.Cost(), Returned: r.Returned(), Elsewhere: r.Elsewhere(), Role: encodeRole(r.Role()),
+		Cost: r.Cost(), Role: encodeRole(r.Role()),
 	}
+	if report := encodeReport(r.Report()); report != (reportDocument{}) {
+		d.Report = &report
+	}
+	return d
 }
 
 func decodeDraw(d *drawDocument) allotter.Request {
-	terms := accountant.NewTerms(d.Version, d.Rate, d.Burst)
-	return allotter.NewRequest(d.From, d.Workspace, terms, d.Cost).Returning(d.Returned).After(d.Elsewhere).As(decodeRole(d.Role))
+	r := allotter.NewRequest(d.From, d.Workspace, accountant.NewTerms(d.Version, d.Rate, d.Burst), d.Cost).As(decodeRole(d.Role))
+	if d.Report == nil {
+		return r
+	}
+	return r.With(decodeReport(*d.Report))
 }
 
 func encodeDrawn(v accountant.Verdict) *drawnDocument {
@@ -93,39 +113,20 @@
 }
 
 func encodePresence(p allotter.Presence) *presenceDocument {
-	d := &presenceDocument{From: p.From(), Role: encodeRole(p.Role())}
-	for i, q := range p.Quotas() {
+	d := &presenceDocument{From: p.From(), Role: encodeRole(p.Role()), Reports: make(map[string]reportDocument)}
+	for _, q := range p.Quotas() {
 		d.Workspaces = append(d.Workspaces, q.Workspace())
-		d.Returned = setAt(d.Returned, i, q.Returned(), len(p.Quotas()))
-		d.Elsewhere = setAt(d.Elsewhere, i, q.Elsewhere(), len(p.Quotas()))
+		if report := encodeReport(q.Report()); report != (reportDocument{}) {
+			d.Reports[q.Workspace()] = report
+		}
 	}
 	return d
 }
 
-// setAt sets a value of a list, which is made once a value is not 0.
-func setAt(list []float64, i int, v float64, length int) []float64 {
-	if v == 0 {
-		return list
-	}
-	if list == nil {
-		list = make([]float64, length)
-	}
-	list[i] = v
-	return list
-}
-
-// at returns a value of a list that may be shorter.
-func at(list []float64, i int) float64 {
-	if i < len(list) {
-		return list[i]
-	}
-	return 0
-}
-
 func decodePresence(d *presenceDocument) allotter.Presence {
 	list := make([]allotter.Quota, 0, len(d.Workspaces))
-	for i, workspace := range d.Workspaces {
-		list = append(list, allotter.NewQuota(workspace, at(d.Returned, i), at(d.Elsewhere, i)))
+	for _, workspace := range d.Workspaces {
+		list = append(list, allotter.NewQuota(workspace, decodeReport(d.Reports[workspace])))
 	}
 	return allotter.NewPresence(d.From, list, decodeRole(d.Role))
 }
