--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -75,10 +75,13 @@
 	level   float64 // units that may be drawn at updated
 	updated time.Time
 	retries Retries
+	late    float64 // units that were returned late, of those that still count in the window
+	lateAt  time.Time
 }
 
 // Accountant holds the buckets of workspaces. It is safe for concurrent use.
 type Accountant struct {
+	bounds    Bounds
 	overdraft bool
 	mu        sync.Mutex
 	buckets   map[string]*bucket
@@ -93,8 +96,8 @@
 func WithOverdraft() Option { return func(a *Accountant) { a.overdraft = true } }
 
 // New returns an accountant without buckets.
-func New(opts ...Option) *Accountant {
-	a := &Accountant{buckets: make(map[string]*bucket)}
+func New(b Bounds, opts ...Option) *Accountant {
+	a := &Accountant{bounds: b, buckets: make(map[string]*bucket)}
 	for _, opt := range opts {
 		opt(a)
 	}
@@ -120,15 +123,40 @@
 	return Exceeded{b.retries.Next(now, perSecond(needed-b.level, rate), perSecond(cost, rate))}
 }
 
-// Return gives the cost of a call that did not run back to a workspace.
-func (a *Accountant) Return(workspace string, cost float64) {
+// Return gives the cost of calls that did not run back to a workspace.
+func (a *Accountant) Return(workspace string, cost float64, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if b := a.buckets[workspace]; b != nil && cost > 0 {
+	if b := a.buckets[workspace]; b != nil {
+		b.refill(b.terms, NewPart(b.share, 0), now)
 		b.level = min(b.level+cost, b.terms.burst)
 	}
 }
 
+// ReturnLate gives the cost of calls that did not run and took long to end back to a workspace.
+// The bucket has filled up since they were charged, so that it may grant the same tokens
+// twice; what is given back in a window is limited to half of what the bounds allow.
+func (a *Accountant) ReturnLate(workspace string, cost float64, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if b := a.buckets[workspace]; b != nil {
+		b.refill(b.terms, NewPart(b.share, 0), now)
+		cost = b.takeCredit(cost, lateShare*a.bounds.allowance(b.terms), a.bounds.window, now)
+		b.level = min(b.level+cost, b.terms.burst)
+	}
+}
+
+// Charge takes what another bucket granted in place of this one. It leaves an empty bucket at
+// worst, so that no call has to wait for what was granted long ago.
+func (a *Accountant) Charge(workspace string, cost float64, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if b := a.buckets[workspace]; b != nil {
+		b.refill(b.terms, NewPart(b.share, 0), now)
+		b.level = max(b.level-cost, min(b.level, 0))
+	}
+}
+
 // Limit lowers the level of a workspace's bucket to a share of its burst. It is for a host
 // that becomes the owner of a quota again, while others may have granted it.
 func (a *Accountant) Limit(workspace string, share float64, now time.Time) {
--- a/allotter/message.go
+++ b/allotter/message.go
@@ -2,31 +2,71 @@
 
 import "github.com/dragonflyford/dragonflyford/accountant"
 
+// Role is what a host is to one that asks it for tokens: Primary, Standby or Substitute.
+type Role interface{ role() }
+
+type (
+	// Primary is the quota owner.
+	Primary struct{}
+	// Standby takes the place of a quota owner that has just stopped to answer. That one may
+	// still grant a part of the quota.
+	Standby struct{}
+	// Substitute takes the place of a quota owner that has ended, or has not answered for so
+	// long that it grants nothing for the host that asks.
+	Substitute struct{}
+)
+
+func (Primary) role()    {}
+func (Standby) role()    {}
+func (Substitute) role() {}
+
+// Report tells a host of earlier calls of a workspace, in tokens.
+type Report struct {
+	returned  float64
+	late      float64
+	elsewhere float64
+}
+
+// NewReport returns a report. Returned and late are what the host granted to calls that did not
+// run; late counts the calls that took long to end. Elsewhere is what others granted lately
+// because the host did not answer.
+func NewReport(returned, late, elsewhere float64) Report {
+	return Report{returned: returned, late: late, elsewhere: elsewhere}
+}
+
+// Returned returns what was granted to calls that did not run, without late ones.
+func (r Report) Returned() float64 { return r.returned }
+
+// Late returns what was granted to calls that took long to end, and did not run.
+func (r Report) Late() float64 { return r.late }
+
+// Elsewhere returns what others granted lately because the host did not answer.
+func (r Report) Elsewhere() float64 { return r.elsewhere }
+
 // Request asks a host for the tokens of a call.
 type Request struct {
 	from      string
 	workspace string
 	terms     accountant.Terms
 	cost      float64
-	returned  float64
-	fallback  bool
+	report    Report
+	role      Role
 }
 
 // NewRequest returns the request of the host named from to charge cost to a workspace.
 func NewRequest(from, workspace string, t accountant.Terms, cost float64) Request {
-	return Request{from: from, workspace: workspace, terms: t, cost: cost}
+	return Request{from: from, workspace: workspace, terms: t, cost: cost, role: Primary{}}
 }
 
-// Returning returns the request with the tokens of earlier calls that did not run.
-func (r Request) Returning(tokens float64) Request {
-	r.returned = tokens
+// With returns the request with a report on earlier calls.
+func (r Request) With(report Report) Request {
+	r.report = report
 	return r
 }
 
-// AsFallback returns the request as one to a host that is not the quota owner, because that
-// one does not answer.
-func (r Request) AsFallback() Request {
-	r.fallback = true
+// As returns the request as one to a host in another role than that of the quota owner.
+func (r Request) As(role Role) Request {
+	r.role = role
 	return r
 }
 
@@ -42,40 +82,37 @@
 // Cost returns the tokens to charge.
 func (r Request) Cost() float64 { return r.cost }
 
-// Returned returns the tokens of earlier calls that did not run.
-func (r Request) Returned() float64 { return r.returned }
+// Report returns the report on earlier calls.
+func (r Request) Report() Report { return r.report }
 
-// Fallback reports whether the quota owner does not answer.
-func (r Request) Fallback() bool { return r.fallback }
+// Role returns what the host that is asked is to the one that asks.
+func (r Request) Role() Role { return r.role }
 
 // Presence tells a host which workspaces it owns the quotas of, as seen by another host.
 type Presence struct {
-	from     string
-	quotas   []Quota
-	fallback bool
+	from   string
+	quotas []Quota
+	role   Role
 }
 
-// Quota names a workspace whose quota a host asks for, and the tokens that it returns.
+// Quota names a workspace whose quota a host asks for, and reports on earlier calls.
 type Quota struct {
 	workspace string
-	returned  float64
+	report    Report
 }
 
-// NewQuota returns the name of a workspace and the tokens of calls that did not run.
-func NewQuota(workspace string, returned float64) Quota {
-	return Quota{workspace: workspace, returned: returned}
-}
+// NewQuota returns the name of a workspace with a report.
+func NewQuota(workspace string, r Report) Quota { return Quota{workspace: workspace, report: r} }
 
 // Workspace returns the name of the workspace.
 func (q Quota) Workspace() string { return q.workspace }
 
-// Returned returns the tokens of calls that did not run.
-func (q Quota) Returned() float64 { return q.returned }
+// Report returns the report on earlier calls.
+func (q Quota) Report() Report { return q.report }
 
-// NewPresence returns the presence of the host named from. Fallback tells that the quota owner
-// does not answer.
-func NewPresence(from string, list []Quota, fallback bool) Presence {
-	return Presence{from: from, quotas: list, fallback: fallback}
+// NewPresence returns the presence of the host named from, which sends it to a host in a role.
+func NewPresence(from string, list []Quota, role Role) Presence {
+	return Presence{from: from, quotas: list, role: role}
 }
 
 // From returns the name of the host.
@@ -84,5 +121,5 @@
 // Quotas returns the workspaces. The caller must not modify them.
 func (p Presence) Quotas() []Quota { return p.quotas }
 
-// Fallback reports whether the quota owner does not answer.
-func (p Presence) Fallback() bool { return p.fallback }
+// Role returns what the host that gets the presence is to the one that sends it.
+func (p Presence) Role() Role { return p.role }
--- a/messenger/quotas.go
+++ b/messenger/quotas.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"syscall"
 
 	"github.com/dragonflyford/dragonflyford/accountant"
 	"github.com/dragonflyford/dragonflyford/allotter"
@@ -9,14 +12,14 @@
 
 // drawDocument asks for the tokens of a call.
 type drawDocument struct {
-	From      string  `cbor:"1,keyasint"`
-	Workspace string  `cbor:"2,keyasint"`
-	Version   int64   `cbor:"3,keyasint"` // of the configuration
-	Rate      float64 `cbor:"4,keyasint"`
-	Burst     float64 `cbor:"5,keyasint,omitempty"`
-	Cost      float64 `cbor:"6,keyasint,omitempty"`
-	Returned  float64 `cbor:"7,keyasint,omitempty"`
-	Fallback  bool    `cbor:"8,keyasint,omitempty"`
+	From      string          `cbor:"1,keyasint"`
+	Workspace string          `cbor:"2,keyasint"`
+	Version   int64           `cbor:"3,keyasint"` // of the configuration
+	Rate      float64         `cbor:"4,keyasint"`
+	Burst     float64         `cbor:"5,keyasint,omitempty"`
+	Cost      float64         `cbor:"6,keyasint,omitempty"`
+	Report    *reportDocument `cbor:"7,keyasint,omitempty"`
+	Role      int             `cbor:"8,keyasint,omitempty"`
 }
 
 type drawnDocument struct {
@@ -24,27 +27,75 @@
 	WaitUS  int64 `cbor:"2,keyasint,omitempty"`
 }
 
+// reportDocument reports on earlier calls of a workspace, in tokens.
+type reportDocument struct {
+	Returned  float64 `cbor:"1,keyasint,omitempty"`
+	Late      float64 `cbor:"2,keyasint,omitempty"`
+	Elsewhere float64 `cbor:"3,keyasint,omitempty"`
+}
+
 // presenceDocument tells that a host reaches the owner of quotas.
 type presenceDocument struct {
-	From       string    `cbor:"1,keyasint"`
-	Workspaces []string  `cbor:"2,keyasint"`
-	Returned   []float64 `cbor:"3,keyasint,omitempty"` // by workspace; none if no tokens are returned
-	Fallback   bool      `cbor:"4,keyasint,omitempty"`
+	From       string                    `cbor:"1,keyasint"`
+	Workspaces []string                  `cbor:"2,keyasint"`
+	Reports    map[string]reportDocument `cbor:"3,keyasint,omitempty"` // by workspace; those that are not empty
+	Role       int                       `cbor:"4,keyasint,omitempty"`
+}
+
+func encodeReport(r allotter.Report) reportDocument {
+	return reportDocument{Returned: r.Returned(), Late: r.Late(), Elsewhere: r.Elsewhere()}
+}
+
+func decodeReport(d reportDocument) allotter.Report {
+	return allotter.NewReport(d.Returned, d.Late, d.Elsewhere)
+}
+
+// Encoded types of an allotter.Role.
+const (
+	rolePrimary    = 0
+	roleStandby    = 1
+	roleSubstitute = 2
+)
+
+func encodeRole(r allotter.Role) int {
+	switch r.(type) {
+	case allotter.Standby:
+		return roleStandby
+	case allotter.Substitute:
+		return roleSubstitute
+	default:
+		return rolePrimary
+	}
+}
+
+func decodeRole(role int) allotter.Role {
+	switch role {
+	case rolePrimary:
+		return allotter.Primary{}
+	case roleSubstitute:
+		return allotter.Substitute{}
+	default:
+		return allotter.Standby{}
+	}
 }
 
 func encodeDraw(r allotter.Request) *drawDocument {
-	return &drawDocument{
+	d := &drawDocument{
 		From: r.From(), Workspace: r.Workspace(), Version: r.Terms().Version(), Rate: r.Terms().Rate(), Burst: r.Terms().Burst(),
-		Cost: r.Cost(), Returned: r.Returned(), Fallback: r.Fallback(),
+		Cost: r.Cost(), Role: encodeRole(r.Role()),
 	}
+	if report := encodeReport(r.Report()); report != (reportDocument{}) {
+		d.Report = &report
+	}
+	return d
 }
 
 func decodeDraw(d *drawDocument) allotter.Request {
-	r := allotter.NewRequest(d.From, d.Workspace, accountant.NewTerms(d.Version, d.Rate, d.Burst), d.Cost).Returning(d.Returned)
-	if d.Fallback {
-		return r.AsFallback()
+	r := allotter.NewRequest(d.From, d.Workspace, accountant.NewTerms(d.Version, d.Rate, d.Burst), d.Cost).As(decodeRole(d.Role))
+	if d.Report == nil {
+		return r
 	}
-	return r
+	return r.With(decodeReport(*d.Report))
 }
 
 func encodeDrawn(v accountant.Verdict) *drawnDocument {
@@ -62,14 +113,11 @@
 }
 
 func encodePresence(p allotter.Presence) *presenceDocument {
-	d := &presenceDocument{From: p.From(), Fallback: p.Fallback()}
-	for i, q := range p.Quotas() {
+	d := &presenceDocument{From: p.From(), Role: encodeRole(p.Role()), Reports: make(map[string]reportDocument)}
+	for _, q := range p.Quotas() {
 		d.Workspaces = append(d.Workspaces, q.Workspace())
-		if q.Returned() > 0 && d.Returned == nil {
-			d.Returned = make([]float64, len(p.Quotas()))
-		}
-		if q.Returned() > 0 {
-			d.Returned[i] = q.Returned()
+		if report := encodeReport(q.Report()); report != (reportDocument{}) {
+			d.Reports[q.Workspace()] = report
 		}
 	}
 	return d
@@ -77,14 +125,10 @@
 
 func decodePresence(d *presenceDocument) allotter.Presence {
 	list := make([]allotter.Quota, 0, len(d.Workspaces))
-	for i, workspace := range d.Workspaces {
-		returned := 0.0
-		if i < len(d.Returned) {
-			returned = d.Returned[i]
-		}
-		list = append(list, allotter.NewQuota(workspace, returned))
+	for _, workspace := range d.Workspaces {
+		list = append(list, allotter.NewQuota(workspace, decodeReport(d.Reports[workspace])))
 	}
-	return allotter.NewPresence(d.From, list, d.Fallback)
+	return allotter.NewPresence(d.From, list, decodeRole(d.Role))
 }
 
 func (s *service) draw(_ context.Context, in *drawDocument) (*drawnDocument, error) {
@@ -100,12 +144,20 @@
 func (m *Messenger) Draw(ctx context.Context, address string, r allotter.Request) (accountant.Verdict, error) {
 	var out drawnDocument
 	if err := m.invoke(ctx, address, methodDraw, encodeDraw(r), &out); err != nil {
-		return nil, err
+		return nil, asEnded(err)
 	}
 	return decodeDrawn(&out), nil
 }
 
 // SendPresence tells the host at address that this host reaches it.
 func (m *Messenger) SendPresence(ctx context.Context, address string, p allotter.Presence) error {
-	return m.invoke(ctx, address, methodSendPresence, encodePresence(p), &emptyDocument{})
+	return asEnded(m.invoke(ctx, address, methodSendPresence, encodePresence(p), &emptyDocument{}))
+}
+
+// asEnded marks the error of a message to a host that refuses connections.
+func asEnded(err error) error {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return fmt.Errorf("%w: %w", allotter.ErrEnded, err)
+	}
+	return err
 }
