--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -81,6 +81,7 @@
 	meter        *meter.Meter
 	callMetrics  *callMetrics
 	speedMetrics *speedMetrics
+	paceMetrics  *paceMetrics
 
 	store             *platform.Store
 	engines           *platform.EngineClient
@@ -125,6 +126,7 @@
 	})
 	h.callMetrics = newCallMetrics(h.meter.Scope())
 	h.speedMetrics = newSpeedMetrics(h.meter.Scope())
+	h.paceMetrics = newPaceMetrics(h.meter.Scope())
 	log = log.WithEventCounter(h.callMetrics.events.Inc)
 	h.log = log.Component("assembler")
 	h.store = platform.NewStore(settings.Store())
--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -28,7 +28,7 @@
 	"claim-lost", "claim-uncertain", "engines-claimed", "lease-not-renewed", "lease-taken", "owner-changed",
 	"configuration-in-force", "version-named", "operator-row-not-read", "entry-not-read",
 	"dependency-lost", "dependency-regained", "history-lost", "source-passed-over",
-	"endpoint-arrived", "endpoint-draining", "endpoint-gone", "endpoint-lapsed", "endpoint-leaving", "endpoint-paused",
+	"endpoint-arrived", "endpoint-draining", "endpoint-gone", "endpoint-lapsed", "endpoint-leaving", "endpoint-limit-lowered", "endpoint-paused",
 	"host-silent", "evidence-not-told", "engine-speed-changed",
 	"engine-released", "release-uncertain",
 	"stream-pinned", "stream-looked-up", "stream-version-unknown", "stream-not-recorded", "records-not-stored", "record-not-replicated", "record-lookup-failed",
--- a/assembler/run.go
+++ b/assembler/run.go
@@ -172,6 +172,7 @@
 		if time.Since(lastCleanup) > cleanupInterval {
 			lastCleanup = time.Now()
 			h.updateSpeeds()
+			h.updatePaces()
 			h.members.DeleteStaleRows(ctx)
 		}
 	}
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -25,14 +25,14 @@
 	// then follows the load in one step of at most maxIdleRise, and rises up to one call
 	// also if it is not in use, so that a burst of calls meets no limit.
 	idleShare   = 0.5
-	maxIdleRise = 8.0
+	maxIdleRise = 4.0
 	// probeTime is the longest time between two calls of a host that has no answer yet, or
 	// whose last answer showed an idle endpoint.
 	probeTime = 3 * time.Second
 	// blindStart and blindRise are the changes of a limit that is in use, by an answer
 	// without a load: before and after the first sign that the endpoint is busy.
 	blindStart = 1.6
-	blindRise  = 1.1
+	blindRise  = 1.03
 	// refusalFall, timeoutFall and brokenFall are the changes by a refusal, by a time-out
 	// and by a broken connection.
 	refusalFall = 0.7
@@ -40,7 +40,9 @@
 	brokenFall  = 0.25
 	// minShare is the lowest limit, as a share of the equal share of the slots. The calls
 	// that it lets through show when the endpoint recovers.
-	minShare = 0.1
+	minShare = 0.2
+	// brokenShare is the same after broken connections, which are no sign of overload.
+	brokenShare = 0.25
 	// recovery is the time constant with which a limit returns to the equal share while
 	// no answer changes it.
 	recovery = 2 * time.Second
@@ -48,10 +50,11 @@
 	// a limit stays without an answer.
 	holdCycles = 2.0
 	minHold    = time.Second
-	// defaultOccupancy is the assumed time for which a call is in flight, if nothing at
-	// all is known.
-	defaultOccupancy = 200 * time.Millisecond
-	minOccupancy     = time.Millisecond
+	// defaultUsual is the assumed time that a call takes, if nothing at all is known.
+	defaultUsual = 200 * time.Millisecond
+	minWork      = time.Millisecond
+	// maxPaceHold bounds the time for which the pace holds until the next call.
+	maxPaceHold = 10 * time.Second
 	// minWait is the shortest time after which a host looks for room again.
 	minWait = 5 * time.Millisecond
 )
@@ -134,14 +137,23 @@
 func (p *Pacer) Limit(m Moment) float64 { return p.limitAt(m) }
 
 // Pace returns the duration of work as a multiple of the usual one.
-func (p *Pacer) Pace(now time.Time) float64 { return p.speed.current(now) }
+func (p *Pacer) Pace(m Moment) float64 { return p.pace(m) }
+
+// pace returns the pace at a time. The latest one holds until the host's next call is due.
+func (p *Pacer) pace(m Moment) float64 {
+	if p.limit == 0 || !p.speed.told {
+		return p.speed.current(m.now, 0)
+	}
+	due := p.speed.pace.value * p.usual(m).Seconds() / p.limit
+	return p.speed.current(m.now, min(seconds(due), maxPaceHold))
+}
 
 // ReportedPace returns the pace if the endpoint reports it itself, else 1.
-func (p *Pacer) ReportedPace(now time.Time) float64 {
+func (p *Pacer) ReportedPace(m Moment) float64 {
 	if !p.speed.told {
 		return 1
 	}
-	return p.speed.current(now)
+	return p.pace(m)
 }
 
 // Usual returns the time that a call usually takes without waiting, or 0 if none has been
@@ -173,7 +185,7 @@
 	if p.limit == 0 {
 		return share
 	}
-	hold := max(minHold, seconds(holdCycles*p.occupancy(m).Seconds()/min(p.limit, 1)))
+	hold := max(minHold, seconds(holdCycles*p.work(m).Seconds()/min(p.limit, 1)))
 	idle := m.now.Sub(p.updatedAt) - hold
 	if idle <= 0 {
 		return p.limit
@@ -181,15 +193,22 @@
 	return share + (p.limit-share)*math.Exp(-float64(idle)/float64(recovery))
 }
 
-// occupancy returns the time for which a call is expected to be in flight.
-func (p *Pacer) occupancy(m Moment) time.Duration {
+// work returns the time that a call is expected to take at present without waiting. The time
+// in the endpoint's queue is left out: the limit follows the length of the queue already.
+func (p *Pacer) work(m Moment) time.Duration {
+	usual := p.usual(m)
+	return max(time.Duration(p.pace(m)*float64(usual)), minWork)
+}
+
+// usual returns the time that a call usually takes without waiting.
+func (p *Pacer) usual(m Moment) time.Duration {
 	switch {
-	case !p.speed.occupancy.at.IsZero():
-		return max(seconds(p.speed.occupancy.value), minOccupancy)
+	case p.speed.usual > 0:
+		return seconds(p.speed.usual)
 	case m.usual > 0:
 		return m.usual
 	default:
-		return defaultOccupancy
+		return defaultUsual
 	}
 }
 
@@ -199,7 +218,7 @@
 	limit := p.limitAt(m)
 	whole := math.Floor(limit)
 	p.accrue(m, limit-whole)
-	occupancy := p.occupancy(m)
+	work := p.work(m)
 	switch {
 	case float64(own) < whole:
 		return 0, true
@@ -208,10 +227,10 @@
 	case float64(own) == whole && limit > whole:
 		wait = seconds((1 - p.credit) / p.creditRate(m, limit-whole))
 		if own > 0 {
-			wait = min(wait, occupancy/time.Duration(own))
+			wait = min(wait, work/time.Duration(own))
 		}
 	default:
-		wait = occupancy / time.Duration(own)
+		wait = work / time.Duration(own)
 	}
 	p.blocked = true
 	return max(wait, minWait), false
@@ -242,7 +261,7 @@
 
 // creditRate returns the credit that a fraction of a call yields in a second.
 func (p *Pacer) creditRate(m Moment, fraction float64) float64 {
-	rate := fraction / p.occupancy(m).Seconds()
+	rate := fraction / p.work(m).Seconds()
 	if (p.updatedAt.IsZero() || p.idle) && fraction > 0 {
 		return max(rate, 1/probeTime.Seconds())
 	}
@@ -258,11 +277,13 @@
 	switch {
 	case l.known:
 		p.followLoad(m, max(l.total(), 1))
-	case p.speed.current(m.now) > p.target()/p.slots:
+	case p.pace(m) > p.target()/p.slots:
 		// Longer durations may come from a queue or from a slow machine. The equal share of
 		// the slots is no flood in either case.
 		p.pressed = true
-		p.follow(m, p.target()/p.slots/p.speed.current(m.now), 1)
+		p.follow(m, p.target()/p.slots/p.pace(m), 1)
+	case p.limit < p.share(m):
+		p.change(m, min(p.share(m)/p.limit, maxRise), minShare)
 	case p.blocked && p.pressed:
 		p.change(m, blindRise, minShare)
 	case p.blocked:
@@ -273,6 +294,10 @@
 // followLoad changes the limit by the number of calls at the endpoint.
 func (p *Pacer) followLoad(m Moment, total float64) {
 	ratio := p.target() / total
+	if total <= p.slots && p.limit < p.share(m) {
+		p.change(m, p.share(m)/p.limit, minShare)
+		return
+	}
 	switch {
 	case !p.idle:
 		p.follow(m, ratio, minShare)
@@ -316,9 +341,9 @@
 
 // Broken records a connection that could not be opened, or that broke.
 func (p *Pacer) Broken(m Moment) {
-	p.idle = false
+	p.idle = true // it may have lost its calls, and is probed as a new one
 	p.limit = p.limitAt(m)
-	p.change(m, brokenFall, minShare)
+	p.change(m, brokenFall, brokenShare)
 }
 
 // Completed records that a call ran to its end and for how long it was in flight.
@@ -336,6 +361,9 @@
 		// What a refusal showed of the queue no longer holds.
 		p.slots, p.ceiling = float64(l.slots), 0
 	}
+	if l.slots == 0 && float64(l.running) > p.slots {
+		p.slots = float64(l.running)
+	}
 	if l.pace > 0 {
 		p.speed.addPace(l.pace, m.now)
 	}
@@ -360,7 +388,11 @@
 // slots.
 func (p *Pacer) change(m Moment, factor, floor float64) {
 	next := max(p.limit*factor, min(floor*p.share(m), p.limit))
-	p.limit = min(next, max(p.target(), p.share(m)))
+	highest := p.target()
+	if p.rate == 0 {
+		highest = max(highest, p.share(m))
+	}
+	p.limit = min(next, highest)
 	p.changedAt, p.updatedAt, p.blocked = m.now, m.now, false
 }
 
--- a/pacer/speed.go
+++ b/pacer/speed.go
@@ -44,20 +44,26 @@
 	told      bool
 	usual     float64 // seconds that a call usually takes without waiting; 0 if not known
 	recent    average // seconds that recent calls took without waiting
+	steady    float64 // the same, over a number of calls at whatever rate they come
 	occupancy average // seconds for which recent calls were in flight
 	count     int     // durations that were recorded
 }
 
 const (
-	// durationTime is the time constant of the averages of durations.
-	durationTime = time.Second
+	// occupancyTime is the time constant of the average time for which calls are in flight.
+	occupancyTime = time.Second
+	// recentTime is the time constant of the average of recent durations.
+	recentTime = time.Second
+	// steadyWeight is the weight of one call in the average from which the usual duration
+	// is learned. Calls differ, so that a single short one says little.
+	steadyWeight = 0.2
 	// warmUp is the number of calls of a new process whose durations are not compared with
 	// the usual one: caches are cold.
 	warmUp = 3
-	// usualFall and usualRise are the weights with which a duration that is shorter or
-	// longer than the usual one changes it. The usual duration is that of an endpoint
-	// without load, which the short ones show.
-	usualFall = 0.1
+	// usualFall and usualRise are the weights with which a steady average that is below or
+	// above the usual duration changes it. The usual duration is that of an endpoint
+	// without load, which the lower averages show.
+	usualFall = 0.2
 	usualRise = 0.004
 )
 
@@ -71,30 +77,34 @@
 // per slot.
 func (s *speed) addDuration(took time.Duration, waiting float64, now time.Time) {
 	s.count++
-	s.occupancy.add(took.Seconds(), now, durationTime)
+	s.occupancy.add(took.Seconds(), now, occupancyTime)
 	work := took.Seconds() / (1 + waiting)
-	s.recent.add(work, now, durationTime)
 	if s.told {
 		work /= s.pace.value
 	}
-	switch {
-	case s.usual == 0:
-		s.usual = work
-	case s.count <= warmUp || work < s.usual:
-		s.usual += usualFall * (work - s.usual)
-	default:
-		s.usual += usualRise * (work - s.usual)
+	if s.count <= warmUp {
+		if s.usual == 0 || work < s.usual {
+			s.usual, s.steady = work, work
+		}
+		return
+	}
+	s.recent.add(work, now, recentTime)
+	s.steady += steadyWeight * (work - s.steady)
+	weight := usualRise
+	if s.steady < s.usual {
+		weight = usualFall
 	}
-	if !s.told && s.count > warmUp && s.usual > 0 {
-		s.pace.add(min(max(work/s.usual, minPace), maxPace), now, paceTime)
+	s.usual += weight * (s.steady - s.usual)
+	if !s.told {
+		s.pace.add(min(max(s.recent.value/s.usual, minPace), maxPace), now, paceTime)
 	}
 }
 
-// current returns the pace at a time.
-func (s *speed) current(now time.Time) float64 {
+// current returns the pace at a time, if the latest one holds for a time.
+func (s *speed) current(now time.Time, hold time.Duration) float64 {
 	if s.pace.at.IsZero() {
 		return 1
 	}
-	age := max(now.Sub(s.pace.at), 0)
+	age := max(now.Sub(s.pace.at)-hold, 0)
 	return 1 + (s.pace.value-1)*math.Exp(-float64(age)/float64(paceMemory))
 }
--- a/tracker/pacing.go
+++ b/tracker/pacing.go
@@ -30,9 +30,18 @@
 	if p.usual[e.service] == nil {
 		p.usual[e.service] = &usualTime{}
 	}
-	return &pacing{hosts: p.hosts, usual: p.usual[e.service], pacer: pacer.New(e.slots, rand.Float64()), announced: math.Inf(1)}
+	phase := rand.Float64()
+	if time.Since(time.UnixMilli(e.born)) > newProcess {
+		// Other hosts know the endpoint already. Only this host starts.
+		phase = 1
+	}
+	return &pacing{hosts: p.hosts, usual: p.usual[e.service], pacer: pacer.New(e.slots, phase), announced: math.Inf(1)}
 }
 
+// newProcess is the age up to which all hosts may send an endpoint their first call at the
+// same time.
+const newProcess = 10 * time.Second
+
 // usualTime is the time that a call of a service usually takes without waiting.
 type usualTime struct{ nanoseconds atomic.Int64 }
 
@@ -186,6 +195,7 @@
 // Expect returns how long a call is expected to take. The endpoint must be paced.
 func (e *Endpoint) Expect(now time.Time) Expectation {
 	p := e.pacing
+	m := p.at(now, 0)
 	total := e.EstimatedCalls(now) + float64(p.claimed.Load())
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -195,7 +205,7 @@
 	}
 	// Calls that wait are processed by all slots.
 	queue := max(total+1-p.pacer.Slots(), 0) / p.pacer.Slots()
-	return Expectation{usual: usual, pace: p.pacer.Pace(now), queue: queue}
+	return Expectation{usual: usual, pace: p.pacer.Pace(m), queue: queue}
 }
 
 // Pace returns how long work takes at the endpoint at present as a multiple of the usual
@@ -204,9 +214,10 @@
 	if e.pacing == nil {
 		return 1
 	}
+	m := e.pacing.at(now, 0)
 	e.pacing.mu.Lock()
 	defer e.pacing.mu.Unlock()
-	return e.pacing.pacer.Pace(now)
+	return e.pacing.pacer.Pace(m)
 }
 
 // ReportedPace is Pace if the endpoint reports it itself, else 1. The durations of an
@@ -215,9 +226,10 @@
 	if e.pacing == nil {
 		return 1
 	}
+	m := e.pacing.at(now, 0)
 	e.pacing.mu.Lock()
 	defer e.pacing.mu.Unlock()
-	return e.pacing.pacer.ReportedPace(now)
+	return e.pacing.pacer.ReportedPace(m)
 }
 
 // AdaptiveLimit returns how many calls this host may have in flight at the endpoint, or false
