--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -84,6 +84,7 @@
 	callMetrics  *callMetrics
 	speedMetrics *speedMetrics
 	quotaMetrics *quotaMetrics
+	paceMetrics  *paceMetrics
 
 	store             *platform.Store
 	engines           *platform.EngineClient
@@ -131,6 +132,7 @@
 	h.callMetrics = newCallMetrics(h.meter.Scope())
 	h.speedMetrics = newSpeedMetrics(h.meter.Scope())
 	h.quotaMetrics = newQuotaMetrics(h.meter.Scope())
+	h.paceMetrics = newPaceMetrics(h.meter.Scope())
 	log = log.WithEventCounter(h.callMetrics.events.Inc)
 	h.log = log.Component("assembler")
 	h.store = platform.NewStore(settings.Store())
