authenticator: judge the keys of calls

With workspaces in the configuration, calls passed with any key or none.

The new stage after router admits a call by the key of its workspace, refuses a call without a key, and reads the configuration at the store before it refuses an unknown key: one read at a time, four a second at most. If the store does not answer, the call gets 503, not run. A host that hears in a heartbeat of a newer configuration reads it at the store and, if the store does not answer, from the host that has it. Calls to engines carry their priority if engines.urgency is set. A key in a printed header is removed from log lines.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -4,10 +4,13 @@
 	"context"
 	"fmt"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/archiver"
+	"github.com/dragonflyford/dragonflyford/authenticator"
+	"github.com/dragonflyford/dragonflyford/avoider"
 	"github.com/dragonflyford/dragonflyford/awaiter"
 	"github.com/dragonflyford/dragonflyford/broadcaster"
 	"github.com/dragonflyford/dragonflyford/chainer"
@@ -89,6 +92,11 @@
 	setEndpointsKnown func() // to be called once the endpoints are known
 	setMembersKnown   func() // to be called once the hosts and the services' software versions are known
 	router            *router.Router
+	authenticator     *authenticator.Authenticator
+	adopting          sync.Mutex    // serialises changes of the configuration in force and of its copy for others
+	operatorVersion   atomic.Uint64 // version of the operator's table up to which all rows were applied
+	heard             chan heardConfiguration
+	unanswering       avoider.Avoider // hosts that had no copy of the configuration
 	fleet             *tracker.Tracker
 	members           *enroller.Enroller
 	speeds            *estimator.Estimator
@@ -133,6 +141,8 @@
 	h.awaiter, markMet = awaiter.New(3, log)
 	h.setRoutesKnown, h.setEndpointsKnown, h.setMembersKnown = markMet[0], markMet[1], markMet[2]
 	h.router = router.New()
+	h.authenticator = authenticator.New(h.router, configurationReader{h}, log)
+	h.heard = make(chan heardConfiguration, 1)
 	h.fleet = tracker.New(settings.Regions(), tracker.WithReportInterval(settings.ReportInterval()))
 	fleetTable := h.store.Table(tableFleet)
 	h.members = enroller.New(
@@ -153,6 +163,8 @@
 	h.mirrors = map[string]*mirrorer.Mirror{
 		platform.TableEndpoints: mirrorer.New(endpointHandler{h}),
 		tableFleet:              mirrorer.New(follower.Handlers{h.members, h.registrar, h.archiver, memberHandler{h}}),
+		// Holds the row of the configuration only. Hosts follow the table at the store.
+		platform.TableOperator: mirrorer.New(follower.Handlers{}),
 	}
 	h.permitter = permitter.New(h.messenger, h.members, h.fleet)
 	h.evidence = &outbox[screener.Evidence]{
@@ -163,9 +175,9 @@
 		host: h, items: broadcaster.New[permitter.Report](permitter.ReportLifetime),
 		take: h.permitter.TakeUnsent, send: h.messenger.SendLimits, failure: "limit-not-told",
 	}
-	h.exchanger = exchanger.New(platform.Dialect{})
+	h.exchanger = exchanger.New(platform.NewDialect(platform.WithUrgency(settings.Urgency())))
 	h.confirmer = confirmer.New(h.exchanger, h.fleet)
-	h.pinger = pinger.New(settings.Address(), h.neighbourAddresses, h.state, func() { h.operatorFollower.Refresh() }, log)
+	h.pinger = pinger.New(settings.Address(), h.neighbourAddresses, h.state, h.hearConfiguration, log)
 	h.referrer = referrer.New(h.members, h.pinger)
 	h.frontEnd = platform.NewFrontEnd(h.pipeline(settings, log), h.maxBodyBytes, h.draining.Load, h.recordCall)
 	h.endpointFollower = h.followThroughPeers(platform.TableEndpoints, endpointWait, endpointPause, endpointMaxAge, log)
@@ -187,11 +199,7 @@
 
 // state returns the state that this host sends in its heartbeats.
 func (h *Host) state() pinger.State {
-	var version int64
-	if t := h.router.Current(); t != nil {
-		version = t.Version()
-	}
-	return pinger.NewState(h.draining.Load(), version)
+	return pinger.NewState(h.draining.Load(), h.configurationVersion())
 }
 
 // pipeline joins the stages that handle a call.
@@ -204,7 +212,8 @@
 		procurer.New(h.supplier, h.messenger, h.members, h.speeds),
 		h.exchanger, retryBudget, crashObserver{h}, h.archiver, h.speeds, hosts, log)
 	routed := chainer.Join[*router.Call, *router.Call, *router.Routed](h.awaiter, h.router)
-	screened := chainer.Join[*router.Call, *router.Routed, *screener.Screened](routed, h.screener)
+	authenticated := chainer.Join[*router.Call, *router.Routed, *router.Routed](routed, h.authenticator)
+	screened := chainer.Join[*router.Call, *router.Routed, *screener.Screened](authenticated, h.screener)
 	return chainer.Join[*router.Call, *screener.Screened, *relayer.Answer](screened, relay)
 }
 
--- /dev/null
+++ b/assembler/configuration.go
@@ -0,0 +1,132 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/platform"
+	"github.com/dragonflyford/dragonflyford/storer"
+)
+
+const (
+	// heardReadTimeout is how long the store has to answer a host that heard of a newer
+	// configuration, before the host asks the one that has it. Together with the interval of
+	// the heartbeats and heardCopyTimeout it stays below the time within which a
+	// configuration has to be in force.
+	heardReadTimeout = 500 * time.Millisecond
+	// heardCopyTimeout bounds the read of a configuration, of up to 1 MB, from another host.
+	heardCopyTimeout = 2 * time.Second
+	// heardPause is the time between two reads for the same version if the store answered
+	// without it. A store that was restored from an older copy does not have it.
+	heardPause = 4 * time.Second
+)
+
+// configurationReader implements authenticator.Refresher.
+type configurationReader struct{ host *Host }
+
+// Refresh reads the changes since the version of the table that this host has read, which
+// are few bytes while there are none. If the store cannot give them, it reads the row.
+func (r configurationReader) Refresh(ctx context.Context) error {
+	table, handler := r.host.store.Table(platform.TableOperator), operatorHandler{r.host}
+	after := storer.Version(r.host.operatorVersion.Load())
+	if after == 0 {
+		return r.readRow(ctx, table)
+	}
+	changes, err := table.Follow(ctx, after, 0)
+	switch {
+	case errors.Is(err, storer.ErrHistoryLost), err == nil && changes.Version().Era() != after.Era():
+		return r.readRow(ctx, table)
+	case err != nil:
+		return fmt.Errorf("read changes of the configuration: %w", err)
+	}
+	if err := handler.applyRows(changes.List()); err != nil {
+		return err
+	}
+	handler.recordVersion(changes.Version())
+	return nil
+}
+
+func (r configurationReader) readRow(ctx context.Context, table *platform.Table) error {
+	row, found, err := table.Configuration(ctx)
+	if err != nil {
+		return fmt.Errorf("read the configuration: %w", err)
+	}
+	if !found {
+		return nil // the one in force stays in force
+	}
+	return operatorHandler{r.host}.applyRows([]storer.Change{storer.NewChange(row)})
+}
+
+// heardConfiguration is what a heartbeat says of the configuration of its sender.
+type heardConfiguration struct {
+	host    string
+	version int64
+}
+
+// hearConfiguration notes that another host of the data centre has a newer configuration.
+func (h *Host) hearConfiguration(host string, version int64) {
+	h.operatorFollower.Refresh()
+	select {
+	case h.heard <- heardConfiguration{host: host, version: version}:
+	default: // another one is waiting; the next heartbeat follows
+	}
+}
+
+// followHeard obtains the configurations that this host has heard of.
+func (h *Host) followHeard(ctx context.Context) {
+	var absent heardConfiguration // what the store answered without
+	var absentAt time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case heard := <-h.heard:
+			if heard.version <= h.configurationVersion() || heard.version <= absent.version && time.Since(absentAt) < heardPause {
+				continue
+			}
+			if h.obtainConfiguration(ctx, heard) && h.configurationVersion() < heard.version {
+				absent, absentAt = heard, time.Now()
+			}
+		}
+	}
+}
+
+// obtainConfiguration reads the configuration at the store and, only if the store does not
+// answer, from the host that has it. It reports whether the store answered: a host that
+// reaches the store must not depend on one that does not.
+func (h *Host) obtainConfiguration(ctx context.Context, heard heardConfiguration) (stored bool) {
+	limited, cancel := context.WithTimeout(ctx, heardReadTimeout)
+	err := h.authenticator.Refresh(limited, time.Now())
+	cancel()
+	if err == nil {
+		return true
+	}
+	peer := h.members.View().Host(heard.host)
+	if ctx.Err() != nil || peer == nil || h.unanswering.Avoids(heard.host) || heard.version <= h.configurationVersion() {
+		return false
+	}
+	limited, cancel = context.WithTimeout(ctx, heardCopyTimeout)
+	defer cancel()
+	copied, err := h.messenger.Snapshot(limited, peer.PeerAddress(), platform.TableOperator)
+	if err == nil {
+		err = operatorHandler{h}.applyRows(copied.Changes().List())
+	}
+	if err != nil || h.configurationVersion() < heard.version {
+		h.unanswering.RecordFailure(heard.host)
+		h.log.Warn("configuration-not-copied", logger.With(logger.KeyPeer, heard.host), logger.With(logger.KeyVersion, heard.version), logger.Err(err))
+		return false
+	}
+	h.log.Info("configuration-copied", logger.With(logger.KeyPeer, heard.host), logger.With(logger.KeyVersion, h.configurationVersion()))
+	return false
+}
+
+// configurationVersion returns the version of the configuration in force, or 0.
+func (h *Host) configurationVersion() int64 {
+	if t := h.router.Current(); t != nil {
+		return t.Version()
+	}
+	return 0
+}
--- a/assembler/handlers.go
+++ b/assembler/handlers.go
@@ -1,10 +1,13 @@
 package assembler
 
 import (
+	"errors"
+	"fmt"
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/platform"
+	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/storer"
 	"github.com/dragonflyford/dragonflyford/tracker"
 )
@@ -41,7 +44,21 @@
 // operatorHandler applies configurations and named versions.
 type operatorHandler struct{ host *Host }
 
-func (o operatorHandler) Contact(v storer.Version, _, _ time.Duration) { o.host.observeEra(v) }
+// Contact implements follower.Handler.
+func (o operatorHandler) Contact(v storer.Version, _, _ time.Duration) {
+	o.recordVersion(v)
+	o.host.observeEra(v)
+}
+
+// recordVersion records that all rows up to a version of the table were applied.
+func (o operatorHandler) recordVersion(v storer.Version) {
+	for {
+		known := o.host.operatorVersion.Load()
+		if uint64(v) <= known || o.host.operatorVersion.CompareAndSwap(known, uint64(v)) {
+			return
+		}
+	}
+}
 
 // Restored does nothing: an older configuration or named version has no effect.
 func (operatorHandler) Restored() {}
@@ -50,28 +67,36 @@
 // force until a newer one arrives.
 func (o operatorHandler) Replace(rows []storer.Change) { o.Apply(rows) }
 
+// Apply implements follower.Handler.
 func (o operatorHandler) Apply(changes []storer.Change) {
+	_ = o.applyRows(changes) // logged; the other rows are applied
+}
+
+// applyRows applies rows. It may be called concurrently, because what the rows say is
+// ordered by the versions in them. The error is that of a row that cannot be decoded.
+func (o operatorHandler) applyRows(changes []storer.Change) error {
+	var errs []error
 	for _, c := range changes {
-		if !c.Removed() {
-			o.applyRow(c)
+		if c.Removed() {
+			continue
+		}
+		if err := o.applyRow(c); err != nil {
+			o.host.log.Warn("operator-row-not-read", logger.With(logger.KeyVersion, c.Version().Number()), logger.Err(err))
+			errs = append(errs, err)
 		}
 	}
+	return errors.Join(errs...)
 }
 
-func (o operatorHandler) applyRow(c storer.Change) {
+func (o operatorHandler) applyRow(c storer.Change) error {
 	h := o.host
 	row, err := platform.DecodeOperatorRow(c.Row)
 	if err != nil {
-		h.log.Warn("operator-row-not-read", logger.With(logger.KeyVersion, c.Version().Number()), logger.Err(err))
-		return
+		return fmt.Errorf("apply row: %w", err)
 	}
 	switch n := row.(type) {
 	case platform.Configuration:
-		if h.router.Adopt(n.Table()) {
-			h.setRoutesKnown()
-			h.log.Info("configuration-in-force", logger.With(logger.KeyVersion, n.Table().Version()),
-				logger.With(logger.KeyCount, n.Table().RouteCount()))
-		}
+		o.adopt(n.Table(), c)
 	case platform.NamedVersion:
 		if h.fleet.SetNamedVersion(n.Model(), n.Version()) {
 			h.log.Info("version-named", logger.With(logger.KeyModel, n.Model().Base()+"/"+n.Model().Adapter()),
@@ -79,6 +104,23 @@
 		}
 	case platform.OtherRow:
 	}
+	return nil
+}
+
+// adopt puts a configuration in force and offers its row to hosts of the data centre that
+// the store does not answer.
+func (o operatorHandler) adopt(t *router.Table, c storer.Change) {
+	h := o.host
+	h.adopting.Lock()
+	defer h.adopting.Unlock()
+	if !h.router.Adopt(t) {
+		return
+	}
+	offered := h.mirrors[platform.TableOperator]
+	offered.Replace([]storer.Change{c})
+	offered.Contact(c.Version(), 0, 0)
+	h.setRoutesKnown()
+	h.log.Info("configuration-in-force", logger.With(logger.KeyVersion, t.Version()), logger.With(logger.KeyCount, t.RouteCount()))
 }
 
 // endpointHandler applies the entries of endpoints.
--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -26,6 +26,7 @@
 	"adapter-load-ordered", "adapter-unload-ordered", "base-load-ordered", "load-given-up", "report-failed",
 	"call-stopped", "crash-marked", "limit-changed", "limit-not-told", "turn-asked", "part-quarantined", "part-released", "quarantine-not-stored", "calls-cut", "place-asked", "send-lost", "send-not-made", "send-refused", "stream-broken", "stream-lost", "stream-resumed",
 	"claim-lost", "claim-uncertain", "engines-claimed", "lease-not-renewed", "lease-taken", "owner-changed",
+	"key-missing", "key-unknown", "key-not-checked", "configuration-not-read", "configuration-copied", "configuration-not-copied",
 	"configuration-in-force", "version-named", "operator-row-not-read", "entry-not-read",
 	"dependency-lost", "dependency-regained", "history-lost", "source-passed-over",
 	"endpoint-arrived", "endpoint-draining", "endpoint-gone", "endpoint-lapsed", "endpoint-leaving", "endpoint-paused",
--- a/assembler/run.go
+++ b/assembler/run.go
@@ -80,6 +80,7 @@
 			h.log.Error("heartbeats-not-sent", logger.Err(err))
 		}
 	})
+	running.Go(func() { h.followHeard(work) })
 	running.Go(func() { h.reconcile(work) })
 	running.Go(func() { h.evidence.run(work, func() { h.judgeCrashes(work) }) })
 	running.Go(func() { h.limits.run(work, func() {}) })
--- /dev/null
+++ b/authenticator/authenticator_test.go
@@ -0,0 +1,289 @@
+package authenticator_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/authenticator"
+	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/router"
+)
+
+// store is the configuration at the store, and the host that reads it.
+type store struct {
+	routes *router.Router
+	log    bytes.Buffer
+
+	mu     sync.Mutex
+	stored *router.Table
+	delay  time.Duration // of an answer; it holds what was stored at its beginning
+	down   bool
+	reads  []time.Time
+	atOnce int // reads in flight
+}
+
+func (s *store) Refresh(ctx context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads = append(s.reads, time.Now())
+	s.atOnce++
+	if s.atOnce > 1 {
+		return errors.New("two reads in flight")
+	}
+	table, delay, down := s.stored, s.delay, s.down
+	s.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		down = true
+	case <-time.After(delay):
+	}
+	s.mu.Lock()
+	s.atOnce--
+	if down {
+		return errors.New("down")
+	}
+	s.routes.Adopt(table)
+	return nil
+}
+
+func (s *store) set(t *router.Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stored = t
+}
+
+// table returns a configuration with a keyless route and one workspace with the given
+// keys, or without workspaces if there are no keys.
+func table(version int64, keys ...string) *router.Table {
+	route := func(name, prefix string, opts ...router.RouteOption) *router.Route {
+		return router.NewRoute(name, "h", prefix, router.Idempotent{}, time.Second, time.Second, 5, 1, []router.Target{router.NewTarget("svc", 1)}, opts...)
+	}
+	var opts []router.TableOption
+	if len(keys) > 0 {
+		opts = append(opts, router.WithWorkspaces([]*router.Workspace{router.NewWorkspace("ana", keys, 1, router.Quota{})}))
+	}
+	return router.NewTable(version, []*router.Route{route("keyed", "/"), route("keyless", "/open/", router.WithoutKey())},
+		[]*router.Service{router.NewService("svc", 10, nil)}, opts...)
+}
+
+// newHost returns a host with a configuration in force that the store holds, too.
+func newHost(t *router.Table) (*store, *authenticator.Authenticator) {
+	s := &store{routes: router.New(), stored: t, delay: 10 * time.Millisecond}
+	s.routes.Adopt(t)
+	log, err := logger.New(&s.log, "host", "info")
+	if err != nil {
+		panic(err)
+	}
+	return s, authenticator.New(s.routes, s, log)
+}
+
+// apply passes a call through the stages and returns the name of its workspace, or the
+// fault.
+func (s *store) apply(a *authenticator.Authenticator, path, key string) (workspace string, err error) {
+	call := router.NewCall("id", "POST", "h", path, path, http.Header{}, nil, router.WithKey(key), router.WithMaxWait(3*time.Second))
+	routed, err := s.routes.Apply(context.Background(), call)
+	if err != nil {
+		return "", err
+	}
+	routed, err = a.Apply(context.Background(), routed)
+	if err != nil || routed.Workspace() == nil {
+		return "", err
+	}
+	return routed.Workspace().Name(), nil
+}
+
+func isUnauthorized(err error) bool {
+	var fault *classifier.Unauthorized
+	return errors.As(err, &fault)
+}
+
+// isRetryable reports whether a fault lets the caller repeat a call that has not run.
+func isRetryable(err error) bool {
+	var fault *classifier.Unavailable
+	return errors.As(err, &fault) && fault.Outcome() == classifier.Outcome(classifier.NotRun{}) && fault.RetryAfter() > 0 && fault.RetryAfter() <= time.Second
+}
+
+// Guards against a call that passes without a valid key or is refused with one, against a
+// read of the configuration for a call that needs none, and against a refusal whose call
+// could succeed at another host.
+func TestDecisions(t *testing.T) {
+	tests := []struct {
+		name      string
+		held      *router.Table
+		stored    *router.Table
+		down      bool
+		path, key string
+		workspace string
+		denied    bool
+		retryable bool
+		reads     int
+	}{
+		{name: "known key", held: table(1, "k1"), path: "/x", key: "k1", workspace: "ana"},
+		{name: "known key without the store", held: table(1, "k1"), down: true, path: "/x", key: "k1", workspace: "ana"},
+		{name: "no key", held: table(1, "k1"), path: "/x", denied: true},
+		{name: "no key without the store", held: table(1, "k1"), down: true, path: "/x", denied: true},
+		{name: "keyless route", held: table(1, "k1"), path: "/open/x"},
+		{name: "key on a keyless route", held: table(1, "k1"), path: "/open/x", key: "k1"},
+		{name: "no workspaces", held: table(1), path: "/x", key: "anything"},
+		{name: "unknown key", held: table(1, "k1"), path: "/x", key: "k2", denied: true, reads: 1},
+		{name: "overlong key", held: table(1, "k1"), path: "/x", key: strings.Repeat("k", 10_000), denied: true, reads: 1},
+		{name: "new key", held: table(1, "k1"), stored: table(2, "k1", "k2"), path: "/x", key: "k2", workspace: "ana", reads: 1},
+		{name: "no workspaces any more", held: table(1, "k1"), stored: table(2), path: "/x", key: "k2", reads: 1},
+		{name: "unknown key without the store", held: table(1, "k1"), down: true, path: "/x", key: "k2", retryable: true, reads: 1},
+		{name: "workspaces without keys", held: table(1, ""), path: "/x", key: "k2", denied: true, reads: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s, a := newHost(tt.held)
+				s.down = tt.down
+				if tt.stored != nil {
+					s.stored = tt.stored
+				}
+				workspace, err := s.apply(a, tt.path, tt.key)
+				is.Equal(workspace, tt.workspace)
+				is.Equal(isUnauthorized(err), tt.denied)
+				is.Equal(isRetryable(err), tt.retryable)
+				is.Equal(err != nil, tt.denied || tt.retryable)
+				is.Equal(len(s.reads), tt.reads)
+				synctest.Wait()
+				if tt.key != "" {
+					is.True(!strings.Contains(fmt.Sprint(s.log.String(), err), tt.key)) // a key must not be logged
+				}
+			})
+		})
+	}
+}
+
+// Guards against a call refused on the basis of a read that began before the call arrived:
+// its answer may lack a key that was stored in between.
+func TestReadBeganBeforeCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, a := newHost(table(1, "k1"))
+		s.delay = 100 * time.Millisecond
+		var waiting sync.WaitGroup
+		waiting.Go(func() {
+			_, err := s.apply(a, "/x", "k3")
+			is.True(isUnauthorized(err))
+		})
+		time.Sleep(50 * time.Millisecond)
+		s.set(table(2, "k1", "k2"))
+		began := time.Now()
+		s.mu.Lock()
+		s.delay = 30 * time.Millisecond
+		s.mu.Unlock()
+		workspace, err := s.apply(a, "/x", "k2")
+		is.NoErr(err)
+		is.Equal(workspace, "ana")
+		is.Equal(time.Since(began), 230*time.Millisecond) // the next read begins 250 ms after the first one
+		waiting.Wait()
+	})
+}
+
+// Guards against clients with random keys that make a host read the store more often than
+// four times a second, or twice at a time, that hold calls for longer than 0.3 s, or that
+// shut out a new key.
+func TestFlood(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		delay time.Duration
+		down  bool
+		reads int // least number
+	}{
+		{"quick store", 20 * time.Millisecond, false, 15},
+		{"store that fails at once", 0, true, 15},
+		{"store that does not answer", time.Hour, false, 3},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s, a := newHost(table(1, "k1"))
+				s.delay, s.down = tt.delay, tt.down
+				answers := !tt.down && tt.delay < time.Second
+				var clients sync.WaitGroup
+				end := time.Now().Add(4 * time.Second)
+				for c := range 300 {
+					clients.Go(func() {
+						for i := 0; time.Now().Before(end); i++ {
+							began := time.Now()
+							_, err := s.apply(a, "/x", fmt.Sprint("random-", c, "-", i))
+							is.True(isRetryable(err) || answers && isUnauthorized(err))
+							is.True(time.Since(began) <= 300*time.Millisecond)
+							time.Sleep(50 * time.Millisecond)
+						}
+					})
+				}
+				clients.Wait()
+				time.Sleep(5 * time.Second) // no read goes on
+				is.True(len(s.reads) >= tt.reads)
+				for i, at := range s.reads[min(4, len(s.reads)):] {
+					is.True(at.Sub(s.reads[i]) >= time.Second) // at most four in any second
+				}
+				s.mu.Lock()
+				s.delay, s.down = 20*time.Millisecond, false
+				s.mu.Unlock()
+				s.set(table(2, "k2"))
+				workspace, err := s.apply(a, "/x", "k2")
+				is.NoErr(err)
+				is.Equal(workspace, "ana")
+			})
+		})
+	}
+}
+
+// Guards against a new key that is refused although the configuration with it came into
+// force another way while the store did not answer, and against a host that refuses all
+// other keys once it could not read the store.
+func TestStoreAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, a := newHost(table(1, "k1"))
+		s.delay = time.Hour
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			s.routes.Adopt(table(2, "k1", "k2")) // from another host
+		}()
+		workspace, err := s.apply(a, "/x", "k2")
+		is.NoErr(err)
+		is.Equal(workspace, "ana")
+		workspace, err = s.apply(a, "/x", "k1")
+		is.NoErr(err)
+		is.Equal(workspace, "ana")
+		time.Sleep(5 * time.Second)
+		is.True(a.Refresh(t.Context(), time.Now()) != nil)
+		s.mu.Lock()
+		s.delay = time.Millisecond
+		s.mu.Unlock()
+		is.NoErr(a.Refresh(t.Context(), time.Now()))
+	})
+}
+
+// Guards against a caller that leaves and is taken for one with an unknown key.
+func TestCallerLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, a := newHost(table(1, "k1"))
+		s.delay = time.Hour
+		routed, err := s.routes.Apply(t.Context(), router.NewCall("id", "POST", "h", "/x", "/x", http.Header{}, nil, router.WithKey("k2")))
+		is.NoErr(err)
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, err = a.Apply(ctx, routed)
+		var fault *classifier.Canceled
+		is.True(errors.As(err, &fault))
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/configurer/entry.go
+++ b/configurer/entry.go
@@ -211,6 +211,9 @@
 // AdapterLoad returns the assumed time of an adapter's load from the weight store.
 func (e *Entry) AdapterLoad() time.Duration { return time.Duration(e.doc.Engines.AdapterLoad) }
 
+// Urgency reports whether calls carry their priority to engines.
+func (e *Entry) Urgency() bool { return e.doc.Engines.Urgency }
+
 // ReportInterval returns the time between two reports of an endpoint to the store.
 func (e *Entry) ReportInterval() time.Duration { return time.Duration(e.doc.Endpoints.ReportInterval) }
 
--- a/configurer/entry_document.go
+++ b/configurer/entry_document.go
@@ -19,8 +19,9 @@
 }
 
 // entryEngineDocument holds what is assumed of engines before their calls show how
-// fast they are.
+// fast they are, and what they are told.
 type entryEngineDocument struct {
+	Urgency     bool     `json:"urgency"` // calls carry their priority to engines
 	PromptToken duration `json:"prompt_token"`
 	OutputToken duration `json:"output_token"`
 	AdapterLoad duration `json:"adapter_load"`
--- a/exchanger/message.go
+++ b/exchanger/message.go
@@ -19,6 +19,8 @@
 	lastEvent string
 	workspace string
 	keyed     bool
+	priority  int
+	ranked    bool
 }
 
 // OutboundOption sets an optional property of an Outbound.
@@ -37,6 +39,11 @@
 	return func(o *Outbound) { o.workspace, o.keyed = name, true }
 }
 
+// WithPriority tells the endpoint the priority of the call; 0 is the most urgent.
+func WithPriority(p int) OutboundOption {
+	return func(o *Outbound) { o.priority, o.ranked = p, true }
+}
+
 // NewOutbound returns a call to the endpoint process whose id is instance. The
 // endpoint stops work on the call at the deadline.
 func NewOutbound(c *router.Call, instance string, deadline time.Time, opts ...OutboundOption) *Outbound {
@@ -68,6 +75,9 @@
 // returns false if the deployment has no workspaces.
 func (o *Outbound) Workspace() (name string, ok bool) { return o.workspace, o.keyed }
 
+// Priority returns the priority of the call, or false if the endpoint is not told.
+func (o *Outbound) Priority() (p int, ok bool) { return o.priority, o.ranked }
+
 // Meta is the metadata of a response, decoded from its header.
 type Meta struct {
 	attempt     string
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -155,8 +155,9 @@
 }
 
 // secrets matches a keyword that introduces a credential, such as "bearer" or
-// "password=", and the word or quoted string after it.
-var secrets = regexp.MustCompile(`(?i)\b(authorization:?\s+(?:bearer|basic)|bearer|basic|authorization:?|password[=:]|secret[=:]|token[=:]|key[=:])\s*("[^"]*"|\S+)`)
+// "password=", and the word or quoted string after it. The scheme of an authorization
+// may follow in brackets and quotes, as in a printed header.
+var secrets = regexp.MustCompile(`(?i)\b(authorization[":\s\[]*(?:\]string\{")?(?:bearer|basic|token)\b|bearer|basic|authorization:?|password[=:]|secret[=:]|token[=:]|key[=:])\s*("[^"]*"|\S+)`)
 
 func redact(text string) string {
 	text = secrets.ReplaceAllString(text, "$1 [removed]")
--- a/pinger/pinger.go
+++ b/pinger/pinger.go
@@ -48,7 +48,7 @@
 	self          string
 	peers         func() []netip.AddrPort
 	state         func() State
-	onNewerConfig func()
+	onNewerConfig func(host string, version int64)
 	log           *logger.Logger
 
 	mu         sync.Mutex
@@ -57,8 +57,8 @@
 
 // New returns a pinger for the host self. Peers returns the addresses of the other
 // hosts of the data centre. State returns the state to send. OnNewerConfig is called
-// for each heartbeat from a host that has a newer configuration.
-func New(self string, peers func() []netip.AddrPort, state func() State, onNewerConfig func(), log *logger.Logger) *Pinger {
+// for each heartbeat from a host that has a newer configuration, with its version.
+func New(self string, peers func() []netip.AddrPort, state func() State, onNewerConfig func(host string, version int64), log *logger.Logger) *Pinger {
 	return &Pinger{self: self, peers: peers, state: state, onNewerConfig: onNewerConfig, log: log.Component("pinger"), peerStates: make(map[string]*peerState)}
 }
 
@@ -135,7 +135,7 @@
 		}
 		p.record(got)
 		if got.Config > p.state().config {
-			p.onNewerConfig()
+			p.onNewerConfig(got.Host, got.Config)
 		}
 	}
 }
--- a/pinger/pinger_test.go
+++ b/pinger/pinger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"sync"
@@ -32,9 +33,9 @@
 	state := func(config int64) func() pinger.State {
 		return func() pinger.State { return pinger.NewState(false, config) }
 	}
-	newerConfig := make(chan struct{}, 100)
-	pa := pinger.New("a", func() []netip.AddrPort { return []netip.AddrPort{b} }, state(2), func() { t.Error("b has no newer configuration") }, logger.Nop())
-	pb := pinger.New("b", func() []netip.AddrPort { return []netip.AddrPort{a} }, state(1), func() { newerConfig <- struct{}{} }, logger.Nop())
+	newerConfig := make(chan string, 100)
+	pa := pinger.New("a", func() []netip.AddrPort { return []netip.AddrPort{b} }, state(2), func(string, int64) { t.Error("b has no newer configuration") }, logger.Nop())
+	pb := pinger.New("b", func() []netip.AddrPort { return []netip.AddrPort{a} }, state(1), func(host string, version int64) { newerConfig <- fmt.Sprint(host, " ", version) }, logger.Nop())
 	ctxA, stopA := context.WithCancel(t.Context())
 	ctxB, stopB := context.WithCancel(t.Context())
 	var running sync.WaitGroup
@@ -46,7 +47,7 @@
 	is.True(!known)
 	eventually(t, func() bool { alive, _ := pb.Alive("a"); return alive })
 	eventually(t, func() bool { alive, _ := pa.Alive("b"); return alive })
-	<-newerConfig
+	is.Equal(<-newerConfig, "a 2")
 	stopA()
 	eventually(t, func() bool { alive, known := pb.Alive("a"); return known && !alive })
 }
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -119,6 +119,7 @@
 func (c *callState) outbound(choice selector.Choice) *exchanger.Outbound {
 	opts := []exchanger.OutboundOption{}
 	if c.call.Service().EngineSpec() != nil {
+		opts = append(opts, exchanger.WithPriority(c.call.Priority()))
 		if choice.MinVersion() > 0 {
 			// The engine may have a newer version than this host knows of.
 			opts = append(opts, exchanger.ExpectVersion(max(choice.MinVersion(), c.version)))
