--- a/exchanger/message.go
+++ b/exchanger/message.go
@@ -21,6 +21,8 @@
 	workspace string
 	keyed     bool
 	onBegin   func()
+	priority  int
+	ranked    bool
 }
 
 // OutboundOption sets an optional property of an Outbound.
@@ -41,6 +43,10 @@
 
 // OnBegin calls f once the call counts as in flight at the endpoint, or cannot be sent to it.
 func OnBegin(f func()) OutboundOption { return func(o *Outbound) { o.onBegin = f } }
+// WithPriority tells the endpoint the priority of the call; 0 is the most urgent.
+func WithPriority(p int) OutboundOption {
+	return func(o *Outbound) { o.priority, o.ranked = p, true }
+}
 
 // NewOutbound returns a call to the endpoint process whose id is instance. The
 // endpoint stops work on the call at the deadline.
@@ -80,6 +86,9 @@
 // returns false if the deployment has no workspaces.
 func (o *Outbound) Workspace() (name string, ok bool) { return o.workspace, o.keyed }
 
+// Priority returns the priority of the call, or false if the endpoint is not told.
+func (o *Outbound) Priority() (p int, ok bool) { return o.priority, o.ranked }
+
 // Meta is the metadata of a response, decoded from its header.
 type Meta struct {
 	attempt     string
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -126,6 +126,7 @@
 		opts = append(opts, exchanger.OnBegin(c.unclaim))
 	}
 	if c.call.Service().EngineSpec() != nil {
+		opts = append(opts, exchanger.WithPriority(c.call.Priority()))
 		if choice.MinVersion() > 0 {
 			// The engine may have a newer version than this host knows of.
 			opts = append(opts, exchanger.ExpectVersion(max(choice.MinVersion(), c.version)))
