--- a/exchanger/message.go
+++ b/exchanger/message.go
@@ -43,6 +43,7 @@
 
 // OnBegin calls f once the call counts as in flight at the endpoint, or cannot be sent to it.
 func OnBegin(f func()) OutboundOption { return func(o *Outbound) { o.onBegin = f } }
+
 // WithPriority tells the endpoint the priority of the call; 0 is the most urgent.
 func WithPriority(p int) OutboundOption {
 	return func(o *Outbound) { o.priority, o.ranked = p, true }
