--- a/allotter/harness_test.go
+++ b/allotter/harness_test.go
@@ -52,12 +52,14 @@
 	rows    map[string]storer.Change
 	version storer.Version
 	hosts   map[string]*host // that run
+	order   []*host          // the same, in the order of their starts
 	group   map[string]int   // hosts of different groups are cut off from each other
 	cutOff  map[string]bool  // from the store
 	ran     map[string][]run
 	offered map[string]int
-	lost    map[string][]time.Time // calls that were refused for good
-	draws   int
+	lost    map[string]int // calls that were refused for good
+	sources map[allotter.Source]int
+	fault   error // of the rest of the pipeline
 }
 
 // run is a call that an endpoint ran.
@@ -82,7 +84,7 @@
 	c := &cluster{
 		t: t, began: time.Now(), rand: rand.New(rand.NewPCG(1, 2)), rows: make(map[string]storer.Change),
 		hosts: make(map[string]*host), group: make(map[string]int), cutOff: make(map[string]bool),
-		ran: make(map[string][]run), offered: make(map[string]int), lost: make(map[string][]time.Time),
+		ran: make(map[string][]run), offered: make(map[string]int), lost: make(map[string]int), sources: make(map[allotter.Source]int),
 	}
 	c.configure(1, workspaces...)
 	for i := range n {
@@ -127,7 +129,7 @@
 	ctx, cancel := context.WithCancel(c.t.Context())
 	h.stop = cancel
 	c.mu.Lock()
-	c.hosts[name] = h
+	c.hosts[name], c.order = h, append(c.order, h)
 	rows, table, version := maps.Clone(c.rows), c.table, c.version
 	c.mu.Unlock()
 	h.router.Adopt(table)
@@ -143,6 +145,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.hosts[name].stop()
+	c.order = slices.DeleteFunc(c.order, func(h *host) bool { return h.name == name })
 	delete(c.hosts, name)
 }
 
@@ -269,10 +272,10 @@
 }
 
 // RecordDraw implements allotter.Observer.
-func (c *cluster) RecordDraw(allotter.Source, accountant.Verdict, time.Duration) {
+func (c *cluster) RecordDraw(s allotter.Source, _ accountant.Verdict, _ time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.draws++
+	c.sources[s]++
 }
 
 // Apply runs a call that was charged.
@@ -280,23 +283,30 @@
 	c := h.cluster
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.fault != nil {
+		return struct{}{}, c.fault
+	}
 	w := r.Workspace()
 	c.ran[w.Name()] = append(c.ran[w.Name()], run{time.Now(), w.Quota().Cost(r.Call)})
 	return struct{}{}, nil
 }
 
+// try makes a call at a host once.
+func (c *cluster) try(h *host, workspace string, tokens int) error {
+	call := router.NewCall("id", "POST", "", "/", "/", nil, nil, router.WithCountedTokens(tokens))
+	routed, err := h.router.Apply(c.t.Context(), call)
+	if err != nil {
+		return err
+	}
+	_, err = h.stage.Apply(c.t.Context(), routed.WithWorkspace(routed.Table().Workspace(workspace)))
+	return err
+}
+
 // call makes a call at a host. The caller tries again, at any host, as it is told to.
 func (c *cluster) call(h *host, workspace string, tokens int) {
 	began := time.Now()
 	for {
-		table := h.router.Current()
-		call := router.NewCall("id", "POST", "", "/", "/", nil, nil, router.WithCountedTokens(tokens))
-		routed, err := h.router.Apply(c.t.Context(), call)
-		if err != nil {
-			c.t.Error(err)
-			return
-		}
-		_, err = h.stage.Apply(c.t.Context(), routed.WithWorkspace(table.Workspace(workspace)))
+		err := c.try(h, workspace, tokens)
 		if err == nil || c.t.Context().Err() != nil {
 			return
 		}
@@ -311,18 +321,16 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lost[workspace] = append(c.lost[workspace], time.Now())
+	c.lost[workspace]++
 }
 
 // anyHost returns a random host that runs, of those that are wanted.
 func (c *cluster) anyHost(wanted func(*host) bool) *host {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var list []*host
-	for i := range 400 {
-		if h := c.hosts[hostName(i)]; h != nil && (wanted == nil || wanted(h)) {
-			list = append(list, h)
-		}
+	list := c.order
+	if wanted != nil {
+		list = slices.DeleteFunc(slices.Clone(list), func(h *host) bool { return !wanted(h) })
 	}
 	if len(list) == 0 {
 		return nil
@@ -340,11 +348,11 @@
 	for time.Since(began) < duration {
 		at := time.Since(began)
 		c.mu.Lock()
-		gap := c.rand.ExpFloat64() * meanTokens / rate(at)
+		wait := c.rand.ExpFloat64() * meanTokens / rate(at)
 		tokens := meanTokens/2 + c.rand.IntN(meanTokens)
 		c.offered[workspace]++
 		c.mu.Unlock()
-		time.Sleep(time.Duration(gap * float64(time.Second)))
+		time.Sleep(time.Duration(wait * float64(time.Second)))
 		h := c.anyHost(func(h *host) bool { return wanted == nil || wanted(h, at) })
 		if h != nil {
 			go c.call(h, workspace, tokens)
@@ -379,7 +387,7 @@
 	c.t.Helper()
 	bound := (rate*window.Seconds()+burst)*(1+over) + slack
 	most := c.mostInWindow(name, after)
-	c.t.Logf("workspace %s: %.0f in a window, at most %.0f may; %d offered, %d ran, %d lost", name, most, bound, c.offered[name], len(c.ran[name]), len(c.lost[name]))
+	c.t.Logf("workspace %s: %.0f in a window, at most %.0f may; %d calls offered, %d ran, %d lost", name, most, bound, c.offered[name], len(c.ran[name]), c.lost[name])
 	if most > bound {
 		c.t.Errorf("workspace %s: %.0f in a window, at most %.0f may", name, most, bound)
 	}
--- a/allotter/lending.go
+++ b/allotter/lending.go
@@ -97,7 +97,8 @@
 		h = &lender{since: now, role: role}
 		l.lenders[host] = h
 	}
-	if !h.heard(now) || h.role != role {
+	// A substitute that becomes the quota owner was lent the whole part before.
+	if _, whole := h.role.(Substitute); !h.heard(now) || h.role != role && !whole {
 		h.since = now
 	}
 	h.last, h.role = now, role
