allotter: charge more of what others granted, test failures in one run each

A quota owner that froze for a second again and again let up to 2,137,000 tokens pass in a window in which a rate of 210,000 allows 2,090,000, in a trial in which hosts were lent whole parts at once after a gap. Hosts draw from the bucket before others have reported what was granted elsewhere, so that the report may overdraw it by a quarter of the burst now.

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -10,6 +10,9 @@
 	// idleTime is the time without a draw after which a bucket is forgotten if the whole rate
 	// fills it by then.
 	idleTime = time.Minute
+	// chargeShare is the share of a burst by which a bucket is overdrawn for what others granted.
+	// Some hosts draw from it before others report.
+	chargeShare = 0.25
 	// maxBuckets limits the memory. It is far above the number of workspaces of a
 	// configuration.
 	maxBuckets = 1 << 16
@@ -146,14 +149,14 @@
 	}
 }
 
-// Charge takes what another bucket granted in place of this one. It leaves an empty bucket at
-// worst, so that no call has to wait for what was granted long ago.
+// Charge takes what another bucket granted in place of this one. It overdraws the bucket by
+// chargeShare of its burst at most, so that calls do not wait long for what was granted before.
 func (a *Accountant) Charge(workspace string, cost float64, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if b := a.buckets[workspace]; b != nil {
 		b.refill(b.terms, NewPart(b.share, 0), now)
-		b.level = max(b.level-cost, min(b.level, 0))
+		b.level = max(b.level-cost, min(b.level, -chargeShare*b.terms.burst))
 	}
 }
 
--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -200,7 +200,8 @@
 	is.True(!draw(50_000, now))
 	is.True(draw(40_000, now))
 	a.Charge("w", 60_000, now)
-	is.True(draw(1, now.Add(time.Millisecond))) // no debt is left
+	is.True(!draw(1, now.Add(200*time.Millisecond)))
+	is.True(draw(1, now.Add(260*time.Millisecond))) // the debt is small
 	a.Limit("w", 0.5, now.Add(time.Hour))
 	is.True(!draw(50_001, now.Add(time.Hour)))
 	is.True(draw(50_000, now.Add(time.Hour)))
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -164,48 +164,42 @@
 	}, false},
 }
 
-// Guards against a workspace that exceeds its quota at 12 times its usual load, while hosts fail
-// or do not reach each other, and while another quota owner takes over.
-func TestBoundDuringFailures(t *testing.T) {
+// Guards against a workspace that exceeds its quota at 12 times its usual load while hosts fail
+// or do not reach each other, and while another quota owner takes over, and against refusals
+// of a workspace under its quota where a host grants half of the rate at least.
+func TestFailures(t *testing.T) {
 	for _, tt := range failures {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t, hostCount, workspace("w", rate, burst))
 				settle()
-				began := time.Now()
-				const duration = 20 * time.Second
-				go c.load("w", duration, constant(surge), nil)
-				time.Sleep(2 * time.Second)
-				tt.event(c)
-				time.Sleep(duration - time.Since(began))
-				c.checkBound("w", rate, burst, began)
-			})
-		})
-	}
-}
-
-// Guards against refusals of workspaces under their quota while hosts fail. A workspace that
-// uses 0.9 of its quota may lose what a host that grants half of the rate cannot grant, until
-// the row of a quota owner that is silent has expired (10 s) and for enroller.SettleTime after.
-func TestUnderQuotaDuringFailures(t *testing.T) {
-	for _, tt := range failures {
-		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := newCluster(t, hostCount, workspace("w", rate, burst), workspace("half", rate, burst))
+				most, half := c.sameOwner("w", "most"), c.sameOwner("w", "half")
+				c.configure(2, workspace("w", rate, burst), workspace(most, rate, burst), workspace(half, rate, burst))
 				settle()
 				began := time.Now()
 				const duration = 20 * time.Second
-				go c.load("w", duration, constant(0.9*rate), nil)
-				go c.load("half", duration, constant(usual), nil)
+				go c.load("w", duration, constant(surge), nil)
+				go c.load(most, duration, constant(0.9*rate), nil)
+				go c.load(half, duration, constant(usual), nil)
 				time.Sleep(2 * time.Second)
 				tt.event(c)
 				time.Sleep(duration + patience - time.Since(began))
-				c.checkBound("w", rate, burst, began)
-				c.checkBound("half", rate, burst, began)
+				for _, name := range []string{"w", most, half} {
+					c.checkBound(name, rate, burst, began)
+				}
 				if tt.keeps {
-					c.checkNoneLost("half")
+					c.checkNoneLost(half)
 				}
 			})
 		})
 	}
 }
+
+// sameOwner returns a name that begins with a prefix and has the same quota owner as another.
+func (c *cluster) sameOwner(workspace, prefix string) string {
+	for i := 0; ; i++ {
+		if name := fmt.Sprint(prefix, i); c.owner(name) == c.owner(workspace) {
+			return name
+		}
+	}
+}
--- a/allotter/lending.go
+++ b/allotter/lending.go
@@ -143,13 +143,13 @@
 	}
 }
 
-// sweep forgets the lenders that have left, and workspaces without any.
-func (s *lendings) sweep(live func(host string) bool) {
+// sweep forgets the lenders that have left or that count no more, and workspaces without any.
+func (s *lendings) sweep(live func(host string) bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for workspace, l := range s.byWorkspace {
-		for host := range l.lenders {
-			if !live(host) {
+		for host, h := range l.lenders {
+			if !live(host) || now.Sub(h.last) > retainTime {
 				delete(l.lenders, host)
 			}
 		}
--- a/allotter/presence.go
+++ b/allotter/presence.go
@@ -14,17 +14,21 @@
 // countInterval is the time between two counts of the hosts that reach this one.
 const countInterval = 100 * time.Millisecond
 
-// Run keeps quota owners informed that this host reaches them, until ctx is done.
+// Run keeps quota owners informed that this host reaches them, and counts the hosts that reach
+// this one, until ctx is done.
 func (a *Allotter) Run(ctx context.Context) {
-	var sent time.Time
-	for ctx.Err() == nil {
-		a.count()
-		if time.Since(sent) >= presenceInterval {
-			sent = time.Now()
-			a.maintain(ctx)
+	var running sync.WaitGroup
+	running.Go(func() {
+		for ; ctx.Err() == nil; _ = sleeper.Sleep(ctx, countInterval) {
+			a.count()
 		}
-		_ = sleeper.Sleep(ctx, countInterval)
+	})
+	for ctx.Err() == nil {
+		next := time.Now().Add(presenceInterval)
+		a.maintain(ctx)
+		_ = sleeper.Sleep(ctx, time.Until(next))
 	}
+	running.Wait()
 }
 
 // maintain sends presences, and forgets what is not needed any more.
@@ -37,6 +41,12 @@
 	a.lendings.sweep(func(host string) bool {
 		h := view.Host(host)
 		return host == a.members.Self() || h != nil && view.Alive(h)
+	}, time.Now())
+	a.ended.Range(func(host, _ any) bool {
+		if view.Host(host.(string)) == nil {
+			a.ended.Delete(host)
+		}
+		return true
 	})
 	a.refusals.Range(func(key, _ any) bool {
 		if table.Workspace(key.(string)) == nil {
