--- a/allotter/calls_test.go
+++ b/allotter/calls_test.go
@@ -135,3 +135,15 @@
 		is.Equal(len(c.sources), 0)
 	})
 }
+
+// Guards against hosts that start with an empty store and each take themselves for the quota
+// owner until they have read the rows of the others.
+func TestFirstStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, hostCount, workspace("w", rate, burst))
+		began := time.Now()
+		go c.load("w", 10*time.Second, constant(surge), nil)
+		time.Sleep(12 * time.Second)
+		c.checkBound("w", rate, burst, began)
+	})
+}
