--- a/allotter/lending.go
+++ b/allotter/lending.go
@@ -97,7 +97,8 @@
 		h = &lender{since: now, role: role}
 		l.lenders[host] = h
 	}
-	if !h.heard(now) || h.role != role {
+	// A substitute that becomes the quota owner was lent the whole part before.
+	if _, whole := h.role.(Substitute); !h.heard(now) || h.role != role && !whole {
 		h.since = now
 	}
 	h.last, h.role = now, role
@@ -142,13 +143,13 @@
 	}
 }
 
-// sweep forgets the lenders that have left, and workspaces without any.
-func (s *lendings) sweep(live func(host string) bool) {
+// sweep forgets the lenders that have left or that count no more, and workspaces without any.
+func (s *lendings) sweep(live func(host string) bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for workspace, l := range s.byWorkspace {
-		for host := range l.lenders {
-			if !live(host) {
+		for host, h := range l.lenders {
+			if !live(host) || now.Sub(h.last) > retainTime {
 				delete(l.lenders, host)
 			}
 		}
