--- a/configurer/entry_test.go
+++ b/configurer/entry_test.go
@@ -33,6 +33,10 @@
 	is.Equal(e.TakeoverDelay(), 3*time.Second)
 	is.Equal(e.RepeatRatio(), 0.2)
 	is.Equal(e.LeaseTime(), 12*time.Second) // default
+	is.True(!e.AdaptiveLimits())            // default
+	e, err = configurer.ParseEntry([]byte(strings.Replace(entrySettings, `"stop"`, `"endpoints": {"adaptive": true}, "stop"`, 1)))
+	is.NoErr(err)
+	is.True(e.AdaptiveLimits())
 }
 
 // Guards against accepting settings that cannot work.
@@ -50,6 +54,7 @@
 		{"engine without a speed", `"stop"`, `"engines": {"prompt_token": "0s"}, "stop"`, "engines.prompt_token"},
 		{"load of an hour", `"stop"`, `"engines": {"adapter_load": "1h"}, "stop"`, "engines.adapter_load"},
 		{"no time between reports", `"stop"`, `"endpoints": {"report_interval": "0s"}, "stop"`, "endpoints.report_interval"},
+		{"number in place of true", `"stop"`, `"endpoints": {"adaptive": 1}, "stop"`, "endpoints.adaptive"},
 		{"streams without end", `"stop"`, `"streams": {"lifetime": "-1s"}, "stop"`, "streams.lifetime"},
 		{"unknown field", `"stop"`, `"stopp"`, "stopp"},
 	}
--- a/relayer/harness_test.go
+++ b/relayer/harness_test.go
@@ -122,8 +122,8 @@
 	recordFault  error                       // of the records of streams
 }
 
-func newHarness(script map[string][]endpointFunc) *harness {
-	r := &harness{script: script, fleet: tracker.New(nil), budget: 100}
+func newHarness(script map[string][]endpointFunc, opts ...tracker.Option) *harness {
+	r := &harness{script: script, fleet: tracker.New(nil, opts...), budget: 100}
 	for id := range script {
 		r.fleet.Upsert(tracker.NewEntry(id, "svc", "1.1.1.1:1", "z", 8, false, 1,
 			map[connector.Model]int64{connector.NewModel("base", "", ""): 1}))
--- a/selector/plain.go
+++ b/selector/plain.go
@@ -33,9 +33,6 @@
 	// maxWaitShare is the share of a call's remaining time that it may be expected to spend
 	// in an endpoint's queue.
 	maxWaitShare = 0.8
-	// candidates is the number of endpoints of a place that are compared. More would make
-	// hosts that know the same old loads choose the same endpoint.
-	candidates = 2
 )
 
 // plainChoice is the search for an endpoint of a service without engines.
@@ -76,56 +73,55 @@
 
 const minRoomWait = 5 * time.Millisecond
 
-// picks are the endpoints of a place that are compared.
-type picks struct {
-	n    int
-	best *tracker.Endpoint
-	cost time.Duration
-}
-
-func (p *picks) add(e *tracker.Endpoint, cost time.Duration) {
-	p.n++
-	if p.best == nil || cost < p.cost {
-		p.best, p.cost = e, cost
+// pair compares two random endpoints of a place. With more of them, hosts that know the same
+// old loads would choose the same endpoint.
+func (c *plainChoice) pair(all []*tracker.Endpoint, ejected bool, at place) (best *tracker.Endpoint, cost time.Duration) {
+	first := c.draw(all, ejected, at, nil)
+	if first == nil {
+		return nil, 0
 	}
+	best, cost = first, c.cost(first)
+	if second := c.draw(all, ejected, at, first); second != nil {
+		if d := c.cost(second); d < cost {
+			best, cost = second, d
+		}
+	}
+	return best, cost
 }
 
-// search compares random endpoints, claims the one with the least cost and returns it. It
-// starts at a random endpoint and looks at no more than it needs. Ejected is whether it looks
-// at those that are ejected, or at the others.
-func (c *plainChoice) search(all []*tracker.Endpoint, ejected bool) *tracker.Endpoint {
-	if len(all) == 0 {
-		return nil
-	}
-	var near, far picks
+// draw returns a random endpoint of a place that has room, other than skip, or nil. Ejected
+// is whether it looks at those that are ejected, or at the others.
+func (c *plainChoice) draw(all []*tracker.Endpoint, ejected bool, at place, skip *tracker.Endpoint) *tracker.Endpoint {
 	start := rand.IntN(len(all))
 	for i := range all {
 		e := all[(start+i)%len(all)]
-		at := &far
-		if c.selector.place(e) == local {
-			at = &near
-		}
-		if at.n >= candidates || e.Ejected(c.now) != ejected || !acceptsCalls(e, c.now) || c.avoid(e) {
+		if e == skip || c.selector.place(e) != at || e.Ejected(c.now) != ejected || !acceptsCalls(e, c.now) || c.avoid(e) {
 			continue
 		}
 		c.usable++
-		if !c.hasRoom(e) {
-			continue
-		}
-		at.add(e, c.cost(e))
-		if near.n >= candidates && (far.n >= candidates || !c.busy(near)) {
-			break
+		if c.hasRoom(e) {
+			return e
 		}
 	}
-	first, second := near, far
-	if near.best == nil || far.best != nil && c.busy(near) && far.cost < near.cost {
-		first, second = far, near
+	return nil
+}
+
+// search claims the endpoint with the least expected time among two random ones of the host's
+// own region and, if that is long, two of other regions. It returns nil if there is none.
+func (c *plainChoice) search(all []*tracker.Endpoint, ejected bool) *tracker.Endpoint {
+	if len(all) == 0 {
+		return nil
 	}
-	for _, p := range [...]picks{first, second} {
-		if p.best != nil && p.best.Claim(c.now, c.prior) {
-			return p.best
+	near, cost := c.pair(all, ejected, local)
+	if near == nil || c.long(near, cost) {
+		far, farCost := c.pair(all, ejected, remote)
+		if far != nil && (near == nil || farCost < cost) && far.Claim(c.now, c.prior) {
+			return far
 		}
 	}
+	if near != nil && near.Claim(c.now, c.prior) {
+		return near
+	}
 	return nil
 }
 
@@ -166,7 +162,7 @@
 	return c.prior
 }
 
-// busy reports whether the call is expected to take much longer than usual at an endpoint.
-func (c *plainChoice) busy(p picks) bool {
-	return p.best != nil && float64(p.cost) > remoteFactor*float64(c.usual(p.best.Expect(c.now)))
+// long reports whether a cost is much longer than the usual time of a call at an endpoint.
+func (c *plainChoice) long(e *tracker.Endpoint, cost time.Duration) bool {
+	return float64(cost) > remoteFactor*float64(c.usual(e.Expect(c.now)))
 }
