--- a/assembler/deployment_test.go
+++ b/assembler/deployment_test.go
@@ -33,6 +33,7 @@
 type deployment struct {
 	t       testing.TB
 	level   string // log level
+	paced   bool   // endpoints have adaptive limits
 	store   *emulator.Store
 	server  *httptest.Server
 	network int // third byte of the hosts' addresses
@@ -150,8 +151,9 @@
 		"data_centres": [{"name": "z1", "region": "r1"}],
 		"store": {"address": %q},
 		"lease": {"renew": "300ms", "time": "2s", "guard": "300ms", "turns": "500ms"},
+		"endpoints": {"adaptive": %t},
 		"stop": {"grace": "5s"}}`,
-		address, address, d.listenAddress(host, 0), d.listenAddress(host, 1), d.listenAddress(host, 2), d.listenAddress(host, 3), d.listenAddress(host, 4), store))
+		address, address, d.listenAddress(host, 0), d.listenAddress(host, 1), d.listenAddress(host, 2), d.listenAddress(host, 3), d.listenAddress(host, 4), store, d.paced))
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/pacer/model_test.go
+++ b/pacer/model_test.go
@@ -7,7 +7,7 @@
 	"github.com/dragonflyford/dragonflyford/pacer"
 )
 
-const step = 2 * time.Millisecond
+const step = 4 * time.Millisecond
 
 // report is what the modelled endpoint writes into its answers.
 type report int
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -8,7 +8,7 @@
 const (
 	// targetWaiting is the number of waiting calls per slot that the limits aim at. The
 	// arrivals of many hosts vary, and a slot without a waiting call would stay idle.
-	targetWaiting = 0.5
+	targetWaiting = 0.75
 	// minTargetWaiting is the least number of waiting calls that the limits aim at.
 	minTargetWaiting = 1.0
 	// ceilingShare is the share of a queue, as a refusal has shown its length, that the
@@ -22,10 +22,11 @@
 	maxRise = 2.0
 	maxFall = 0.25
 	// idleShare is the share of the slots below which an endpoint counts as idle. The limit
-	// then follows the load in one step of at most maxIdleRise, and rises up to one call
-	// also if it is not in use, so that a burst of calls meets no limit.
+	// then follows the load in one step of at most maxIdleRise, and rises up to idleLimit
+	// also if it is not in use, so that a small burst of calls meets no limit.
 	idleShare   = 0.5
 	maxIdleRise = 4.0
+	idleLimit   = 2.0
 	// probeTime is the longest time between two calls of a host that has no answer yet, or
 	// whose last answer showed an idle endpoint.
 	probeTime = 3 * time.Second
@@ -253,8 +254,8 @@
 		p.follow(m, ratio, minShare)
 	case p.blocked:
 		p.change(m, min(ratio, maxIdleRise), minShare)
-	case p.limit < 1:
-		p.change(m, min(ratio, maxIdleRise, 1/p.limit), minShare)
+	case p.limit < idleLimit:
+		p.change(m, min(ratio, maxIdleRise, idleLimit/p.limit), minShare)
 	}
 }
 
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -10,7 +10,12 @@
 	"github.com/dragonflyford/dragonflyford/pacer"
 )
 
-const hosts = 60
+const (
+	hosts = 60
+	// seeds is the number of runs of a scenario. A slow endpoint completes some 60 calls in
+	// the time that is measured, so that the share of one run varies by several percent.
+	seeds = 3
+)
 
 // scenario changes a site that has run for some seconds. The checks start two seconds after
 // it returns.
@@ -62,7 +67,7 @@
 	{"6 slots", endpoint{slots: 6, queue: 12, work: 50 * time.Millisecond, pace: 1}, 0.9, 0.1},
 	{"32 slots", endpoint{slots: 32, queue: 32, work: 200 * time.Millisecond, pace: 1}, 0.9, 0.1},
 	{"6 slots, load without slots and pace", endpoint{slots: 6, queue: 12, work: 50 * time.Millisecond, pace: 1, report: loadOnly}, 0.8, 0.2},
-	{"6 slots without load", endpoint{slots: 6, queue: 12, work: 50 * time.Millisecond, pace: 1, report: noReport}, 0.6, 0.4},
+	{"6 slots without load", endpoint{slots: 6, queue: 12, work: 50 * time.Millisecond, pace: 1, report: noReport}, 0.8, 0.2},
 }
 
 // Guards against hosts that flood an endpoint whose state has changed, or leave it idle:
@@ -75,19 +80,23 @@
 			t.Run(kind.name+"/"+sc.name, func(t *testing.T) {
 				t.Parallel()
 				is := is.New(t)
-				e := kind.endpoint
-				s := newSite(1, hosts, &e, 1.5*float64(e.slots)/e.work.Seconds())
-				s.run(4 * time.Second)
-				sc.run(s)
-				s.run(2 * time.Second)
-				s.run(time.Second)
-				is.True(float64(s.peak) <= 1.1*float64(e.slots+e.queue))
-				s.run(3 * time.Second)
-				used := float64(s.done) / e.capacity(3*time.Second)
-				t.Logf("used %.2f, refused %d of %d, peak %d", used, s.refused, s.sent, s.peak)
-				is.True(float64(s.peak) <= 1.1*float64(e.slots+e.queue))
+				used, refused, sent := 0.0, 0, 0
+				for seed := range uint64(seeds) {
+					e := kind.endpoint
+					s := newSite(seed, hosts, &e, 1.5*float64(e.slots)/e.work.Seconds())
+					s.run(4 * time.Second)
+					sc.run(s)
+					s.run(2 * time.Second)
+					s.run(time.Second)
+					is.True(float64(s.peak) <= 1.1*float64(e.slots+e.queue))
+					s.run(3 * time.Second)
+					is.True(float64(s.peak) <= 1.1*float64(e.slots+e.queue))
+					used += float64(s.done) / e.capacity(3*time.Second) / seeds
+					refused, sent = refused+s.refused, sent+s.sent
+				}
+				t.Logf("used %.2f, refused %d of %d", used, refused, sent)
 				is.True(used >= kind.used)
-				is.True(float64(s.refused) <= kind.refusedShare*float64(s.sent))
+				is.True(float64(refused) <= kind.refusedShare*float64(sent))
 			})
 		}
 	}
