relayer: count the calls that wait for room

A call that arrives while others wait was told the time until the next call gets room, waited with them and was refused late. It now counts those before it, so that the queue is bounded by what gets room in the calls' time.

--- a/relayer/callstate.go
+++ b/relayer/callstate.go
@@ -67,6 +67,7 @@
 	version           int64                   // of the model at the chosen endpoint
 	claimed           *tracker.Endpoint       // endpoint at which the call counts as in flight before it is
 	roomUntil         time.Time               // how long the call may wait for room; zero before it does
+	queuedFor         *atomic.Int64           // count of the calls that wait for room, while the call is one of them
 	sentAt            time.Time               // latest send
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -94,6 +94,7 @@
 	streams   StreamArchive
 	speeds    SpeedObserver
 	hostCount func() int
+	queues    roomQueues
 	log       *logger.Logger
 }
 
--- a/relayer/room.go
+++ b/relayer/room.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/classifier"
@@ -38,9 +40,21 @@
 	return classifier.Of(fault).RetryAfter(), true
 }
 
+// roomQueues counts the calls that wait for room at the endpoints of each service.
+type roomQueues struct{ byService sync.Map } // string → *atomic.Int64
+
+func (q *roomQueues) length(service string) *atomic.Int64 {
+	n, ok := q.byService.Load(service)
+	if !ok {
+		n, _ = q.byService.LoadOrStore(service, &atomic.Int64{})
+	}
+	return n.(*atomic.Int64)
+}
+
 // chooseWithRoom waits for room if that is why no endpoint was chosen, and if room is
 // expected in the time that the call can wait.
 func (c *callState) chooseWithRoom(choice selector.Choice, fault error) (selector.Choice, error) {
+	defer c.leaveQueue()
 	for {
 		wait, full := roomWait(fault)
 		if !full || !c.awaitRoom(wait) {
@@ -52,29 +66,47 @@
 	}
 }
 
+// enterQueue makes the call one of those that wait for room. It returns how many did before.
+func (c *callState) enterQueue() int64 {
+	c.queuedFor = c.relayer.queues.length(c.call.Service().Name())
+	return c.queuedFor.Add(1) - 1
+}
+
+func (c *callState) leaveQueue() {
+	if c.queuedFor != nil {
+		c.queuedFor.Add(-1)
+		c.queuedFor = nil
+	}
+}
+
 // awaitRoom waits before the call looks for room again. It reports false if room is expected
-// too late for the call.
+// too late for the call. Calls that wait already get the room before a call that arrives.
 func (c *callState) awaitRoom(expected time.Duration) bool {
 	now := time.Now()
 	if c.roomUntil.IsZero() {
 		patience := max(c.maxTurnWait(), time.Duration(patienceShare*float64(c.call.Remaining())))
 		c.roomUntil = now.Add(min(patience, c.call.Remaining()-minRemaining))
 	}
-	if now.Add(expected).After(c.roomUntil) {
+	turn := expected
+	if c.queuedFor == nil {
+		turn *= time.Duration(c.enterQueue() + 1)
+	}
+	if now.Add(turn).After(c.roomUntil) {
 		return false
 	}
-	pause := min(max(expected, minRoomPause), maxRoomPause)
+	pause := min(max(turn, minRoomPause), maxRoomPause)
 	pause = time.Duration((0.5 + rand.Float64()/2) * float64(pause))
 	return sleeper.Sleep(c.ctx, pause) == nil
 }
 
-// retryWhenRoom returns the retry delay of a call that no endpoint can take: until room is
-// expected, with jitter, if that is known.
+// retryWhenRoom returns the retry delay of a call that no endpoint can take: until those that
+// wait have got room and there is more, with jitter, if that is known.
 func (c *callState) retryWhenRoom(fault error) time.Duration {
 	wait, full := roomWait(fault)
 	if !full {
 		return c.retryAfter(longWait(fault))
 	}
+	wait *= time.Duration(c.relayer.queues.length(c.call.Service().Name()).Load() + 1)
 	wait += time.Duration(rand.Float64() * retryAfterJitter * float64(wait))
 	longest := time.Duration(maxRetryShare * float64(c.call.Remaining()))
 	return max(min(wait, longest), minRetryAfter)
--- a/relayer/room_test.go
+++ b/relayer/room_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -68,6 +70,38 @@
 	})
 }
 
+// Guards against more calls that wait for room than get any in their time, each of which is
+// refused late.
+func TestQueueForRoomIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newHarness(map[string][]endpointFunc{"e1": {answers(200, "x")}}, paced(1))
+		e := r.fleet.Current().Endpoint("e1")
+		e.Completed(900 * time.Millisecond) // 9 calls of that time: room each 100 ms
+		occupy(e, 9, time.Minute)
+		var calls sync.WaitGroup
+		var early, late atomic.Int64
+		for range 100 {
+			calls.Go(func() {
+				began := time.Now()
+				_, err := r.Apply(t.Context(), screenedCall(t, router.AtMostOnce{}, 1, connector.Model{}))
+				if err == nil {
+					t.Error("a call was answered without room")
+				}
+				if time.Since(began) < 10*time.Millisecond {
+					early.Add(1)
+				} else {
+					late.Add(1)
+				}
+			})
+		}
+		calls.Wait()
+		is.True(early.Load() >= 90)
+		is.True(late.Load() >= 1)
+		time.Sleep(time.Minute)
+	})
+}
+
 // Guards against claims that are not released, with which an endpoint stays full for ever.
 func TestClaimsAreReleased(t *testing.T) {
 	tests := []struct {
