pacer: let credit grow from the moment an endpoint is known

A host whose calls are rare found no room at a new endpoint with its first call, because the credit began to grow with that call. A pace holds longer at hosts that call an endpoint rarely, and so does the estimate of others' calls at an endpoint whose calls are long.

--- a/pacer/model_test.go
+++ b/pacer/model_test.go
@@ -66,7 +66,7 @@
 		s.lose()
 	}
 	for i := range s.pacers {
-		s.pacers[i] = pacer.New(s.endpoint.slots, s.rng.Float64())
+		s.pacers[i] = pacer.New(s.now, s.endpoint.slots, s.rng.Float64())
 	}
 }
 
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -78,10 +78,11 @@
 	speed     speed
 }
 
-// New returns the pacer of a new endpoint process. Phase is a random number from 0 to 1,
-// so that the hosts do not send their first calls at the same time.
-func New(slots int, phase float64) *Pacer {
-	return &Pacer{slots: float64(max(slots, 1)), credit: min(max(phase, 0), 1)}
+// New returns the pacer of an endpoint process that the host learns of at a time. Phase is a
+// random number from 0 to 1, so that the hosts do not send their first calls at the same
+// time.
+func New(now time.Time, slots int, phase float64) *Pacer {
+	return &Pacer{slots: float64(max(slots, 1)), credit: min(max(phase, 0), 1), creditAt: now}
 }
 
 // Limit returns the number of calls that this host may have in flight.
@@ -201,10 +202,6 @@
 // accrue adds the credit since the last call of accrue. The credit of a limit of 0.25
 // reaches one call in four times the time for which a call is in flight.
 func (p *Pacer) accrue(m Moment, fraction float64) {
-	if p.creditAt.IsZero() {
-		p.creditAt = m.now
-		return
-	}
 	elapsed := max(m.now.Sub(p.creditAt), 0)
 	p.creditAt = m.now
 	p.credit = min(p.credit+elapsed.Seconds()*p.creditRate(m, fraction), 1)
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -135,7 +135,7 @@
 	is := is.New(t)
 	now, admitted := time.Unix(1000, 0), 0
 	for i := range hosts {
-		p := pacer.New(6, float64(i)/hosts)
+		p := pacer.New(now, 6, float64(i)/hosts)
 		m := pacer.At(now, hosts, 100*time.Millisecond)
 		p.Take(m, 0)
 		if p.Take(pacer.At(now.Add(100*time.Millisecond), hosts, 100*time.Millisecond), 0) {
@@ -151,7 +151,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	at := func() pacer.Moment { return pacer.At(now, 1, 0) }
-	p := pacer.New(4, 1)
+	p := pacer.New(now, 4, 1)
 	for i, took := range []time.Duration{900, 700, 300, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100} {
 		now = now.Add(300 * time.Millisecond)
 		p.Answered(at(), now.Add(-time.Millisecond), pacer.Load{})
@@ -176,7 +176,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	at := func() pacer.Moment { return pacer.At(now, 1, 0) }
-	p := pacer.New(4, 1)
+	p := pacer.New(now, 4, 1)
 	for i := range 200 {
 		now = now.Add(20 * time.Millisecond)
 		p.Answered(at(), now, pacer.NewLoad(1, 0).WithPace([]float64{0.7, 1.3}[i%2]))
@@ -211,7 +211,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			now := time.Unix(1000, 0)
-			p := pacer.New(8, 1)
+			p := pacer.New(now, 8, 1)
 			m := pacer.At(now, 1, 0)
 			is.Equal(p.Limit(m), 8.0)
 			tt.sign(p, m, now.Add(-time.Millisecond))
@@ -226,7 +226,7 @@
 func TestNamedRate(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	p := pacer.New(8, 1)
+	p := pacer.New(now, 8, 1)
 	answer := func() float64 {
 		for range 30 {
 			now = now.Add(100 * time.Millisecond)
@@ -248,7 +248,7 @@
 	for _, own := range []int{0, 1, 2, 50} {
 		t.Run(fmt.Sprint(own), func(t *testing.T) {
 			is := is.New(t)
-			p := pacer.New(6, 0)
+			p := pacer.New(time.Unix(1000, 0), 6, 0)
 			wait, ok := p.Room(pacer.At(time.Unix(1000, 0), hosts, 100*time.Millisecond), own)
 			is.True(!ok)
 			is.True(wait > 0 && wait <= 3*time.Second)
--- a/pacer/speed.go
+++ b/pacer/speed.go
@@ -9,10 +9,14 @@
 	// paceTime is the time constant of the average of reported paces, which change many
 	// times a second.
 	paceTime = time.Second
-	// paceMemory is the time constant with which the last average returns to the usual
-	// pace while no answer comes. An endpoint that was slow gets calls again, which show
-	// how fast it is now.
-	paceMemory = 4 * time.Second
+	// paceMemory and maxPaceMemory bound the time constant with which the last average
+	// returns to the usual pace while no answer comes. An endpoint that was slow gets calls
+	// again, which show how fast it is now. The time constant is memoryIntervals times the
+	// interval between answers: a host that rarely calls an endpoint would forget its pace
+	// before each call.
+	paceMemory      = 4 * time.Second
+	maxPaceMemory   = 30 * time.Second
+	memoryIntervals = 3
 	// minPace and maxPace bound a reported pace, so that a malformed one does no lasting
 	// harm.
 	minPace = 0.1
@@ -21,10 +25,14 @@
 
 // average is an exponential moving average of samples that come at irregular times.
 type average struct {
-	value float64
-	at    time.Time // of the latest sample; zero if there is none
+	value    float64
+	at       time.Time     // of the latest sample; zero if there is none
+	interval time.Duration // average time between samples
 }
 
+// intervalWeight is the weight of one interval in the average time between samples.
+const intervalWeight = 0.3
+
 // add adds a sample. The weight of older samples falls with the time constant.
 func (a *average) add(sample float64, now time.Time, constant time.Duration) {
 	if a.at.IsZero() {
@@ -34,6 +42,7 @@
 	elapsed := max(now.Sub(a.at), 0)
 	weight := 1 - math.Exp(-float64(elapsed)/float64(constant))
 	a.value += weight * (sample - a.value)
+	a.interval += time.Duration(intervalWeight * float64(elapsed-a.interval))
 	a.at = now
 }
 
@@ -106,5 +115,6 @@
 		return 1
 	}
 	age := max(now.Sub(s.pace.at)-hold, 0)
-	return 1 + (s.pace.value-1)*math.Exp(-float64(age)/float64(paceMemory))
+	memory := min(max(memoryIntervals*s.pace.interval, paceMemory), maxPaceMemory)
+	return 1 + (s.pace.value-1)*math.Exp(-float64(age)/float64(memory))
 }
--- a/tracker/pacing.go
+++ b/tracker/pacing.go
@@ -35,7 +35,7 @@
 		// Other hosts know the endpoint already. Only this host starts.
 		phase = 1
 	}
-	return &pacing{hosts: p.hosts, usual: p.usual[e.service], pacer: pacer.New(e.slots, phase), announced: math.Inf(1)}
+	return &pacing{hosts: p.hosts, usual: p.usual[e.service], pacer: pacer.New(time.Now(), e.slots, phase), announced: math.Inf(1)}
 }
 
 // newProcess is the age up to which all hosts may send an endpoint their first call at the
@@ -196,16 +196,35 @@
 func (e *Endpoint) Expect(now time.Time) Expectation {
 	p := e.pacing
 	m := p.at(now, 0)
-	total := e.EstimatedCalls(now) + float64(p.claimed.Load())
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	usual := p.pacer.Usual()
+	usual, pace, slots := p.pacer.Usual(), p.pacer.Pace(m), p.pacer.Slots()
+	p.mu.Unlock()
 	if usual == 0 {
 		usual = p.usual.get()
 	}
+	total := float64(e.own()) + e.othersCalls(now, time.Duration(pace*float64(usual)))
 	// Calls that wait are processed by all slots.
-	queue := max(total+1-p.pacer.Slots(), 0) / p.pacer.Slots()
-	return Expectation{usual: usual, pace: p.pacer.Pace(m), queue: queue}
+	queue := max(total+1-slots, 0) / slots
+	return Expectation{usual: usual, pace: pace, queue: queue}
+}
+
+// othersMemory is the time constant, as a multiple of the time of a call, with which the
+// latest report of the calls of other hosts loses its weight after loadTTL.
+const othersMemory = 2
+
+// othersCalls estimates the number of calls of other hosts that are in flight at the endpoint,
+// where a call takes the time work.
+func (e *Endpoint) othersCalls(now time.Time, work time.Duration) float64 {
+	l := e.load.Load()
+	if l == nil {
+		return 0
+	}
+	others := max(float64(l.running+l.waiting-l.own), 0)
+	age := now.Sub(l.seen) - loadTTL
+	if age <= 0 || others == 0 {
+		return others
+	}
+	return others * math.Exp(-float64(age)/float64(max(othersMemory*work, time.Millisecond)))
 }
 
 // Pace returns how long work takes at the endpoint at present as a multiple of the usual
