--- a/pacer/model_test.go
+++ b/pacer/model_test.go
@@ -7,7 +7,7 @@
 	"github.com/dragonflyford/dragonflyford/pacer"
 )
 
-const step = 2 * time.Millisecond
+const step = 4 * time.Millisecond
 
 // report is what the modelled endpoint writes into its answers.
 type report int
@@ -66,7 +66,7 @@
 		s.lose()
 	}
 	for i := range s.pacers {
-		s.pacers[i] = pacer.New(s.endpoint.slots, s.rng.Float64())
+		s.pacers[i] = pacer.New(s.now, s.endpoint.slots, s.rng.Float64())
 	}
 }
 
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -8,7 +8,7 @@
 const (
 	// targetWaiting is the number of waiting calls per slot that the limits aim at. The
 	// arrivals of many hosts vary, and a slot without a waiting call would stay idle.
-	targetWaiting = 0.5
+	targetWaiting = 0.75
 	// minTargetWaiting is the least number of waiting calls that the limits aim at.
 	minTargetWaiting = 1.0
 	// ceilingShare is the share of a queue, as a refusal has shown its length, that the
@@ -22,10 +22,11 @@
 	maxRise = 2.0
 	maxFall = 0.25
 	// idleShare is the share of the slots below which an endpoint counts as idle. The limit
-	// then follows the load in one step of at most maxIdleRise, and rises up to one call
-	// also if it is not in use, so that a burst of calls meets no limit.
+	// then follows the load in one step of at most maxIdleRise, and rises up to idleLimit
+	// also if it is not in use, so that a small burst of calls meets no limit.
 	idleShare   = 0.5
 	maxIdleRise = 4.0
+	idleLimit   = 2.0
 	// probeTime is the longest time between two calls of a host that has no answer yet, or
 	// whose last answer showed an idle endpoint.
 	probeTime = 3 * time.Second
@@ -59,56 +60,6 @@
 	minWait = 5 * time.Millisecond
 )
 
-// Moment is what a decision depends on besides the endpoint's answers.
-type Moment struct {
-	now   time.Time
-	hosts int
-	usual time.Duration
-}
-
-// At returns a moment. Hosts is the number of hosts that share the endpoint. Usual is the
-// time that a call is expected to take as long as the endpoint has not answered any, or 0.
-func At(now time.Time, hosts int, usual time.Duration) Moment {
-	return Moment{now: now, hosts: max(hosts, 1), usual: usual}
-}
-
-// Load is the load that an endpoint reports in an answer. The zero value stands for an
-// answer without one.
-type Load struct {
-	known            bool
-	running, waiting int
-	slots            int     // 0 if not reported
-	pace             float64 // 0 if not reported
-}
-
-// NewLoad returns a load: the calls of all hosts that run and wait.
-func NewLoad(running, waiting int) Load { return Load{known: true, running: running, waiting: waiting} }
-
-// WithSlots returns the load with the number of calls that the endpoint runs at once.
-func (l Load) WithSlots(n int) Load {
-	l.slots = n
-	return l
-}
-
-// WithPace returns the load with the duration of work as a multiple of the usual one.
-func (l Load) WithPace(pace float64) Load {
-	l.pace = pace
-	return l
-}
-
-// Calls returns the calls of all hosts that run and wait, or false if they are not reported.
-func (l Load) Calls() (running, waiting int, ok bool) { return l.running, l.waiting, l.known }
-
-// Slots returns the number of calls that the endpoint runs at once, or 0 if it is not
-// reported.
-func (l Load) Slots() int { return l.slots }
-
-// Pace returns the duration of work as a multiple of the usual one, or 0 if it is not
-// reported.
-func (l Load) Pace() float64 { return l.pace }
-
-func (l Load) total() float64 { return float64(l.running + l.waiting) }
-
 // Pacer holds the limit of one endpoint process as one host sees it. It is not safe for
 // concurrent use.
 type Pacer struct {
@@ -127,10 +78,11 @@
 	speed     speed
 }
 
-// New returns the pacer of a new endpoint process. Phase is a random number from 0 to 1,
-// so that the hosts do not send their first calls at the same time.
-func New(slots int, phase float64) *Pacer {
-	return &Pacer{slots: float64(max(slots, 1)), credit: min(max(phase, 0), 1)}
+// New returns the pacer of an endpoint process that the host learns of at a time. Phase is a
+// random number from 0 to 1, so that the hosts do not send their first calls at the same
+// time.
+func New(now time.Time, slots int, phase float64) *Pacer {
+	return &Pacer{slots: float64(max(slots, 1)), credit: min(max(phase, 0), 1), creditAt: now}
 }
 
 // Limit returns the number of calls that this host may have in flight.
@@ -250,10 +202,6 @@
 // accrue adds the credit since the last call of accrue. The credit of a limit of 0.25
 // reaches one call in four times the time for which a call is in flight.
 func (p *Pacer) accrue(m Moment, fraction float64) {
-	if p.creditAt.IsZero() {
-		p.creditAt = m.now
-		return
-	}
 	elapsed := max(m.now.Sub(p.creditAt), 0)
 	p.creditAt = m.now
 	p.credit = min(p.credit+elapsed.Seconds()*p.creditRate(m, fraction), 1)
@@ -303,8 +251,8 @@
 		p.follow(m, ratio, minShare)
 	case p.blocked:
 		p.change(m, min(ratio, maxIdleRise), minShare)
-	case p.limit < 1:
-		p.change(m, min(ratio, maxIdleRise, 1/p.limit), minShare)
+	case p.limit < idleLimit:
+		p.change(m, min(ratio, maxIdleRise, idleLimit/p.limit), minShare)
 	}
 }
 
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -10,7 +10,12 @@
 	"github.com/dragonflyford/dragonflyford/pacer"
 )
 
-const hosts = 60
+const (
+	hosts = 60
+	// seeds is the number of runs of a scenario. A slow endpoint completes some 60 calls in
+	// the time that is measured, so that the share of one run varies by several percent.
+	seeds = 3
+)
 
 // scenario changes a site that has run for some seconds. The checks start two seconds after
 // it returns.
@@ -62,7 +67,7 @@
 	{"6 slots", endpoint{slots: 6, queue: 12, work: 50 * time.Millisecond, pace: 1}, 0.9, 0.1},
 	{"32 slots", endpoint{slots: 32, queue: 32, work: 200 * time.Millisecond, pace: 1}, 0.9, 0.1},
 	{"6 slots, load without slots and pace", endpoint{slots: 6, queue: 12, work: 50 * time.Millisecond, pace: 1, report: loadOnly}, 0.8, 0.2},
-	{"6 slots without load", endpoint{slots: 6, queue: 12, work: 50 * time.Millisecond, pace: 1, report: noReport}, 0.6, 0.4},
+	{"6 slots without load", endpoint{slots: 6, queue: 12, work: 50 * time.Millisecond, pace: 1, report: noReport}, 0.8, 0.2},
 }
 
 // Guards against hosts that flood an endpoint whose state has changed, or leave it idle:
@@ -75,19 +80,23 @@
 			t.Run(kind.name+"/"+sc.name, func(t *testing.T) {
 				t.Parallel()
 				is := is.New(t)
-				e := kind.endpoint
-				s := newSite(1, hosts, &e, 1.5*float64(e.slots)/e.work.Seconds())
-				s.run(4 * time.Second)
-				sc.run(s)
-				s.run(2 * time.Second)
-				s.run(time.Second)
-				is.True(float64(s.peak) <= 1.1*float64(e.slots+e.queue))
-				s.run(3 * time.Second)
-				used := float64(s.done) / e.capacity(3*time.Second)
-				t.Logf("used %.2f, refused %d of %d, peak %d", used, s.refused, s.sent, s.peak)
-				is.True(float64(s.peak) <= 1.1*float64(e.slots+e.queue))
+				used, refused, sent := 0.0, 0, 0
+				for seed := range uint64(seeds) {
+					e := kind.endpoint
+					s := newSite(seed, hosts, &e, 1.5*float64(e.slots)/e.work.Seconds())
+					s.run(4 * time.Second)
+					sc.run(s)
+					s.run(2 * time.Second)
+					s.run(time.Second)
+					is.True(float64(s.peak) <= 1.1*float64(e.slots+e.queue))
+					s.run(3 * time.Second)
+					is.True(float64(s.peak) <= 1.1*float64(e.slots+e.queue))
+					used += float64(s.done) / e.capacity(3*time.Second) / seeds
+					refused, sent = refused+s.refused, sent+s.sent
+				}
+				t.Logf("used %.2f, refused %d of %d", used, refused, sent)
 				is.True(used >= kind.used)
-				is.True(float64(s.refused) <= kind.refusedShare*float64(s.sent))
+				is.True(float64(refused) <= kind.refusedShare*float64(sent))
 			})
 		}
 	}
@@ -126,7 +135,7 @@
 	is := is.New(t)
 	now, admitted := time.Unix(1000, 0), 0
 	for i := range hosts {
-		p := pacer.New(6, float64(i)/hosts)
+		p := pacer.New(now, 6, float64(i)/hosts)
 		m := pacer.At(now, hosts, 100*time.Millisecond)
 		p.Take(m, 0)
 		if p.Take(pacer.At(now.Add(100*time.Millisecond), hosts, 100*time.Millisecond), 0) {
@@ -142,7 +151,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	at := func() pacer.Moment { return pacer.At(now, 1, 0) }
-	p := pacer.New(4, 1)
+	p := pacer.New(now, 4, 1)
 	for i, took := range []time.Duration{900, 700, 300, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100} {
 		now = now.Add(300 * time.Millisecond)
 		p.Answered(at(), now.Add(-time.Millisecond), pacer.Load{})
@@ -167,7 +176,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	at := func() pacer.Moment { return pacer.At(now, 1, 0) }
-	p := pacer.New(4, 1)
+	p := pacer.New(now, 4, 1)
 	for i := range 200 {
 		now = now.Add(20 * time.Millisecond)
 		p.Answered(at(), now, pacer.NewLoad(1, 0).WithPace([]float64{0.7, 1.3}[i%2]))
@@ -202,7 +211,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			now := time.Unix(1000, 0)
-			p := pacer.New(8, 1)
+			p := pacer.New(now, 8, 1)
 			m := pacer.At(now, 1, 0)
 			is.Equal(p.Limit(m), 8.0)
 			tt.sign(p, m, now.Add(-time.Millisecond))
@@ -217,7 +226,7 @@
 func TestNamedRate(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	p := pacer.New(8, 1)
+	p := pacer.New(now, 8, 1)
 	answer := func() float64 {
 		for range 30 {
 			now = now.Add(100 * time.Millisecond)
@@ -239,7 +248,7 @@
 	for _, own := range []int{0, 1, 2, 50} {
 		t.Run(fmt.Sprint(own), func(t *testing.T) {
 			is := is.New(t)
-			p := pacer.New(6, 0)
+			p := pacer.New(time.Unix(1000, 0), 6, 0)
 			wait, ok := p.Room(pacer.At(time.Unix(1000, 0), hosts, 100*time.Millisecond), own)
 			is.True(!ok)
 			is.True(wait > 0 && wait <= 3*time.Second)
