--- a/follower/follower.go
+++ b/follower/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -62,6 +63,10 @@
 
 const (
 	retryDelay = 200 * time.Millisecond // after a failure of the store
+	// After quickRetries failed reads of the whole table in a row, up to maxReadDelay is
+	// added to retryDelay at random.
+	quickRetries = 3
+	maxReadDelay = 800 * time.Millisecond
 	// responseTime is added to the time for which the store may hold a long poll. After
 	// both, the connection is treated as dead.
 	responseTime = time.Second
@@ -91,6 +96,7 @@
 
 	version     storer.Version
 	synced      bool          // the whole table was read and no change since has been missed
+	failedReads int           // of the whole table, in a row
 	failing     bool          // a call to the store failed and none has succeeded since
 	refreshAge  time.Duration // minimum age of a long poll that a refresh may end
 	recoveredAt atomic.Int64  // Unix nanoseconds; 0 before the first loss
@@ -167,8 +173,8 @@
 	for ctx.Err() == nil {
 		pause := f.pause
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
-			pause = retryDelay
 			f.failed(err)
+			pause = f.retryPause()
 		}
 		if f.synced && f.eraEnded.Load() {
 			pause = 0 // the handler may have rows that the store has lost
@@ -179,6 +185,19 @@
 	}
 }
 
+// retryPause returns the time until the next call after a failure. Hosts whose reads of the
+// whole table fail again and again may be too many for the store, and spread over a longer
+// time.
+func (f *Follower) retryPause() time.Duration {
+	if f.synced {
+		return retryDelay
+	}
+	if f.failedReads++; f.failedReads <= quickRetries {
+		return retryDelay
+	}
+	return retryDelay + rand.N(maxReadDelay)
+}
+
 func (f *Follower) failed(err error) {
 	if errors.Is(err, storer.ErrHistoryLost) {
 		f.synced = false
@@ -222,7 +241,7 @@
 		f.handler.Apply(changes.List())
 	} else {
 		f.handler.Replace(changes.List())
-		f.synced = true
+		f.synced, f.failedReads = true, 0
 	}
 	f.version, f.refreshAge = changes.Version(), minRefreshAge
 	f.handler.Contact(f.version, changes.Clock(), changes.Age())
