mirrorer: keep a history that grows with the table, without renewals

A host that follows a table at another one gets the changes since its last call, of which 2,048 were kept. 3,004 endpoints write their entries every 1.2 s, so that the history held less than the time between two calls, and each host asked the store in place of the other host.

The history holds twice the number of rows if that is more. In tables of more than 1,024 rows, a row that is written as it was goes into the history at most every 3.5 s.

--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -9,16 +9,36 @@
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
-// maxHistory is the number of changes that are kept. A host that lags farther behind
-// reads the whole copy.
-const maxHistory = 2048
+// The number of changes that are kept is minHistory, or twice the number of rows if that is
+// larger: in the time between two calls of another host, each row may change. A host that
+// lags farther behind asks the store, which all hosts together would overload.
+const (
+	minHistory     = 2048
+	historyPerRow  = 2
+	maxHistorySize = 1 << 16
+	// trimShare is the part of the history by which it may be longer, so that it is not
+	// copied for each change.
+	trimShare = 4
+)
+
+const (
+	// largeTable is the number of rows from which on renewals are left out. Endpoints write
+	// their entries every 1.2 s, each as it was, and a host sends them to several others.
+	largeTable = 1024
+	// renewalInterval is the time for which they are left out: what a call has observed of
+	// an endpoint counts for 3 s, and entries of a restored copy are put aside for 4.8 s,
+	// unless the entry is written meanwhile.
+	renewalInterval = 3500 * time.Millisecond
+)
 
 // Mirror forwards rows to a handler and keeps a copy of them.
 type Mirror struct {
 	next follower.Handler
+	same func(a, b storer.Row) bool // nil if each change is passed on
 
 	mu           sync.Mutex
 	rows         map[string]storer.Change
+	keptAt       map[string]time.Time // when a change of a row was last added to the history
 	history      []storer.Change
 	historyStart storer.Version // the history holds all changes after this version
 	version      storer.Version
@@ -29,9 +49,22 @@
 
 var _ follower.Handler = (*Mirror)(nil)
 
+// Option sets an optional property of a Mirror.
+type Option func(*Mirror)
+
+// WithoutRenewals makes the mirror of a large table pass on a row that was written anew at
+// most once within renewalInterval, unless it differs as same tells.
+func WithoutRenewals(same func(a, b storer.Row) bool) Option {
+	return func(m *Mirror) { m.same = same }
+}
+
 // New returns a mirror that forwards rows to next.
-func New(next follower.Handler) *Mirror {
-	return &Mirror{next: next, rows: make(map[string]storer.Change), changed: make(chan struct{})}
+func New(next follower.Handler, opts ...Option) *Mirror {
+	m := &Mirror{next: next, rows: make(map[string]storer.Change), keptAt: make(map[string]time.Time), changed: make(chan struct{})}
+	for _, opt := range opts {
+		opt(m)
+	}
+	return m
 }
 
 // Restored implements follower.Handler. Until the next contact the mirror has no rows for
@@ -50,6 +83,7 @@
 	for _, r := range rows {
 		m.rows[r.Key()] = r
 	}
+	clear(m.keptAt)
 	m.history, m.historyStart = nil, 0 // the start is set at the next contact
 	m.mu.Unlock()
 	m.next.Replace(rows)
@@ -58,15 +92,21 @@
 // Apply implements follower.Handler.
 func (m *Mirror) Apply(changes []storer.Change) {
 	m.mu.Lock()
+	now := time.Now()
 	for _, c := range changes {
+		if !m.isRenewal(c, now) {
+			m.history = append(m.history, c)
+			m.keptAt[c.Key()] = now
+		}
 		if c.Removed() {
 			delete(m.rows, c.Key())
+			delete(m.keptAt, c.Key())
 		} else {
 			m.rows[c.Key()] = c
 		}
 	}
-	m.history = append(m.history, changes...)
-	if over := len(m.history) - maxHistory; over > 0 {
+	if size := m.historySize(); len(m.history) > size+size/trimShare {
+		over := len(m.history) - size
 		m.historyStart = m.history[over-1].Version()
 		m.history = append([]storer.Change(nil), m.history[over:]...)
 	}
@@ -74,6 +114,21 @@
 	m.next.Apply(changes)
 }
 
+// isRenewal reports whether a change only writes a row anew that other hosts have got lately.
+// It requires mu.
+func (m *Mirror) isRenewal(c storer.Change, now time.Time) bool {
+	if m.same == nil || c.Removed() || len(m.rows) < largeTable || now.Sub(m.keptAt[c.Key()]) >= renewalInterval {
+		return false
+	}
+	old, known := m.rows[c.Key()]
+	return known && m.same(old.Row, c.Row)
+}
+
+// historySize requires mu.
+func (m *Mirror) historySize() int {
+	return min(max(minHistory, historyPerRow*len(m.rows)), maxHistorySize)
+}
+
 // Contact implements follower.Handler.
 func (m *Mirror) Contact(v storer.Version, clock, age time.Duration) {
 	m.mu.Lock()
