subscriber, assembler: let several hosts of a large data centre read a table

In each data centre one host read the tables at the store and sent them to all others, so that its traffic grew with the square of the hosts; and after a start of all hosts each host read the whole tables at the store, as it knew no other host.

In a data centre of more than 13 hosts, the first hosts in order read at the store, as many as it takes that each sends a table to at most 12 others. At its start, a host reads the rows of the hosts only; if there are 12 or more in its data centre, it waits for the copy of its source for up to 1.5 s, and then reads at the store. In smaller data centres all is as before, except for the read of the hosts' rows.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -113,6 +114,8 @@
 	followers         []*follower.Follower
 	era               atomic.Uint64 // latest era of the store that a follower has reached
 	draining          atomic.Bool
+	listMu            sync.Mutex
+	listed            []subscriber.Peer // hosts of the data centre that the store listed at the start
 }
 
 // New returns a host that is not yet running.
@@ -151,7 +154,7 @@
 	h.replicator = replicator.New(h.messenger, h.members, h.pinner, settings.StreamLifetime(), log)
 	h.archiver = archiver.New(h.pinner, fleetTable, h.store.Table(tableStreams), h.replicator, settings.StreamLifetime(), log)
 	h.mirrors = map[string]*mirrorer.Mirror{
-		platform.TableEndpoints: mirrorer.New(endpointHandler{h}),
+		platform.TableEndpoints: mirrorer.New(endpointHandler{h}, mirrorer.WithoutRenewals(platform.SameEntry)),
 		tableFleet:              mirrorer.New(follower.Handlers{h.members, h.registrar, h.archiver, memberHandler{h}}),
 	}
 	h.permitter = permitter.New(h.messenger, h.members, h.fleet)
@@ -181,7 +184,8 @@
 // followThroughPeers returns a follower of a table that only one host of each
 // data centre reads from the store; the others read it from that host.
 func (h *Host) followThroughPeers(table string, wait, pause, maxAge time.Duration, log *logger.Logger) *follower.Follower {
-	feed := subscriber.New(table, h.store.Table(table), h.messenger, subscriber.NewPeer(h.members.Self(), "", h.settings.Load().LinkMbps()), h.neighbours, maxAge, log)
+	feed := subscriber.New(table, h.store.Table(table), h.messenger, subscriber.NewPeer(h.members.Self(), "", h.settings.Load().LinkMbps()), h.neighbours, maxAge, log,
+		subscriber.WithStartPeers(h.startNeighbours))
 	return follower.New(table, feed, h.mirrors[table], wait, pause, log)
 }
 
--- a/assembler/neighbours.go
+++ b/assembler/neighbours.go
@@ -1,9 +1,12 @@
 package assembler
 
 import (
+	"context"
 	"net/netip"
+	"time"
 
 	"github.com/dragonflyford/dragonflyford/enroller"
+	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/subscriber"
 )
 
@@ -18,6 +21,33 @@
 	return list
 }
 
+// startTimeout bounds the read of the hosts' rows at the start.
+const startTimeout = time.Second
+
+// startNeighbours returns the other hosts of the data centre that the store lists when this
+// host starts. They may be starting, too. It returns none while the store does not answer.
+func (h *Host) startNeighbours(ctx context.Context) []subscriber.Peer {
+	h.listMu.Lock()
+	defer h.listMu.Unlock()
+	if h.listed != nil {
+		return h.listed
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	rows, err := h.store.Table(tableFleet).List(ctx, enroller.HostPrefix)
+	if err != nil {
+		h.log.Warn("hosts-not-listed", logger.Err(err))
+		return nil
+	}
+	h.listed = []subscriber.Peer{}
+	for _, peer := range enroller.ListedHosts(rows.List()) {
+		if h.isNeighbour(peer) {
+			h.listed = append(h.listed, subscriber.NewPeer(peer.Name(), peer.PeerAddress(), peer.LinkMbps()))
+		}
+	}
+	return h.listed
+}
+
 // neighbourAddresses returns the addresses on which the other hosts of the data
 // centre receive heartbeats.
 func (h *Host) neighbourAddresses() []netip.AddrPort {
--- a/enroller/claim.go
+++ b/enroller/claim.go
@@ -87,7 +87,7 @@
 		}
 		group := []storer.Write{storer.NewPut(ownerPrefix+engine.ID(), value, owner.version)}
 		if old := v.hosts[owner.host]; old != nil && !checked[owner.host] {
-			group = append(group, storer.NewCheck(hostPrefix+owner.host, old.version))
+			group = append(group, storer.NewCheck(HostPrefix+owner.host, old.version))
 		}
 		if len(taken) == e.claims.size() || !batch.Add(group...) {
 			break // the others are claimed at the next call
@@ -252,7 +252,7 @@
 	var writes []storer.Write
 	for name, h := range v.hosts {
 		if name != e.self.name && time.Since(h.changedAt) > staleAfter && len(writes) < maxClaims {
-			writes = append(writes, storer.NewDelete(hostPrefix+name, h.version))
+			writes = append(writes, storer.NewDelete(HostPrefix+name, h.version))
 		}
 	}
 	if len(writes) == 0 {
--- a/enroller/copied.go
+++ b/enroller/copied.go
@@ -39,7 +39,7 @@
 	}
 	for _, r := range rows {
 		era := r.Version().Era()
-		if r.Removed() || era <= v.version.Era() || !strings.HasPrefix(r.Key(), hostPrefix) {
+		if r.Removed() || era <= v.version.Era() || !strings.HasPrefix(r.Key(), HostPrefix) {
 			continue
 		}
 		doc, err := encoder.Unmarshal[hostDocument](r.Value())
--- a/enroller/document.go
+++ b/enroller/document.go
@@ -6,11 +6,11 @@
 	"github.com/dragonflyford/dragonflyford/encoder"
 )
 
-// Key prefixes of the table.
-const (
-	hostPrefix  = "host/"
-	ownerPrefix = "owner/"
-)
+// HostPrefix is the prefix of the keys of the hosts' rows.
+const HostPrefix = "host/"
+
+// ownerPrefix is the prefix of the keys of the rows of engines' owners.
+const ownerPrefix = "owner/"
 
 // hostDocument is the value of a host row.
 type hostDocument struct {
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -217,8 +217,8 @@
 	var gone []storer.Change
 	v := e.View()
 	for name, h := range v.hosts {
-		if !listed[hostPrefix+name] {
-			gone = append(gone, storer.NewRemoval(hostPrefix+name, h.version))
+		if !listed[HostPrefix+name] {
+			gone = append(gone, storer.NewRemoval(HostPrefix+name, h.version))
 		}
 	}
 	for engine, o := range v.owners {
@@ -236,7 +236,7 @@
 	}
 	e.update(func(v *View) {
 		for _, c := range changes {
-			if name, ok := strings.CutPrefix(c.Key(), hostPrefix); ok {
+			if name, ok := strings.CutPrefix(c.Key(), HostPrefix); ok {
 				e.applyHostRow(v, name, c)
 			} else if engine, ok := strings.CutPrefix(c.Key(), ownerPrefix); ok {
 				e.applyOwnerRow(v, engine, c)
--- a/enroller/renewal.go
+++ b/enroller/renewal.go
@@ -121,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	key := hostPrefix + e.self.name
+	key := HostPrefix + e.self.name
 	version, err := e.store.Commit(ctx, storer.NewPut(key, value, e.ownVersion()))
 	var conflict *storer.RowConflict
 	if errors.As(err, &conflict) {
--- a/enroller/view.go
+++ b/enroller/view.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/dragonflyford/dragonflyford/encoder"
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
@@ -23,6 +25,22 @@
 	processSeen time.Time // when a row of the host's current process was first read
 }
 
+// ListedHosts returns the hosts that the rows of a list describe, without those that are
+// leaving. They may not be alive.
+func ListedHosts(rows []storer.Change) []*Host {
+	var list []*Host
+	for _, r := range rows {
+		name, ok := strings.CutPrefix(r.Key(), HostPrefix)
+		if !ok || r.Removed() {
+			continue
+		}
+		if doc, err := encoder.Unmarshal[hostDocument](r.Value()); err == nil && !doc.Leaving {
+			list = append(list, &Host{name: name, doc: doc, version: r.Version()})
+		}
+	}
+	return list
+}
+
 // Name returns the name of the host, which is its IP address.
 func (h *Host) Name() string { return h.name }
 
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -4,13 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/mirrorer"
+	"github.com/dragonflyford/dragonflyford/sleeper"
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
@@ -43,7 +45,10 @@
 	// within the time limit of a follower's call.
 	peerTimeout = 400 * time.Millisecond
 	// snapshotTimeout bounds the read of a whole table from another host.
-	snapshotTimeout = time.Second
+	snapshotTimeout = 1500 * time.Millisecond
+	// copyInterval is the mean time between two requests for a copy that another host does
+	// not have yet.
+	copyInterval = 200 * time.Millisecond
 )
 
 var errStale = eris.New("copy of the table at the other host is too old")
@@ -51,40 +56,56 @@
 // Subscriber is a feed that reads from another host if possible, and otherwise from
 // the store.
 type Subscriber struct {
-	table     string
-	store     storer.Feed
-	remote    Remote
-	self      Peer
-	peers     func() []Peer // live hosts of the data centre without this one
-	maxAge    time.Duration
-	log       *logger.Logger
-	skippedAt map[string]time.Time // by host; used only by the follower's goroutine
-	source    string
-	failing   time.Time // since when the store does not answer this host; zero if it does
+	table  string
+	store  storer.Feed
+	remote Remote
+	self   Peer
+	peers  func() []Peer // live hosts of the data centre without this one
+	// startPeers returns those hosts before any is known to be alive; nil if unknown.
+	startPeers func(context.Context) []Peer
+	maxAge     time.Duration
+	log        *logger.Logger
+	skippedAt  map[string]time.Time // by host; used only by the follower's goroutine
+	source     string
+	hasRead    bool
+	failing    time.Time // since when the store does not answer this host; zero if it does
 }
 
 var _ storer.Feed = (*Subscriber)(nil)
 
+// Option sets an optional property of a Subscriber.
+type Option func(*Subscriber)
+
+// WithStartPeers sets the function that returns the other hosts of the data centre that may
+// be starting, too. It is called before the first read of the table.
+func WithStartPeers(list func(context.Context) []Peer) Option {
+	return func(s *Subscriber) { s.startPeers = list }
+}
+
 // New returns a feed of a table. MaxAge is the maximum age of a copy from another
 // host.
-func New(table string, store storer.Feed, remote Remote, self Peer, peers func() []Peer, maxAge time.Duration, log *logger.Logger) *Subscriber {
-	return &Subscriber{
+func New(table string, store storer.Feed, remote Remote, self Peer, peers func() []Peer, maxAge time.Duration, log *logger.Logger, opts ...Option) *Subscriber {
+	s := &Subscriber{
 		table: table, store: store, remote: remote, self: self, peers: peers, maxAge: maxAge,
 		log: log.Component("subscriber"), skippedAt: make(map[string]time.Time),
 	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
 }
 
-// chooseSource returns the host of the data centre that follows the table at the
-// store: among the hosts with the widest link that are not skipped, the first by
-// hash. It returns false if that is this host. This host is skipped, too, while the store
-// does not answer it: other hosts may reach the store.
-func (s *Subscriber) chooseSource() (Peer, bool) {
+// chooseSource returns the host of the data centre at which this one follows the table, out
+// of those that are not skipped. It returns false if that is this host, which then asks the
+// store. This host is skipped, too, while the store does not answer it: other hosts may reach
+// the store.
+func (s *Subscriber) chooseSource(peers []Peer) (Peer, bool) {
+	asked := slices.DeleteFunc(slices.Clone(peers), s.skipped)
 	best, found := s.self, false
-	skipSelf := s.skipped(s.self)
-	for _, p := range s.peers() {
-		if !s.skipped(p) && (skipSelf && !found || s.preferred(p, best)) {
-			best, found = p, true
-		}
+	if s.skipped(s.self) {
+		best, found = s.first(asked)
+	} else {
+		best, found = Assign(s.table, s.self, asked)
 	}
 	if best.name != s.source {
 		s.source = best.name
@@ -93,6 +114,17 @@
 	return best, found
 }
 
+// first returns the first of the peers in order, or this host and false if there are none.
+func (s *Subscriber) first(peers []Peer) (Peer, bool) {
+	best, found := s.self, false
+	for _, p := range peers {
+		if !found || s.preferred(p, best) {
+			best, found = p, true
+		}
+	}
+	return best, found
+}
+
 // skipped reports whether a host has failed lately.
 func (s *Subscriber) skipped(p Peer) bool { return time.Since(s.skippedAt[p.name]) < skipTime }
 
@@ -100,18 +132,16 @@
 	if a.link != b.link {
 		return a.link > b.link
 	}
-	return s.hash(a.name) > s.hash(b.name)
+	return hash(s.table, a.name) > hash(s.table, b.name)
 }
 
-func (s *Subscriber) hash(host string) uint64 { return xxhash.Sum64String(s.table + "\x00" + host) }
-
 // Snapshot implements storer.Feed.
 func (s *Subscriber) Snapshot(ctx context.Context) (storer.Changes, error) {
-	if p, ok := s.chooseSource(); ok {
-		limited, cancel := context.WithTimeout(ctx, snapshotTimeout)
-		copied, err := s.remote.Snapshot(limited, p.address, s.table)
-		cancel()
+	peers := s.candidates(ctx)
+	if p, ok := s.chooseSource(peers); ok {
+		copied, err := s.readCopy(ctx, p, len(peers) >= MaxFollowers)
 		if changes, ok := s.accept(p, copied, err); ok {
+			s.hasRead = true
 			return changes, nil
 		}
 	}
@@ -120,12 +150,41 @@
 	if err != nil {
 		return changes, fmt.Errorf("read from the store: %w", err)
 	}
+	s.hasRead = true
 	return changes, nil
 }
 
+// candidates returns the other hosts of the data centre that may have a copy. Before the
+// first read, no host is known to be alive. In a small data centre, each host then reads the
+// store, which is faster than to wait for another host that may be starting, too.
+func (s *Subscriber) candidates(ctx context.Context) []Peer {
+	peers := s.peers()
+	if s.hasRead || len(peers) > 0 || s.startPeers == nil {
+		return peers
+	}
+	if listed := s.startPeers(ctx); len(listed) >= MaxFollowers {
+		return listed
+	}
+	return nil
+}
+
+// readCopy reads the whole copy of another host. In a large data centre it waits for it: if
+// all hosts have started at once, or the store has been restored, the other host is reading
+// the table, and the store could not send it to all hosts in that time.
+func (s *Subscriber) readCopy(ctx context.Context, p Peer, wait bool) (mirrorer.Copy, error) {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	for {
+		copied, err := s.remote.Snapshot(ctx, p.address, s.table)
+		if err == nil || !wait || sleeper.Sleep(ctx, copyInterval/2+rand.N(copyInterval)) != nil {
+			return copied, err
+		}
+	}
+}
+
 // Follow implements storer.Feed.
 func (s *Subscriber) Follow(ctx context.Context, after storer.Version, wait time.Duration) (storer.Changes, error) {
-	if p, ok := s.chooseSource(); ok {
+	if p, ok := s.chooseSource(s.peers()); ok {
 		limited, cancel := context.WithTimeout(ctx, peerPollTime+peerTimeout)
 		copied, err := s.remote.Follow(limited, p.address, s.table, after, peerPollTime)
 		cancel()
