messenger, subscriber: pack the rows of tables between hosts

The host that passes the tables of a data centre on sent 1,257 kB per second with 300 hosts.

In a data centre of more than 13 hosts, a source passes a table on to at most 6 others in place of 12.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -110,6 +110,7 @@
 }
 
 func (m *Messenger) follow(ctx context.Context, address string, in *followDocument) (mirrorer.Copy, error) {
+	in.Packs = true
 	var out copyDocument
 	if err := m.invoke(ctx, address, methodFollow, in, &out); err != nil {
 		return mirrorer.Copy{}, err
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -168,6 +168,7 @@
 	Snapshot bool   `cbor:"2,keyasint,omitempty"`
 	After    uint64 `cbor:"3,keyasint,omitempty"`
 	WaitUS   int64  `cbor:"4,keyasint,omitempty"`
+	Packs    bool   `cbor:"5,keyasint,omitempty"` // the sender reads packed rows
 }
 
 type copyDocument struct {
@@ -177,6 +178,7 @@
 	HistoryLost bool             `cbor:"4,keyasint,omitempty"` // the changes since the requested version are not all available
 	Unavailable bool             `cbor:"5,keyasint,omitempty"` // the host has no copy of the table
 	ClockUS     int64            `cbor:"6,keyasint,omitempty"` // monotonic clock of the store
+	Packed      []byte           `cbor:"7,keyasint,omitempty"` // rows, in place of Rows
 }
 
 type changeDocument struct {
@@ -201,6 +203,9 @@
 	case d.Unavailable:
 		return mirrorer.Copy{}, storer.ErrUnavailable
 	}
+	if err := d.unpack(); err != nil {
+		return mirrorer.Copy{}, err
+	}
 	list := make([]storer.Change, 0, len(d.Rows))
 	for _, r := range d.Rows {
 		if r.Removed {
@@ -267,7 +272,13 @@
 	case err != nil:
 		return nil, fmt.Errorf("follow table %s: %w", in.Table, err)
 	}
-	return encodeCopy(c), nil
+	out := encodeCopy(c)
+	if in.Packs {
+		if err := out.pack(); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
 }
 
 // maxWait bounds how long a long poll of another host is held.
--- a/subscriber/assign.go
+++ b/subscriber/assign.go
@@ -7,11 +7,16 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// MaxFollowers is the number of hosts of a data centre that follow a table at the same host.
-// What that host sends would otherwise grow with the square of the hosts: with their number,
-// and with the rows, of which each host has some. In a larger data centre, several hosts
-// follow the table at the store, which answers one with little work.
-const MaxFollowers = 12
+const (
+	// MaxFollowers is the number of hosts of a data centre that follow a table at the same
+	// host. What that host sends would otherwise grow with the square of the hosts: with
+	// their number, and with the rows, of which each host has some. In a larger data centre,
+	// several hosts follow the table at the store.
+	MaxFollowers = 12
+	// FollowersPerSource is their number in a larger data centre, where the tables have more
+	// rows.
+	FollowersPerSource = 6
+)
 
 // Assign returns the host at which self follows a table, out of the other hosts of its data
 // centre that may be asked. It returns false if self follows the table at the store. All
@@ -35,7 +40,12 @@
 }
 
 // sourceCount returns how many of a number of hosts follow a table at the store.
-func sourceCount(hosts int) int { return (hosts + MaxFollowers) / (MaxFollowers + 1) }
+func sourceCount(hosts int) int {
+	if hosts <= MaxFollowers+1 {
+		return 1
+	}
+	return (hosts + FollowersPerSource) / (FollowersPerSource + 1)
+}
 
 // hash ranks the hosts with links of the same width.
 func hash(table, host string) uint64 { return xxhash.Sum64String(table + "\x00" + host) }
--- a/subscriber/assign_test.go
+++ b/subscriber/assign_test.go
@@ -37,7 +37,7 @@
 	tests := []struct {
 		hosts   int
 		readers int // most in a data centre
-	}{{30, 1}, {62, 1}, {78, 1}, {300, 4}, {3000, 39}}
+	}{{30, 1}, {62, 1}, {78, 1}, {90, 3}, {300, 8}, {3000, 72}}
 	for _, tt := range tests {
 		t.Run(fmt.Sprint(tt.hosts), func(t *testing.T) {
 			is := is.New(t)
@@ -56,6 +56,7 @@
 			for source, n := range followers {
 				is.True(readers[source]) // no copy of a copy
 				is.True(n <= subscriber.MaxFollowers)
+				is.True(n <= subscriber.FollowersPerSource || len(list) <= subscriber.MaxFollowers+1)
 			}
 		})
 	}
@@ -91,8 +92,8 @@
 	}{
 		{30, time.Second, 5},
 		{62, time.Second, 10},
-		{300, time.Second, 4},
-		{3000, time.Second, 39},
+		{300, time.Second, 8},
+		{3000, time.Second, 72},
 		{300, time.Minute, 50},
 	}
 	for _, tt := range tests {
