subscriber: give copies of large tables time to arrive

The rows of 3,004 endpoints take more than a second over a narrow link, after which a host read the table at the store, which all hosts together overload. In a large data centre, a host asks for a copy that its source does not have yet for 2 s, and a copy may take 3 s. The time of the request counts towards the age of the copy.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -30,6 +30,12 @@
 	Contact(v storer.Version, clock, age time.Duration)
 }
 
+// Patient is a feed that bounds the time of its reads of a whole table itself.
+type Patient interface {
+	// SnapshotTimeout returns the longest time that such a read may take.
+	SnapshotTimeout() time.Duration
+}
+
 // Handlers passes the rows of one table to several handlers, in order.
 type Handlers []Handler
 
@@ -250,6 +256,9 @@
 
 func (f *Follower) fetch(ctx context.Context) (storer.Changes, error) {
 	limit := snapshotTimeout
+	if p, ok := f.feed.(Patient); ok {
+		limit = p.SnapshotTimeout()
+	}
 	if f.synced {
 		limit = f.wait + responseTime
 	}
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/dragonflyford/dragonflyford/follower"
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/mirrorer"
 	"github.com/dragonflyford/dragonflyford/sleeper"
@@ -44,8 +45,15 @@
 	// peerTimeout is added to peerPollTime. It leaves time for a call to the store
 	// within the time limit of a follower's call.
 	peerTimeout = 400 * time.Millisecond
-	// snapshotTimeout bounds the read of a whole table from another host.
-	snapshotTimeout = 1500 * time.Millisecond
+	// snapshotTimeout bounds the read of a whole table from another host, largeTimeout that
+	// in a large data centre, and storeTimeout that at the store. Over a narrow link, the
+	// rows of 3,000 endpoints take more than a second.
+	snapshotTimeout = time.Second
+	largeTimeout    = 3 * time.Second
+	storeTimeout    = 4 * time.Second
+	// copyWait is how long a host of a large data centre waits for a copy that another host
+	// does not have yet.
+	copyWait = 2 * time.Second
 	// copyInterval is the mean time between two requests for a copy that another host does
 	// not have yet.
 	copyInterval = 200 * time.Millisecond
@@ -71,7 +79,10 @@
 	failing    time.Time // since when the store does not answer this host; zero if it does
 }
 
-var _ storer.Feed = (*Subscriber)(nil)
+var (
+	_ storer.Feed      = (*Subscriber)(nil)
+	_ follower.Patient = (*Subscriber)(nil)
+)
 
 // Option sets an optional property of a Subscriber.
 type Option func(*Subscriber)
@@ -139,10 +150,10 @@
 func (s *Subscriber) Snapshot(ctx context.Context) (storer.Changes, error) {
 	peers := s.candidates(ctx)
 	if p, ok := s.chooseSource(peers); ok {
-		copied, err := s.readCopy(ctx, p, len(peers) >= MaxFollowers)
+		copied, took, err := s.readCopy(ctx, p, len(peers) >= MaxFollowers)
 		if changes, ok := s.accept(p, copied, err); ok {
 			s.hasRead = true
-			return changes, nil
+			return changes.Aged(copied.Age() + took), nil
 		}
 	}
 	changes, err := s.store.Snapshot(ctx)
@@ -170,18 +181,28 @@
 
 // readCopy reads the whole copy of another host. In a large data centre it waits for it: if
 // all hosts have started at once, or the store has been restored, the other host is reading
-// the table, and the store could not send it to all hosts in that time.
-func (s *Subscriber) readCopy(ctx context.Context, p Peer, wait bool) (mirrorer.Copy, error) {
-	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
-	defer cancel()
+// the table, and the store could not send it to all hosts in that time. Took is the time of
+// the request that was answered, by which the copy may be older than it says.
+func (s *Subscriber) readCopy(ctx context.Context, p Peer, large bool) (c mirrorer.Copy, took time.Duration, err error) {
+	timeout, deadline := snapshotTimeout, time.Now()
+	if large {
+		timeout, deadline = largeTimeout, deadline.Add(copyWait)
+	}
 	for {
-		copied, err := s.remote.Snapshot(ctx, p.address, s.table)
-		if err == nil || !wait || sleeper.Sleep(ctx, copyInterval/2+rand.N(copyInterval)) != nil {
-			return copied, err
+		began := time.Now()
+		limited, cancel := context.WithTimeout(ctx, timeout)
+		c, err = s.remote.Snapshot(limited, p.address, s.table)
+		cancel()
+		if err == nil || time.Now().After(deadline) || sleeper.Sleep(ctx, copyInterval/2+rand.N(copyInterval)) != nil {
+			return c, time.Since(began), err
 		}
 	}
 }
 
+// SnapshotTimeout implements follower.Patient. It leaves time for a read at the store after
+// one at another host.
+func (s *Subscriber) SnapshotTimeout() time.Duration { return copyWait + largeTimeout + storeTimeout }
+
 // Follow implements storer.Feed.
 func (s *Subscriber) Follow(ctx context.Context, after storer.Version, wait time.Duration) (storer.Changes, error) {
 	if p, ok := s.chooseSource(s.peers()); ok {
