--- a/enroller/view.go
+++ b/enroller/view.go
@@ -227,16 +227,24 @@
 // Ranked returns the first n live hosts by the rendezvous hash of a key, the best first. It
 // does not depend on the host that asks.
 func (v *View) Ranked(key string, n int) []*Host {
-	hashes := make(map[*Host]uint64, len(v.hosts))
-	list := make([]*Host, 0, len(v.hosts))
+	n = min(n, len(v.hosts))
+	hashes := make([]uint64, 0, n+1)
+	list := make([]*Host, 0, n+1)
 	for name, h := range v.hosts {
-		if v.serving(h) {
-			hashes[h] = rendezvousHash(key, name)
-			list = append(list, h)
+		if !v.serving(h) {
+			continue
+		}
+		hash := rendezvousHash(key, name)
+		i, _ := slices.BinarySearchFunc(hashes, hash, func(a, b uint64) int { return cmp.Compare(b, a) })
+		if i == n {
+			continue
+		}
+		hashes, list = slices.Insert(hashes, i, hash), slices.Insert(list, i, h)
+		if len(list) > n {
+			hashes, list = hashes[:n], list[:n]
 		}
 	}
-	slices.SortFunc(list, func(a, b *Host) int { return cmp.Compare(hashes[b], hashes[a]) })
-	return list[:min(n, len(list))]
+	return list
 }
 
 // rendezvousHash ranks a host for a key. All hosts compute the same.
