subscriber: read copies at a start although few hosts are known to be alive

Once the table of the hosts was read, the first hosts from which a heartbeat came were taken for all of the data centre, so that a host read the table of the endpoints at the store itself.

--- a/subscriber/assign_test.go
+++ b/subscriber/assign_test.go
@@ -85,16 +85,20 @@
 // started at once; against small data centres that wait for each other; and against a host
 // that waits for long for one that does not start.
 func TestWhoReadsAtStart(t *testing.T) {
+	none := func([]subscriber.Peer) []subscriber.Peer { return nil }
+	few := func(others []subscriber.Peer) []subscriber.Peer { return others[:2] }
 	tests := []struct {
 		hosts   int
 		takes   time.Duration // until a reader has its copy
-		readers int           // of the hosts of a data centre
+		alive   func(others []subscriber.Peer) []subscriber.Peer
+		readers int // of the hosts of a data centre
 	}{
-		{30, time.Second, 5},
-		{62, time.Second, 10},
-		{300, time.Second, 8},
-		{3000, time.Second, 72},
-		{300, time.Minute, 50},
+		{30, time.Second, none, 5},
+		{62, time.Second, none, 10},
+		{300, time.Second, none, 8},
+		{300, time.Second, few, 8},
+		{3000, time.Second, none, 72},
+		{300, time.Minute, none, 50},
 	}
 	for _, tt := range tests {
 		t.Run(fmt.Sprint(tt.hosts, tt.takes), func(t *testing.T) {
@@ -104,7 +108,7 @@
 				store, readers := &feed{}, 0
 				for i, self := range list {
 					r := &starting{began: time.Now(), takes: tt.takes}
-					s := subscriber.New("t", store, r, self, func() []subscriber.Peer { return nil }, time.Second, logger.Nop(),
+					s := subscriber.New("t", store, r, self, func() []subscriber.Peer { return tt.alive(without(list, i)) }, time.Second, logger.Nop(),
 						subscriber.WithStartPeers(func(context.Context) []subscriber.Peer { return without(list, i) }))
 					before := store.calls
 					began := time.Now()
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -166,17 +166,16 @@
 }
 
 // candidates returns the other hosts of the data centre that may have a copy. Before the
-// first read, no host is known to be alive. In a small data centre, each host then reads the
-// store, which is faster than to wait for another host that may be starting, too.
+// first read, few or none are known to be alive. In a small data centre, each host then reads
+// the store, which is faster than to wait for another host that may be starting, too.
 func (s *Subscriber) candidates(ctx context.Context) []Peer {
-	peers := s.peers()
-	if s.hasRead || len(peers) > 0 || s.startPeers == nil {
-		return peers
+	if s.hasRead || s.startPeers == nil {
+		return s.peers()
 	}
 	if listed := s.startPeers(ctx); len(listed) >= MaxFollowers {
 		return listed
 	}
-	return nil
+	return s.peers()
 }
 
 // readCopy reads the whole copy of another host. In a large data centre it waits for it: if
