--- a/enroller/view.go
+++ b/enroller/view.go
@@ -3,11 +3,13 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/dragonflyford/dragonflyford/encoder"
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
@@ -24,6 +26,22 @@
 	processSeen time.Time // when a row of the host's current process was first read
 }
 
+// ListedHosts returns the hosts that the rows of a list describe, without those that are
+// leaving. They may not be alive.
+func ListedHosts(rows []storer.Change) []*Host {
+	var list []*Host
+	for _, r := range rows {
+		name, ok := strings.CutPrefix(r.Key(), HostPrefix)
+		if !ok || r.Removed() {
+			continue
+		}
+		if doc, err := encoder.Unmarshal[hostDocument](r.Value()); err == nil && !doc.Leaving {
+			list = append(list, &Host{name: name, doc: doc, version: r.Version()})
+		}
+	}
+	return list
+}
+
 // Name returns the name of the host, which is its IP address.
 func (h *Host) Name() string { return h.name }
 
@@ -215,16 +233,24 @@
 // Ranked returns the first n live hosts by the rendezvous hash of a key, the best first. It
 // does not depend on the host that asks.
 func (v *View) Ranked(key string, n int) []*Host {
-	hashes := make(map[*Host]uint64, len(v.hosts))
-	list := make([]*Host, 0, len(v.hosts))
+	n = min(n, len(v.hosts))
+	hashes := make([]uint64, 0, n+1)
+	list := make([]*Host, 0, n+1)
 	for name, h := range v.hosts {
-		if v.serving(h) {
-			hashes[h] = rendezvousHash(key, name)
-			list = append(list, h)
+		if !v.serving(h) {
+			continue
+		}
+		hash := rendezvousHash(key, name)
+		i, _ := slices.BinarySearchFunc(hashes, hash, func(a, b uint64) int { return cmp.Compare(b, a) })
+		if i == n {
+			continue
+		}
+		hashes, list = slices.Insert(hashes, i, hash), slices.Insert(list, i, h)
+		if len(list) > n {
+			hashes, list = hashes[:n], list[:n]
 		}
 	}
-	slices.SortFunc(list, func(a, b *Host) int { return cmp.Compare(hashes[b], hashes[a]) })
-	return list[:min(n, len(list))]
+	return list
 }
 
 // rendezvousHash ranks a host for a key. All hosts compute the same.
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -4,13 +4,16 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/dragonflyford/dragonflyford/follower"
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/mirrorer"
+	"github.com/dragonflyford/dragonflyford/sleeper"
 	"github.com/dragonflyford/dragonflyford/storer"
 )
 
@@ -42,8 +45,18 @@
 	// peerTimeout is added to peerPollTime. It leaves time for a call to the store
 	// within the time limit of a follower's call.
 	peerTimeout = 400 * time.Millisecond
-	// snapshotTimeout bounds the read of a whole table from another host.
+	// snapshotTimeout bounds the read of a whole table from another host, largeTimeout that
+	// in a large data centre, and storeTimeout that at the store. Over a narrow link, the
+	// rows of 3,000 endpoints take more than a second.
 	snapshotTimeout = time.Second
+	largeTimeout    = 3 * time.Second
+	storeTimeout    = 4 * time.Second
+	// copyWait is how long a host of a large data centre waits for a copy that another host
+	// does not have yet.
+	copyWait = 2 * time.Second
+	// copyInterval is the mean time between two requests for a copy that another host does
+	// not have yet.
+	copyInterval = 200 * time.Millisecond
 )
 
 var errStale = eris.New("copy of the table at the other host is too old")
@@ -51,40 +64,59 @@
 // Subscriber is a feed that reads from another host if possible, and otherwise from
 // the store.
 type Subscriber struct {
-	table     string
-	store     storer.Feed
-	remote    Remote
-	self      Peer
-	peers     func() []Peer // live hosts of the data centre without this one
-	maxAge    time.Duration
-	log       *logger.Logger
-	skippedAt map[string]time.Time // by host; used only by the follower's goroutine
-	source    string
-	failing   time.Time // since when the store does not answer this host; zero if it does
+	table  string
+	store  storer.Feed
+	remote Remote
+	self   Peer
+	peers  func() []Peer // live hosts of the data centre without this one
+	// startPeers returns those hosts before any is known to be alive; nil if unknown.
+	startPeers func(context.Context) []Peer
+	maxAge     time.Duration
+	log        *logger.Logger
+	skippedAt  map[string]time.Time // by host; used only by the follower's goroutine
+	source     string
+	hasRead    bool
+	failing    time.Time // since when the store does not answer this host; zero if it does
 }
 
-var _ storer.Feed = (*Subscriber)(nil)
+var (
+	_ storer.Feed      = (*Subscriber)(nil)
+	_ follower.Patient = (*Subscriber)(nil)
+)
+
+// Option sets an optional property of a Subscriber.
+type Option func(*Subscriber)
+
+// WithStartPeers sets the function that returns the other hosts of the data centre that may
+// be starting, too. It is called before the first read of the table.
+func WithStartPeers(list func(context.Context) []Peer) Option {
+	return func(s *Subscriber) { s.startPeers = list }
+}
 
 // New returns a feed of a table. MaxAge is the maximum age of a copy from another
 // host.
-func New(table string, store storer.Feed, remote Remote, self Peer, peers func() []Peer, maxAge time.Duration, log *logger.Logger) *Subscriber {
-	return &Subscriber{
+func New(table string, store storer.Feed, remote Remote, self Peer, peers func() []Peer, maxAge time.Duration, log *logger.Logger, opts ...Option) *Subscriber {
+	s := &Subscriber{
 		table: table, store: store, remote: remote, self: self, peers: peers, maxAge: maxAge,
 		log: log.Component("subscriber"), skippedAt: make(map[string]time.Time),
 	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
 }
 
-// chooseSource returns the host of the data centre that follows the table at the
-// store: among the hosts with the widest link that are not skipped, the first by
-// hash. It returns false if that is this host. This host is skipped, too, while the store
-// does not answer it: other hosts may reach the store.
-func (s *Subscriber) chooseSource() (Peer, bool) {
+// chooseSource returns the host of the data centre at which this one follows the table, out
+// of those that are not skipped. It returns false if that is this host, which then asks the
+// store. This host is skipped, too, while the store does not answer it: other hosts may reach
+// the store.
+func (s *Subscriber) chooseSource(peers []Peer) (Peer, bool) {
+	asked := slices.DeleteFunc(slices.Clone(peers), s.skipped)
 	best, found := s.self, false
-	skipSelf := s.skipped(s.self)
-	for _, p := range s.peers() {
-		if !s.skipped(p) && (skipSelf && !found || s.preferred(p, best)) {
-			best, found = p, true
-		}
+	if s.skipped(s.self) {
+		best, found = s.first(asked)
+	} else {
+		best, found = Assign(s.table, s.self, asked)
 	}
 	if best.name != s.source {
 		s.source = best.name
@@ -93,6 +125,17 @@
 	return best, found
 }
 
+// first returns the first of the peers in order, or this host and false if there are none.
+func (s *Subscriber) first(peers []Peer) (Peer, bool) {
+	best, found := s.self, false
+	for _, p := range peers {
+		if !found || s.preferred(p, best) {
+			best, found = p, true
+		}
+	}
+	return best, found
+}
+
 // skipped reports whether a host has failed lately.
 func (s *Subscriber) skipped(p Peer) bool { return time.Since(s.skippedAt[p.name]) < skipTime }
 
@@ -100,19 +143,17 @@
 	if a.link != b.link {
 		return a.link > b.link
 	}
-	return s.hash(a.name) > s.hash(b.name)
+	return hash(s.table, a.name) > hash(s.table, b.name)
 }
 
-func (s *Subscriber) hash(host string) uint64 { return xxhash.Sum64String(s.table + "\x00" + host) }
-
 // Snapshot implements storer.Feed.
 func (s *Subscriber) Snapshot(ctx context.Context) (storer.Changes, error) {
-	if p, ok := s.chooseSource(); ok {
-		limited, cancel := context.WithTimeout(ctx, snapshotTimeout)
-		copied, err := s.remote.Snapshot(limited, p.address, s.table)
-		cancel()
+	peers := s.candidates(ctx)
+	if p, ok := s.chooseSource(peers); ok {
+		copied, took, err := s.readCopy(ctx, p, len(peers) >= MaxFollowers)
 		if changes, ok := s.accept(p, copied, err); ok {
-			return changes, nil
+			s.hasRead = true
+			return changes.Aged(copied.Age() + took), nil
 		}
 	}
 	changes, err := s.store.Snapshot(ctx)
@@ -120,12 +161,50 @@
 	if err != nil {
 		return changes, fmt.Errorf("read from the store: %w", err)
 	}
+	s.hasRead = true
 	return changes, nil
 }
 
+// candidates returns the other hosts of the data centre that may have a copy. Before the
+// first read, few or none are known to be alive. In a small data centre, each host then reads
+// the store, which is faster than to wait for another host that may be starting, too.
+func (s *Subscriber) candidates(ctx context.Context) []Peer {
+	if s.hasRead || s.startPeers == nil {
+		return s.peers()
+	}
+	if listed := s.startPeers(ctx); len(listed) >= MaxFollowers {
+		return listed
+	}
+	return s.peers()
+}
+
+// readCopy reads the whole copy of another host. In a large data centre it waits for it: if
+// all hosts have started at once, or the store has been restored, the other host is reading
+// the table, and the store could not send it to all hosts in that time. Took is the time of
+// the request that was answered, by which the copy may be older than it says.
+func (s *Subscriber) readCopy(ctx context.Context, p Peer, large bool) (c mirrorer.Copy, took time.Duration, err error) {
+	timeout, deadline := snapshotTimeout, time.Now()
+	if large {
+		timeout, deadline = largeTimeout, deadline.Add(copyWait)
+	}
+	for {
+		began := time.Now()
+		limited, cancel := context.WithTimeout(ctx, timeout)
+		c, err = s.remote.Snapshot(limited, p.address, s.table)
+		cancel()
+		if err == nil || time.Now().After(deadline) || sleeper.Sleep(ctx, copyInterval/2+rand.N(copyInterval)) != nil {
+			return c, time.Since(began), err
+		}
+	}
+}
+
+// SnapshotTimeout implements follower.Patient. It leaves time for a read at the store after
+// one at another host.
+func (s *Subscriber) SnapshotTimeout() time.Duration { return copyWait + largeTimeout + storeTimeout }
+
 // Follow implements storer.Feed.
 func (s *Subscriber) Follow(ctx context.Context, after storer.Version, wait time.Duration) (storer.Changes, error) {
-	if p, ok := s.chooseSource(); ok {
+	if p, ok := s.chooseSource(s.peers()); ok {
 		limited, cancel := context.WithTimeout(ctx, peerPollTime+peerTimeout)
 		copied, err := s.remote.Follow(limited, p.address, s.table, after, peerPollTime)
 		cancel()
