--- a/assembler/deployment_test.go
+++ b/assembler/deployment_test.go
@@ -42,6 +42,7 @@
 	logs    lockedBuffer
 	stops   map[string]func() // of each host that was started
 	storeOf map[string]string // address of the store, of hosts that do not use the server's
+	urgency bool              // whether hosts tell engines the priority of calls
 }
 
 type lockedBuffer struct {
@@ -150,8 +151,9 @@
 		"data_centres": [{"name": "z1", "region": "r1"}],
 		"store": {"address": %q},
 		"lease": {"renew": "300ms", "time": "2s", "guard": "300ms", "turns": "500ms"},
+		"engines": {"urgency": %t},
 		"stop": {"grace": "5s"}}`,
-		address, address, d.listenAddress(host, 0), d.listenAddress(host, 1), d.listenAddress(host, 2), d.listenAddress(host, 3), d.listenAddress(host, 4), store))
+		address, address, d.listenAddress(host, 0), d.listenAddress(host, 1), d.listenAddress(host, 2), d.listenAddress(host, 3), d.listenAddress(host, 4), store, d.urgency))
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/configurer/decoder.go
+++ b/configurer/decoder.go
@@ -175,6 +175,12 @@
 		}
 		into.SetInt(n)
 		return true
+	case bool:
+		if into.Kind() != reflect.Bool {
+			return false
+		}
+		into.SetBool(t)
+		return true
 	default:
 		return false
 	}
@@ -208,6 +214,8 @@
 		return "a whole number"
 	case into.Kind() == reflect.Float64:
 		return "a number"
+	case into.Kind() == reflect.Bool:
+		return "true or false"
 	default:
 		return "a string"
 	}
--- a/configurer/entry_test.go
+++ b/configurer/entry_test.go
@@ -33,6 +33,11 @@
 	is.Equal(e.TakeoverDelay(), 3*time.Second)
 	is.Equal(e.RepeatRatio(), 0.2)
 	is.Equal(e.LeaseTime(), 12*time.Second) // default
+	is.True(!e.Urgency())                   // default
+	e, err = configurer.ParseEntry([]byte(strings.Replace(entrySettings, `"stop"`, `"engines": {"urgency": true}, "stop"`, 1)))
+	is.NoErr(err)
+	is.True(e.Urgency())
+	is.Equal(e.OutputToken(), 14*time.Millisecond) // default
 }
 
 // Guards against accepting settings that cannot work.
@@ -51,6 +56,8 @@
 		{"load of an hour", `"stop"`, `"engines": {"adapter_load": "1h"}, "stop"`, "engines.adapter_load"},
 		{"no time between reports", `"stop"`, `"endpoints": {"report_interval": "0s"}, "stop"`, "endpoints.report_interval"},
 		{"streams without end", `"stop"`, `"streams": {"lifetime": "-1s"}, "stop"`, "streams.lifetime"},
+		{"urgency is a number", `"stop"`, `"engines": {"urgency": 1}, "stop"`, "engines.urgency"},
+		{"link is a truth value", `10.0}`, `true}`, "limits.link_mbps"},
 		{"unknown field", `"stop"`, `"stopp"`, "stopp"},
 	}
 	for _, tt := range tests {
--- a/logger/logger_test.go
+++ b/logger/logger_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -44,6 +45,23 @@
 	})
 }
 
+// Guards against a caller's key in a line because an error or the HTTP server prints a
+// header.
+func TestKeysInErrors(t *testing.T) {
+	header := http.Header{"Authorization": {"Token s3cret"}}
+	for _, text := range []string{
+		"Authorization: Token s3cret", "authorization: token s3cret", fmt.Sprint(header), fmt.Sprintf("%#v", header), fmt.Sprintf("%q", header),
+		`{"Authorization": "Token s3cret"}`,
+	} {
+		is := is.New(t)
+		l, out := newLogger(t, "info")
+		l.Warn("failed", logger.Err(errors.New(text)))
+		l.StdLogger("http-server").Print(text)
+		is.True(!strings.Contains(out.String(), "s3cret"))
+		is.Equal(strings.Count(out.String(), "[removed]"), 2)
+	}
+}
+
 // Guards against a frequent event that fills the log and hides other events, and
 // against unbounded memory for distinct events.
 func TestFlood(t *testing.T) {
--- a/relayer/harness_test.go
+++ b/relayer/harness_test.go
@@ -107,6 +107,8 @@
 	script       map[string][]endpointFunc // by endpoint; the last one handles all further calls
 	sent         []string
 	resumed      []string
+	outbounds    []*exchanger.Outbound
+	maxWaits     []time.Duration // told to owners
 	breaks       int
 	outputs      int
 	turns        map[string]limiter.Verdict // by endpoint; granted at once if there is none
@@ -140,15 +142,17 @@
 	}
 	r.sent = append(r.sent, e.ID())
 	r.resumed = append(r.resumed, out.LastEvent())
+	r.outbounds = append(r.outbounds, out)
 	r.mu.Unlock()
 	return list[0](ctx, out)
 }
 
-func (r *harness) Reserve(_ context.Context, e *tracker.Endpoint, _ connector.Model, _ ...supplier.ReserveOption) (supplier.ReserveResponse, error) {
+func (r *harness) Reserve(_ context.Context, e *tracker.Endpoint, m connector.Model, opts ...supplier.ReserveOption) (supplier.ReserveResponse, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.reservations++
 	r.reserved = append(r.reserved, e)
+	r.maxWaits = append(r.maxWaits, supplier.NewReserveRequest(e.ID(), m, opts...).MaxWait())
 	if len(r.responses) == 0 {
 		return supplier.NewGranted(1, 0), nil
 	}
