--- a/assembler/deployment_test.go
+++ b/assembler/deployment_test.go
@@ -43,6 +43,7 @@
 	logs    lockedBuffer
 	stops   map[string]func() // of each host that was started
 	storeOf map[string]string // address of the store, of hosts that do not use the server's
+	urgency bool              // whether hosts tell engines the priority of calls
 }
 
 type lockedBuffer struct {
@@ -152,8 +153,9 @@
 		"store": {"address": %q},
 		"lease": {"renew": "300ms", "time": "2s", "guard": "300ms", "turns": "500ms"},
 		"endpoints": {"adaptive": %t},
+		"engines": {"urgency": %t},
 		"stop": {"grace": "5s"}}`,
-		address, address, d.listenAddress(host, 0), d.listenAddress(host, 1), d.listenAddress(host, 2), d.listenAddress(host, 3), d.listenAddress(host, 4), store, d.paced))
+		address, address, d.listenAddress(host, 0), d.listenAddress(host, 1), d.listenAddress(host, 2), d.listenAddress(host, 3), d.listenAddress(host, 4), store, d.paced, d.urgency))
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/configurer/entry_test.go
+++ b/configurer/entry_test.go
@@ -37,6 +37,11 @@
 	e, err = configurer.ParseEntry([]byte(strings.Replace(entrySettings, `"stop"`, `"endpoints": {"adaptive": true}, "stop"`, 1)))
 	is.NoErr(err)
 	is.True(e.AdaptiveLimits())
+	is.True(!e.Urgency())                   // default
+	e, err = configurer.ParseEntry([]byte(strings.Replace(entrySettings, `"stop"`, `"engines": {"urgency": true}, "stop"`, 1)))
+	is.NoErr(err)
+	is.True(e.Urgency())
+	is.Equal(e.OutputToken(), 14*time.Millisecond) // default
 }
 
 // Guards against accepting settings that cannot work.
@@ -59,6 +64,8 @@
 		{"quota window of no time", `"stop"`, `"quotas": {"window": "0s"}, "stop"`, "quotas.window"},
 		{"quota exceeded by more than itself", `"stop"`, `"quotas": {"over": 1.5}, "stop"`, "quotas.over"},
 		{"negative quota slack", `"stop"`, `"quotas": {"slack": -1}, "stop"`, "quotas.slack"},
+		{"urgency is a number", `"stop"`, `"engines": {"urgency": 1}, "stop"`, "engines.urgency"},
+		{"link is a truth value", `10.0}`, `true}`, "limits.link_mbps"},
 		{"unknown field", `"stop"`, `"stopp"`, "stopp"},
 	}
 	for _, tt := range tests {
