--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -183,7 +183,7 @@
 	// What is granted in a window and does not come back is within the bound.
 	for at := time.Duration(0); at < 3*window; at += 10 * time.Millisecond {
 		a.ReturnLate("w", 5000, start.Add(at)) // half of all calls end late without having run
-		for draw(1000, start.Add(at)) { // empties the bucket
+		for draw(1000, start.Add(at)) {        // empties the bucket
 		}
 	}
 	ran := 0.0
--- a/allotter/calls_test.go
+++ b/allotter/calls_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dragonflyford/dragonflyford/accountant"
 	"github.com/dragonflyford/dragonflyford/allotter"
 	"github.com/dragonflyford/dragonflyford/classifier"
 )
@@ -147,3 +148,20 @@
 		c.checkBound("w", rate, burst, began)
 	})
 }
+
+// BenchmarkGrant measures what the call of another host costs the owner of a quota, without the
+// message.
+func BenchmarkGrant(b *testing.B) {
+	const unlimited = 1e12
+	c := newCluster(b, 1, workspace("w", unlimited, unlimited))
+	h := c.anyHost(nil)
+	terms := accountant.NewTerms(1, unlimited, unlimited)
+	requests := make([]allotter.Request, 300)
+	for i := range requests {
+		requests[i] = allotter.NewRequest(hostName(i), "w", terms, meanTokens)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		h.quotas.Grant(requests[i%len(requests)])
+	}
+}
--- a/allotter/harness_test.go
+++ b/allotter/harness_test.go
@@ -38,13 +38,11 @@
 	patience    = 6 * time.Second        // of callers
 )
 
-var (
-	errCut = errors.New("the other host is cut off")
-)
+var errCut = errors.New("the other host is cut off")
 
 // cluster is a set of hosts with a store.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	began   time.Time
 	mu      sync.Mutex
 	rand    *rand.Rand
@@ -79,7 +77,7 @@
 	cluster *cluster
 }
 
-func newCluster(t *testing.T, n int, workspaces ...*router.Workspace) *cluster {
+func newCluster(t testing.TB, n int, workspaces ...*router.Workspace) *cluster {
 	t.Helper()
 	c := &cluster{
 		t: t, began: time.Now(), rand: rand.New(rand.NewPCG(1, 2)), rows: make(map[string]storer.Change),
