allotter: hand quotas over at a planned stop

A quota owner that left in a planned way lost more calls than one that was killed: 32 of 802 of a workspace at 0.9 of its quota, since the next owner took the hosts that changed over for ones that another host still granted for. A host that leaves grants nothing from the moment at which it begins to, and the others lend their whole parts to the next one at once.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -29,14 +29,15 @@
 // presenceInterval in the meantime, and calls do so again once it has answered one.
 const backoff = 3 * presenceInterval
 
-// ErrEnded reports that no process accepts connections at the address of a host.
-var ErrEnded = eris.New("the host's process has ended")
+// ErrEnded reports that a host grants nothing any more: it is about to leave, or no process accepts
+// connections at its address.
+var ErrEnded = eris.New("the host has ended")
 
 // Remote sends messages to the host at an address.
 type Remote interface {
-	// Draw asks for the tokens of a call.
+	// Draw asks for the tokens of a call. It fails with ErrEnded if the host has ended.
 	Draw(ctx context.Context, address string, r Request) (accountant.Verdict, error)
-	// SendPresence sends the presence of this host.
+	// SendPresence sends the presence of this host, and fails like Draw.
 	SendPresence(ctx context.Context, address string, p Presence) error
 }
 
@@ -44,6 +45,7 @@
 type Members interface {
 	View() *enroller.View
 	Self() string
+	Leaving() bool
 }
 
 // Tables provides the configuration.
@@ -128,6 +130,9 @@
 
 // role returns what the host at an index of a ranking is to this one.
 func (a *Allotter) role(r *enroller.Ranking, index int) Role {
+	if index == 0 && r.HandedOver() {
+		return Substitute{} // the host that leaves grants nothing any more
+	}
 	if index == 0 {
 		return Primary{}
 	}
@@ -150,7 +155,11 @@
 func (a *Allotter) ask(ctx context.Context, h *enroller.Host, r Request) (accountant.Verdict, error) {
 	r = r.With(a.reports.take(account{h.Name(), r.workspace}))
 	if h.Name() == a.members.Self() {
-		return a.Grant(r), nil
+		verdict, err := a.Grant(r)
+		if err != nil {
+			a.ended.Store(h.Name(), struct{}{}) // until this process ends
+		}
+		return verdict, err
 	}
 	var verdict accountant.Verdict
 	err := a.send(ctx, h, func(ctx context.Context) (err error) {
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -115,6 +115,12 @@
 	keeps bool
 }{
 	{"the quota owner ends", func(c *cluster) { c.kill(c.owner("w").name) }, true},
+	{"the quota owner leaves", func(c *cluster) {
+		owner := c.owner("w")
+		owner.members.Leave(c.t.Context())
+		time.Sleep(3 * time.Second)
+		c.kill(owner.name)
+	}, true},
 	{"the quota owner is cut off from hosts and store", func(c *cluster) { c.cut(1, true, c.owner("w").name) }, false},
 	{"the quota owner is cut off from hosts only", func(c *cluster) { c.cut(1, false, c.owner("w").name) }, false},
 	{"the region of the quota owner is cut off", func(c *cluster) {
--- a/allotter/calls_test.go
+++ b/allotter/calls_test.go
@@ -162,6 +162,8 @@
 	}
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
-		h.quotas.Grant(requests[i%len(requests)])
+		if _, err := h.quotas.Grant(requests[i%len(requests)]); err != nil {
+			b.Fatal(err)
+		}
 	}
 }
--- a/allotter/harness_test.go
+++ b/allotter/harness_test.go
@@ -251,22 +251,22 @@
 	if err != nil {
 		return nil, err
 	}
-	verdict := to.quotas.Grant(request)
+	verdict, err := to.quotas.Grant(request)
 	if to.region == r.from.region {
 		time.Sleep(nearLatency)
 	} else {
 		time.Sleep(farLatency)
 	}
-	return verdict, nil
+	return verdict, err
 }
 
 // SendPresence implements allotter.Remote.
 func (r remote) SendPresence(ctx context.Context, address string, p allotter.Presence) error {
 	to, err := r.reach(ctx, address)
-	if err == nil {
-		to.quotas.Hear(p)
+	if err != nil {
+		return err
 	}
-	return err
+	return to.quotas.Hear(p)
 }
 
 // RecordDraw implements allotter.Observer.
--- a/allotter/owner.go
+++ b/allotter/owner.go
@@ -7,13 +7,17 @@
 	"github.com/dragonflyford/dragonflyford/router"
 )
 
-// Grant decides on the request of a host, which may be this one.
-func (a *Allotter) Grant(r Request) accountant.Verdict {
+// Grant decides on the request of a host, which may be this one. It fails with ErrEnded once this
+// host leaves, so that all hosts ask the next one from the same moment on.
+func (a *Allotter) Grant(r Request) (accountant.Verdict, error) {
+	if a.members.Leaving() {
+		return nil, ErrEnded
+	}
 	now := time.Now()
 	a.hear(r.workspace, r.from, r.role, now)
 	a.settle(r.workspace, r.report, now)
 	t := a.newest(r)
-	return a.owned.Draw(r.workspace, t, a.lendings.part(r.workspace, t, now), r.cost, now)
+	return a.owned.Draw(r.workspace, t, a.lendings.part(r.workspace, t, now), r.cost, now), nil
 }
 
 // newest returns the newer one of the terms that the host that asks knows and those that this
@@ -43,13 +47,17 @@
 	}
 }
 
-// Hear records the presence of another host.
-func (a *Allotter) Hear(p Presence) {
+// Hear records the presence of a host. It fails like Grant.
+func (a *Allotter) Hear(p Presence) error {
+	if a.members.Leaving() {
+		return ErrEnded
+	}
 	now := time.Now()
 	for _, q := range p.quotas {
 		a.hear(q.workspace, p.from, p.role, now)
 		a.settle(q.workspace, q.report, now)
 	}
+	return nil
 }
 
 // settle applies what a host reports of earlier calls of a workspace.
--- a/allotter/presence.go
+++ b/allotter/presence.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -54,9 +53,23 @@
 		}
 		return true
 	})
+	a.reports.clear(func(key account) bool { return a.asks(view.Ranking(key.workspace), key.host) })
 	a.sendPresences(ctx, view, table)
 }
 
+// asks reports whether this host asks another one for tokens at present.
+func (a *Allotter) asks(r *enroller.Ranking, host string) bool {
+	for _, h := range r.Hosts() {
+		if h.Name() == host {
+			return true
+		}
+		if !a.unresponsive.Avoids(h.Name()) {
+			return false
+		}
+	}
+	return false
+}
+
 // recipient is a host that gets a presence.
 type recipient struct {
 	host *enroller.Host
@@ -85,9 +98,6 @@
 		}
 		open = a.sendTo(ctx, quotas)
 	}
-	a.reports.clear(func(key account) bool {
-		return slices.ContainsFunc(view.Ranking(key.workspace).Hosts(), func(h *enroller.Host) bool { return h.Name() == key.host })
-	})
 }
 
 // sendTo sends presences to hosts and returns the workspaces of those that do not answer.
@@ -95,16 +105,8 @@
 	var mu sync.Mutex
 	var running sync.WaitGroup
 	for to, list := range quotas {
-		p := NewPresence(a.members.Self(), list, to.role)
-		if to.host.Name() == a.members.Self() {
-			a.Hear(p)
-			continue
-		}
 		running.Go(func() {
-			err := a.send(ctx, to.host, func(ctx context.Context) error {
-				return a.remote.SendPresence(ctx, to.host.PeerAddress(), p)
-			})
-			if err == nil {
+			if a.sendPresence(ctx, to.host, NewPresence(a.members.Self(), list, to.role)) == nil {
 				return
 			}
 			mu.Lock()
@@ -118,3 +120,12 @@
 	running.Wait()
 	return unheard
 }
+
+func (a *Allotter) sendPresence(ctx context.Context, h *enroller.Host, p Presence) error {
+	if h.Name() == a.members.Self() {
+		return a.Hear(p)
+	}
+	return a.send(ctx, h, func(ctx context.Context) error {
+		return a.remote.SendPresence(ctx, h.PeerAddress(), p)
+	})
+}
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -283,11 +283,13 @@
 	return p.host.permitter.Grant(request)
 }
 
-func (p peerHandler) Draw(request allotter.Request) accountant.Verdict {
+func (p peerHandler) Draw(request allotter.Request) (accountant.Verdict, error) {
 	return p.host.allotter.Grant(request)
 }
 
-func (p peerHandler) HearPresence(presence allotter.Presence) { p.host.allotter.Hear(presence) }
+func (p peerHandler) HearPresence(presence allotter.Presence) error {
+	return p.host.allotter.Hear(presence)
+}
 
 func (p peerHandler) KeepRecords(list []replicator.Record) {
 	now := time.Now()
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -169,6 +169,9 @@
 	}
 }
 
+// Leaving reports whether this host has begun to leave. Others may not know yet.
+func (e *Enroller) Leaving() bool { return e.leaving.Load() }
+
 // Contact records that the store answered and that all rows up to version have
 // been applied. clock is the store's steady clock, or 0 if it is unknown, and age how long
 // ago the store confirmed the rows, if they are from the copy of another host. After
--- a/enroller/ranking.go
+++ b/enroller/ranking.go
@@ -6,8 +6,9 @@
 
 // Ranking is the order of the live hosts of a view for a key.
 type Ranking struct {
-	hosts   []*Host
-	serving int
+	hosts      []*Host
+	serving    int
+	handedOver bool
 }
 
 // Hosts returns the first two serving hosts by the rendezvous hash of the key, the best
@@ -17,6 +18,9 @@
 // Serving returns the number of hosts that were ranked.
 func (r *Ranking) Serving() int { return r.serving }
 
+// HandedOver reports whether the first host takes the place of one that leaves.
+func (r *Ranking) HandedOver() bool { return r.handedOver }
+
 // Ranking returns the ranking of the hosts for a key. It is computed once a view and key, and
 // counts the hosts that were alive at that time; the next contact to the store brings a new
 // view. The keys have to be few, such as the names of the configuration.
@@ -31,12 +35,16 @@
 func (v *View) rank(key string) *Ranking {
 	r := &Ranking{hosts: make([]*Host, 0, rankedHosts+1)}
 	hashes := make([]uint64, 0, rankedHosts+1)
+	leaving := uint64(0) // highest hash of a host that leaves
 	for name, h := range v.hosts {
+		hash := rendezvousHash(key, name)
 		if !v.serving(h) {
+			if h.doc.Leaving && v.Alive(h) {
+				leaving = max(leaving, hash)
+			}
 			continue
 		}
 		r.serving++
-		hash := rendezvousHash(key, name)
 		r.hosts, hashes = append(r.hosts, h), append(hashes, hash)
 		for i := len(hashes) - 1; i > 0 && hashes[i] > hashes[i-1]; i-- {
 			hashes[i], hashes[i-1] = hashes[i-1], hashes[i]
@@ -44,6 +52,7 @@
 		}
 		r.hosts, hashes = r.hosts[:min(len(hashes), rankedHosts)], hashes[:min(len(hashes), rankedHosts)]
 	}
+	r.handedOver = len(hashes) > 0 && leaving > hashes[0]
 	return r
 }
 
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -39,6 +39,7 @@
 	draw     allotter.Request
 	presence allotter.Presence
 	verdict  accountant.Verdict
+	ended    error
 }
 
 func (h *handler) Reserve(_ context.Context, request supplier.ReserveRequest) supplier.ReserveResponse {
@@ -67,17 +68,18 @@
 	return permitter.NewResponse(limiter.NewDeclined(request.MaxWait()), request.Limit())
 }
 
-func (h *handler) Draw(r allotter.Request) accountant.Verdict {
+func (h *handler) Draw(r allotter.Request) (accountant.Verdict, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.draw = r
-	return h.verdict
+	return h.verdict, h.ended
 }
 
-func (h *handler) HearPresence(p allotter.Presence) {
+func (h *handler) HearPresence(p allotter.Presence) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.presence = p
+	return h.ended
 }
 
 func (h *handler) KeepRecords(list []replicator.Record) {
@@ -276,7 +278,7 @@
 }
 
 // Guards against draws and presences that change on their way between hosts, and against a
-// refusal that arrives as a grant.
+// refusal or an error that arrives as a grant.
 func TestQuotas(t *testing.T) {
 	is := is.New(t)
 	h := &handler{verdict: accountant.Granted{}}
@@ -297,5 +299,9 @@
 		is.NoErr(client.SendPresence(t.Context(), address, p))
 		is.Equal(h.presence, p)
 	}
+	h.ended = allotter.ErrEnded // and it answers
+	_, err := client.Draw(t.Context(), address, request)
+	is.True(errors.Is(err, allotter.ErrEnded))
+	is.True(errors.Is(client.SendPresence(t.Context(), address, allotter.Presence{}), allotter.ErrEnded))
 	is.True(errors.Is(client.SendPresence(t.Context(), "127.0.0.1:1", allotter.Presence{}), allotter.ErrEnded))
 }
--- a/messenger/quotas.go
+++ b/messenger/quotas.go
@@ -25,6 +25,7 @@
 type drawnDocument struct {
 	Granted bool  `cbor:"1,keyasint,omitempty"`
 	WaitUS  int64 `cbor:"2,keyasint,omitempty"`
+	Ended   bool  `cbor:"3,keyasint,omitempty"` // the host grants nothing any more
 }
 
 // reportDocument reports on earlier calls of a workspace, in tokens.
@@ -42,6 +43,11 @@
 	Role       int                       `cbor:"4,keyasint,omitempty"`
 }
 
+// heardDocument answers a presence.
+type heardDocument struct {
+	Ended bool `cbor:"1,keyasint,omitempty"` // the host grants nothing any more
+}
+
 func encodeReport(r allotter.Report) reportDocument {
 	return reportDocument{Returned: r.Returned(), Late: r.Late(), Elsewhere: r.Elsewhere()}
 }
@@ -132,12 +138,22 @@
 }
 
 func (s *service) draw(_ context.Context, in *drawDocument) (*drawnDocument, error) {
-	return encodeDrawn(s.handler.Draw(decodeDraw(in))), nil
+	verdict, err := s.handler.Draw(decodeDraw(in))
+	switch {
+	case errors.Is(err, allotter.ErrEnded):
+		return &drawnDocument{Ended: true}, nil
+	case err != nil:
+		return nil, fmt.Errorf("draw: %w", err)
+	}
+	return encodeDrawn(verdict), nil
 }
 
-func (s *service) hear(_ context.Context, in *presenceDocument) (*emptyDocument, error) {
-	s.handler.HearPresence(decodePresence(in))
-	return &emptyDocument{}, nil
+func (s *service) hear(_ context.Context, in *presenceDocument) (*heardDocument, error) {
+	err := s.handler.HearPresence(decodePresence(in))
+	if err != nil && !errors.Is(err, allotter.ErrEnded) {
+		return nil, fmt.Errorf("hear presence: %w", err)
+	}
+	return &heardDocument{Ended: err != nil}, nil
 }
 
 // Draw asks the host at address for the tokens of a call.
@@ -146,12 +162,22 @@
 	if err := m.invoke(ctx, address, methodDraw, encodeDraw(r), &out); err != nil {
 		return nil, asEnded(err)
 	}
+	if out.Ended {
+		return nil, allotter.ErrEnded
+	}
 	return decodeDrawn(&out), nil
 }
 
 // SendPresence tells the host at address that this host reaches it.
 func (m *Messenger) SendPresence(ctx context.Context, address string, p allotter.Presence) error {
-	return asEnded(m.invoke(ctx, address, methodSendPresence, encodePresence(p), &emptyDocument{}))
+	var out heardDocument
+	if err := m.invoke(ctx, address, methodSendPresence, encodePresence(p), &out); err != nil {
+		return asEnded(err)
+	}
+	if out.Ended {
+		return allotter.ErrEnded
+	}
+	return nil
 }
 
 // asEnded marks the error of a message to a host that refuses connections.
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -227,10 +227,11 @@
 	LearnLimits(list []permitter.Report)
 	// Admit handles a request for a turn at an endpoint.
 	Admit(request permitter.Request) permitter.Response
-	// Draw handles a request for the tokens of a call.
-	Draw(r allotter.Request) accountant.Verdict
-	// HearPresence records that another host reaches this one.
-	HearPresence(p allotter.Presence)
+	// Draw handles a request for the tokens of a call. It fails with allotter.ErrEnded if this
+	// host grants nothing any more.
+	Draw(r allotter.Request) (accountant.Verdict, error)
+	// HearPresence records that another host reaches this one, and fails like Draw.
+	HearPresence(p allotter.Presence) error
 	// KeepRecords keeps records of streams that began at another host.
 	KeepRecords(list []replicator.Record)
 	// FindRecord returns what this host knows of the record of a stream.
