--- a/allotter/harness_test.go
+++ b/allotter/harness_test.go
@@ -38,13 +38,11 @@
 	patience    = 6 * time.Second        // of callers
 )
 
-var (
-	errCut = errors.New("the other host is cut off")
-)
+var errCut = errors.New("the other host is cut off")
 
 // cluster is a set of hosts with a store.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	began   time.Time
 	mu      sync.Mutex
 	rand    *rand.Rand
@@ -79,7 +77,7 @@
 	cluster *cluster
 }
 
-func newCluster(t *testing.T, n int, workspaces ...*router.Workspace) *cluster {
+func newCluster(t testing.TB, n int, workspaces ...*router.Workspace) *cluster {
 	t.Helper()
 	c := &cluster{
 		t: t, began: time.Now(), rand: rand.New(rand.NewPCG(1, 2)), rows: make(map[string]storer.Change),
@@ -253,22 +251,22 @@
 	if err != nil {
 		return nil, err
 	}
-	verdict := to.quotas.Grant(request)
+	verdict, err := to.quotas.Grant(request)
 	if to.region == r.from.region {
 		time.Sleep(nearLatency)
 	} else {
 		time.Sleep(farLatency)
 	}
-	return verdict, nil
+	return verdict, err
 }
 
 // SendPresence implements allotter.Remote.
 func (r remote) SendPresence(ctx context.Context, address string, p allotter.Presence) error {
 	to, err := r.reach(ctx, address)
-	if err == nil {
-		to.quotas.Hear(p)
+	if err != nil {
+		return err
 	}
-	return err
+	return to.quotas.Hear(p)
 }
 
 // RecordDraw implements allotter.Observer.
--- a/configurer/entry_test.go
+++ b/configurer/entry_test.go
@@ -37,7 +37,7 @@
 	e, err = configurer.ParseEntry([]byte(strings.Replace(entrySettings, `"stop"`, `"endpoints": {"adaptive": true}, "stop"`, 1)))
 	is.NoErr(err)
 	is.True(e.AdaptiveLimits())
-	is.True(!e.Urgency())                   // default
+	is.True(!e.Urgency()) // default
 	e, err = configurer.ParseEntry([]byte(strings.Replace(entrySettings, `"stop"`, `"engines": {"urgency": true}, "stop"`, 1)))
 	is.NoErr(err)
 	is.True(e.Urgency())
