pacer: let the first calls of all hosts reach the target at once

Hosts found no room at new endpoints of small services with long calls, where the equal shares of the slots give each host a call in ten seconds. The first call of a host now needs less credit, so that together as many calls as the limits aim at go out at once, and hosts without an answer send one in two seconds.

--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -29,7 +29,7 @@
 	idleLimit   = 2.0
 	// probeTime is the longest time between two calls of a host that has no answer yet, or
 	// whose last answer showed an idle endpoint.
-	probeTime = 3 * time.Second
+	probeTime = 2 * time.Second
 	// blindStart and blindRise are the changes of a limit that is in use, by an answer
 	// without a load: before and after the first sign that the endpoint is busy.
 	blindStart = 1.6
@@ -73,6 +73,7 @@
 	idle      bool      // the latest load was that of an idle endpoint
 	pressed   bool      // the endpoint has shown that it can be too busy
 	credit    float64   // of the last, fractional call; a call takes 1
+	begun     bool      // this host has sent a call
 	creditAt  time.Time
 	waiting   float64 // waiting calls per slot in the latest load
 	speed     speed
@@ -174,10 +175,10 @@
 	switch {
 	case float64(own) < whole:
 		return 0, true
-	case float64(own) == whole && p.credit >= 1:
+	case float64(own) == whole && p.credit >= p.price(m):
 		return 0, true
 	case float64(own) == whole && limit > whole:
-		wait = seconds((1 - p.credit) / p.creditRate(m, limit-whole))
+		wait = seconds((p.price(m) - p.credit) / p.creditRate(m, limit-whole))
 		if own > 0 {
 			wait = min(wait, work/time.Duration(own))
 		}
@@ -194,11 +195,21 @@
 		return false
 	}
 	if float64(own) >= math.Floor(p.limitAt(m)) {
-		p.credit--
+		p.credit = max(p.credit-1, 0)
 	}
+	p.begun = true
 	return true
 }
 
+// price returns the credit that a call needs. The first one needs less: an idle endpoint takes
+// as many calls at once as the limits aim at.
+func (p *Pacer) price(m Moment) float64 {
+	if p.begun {
+		return 1
+	}
+	return max(1-p.target()/float64(m.hosts), 0)
+}
+
 // accrue adds the credit since the last call of accrue. The credit of a limit of 0.25
 // reaches one call in four times the time for which a call is in flight.
 func (p *Pacer) accrue(m Moment, fraction float64) {
