allotter: do not halve the part of a host whose messages are late

A quota owner counted a host half for 1.5 s after any gap, also when the host had not turned to another one. On hosts that are short of processor time this would have cost a part of the rate.

--- a/allotter/lending.go
+++ b/allotter/lending.go
@@ -63,6 +63,14 @@
 	return 0
 }
 
+// returns reports whether a message is that of a lender which lent its part to another host before.
+// A host whose messages were only late did not, and a substitute that becomes the quota
+// owner was lent the whole part.
+func (l *lender) returns(role Role, elsewhere bool, now time.Time) bool {
+	_, whole := l.role.(Substitute)
+	return !l.heard(now) && elsewhere || now.Sub(l.last) > retainTime || l.role != role && !whole
+}
+
 // lending is what the hosts of a deployment lend this host of the quota of a workspace.
 type lending struct {
 	lenders map[string]*lender
@@ -80,7 +88,8 @@
 
 // record records a message of a host, and reports whether it is the first one after a time
 // in which no host sent any.
-func (s *lendings) record(workspace, host string, role Role, now time.Time) (began bool) {
+// Elsewhere tells that others granted tokens to the host lately.
+func (s *lendings) record(workspace, host string, role Role, elsewhere bool, now time.Time) (began bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.byWorkspace[workspace]
@@ -97,8 +106,7 @@
 		h = &lender{since: now, role: role}
 		l.lenders[host] = h
 	}
-	// A substitute that becomes the quota owner was lent the whole part before.
-	if _, whole := h.role.(Substitute); !h.heard(now) || h.role != role && !whole {
+	if h.returns(role, elsewhere, now) {
 		h.since = now
 	}
 	h.last, h.role = now, role
--- a/allotter/owner.go
+++ b/allotter/owner.go
@@ -14,8 +14,7 @@
 		return nil, ErrEnded
 	}
 	now := time.Now()
-	a.hear(r.workspace, r.from, r.role, now)
-	a.settle(r.workspace, r.report, now)
+	a.hear(r.workspace, r.from, r.role, r.report, now)
 	t := a.newest(r)
 	return a.owned.Draw(r.workspace, t, a.lendings.part(r.workspace, t, now), r.cost, now), nil
 }
@@ -38,13 +37,14 @@
 	return accountant.NewTerms(t.Version(), w.Quota().Rate(), w.Quota().Burst())
 }
 
-// hear records that a host reaches this one.
-func (a *Allotter) hear(workspace, host string, role Role, now time.Time) {
-	if a.lendings.record(workspace, host, role, now) {
+// hear records that a host reaches this one, and what it reports.
+func (a *Allotter) hear(workspace, host string, role Role, report Report, now time.Time) {
+	if a.lendings.record(workspace, host, role, report.elsewhere > 0, now) {
 		// Another host granted the quota until now.
 		a.owned.Limit(workspace, startShare, now)
 		a.count()
 	}
+	a.settle(workspace, report, now)
 }
 
 // Hear records the presence of a host. It fails like Grant.
@@ -54,8 +54,7 @@
 	}
 	now := time.Now()
 	for _, q := range p.quotas {
-		a.hear(q.workspace, p.from, p.role, now)
-		a.settle(q.workspace, q.report, now)
+		a.hear(q.workspace, p.from, p.role, q.report, now)
 	}
 	return nil
 }
