--- a/relayer/room_test.go
+++ b/relayer/room_test.go
@@ -142,6 +142,29 @@
 	}
 }
 
+// Guards against a claim that outlives a call which chose an endpoint and was not sent there,
+// because the budget for repeats is spent.
+func TestClaimOfACallThatIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newHarness(map[string][]endpointFunc{"e1": {refuses(503)}, "e2": {refuses(503)}}, paced(1))
+		r.budget = 0
+		for range 40 {
+			_, err := r.Apply(t.Context(), screenedCall(t, router.Idempotent{}, 2, connector.Model{}))
+			is.True(err != nil)
+			time.Sleep(2 * time.Minute)
+		}
+		is.Equal(len(r.sent), 40)
+		for _, id := range []string{"e1", "e2"} {
+			e := r.fleet.Current().Endpoint(id)
+			occupy(e, 7, time.Second)
+			_, ok := e.Room(time.Now(), 0)
+			is.True(ok) // 7 of 8: no claim is left
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 // Guards against a call whose caller leaves while it waits for room, and that is sent.
 func TestCallerLeavesWhileWaiting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
