router, exchanger, relayer: carry bodies in pieces

A body that is read in chunks need not be copied into one buffer: a call keeps the pieces, and the exchange sends them one after the other. The configuration's limits hold those on headers, and an answer its deadline.

--- a/exchanger/exchange.go
+++ b/exchanger/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -90,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(out.call.Body()) <= maxSyncBody {
+	if out.call.BodyLength() <= maxSyncBody {
 		x.write(req)
 		if x.writeErr != nil {
 			return nil, x.writeErr
@@ -109,10 +108,10 @@
 		Host:   call.Host(),
 		Header: d.Header(out),
 		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		ContentLength: int64(len(call.Body())),
+		ContentLength: call.BodyLength(),
 	}
-	if len(call.Body()) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(call.Body()))
+	if call.BodyLength() > 0 {
+		req.Body = io.NopCloser(call.NewBodyReader())
 	}
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header["User-Agent"] = []string{""} // otherwise net/http adds its own
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -19,6 +19,7 @@
 	endpoint  string
 	sends     int
 	streaming bool
+	deadline  time.Time
 }
 
 // Status returns the HTTP status.
@@ -40,6 +41,10 @@
 // Sends returns how many times the call was sent.
 func (a *Answer) Sends() int { return a.sends }
 
+// Deadline returns when the call ends. The body must be closed by then, also if the caller
+// does not read it.
+func (a *Answer) Deadline() time.Time { return a.deadline }
+
 // Streaming reports whether the body is a stream, whose data must be flushed to the
 // caller as it arrives.
 func (a *Answer) Streaming() bool { return a.streaming }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -122,6 +122,7 @@
 		c.release()
 		return nil, err
 	}
+	answer.deadline = s.Deadline()
 	answer.body = releasingBody{ReadCloser: answer.body, release: func() { cancel(); c.release() }}
 	return answer, nil
 }
--- a/router/call.go
+++ b/router/call.go
@@ -1,7 +1,10 @@
 package router
 
 import (
+	"io"
+	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/connector"
@@ -16,7 +19,7 @@
 	path                 string
 	target               string
 	header               http.Header
-	body                 []byte
+	body                 [][]byte // in pieces
 	model                connector.Model
 	received             time.Time
 	maxWait              time.Duration
@@ -68,11 +71,18 @@
 // WithCountedTokens sets the number of tokens that the call counts as against a quota.
 func WithCountedTokens(n int) CallOption { return func(c *Call) { c.countedTokens = n } }
 
+// WithBody sets the body in pieces, which must not be modified afterwards. It replaces
+// the body that is given to NewCall.
+func WithBody(pieces ...[]byte) CallOption { return func(c *Call) { c.body = pieces } }
+
 // NewCall returns a call that was received now. Target is the path with its query
 // as it is forwarded; header holds the end-to-end header fields and must not be
 // modified afterwards.
 func NewCall(id, method, host, path, target string, header http.Header, body []byte, opts ...CallOption) *Call {
-	c := &Call{id: id, method: method, host: host, path: path, target: target, header: header, body: body, received: time.Now()}
+	c := &Call{id: id, method: method, host: host, path: path, target: target, header: header, received: time.Now()}
+	if len(body) > 0 {
+		c.body = [][]byte{body}
+	}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -97,7 +107,28 @@
 // Header returns the header fields that are forwarded to the endpoint.
 func (c *Call) Header() http.Header { return c.header }
 
-func (c *Call) Body() []byte { return c.body }
+// Body returns the body. It copies a body of several pieces.
+func (c *Call) Body() []byte {
+	if len(c.body) == 1 {
+		return c.body[0]
+	}
+	return slices.Concat(c.body...)
+}
+
+// BodyLength returns the length of the body in bytes.
+func (c *Call) BodyLength() int64 {
+	n := int64(0)
+	for _, piece := range c.body {
+		n += int64(len(piece))
+	}
+	return n
+}
+
+// NewBodyReader returns a reader of the body that does not copy it.
+func (c *Call) NewBodyReader() io.Reader {
+	pieces := net.Buffers(slices.Clone(c.body)) // reading consumes the list
+	return &pieces
+}
 
 // MaxWait returns how long the caller waits for a response, counted from the
 // receipt, or 0 if the caller set no limit.
--- a/router/table.go
+++ b/router/table.go
@@ -198,8 +198,10 @@
 // Limits are limits on callers. A value of zero means that the limit in the host's
 // settings applies.
 type Limits struct {
-	bodyBytes   int64
-	idleTimeout time.Duration
+	bodyBytes     int64
+	idleTimeout   time.Duration
+	headerBytes   int
+	headerTimeout time.Duration
 }
 
 // NewLimits returns limits on the length of a body in bytes and on the time between
@@ -208,6 +210,19 @@
 	return Limits{bodyBytes: bodyBytes, idleTimeout: idleTimeout}
 }
 
+// WithHeader returns the limits with those on the length of a header in bytes and on the
+// time in which it arrives.
+func (l Limits) WithHeader(bytes int, timeout time.Duration) Limits {
+	l.headerBytes, l.headerTimeout = bytes, timeout
+	return l
+}
+
+// HeaderBytes returns the maximum length of a header in bytes.
+func (l Limits) HeaderBytes() int { return l.headerBytes }
+
+// HeaderTimeout returns the time in which a header must arrive.
+func (l Limits) HeaderTimeout() time.Duration { return l.headerTimeout }
+
 // BodyBytes returns the maximum length of a body in bytes, or 0.
 func (l Limits) BodyBytes() int64 { return l.bodyBytes }
 
