configurer: add limits.max_fds, body_timeout and body_rate

An entry host gets its descriptor limit from the platform, and the limits on the time of bodies have defaults that callers within the platform's limits do not reach.

--- a/configurer/entry.go
+++ b/configurer/entry.go
@@ -80,7 +80,7 @@
 		"lease.renew": doc.Lease.Renew, "lease.time": doc.Lease.Time, "lease.guard": doc.Lease.Guard,
 		"repeats.window": doc.Repeats.Window, "stop.grace": doc.Stop.Grace,
 		"endpoints.report_interval": doc.Endpoints.ReportInterval, "streams.lifetime": doc.Streams.Lifetime,
-		"limits.read_timeout": doc.Limits.ReadTimeout, "limits.idle_timeout": doc.Limits.IdleTimeout,
+		"limits.read_timeout": doc.Limits.ReadTimeout, "limits.body_timeout": doc.Limits.BodyTimeout, "limits.idle_timeout": doc.Limits.IdleTimeout,
 	} {
 		if v <= 0 {
 			d.reject(field, "a duration above 0")
@@ -103,6 +103,12 @@
 	if doc.Limits.MemoryMB < minMemoryMB {
 		d.reject("limits.memory_mb", fmt.Sprintf("at least %d", minMemoryMB))
 	}
+	if doc.Limits.MaxFiles != 0 && doc.Limits.MaxFiles < minFiles {
+		d.reject("limits.max_fds", fmt.Sprintf("0 or at least %d", minFiles))
+	}
+	if doc.Limits.BodyRate < 0 {
+		d.reject("limits.body_rate", "a number of 0 or more")
+	}
 	if doc.Limits.LinkMbps < 0 {
 		d.reject("limits.link_mbps", "a number of 0 or more")
 	}
@@ -117,6 +123,9 @@
 // minMemoryMB is less than an idle process needs.
 const minMemoryMB = 32
 
+// minFiles is less than the connections to other hosts, the store and endpoints need.
+const minFiles = 128
+
 // Name returns the name of the host in logs and metrics.
 func (e *Entry) Name() string { return e.doc.Node.Name }
 
@@ -192,6 +201,15 @@
 // BodyBytes returns the maximum size of a call's body.
 func (e *Entry) BodyBytes() int64 { return e.doc.Limits.BodyBytes }
 
+// MaxFiles returns the descriptor limit, or 0 if that of the process applies.
+func (e *Entry) MaxFiles() int64 { return e.doc.Limits.MaxFiles }
+
+// BodyTimeout returns how long a caller may take to send a body.
+func (e *Entry) BodyTimeout() time.Duration { return time.Duration(e.doc.Limits.BodyTimeout) }
+
+// BodyRate returns the average number of bytes a second at which a body must arrive.
+func (e *Entry) BodyRate() int64 { return e.doc.Limits.BodyRate }
+
 // HeaderBytes returns the maximum size of a call's headers.
 func (e *Entry) HeaderBytes() int { return int(e.doc.Limits.HeaderBytes) }
 
--- a/configurer/entry_document.go
+++ b/configurer/entry_document.go
@@ -80,6 +80,9 @@
 	LinkMbps    float64  `json:"link_mbps"`
 	BodyBytes   int64    `json:"body_bytes"`
 	HeaderBytes int64    `json:"header_bytes"`
+	MaxFiles    int64    `json:"max_fds"` // 0: the descriptor limit of the process
+	BodyTimeout duration `json:"body_timeout"`
+	BodyRate    int64    `json:"body_rate"` // bytes a second
 	ReadTimeout duration `json:"read_timeout"`
 	IdleTimeout duration `json:"idle_timeout"`
 }
@@ -91,6 +94,7 @@
 		Stop:    entryStopDocument{Grace: duration(8 * time.Second)},
 		Limits: entryLimitsDocument{
 			MemoryMB: 256, BodyBytes: 4 << 20, HeaderBytes: 64 << 10,
+			BodyTimeout: duration(30 * time.Second), BodyRate: 64,
 			ReadTimeout: duration(10 * time.Second), IdleTimeout: duration(time.Minute),
 		},
 		Engines: entryEngineDocument{
--- a/configurer/entry_test.go
+++ b/configurer/entry_test.go
@@ -46,6 +46,9 @@
 		{"negative ratio", `0.2`, `-0.2`, "repeats"},
 		{"no memory", `284`, `3`, "limits.memory_mb"},
 		{"negative link", `10.0}`, `-1}`, "limits.link_mbps"},
+		{"few descriptors", `10.0}`, `10, "max_fds": 64}`, "limits.max_fds"},
+		{"negative rate", `10.0}`, `10, "body_rate": -1}`, "limits.body_rate"},
+		{"no time for bodies", `10.0}`, `10, "body_timeout": "0s"}`, "limits.body_timeout"},
 		{"slack is a string", `56`, `"much"`, "repeats.slack"},
 		{"engine without a speed", `"stop"`, `"engines": {"prompt_token": "0s"}, "stop"`, "engines.prompt_token"},
 		{"load of an hour", `"stop"`, `"engines": {"adapter_load": "1h"}, "stop"`, "engines.adapter_load"},
@@ -73,7 +76,7 @@
 	for from, to := range map[string]string{
 		`{{ip}}`: "10.0.0.1", `{{internal_ports.0}}`: "4", `{{internal_ports.1}}`: "5",
 		`{{listen_addrs.front}}`: "10.0.0.1:1", `{{listen_addrs.ready}}`: "10.0.0.1:2", `{{listen_addrs.directory}}`: "10.0.0.1:3",
-		`{{platform_config.address}}`: "10.0.0.9:1", `{{limits.memory_mb}}`: "284", `{{limits.link_mbps}}`: "10.0",
+		`{{platform_config.address}}`: "10.0.0.9:1", `{{limits.memory_mb}}`: "284", `{{limits.link_mbps}}`: "10.0", `{{limits.max_fds}}`: "4100",
 		`{{bounds.lease_ms}}`: "3000", `{{bounds.budget_ratio}}`: "0.2", `{{bounds.retry_slack}}`: "56",
 		`{{bounds.budget_window_s}}`: "10", `{{bounds.grace_s}}`: "8", `{{heartbeat_ms}}`: "1200",
 		`{{#zones}} { "name": "{{@}}", "region": "{{.}}" } {{,}}{{/zones}}`: `{ "name": "z", "region": "r" }`,
