platform, assembler: bound the bodies, headers and connections of callers

Clients that stopped short of the end of their requests took several times the memory of a host, because a body was read whole before anything bounded it, the configuration's limits on headers were ignored and connections were not counted. Bodies and headers now have budgets from limits.memory_mb; connections have a bound from it and from limits.max_fds, for which idle and then stalled ones are closed. A body that finds no memory is refused with 503 and Retry-After, and the rest of it is not read. A caller that does not read its answer loses it at the deadline of the call; before, it held the connection to the endpoint until it left.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -7,10 +7,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dragonflyford/dragonflyford/acceptor"
 	"github.com/dragonflyford/dragonflyford/archiver"
 	"github.com/dragonflyford/dragonflyford/awaiter"
 	"github.com/dragonflyford/dragonflyford/broadcaster"
 	"github.com/dragonflyford/dragonflyford/chainer"
+	"github.com/dragonflyford/dragonflyford/collector"
 	"github.com/dragonflyford/dragonflyford/configurer"
 	"github.com/dragonflyford/dragonflyford/confirmer"
 	"github.com/dragonflyford/dragonflyford/enroller"
@@ -76,11 +78,12 @@
 
 // Host is an entry host.
 type Host struct {
-	settings     atomic.Pointer[configurer.Entry]
-	log          *logger.Logger
-	meter        *meter.Meter
-	callMetrics  *callMetrics
-	speedMetrics *speedMetrics
+	settings      atomic.Pointer[configurer.Entry]
+	log           *logger.Logger
+	meter         *meter.Meter
+	callMetrics   *callMetrics
+	speedMetrics  *speedMetrics
+	clientMetrics *clientMetrics
 
 	store             *platform.Store
 	engines           *platform.EngineClient
@@ -113,6 +116,8 @@
 	followers         []*follower.Follower
 	era               atomic.Uint64 // latest era of the store that a follower has reached
 	draining          atomic.Bool
+	capacity          capacity
+	callers           atomic.Pointer[acceptor.Acceptor]
 }
 
 // New returns a host that is not yet running.
@@ -120,10 +125,12 @@
 	debug.SetMemoryLimit(int64(float64(settings.MemoryMB()<<20) * memoryLimitShare))
 	h := &Host{log: log.Component("assembler")}
 	h.settings.Store(settings)
+	h.capacity = newCapacity(settings)
 	h.meter = meter.New(settings.Name(), settings.Region(), settings.DataCentre(), func(err error) {
 		h.log.Error("metric-not-registered", logger.Err(err))
 	})
 	h.callMetrics = newCallMetrics(h.meter.Scope())
+	h.clientMetrics = newClientMetrics(h.meter.Scope())
 	h.speedMetrics = newSpeedMetrics(h.meter.Scope())
 	log = log.WithEventCounter(h.callMetrics.events.Inc)
 	h.log = log.Component("assembler")
@@ -167,7 +174,7 @@
 	h.confirmer = confirmer.New(h.exchanger, h.fleet)
 	h.pinger = pinger.New(settings.Address(), h.neighbourAddresses, h.state, func() { h.operatorFollower.Refresh() }, log)
 	h.referrer = referrer.New(h.members, h.pinger)
-	h.frontEnd = platform.NewFrontEnd(h.pipeline(settings, log), h.maxBodyBytes, h.draining.Load, h.recordCall)
+	h.frontEnd = platform.NewFrontEnd(h.pipeline(settings, log), collector.New(h.capacity.bodies, h.bodyLimits, h.releaseStalled), h.draining.Load, h.recordCall)
 	h.endpointFollower = h.followThroughPeers(platform.TableEndpoints, endpointWait, endpointPause, endpointMaxAge, log)
 	h.operatorFollower = follower.New(platform.TableOperator, h.store.Table(platform.TableOperator), operatorHandler{h}, configWait, configPause, log)
 	h.followers = []*follower.Follower{
--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -28,6 +28,7 @@
 	"claim-lost", "claim-uncertain", "engines-claimed", "lease-not-renewed", "lease-taken", "owner-changed",
 	"configuration-in-force", "version-named", "operator-row-not-read", "entry-not-read",
 	"dependency-lost", "dependency-regained", "history-lost", "source-passed-over",
+	"connection-refused",
 	"endpoint-arrived", "endpoint-draining", "endpoint-gone", "endpoint-lapsed", "endpoint-leaving", "endpoint-paused",
 	"host-silent", "evidence-not-told", "engine-speed-changed",
 	"engine-released", "release-uncertain",
@@ -89,5 +90,6 @@
 		outcome = outcomeFailed
 	}
 	h.callMetrics.calls.Inc(outcome)
+	h.clientMetrics.recordBody(o.Fault())
 	h.log.Info("call-"+outcome, fields...)
 }
--- a/assembler/run.go
+++ b/assembler/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/dragonflyford/dragonflyford/acceptor"
 	"github.com/dragonflyford/dragonflyford/configurer"
 	"github.com/dragonflyford/dragonflyford/enroller"
 	"github.com/dragonflyford/dragonflyford/logger"
@@ -51,13 +52,14 @@
 	}()
 	callers := h.newServer(h.frontEnd)
 	inFlight := countInFlight(callers)
-	var idle idleConnections
-	idle.track(callers)
-	running.Go(func() { idle.closeExpired(work, h.idleTimeout) })
-	servers = []*http.Server{callers, h.newServer(platform.NewReadinessHandler(h.ready)), h.newServer(h.directory()), h.newServer(h.metrics())}
+	servers = []*http.Server{callers, h.newOtherServer(platform.NewReadinessHandler(h.ready)), h.newOtherServer(h.directory()), h.newOtherServer(h.metrics())}
 	addresses := []string{settings.Callers(), settings.Readiness(), settings.Directory(), settings.Metrics()}
 	for i, server := range servers {
-		if err := h.serve(work, &running, server, addresses[i]); err != nil {
+		limits := h.otherLimits()
+		if server == callers {
+			limits = h.connectionLimits()
+		}
+		if err := h.serve(work, &running, server, addresses[i], limits); err != nil {
 			return err
 		}
 	}
@@ -81,6 +83,7 @@
 		}
 	})
 	running.Go(func() { h.reconcile(work) })
+	running.Go(func() { h.recordClients(work) })
 	running.Go(func() { h.evidence.run(work, func() { h.judgeCrashes(work) }) })
 	running.Go(func() { h.limits.run(work, func() {}) })
 	running.Go(func() { h.storeQuarantine(work) })
@@ -107,25 +110,34 @@
 	}
 }
 
+// newServer returns a server whose limits on headers and idle connections are those of
+// its acceptor, which may change.
 func (h *Host) newServer(handler http.Handler) *http.Server {
-	s := h.settings.Load()
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: s.ReadTimeout(),
-		IdleTimeout:       s.IdleTimeout(),
-		MaxHeaderBytes:    s.HeaderBytes(),
-		ErrorLog:          h.log.StdLogger("http-server"),
-	}
+	return &http.Server{Handler: handler, ErrorLog: h.log.StdLogger("http-server")}
 }
 
-func (h *Host) serve(ctx context.Context, running *sync.WaitGroup, s *http.Server, address string) error {
+// newOtherServer returns a server of a port that takes no calls. Its requests have no
+// body and are answered at once.
+func (h *Host) newOtherServer(handler http.Handler) *http.Server {
+	s := h.newServer(http.MaxBytesHandler(handler, 0))
+	s.ReadTimeout, s.WriteTimeout = h.settings.Load().ReadTimeout(), h.settings.Load().ReadTimeout()
+	return s
+}
+
+func (h *Host) serve(ctx context.Context, running *sync.WaitGroup, s *http.Server, address string, limits acceptor.Limits) error {
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
+	accept := acceptor.New(listener, limits, h.capacity.headers, h.recordConnection)
+	accept.Attach(s)
+	if address == h.settings.Load().Callers() {
+		h.callers.Store(accept)
+	}
+	running.Go(func() { accept.Run(ctx) })
 	running.Go(func() {
-		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(accept); !errors.Is(err, http.ErrServerClosed) {
 			h.log.Error("address-not-served", logger.Err(err))
 		}
 	})
