server: bound the memory of the bodies of open requests

4096 open requests with bodies of 1 MiB could take 4 GiB and more. The bodies of all open requests are charged to limits.body_memory as they arrive.

--- a/configurer/checker.go
+++ b/configurer/checker.go
@@ -163,13 +163,17 @@
 
 // Lower bounds of size limits, in bytes, that still allow an ordinary call.
 const (
-	minBody   = 1 << 10
-	minHeader = 1 << 10
+	minBody = 1 << 10
+	// minBodyMemory is how often body_memory must hold the largest body: the server counts
+	// a body twice while it is read and reserves a quarter for small ones.
+	minBodyMemory = 3
+	minHeader     = 1 << 10
 )
 
 func (c *checker) checkLimits() {
 	l := &c.doc.Limits
 	c.atLeast("limits.body_bytes", l.BodyBytes, minBody)
+	c.atLeast("limits.body_memory", l.BodyMemory, minBodyMemory*l.BodyBytes)
 	c.atLeast("limits.header_bytes", l.HeaderBytes, minHeader)
 	c.atLeast("limits.prompt_bytes", l.PromptBytes, 1)
 	c.atLeast("limits.max_tokens", l.MaxTokens, 1)
--- a/configurer/node.go
+++ b/configurer/node.go
@@ -122,6 +122,9 @@
 // Waiting returns the maximum number of requests that wait for a slot.
 func (l Limits) Waiting() int { return int(l.doc.Waiting) }
 
+// BodyMemory returns the memory for the bodies of all open requests, in bytes.
+func (l Limits) BodyMemory() int64 { return l.doc.BodyMemory }
+
 // OpenRequests returns the maximum number of open requests, including those whose
 // body is still being read.
 func (l Limits) OpenRequests() int { return int(l.doc.OpenRequests) }
--- a/configurer/node_document.go
+++ b/configurer/node_document.go
@@ -49,6 +49,7 @@
 
 type limitsDocument struct {
 	BodyBytes      int64    `json:"body_bytes"`
+	BodyMemory     int64    `json:"body_memory"` // of all open requests, in bytes
 	HeaderBytes    int64    `json:"header_bytes"`
 	PromptBytes    int64    `json:"prompt_bytes"`
 	MaxTokens      int64    `json:"max_tokens"`
@@ -110,6 +111,7 @@
 	return nodeDocument{
 		Limits: limitsDocument{
 			BodyBytes:      1 << 20,
+			BodyMemory:     256 << 20,
 			HeaderBytes:    16 << 10,
 			PromptBytes:    512 << 10,
 			MaxTokens:      8192,
--- a/runner/serve.go
+++ b/runner/serve.go
@@ -165,6 +165,7 @@
 		server.WithLogger(n.log.Component("server")),
 		server.WithMetrics(metrics.Handler(), metrics.Scope()),
 		server.WithMaxBody(limits.BodyBytes()),
+		server.WithBodyMemory(limits.BodyMemory()),
 		server.WithMaxHeader(limits.HeaderBytes()),
 		server.WithMaxOpenRequests(limits.OpenRequests()),
 		server.WithDefaultTokens(limits.DefaultTokens()),
--- a/server/codec.go
+++ b/server/codec.go
@@ -37,6 +37,8 @@
 	w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoBodyMemory):
+		return nil, classifier.NewOverloaded("the node has no memory for the body", classifier.RetryAfter(overloadRetryAfter))
 	case errors.As(err, &tooLarge):
 		return nil, classifier.NewTooLarge(fmt.Sprintf("the body is larger than %d bytes", s.maxBody))
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/server/options.go
+++ b/server/options.go
@@ -48,6 +48,7 @@
 type options struct {
 	maxBody         int64
 	maxHeader       int
+	bodyMemory      int64
 	maxOpenRequests int
 	defaultTimeout  time.Duration
 	readTimeout     time.Duration
@@ -104,6 +105,10 @@
 // WithMaxBody limits the size of the body of a call, in bytes.
 func WithMaxBody(n int64) Option { return func(o *options) { o.maxBody = n } }
 
+// WithBodyMemory limits the memory for the bodies of all open calls together, in bytes; 0
+// means no limit.
+func WithBodyMemory(n int64) Option { return func(o *options) { o.bodyMemory = n } }
+
 // WithMaxHeader limits the size of the headers of a call, in bytes.
 func WithMaxHeader(n int) Option { return func(o *options) { o.maxHeader = n } }
 
--- a/server/server.go
+++ b/server/server.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflyford/dragonflyford/meter"
 	"github.com/dragonflyford/dragonflyford/receiver"
 	"github.com/dragonflyford/dragonflyford/recorder"
+	"github.com/dragonflyford/dragonflyford/reserver"
 	"github.com/dragonflyford/dragonflyford/responder"
 )
 
@@ -28,6 +29,7 @@
 	inFlight atomic.Int64
 	draining atomic.Bool
 	answers  *meter.Counters
+	bodies   *reserver.Reserver // nil without a limit
 }
 
 // New returns a server in front of a pipeline.
@@ -36,6 +38,9 @@
 	for _, opt := range opts {
 		opt(&s.options)
 	}
+	if s.bodyMemory > 0 {
+		s.bodies = reserver.New(s.bodyMemory, s.bodyMemory/reservedPart, smallBody)
+	}
 	s.answers = meter.NewCounters(s.scope, "answers", "outcome",
 		classifier.Done{}.String(), classifier.NotRun{}.String(), classifier.Unknown{}.String())
 	return s
@@ -90,6 +95,11 @@
 			s.writeRefusal(w, r, classifier.NewOverloaded("the node has too many open requests", classifier.RetryAfter(overloadRetryAfter)))
 			return
 		}
+		if s.bodies != nil {
+			body := &chargedBody{ReadCloser: r.Body, share: s.bodies.NewShare()}
+			defer body.share.Release()
+			r.Body = body
+		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -171,6 +172,40 @@
 	is.Equal(resp.StatusCode, 200)
 }
 
+// Guards against open requests whose bodies together take more memory than the limit, and
+// against memory that is not returned.
+func TestBodyMemory(t *testing.T) {
+	is := is.New(t)
+	srv := newTestServer(t, &fakePipeline{}, server.WithBodyMemory(400_000), server.WithMaxBody(300_000))
+	reader, writer := io.Pipe()
+	held := make(chan int)
+	go func() {
+		resp, err := http.Post(srv.URL+"/v1/services/ledger/a", "text/plain", reader)
+		if err != nil {
+			held <- 0
+			return
+		}
+		_ = resp.Body.Close()
+		held <- resp.StatusCode
+	}()
+	_, err := io.WriteString(writer, strings.Repeat("x", 100_000))
+	is.NoErr(err)
+	time.Sleep(200 * time.Millisecond) // until the server has read it
+	resp, _ := send(t, "POST", srv.URL+"/v1/services/ledger/a", strings.Repeat("y", 100_000))
+	is.Equal(resp.StatusCode, http.StatusTooManyRequests)
+	resp, _ = send(t, "POST", srv.URL+"/v1/services/ledger/a", strings.Repeat("y", 20_000)) // of the reserved part
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.NoErr(writer.Close())
+	is.Equal(<-held, http.StatusOK)
+	for range 100 { // the memory is returned after the answer has been sent
+		if resp, _ = send(t, "POST", srv.URL+"/v1/services/ledger/a", strings.Repeat("y", 100_000)); resp.StatusCode == http.StatusOK {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(resp.StatusCode, http.StatusOK)
+}
+
 // Guards against a request that runs past its timeout, and against fields that
 // do not reach the pipeline.
 func TestRequestFields(t *testing.T) {
