--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -29,6 +29,7 @@
 	"key-missing", "key-unknown", "key-not-checked", "configuration-not-read", "configuration-copied", "configuration-not-copied",
 	"configuration-in-force", "version-named", "operator-row-not-read", "entry-not-read",
 	"dependency-lost", "dependency-regained", "history-lost", "source-passed-over",
+	"connection-refused",
 	"endpoint-arrived", "endpoint-draining", "endpoint-gone", "endpoint-lapsed", "endpoint-leaving", "endpoint-limit-lowered", "endpoint-paused",
 	"host-silent", "evidence-not-told", "engine-speed-changed",
 	"engine-released", "release-uncertain",
@@ -90,5 +91,6 @@
 		outcome = outcomeFailed
 	}
 	h.callMetrics.calls.Inc(outcome)
+	h.clientMetrics.recordBody(o.Fault())
 	h.log.Info("call-"+outcome, fields...)
 }
