allotter: grant the first calls of cut-off hosts as far as the bounds allow

A host that got no answer from two others refused its next call in most cases, also when it was the only one, because all hosts may be cut off at the same moment. Half of what the bounds allow beyond a quota now covers first calls.

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -144,7 +144,7 @@
 	defer a.mu.Unlock()
 	if b := a.buckets[workspace]; b != nil {
 		b.refill(b.terms, NewPart(b.share, 0), now)
-		cost = b.takeCredit(cost, lateShare*a.bounds.allowance(b.terms), a.bounds.window, now)
+		cost = b.takeCredit(cost, lateShare*a.bounds.Allowance(b.terms), a.bounds.window, now)
 		b.level = min(b.level+cost, b.terms.burst)
 	}
 }
--- a/accountant/bounds.go
+++ b/accountant/bounds.go
@@ -19,8 +19,8 @@
 	return Bounds{window: window, over: over, slack: slack}
 }
 
-// allowance returns the units by which a quota may be exceeded in a window.
-func (b Bounds) allowance(t Terms) float64 {
+// Allowance returns the units by which a quota may be exceeded in a window.
+func (b Bounds) Allowance(t Terms) float64 {
 	return (t.rate*b.window.Seconds()+t.burst)*b.over + b.slack
 }
 
--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -20,6 +20,9 @@
 const (
 	// requestTimeout limits one request to another host.
 	requestTimeout = 300 * time.Millisecond
+	// aloneShare is the share of what the bounds allow beyond a quota that the first calls of
+	// hosts which are cut off may use.
+	aloneShare = 0.5
 	// maxLocalRefusal is how long a host refuses calls without asking after it was told that
 	// the bucket is empty.
 	maxLocalRefusal = 100 * time.Millisecond
@@ -58,6 +61,7 @@
 	members      Members
 	tables       Tables
 	observer     Observer
+	bounds       accountant.Bounds
 	log          *logger.Logger
 	lendings     *lendings
 	owned        *accountant.Accountant // what this host grants to all hosts
@@ -71,7 +75,7 @@
 // New returns an allotter. Run has to be called for it to keep its place among the hosts.
 func New(remote Remote, members Members, tables Tables, observer Observer, b accountant.Bounds, log *logger.Logger) *Allotter {
 	return &Allotter{
-		remote: remote, members: members, tables: tables, observer: observer, log: log.Component("allotter"),
+		remote: remote, members: members, tables: tables, observer: observer, bounds: b, log: log.Component("allotter"),
 		lendings: &lendings{byWorkspace: make(map[string]*lending)},
 		owned:    accountant.New(b), alone: accountant.New(b, accountant.WithOverdraft()),
 		unresponsive: avoider.New(avoider.WithBackoff(backoff)),
@@ -196,16 +200,18 @@
 	return err
 }
 
-// drawAlone charges a call to this host's own part of the rate. The first call waits, by a part
-// of the time in which its tokens become available that differs between hosts: all of them
-// may be cut off at the same moment.
+// drawAlone charges a call to this host's own part of the rate. All hosts may be cut off at the
+// same moment, so that the first call is granted at once on as many of them as the bounds
+// allow, and waits on the others for a part of the time in which its tokens become available.
 func (a *Allotter) drawAlone(workspace string, t accountant.Terms, cost float64, r *enroller.Ranking, now time.Time) accountant.Verdict {
 	const steps = 1 << 10
 	phase := float64(xxhash.Sum64String(a.members.Self()+"\x00"+workspace)%steps) / steps
+	hosts := float64(max(r.Serving(), 1))
+	first := aloneShare * a.bounds.Allowance(t) / (cost * hosts)
 	share := halfShare
 	// Hosts that do not see this one's row share the rate among them.
 	if _, whole := a.role(r, len(r.Hosts())).(Substitute); whole && a.members.View().Current() {
 		share = 1
 	}
-	return a.alone.Draw(workspace, t, accountant.NewPart(share/float64(max(r.Serving(), 1)), -phase*cost), cost, now)
+	return a.alone.Draw(workspace, t, accountant.NewPart(share/hosts, min(first-phase, 0)*cost), cost, now)
 }
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -153,6 +153,17 @@
 			c.cut(i, true, name)
 		}
 	}, false},
+	{"one message in twenty gets no answer", func(c *cluster) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.loss = 0.05
+	}, false},
+	{"all hosts are cut off from each other at the end of a window", func(c *cluster) {
+		time.Sleep(window - 2200*time.Millisecond) // began 2 s ago
+		for i, name := range c.names(everyone) {
+			c.cut(i, true, name)
+		}
+	}, false},
 	{"hosts join", func(c *cluster) {
 		for i := range 20 {
 			c.start(100 + i)
--- a/allotter/harness_test.go
+++ b/allotter/harness_test.go
@@ -53,6 +53,7 @@
 	order   []*host          // the same, in the order of their starts
 	group   map[string]int   // hosts of different groups are cut off from each other
 	cutOff  map[string]bool  // from the store
+	loss    float64          // share of the messages between hosts that get no answer
 	ran     map[string][]run
 	offered map[string]int
 	lost    map[string]int // calls that were refused for good
@@ -228,7 +229,7 @@
 func (r remote) reach(ctx context.Context, address string) (*host, error) {
 	c := r.cluster
 	c.mu.Lock()
-	to, cut := c.hosts[address], c.group[address] != c.group[r.from.name]
+	to, cut := c.hosts[address], c.group[address] != c.group[r.from.name] || c.rand.Float64() < c.loss
 	c.mu.Unlock()
 	switch {
 	case cut:
