--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -113,6 +113,9 @@
 	defer a.mu.Unlock()
 	b := a.bucket(workspace, t, p, now)
 	b.refill(t, p, now)
+	if cost > b.terms.burst+a.bounds.Allowance(b.terms) {
+		return Exceeded{MaxWait} // no bucket is ever full enough, and one that granted it would be empty for long
+	}
 	// A call that is larger than the burst needs a full bucket and leaves it overdrawn.
 	needed := min(cost, b.terms.burst)
 	if a.overdraft {
--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -114,6 +114,17 @@
 	is.True(granted(draw(raised, 1000)))
 }
 
+// Guards against a call with an absurd token count that empties the bucket for years.
+func TestLargeCalls(t *testing.T) {
+	is := is.New(t)
+	a := accountant.New(bounds)
+	terms := accountant.NewTerms(1, 1000, 1000)
+	is.Equal(a.Draw("w", terms, terms.Whole(), 1e18, start), accountant.NewExceeded(accountant.MaxWait))
+	is.True(granted(a.Draw("w", terms, terms.Whole(), 11_000, start))) // the slack is meant for it
+	is.True(!granted(a.Draw("w", terms, terms.Whole(), 1, start.Add(9*time.Second))))
+	is.True(granted(a.Draw("w", terms, terms.Whole(), 1, start.Add(11*time.Second))))
+}
+
 // Guards against callers that are all told to come back at the same moment, against waits that
 // grow without end, and against a wait before the tokens are there.
 func TestWaits(t *testing.T) {
