--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -113,6 +113,9 @@
 	defer a.mu.Unlock()
 	b := a.bucket(workspace, t, p, now)
 	b.refill(t, p, now)
+	if cost > b.terms.burst+a.bounds.Allowance(b.terms) {
+		return Exceeded{MaxWait} // no bucket is ever full enough, and one that granted it would be empty for long
+	}
 	// A call that is larger than the burst needs a full bucket and leaves it overdrawn.
 	needed := min(cost, b.terms.burst)
 	if a.overdraft {
@@ -144,7 +147,7 @@
 	defer a.mu.Unlock()
 	if b := a.buckets[workspace]; b != nil {
 		b.refill(b.terms, NewPart(b.share, 0), now)
-		cost = b.takeCredit(cost, lateShare*a.bounds.allowance(b.terms), a.bounds.window, now)
+		cost = b.takeCredit(cost, lateShare*a.bounds.Allowance(b.terms), a.bounds.window, now)
 		b.level = min(b.level+cost, b.terms.burst)
 	}
 }
