--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -66,7 +66,7 @@
 	slots     float64
 	ceiling   float64 // total of calls at which the endpoint refused one; 0 if it did not
 	rate      float64 // requests a second that the endpoint accepts from all hosts; 0 if it named none
-	limit     float64 // 0 until the number of hosts is known
+	limit     float64 // 0 before the first answer: the equal share of the slots
 	changedAt time.Time
 	updatedAt time.Time // of the latest answer or change
 	blocked   bool      // a call found no room since the latest change
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -154,12 +154,11 @@
 	now := time.Unix(1000, 0)
 	at := func() pacer.Moment { return pacer.At(now, 1, 0) }
 	p := pacer.New(now, 4, 1)
-	for i, took := range []time.Duration{900, 700, 300, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100} {
+	for _, took := range []time.Duration{900, 700, 300, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100} {
 		now = now.Add(300 * time.Millisecond)
 		p.Answered(at(), now.Add(-time.Millisecond), pacer.Load{})
 		p.Completed(at(), took*time.Millisecond)
 		is.True(p.Limit(at()) >= 4) // the share of the slots
-		_ = i
 	}
 	is.True(p.Pace(at()) < 1.3)
 	for range 10 {
--- a/relayer/callstate.go
+++ b/relayer/callstate.go
@@ -200,9 +200,7 @@
 	began := time.Now()
 	res := c.send(choice)
 	c.logResult(e, res, time.Since(began))
-	if limit, fallen := e.AnnounceLimit(time.Now()); fallen {
-		c.logEvent("endpoint-limit-lowered", e, logger.With(logger.KeyCalls, limit), logger.With(logger.KeyPace, e.Pace(time.Now())))
-	}
+	c.logLimit(e)
 	switch res := res.(type) {
 	case answered:
 		return c.finish(e, res.answer)
--- a/relayer/room.go
+++ b/relayer/room.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/selector"
 	"github.com/dragonflyford/dragonflyford/sleeper"
+	"github.com/dragonflyford/dragonflyford/tracker"
 )
 
 const (
@@ -111,3 +113,13 @@
 	longest := time.Duration(maxRetryShare * float64(c.call.Remaining()))
 	return max(min(wait, longest), minRetryAfter)
 }
+
+// logLimit logs that the adaptive limit of a plain endpoint has fallen. Engines have none.
+func (c *callState) logLimit(e *tracker.Endpoint) {
+	if c.call.Service().EngineSpec() != nil {
+		return
+	}
+	if limit, fallen := e.AnnounceLimit(time.Now()); fallen {
+		c.logEvent("endpoint-limit-lowered", e, logger.With(logger.KeyCalls, limit), logger.With(logger.KeyPace, e.Pace(time.Now())))
+	}
+}
