--- a/assembler/configuration.go
+++ b/assembler/configuration.go
@@ -30,7 +30,7 @@
 // Refresh reads the changes since the version of the table that this host has read, which
 // are few bytes while there are none. If the store cannot give them, it reads the row.
 func (r configurationReader) Refresh(ctx context.Context) error {
-	table, handler := r.host.store.Table(platform.TableOperator), operatorHandler{r.host}
+	table, handler := r.host.store.Table(platform.TableOperator), operatorHandler(r)
 	after := storer.Version(r.host.operatorVersion.Load())
 	if after == 0 {
 		return r.readRow(ctx, table)
@@ -57,7 +57,7 @@
 	if !found {
 		return nil // the one in force stays in force
 	}
-	return operatorHandler{r.host}.applyRows([]storer.Change{storer.NewChange(row)})
+	return operatorHandler(r).applyRows([]storer.Change{storer.NewChange(row)})
 }
 
 // heardConfiguration is what a heartbeat says of the configuration of its sender.
