messenger: use the packed copy of a whole table for several hosts

When all hosts start, up to six ask a source for each table within a second, and it packed the rows for each of them. A copy that is less than 0.5 s old, of the same era, is used again; its age counts.

--- a/messenger/pack.go
+++ b/messenger/pack.go
@@ -9,10 +9,13 @@
 	"io"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/dragonflyford/dragonflyford/encoder"
+	"github.com/dragonflyford/dragonflyford/mirrorer"
+	"github.com/dragonflyford/dragonflyford/storer"
 )
 
 const (
@@ -90,3 +93,50 @@
 		d.Rows = append(d.Rows, part...)
 	}
 }
+
+// packedReuse is how long the packed rows of a whole table are used for further hosts. When
+// all hosts start, several ask for it at once, and packing it takes processor time of a small
+// host each time.
+const packedReuse = 500 * time.Millisecond
+
+// packedTables holds the latest packed copy of each table.
+type packedTables struct {
+	mu      sync.Mutex
+	byTable map[string]packedTable
+}
+
+type packedTable struct {
+	document copyDocument
+	version  storer.Version
+	at       time.Time
+}
+
+// get returns the packed copy c of a whole table, or one that was packed shortly before.
+// Requests for it wait for each other.
+func (p *packedTables) get(table string, c mirrorer.Copy) (*copyDocument, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	known, version := p.byTable[table], c.Changes().Version()
+	if elapsed := now.Sub(known.at); elapsed < packedReuse && known.version.Era() == version.Era() && known.version <= version {
+		return known.document.aged(elapsed), nil
+	}
+	out := encodeCopy(c)
+	if err := out.pack(); err != nil {
+		return nil, err
+	}
+	if p.byTable == nil {
+		p.byTable = make(map[string]packedTable)
+	}
+	p.byTable[table] = packedTable{document: *out, version: version, at: now}
+	return out, nil
+}
+
+// aged returns the document at a later time.
+func (d copyDocument) aged(by time.Duration) *copyDocument {
+	d.AgeUS += by.Microseconds()
+	if d.ClockUS > 0 {
+		d.ClockUS += by.Microseconds()
+	}
+	return &d
+}
--- a/messenger/pack_test.go
+++ b/messenger/pack_test.go
@@ -55,6 +55,34 @@
 	return len(p), nil
 }
 
+// Guards against a copy that was packed for another host and that counts as new when it is
+// not, or is used after the table has begun anew.
+func TestPackedCopyIsReused(t *testing.T) {
+	is := is.New(t)
+	h := &handler{mirror: mirrorer.New(discardHandler{})}
+	fill := func(v storer.Version) {
+		h.mirror.Replace([]storer.Change{storer.NewChange(storer.NewRow("a", nil, v))})
+		h.mirror.Contact(v, time.Second, 0)
+	}
+	client, address := connect(t, h)
+	read := func() mirrorer.Copy {
+		c, err := client.Snapshot(t.Context(), address, "t")
+		is.NoErr(err)
+		return c
+	}
+	fill(storer.NewVersion(1, 10))
+	is.Equal(read().Changes().Version(), storer.NewVersion(1, 10))
+	time.Sleep(50 * time.Millisecond)
+	fill(storer.NewVersion(1, 11))
+	reused := read()
+	is.True(reused.Changes().Version() == storer.NewVersion(1, 11) || reused.Age() >= 50*time.Millisecond)
+	fill(storer.NewVersion(2, 5)) // the store was restored
+	is.Equal(read().Changes().Version(), storer.NewVersion(2, 5))
+	time.Sleep(600 * time.Millisecond)
+	fill(storer.NewVersion(2, 6))
+	is.Equal(read().Changes().Version(), storer.NewVersion(2, 6))
+}
+
 // Guards against tables of many hosts that take more than a third of their size between
 // hosts, or are too large for one message, and against rows that are lost or altered on the
 // way, also a single one.
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -238,7 +238,10 @@
 	Mirror(table string) *mirrorer.Mirror
 }
 
-type service struct{ handler Handler }
+type service struct {
+	handler Handler
+	tables  packedTables
+}
 
 func (s *service) reserve(ctx context.Context, in *reserveRequestDocument) (*reserveResponseDocument, error) {
 	used := make([]connector.Model, 0, len(in.ModelsInUse))
@@ -272,6 +275,9 @@
 	case err != nil:
 		return nil, fmt.Errorf("follow table %s: %w", in.Table, err)
 	}
+	if in.Snapshot && in.Packs {
+		return s.tables.get(in.Table, c)
+	}
 	out := encodeCopy(c)
 	if in.Packs {
 		if err := out.pack(); err != nil {
