configurer, tracker: adaptive limits where endpoints report how long work takes

Plain calls were late at endpoints that had turned slow while others were idle. Deployments without such reports are served as before.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -213,8 +213,8 @@
 // trackerOptions returns the options of the registry of endpoints.
 func (h *Host) trackerOptions(settings *configurer.Entry) []tracker.Option {
 	opts := []tracker.Option{tracker.WithReportInterval(settings.ReportInterval())}
-	if settings.AdaptiveLimits() {
-		opts = append(opts, tracker.WithAdaptiveLimits(h.sharingHosts))
+	if enabled, ifReported := settings.AdaptiveLimits(); enabled {
+		opts = append(opts, tracker.WithAdaptiveLimits(h.sharingHosts, ifReported))
 	}
 	return opts
 }
--- a/assembler/deployment_test.go
+++ b/assembler/deployment_test.go
@@ -146,16 +146,20 @@
 	if !ok {
 		store = strings.TrimPrefix(d.server.URL, "http://")
 	}
+	adaptive := "never"
+	if d.paced {
+		adaptive = "always"
+	}
 	settings, err := configurer.ParseEntry(fmt.Appendf(nil, `{
 		"node": {"name": %q, "address": %q, "data_centre": "z1", "region": "r1"},
 		"listen": {"callers": %q, "readiness": %q, "directory": %q, "peers": %q, "metrics": %q},
 		"data_centres": [{"name": "z1", "region": "r1"}],
 		"store": {"address": %q},
 		"lease": {"renew": "300ms", "time": "2s", "guard": "300ms", "turns": "500ms"},
-		"endpoints": {"adaptive": %t},
+		"endpoints": {"adaptive": %q},
 		"engines": {"urgency": %t},
 		"stop": {"grace": "5s"}}`,
-		address, address, d.listenAddress(host, 0), d.listenAddress(host, 1), d.listenAddress(host, 2), d.listenAddress(host, 3), d.listenAddress(host, 4), store, d.paced, d.urgency))
+		address, address, d.listenAddress(host, 0), d.listenAddress(host, 1), d.listenAddress(host, 2), d.listenAddress(host, 3), d.listenAddress(host, 4), store, adaptive, d.urgency))
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/configurer/entry.go
+++ b/configurer/entry.go
@@ -118,6 +118,9 @@
 	if doc.Limits.LinkMbps < 0 {
 		d.reject("limits.link_mbps", "a number of 0 or more")
 	}
+	if !slices.Contains(adaptiveValues, doc.Endpoints.Adaptive) {
+		d.reject("endpoints.adaptive", fmt.Sprint(adaptiveValues))
+	}
 	if !slices.Contains(logLevels, doc.Log.Level) {
 		d.reject("log.level", fmt.Sprint(logLevels))
 	}
@@ -252,8 +255,20 @@
 func (e *Entry) ReportInterval() time.Duration { return time.Duration(e.doc.Endpoints.ReportInterval) }
 
 // AdaptiveLimits reports whether the limits of calls in flight at plain endpoints follow the
-// endpoints' answers.
-func (e *Entry) AdaptiveLimits() bool { return e.doc.Endpoints.Adaptive }
+// endpoints' answers, and whether that is so only for services whose endpoints report how
+// long work takes.
+func (e *Entry) AdaptiveLimits() (enabled, ifReported bool) {
+	return e.doc.Endpoints.Adaptive != adaptiveNever, e.doc.Endpoints.Adaptive == adaptiveIfReported
+}
+
+// Values of endpoints.adaptive.
+const (
+	adaptiveNever      = "never"
+	adaptiveIfReported = "reported"
+	adaptiveAlways     = "always"
+)
+
+var adaptiveValues = []string{adaptiveNever, adaptiveIfReported, adaptiveAlways}
 
 // StreamLifetime returns the time after which no caller resumes a stream.
 func (e *Entry) StreamLifetime() time.Duration { return time.Duration(e.doc.Streams.Lifetime) }
--- a/configurer/entry_document.go
+++ b/configurer/entry_document.go
@@ -75,7 +75,7 @@
 
 type entryEndpointDocument struct {
 	ReportInterval duration `json:"report_interval"` // of endpoints to the store
-	Adaptive       bool     `json:"adaptive"`        // limits of calls in flight follow the endpoints' answers
+	Adaptive       string   `json:"adaptive"`        // when limits of calls in flight follow the endpoints' answers
 }
 
 type entryStreamDocument struct {
@@ -113,7 +113,7 @@
 			PromptToken: duration(50 * time.Microsecond), OutputToken: duration(14 * time.Millisecond),
 			AdapterLoad: duration(270 * time.Millisecond),
 		},
-		Endpoints: entryEndpointDocument{ReportInterval: duration(1200 * time.Millisecond)},
+		Endpoints: entryEndpointDocument{ReportInterval: duration(1200 * time.Millisecond), Adaptive: adaptiveNever},
 		Streams:   entryStreamDocument{Lifetime: duration(2 * time.Minute)},
 		Log:       logDocument{Level: "info"},
 	}
--- a/configurer/entry_test.go
+++ b/configurer/entry_test.go
@@ -33,10 +33,12 @@
 	is.Equal(e.TakeoverDelay(), 3*time.Second)
 	is.Equal(e.RepeatRatio(), 0.2)
 	is.Equal(e.LeaseTime(), 12*time.Second) // default
-	is.True(!e.AdaptiveLimits())            // default
-	e, err = configurer.ParseEntry([]byte(strings.Replace(entrySettings, `"stop"`, `"endpoints": {"adaptive": true}, "stop"`, 1)))
+	enabled, _ := e.AdaptiveLimits()
+	is.True(!enabled) // default
+	e, err = configurer.ParseEntry([]byte(strings.Replace(entrySettings, `"stop"`, `"endpoints": {"adaptive": "reported"}, "stop"`, 1)))
 	is.NoErr(err)
-	is.True(e.AdaptiveLimits())
+	enabled, ifReported := e.AdaptiveLimits()
+	is.True(enabled && ifReported)
 	is.True(!e.Urgency()) // default
 	e, err = configurer.ParseEntry([]byte(strings.Replace(entrySettings, `"stop"`, `"engines": {"urgency": true}, "stop"`, 1)))
 	is.NoErr(err)
@@ -62,7 +64,8 @@
 		{"engine without a speed", `"stop"`, `"engines": {"prompt_token": "0s"}, "stop"`, "engines.prompt_token"},
 		{"load of an hour", `"stop"`, `"engines": {"adapter_load": "1h"}, "stop"`, "engines.adapter_load"},
 		{"no time between reports", `"stop"`, `"endpoints": {"report_interval": "0s"}, "stop"`, "endpoints.report_interval"},
-		{"number in place of true", `"stop"`, `"endpoints": {"adaptive": 1}, "stop"`, "endpoints.adaptive"},
+		{"number in place of a word", `"stop"`, `"endpoints": {"adaptive": 1}, "stop"`, "endpoints.adaptive"},
+		{"unknown word", `"stop"`, `"endpoints": {"adaptive": "sometimes"}, "stop"`, "endpoints.adaptive"},
 		{"streams without end", `"stop"`, `"streams": {"lifetime": "-1s"}, "stop"`, "streams.lifetime"},
 		{"quota window of no time", `"stop"`, `"quotas": {"window": "0s"}, "stop"`, "quotas.window"},
 		{"quota exceeded by more than itself", `"stop"`, `"quotas": {"over": 1.5}, "stop"`, "quotas.over"},
--- a/relayer/room_test.go
+++ b/relayer/room_test.go
@@ -19,7 +19,7 @@
 
 // paced gives the endpoints of a harness adaptive limits as for a number of hosts.
 func paced(hosts int) tracker.Option {
-	return tracker.WithAdaptiveLimits(func() int { return hosts })
+	return tracker.WithAdaptiveLimits(func() int { return hosts }, false)
 }
 
 // occupy makes calls of this host run at an endpoint for a time.
--- a/selector/plain_test.go
+++ b/selector/plain_test.go
@@ -18,7 +18,7 @@
 
 // newPaced returns a tracker with adaptive limits for a number of hosts.
 func newPaced(hosts int) *tracker.Tracker {
-	return tracker.New(regions, tracker.WithAdaptiveLimits(func() int { return hosts }))
+	return tracker.New(regions, tracker.WithAdaptiveLimits(func() int { return hosts }, false))
 }
 
 // answer records that an endpoint answered a call with a load.
--- a/tracker/pacing.go
+++ b/tracker/pacing.go
@@ -11,15 +11,19 @@
 )
 
 // WithAdaptiveLimits makes the endpoints learn from answers how many calls this host may have
-// in flight at them. Hosts returns the number of hosts that share the endpoints.
-func WithAdaptiveLimits(hosts func() int) Option {
-	return func(t *Tracker) { t.paces = &paces{hosts: hosts, usual: make(map[string]*usualTime)} }
+// in flight at them. Hosts returns the number of hosts that share the endpoints. If ifReported
+// is true, the limits apply to services whose endpoints report how long work takes.
+func WithAdaptiveLimits(hosts func() int, ifReported bool) Option {
+	return func(t *Tracker) {
+		t.paces = &paces{hosts: hosts, ifReported: ifReported, usual: make(map[string]*usualTime)}
+	}
 }
 
 // paces creates the pacing state of endpoints.
 type paces struct {
-	hosts func() int
-	usual map[string]*usualTime // by service; guarded by the tracker's mu
+	hosts      func() int
+	ifReported bool
+	usual      map[string]*usualTime // by service; guarded by the tracker's mu
 }
 
 // endpoint returns the state of a new endpoint process, or nil without adaptive limits.
@@ -35,7 +39,7 @@
 		// Other hosts know the endpoint already. Only this host starts.
 		phase = 1
 	}
-	return &pacing{hosts: p.hosts, usual: p.usual[e.service], pacer: pacer.New(time.Now(), e.slots, phase), announced: math.Inf(1)}
+	return &pacing{hosts: p.hosts, ifReported: p.ifReported, usual: p.usual[e.service], pacer: pacer.New(time.Now(), e.slots, phase), announced: math.Inf(1)}
 }
 
 // newProcess is the age up to which all hosts may send an endpoint their first call at the
@@ -43,7 +47,10 @@
 const newProcess = 10 * time.Second
 
 // usualTime is the time that a call of a service usually takes without waiting.
-type usualTime struct{ nanoseconds atomic.Int64 }
+type usualTime struct {
+	nanoseconds atomic.Int64
+	reported    atomic.Bool // an endpoint of the service has reported how long work takes
+}
 
 // usualWeight is the weight of one call in the moving average of the usual time.
 const usualWeight = 0.05
@@ -61,12 +68,13 @@
 
 // pacing is the adaptive limit of an endpoint.
 type pacing struct {
-	hosts     func() int
-	usual     *usualTime
-	claimed   atomic.Int64 // calls that have chosen the endpoint and are not yet in flight
-	mu        sync.Mutex   // held for arithmetic only
-	pacer     *pacer.Pacer
-	announced float64 // the limit that was last announced as lowered, or a higher one since
+	hosts      func() int
+	ifReported bool
+	usual      *usualTime
+	claimed    atomic.Int64 // calls that have chosen the endpoint and are not yet in flight
+	mu         sync.Mutex   // held for arithmetic only
+	pacer      *pacer.Pacer
+	announced  float64 // the limit that was last announced as lowered, or a higher one since
 }
 
 // at returns the present moment. Prior is the expected time of a call if none of the service
@@ -79,6 +87,9 @@
 }
 
 func (p *pacing) answered(sent time.Time, refused bool, l pacer.Load) {
+	if l.Pace() > 0 && !p.usual.reported.Load() {
+		p.usual.reported.Store(true)
+	}
 	m := p.at(time.Now(), 0)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -103,8 +114,10 @@
 	p.pacer.Named(perSecond)
 }
 
-// Paced reports whether the endpoint has an adaptive limit.
-func (e *Endpoint) Paced() bool { return e.pacing != nil }
+// Paced reports whether the adaptive limit of the endpoint applies.
+func (e *Endpoint) Paced() bool {
+	return e.pacing != nil && (!e.pacing.ifReported || e.pacing.usual.reported.Load())
+}
 
 // Completed records that a call ran to its end and for how long it was in flight.
 func (e *Endpoint) Completed(took time.Duration) {
@@ -254,7 +267,7 @@
 // AdaptiveLimit returns how many calls this host may have in flight at the endpoint, or false
 // without adaptive limits.
 func (e *Endpoint) AdaptiveLimit(now time.Time) (limit float64, ok bool) {
-	if e.pacing == nil {
+	if !e.Paced() {
 		return 0, false
 	}
 	m := e.pacing.at(now, 0)
--- a/tracker/pacing_test.go
+++ b/tracker/pacing_test.go
@@ -35,7 +35,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				tr := tracker.New(nil, tracker.WithAdaptiveLimits(func() int { return 1 }))
+				tr := tracker.New(nil, tracker.WithAdaptiveLimits(func() int { return 1 }, false))
 				e := pacedEndpoint(tr, 1)
 				is.Equal(limitOf(e), 4.0)
 				sign(e)
@@ -46,6 +46,19 @@
 	}
 }
 
+// Guards against limits at services whose endpoints do not report how long work takes, and
+// against a new endpoint of a service that does without a limit.
+func TestLimitsIfReported(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New(nil, tracker.WithAdaptiveLimits(func() int { return 1 }, true))
+	e := pacedEndpoint(tr, 1)
+	e.RecordAnswer(time.Now(), false, pacer.NewLoad(1, 0))
+	is.True(!e.Paced())
+	e.RecordAnswer(time.Now(), false, pacer.NewLoad(1, 0).WithPace(1))
+	is.True(e.Paced())
+	is.True(pacedEndpoint(tr, 2).Paced())
+}
+
 // Guards against deployments without adaptive limits that get one.
 func TestNoAdaptiveLimits(t *testing.T) {
 	is := is.New(t)
@@ -67,7 +80,7 @@
 func TestAnnounceLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		e := pacedEndpoint(tracker.New(nil, tracker.WithAdaptiveLimits(func() int { return 1 })), 1)
+		e := pacedEndpoint(tracker.New(nil, tracker.WithAdaptiveLimits(func() int { return 1 }, false)), 1)
 		announced := 0
 		for range 40 {
 			e.RecordAnswer(time.Now(), true, pacer.Load{})
@@ -84,7 +97,7 @@
 func TestShortCallsAreNoOverload(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		e := pacedEndpoint(tracker.New(nil, tracker.WithAdaptiveLimits(func() int { return 1 })), 1)
+		e := pacedEndpoint(tracker.New(nil, tracker.WithAdaptiveLimits(func() int { return 1 }, false)), 1)
 		e.Completed(100 * time.Millisecond)
 		sent := time.Now()
 		time.Sleep(50 * time.Millisecond)
@@ -104,7 +117,7 @@
 		const hosts = 62
 		atOnce := 0
 		for range 10 * hosts {
-			tr := tracker.New(nil, tracker.WithAdaptiveLimits(func() int { return hosts }))
+			tr := tracker.New(nil, tracker.WithAdaptiveLimits(func() int { return hosts }, false))
 			_, ok := pacedEndpoint(tr, 1).Room(time.Now(), time.Second)
 			is.True(ok)
 			e := pacedEndpoint(tr, time.Now().UnixMilli()) // all hosts find this one at the same time
