--- a/assembler/workspaces_test.go
+++ b/assembler/workspaces_test.go
@@ -130,13 +130,16 @@
 	d.store.Inject(emulator.StallsPolls{})
 	d.configureKeys(3, "s3cret-1", "s3cret-2")
 	is.Equal(kept.status("s3cret-2"), 200)
+	d.configureKeys(4, "s3cret-1", "s3cret-2", "s3cret-3")
+	d.store.DropHistory() // the changes can no longer be read, only the row
+	is.Equal(kept.status("s3cret-3"), 200)
 	d.store.Inject(emulator.HealthyStore{})
 
 	d.start(hostB)
 	other := d.connect(hostB)
 	is.Equal(other.status("s3cret-1"), 200)
 	began := time.Now()
-	d.configureKeys(4, "s3cret-2")
+	d.configureKeys(5, "s3cret-2")
 	d.eventually(func() bool { return kept.status("s3cret-1") == 401 && other.status("s3cret-1") == 401 })
 	is.True(time.Since(began) < applyTime)
 	is.Equal(kept.status("s3cret-2"), 200)
