--- a/assembler/workspaces_test.go
+++ b/assembler/workspaces_test.go
@@ -171,9 +171,11 @@
 	d := newDeployment(t)
 	const hostC = "3"
 	refused, lost := &cutStore{store: d.store.Handler()}, &lostStore{store: d.store.Handler()}
+	servers := make(map[string]*httptest.Server)
 	for host, link := range map[string]http.Handler{hostB: refused, hostC: lost} {
 		server := httptest.NewServer(link)
 		t.Cleanup(server.Close)
+		servers[host] = server
 		d.storeOf[host] = strings.TrimPrefix(server.URL, "http://")
 	}
 	d.configureKeys(2, "s3cret-1", "s3cret-2")
@@ -186,6 +188,7 @@
 	refused.cut.Store(true)
 	lost.cut.Store(true)
 	for _, host := range []string{hostB, hostC} {
+		servers[host].CloseClientConnections() // pending polls would still bring changes
 		k := connections[host]
 		is.Equal(k.status("s3cret-1"), 200)
 		is.Equal(k.status(""), 401)
