--- a/authenticator/authenticator.go
+++ b/authenticator/authenticator.go
@@ -49,19 +49,21 @@
 	return a.reads.await(ctx, since)
 }
 
-// verdict is what a table of routes says of the key of a call: admitted, missing or
-// unknown.
+// verdict is what a table of routes says of the key of a call: admitted, missing, revoked
+// or unknown.
 type verdict interface{ verdict() }
 
 type (
 	// admitted holds the call with its workspace, or without one if it needs no key.
 	admitted struct{ call *router.Routed }
 	missing  struct{}
+	revoked  struct{}
 	unknown  struct{}
 )
 
 func (admitted) verdict() {}
 func (missing) verdict()  {}
+func (revoked) verdict()  {}
 func (unknown) verdict()  {}
 
 // judge checks the key of a call against the table that the call was routed with.
@@ -75,6 +77,9 @@
 	if w := r.Table().WorkspaceByKey(r.Key()); w != nil {
 		return admitted{r.WithWorkspace(w)}
 	}
+	if r.Table().KeyRevoked(r.Key()) {
+		return revoked{}
+	}
 	return unknown{}
 }
 
@@ -86,6 +91,8 @@
 		return v.call, nil
 	case missing:
 		return nil, a.refuseMissing(r)
+	case revoked:
+		return nil, a.refuseUnknown(r)
 	}
 	err := a.refresh(ctx, r)
 	if ctx.Err() != nil {
@@ -101,12 +108,21 @@
 		return v.call, nil
 	case missing:
 		return nil, a.refuseMissing(r)
+	case revoked:
+		return nil, a.refuseUnknown(r)
 	}
 	if err != nil && !a.reads.confirmed(r.Received()) {
 		return nil, a.refuseUnchecked(r, err)
 	}
-	a.log.Info("key-unknown", logger.Request(r.ID()), logger.With(logger.KeyVersion, again.Table().Version()))
-	return nil, classifier.NewUnauthorized("the key is not known")
+	return nil, a.refuseUnknown(again)
+}
+
+// refuseUnknown refuses a call whose key the configuration does not contain. A revoked key
+// needs no read: callers that go on with one would cause a read of each host four times a
+// second, and a key that is given out again arrives with its configuration.
+func (a *Authenticator) refuseUnknown(r *router.Routed) error {
+	a.log.Info("key-unknown", logger.Request(r.ID()), logger.With(logger.KeyVersion, r.Table().Version()))
+	return classifier.NewUnauthorized("the key is not known")
 }
 
 // refresh returns once the configuration has been read by a read that began after the
--- a/authenticator/authenticator_test.go
+++ b/authenticator/authenticator_test.go
@@ -120,6 +120,7 @@
 func TestDecisions(t *testing.T) {
 	tests := []struct {
 		name      string
+		earlier   *router.Table // that the host held before
 		held      *router.Table
 		stored    *router.Table
 		down      bool
@@ -138,6 +139,8 @@
 		{name: "no workspaces", held: table(1), path: "/x", key: "anything"},
 		{name: "unknown key", held: table(1, "k1"), path: "/x", key: "k2", denied: true, reads: 1},
 		{name: "overlong key", held: table(1, "k1"), path: "/x", key: strings.Repeat("k", 10_000), denied: true, reads: 1},
+		{name: "revoked key", earlier: table(1, "k1", "k2"), held: table(2, "k1"), path: "/x", key: "k2", denied: true},
+		{name: "revoked key without the store", earlier: table(1, "k1", "k2"), held: table(2, "k1"), down: true, path: "/x", key: "k2", denied: true},
 		{name: "new key", held: table(1, "k1"), stored: table(2, "k1", "k2"), path: "/x", key: "k2", workspace: "ana", reads: 1},
 		{name: "no workspaces any more", held: table(1, "k1"), stored: table(2), path: "/x", key: "k2", reads: 1},
 		{name: "unknown key without the store", held: table(1, "k1"), down: true, path: "/x", key: "k2", retryable: true, reads: 1},
@@ -148,6 +151,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				s, a := newHost(tt.held)
+				if tt.earlier != nil {
+					s, a = newHost(tt.earlier)
+					s.routes.Adopt(tt.held)
+					s.stored = tt.held
+				}
 				s.down = tt.down
 				if tt.stored != nil {
 					s.stored = tt.stored
--- a/enroller/ranking_test.go
+++ b/enroller/ranking_test.go
@@ -14,11 +14,12 @@
 	withPair(t, func(t *testing.T, is *is.I, a, b *host) {
 		time.Sleep(10 * time.Second)
 		firsts := make(map[string]int)
+		seen := a.View() // a later view has other hosts after a renewal
 		for i := range 100 {
 			key := fmt.Sprint("key", i)
-			ranking := a.View().Ranking(key)
+			ranking := seen.Ranking(key)
 			is.Equal(len(ranking.Hosts()), 2)
-			for j, h := range a.View().Ranked(key, 2) {
+			for j, h := range seen.Ranked(key, 2) {
 				is.Equal(ranking.Hosts()[j], h)
 				is.Equal(b.View().Ranking(key).Hosts()[j].Name(), h.Name())
 			}
--- a/router/router.go
+++ b/router/router.go
@@ -82,9 +82,13 @@
 func (r *Router) Adopt(t *Table) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if old := r.current.Load(); old != nil && t.version <= old.version {
+	old := r.current.Load()
+	if old != nil && t.version <= old.version {
 		return false
 	}
+	if old != nil && (len(old.workspaceByKey) > 0 || len(old.revokedKeys) > 0) {
+		t = t.succeeding(old)
+	}
 	r.current.Store(t)
 	return true
 }
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -134,6 +134,30 @@
 	is.True(!second.Quota().Limited())
 }
 
+// Guards against a revoked key that counts as one that the host has not read yet, and against a
+// key that stays revoked although a later table has it again.
+func TestRevokedKeys(t *testing.T) {
+	is := is.New(t)
+	r := router.New()
+	adopt := func(version int64, keys ...string) {
+		w := router.NewWorkspace("w", keys, 0, router.Quota{})
+		is.True(r.Adopt(router.NewTable(version, nil, nil, router.WithWorkspaces([]*router.Workspace{w}))))
+	}
+	adopt(1, "k1", "k2")
+	is.True(!r.Current().KeyRevoked("k1"))
+	adopt(2, "k2")
+	is.True(r.Current().KeyRevoked("k1"))
+	is.True(!r.Current().KeyRevoked("k3")) // never known
+	adopt(3, "k2", "k3")
+	is.True(r.Current().KeyRevoked("k1"))
+	adopt(4, "k1")
+	is.True(!r.Current().KeyRevoked("k1"))
+	is.True(r.Current().WorkspaceByKey("k1") != nil)
+	is.True(r.Current().KeyRevoked("k2"))
+	is.True(r.Adopt(router.NewTable(5, nil, nil))) // without workspaces
+	is.True(r.Current().KeyRevoked("k2"))
+}
+
 // The look-up of a key is on the path of each call.
 func BenchmarkWorkspaceByKey(b *testing.B) {
 	const workspaces = 100_000
--- a/router/table.go
+++ b/router/table.go
@@ -243,6 +243,7 @@
 	services       map[string]*Service
 	workspaces     map[string]*Workspace // nil if calls need no keys
 	workspaceByKey map[keyHash]*Workspace
+	revokedKeys    map[keyHash]struct{} // of earlier tables
 }
 
 // NewTable returns a table of the given version.
--- a/router/workspace.go
+++ b/router/workspace.go
@@ -133,3 +133,35 @@
 	}
 	return t.workspaceByKey[hashKey(key)]
 }
+
+// maxRevokedKeys limits the memory for revoked keys. A key beyond it counts as unknown.
+const maxRevokedKeys = 4096
+
+// KeyRevoked reports whether a key belonged to a workspace in an earlier table and does not
+// any more.
+func (t *Table) KeyRevoked(key string) bool {
+	if len(t.revokedKeys) == 0 || key == "" || len(key) > maxKeyLength {
+		return false
+	}
+	_, ok := t.revokedKeys[hashKey(key)]
+	return ok
+}
+
+// succeeding returns the table as the successor of an earlier one, whose keys it may revoke.
+func (t *Table) succeeding(old *Table) *Table {
+	revoked := make(map[keyHash]struct{})
+	revoke := func(k keyHash) {
+		if _, held := t.workspaceByKey[k]; !held && len(revoked) < maxRevokedKeys {
+			revoked[k] = struct{}{}
+		}
+	}
+	for k := range old.workspaceByKey {
+		revoke(k)
+	}
+	for k := range old.revokedKeys {
+		revoke(k)
+	}
+	next := *t
+	next.revokedKeys = revoked
+	return &next
+}
