allotter, messenger: delegate parts of quotas

A newcomer could not tell what lenders, lendings and presences are. A host delegates its equal part of a quota to a quota owner, with a message a second. The types, the method between hosts (SendDelegation), the event quota-owner-unresponsive and the values of the label source (fallback, local, cached) say so. Avoider.Silent becomes FailingFor. Behaviour does not change.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -20,17 +20,17 @@
 const (
 	// requestTimeout limits one request to another host.
 	requestTimeout = 300 * time.Millisecond
-	// aloneShare is the share of what the bounds allow beyond a quota that the first calls of
-	// hosts which are cut off may use.
-	aloneShare = 0.5
-	// maxLocalRefusal is how long a host refuses calls without asking after it was told that
-	// the bucket is empty.
+	// isolatedShare is the share of what the bounds allow beyond a quota that the first calls of
+	// isolated hosts may use.
+	isolatedShare = 0.5
+	// maxLocalRefusal is how long a host refuses calls without asking after a quota owner
+	// refused one.
 	maxLocalRefusal = 100 * time.Millisecond
 )
 
-// backoff is how long calls do not ask a host that did not answer. Presences ask it every
-// presenceInterval in the meantime, and calls do so again once it has answered one.
-const backoff = 3 * presenceInterval
+// backoff is how long calls do not ask a host that did not answer. Delegations are sent to it
+// every delegationInterval in the meantime, and calls ask it again once it has answered one.
+const backoff = 3 * delegationInterval
 
 // ErrEnded reports that a host grants nothing any more: it is about to leave, or no process accepts
 // connections at its address.
@@ -40,8 +40,8 @@
 type Remote interface {
 	// Draw asks for the tokens of a call. It fails with ErrEnded if the host has ended.
 	Draw(ctx context.Context, address string, r Request) (accountant.Verdict, error)
-	// SendPresence sends the presence of this host, and fails like Draw.
-	SendPresence(ctx context.Context, address string, p Presence) error
+	// SendDelegation sends a delegation by this host, and fails like Draw.
+	SendDelegation(ctx context.Context, address string, d Delegation) error
 }
 
 // Members provides the hosts.
@@ -63,9 +63,9 @@
 	observer     Observer
 	bounds       accountant.Bounds
 	log          *logger.Logger
-	lendings     *lendings
+	delegations  *delegations
 	owned        *accountant.Accountant // what this host grants to all hosts
-	alone        *accountant.Accountant // what this host grants itself while it reaches no other one
+	local        *accountant.Accountant // what this host grants itself while it is isolated
 	unresponsive *avoider.Avoider
 	ended        sync.Map // names of hosts whose process had ended when they were asked last
 	refusals     sync.Map // workspace → *refusal
@@ -76,8 +76,8 @@
 func New(remote Remote, members Members, tables Tables, observer Observer, b accountant.Bounds, log *logger.Logger) *Allotter {
 	return &Allotter{
 		remote: remote, members: members, tables: tables, observer: observer, bounds: b, log: log.Component("allotter"),
-		lendings: &lendings{byWorkspace: make(map[string]*lending)},
-		owned:    accountant.New(b), alone: accountant.New(b, accountant.WithOverdraft()),
+		delegations: &delegations{byWorkspace: make(map[string]*workspaceDelegations)},
+		owned:       accountant.New(b), local: accountant.New(b, accountant.WithOverdraft()),
 		unresponsive: avoider.New(avoider.WithBackoff(backoff)),
 		reports:      reports{byAccount: make(map[account]Report)},
 	}
@@ -93,8 +93,8 @@
 // draw charges the cost of a call.
 func (a *Allotter) draw(ctx context.Context, workspace string, t accountant.Terms, cost float64) charge {
 	now := time.Now()
-	if wait, refused := a.refusedLately(workspace, t, cost, now); refused {
-		return charge{verdict: accountant.NewExceeded(wait), source: Recent{}}
+	if wait, refused := a.refusedRecently(workspace, t, cost, now); refused {
+		return charge{verdict: accountant.NewExceeded(wait), source: Cached{}}
 	}
 	ranking := a.members.View().Ranking(workspace)
 	for i, h := range ranking.Hosts() {
@@ -112,14 +112,14 @@
 			return charge{verdict: accountant.NewExceeded(0), source: sourceOf(i)}
 		}
 	}
-	verdict := a.drawAlone(workspace, t, cost, ranking, now)
+	verdict := a.drawLocally(workspace, t, cost, ranking, now)
 	a.recordElsewhere(ranking, len(ranking.Hosts()), workspace, verdict, cost)
-	return charge{verdict: verdict, source: Alone{}, account: account{workspace: workspace}}
+	return charge{verdict: verdict, source: Local{}, account: account{workspace: workspace}}
 }
 
-// recordElsewhere records a grant of another host than the quota owner, which is told of it
-// once it answers again. It counted this host's part as its own in the meantime, unless it
-// has been silent for long.
+// recordElsewhere records a grant by a host other than the quota owner, for a report to the owner
+// once it answers again. The owner has counted this host's part as its own in the meantime,
+// unless it has been unresponsive for longer than unresponsiveTime.
 func (a *Allotter) recordElsewhere(r *enroller.Ranking, index int, workspace string, v accountant.Verdict, cost float64) {
 	if _, granted := v.(accountant.Granted); !granted || index == 0 || len(r.Hosts()) == 0 {
 		return
@@ -141,7 +141,7 @@
 		return Primary{}
 	}
 	for _, h := range r.Hosts()[:index] {
-		if _, ended := a.ended.Load(h.Name()); !ended && a.unresponsive.Silent(h.Name()) < silenceTime {
+		if _, ended := a.ended.Load(h.Name()); !ended && a.unresponsive.FailingFor(h.Name()) < unresponsiveTime {
 			return Standby{}
 		}
 	}
@@ -152,7 +152,7 @@
 	if index == 0 {
 		return Owner{}
 	}
-	return Second{}
+	return Fallback{}
 }
 
 // ask sends a request to a host, which may be this one.
@@ -177,9 +177,8 @@
 	return verdict, nil
 }
 
-// send sends a message to another host. It sends it again if the first attempt fails early: its
-// connection may have been that of an earlier process, and a new one shows whether there is
-// a process.
+// send sends a message to another host, and repeats it if the first attempt fails early: that
+// connection may belong to an earlier process, and a new one shows whether a process runs.
 func (a *Allotter) send(ctx context.Context, h *enroller.Host, message func(context.Context) error) error {
 	known := a.unresponsive.Avoids(h.Name())
 	err := a.unresponsive.Do(ctx, h.Name(), requestTimeout, func(ctx context.Context) error {
@@ -195,23 +194,23 @@
 		a.ended.Delete(h.Name())
 	}
 	if err != nil && ctx.Err() == nil && !known {
-		a.log.Warn("quota-owner-silent", logger.With(logger.KeyPeer, h.Name()), logger.Err(err))
+		a.log.Warn("quota-owner-unresponsive", logger.With(logger.KeyPeer, h.Name()), logger.Err(err))
 	}
 	return err
 }
 
-// drawAlone charges a call to this host's own part of the rate. All hosts may be cut off at the
+// drawLocally charges a call to this host's own part of the rate. All hosts may be isolated at the
 // same moment, so that the first call is granted at once on as many of them as the bounds
 // allow, and waits on the others for a part of the time in which its tokens become available.
-func (a *Allotter) drawAlone(workspace string, t accountant.Terms, cost float64, r *enroller.Ranking, now time.Time) accountant.Verdict {
+func (a *Allotter) drawLocally(workspace string, t accountant.Terms, cost float64, r *enroller.Ranking, now time.Time) accountant.Verdict {
 	const steps = 1 << 10
 	phase := float64(xxhash.Sum64String(a.members.Self()+"\x00"+workspace)%steps) / steps
 	hosts := float64(max(r.Serving(), 1))
-	first := aloneShare * a.bounds.Allowance(t) / (cost * hosts)
+	first := isolatedShare * a.bounds.Allowance(t) / (cost * hosts)
 	share := halfShare
 	// Hosts that do not see this one's row share the rate among them.
 	if _, whole := a.role(r, len(r.Hosts())).(Substitute); whole && a.members.View().Current() {
 		share = 1
 	}
-	return a.alone.Draw(workspace, t, accountant.NewPart(share/hosts, min(first-phase, 0)*cost), cost, now)
+	return a.local.Draw(workspace, t, accountant.NewPart(share/hosts, min(first-phase, 0)*cost), cost, now)
 }
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -106,7 +106,7 @@
 	})
 }
 
-// failures are what happens to hosts. Keeps tells that no call of a workspace that uses half of
+// failures are faults of hosts. Keeps means that no call of a workspace that uses half of
 // its quota may be lost: the hosts that take the place of the quota owner grant half of the
 // rate at once.
 var failures = []struct {
--- a/allotter/calls_test.go
+++ b/allotter/calls_test.go
@@ -82,7 +82,7 @@
 			for range 3 {
 				is.Equal(attempt(h, notRun), notRun) // the next call takes the tokens back with it
 			}
-			time.Sleep(1100 * time.Millisecond) // or a presence does
+			time.Sleep(1100 * time.Millisecond) // or a delegation does
 		}
 		is.Equal(len(c.ran["w"]), 0)
 		is.NoErr(attempt(owner, nil))
@@ -115,7 +115,7 @@
 			is.True(wait > 0 && wait <= 8*time.Second)
 		}
 		is.Equal(c.sources[allotter.Owner{}], 2)
-		is.Equal(c.sources[allotter.Recent{}], 99)
+		is.Equal(c.sources[allotter.Cached{}], 99)
 		is.NoErr(c.try(h, "w", 50)) // costs less
 		time.Sleep(100 * time.Millisecond)
 		is.True(c.try(h, "w", 800) != nil)
--- a/allotter/harness_test.go
+++ b/allotter/harness_test.go
@@ -165,7 +165,7 @@
 	}
 }
 
-// contact tells each host once a second that the store answers.
+// contact reports to each host once a second that the store answers.
 func (c *cluster) contact() {
 	for c.t.Context().Err() == nil {
 		for name, h := range c.running() {
@@ -261,13 +261,13 @@
 	return verdict, err
 }
 
-// SendPresence implements allotter.Remote.
-func (r remote) SendPresence(ctx context.Context, address string, p allotter.Presence) error {
+// SendDelegation implements allotter.Remote.
+func (r remote) SendDelegation(ctx context.Context, address string, d allotter.Delegation) error {
 	to, err := r.reach(ctx, address)
 	if err != nil {
 		return err
 	}
-	return to.quotas.Hear(p)
+	return to.quotas.RecordDelegation(d)
 }
 
 // RecordDraw implements allotter.Observer.
@@ -301,7 +301,7 @@
 	return err
 }
 
-// call makes a call at a host. The caller tries again, at any host, as it is told to.
+// call makes a call at a host. The caller tries again, at any host, after the delay that it gets.
 func (c *cluster) call(h *host, workspace string, tokens int) {
 	began := time.Now()
 	for {
@@ -392,7 +392,7 @@
 	}
 }
 
-// settle waits until all hosts know each other and have lent their parts of the rates.
+// settle waits until all hosts know each other and have delegated their parts of the rates.
 func settle() {
 	time.Sleep(8 * time.Second)
 	synctest.Wait()
--- a/allotter/presence.go
+++ b/allotter/maintenance.go
@@ -23,21 +23,21 @@
 		}
 	})
 	for ctx.Err() == nil {
-		next := time.Now().Add(presenceInterval)
+		next := time.Now().Add(delegationInterval)
 		a.maintain(ctx)
 		_ = sleeper.Sleep(ctx, time.Until(next))
 	}
 	running.Wait()
 }
 
-// maintain sends presences, and forgets what is not needed any more.
+// maintain sends delegations and removes outdated state.
 func (a *Allotter) maintain(ctx context.Context) {
 	table := a.tables.Current()
 	if table == nil {
 		return
 	}
 	view := a.members.View()
-	a.lendings.sweep(func(host string) bool {
+	a.delegations.sweep(func(host string) bool {
 		h := view.Host(host)
 		return host == a.members.Self() || h != nil && view.Alive(h)
 	}, time.Now())
@@ -54,7 +54,7 @@
 		return true
 	})
 	a.reports.clear(func(key account) bool { return a.asks(view.Ranking(key.workspace), key.host) })
-	a.sendPresences(ctx, view, table)
+	a.sendDelegations(ctx, view, table)
 }
 
 // asks reports whether this host asks another one for tokens at present.
@@ -70,16 +70,16 @@
 	return false
 }
 
-// recipient is a host that gets a presence.
+// recipient is a host that gets a delegation.
 type recipient struct {
 	host *enroller.Host
 	role Role
 }
 
-// sendPresences tells the quota owners of all workspaces that this host reaches them, and
-// those next in rank where an owner does not answer. Each of them gets one message for all
+// sendDelegations delegates this host's parts of all quotas to the quota owners, or to the hosts
+// next in rank where an owner does not answer. Each of them gets one message for all
 // of its workspaces.
-func (a *Allotter) sendPresences(ctx context.Context, view *enroller.View, table *router.Table) {
+func (a *Allotter) sendDelegations(ctx context.Context, view *enroller.View, table *router.Table) {
 	var open []string
 	for w := range table.Workspaces() {
 		if w.Quota().Limited() {
@@ -100,32 +100,32 @@
 	}
 }
 
-// sendTo sends presences to hosts and returns the workspaces of those that do not answer.
-func (a *Allotter) sendTo(ctx context.Context, quotas map[recipient][]Quota) (unheard []string) {
+// sendTo sends delegations to hosts and returns the workspaces of those that do not answer.
+func (a *Allotter) sendTo(ctx context.Context, quotas map[recipient][]Quota) (unanswered []string) {
 	var mu sync.Mutex
 	var running sync.WaitGroup
 	for to, list := range quotas {
 		running.Go(func() {
-			if a.sendPresence(ctx, to.host, NewPresence(a.members.Self(), list, to.role)) == nil {
+			if a.sendDelegation(ctx, to.host, NewDelegation(a.members.Self(), list, to.role)) == nil {
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
 			for _, q := range list {
 				a.reports.restore(account{to.host.Name(), q.workspace}, q.report)
-				unheard = append(unheard, q.workspace)
+				unanswered = append(unanswered, q.workspace)
 			}
 		})
 	}
 	running.Wait()
-	return unheard
+	return unanswered
 }
 
-func (a *Allotter) sendPresence(ctx context.Context, h *enroller.Host, p Presence) error {
+func (a *Allotter) sendDelegation(ctx context.Context, h *enroller.Host, d Delegation) error {
 	if h.Name() == a.members.Self() {
-		return a.Hear(p)
+		return a.RecordDelegation(d)
 	}
 	return a.send(ctx, h, func(ctx context.Context) error {
-		return a.remote.SendPresence(ctx, h.PeerAddress(), p)
+		return a.remote.SendDelegation(ctx, h.PeerAddress(), d)
 	})
 }
--- a/allotter/message.go
+++ b/allotter/message.go
@@ -8,8 +8,8 @@
 type (
 	// Primary is the quota owner.
 	Primary struct{}
-	// Standby takes the place of a quota owner that has just stopped to answer. That one may
-	// still grant a part of the quota.
+	// Standby takes the place of a quota owner that has just stopped answering and may still
+	// grant a part of the quota.
 	Standby struct{}
 	// Substitute takes the place of a quota owner that has ended, or has not answered for so
 	// long that it grants nothing for the host that asks.
@@ -20,7 +20,7 @@
 func (Standby) role()    {}
 func (Substitute) role() {}
 
-// Report tells a host of earlier calls of a workspace, in tokens.
+// Report is what a message to a host reports of earlier calls of a workspace, in tokens.
 type Report struct {
 	returned  float64
 	late      float64
@@ -88,8 +88,9 @@
 // Role returns what the host that is asked is to the one that asks.
 func (r Request) Role() Role { return r.role }
 
-// Presence tells a host which workspaces it owns the quotas of, as seen by another host.
-type Presence struct {
+// Delegation transfers the sender's equal parts of quotas to the quota owner that receives it, for
+// as long as it is repeated.
+type Delegation struct {
 	from   string
 	quotas []Quota
 	role   Role
@@ -110,16 +111,16 @@
 // Report returns the report on earlier calls.
 func (q Quota) Report() Report { return q.report }
 
-// NewPresence returns the presence of the host named from, which sends it to a host in a role.
-func NewPresence(from string, list []Quota, role Role) Presence {
-	return Presence{from: from, quotas: list, role: role}
+// NewDelegation returns a delegation by the host named from to a host in a role.
+func NewDelegation(from string, list []Quota, role Role) Delegation {
+	return Delegation{from: from, quotas: list, role: role}
 }
 
-// From returns the name of the host.
-func (p Presence) From() string { return p.from }
+// From returns the name of the host that delegates.
+func (d Delegation) From() string { return d.from }
 
 // Quotas returns the workspaces. The caller must not modify them.
-func (p Presence) Quotas() []Quota { return p.quotas }
+func (d Delegation) Quotas() []Quota { return d.quotas }
 
-// Role returns what the host that gets the presence is to the one that sends it.
-func (p Presence) Role() Role { return p.role }
+// Role returns what the host that gets the delegation is to the one that sends it.
+func (d Delegation) Role() Role { return d.role }
--- a/allotter/observer.go
+++ b/allotter/observer.go
@@ -6,7 +6,7 @@
 	"github.com/dragonflyford/dragonflyford/accountant"
 )
 
-// Source is who decided on a call: Owner, Second, Alone or Recent.
+// Source is who decided on a call: Owner, Fallback, Local or Cached.
 type Source interface {
 	// String returns the name used in metrics.
 	String() string
@@ -16,28 +16,28 @@
 type (
 	// Owner is the quota owner.
 	Owner struct{}
-	// Second is the next host in rank, because the quota owner did not answer.
-	Second struct{}
-	// Alone is the host itself, because neither of the others answered.
-	Alone struct{}
-	// Recent is the host itself, because it was told lately that the quota is used up.
-	Recent struct{}
+	// Fallback is the next host in rank, because the quota owner did not answer.
+	Fallback struct{}
+	// Local is the host itself, because neither of the others answered.
+	Local struct{}
+	// Cached is the host itself, from a recent refusal by a quota owner.
+	Cached struct{}
 )
 
-func (Owner) source()  {}
-func (Second) source() {}
-func (Alone) source()  {}
-func (Recent) source() {}
+func (Owner) source()    {}
+func (Fallback) source() {}
+func (Local) source()    {}
+func (Cached) source()   {}
 
-func (Owner) String() string  { return "owner" }
-func (Second) String() string { return "second" }
-func (Alone) String() string  { return "alone" }
-func (Recent) String() string { return "recent" }
+func (Owner) String() string    { return "owner" }
+func (Fallback) String() string { return "fallback" }
+func (Local) String() string    { return "local" }
+func (Cached) String() string   { return "cached" }
 
 // Sources returns all sources.
-func Sources() []Source { return []Source{Owner{}, Second{}, Alone{}, Recent{}} }
+func Sources() []Source { return []Source{Owner{}, Fallback{}, Local{}, Cached{}} }
 
-// Observer is told of the decisions.
+// Observer receives the decisions.
 type Observer interface {
 	// RecordDraw records a decision and how long it took.
 	RecordDraw(s Source, v accountant.Verdict, took time.Duration)
--- a/allotter/owner.go
+++ b/allotter/owner.go
@@ -14,13 +14,12 @@
 		return nil, ErrEnded
 	}
 	now := time.Now()
-	a.hear(r.workspace, r.from, r.role, r.report, now)
+	a.record(r.workspace, r.from, r.role, r.report, now)
 	t := a.newest(r)
-	return a.owned.Draw(r.workspace, t, a.lendings.part(r.workspace, t, now), r.cost, now), nil
+	return a.owned.Draw(r.workspace, t, a.delegations.part(r.workspace, t, now), r.cost, now), nil
 }
 
-// newest returns the newer one of the terms that the host that asks knows and those that this
-// host knows.
+// newest returns the newer of the terms in a request and those in this host's configuration.
 func (a *Allotter) newest(r Request) accountant.Terms {
 	table := a.tables.Current()
 	if table == nil || table.Version() <= r.terms.Version() {
@@ -37,9 +36,9 @@
 	return accountant.NewTerms(t.Version(), w.Quota().Rate(), w.Quota().Burst())
 }
 
-// hear records that a host reaches this one, and what it reports.
-func (a *Allotter) hear(workspace, host string, role Role, report Report, now time.Time) {
-	if a.lendings.record(workspace, host, role, report.elsewhere > 0, now) {
+// record records a delegation by a host, and what it reports.
+func (a *Allotter) record(workspace, host string, role Role, report Report, now time.Time) {
+	if a.delegations.record(workspace, host, role, report.elsewhere > 0, now) {
 		// Another host granted the quota until now.
 		a.owned.Limit(workspace, startShare, now)
 		a.count()
@@ -47,14 +46,14 @@
 	a.settle(workspace, report, now)
 }
 
-// Hear records the presence of a host. It fails like Grant.
-func (a *Allotter) Hear(p Presence) error {
+// RecordDelegation records a delegation. It fails like Grant.
+func (a *Allotter) RecordDelegation(d Delegation) error {
 	if a.members.Leaving() {
 		return ErrEnded
 	}
 	now := time.Now()
-	for _, q := range p.quotas {
-		a.hear(q.workspace, p.from, p.role, q.report, now)
+	for _, q := range d.quotas {
+		a.record(q.workspace, d.from, d.role, q.report, now)
 	}
 	return nil
 }
@@ -71,5 +70,5 @@
 
 func (a *Allotter) count() {
 	view := a.members.View()
-	a.lendings.count(view.ServingCount(), view.Current(), time.Now())
+	a.delegations.count(view.ServingCount(), view.Current(), time.Now())
 }
--- a/allotter/refusal.go
+++ b/allotter/refusal.go
@@ -7,7 +7,7 @@
 	"github.com/dragonflyford/dragonflyford/accountant"
 )
 
-// refusal is what a host was told last of the empty bucket of a workspace.
+// refusal is the latest refusal of a call of a workspace by a quota owner.
 type refusal struct {
 	mu      sync.Mutex
 	until   time.Time // no call that costs as much is asked for before
@@ -33,9 +33,9 @@
 	r.retryAt = now.Add(exceeded.Wait())
 }
 
-// refusedLately returns the wait of a call that is refused without asking. Calls that cost
+// refusedRecently returns the wait of a call that is refused without asking. Calls that cost
 // less than the refused one are asked for, because the bucket may have enough for them.
-func (a *Allotter) refusedLately(workspace string, t accountant.Terms, cost float64, now time.Time) (time.Duration, bool) {
+func (a *Allotter) refusedRecently(workspace string, t accountant.Terms, cost float64, now time.Time) (time.Duration, bool) {
 	known, ok := a.refusals.Load(workspace)
 	if !ok {
 		return 0, false
--- a/allotter/reports.go
+++ b/allotter/reports.go
@@ -22,7 +22,7 @@
 	r.byAccount[key] = NewReport(sum.returned+more.returned, sum.late+more.late, sum.elsewhere+more.elsewhere)
 }
 
-// take returns the report on an account, and forgets it.
+// take removes the report on an account and returns it.
 func (r *reports) take(key account) Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/allotter/stage.go
+++ b/allotter/stage.go
@@ -45,21 +45,21 @@
 	answer, err := s.inner.Apply(ctx, r)
 	if err != nil {
 		if _, ok := classifier.Of(err).Outcome().(classifier.NotRun); ok {
-			s.allotter.giveBack(charged.account, cost, time.Since(began))
+			s.allotter.refund(charged.account, cost, time.Since(began))
 		}
 	}
 	return answer, err
 }
 
-// giveBack returns the tokens of a call that did not run to where they were taken from.
-func (a *Allotter) giveBack(from account, cost float64, age time.Duration) {
+// refund returns the tokens of a call that did not run to where they were taken from.
+func (a *Allotter) refund(from account, cost float64, age time.Duration) {
 	report := NewReport(cost, 0, 0)
 	if age > lateAfter {
 		report = NewReport(0, cost, 0)
 	}
 	switch from.host {
 	case "":
-		a.alone.Return(from.workspace, report.returned, time.Now())
+		a.local.Return(from.workspace, report.returned, time.Now())
 	case a.members.Self():
 		a.settle(from.workspace, report, time.Now())
 	default:
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -327,8 +327,8 @@
 	return p.host.allotter.Grant(request)
 }
 
-func (p peerHandler) HearPresence(presence allotter.Presence) error {
-	return p.host.allotter.Hear(presence)
+func (p peerHandler) RecordDelegation(d allotter.Delegation) error {
+	return p.host.allotter.RecordDelegation(d)
 }
 
 func (p peerHandler) KeepRecords(list []replicator.Record) {
--- a/assembler/quotas_test.go
+++ b/assembler/quotas_test.go
@@ -12,7 +12,7 @@
 	"github.com/dragonflyford/dragonflyford/messenger"
 )
 
-// Guards against hosts that do not hear of each other's draws and presences, so that a quota
+// Guards against hosts that do not receive each other's draws and delegations, so that a quota
 // owner grants less than the quota, and against a quota that each host grants.
 func TestQuotaOfHosts(t *testing.T) {
 	t.Parallel()
@@ -29,7 +29,7 @@
 	client, err := messenger.New(nil)
 	is.NoErr(err)
 	defer func() { is.NoErr(client.Close()) }()
-	time.Sleep(6 * time.Second) // the hosts know each other, and have lent their parts for a while
+	time.Sleep(6 * time.Second) // the hosts know each other, and have delegated their parts for a while
 	draw := func(host string, cost float64) accountant.Verdict {
 		r := allotter.NewRequest(d.hostAddress(hostB), "w", accountant.NewTerms(2, rate, burst), cost)
 		verdict, err := client.Draw(t.Context(), d.listenAddress(host, 3), r)
@@ -46,7 +46,7 @@
 	is.True(owner != "")
 	exceeded, ok := draw(owner, burst/2).(accountant.Exceeded)
 	is.True(ok)
-	// The bucket fills at the whole rate, since both hosts lend their parts.
+	// The bucket fills at the whole rate, since both hosts delegate their parts.
 	filled := time.Duration(burst / 2 / rate * float64(time.Second))
 	is.True(exceeded.Wait() > filled*8/10 && exceeded.Wait() <= filled)
 }
--- a/avoider/avoider.go
+++ b/avoider/avoider.go
@@ -15,11 +15,11 @@
 // concurrently.
 type Avoider struct {
 	backoff  time.Duration // 0 for defaultBackoff
-	failures sync.Map      // host name → silence
+	failures sync.Map      // host name → failure
 }
 
-// silence is the time in which a host answered no request.
-type silence struct {
+// failure is a period in which a host answered no request.
+type failure struct {
 	first time.Time // first request without an answer
 	last  time.Time
 }
@@ -41,11 +41,11 @@
 
 // RecordFailure records that a host did not answer.
 func (a *Avoider) RecordFailure(host string) {
-	s := silence{first: time.Now(), last: time.Now()}
-	if known, ok := a.failures.Load(host); ok && !a.over(known.(silence)) {
-		s.first = known.(silence).first
+	f := failure{first: time.Now(), last: time.Now()}
+	if known, ok := a.failures.Load(host); ok && !a.expired(known.(failure)) {
+		f.first = known.(failure).first
 	}
-	a.failures.Store(host, s)
+	a.failures.Store(host, f)
 }
 
 // RecordAnswer records that a host answered.
@@ -57,27 +57,26 @@
 	if !ok {
 		return false
 	}
-	if a.over(known.(silence)) {
+	if a.expired(known.(failure)) {
 		a.failures.CompareAndDelete(host, known)
 		return false
 	}
 	return true
 }
 
-// over reports whether a host may be asked again.
-func (a *Avoider) over(s silence) bool {
+// expired reports whether a host may be asked again.
+func (a *Avoider) expired(f failure) bool {
 	backoff := a.backoff
 	if backoff == 0 {
 		backoff = defaultBackoff
 	}
-	return time.Since(s.last) >= backoff
+	return time.Since(f.last) >= backoff
 }
 
-// Silent returns the time since a host that is avoided began to give no answers, or 0 if it is
-// not avoided.
-func (a *Avoider) Silent(host string) time.Duration {
-	if known, ok := a.failures.Load(host); ok && !a.over(known.(silence)) {
-		return time.Since(known.(silence).first)
+// FailingFor returns how long a host that is avoided has not answered, or 0 for other hosts.
+func (a *Avoider) FailingFor(host string) time.Duration {
+	if known, ok := a.failures.Load(host); ok && !a.expired(known.(failure)) {
+		return time.Since(known.(failure).first)
 	}
 	return 0
 }
--- a/avoider/avoider_test.go
+++ b/avoider/avoider_test.go
@@ -27,9 +27,9 @@
 	})
 }
 
-// Guards against a host that is avoided after it has answered, and against a silence that
+// Guards against a host that is avoided after it has answered, and against a failure that
 // counts from a failure before an answer.
-func TestSilence(t *testing.T) {
+func TestFailingFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		a := avoider.New(avoider.WithBackoff(3 * time.Second))
@@ -41,13 +41,13 @@
 		time.Sleep(2 * time.Second)
 		is.True(a.Avoids("h"))
 		request(failure)
-		is.Equal(a.Silent("h"), 2*time.Second)
+		is.Equal(a.FailingFor("h"), 2*time.Second)
 		request(nil)
 		is.True(!a.Avoids("h"))
-		is.Equal(a.Silent("h"), time.Duration(0))
+		is.Equal(a.FailingFor("h"), time.Duration(0))
 		time.Sleep(time.Second)
 		request(failure)
-		is.Equal(a.Silent("h"), time.Duration(0))
+		is.Equal(a.FailingFor("h"), time.Duration(0))
 		time.Sleep(3 * time.Second)
 		is.True(!a.Avoids("h"))
 
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -29,19 +29,19 @@
 )
 
 type handler struct {
-	mu       sync.Mutex
-	request  supplier.ReserveRequest
-	answer   supplier.ReserveResponse
-	evidence []screener.Evidence
-	limits   []permitter.Report
-	mirror   *mirrorer.Mirror
-	records  []replicator.Record
-	coverage pinner.Coverage
-	draw     allotter.Request
-	presence allotter.Presence
-	verdict  accountant.Verdict
-	speed    procurer.SpeedReport
-	ended    error
+	mu         sync.Mutex
+	request    supplier.ReserveRequest
+	answer     supplier.ReserveResponse
+	evidence   []screener.Evidence
+	limits     []permitter.Report
+	mirror     *mirrorer.Mirror
+	records    []replicator.Record
+	coverage   pinner.Coverage
+	draw       allotter.Request
+	delegation allotter.Delegation
+	verdict    accountant.Verdict
+	speed      procurer.SpeedReport
+	ended      error
 }
 
 func (h *handler) LearnSpeed(r procurer.SpeedReport) {
@@ -83,10 +83,10 @@
 	return h.verdict, h.ended
 }
 
-func (h *handler) HearPresence(p allotter.Presence) error {
+func (h *handler) RecordDelegation(d allotter.Delegation) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.presence = p
+	h.delegation = d
 	return h.ended
 }
 
@@ -295,7 +295,7 @@
 	}
 }
 
-// Guards against draws and presences that change on their way between hosts, and against a
+// Guards against draws and delegations that change on their way between hosts, and against a
 // refusal or an error that arrives as a grant.
 func TestQuotas(t *testing.T) {
 	is := is.New(t)
@@ -313,13 +313,13 @@
 		{allotter.NewQuota("w", allotter.Report{}), allotter.NewQuota("v", allotter.NewReport(0, 12, 3))},
 		{allotter.NewQuota("w", allotter.Report{})},
 	} {
-		p := allotter.NewPresence("a", list, allotter.Substitute{})
-		is.NoErr(client.SendPresence(t.Context(), address, p))
-		is.Equal(h.presence, p)
+		d := allotter.NewDelegation("a", list, allotter.Substitute{})
+		is.NoErr(client.SendDelegation(t.Context(), address, d))
+		is.Equal(h.delegation, d)
 	}
 	h.ended = allotter.ErrEnded // and it answers
 	_, err := client.Draw(t.Context(), address, request)
 	is.True(errors.Is(err, allotter.ErrEnded))
-	is.True(errors.Is(client.SendPresence(t.Context(), address, allotter.Presence{}), allotter.ErrEnded))
-	is.True(errors.Is(client.SendPresence(t.Context(), "127.0.0.1:1", allotter.Presence{}), allotter.ErrEnded))
+	is.True(errors.Is(client.SendDelegation(t.Context(), address, allotter.Delegation{}), allotter.ErrEnded))
+	is.True(errors.Is(client.SendDelegation(t.Context(), "127.0.0.1:1", allotter.Delegation{}), allotter.ErrEnded))
 }
--- a/messenger/quotas.go
+++ b/messenger/quotas.go
@@ -35,16 +35,16 @@
 	Elsewhere float64 `cbor:"3,keyasint,omitempty"`
 }
 
-// presenceDocument tells that a host reaches the owner of quotas.
-type presenceDocument struct {
+// delegationDocument delegates the sender's parts of quotas.
+type delegationDocument struct {
 	From       string                    `cbor:"1,keyasint"`
 	Workspaces []string                  `cbor:"2,keyasint"`
 	Reports    map[string]reportDocument `cbor:"3,keyasint,omitempty"` // by workspace; those that are not empty
 	Role       int                       `cbor:"4,keyasint,omitempty"`
 }
 
-// heardDocument answers a presence.
-type heardDocument struct {
+// delegatedDocument answers a delegation.
+type delegatedDocument struct {
 	Ended bool `cbor:"1,keyasint,omitempty"` // the host grants nothing any more
 }
 
@@ -118,23 +118,23 @@
 	return accountant.NewExceeded(microseconds(d.WaitUS))
 }
 
-func encodePresence(p allotter.Presence) *presenceDocument {
-	d := &presenceDocument{From: p.From(), Role: encodeRole(p.Role()), Reports: make(map[string]reportDocument)}
-	for _, q := range p.Quotas() {
-		d.Workspaces = append(d.Workspaces, q.Workspace())
+func encodeDelegation(d allotter.Delegation) *delegationDocument {
+	doc := &delegationDocument{From: d.From(), Role: encodeRole(d.Role()), Reports: make(map[string]reportDocument)}
+	for _, q := range d.Quotas() {
+		doc.Workspaces = append(doc.Workspaces, q.Workspace())
 		if report := encodeReport(q.Report()); report != (reportDocument{}) {
-			d.Reports[q.Workspace()] = report
+			doc.Reports[q.Workspace()] = report
 		}
 	}
-	return d
+	return doc
 }
 
-func decodePresence(d *presenceDocument) allotter.Presence {
+func decodeDelegation(d *delegationDocument) allotter.Delegation {
 	list := make([]allotter.Quota, 0, len(d.Workspaces))
 	for _, workspace := range d.Workspaces {
 		list = append(list, allotter.NewQuota(workspace, decodeReport(d.Reports[workspace])))
 	}
-	return allotter.NewPresence(d.From, list, decodeRole(d.Role))
+	return allotter.NewDelegation(d.From, list, decodeRole(d.Role))
 }
 
 func (s *service) draw(_ context.Context, in *drawDocument) (*drawnDocument, error) {
@@ -148,12 +148,12 @@
 	return encodeDrawn(verdict), nil
 }
 
-func (s *service) hear(_ context.Context, in *presenceDocument) (*heardDocument, error) {
-	err := s.handler.HearPresence(decodePresence(in))
+func (s *service) recordDelegation(_ context.Context, in *delegationDocument) (*delegatedDocument, error) {
+	err := s.handler.RecordDelegation(decodeDelegation(in))
 	if err != nil && !errors.Is(err, allotter.ErrEnded) {
-		return nil, fmt.Errorf("hear presence: %w", err)
+		return nil, fmt.Errorf("record delegation: %w", err)
 	}
-	return &heardDocument{Ended: err != nil}, nil
+	return &delegatedDocument{Ended: err != nil}, nil
 }
 
 // Draw asks the host at address for the tokens of a call.
@@ -168,10 +168,10 @@
 	return decodeDrawn(&out), nil
 }
 
-// SendPresence tells the host at address that this host reaches it.
-func (m *Messenger) SendPresence(ctx context.Context, address string, p allotter.Presence) error {
-	var out heardDocument
-	if err := m.invoke(ctx, address, methodSendPresence, encodePresence(p), &out); err != nil {
+// SendDelegation delegates this host's parts of quotas to the host at address.
+func (m *Messenger) SendDelegation(ctx context.Context, address string, d allotter.Delegation) error {
+	var out delegatedDocument
+	if err := m.invoke(ctx, address, methodSendDelegation, encodeDelegation(d), &out); err != nil {
 		return asEnded(err)
 	}
 	if out.Ended {
--- a/messenger/speed.go
+++ b/messenger/speed.go
@@ -12,7 +12,7 @@
 	Slowdown float64 `cbor:"2,keyasint"` // duration of work as a multiple of the usual one
 }
 
-// ReportSpeed tells the host at an address of the speed of an engine that it owns.
+// ReportSpeed reports the speed of an engine to its owner, the host at an address.
 func (m *Messenger) ReportSpeed(ctx context.Context, address string, r procurer.SpeedReport) error {
 	return m.invoke(ctx, address, methodReportSpeed, &speedDocument{Engine: r.Engine(), Slowdown: r.Slowdown().Factor()}, &emptyDocument{})
 }
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -25,17 +25,17 @@
 )
 
 const (
-	methodReserve      = "/messenger/Supply"
-	methodSendEvidence = "/messenger/Accuse"
-	methodSendLimits   = "/messenger/SendLimits"
-	methodAdmit        = "/messenger/Admit"
-	methodFollow       = "/messenger/Follow"
-	methodReplicate    = "/messenger/Replicate"
-	methodFind         = "/messenger/Find"
-	methodStatus       = "/messenger/RecordStatus"
-	methodDraw         = "/messenger/Draw"
-	methodSendPresence = "/messenger/SendPresence"
-	methodReportSpeed  = "/messenger/ReportSpeed"
+	methodReserve        = "/messenger/Supply"
+	methodSendEvidence   = "/messenger/Accuse"
+	methodSendLimits     = "/messenger/SendLimits"
+	methodAdmit          = "/messenger/Admit"
+	methodFollow         = "/messenger/Follow"
+	methodReplicate      = "/messenger/Replicate"
+	methodFind           = "/messenger/Find"
+	methodStatus         = "/messenger/RecordStatus"
+	methodDraw           = "/messenger/Draw"
+	methodSendDelegation = "/messenger/SendDelegation"
+	methodReportSpeed    = "/messenger/ReportSpeed"
 )
 
 type modelDocument struct {
@@ -237,8 +237,8 @@
 	// Draw handles a request for the tokens of a call. It fails with allotter.ErrEnded if this
 	// host grants nothing any more.
 	Draw(r allotter.Request) (accountant.Verdict, error)
-	// HearPresence records that another host reaches this one, and fails like Draw.
-	HearPresence(p allotter.Presence) error
+	// RecordDelegation records what another host delegates to this one, and fails like Draw.
+	RecordDelegation(d allotter.Delegation) error
 	// KeepRecords keeps records of streams that began at another host.
 	KeepRecords(list []replicator.Record)
 	// FindRecord returns what this host knows of the record of a stream.
@@ -315,6 +315,6 @@
 		describer.Unary(methodFind, (*service).find),
 		describer.Unary(methodStatus, (*service).status),
 		describer.Unary(methodDraw, (*service).draw),
-		describer.Unary(methodSendPresence, (*service).hear),
+		describer.Unary(methodSendDelegation, (*service).recordDelegation),
 		describer.Unary(methodReportSpeed, (*service).learnSpeed))
 }
