pacer: name the rises and signs of overload by usual terms

slowStartRise and probeRise replace blindStart and blindRise, overloaded replaces pressed, reported replaces told, and SetRate replaces Named. Behaviour does not change.

--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -15,7 +15,7 @@
 	// limits aim at.
 	ceilingShare = 0.4
 	// gain is the exponent of the ratio between the load that is aimed at and the one
-	// reported. A limit follows in several steps, because other hosts change theirs by the
+	// reported. A limit changes in several steps, because other hosts change theirs by the
 	// same report.
 	gain = 0.5
 	// maxRise and maxFall bound one change of the limit by a report.
@@ -30,10 +30,10 @@
 	// probeTime is the longest time between two calls of a host that has no answer yet, or
 	// whose last answer showed an idle endpoint.
 	probeTime = 2 * time.Second
-	// blindStart and blindRise are the changes of a limit that is in use, by an answer
-	// without a load: before and after the first sign that the endpoint is busy.
-	blindStart = 1.6
-	blindRise  = 1.03
+	// slowStartRise and probeRise are the changes of a limit that is in use, by an answer
+	// without a load: before and after the first sign of overload.
+	slowStartRise = 1.6
+	probeRise     = 1.03
 	// refusalFall, timeoutFall and brokenFall are the changes by a refusal, by a time-out
 	// and by a broken connection.
 	refusalFall = 0.7
@@ -63,20 +63,20 @@
 // Pacer holds the limit of one endpoint process as one host sees it. It is not safe for
 // concurrent use.
 type Pacer struct {
-	slots     float64
-	ceiling   float64 // total of calls at which the endpoint refused one; 0 if it did not
-	rate      float64 // requests a second that the endpoint accepts from all hosts; 0 if it named none
-	limit     float64 // 0 before the first answer: the equal share of the slots
-	changedAt time.Time
-	updatedAt time.Time // of the latest answer or change
-	blocked   bool      // a call found no room since the latest change
-	idle      bool      // the latest load was that of an idle endpoint
-	pressed   bool      // the endpoint has shown that it can be too busy
-	credit    float64   // of the last, fractional call; a call takes 1
-	begun     bool      // this host has sent a call
-	creditAt  time.Time
-	waiting   float64 // waiting calls per slot in the latest load
-	speed     speed
+	slots      float64
+	ceiling    float64 // total of calls at which the endpoint refused one; 0 if it did not
+	rate       float64 // requests a second that the endpoint accepts from all hosts; 0 if it named none
+	limit      float64 // 0 before the first answer: the equal share of the slots
+	changedAt  time.Time
+	updatedAt  time.Time // of the latest answer or change
+	blocked    bool      // a call found no room since the latest change
+	idle       bool      // the latest load was that of an idle endpoint
+	overloaded bool      // the endpoint has shown signs of overload
+	credit     float64   // of the last, fractional call; a call takes 1
+	begun      bool      // this host has sent a call
+	creditAt   time.Time
+	waiting    float64 // waiting calls per slot in the latest load
+	speed      speed
 }
 
 // New returns the pacer of an endpoint process that the host learns of at a time. Phase is a
@@ -94,7 +94,7 @@
 
 // pace returns the pace at a time. The latest one holds until the host's next call is due.
 func (p *Pacer) pace(m Moment) float64 {
-	if p.limit == 0 || !p.speed.told {
+	if p.limit == 0 || !p.speed.reported {
 		return p.speed.current(m.now, 0)
 	}
 	due := p.speed.pace.value * p.usual(m).Seconds() / p.limit
@@ -103,7 +103,7 @@
 
 // ReportedPace returns the pace if the endpoint reports it itself, else 1.
 func (p *Pacer) ReportedPace(m Moment) float64 {
-	if !p.speed.told {
+	if !p.speed.reported {
 		return 1
 	}
 	return p.pace(m)
@@ -238,15 +238,15 @@
 		p.followLoad(m, max(l.total(), 1))
 	case p.pace(m) > p.target()/p.slots:
 		// Longer durations may come from a queue or from a slow machine. The equal share of
-		// the slots is no flood in either case.
-		p.pressed = true
+		// the slots does not overload it in either case.
+		p.overloaded = true
 		p.follow(m, p.target()/p.slots/p.pace(m), 1)
 	case p.limit < p.share(m):
 		p.change(m, min(p.share(m)/p.limit, maxRise), minShare)
-	case p.blocked && p.pressed:
-		p.change(m, blindRise, minShare)
+	case p.blocked && p.overloaded:
+		p.change(m, probeRise, minShare)
 	case p.blocked:
-		p.change(m, blindStart, minShare)
+		p.change(m, slowStartRise, minShare)
 	}
 }
 
@@ -279,7 +279,7 @@
 // Refused records a refusal of a call that was sent at a time.
 func (p *Pacer) Refused(m Moment, sent time.Time, l Load) {
 	p.record(m, l)
-	p.pressed, p.idle = true, false
+	p.overloaded, p.idle = true, false
 	factor := refusalFall
 	if total := l.total(); l.known && total >= p.slots {
 		p.ceiling = total
@@ -292,7 +292,7 @@
 
 // TimedOut records a call, sent at a time, that the endpoint did not answer in time.
 func (p *Pacer) TimedOut(m Moment, sent time.Time) {
-	p.pressed, p.idle = true, false
+	p.overloaded, p.idle = true, false
 	if p.begin(m, sent) {
 		p.change(m, timeoutFall, minShare)
 	}
@@ -310,9 +310,9 @@
 	p.speed.addDuration(took, p.waiting, m.now)
 }
 
-// Named records the number of requests a second that the endpoint accepts from all hosts,
+// SetRate sets the number of requests a second that the endpoint accepts from all hosts,
 // or 0 if it accepts any.
-func (p *Pacer) Named(perSecond float64) { p.rate = perSecond }
+func (p *Pacer) SetRate(perSecond float64) { p.rate = perSecond }
 
 // record records the parts of a load that do not change the limit.
 func (p *Pacer) record(m Moment, l Load) {
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -70,7 +70,7 @@
 	{"6 slots without load", endpoint{slots: 6, queue: 12, work: 50 * time.Millisecond, pace: 1, report: noReport}, 0.8, 0.2},
 }
 
-// Guards against hosts that flood an endpoint whose state has changed, or leave it idle:
+// Guards against hosts that overload an endpoint whose state has changed, or leave it idle:
 // two seconds after the change it never gets a tenth more than its slots and queue hold, and
 // from the third second on most of its rate is used. Without a load in the answers, the
 // bounds on the use and on refusals are wider.
@@ -129,7 +129,7 @@
 	is.True(float64(s.done) >= 0.9*e.capacity(3*time.Second))
 }
 
-// Guards against a limit of at least one call for each host, with which 60 hosts flood an
+// Guards against a limit of at least one call for each host, with which 60 hosts overload an
 // endpoint of 6 slots at the moment it appears.
 func TestFirstMoment(t *testing.T) {
 	is := is.New(t)
@@ -217,7 +217,7 @@
 			is.Equal(p.Limit(m), 8.0)
 			tt.sign(p, m, now.Add(-time.Millisecond))
 			is.True(p.Limit(m) >= tt.min && p.Limit(m) <= tt.max)
-			is.True(p.Limit(pacer.At(now.Add(time.Minute), 1, 0)) > 7.9) // nothing has been heard since
+			is.True(p.Limit(pacer.At(now.Add(time.Minute), 1, 0)) > 7.9) // no answer has come since
 		})
 	}
 }
@@ -238,9 +238,9 @@
 		}
 		return p.Limit(pacer.At(now, 1, 0))
 	}
-	p.Named(20)
+	p.SetRate(20)
 	is.True(answer() <= 3)
-	p.Named(0)
+	p.SetRate(0)
 	is.True(answer() >= 8)
 }
 
--- a/pacer/speed.go
+++ b/pacer/speed.go
@@ -12,13 +12,13 @@
 	// paceMemory and maxPaceMemory bound the time constant with which the last average
 	// returns to the usual pace while no answer comes. An endpoint that was slow gets calls
 	// again, which show how fast it is now. The time constant is memoryIntervals times the
-	// interval between answers: a host that rarely calls an endpoint would forget its pace
-	// before each call.
+	// interval between answers: the average of a host that rarely calls an endpoint would
+	// otherwise expire before each call.
 	paceMemory      = 4 * time.Second
 	maxPaceMemory   = 30 * time.Second
 	memoryIntervals = 3
-	// minPace and maxPace bound a reported pace, so that a malformed one does no lasting
-	// harm.
+	// minPace and maxPace bound a reported pace, so that a malformed one has no lasting
+	// effect.
 	minPace = 0.1
 	maxPace = 50.0
 )
@@ -49,8 +49,8 @@
 // speed is what the answers of an endpoint show of its speed.
 type speed struct {
 	pace average // duration of work as a multiple of the usual one
-	// told is whether the endpoint reports its pace itself.
-	told      bool
+	// reported is whether the endpoint reports its pace itself.
+	reported  bool
 	usual     float64 // seconds that a call usually takes without waiting; 0 if not known
 	recent    average // seconds that recent calls took without waiting
 	steady    float64 // the same, over a number of calls at whatever rate they come
@@ -78,7 +78,7 @@
 
 // addPace records a reported pace, 1 being the usual one.
 func (s *speed) addPace(pace float64, now time.Time) {
-	s.told = true
+	s.reported = true
 	s.pace.add(min(max(pace, minPace), maxPace), now, paceTime)
 }
 
@@ -88,7 +88,7 @@
 	s.count++
 	s.occupancy.add(took.Seconds(), now, occupancyTime)
 	work := took.Seconds() / (1 + waiting)
-	if s.told {
+	if s.reported {
 		work /= s.pace.value
 	}
 	if s.count <= warmUp {
@@ -104,7 +104,7 @@
 		weight = usualFall
 	}
 	s.usual += weight * (s.steady - s.usual)
-	if !s.told {
+	if !s.reported {
 		s.pace.add(min(max(s.recent.value/s.usual, minPace), maxPace), now, paceTime)
 	}
 }
--- a/tracker/pacing.go
+++ b/tracker/pacing.go
@@ -111,7 +111,7 @@
 func (p *pacing) named(perSecond float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pacer.Named(perSecond)
+	p.pacer.SetRate(perSecond)
 }
 
 // Paced reports whether the adaptive limit of the endpoint applies.
