--- a/follower/follower.go
+++ b/follower/follower.go
@@ -30,8 +30,8 @@
 	Contact(v storer.Version, clock, age time.Duration)
 }
 
-// Patient is a feed that bounds the time of its reads of a whole table itself.
-type Patient interface {
+// SnapshotTimeouter is a feed that bounds the time of its reads of a whole table itself.
+type SnapshotTimeouter interface {
 	// SnapshotTimeout returns the longest time that such a read may take.
 	SnapshotTimeout() time.Duration
 }
@@ -256,7 +256,7 @@
 
 func (f *Follower) fetch(ctx context.Context) (storer.Changes, error) {
 	limit := snapshotTimeout
-	if p, ok := f.feed.(Patient); ok {
+	if p, ok := f.feed.(SnapshotTimeouter); ok {
 		limit = p.SnapshotTimeout()
 	}
 	if f.synced {
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -80,8 +80,8 @@
 }
 
 var (
-	_ storer.Feed      = (*Subscriber)(nil)
-	_ follower.Patient = (*Subscriber)(nil)
+	_ storer.Feed                = (*Subscriber)(nil)
+	_ follower.SnapshotTimeouter = (*Subscriber)(nil)
 )
 
 // Option sets an optional property of a Subscriber.
@@ -198,7 +198,7 @@
 	}
 }
 
-// SnapshotTimeout implements follower.Patient. It leaves time for a read at the store after
+// SnapshotTimeout implements follower.SnapshotTimeouter. It leaves time for a read at the store after
 // one at another host.
 func (s *Subscriber) SnapshotTimeout() time.Duration { return copyWait + largeTimeout + storeTimeout }
 
