--- a/configurer/entry.go
+++ b/configurer/entry.go
@@ -50,6 +50,19 @@
 }
 
 func checkEntry(d *decoder, doc *entryDocument) {
+	checkEntryNode(d, doc)
+	checkEntryAddresses(d, doc)
+	checkEntryDurations(d, doc)
+	checkEntryNumbers(d, doc)
+	if !slices.Contains(adaptiveValues, doc.Endpoints.Adaptive) {
+		d.reject("endpoints.adaptive", fmt.Sprint(adaptiveValues))
+	}
+	if !slices.Contains(logLevels, doc.Log.Level) {
+		d.reject("log.level", fmt.Sprint(logLevels))
+	}
+}
+
+func checkEntryNode(d *decoder, doc *entryDocument) {
 	for field, v := range map[string]string{
 		"node.name": doc.Node.Name, "node.data_centre": doc.Node.DataCentre, "node.region": doc.Node.Region,
 	} {
@@ -60,6 +73,9 @@
 	if _, err := netip.ParseAddr(doc.Node.Address); err != nil {
 		d.reject("node.address", "an IP address")
 	}
+}
+
+func checkEntryAddresses(d *decoder, doc *entryDocument) {
 	used := make(map[string]string)
 	for _, l := range []struct{ field, v string }{
 		{"listen.callers", doc.Listen.Callers},
@@ -76,6 +92,9 @@
 		}
 		used[l.v] = l.field
 	}
+}
+
+func checkEntryDurations(d *decoder, doc *entryDocument) {
 	for field, v := range map[string]duration{
 		"lease.renew": doc.Lease.Renew, "lease.time": doc.Lease.Time, "lease.guard": doc.Lease.Guard,
 		"repeats.window": doc.Repeats.Window, "quotas.window": doc.Quotas.Window, "stop.grace": doc.Stop.Grace,
@@ -97,6 +116,9 @@
 	if doc.Lease.Time < 2*doc.Lease.Renew {
 		d.reject("lease.time", "at least twice lease.renew")
 	}
+}
+
+func checkEntryNumbers(d *decoder, doc *entryDocument) {
 	if doc.Repeats.Ratio < 0 || doc.Repeats.Slack < 0 {
 		d.reject("repeats", "numbers of 0 or more")
 	}
@@ -118,12 +140,6 @@
 	if doc.Limits.LinkMbps < 0 {
 		d.reject("limits.link_mbps", "a number of 0 or more")
 	}
-	if !slices.Contains(adaptiveValues, doc.Endpoints.Adaptive) {
-		d.reject("endpoints.adaptive", fmt.Sprint(adaptiveValues))
-	}
-	if !slices.Contains(logLevels, doc.Log.Level) {
-		d.reject("log.level", fmt.Sprint(logLevels))
-	}
 }
 
 // maxEngineTime is the longest time that may be assumed of an engine.
--- a/configurer/entry_document.go
+++ b/configurer/entry_document.go
@@ -20,7 +20,7 @@
 }
 
 // entryEngineDocument holds what is assumed of engines before their calls show how
-// fast they are, and what they are told.
+// fast they are, and what is sent to them.
 type entryEngineDocument struct {
 	Urgency     bool     `json:"urgency"` // calls carry their priority to engines
 	PromptToken duration `json:"prompt_token"`
