all: state reasons in comments plainly

Comments of reports, priorities, restored rows and retries say what is sent, recorded or expected in place of what someone is told or knows.

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// idleTime is the time without a draw after which a bucket is forgotten if the whole rate
+	// idleTime is the time without a draw after which a bucket is removed if the whole rate
 	// fills it by then.
 	idleTime = time.Minute
 	// chargeShare is the share of a burst by which a bucket is overdrawn for what others granted.
--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -125,7 +125,7 @@
 	is.True(granted(a.Draw("w", terms, terms.Whole(), 1, start.Add(11*time.Second))))
 }
 
-// Guards against callers that are all told to come back at the same moment, against waits that
+// Guards against callers that all get the same time for their retry, against waits that
 // grow without end, and against a wait before the tokens are there.
 func TestWaits(t *testing.T) {
 	is := is.New(t)
@@ -144,7 +144,7 @@
 	}
 	for second, n := range perSecond {
 		if n > 40 { // 200 waits over 8 s at least, with the rate of 10 calls a second
-			t.Errorf("%d calls are told to come back in second %d", n, second)
+			t.Errorf("%d calls are to be retried in second %d", n, second)
 		}
 	}
 	is.True(granted(a.Draw("w", terms, terms.Whole(), 100, start.Add(waits[0]))))
--- a/enroller/awaited.go
+++ b/enroller/awaited.go
@@ -12,8 +12,9 @@
 // Awaited returns the other hosts that were serving before the latest restore of the store,
 // whose rows it has lost, and that have not written them again. Settled reports whether the
 // rows have been followed since then for as long as a live host may take to write its row: a
-// host that has not done so is not alive, or does not reach the store. Settled is false as
-// well for as long after the first contact of this process, which knows no host of before.
+// host that has not done so is not alive, or does not reach the store. Settled is also
+// false for as long after the first contact of this process, which does not know who was serving
+// earlier.
 func (v *View) Awaited() (list []*Host, settled bool) {
 	for name, h := range v.awaited.byName {
 		if v.rowLost(h, v.hosts[name]) {
@@ -24,8 +25,8 @@
 }
 
 // rowLost reports whether the row of a host that was known before the restore is missing, or
-// is that of an earlier process, which the copy has. A process that has started since knows
-// the era of the restore once it has read the rows.
+// is the restored row of an earlier process. The row of a process that has started since the
+// restore names the era of the restore once that process has read the rows.
 func (v *View) rowLost(before, now *Host) bool {
 	return now == nil || now.doc.Process != before.doc.Process && now.doc.Eras < v.knownEras()
 }
--- a/enroller/view.go
+++ b/enroller/view.go
@@ -174,8 +174,8 @@
 // through another host, knows that a host has joined or is leaving.
 const SettleTime = contactTimeout
 
-// Current reports whether the store confirmed the rows lately. If it did not, other hosts may
-// have joined, or may take this one for lost.
+// Current reports whether the store confirmed the rows recently. If it did not, other hosts may
+// have joined, or may count this one as lost.
 func (v *View) Current() bool { return time.Since(v.confirmed) <= contactTimeout }
 
 // FirstChoice returns the name of the host that serves an endpoint for all hosts: the one
--- a/exchanger/message.go
+++ b/exchanger/message.go
@@ -44,7 +44,7 @@
 // OnBegin calls f once the call counts as in flight at the endpoint, or cannot be sent to it.
 func OnBegin(f func()) OutboundOption { return func(o *Outbound) { o.onBegin = f } }
 
-// WithPriority tells the endpoint the priority of the call; 0 is the most urgent.
+// WithPriority sends the endpoint the priority of the call; 0 is the most urgent.
 func WithPriority(p int) OutboundOption {
 	return func(o *Outbound) { o.priority, o.ranked = p, true }
 }
@@ -87,7 +87,7 @@
 // returns false if the deployment has no workspaces.
 func (o *Outbound) Workspace() (name string, ok bool) { return o.workspace, o.keyed }
 
-// Priority returns the priority of the call, or false if the endpoint is not told.
+// Priority returns the priority of the call, or false if it is not sent.
 func (o *Outbound) Priority() (p int, ok bool) { return o.priority, o.ranked }
 
 // Meta is the metadata of a response, decoded from its header.
@@ -167,7 +167,7 @@
 // did not tell.
 func (m Meta) Load() (running, waiting int, ok bool) { return m.load.Calls() }
 
-// Report returns all that the endpoint told of its load; the zero value if nothing.
+// Report returns the load that the endpoint reported, or the zero value if it reported none.
 func (m Meta) Report() pacer.Load { return m.load }
 
 // Attempt returns the id of the call that the response belongs to, or "".
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -53,7 +53,7 @@
 type Option func(*Mirror)
 
 // WithoutRenewals makes the mirror of a large table pass on a row that was written anew at
-// most once within renewalInterval, unless it differs as same tells.
+// most once within renewalInterval, unless same reports a difference.
 func WithoutRenewals(same func(a, b storer.Row) bool) Option {
 	return func(m *Mirror) { m.same = same }
 }
--- a/procurer/procurer.go
+++ b/procurer/procurer.go
@@ -25,7 +25,7 @@
 // Remote reserves capacity on the engines of the host at an address.
 type Remote interface {
 	Reserve(ctx context.Context, address string, req supplier.ReserveRequest) (supplier.ReserveResponse, error)
-	// ReportSpeed tells the host at an address of the speed of an engine that it owns.
+	// ReportSpeed reports the speed of an engine to its owner, the host at an address.
 	ReportSpeed(ctx context.Context, address string, r SpeedReport) error
 }
 
--- a/procurer/report.go
+++ b/procurer/report.go
@@ -10,7 +10,7 @@
 	"github.com/dragonflyford/dragonflyford/tracker"
 )
 
-// reportTimeout limits one report. A later one is no longer true.
+// reportTimeout limits one report. One that arrives later is outdated.
 const reportTimeout = 150 * time.Millisecond
 
 // SpeedReport is what a call of this host showed of the speed of an engine.
@@ -30,7 +30,7 @@
 // Slowdown returns the engine's slowdown.
 func (r SpeedReport) Slowdown() estimator.Slowdown { return r.slowdown }
 
-// reports holds the engines whose owners are being told of a slowdown.
+// reports holds the engines of which a slowdown is being reported to their owners.
 type reports struct {
 	work    sync.WaitGroup
 	mu      sync.Mutex
@@ -57,7 +57,7 @@
 	delete(r.sending, engine)
 }
 
-// Report tells the engine's owner at once of a slowdown, unless an earlier report is still
+// Report reports a slowdown to the engine's owner at once, unless an earlier report is still
 // under way. The loss of one does not matter.
 func (p *Procurer) Report(e *tracker.Endpoint, s estimator.Slowdown) {
 	view := p.members.View()
--- a/relayer/pace.go
+++ b/relayer/pace.go
@@ -39,7 +39,7 @@
 }
 
 // observeSlowdown records how much longer than usual work takes on the engine's machine. A
-// slowdown passes soon, so that the engine's owner is told at once.
+// slowdown passes soon, so that it is reported to the engine's owner at once.
 func (c *callState) observeSlowdown(e *tracker.Endpoint, factor float64, now time.Time) {
 	if factor <= 0 {
 		return // not reported
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -27,7 +27,7 @@
 // Procurer reserves capacity on engines.
 type Procurer interface {
 	Reserve(ctx context.Context, e *tracker.Endpoint, m connector.Model, opts ...supplier.ReserveOption) (supplier.ReserveResponse, error)
-	// Report tells the engine's owner at once what a call showed of the engine's speed.
+	// Report reports to the engine's owner at once what a call showed of its speed.
 	Report(e *tracker.Endpoint, s estimator.Slowdown)
 	// Use marks a model as in use by a call until release is called.
 	Use(engine string, m connector.Model) (release func())
--- a/relayer/workspace_test.go
+++ b/relayer/workspace_test.go
@@ -47,7 +47,7 @@
 }
 
 // Guards against a repeat or a resumed stream that carries the caller's key to an endpoint
-// or names no workspace, and against a route's priority that is told to owners and engines
+// or names no workspace, and against a route's priority that is sent to owners and engines
 // in place of the workspace's.
 func TestWorkspaceOfSends(t *testing.T) {
 	for _, tt := range []struct {
@@ -81,8 +81,8 @@
 					workspace, required := out.Workspace()
 					is.True(required) // the key is removed
 					is.Equal(workspace, tt.workspace)
-					priority, told := out.Priority()
-					is.True(told)
+					priority, sent := out.Priority()
+					is.True(sent)
 					is.Equal(priority, tt.priority)
 				}
 				for _, wait := range r.maxWaits {
--- a/router/workspace.go
+++ b/router/workspace.go
@@ -62,7 +62,7 @@
 }
 
 // keyHash identifies a key. The table holds no keys in plain text, and the time of a
-// look-up tells nothing about them.
+// look-up reveals nothing about them.
 type keyHash [sha256.Size]byte
 
 // maxKeyLength is in bytes. A longer key is unknown, so that hashing it costs nothing.
