assembler: name announced configurations, split New and Run

Heartbeats announce versions of the configuration; heardConfiguration, followHeard and unanswering become announcedConfiguration, followAnnounced and unresponsive. Behaviour does not change.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -100,10 +100,10 @@
 	setMembersKnown   func() // to be called once the hosts and the services' software versions are known
 	router            *router.Router
 	authenticator     *authenticator.Authenticator
-	adopting          sync.Mutex    // serialises changes of the configuration in force and of its copy for others
+	adoptMu           sync.Mutex    // serialises changes of the configuration in force and of its copy for others
 	operatorVersion   atomic.Uint64 // version of the operator's table up to which all rows were applied
-	heard             chan heardConfiguration
-	unanswering       avoider.Avoider // hosts that had no copy of the configuration
+	announced         chan announcedConfiguration
+	unresponsive      avoider.Avoider // hosts that had no copy of the configuration
 	fleet             *tracker.Tracker
 	members           *enroller.Enroller
 	speeds            *estimator.Estimator
@@ -142,14 +142,7 @@
 	h := &Host{log: log.Component("assembler")}
 	h.settings.Store(settings)
 	h.capacity = newCapacity(settings)
-	h.meter = meter.New(settings.Name(), settings.Region(), settings.DataCentre(), func(err error) {
-		h.log.Error("metric-not-registered", logger.Err(err))
-	})
-	h.callMetrics = newCallMetrics(h.meter.Scope())
-	h.clientMetrics = newClientMetrics(h.meter.Scope())
-	h.speedMetrics = newSpeedMetrics(h.meter.Scope())
-	h.quotaMetrics = newQuotaMetrics(h.meter.Scope())
-	h.paceMetrics = newPaceMetrics(h.meter.Scope())
+	h.createMetrics(settings)
 	log = log.WithEventCounter(h.callMetrics.events.Inc)
 	h.log = log.Component("assembler")
 	h.store = platform.NewStore(settings.Store())
@@ -159,7 +152,7 @@
 	h.setRoutesKnown, h.setEndpointsKnown, h.setMembersKnown = markMet[0], markMet[1], markMet[2]
 	h.router = router.New()
 	h.authenticator = authenticator.New(h.router, configurationReader{h}, log)
-	h.heard = make(chan heardConfiguration, 1)
+	h.announced = make(chan announcedConfiguration, 1)
 	h.fleet = tracker.New(settings.Regions(), h.trackerOptions(settings)...)
 	fleetTable := h.store.Table(tableFleet)
 	h.members = enroller.New(
@@ -187,17 +180,10 @@
 		platform.TableOperator: mirrorer.New(follower.Handlers{}),
 	}
 	h.permitter = permitter.New(h.messenger, h.members, h.fleet)
-	h.evidence = &outbox[screener.Evidence]{
-		host: h, items: broadcaster.New[screener.Evidence](screener.EvidenceLifetime),
-		take: h.screener.TakeUnsent, send: h.messenger.SendEvidence, failure: "evidence-not-told",
-	}
-	h.limits = &outbox[permitter.Report]{
-		host: h, items: broadcaster.New[permitter.Report](permitter.ReportLifetime),
-		take: h.permitter.TakeUnsent, send: h.messenger.SendLimits, failure: "limit-not-told",
-	}
+	h.createOutboxes()
 	h.exchanger = exchanger.New(platform.NewDialect(platform.WithUrgency(settings.Urgency())))
 	h.confirmer = confirmer.New(h.exchanger, h.fleet)
-	h.pinger = pinger.New(settings.Address(), h.neighbourAddresses, h.state, h.hearConfiguration, log)
+	h.pinger = pinger.New(settings.Address(), h.neighbourAddresses, h.state, h.recordAnnouncement, log)
 	h.referrer = referrer.New(h.members, h.pinger)
 	h.frontEnd = platform.NewFrontEnd(h.pipeline(settings, log), collector.New(h.capacity.bodies, h.bodyLimits, h.releaseStalled), h.draining.Load, h.recordCall)
 	h.endpointFollower = h.followThroughPeers(platform.TableEndpoints, endpointWait, endpointPause, endpointMaxAge, log)
@@ -210,6 +196,27 @@
 	return h, nil
 }
 
+func (h *Host) createMetrics(settings *configurer.Entry) {
+	h.meter = meter.New(settings.Name(), settings.Region(), settings.DataCentre(), func(err error) {
+		h.log.Error("metric-not-registered", logger.Err(err))
+	})
+	scope := h.meter.Scope()
+	h.callMetrics, h.clientMetrics, h.speedMetrics = newCallMetrics(scope), newClientMetrics(scope), newSpeedMetrics(scope)
+	h.quotaMetrics, h.paceMetrics = newQuotaMetrics(scope), newPaceMetrics(scope)
+}
+
+// createOutboxes creates the queues of what is sent to all other hosts.
+func (h *Host) createOutboxes() {
+	h.evidence = &outbox[screener.Evidence]{
+		host: h, items: broadcaster.New[screener.Evidence](screener.EvidenceLifetime),
+		take: h.screener.TakeUnsent, send: h.messenger.SendEvidence, failure: "evidence-not-told",
+	}
+	h.limits = &outbox[permitter.Report]{
+		host: h, items: broadcaster.New[permitter.Report](permitter.ReportLifetime),
+		take: h.permitter.TakeUnsent, send: h.messenger.SendLimits, failure: "limit-not-told",
+	}
+}
+
 // trackerOptions returns the options of the registry of endpoints.
 func (h *Host) trackerOptions(settings *configurer.Entry) []tracker.Option {
 	opts := []tracker.Option{tracker.WithReportInterval(settings.ReportInterval())}
@@ -221,7 +228,7 @@
 
 // sharingHosts returns the number of hosts that share the endpoints. After a restart of all
 // hosts, the rows of most are too old to count as alive until they are renewed. A host that
-// took itself for one of few would flood the endpoints.
+// counted only live rows would overload the endpoints.
 func (h *Host) sharingHosts() int {
 	v := h.members.View()
 	return max(v.LiveCount(), v.KnownCount()/2, 1)
--- a/assembler/configuration.go
+++ b/assembler/configuration.go
@@ -12,16 +12,16 @@
 )
 
 const (
-	// heardReadTimeout is how long the store has to answer a host that heard of a newer
-	// configuration, before the host asks the one that has it. Together with the interval of
-	// the heartbeats and heardCopyTimeout it stays below the time within which a
+	// announcedReadTimeout is how long the store has to answer a host to which a newer
+	// configuration was announced, before the host asks the one that has it. Together with the interval of
+	// the heartbeats and announcedCopyTimeout it stays below the time within which a
 	// configuration has to be in force.
-	heardReadTimeout = 500 * time.Millisecond
-	// heardCopyTimeout bounds the read of a configuration, of up to 1 MB, from another host.
-	heardCopyTimeout = 2 * time.Second
-	// heardPause is the time between two reads for the same version if the store answered
+	announcedReadTimeout = 500 * time.Millisecond
+	// announcedCopyTimeout bounds the read of a configuration, of up to 1 MB, from another host.
+	announcedCopyTimeout = 2 * time.Second
+	// absentRetryInterval is the time between two reads for the same version if the store answered
 	// without it. A store that was restored from an older copy does not have it.
-	heardPause = 4 * time.Second
+	absentRetryInterval = 4 * time.Second
 )
 
 // configurationReader implements authenticator.Refresher.
@@ -55,40 +55,40 @@
 		return fmt.Errorf("read the configuration: %w", err)
 	}
 	if !found {
-		return nil // the one in force stays in force
+		return nil // keeps the one in force
 	}
 	return operatorHandler(r).applyRows([]storer.Change{storer.NewChange(row)})
 }
 
-// heardConfiguration is what a heartbeat says of the configuration of its sender.
-type heardConfiguration struct {
+// announcedConfiguration is the version of the configuration that a heartbeat announces.
+type announcedConfiguration struct {
 	host    string
 	version int64
 }
 
-// hearConfiguration notes that another host of the data centre has a newer configuration.
-func (h *Host) hearConfiguration(host string, version int64) {
+// recordAnnouncement records that a host of the data centre announced a newer configuration.
+func (h *Host) recordAnnouncement(host string, version int64) {
 	h.operatorFollower.Refresh()
 	select {
-	case h.heard <- heardConfiguration{host: host, version: version}:
-	default: // another one is waiting; the next heartbeat follows
+	case h.announced <- announcedConfiguration{host: host, version: version}:
+	default: // another one is pending; heartbeats repeat
 	}
 }
 
-// followHeard obtains the configurations that this host has heard of.
-func (h *Host) followHeard(ctx context.Context) {
-	var absent heardConfiguration // what the store answered without
+// followAnnounced obtains the configurations that other hosts announce.
+func (h *Host) followAnnounced(ctx context.Context) {
+	var absent announcedConfiguration // the latest that the store did not have
 	var absentAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case heard := <-h.heard:
-			if heard.version <= h.configurationVersion() || heard.version <= absent.version && time.Since(absentAt) < heardPause {
+		case announced := <-h.announced:
+			if announced.version <= h.configurationVersion() || announced.version <= absent.version && time.Since(absentAt) < absentRetryInterval {
 				continue
 			}
-			if h.obtainConfiguration(ctx, heard) && h.configurationVersion() < heard.version {
-				absent, absentAt = heard, time.Now()
+			if h.obtainConfiguration(ctx, announced) && h.configurationVersion() < announced.version {
+				absent, absentAt = announced, time.Now()
 			}
 		}
 	}
@@ -97,29 +97,29 @@
 // obtainConfiguration reads the configuration at the store and, only if the store does not
 // answer, from the host that has it. It reports whether the store answered: a host that
 // reaches the store must not depend on one that does not.
-func (h *Host) obtainConfiguration(ctx context.Context, heard heardConfiguration) (stored bool) {
-	limited, cancel := context.WithTimeout(ctx, heardReadTimeout)
+func (h *Host) obtainConfiguration(ctx context.Context, announced announcedConfiguration) (stored bool) {
+	limited, cancel := context.WithTimeout(ctx, announcedReadTimeout)
 	err := h.authenticator.Refresh(limited, time.Now())
 	cancel()
 	if err == nil {
 		return true
 	}
-	peer := h.members.View().Host(heard.host)
-	if ctx.Err() != nil || peer == nil || h.unanswering.Avoids(heard.host) || heard.version <= h.configurationVersion() {
+	peer := h.members.View().Host(announced.host)
+	if ctx.Err() != nil || peer == nil || h.unresponsive.Avoids(announced.host) || announced.version <= h.configurationVersion() {
 		return false
 	}
-	limited, cancel = context.WithTimeout(ctx, heardCopyTimeout)
+	limited, cancel = context.WithTimeout(ctx, announcedCopyTimeout)
 	defer cancel()
 	copied, err := h.messenger.Snapshot(limited, peer.PeerAddress(), platform.TableOperator)
 	if err == nil {
 		err = operatorHandler{h}.applyRows(copied.Changes().List())
 	}
-	if err != nil || h.configurationVersion() < heard.version {
-		h.unanswering.RecordFailure(heard.host)
-		h.log.Warn("configuration-not-copied", logger.With(logger.KeyPeer, heard.host), logger.With(logger.KeyVersion, heard.version), logger.Err(err))
+	if err != nil || h.configurationVersion() < announced.version {
+		h.unresponsive.RecordFailure(announced.host)
+		h.log.Warn("configuration-not-copied", logger.With(logger.KeyPeer, announced.host), logger.With(logger.KeyVersion, announced.version), logger.Err(err))
 		return false
 	}
-	h.log.Info("configuration-copied", logger.With(logger.KeyPeer, heard.host), logger.With(logger.KeyVersion, h.configurationVersion()))
+	h.log.Info("configuration-copied", logger.With(logger.KeyPeer, announced.host), logger.With(logger.KeyVersion, h.configurationVersion()))
 	return false
 }
 
--- a/assembler/handlers.go
+++ b/assembler/handlers.go
@@ -111,8 +111,8 @@
 // the store does not answer.
 func (o operatorHandler) adopt(t *router.Table, c storer.Change) {
 	h := o.host
-	h.adopting.Lock()
-	defer h.adopting.Unlock()
+	h.adoptMu.Lock()
+	defer h.adoptMu.Unlock()
 	if !h.router.Adopt(t) {
 		return
 	}
--- a/assembler/run.go
+++ b/assembler/run.go
@@ -63,40 +63,54 @@
 			return err
 		}
 	}
+	if err := h.servePeers(work, &running); err != nil {
+		return err
+	}
+	h.startTasks(work, &running)
+	running.Go(func() { h.reloadSettings(work, reload, read) })
+	<-ctx.Done()
+	h.stop(work, servers, inFlight)
+	return nil
+}
+
+// servePeers serves the other hosts until ctx ends.
+func (h *Host) servePeers(ctx context.Context, running *sync.WaitGroup) error {
 	var config net.ListenConfig
-	listener, err := config.Listen(work, "tcp", settings.Peers())
+	listener, err := config.Listen(ctx, "tcp", h.settings.Load().Peers())
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	running.Go(func() {
-		if err := h.messenger.Serve(work, listener); err != nil && work.Err() == nil {
+		if err := h.messenger.Serve(ctx, listener); err != nil && ctx.Err() == nil {
 			h.log.Error("peers-not-served", logger.Err(err))
 		}
 	})
+	return nil
+}
+
+// startTasks starts the background tasks, which run until ctx ends.
+func (h *Host) startTasks(ctx context.Context, running *sync.WaitGroup) {
+	peers := h.settings.Load().Peers()
 	for _, f := range h.followers {
-		running.Go(func() { f.Run(work) })
+		running.Go(func() { f.Run(ctx) })
 	}
-	running.Go(func() { h.members.Run(work) })
+	running.Go(func() { h.members.Run(ctx) })
 	running.Go(func() {
-		if err := h.pinger.Run(work, settings.Peers()); err != nil {
+		if err := h.pinger.Run(ctx, peers); err != nil {
 			h.log.Error("heartbeats-not-sent", logger.Err(err))
 		}
 	})
-	running.Go(func() { h.followHeard(work) })
-	running.Go(func() { h.reconcile(work) })
-	running.Go(func() { h.recordClients(work) })
-	running.Go(func() { h.evidence.run(work, func() { h.judgeCrashes(work) }) })
-	running.Go(func() { h.limits.run(work, func() {}) })
-	running.Go(func() { h.allotter.Run(work) })
-	running.Go(func() { h.storeQuarantine(work) })
-	running.Go(func() { h.archiver.Run(work) })
-	running.Go(func() { h.replicator.Run(work) })
-	running.Go(func() { h.keepSoftwareVersions(work) })
-	running.Go(func() { h.catchUpRecords(work) })
-	running.Go(func() { h.reloadSettings(work, reload, read) })
-	<-ctx.Done()
-	h.stop(work, servers, inFlight)
-	return nil
+	running.Go(func() { h.followAnnounced(ctx) })
+	running.Go(func() { h.reconcile(ctx) })
+	running.Go(func() { h.recordClients(ctx) })
+	running.Go(func() { h.evidence.run(ctx, func() { h.judgeCrashes(ctx) }) })
+	running.Go(func() { h.limits.run(ctx, func() {}) })
+	running.Go(func() { h.allotter.Run(ctx) })
+	running.Go(func() { h.storeQuarantine(ctx) })
+	running.Go(func() { h.archiver.Run(ctx) })
+	running.Go(func() { h.replicator.Run(ctx) })
+	running.Go(func() { h.keepSoftwareVersions(ctx) })
+	running.Go(func() { h.catchUpRecords(ctx) })
 }
 
 func (h *Host) close() {
--- a/assembler/workspaces_test.go
+++ b/assembler/workspaces_test.go
@@ -95,7 +95,7 @@
 }
 
 // Guards against a key that reaches an endpoint, a workspace that an endpoint takes from
-// the caller, a route's priority that is told to an engine in place of the workspace's, a
+// the caller, a route's priority that is sent to an engine in place of the workspace's, a
 // new key that is refused by a host whose poll of the store has stalled, and a revoked key
 // that stays valid on a connection.
 func TestWorkspaces(t *testing.T) {
@@ -164,7 +164,7 @@
 
 // Guards against a host that accepts a revoked key for as long as the store does not answer
 // it, although others of its data centre have the newer configuration; that refuses the
-// keys which it knows; or that tells callers with unknown keys never to come back.
+// keys which it knows; or that refuses unknown keys with a status that callers do not retry.
 func TestKeysWithoutStore(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
