--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -126,7 +126,7 @@
 	}
 	owner := account{r.Hosts()[0].Name(), workspace}
 	if _, whole := a.role(r, index).(Substitute); whole {
-		_ = a.reports.take(owner) // it granted nothing for this host lately
+		_ = a.reports.take(owner) // it has granted nothing for this host recently
 		return
 	}
 	a.reports.add(owner, NewReport(0, 0, cost))
--- a/allotter/message.go
+++ b/allotter/message.go
@@ -28,7 +28,7 @@
 }
 
 // NewReport returns a report. Returned and late are what the host granted to calls that did not
-// run; late counts the calls that took long to end. Elsewhere is what others granted lately
+// run; late counts the calls that took long to end. Elsewhere is what others granted recently
 // because the host did not answer.
 func NewReport(returned, late, elsewhere float64) Report {
 	return Report{returned: returned, late: late, elsewhere: elsewhere}
@@ -40,7 +40,7 @@
 // Late returns what was granted to calls that took long to end, and did not run.
 func (r Report) Late() float64 { return r.late }
 
-// Elsewhere returns what others granted lately because the host did not answer.
+// Elsewhere returns what others granted recently because the host did not answer.
 func (r Report) Elsewhere() float64 { return r.elsewhere }
 
 // Request asks a host for the tokens of a call.
--- a/allotter/observer.go
+++ b/allotter/observer.go
@@ -29,10 +29,17 @@
 func (Local) source()    {}
 func (Cached) source()   {}
 
-func (Owner) String() string    { return "owner" }
+// String implements Source.
+func (Owner) String() string { return "owner" }
+
+// String implements Source.
 func (Fallback) String() string { return "fallback" }
-func (Local) String() string    { return "local" }
-func (Cached) String() string   { return "cached" }
+
+// String implements Source.
+func (Local) String() string { return "local" }
+
+// String implements Source.
+func (Cached) String() string { return "cached" }
 
 // Sources returns all sources.
 func Sources() []Source { return []Source{Owner{}, Fallback{}, Local{}, Cached{}} }
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -123,7 +123,7 @@
 			}
 			chunk = make([]byte, 0, size)
 		}
-		_ = control.SetReadDeadline(limits.deadline(start, b.length)) // as above
+		_ = control.SetReadDeadline(limits.deadline(start, b.length)) // not supported by writers of tests
 		n, err := r.Body.Read(chunk[len(chunk):cap(chunk)])
 		chunk = chunk[:len(chunk)+n]
 		b.length += int64(n)
--- a/tracker/limit.go
+++ b/tracker/limit.go
@@ -66,7 +66,7 @@
 		next := l
 		if e.limit.CompareAndSwap(old, &next) {
 			if e.pacing != nil {
-				e.pacing.named(l.rate)
+				e.pacing.setRate(l.rate)
 			}
 			return l.differs(old)
 		}
--- a/tracker/pacing.go
+++ b/tracker/pacing.go
@@ -107,8 +107,8 @@
 	p.pacer.Broken(m)
 }
 
-// named records the rate of requests that the endpoint named, or 0 if it named none.
-func (p *pacing) named(perSecond float64) {
+// setRate sets the rate of requests that the endpoint accepts, or 0 if it named none.
+func (p *pacing) setRate(perSecond float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pacer.SetRate(perSecond)
