collector: interrupt one stalled body for each refusal

A body that was interrupted to free its memory counted as refused for lack of memory, too, and interrupted the next stalled one, and so on. TestStalledBodies counts the interruptions and fails without the change.

--- a/collector/collector.go
+++ b/collector/collector.go
@@ -95,14 +95,13 @@
 	control := http.NewResponseController(w)
 	if err := c.read(b, r, limits, control); err != nil {
 		b.Release()
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			err = ErrTimeout
-			if conn.Interrupted() {
-				err = ErrNoMemory
-			}
-		}
-		if errors.Is(err, ErrNoMemory) {
+		switch {
+		case errors.Is(err, ErrNoMemory):
 			c.exhausted()
+		case errors.Is(err, os.ErrDeadlineExceeded) && conn.Interrupted():
+			err = ErrNoMemory // for another body
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			err = ErrTimeout
 		}
 		return nil, err
 	}
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -82,7 +83,8 @@
 }
 
 // Guards against a stalled body that holds its memory until its time is over while other
-// bodies are refused, and against one that is never ended.
+// bodies are refused, against one that is never ended, and against a refusal that interrupts
+// more than one.
 func TestStalledBodies(t *testing.T) {
 	const bodyTimeout = 3 * time.Second
 	is := is.New(t)
@@ -91,7 +93,11 @@
 	forever := func() time.Duration { return time.Minute }
 	accept := acceptor.New(l, acceptor.NewLimits(10, func() int { return 1000 }, forever, forever), reserver.New(1<<20, 0, 0), func(acceptor.Cause) {})
 	budget := reserver.New(60_000, 0, 0)
-	c := collector.New(budget, limits(1<<20, bodyTimeout), accept.ReleaseStalled)
+	var released atomic.Int32
+	c := collector.New(budget, limits(1<<20, bodyTimeout), func() {
+		released.Add(1)
+		accept.ReleaseStalled()
+	})
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b, err := c.Collect(w, r)
 		if err != nil {
@@ -130,6 +136,7 @@
 	is.Equal(status(send(40_000, 40_000)), http.StatusServiceUnavailable) // at once, and the stalled one is interrupted
 	is.Equal(status(stalled), http.StatusServiceUnavailable)
 	is.True(time.Since(began) < bodyTimeout)
+	is.Equal(released.Load(), int32(1))
 	is.Equal(status(send(40_000, 40_000)), http.StatusOK)
 	is.Equal(status(send(60_000, 100)), http.StatusServiceUnavailable) // after its time
 	is.Equal(budget.Held(), int64(0))
