supplier: give workspaces equal shares of a contended engine

A workspace at 12 times its load takes nearly all slots of an engine, and the calls of others that arrive just after its own find none left.

The owner's calendar reduces the maximum wait of a call whose workspace is above its share (sharer). A call that can start at once is not concerned. The workspace and its priority go with the request for capacity as optional fields; calls without a workspace are treated as before. Such a decline is not reported as a full engine, so that hosts do not skip the engine for other workspaces. It is logged and counted at the owner as reservation-over-share.

--- a/logger/logger.go
+++ b/logger/logger.go
@@ -108,6 +108,7 @@
 	KeyVersion    Key = "version"
 	KeyEra        Key = "era"
 	KeyWait       Key = "wait_ms"
+	KeyWorkspace  Key = "workspace"
 	KeyDependency Key = "dependency"
 )
 
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -86,6 +86,7 @@
 		Engine: request.Engine(), Model: encodeModel(request.Model()), Version: request.MinVersion(), ModelMissing: request.ModelMissing(),
 		PromptTokens: request.PromptTokens(), ExpectedOutputTokens: request.ExpectedOutputTokens(), MaxWaitUS: request.MaxWait().Microseconds(),
 		MaxLoadWaitUS: request.MaxLoadWait().Microseconds(), LastResort: request.LastResort(),
+		Workspace: request.Workspace().Name(), Priority: request.Workspace().Priority(),
 	}
 	in.encodeSamples(request.Samples())
 	for _, used := range request.ModelsInUse() {
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -23,6 +23,7 @@
 	"github.com/dragonflyford/dragonflyford/replicator"
 	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/screener"
+	"github.com/dragonflyford/dragonflyford/sharer"
 	"github.com/dragonflyford/dragonflyford/storer"
 	"github.com/dragonflyford/dragonflyford/supplier"
 	"github.com/dragonflyford/dragonflyford/tracker"
@@ -159,7 +160,7 @@
 	client, address := connect(t, h)
 	request := supplier.NewReserveRequest("e1", connector.NewModel("m", "a", ""), supplier.WithMinVersion(7), supplier.WithModelMissing(true),
 		supplier.WithSize(100, 20, 300*time.Millisecond), supplier.WithModelsInUse([]connector.Model{connector.NewModel("m", "b", "")}),
-		supplier.WithMaxLoadWait(400*time.Millisecond), supplier.WithLastResort(true),
+		supplier.WithMaxLoadWait(400*time.Millisecond), supplier.WithLastResort(true), supplier.WithWorkspace(sharer.NewWorkspace("ana", 2)),
 		supplier.WithSamples([]estimator.Sample{estimator.NewPrefill(900, 41*time.Millisecond), estimator.NewGeneration(70, time.Second, true), estimator.NewOccupancy(0)}))
 	for _, answer := range []supplier.ReserveResponse{
 		supplier.NewGranted(7, 25*time.Millisecond), supplier.NewDeclined("full", time.Second), supplier.NewFull(time.Second),
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -20,6 +20,7 @@
 	"github.com/dragonflyford/dragonflyford/procurer"
 	"github.com/dragonflyford/dragonflyford/replicator"
 	"github.com/dragonflyford/dragonflyford/screener"
+	"github.com/dragonflyford/dragonflyford/sharer"
 	"github.com/dragonflyford/dragonflyford/storer"
 	"github.com/dragonflyford/dragonflyford/supplier"
 )
@@ -60,6 +61,8 @@
 	ExpectedOutputTokens int             `cbor:"8,keyasint,omitempty"`
 	MaxLoadWaitUS        int64           `cbor:"11,keyasint,omitempty"` // maximum wait behind loads of other models
 	LastResort           bool            `cbor:"12,keyasint,omitempty"`
+	Workspace            string          `cbor:"14,keyasint,omitempty"`
+	Priority             int             `cbor:"15,keyasint,omitempty"` // of the workspace
 	// Samples of earlier calls at the engine.
 	Prefills    []prefillDocument    `cbor:"9,keyasint,omitempty"`
 	Generations []generationDocument `cbor:"10,keyasint,omitempty"`
@@ -264,7 +267,7 @@
 	}
 	request := supplier.NewReserveRequest(in.Engine, decodeModel(in.Model), supplier.WithMinVersion(in.Version), supplier.WithModelMissing(in.ModelMissing),
 		supplier.WithSize(in.PromptTokens, in.ExpectedOutputTokens, time.Duration(in.MaxWaitUS)*time.Microsecond), supplier.WithModelsInUse(used), supplier.WithMaxLoadWait(microseconds(in.MaxLoadWaitUS)),
-		supplier.WithLastResort(in.LastResort),
+		supplier.WithLastResort(in.LastResort), supplier.WithWorkspace(sharer.NewWorkspace(in.Workspace, in.Priority)),
 		supplier.WithSamples(in.decodeSamples()))
 	return encodeReserveResponse(s.handler.Reserve(ctx, request)), nil
 }
--- a/relayer/harness_test.go
+++ b/relayer/harness_test.go
@@ -22,6 +22,7 @@
 	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/screener"
 	"github.com/dragonflyford/dragonflyford/selector"
+	"github.com/dragonflyford/dragonflyford/sharer"
 	"github.com/dragonflyford/dragonflyford/supplier"
 	"github.com/dragonflyford/dragonflyford/tracker"
 )
@@ -108,7 +109,8 @@
 	sent         []string
 	resumed      []string
 	outbounds    []*exchanger.Outbound
-	maxWaits     []time.Duration // told to owners
+	maxWaits     []time.Duration    // told to owners
+	workspaces   []sharer.Workspace // told to owners
 	breaks       int
 	outputs      int
 	turns        map[string]limiter.Verdict // by endpoint; granted at once if there is none
@@ -154,7 +156,9 @@
 	defer r.mu.Unlock()
 	r.reservations++
 	r.reserved = append(r.reserved, e)
-	r.maxWaits = append(r.maxWaits, supplier.NewReserveRequest(e.ID(), m, opts...).MaxWait())
+	request := supplier.NewReserveRequest(e.ID(), m, opts...)
+	r.maxWaits = append(r.maxWaits, request.MaxWait())
+	r.workspaces = append(r.workspaces, request.Workspace())
 	if len(r.responses) == 0 {
 		return supplier.NewGranted(1, 0), nil
 	}
--- a/relayer/reserve.go
+++ b/relayer/reserve.go
@@ -7,6 +7,7 @@
 	"github.com/dragonflyford/dragonflyford/limiter"
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/selector"
+	"github.com/dragonflyford/dragonflyford/sharer"
 	"github.com/dragonflyford/dragonflyford/sleeper"
 	"github.com/dragonflyford/dragonflyford/supplier"
 	"github.com/dragonflyford/dragonflyford/tracker"
@@ -148,7 +149,8 @@
 	}
 	began := time.Now()
 	response, err := c.relayer.procurer.Reserve(c.ctx, e, m, supplier.WithMinVersion(choice.MinVersion()), supplier.WithModelMissing(c.missingAt == e),
-		supplier.WithSize(c.call.PromptTokens(), c.call.ExpectedOutputTokens(), c.maxTurnWait()), supplier.WithMaxLoadWait(maxLoadWait), supplier.WithLastResort(lastResort))
+		supplier.WithSize(c.call.PromptTokens(), c.call.ExpectedOutputTokens(), c.maxTurnWait()), supplier.WithMaxLoadWait(maxLoadWait), supplier.WithLastResort(lastResort),
+		supplier.WithWorkspace(c.workspace()))
 	c.logReservation(choice, response, err, time.Since(began))
 	switch s := response.(type) {
 	case supplier.Granted:
@@ -169,6 +171,15 @@
 		classifier.RetryAfter(c.retryAfter(retryNoOwner)), classifier.Cause(err))
 }
 
+// workspace returns the workspace that the call belongs to, if there is one.
+func (c *callState) workspace() sharer.Workspace {
+	w := c.call.Workspace()
+	if w == nil {
+		return sharer.Workspace{}
+	}
+	return sharer.NewWorkspace(w.Name(), w.Priority())
+}
+
 // recordDecline records that an engine declined the call.
 func (c *callState) recordDecline(choice selector.Choice, d supplier.Declined) {
 	e := choice.Endpoint()
--- a/relayer/workspace_test.go
+++ b/relayer/workspace_test.go
@@ -47,8 +47,8 @@
 }
 
 // Guards against a repeat or a resumed stream that carries the caller's key to an endpoint
-// or names no workspace, and against a route's priority that is sent to owners and engines
-// in place of the workspace's.
+// or names no workspace, against a route's priority that is sent to owners and engines in
+// place of the workspace's, and against a reservation that does not name the workspace.
 func TestWorkspaceOfSends(t *testing.T) {
 	for _, tt := range []struct {
 		name      string
@@ -85,8 +85,10 @@
 					is.True(sent)
 					is.Equal(priority, tt.priority)
 				}
-				for _, wait := range r.maxWaits {
+				for i, wait := range r.maxWaits {
 					is.Equal(wait, tt.maxWait)
+					is.Equal(r.workspaces[i].Name(), tt.workspace)
+					is.Equal(r.workspaces[i].Priority(), 0) // not the route's
 				}
 			})
 		})
--- a/supplier/calendar.go
+++ b/supplier/calendar.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/dragonflyford/dragonflyford/sharer"
 )
 
 // span is the time that an engine spends on a call or on the prefill of its
@@ -24,8 +26,33 @@
 	// know the jobs that an earlier one granted.
 	excess     float64
 	reportedAt time.Time
+	shares     sharer.Sharer
+}
+
+// demand is what a call needs of an engine.
+type demand struct {
+	workspace sharer.Workspace
+	earliest  time.Time
+	maxWait   time.Duration // from earliest on
+	prefill   time.Duration
+	decode    time.Duration
+	slots     int // job slots of the engine
 }
 
+// refusal is why a call was not scheduled: tooLate or overShare.
+type refusal interface{ refusal() }
+
+type (
+	// tooLate means that the call may not wait for its turn.
+	tooLate struct{}
+	// overShare means that the call may not wait for its turn, because its workspace
+	// exceeds its share.
+	overShare struct{}
+)
+
+func (tooLate) refusal()   {}
+func (overShare) refusal() {}
+
 const (
 	// excessWeight is the weight of one report in the moving average.
 	excessWeight = 0.2
@@ -58,26 +85,33 @@
 	return max(slots-int(math.Round(min(max(c.excess, 0), limit))), 1)
 }
 
-// reserve schedules a call at the first time from earliest on at which the engine
-// is free for its prefill and has a free job slot, unless that is after latest. It
-// returns the time at which the call may be sent.
-func (c *calendar) reserve(now, earliest, latest time.Time, prefill, decode time.Duration, slots int) (time.Time, bool) {
+// reserve schedules a call at the first time from the earliest one on at which the
+// engine is free for its prefill and has a free job slot, unless that is later than the
+// call may wait for. The share of its workspace concerns only a call that has to wait for
+// other calls. It returns the first possible time, and a refusal unless the call may be
+// sent then.
+func (c *calendar) reserve(now time.Time, d demand) (time.Time, refusal) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	past := func(s span) bool { return s.end.Before(now) }
 	c.prefills = slices.DeleteFunc(c.prefills, past)
 	c.jobs = slices.DeleteFunc(c.jobs, past)
-	slots = c.freeSlots(slots)
-	start, index := c.firstPrefill(earliest, prefill)
+	slots := c.freeSlots(d.slots)
+	start, index := c.firstPrefill(d.earliest, d.prefill)
 	for free := c.firstFreeSlot(start, slots); free.After(start); free = c.firstFreeSlot(start, slots) {
-		start, index = c.firstPrefill(free, prefill)
+		start, index = c.firstPrefill(free, d.prefill)
 	}
-	if start.After(latest) {
-		return start, false
+	wait, factor := start.Sub(d.earliest), c.shares.Request(now, d.workspace)
+	switch {
+	case wait > d.maxWait:
+		return start, tooLate{}
+	case wait > 0 && wait > time.Duration(factor*float64(d.maxWait)):
+		return start, overShare{}
 	}
-	c.prefills = slices.Insert(c.prefills, index, span{start: start, end: start.Add(prefill)})
-	c.jobs = append(c.jobs, span{start: start, end: start.Add(prefill + decode)})
-	return start, true
+	c.shares.Charge(now, d.workspace, d.prefill+d.decode)
+	c.prefills = slices.Insert(c.prefills, index, span{start: start, end: start.Add(d.prefill)})
+	c.jobs = append(c.jobs, span{start: start, end: start.Add(d.prefill + d.decode)})
+	return start, nil
 }
 
 // firstPrefill returns the first time from earliest on at which a prefill fits
--- a/supplier/message.go
+++ b/supplier/message.go
@@ -8,6 +8,7 @@
 
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/estimator"
+	"github.com/dragonflyford/dragonflyford/sharer"
 	"github.com/dragonflyford/dragonflyford/tracker"
 )
 
@@ -25,6 +26,7 @@
 	lastResort           bool
 	modelsInUse          []connector.Model
 	samples              []estimator.Sample
+	workspace            sharer.Workspace
 }
 
 // ReserveOption sets an optional property of a ReserveRequest.
@@ -71,6 +73,12 @@
 	return func(r *ReserveRequest) { r.samples = samples }
 }
 
+// WithWorkspace names the workspace that the call belongs to. A call without one is not
+// subject to fair shares.
+func WithWorkspace(w sharer.Workspace) ReserveOption {
+	return func(r *ReserveRequest) { r.workspace = w }
+}
+
 // NewReserveRequest returns a request for capacity on an engine.
 func NewReserveRequest(engine string, m connector.Model, opts ...ReserveOption) ReserveRequest {
 	r := ReserveRequest{engine: engine, model: m}
@@ -116,6 +124,9 @@
 // Samples returns observations of earlier calls of the requesting host at the engine.
 func (r ReserveRequest) Samples() []estimator.Sample { return r.samples }
 
+// Workspace returns the workspace that the call belongs to.
+func (r ReserveRequest) Workspace() sharer.Workspace { return r.workspace }
+
 // ReserveResponse answers a ReserveRequest: Granted, Declined or NotOwner.
 type ReserveResponse interface{ reserveResponse() }
 
--- a/supplier/reserve.go
+++ b/supplier/reserve.go
@@ -4,11 +4,15 @@
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/connector"
+	"github.com/dragonflyford/dragonflyford/logger"
 )
 
 // unlimitedSlots is the number of job slots of an engine for which none is configured.
 const unlimitedSlots = 1 << 20
 
+// reasonOverShare is the reason of a decline because of the share of a workspace.
+const reasonOverShare = "workspace is above its share of the engine"
+
 // tryReserve reserves capacity for a call whose model is usable, without waiting
 // for the worker, which may be sending an order.
 func (w *engineWorker) tryReserve(req ReserveRequest) (ReserveResponse, bool) {
@@ -40,13 +44,21 @@
 	if until := speed.SlowUntil(); until.After(earliest) {
 		earliest = until
 	}
-	start, ok := w.calendar.reserve(now, earliest, earliest.Add(req.maxWait), prefill, speed.GenerationTime(req.expectedOutputTokens), slots)
-	if !ok {
+	decode := speed.GenerationTime(req.expectedOutputTokens)
+	start, refused := w.calendar.reserve(now, demand{
+		workspace: req.workspace, earliest: earliest, maxWait: req.maxWait, prefill: prefill, decode: decode, slots: slots,
+	})
+	switch refused.(type) {
+	case tooLate:
 		return NewFull(start.Sub(now))
+	case overShare:
+		w.log("reservation-over-share", logger.With(logger.KeyWorkspace, req.workspace.Name()),
+			logger.With(logger.KeyReason, reasonOverShare), logger.With(logger.KeyWait, start.Sub(now).Milliseconds()))
+		// Not NewFull: the engine may have capacity for calls of other workspaces.
+		return NewDeclined(reasonOverShare, start.Sub(now))
 	}
 	// The hosts list the models in use only with their next request.
-	end := start.Add(prefill + speed.GenerationTime(req.expectedOutputTokens))
-	w.recordUse([]connector.Model{req.model}, end)
+	w.recordUse([]connector.Model{req.model}, start.Add(prefill+decode))
 	granted := NewGranted(version, start.Sub(now))
 	if !speed.Sure() {
 		return granted.AsUnsure()
