router: keep routes, services and workspaces in their order

The check of a configuration needs the entries as they are listed, with those that another entry of the same name replaces, and the position of each key. Table keeps the lists that NewTable gets. A key that no call can present keeps its place as the zero KeyHash and is not looked up; before, it was dropped and moved the positions of later keys. The remaining values get accessors.

accountant: Bounds.Largest states the largest call that a quota grants; Draw uses it, so that the check applies the same rule. configurer: DefaultEntry gives the default bounds.

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -144,7 +144,7 @@
 	defer a.mu.Unlock()
 	b := a.bucket(workspace, t, p, now)
 	a.refill(b, t, p, now)
-	if cost > b.terms.burst+a.bounds.Allowance(b.terms) {
+	if cost > a.bounds.Largest(b.terms) {
 		return NewExceeded(MaxWait, b.level) // no bucket is ever full enough, and one that granted it would be empty for long
 	}
 	// A call that is larger than the bucket needs a full one and leaves it overdrawn.
--- a/accountant/bounds.go
+++ b/accountant/bounds.go
@@ -24,6 +24,9 @@
 	return (t.rate*b.window.Seconds()+t.burst)*b.over + b.slack
 }
 
+// Largest returns the cost of the largest call that a quota can grant.
+func (b Bounds) Largest(t Terms) float64 { return t.burst + b.Allowance(t) }
+
 // LostShare returns the share of their parts of a quota that hosts grant while others may count
 // them as lost, and share the whole rate. The sum is within the bounds if these hosts are two
 // thirds of all at most.
--- a/configurer/entry.go
+++ b/configurer/entry.go
@@ -25,6 +25,10 @@
 // ParseEntry parses settings. For invalid settings it returns an *Error.
 func ParseEntry(src []byte) (*Entry, error) { return parseEntry("", src) }
 
+// DefaultEntry returns the settings that apply where a file sets none. The host has no name
+// and no addresses.
+func DefaultEntry() *Entry { return &Entry{doc: defaultEntry()} }
+
 func parseEntry(path string, src []byte) (*Entry, error) {
 	e := &Entry{doc: defaultEntry()}
 	d := decode(src, &e.doc)
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -134,6 +135,18 @@
 	is.True(!second.Quota().Limited())
 }
 
+// Guards against keys that change their positions because an earlier one cannot be used, and
+// against a call that is taken for one with such a key.
+func TestKeyPositions(t *testing.T) {
+	is := is.New(t)
+	w := router.NewWorkspace("w", []string{"", "k", strings.Repeat("k", router.MaxKeyLength+1)}, 0, router.Quota{})
+	table := router.NewTable(1, nil, nil, router.WithWorkspaces([]*router.Workspace{w}))
+	for i, usable := range []bool{false, true, false} {
+		is.Equal(w.Keys()[i].IsUsable(), usable)
+		is.Equal(table.WorkspaceByHash(w.Keys()[i]) == w, usable)
+	}
+}
+
 // Guards against a revoked key that counts as one that the host has not read yet, and against a
 // key that stays revoked although a later table has it again.
 func TestRevokedKeys(t *testing.T) {
--- a/router/table.go
+++ b/router/table.go
@@ -40,6 +40,12 @@
 // NewTarget returns a target with a weight relative to the route's other targets.
 func NewTarget(service string, weight int) Target { return Target{service: service, weight: weight} }
 
+// Service returns the name of the service.
+func (t Target) Service() string { return t.service }
+
+// Weight returns the weight relative to the route's other targets.
+func (t Target) Weight() int { return t.weight }
+
 // Route maps the paths under a prefix to services.
 type Route struct {
 	name         string
@@ -79,6 +85,16 @@
 // Name returns the route's name.
 func (r *Route) Name() string { return r.name }
 
+// Host returns the host name whose calls the route takes.
+func (r *Route) Host() string { return r.host }
+
+// Prefix returns the prefix of the paths that the route takes.
+func (r *Route) Prefix() string { return r.prefix }
+
+// Targets returns the services that share the route's calls. The caller must not modify
+// them.
+func (r *Route) Targets() []Target { return r.targets }
+
 // RepeatPolicy returns the repeat policy of the route's work.
 func (r *Route) RepeatPolicy() RepeatPolicy { return r.repeatPolicy }
 
@@ -137,6 +153,12 @@
 // Name returns the base model's name.
 func (b BaseModel) Name() string { return b.name }
 
+// WeightsMB returns the size of the base model's weights.
+func (b BaseModel) WeightsMB() float64 { return b.weightsMB }
+
+// AdapterMB returns the size of one adapter of the base model.
+func (b BaseModel) AdapterMB() float64 { return b.adapterMB }
+
 // EngineSpec describes the engines of a service.
 type EngineSpec struct {
 	slots        int
@@ -158,6 +180,9 @@
 // being loaded.
 func (e *EngineSpec) AdapterSlots() int { return e.adapterSlots }
 
+// MemoryMB returns the memory for the weights of base models and adapters together.
+func (e *EngineSpec) MemoryMB() float64 { return e.memoryMB }
+
 // Bases returns the base models, the most used first.
 func (e *EngineSpec) Bases() []BaseModel { return e.bases }
 
@@ -237,18 +262,24 @@
 
 // Table is one version of the routes and services. It is immutable.
 type Table struct {
-	version        int64
-	limits         Limits
-	routesByHost   map[string][]*Route // longest prefix first
-	services       map[string]*Service
-	workspaces     map[string]*Workspace // nil if calls need no keys
-	workspaceByKey map[keyHash]*Workspace
-	revokedKeys    map[keyHash]struct{} // of earlier tables
+	version          int64
+	limits           Limits
+	routes           []*Route
+	routesByHost     map[string][]*Route // longest prefix first
+	listedServices   []*Service
+	services         map[string]*Service
+	listedWorkspaces []*Workspace
+	workspaces       map[string]*Workspace // nil if calls need no keys
+	workspaceByKey   map[KeyHash]*Workspace
+	revokedKeys      map[KeyHash]struct{} // of earlier tables
 }
 
 // NewTable returns a table of the given version.
 func NewTable(version int64, routes []*Route, services []*Service, opts ...TableOption) *Table {
-	t := &Table{version: version, routesByHost: make(map[string][]*Route), services: make(map[string]*Service, len(services))}
+	t := &Table{
+		version: version, routes: routes, routesByHost: make(map[string][]*Route),
+		listedServices: services, services: make(map[string]*Service, len(services)),
+	}
 	for _, r := range routes {
 		t.routesByHost[r.host] = append(t.routesByHost[r.host], r)
 	}
@@ -270,13 +301,15 @@
 func (t *Table) Limits() Limits { return t.limits }
 
 // RouteCount returns the number of routes.
-func (t *Table) RouteCount() int {
-	n := 0
-	for _, list := range t.routesByHost {
-		n += len(list)
-	}
-	return n
-}
+func (t *Table) RouteCount() int { return len(t.routes) }
+
+// Routes returns the routes in the order in which they were given. The caller must not
+// modify the list.
+func (t *Table) Routes() []*Route { return t.routes }
+
+// ListedServices returns the services in the order in which they were given, including
+// those that a later one of the same name replaces. The caller must not modify the list.
+func (t *Table) ListedServices() []*Service { return t.listedServices }
 
 // Service returns the service with the given name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
--- a/router/workspace.go
+++ b/router/workspace.go
@@ -61,22 +61,26 @@
 	}
 }
 
-// keyHash identifies a key. The table holds no keys in plain text, and the time of a
-// look-up reveals nothing about them.
-type keyHash [sha256.Size]byte
+// KeyHash identifies a key. The table holds no keys in plain text, and the time of a
+// look-up reveals nothing about them. The zero value stands for a key that no call can
+// present.
+type KeyHash [sha256.Size]byte
 
-// maxKeyLength is in bytes. A longer key is unknown, so that hashing it costs nothing.
-const maxKeyLength = 256
+// IsUsable reports whether a call can present the key.
+func (h KeyHash) IsUsable() bool { return h != KeyHash{} }
 
-func hashKey(key string) keyHash {
-	var buf [maxKeyLength]byte // avoids an allocation
+// MaxKeyLength is in bytes. A longer key is unknown, so that hashing it costs nothing.
+const MaxKeyLength = 256
+
+func hashKey(key string) KeyHash {
+	var buf [MaxKeyLength]byte // avoids an allocation
 	return sha256.Sum256(buf[:copy(buf[:], key)])
 }
 
 // Workspace is a customer of the deployment, whose calls carry one of its keys.
 type Workspace struct {
 	name     string
-	keys     []keyHash
+	keys     []KeyHash // in the order in which they were given
 	priority int
 	quota    Quota
 }
@@ -84,10 +88,10 @@
 // NewWorkspace returns a workspace. Its priority replaces that of the routes; 0 is the most
 // urgent.
 func NewWorkspace(name string, keys []string, priority int, q Quota) *Workspace {
-	w := &Workspace{name: name, priority: priority, quota: q}
-	for _, k := range keys {
-		if k != "" && len(k) <= maxKeyLength {
-			w.keys = append(w.keys, hashKey(k))
+	w := &Workspace{name: name, keys: make([]KeyHash, len(keys)), priority: priority, quota: q}
+	for i, k := range keys {
+		if k != "" && len(k) <= MaxKeyLength {
+			w.keys[i] = hashKey(k)
 		}
 	}
 	return w
@@ -96,6 +100,10 @@
 // Name returns the workspace's name.
 func (w *Workspace) Name() string { return w.name }
 
+// Keys returns the keys in the order in which they were given. The caller must not modify
+// them.
+func (w *Workspace) Keys() []KeyHash { return w.keys }
+
 // Priority returns the priority of the workspace's calls; 0 is the most urgent.
 func (w *Workspace) Priority() int { return w.priority }
 
@@ -106,12 +114,15 @@
 // workspaces.
 func WithWorkspaces(list []*Workspace) TableOption {
 	return func(t *Table) {
+		t.listedWorkspaces = list
 		t.workspaces = make(map[string]*Workspace, len(list))
-		t.workspaceByKey = make(map[keyHash]*Workspace)
+		t.workspaceByKey = make(map[KeyHash]*Workspace)
 		for _, w := range list {
 			t.workspaces[w.name] = w
 			for _, k := range w.keys {
-				t.workspaceByKey[k] = w
+				if k.IsUsable() {
+					t.workspaceByKey[k] = w
+				}
 			}
 		}
 	}
@@ -126,9 +137,16 @@
 // Workspaces returns all workspaces, in no particular order.
 func (t *Table) Workspaces() iter.Seq[*Workspace] { return maps.Values(t.workspaces) }
 
+// ListedWorkspaces returns the workspaces in the order in which they were given, including
+// those of which another one has the name. The caller must not modify the list.
+func (t *Table) ListedWorkspaces() []*Workspace { return t.listedWorkspaces }
+
+// WorkspaceByHash returns the workspace that a key belongs to, or nil.
+func (t *Table) WorkspaceByHash(h KeyHash) *Workspace { return t.workspaceByKey[h] }
+
 // WorkspaceByKey returns the workspace that a key belongs to, or nil.
 func (t *Table) WorkspaceByKey(key string) *Workspace {
-	if key == "" || len(key) > maxKeyLength {
+	if key == "" || len(key) > MaxKeyLength {
 		return nil
 	}
 	return t.workspaceByKey[hashKey(key)]
@@ -140,7 +158,7 @@
 // KeyRevoked reports whether a key belonged to a workspace in an earlier table and does not
 // any more.
 func (t *Table) KeyRevoked(key string) bool {
-	if len(t.revokedKeys) == 0 || key == "" || len(key) > maxKeyLength {
+	if len(t.revokedKeys) == 0 || key == "" || len(key) > MaxKeyLength {
 		return false
 	}
 	_, ok := t.revokedKeys[hashKey(key)]
@@ -149,8 +167,8 @@
 
 // succeeding returns the table as the successor of an earlier one, whose keys it may revoke.
 func (t *Table) succeeding(old *Table) *Table {
-	revoked := make(map[keyHash]struct{})
-	revoke := func(k keyHash) {
+	revoked := make(map[KeyHash]struct{})
+	revoke := func(k KeyHash) {
 		if _, held := t.workspaceByKey[k]; !held && len(revoked) < maxRevokedKeys {
 			revoked[k] = struct{}{}
 		}
