--- a/cmd/dragonflyctl/main.go
+++ b/cmd/dragonflyctl/main.go
@@ -1,5 +1,6 @@
 // Dragonflyctl is the command line tool for operators: it signs and rolls out
-// bundles, drains nodes and endpoints, and reports the state of a deployment.
+// bundles, checks configurations of entry hosts, drains nodes and endpoints, and
+// reports the state of a deployment.
 package main
 
 import (
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -126,6 +126,7 @@
 			{"status", "show what is in force by region and node", &bundleStatus{session: s}},
 			{"history", "list accepted bundles, newest first", &bundleHistory{session: s}},
 		}},
+		{"check", "check a configuration of entry hosts before it is stored", &check{session: s}, nil},
 		{"drain", "request a planned stop of a node or endpoint", &struct{}{}, drainCommands(s, false)},
 		{"undrain", "cancel a planned stop of a node or endpoint", &struct{}{}, drainCommands(s, true)},
 		{"status", "show the status of every node", &status{session: s}, nil},
--- a/commander/files.go
+++ b/commander/files.go
@@ -20,6 +20,9 @@
 	ErrChanged = eris.New("the bundle was changed after it was signed; sign it again")
 	// ErrUnsigned reports a bundle that lacks a signature required by a command.
 	ErrUnsigned = eris.New("signature is missing")
+	// ErrInvalidConfiguration reports a configuration that is not readable or that hosts
+	// would reject.
+	ErrInvalidConfiguration = eris.New("a configuration is not readable or hosts would reject it")
 	// ErrNotInForce reports a roll-out whose bundle is not in force.
 	ErrNotInForce = eris.New("the bundle is not in force")
 	// ErrDeclined reports that the operator did not confirm a review.
