supplier: hold requests for engines whose lease is about to be taken

After all of 98 hosts were killed at once, hosts served from 0.2 s after their restart on, but for 1.7 s owners of engines answered some 1,000 requests for capacity with "not the owner" and 240 with "engine is not known": a host reads its tables and takes its lease some 0.5 to 1.7 s after others have begun to serve. Calls for adapters that were not loaded were refused.

An owner whose process is younger than 3 s, and that expects the lease, now holds the request for up to 0.5 s, less than the requesting host waits.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -301,6 +301,8 @@
 	return ownership.Token(), ownership.Remaining(), ok
 }
 
+func (r leases) Expects(engine string) bool { return r.members.Expects(engine) }
+
 // crashObserver implements relayer.CrashObserver.
 type crashObserver struct{ host *Host }
 
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -91,7 +91,8 @@
 	earliestOrders atomic.Pointer[map[string]time.Duration] // by engine: when orders may first be sent, on clock
 	releases       atomic.Pointer[map[string]release]       // engines of this host that have no entry
 	claims         claims                                   // used by Claim only
-	joinedAt       time.Time                                // when this process first wrote its row
+	startedAt      time.Time
+	joinedAt       time.Time // when this process first wrote its row
 	// After a restore of the store, another host may act on rows that are lost until
 	// settledAt, on clock. Kept holds the engines that this host owned without
 	// interruption.
@@ -105,7 +106,7 @@
 	e := &Enroller{
 		self: self, timing: timing, store: store, log: log.Component("enroller"), clock: bootTime, reportInterval: defaultReportInterval, storeAnswered: make(chan struct{}, 1),
 		restored: make(chan struct{}, 1), process: rand.Uint64(), kept: make(map[string]bool),
-		copiedAt: make(map[uint64]time.Time),
+		copiedAt: make(map[uint64]time.Time), startedAt: time.Now(),
 	}
 	for _, opt := range opts {
 		opt(e)
@@ -160,6 +161,25 @@
 	return Ownership{token: owner.Token(), remaining: left}, true
 }
 
+// Expects reports whether this process has just started and will own an engine once it has
+// read the rows of owners and the store has confirmed its lease. It needs no takeover delay
+// then.
+func (e *Enroller) Expects(engine string) bool {
+	if time.Since(e.startedAt) >= joinDelay || e.leaving.Load() {
+		return false
+	}
+	v := e.View()
+	owner, ok := v.Owner(engine)
+	if !ok {
+		return v.lastContact.IsZero()
+	}
+	if owner.host != e.self.name || e.clock() < (*e.earliestOrders.Load())[engine] {
+		return false
+	}
+	_, owns := e.owns(v, engine)
+	return !owns
+}
+
 // Leave gives up the engines of this host and writes a row that marks the host
 // as leaving.
 func (e *Enroller) Leave(ctx context.Context) {
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -103,9 +103,35 @@
 		time.Sleep(8 * time.Second)
 		stop()
 		again := join(tab, "h1", "z1")
+		id := engines[0].ID()
+		is.True(again.Expects(id)) // has read no rows yet
 		defer start(t, again)()
 		time.Sleep(time.Second)
 		is.Equal(owned(again), len(engines))
+		is.True(!again.Expects(id))
+	})
+}
+
+// Guards against requests that wait at a host which has just started and will not own the engine,
+// or not soon.
+func TestExpects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tab := newTable()
+		stop := start(t, join(tab, "h1", "z1"))
+		time.Sleep(8 * time.Second)
+		id := engines[0].ID()
+		other := join(tab, "h2", "z1")
+		defer start(t, other)()
+		time.Sleep(500 * time.Millisecond)
+		is.True(!other.Expects(id)) // has another owner
+		is.True(!other.Expects("unknown"))
+		stop()
+		again := join(tab, "h1", "z1")
+		again.hung.Store(true)
+		defer start(t, again)()
+		time.Sleep(3 * time.Second)
+		is.True(!again.Expects(id)) // the store has not answered for too long
 	})
 }
 
--- a/supplier/message.go
+++ b/supplier/message.go
@@ -263,4 +263,7 @@
 	// Lease returns the fencing token and the remaining time of this host's lease
 	// on an engine.
 	Lease(engine string) (token uint64, remaining time.Duration, ok bool)
+	// Expects reports whether this process has just started and is about to obtain a lease
+	// on an engine that its host owned before.
+	Expects(engine string) bool
 }
--- a/supplier/supplier.go
+++ b/supplier/supplier.go
@@ -9,6 +9,7 @@
 	"github.com/dragonflyford/dragonflyford/estimator"
 	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/router"
+	"github.com/dragonflyford/dragonflyford/sleeper"
 	"github.com/dragonflyford/dragonflyford/tracker"
 )
 
@@ -52,8 +53,18 @@
 // engine is not available.
 const retryNotOwner = 300 * time.Millisecond
 
-// Reserve reserves capacity on an engine that this host owns.
+const (
+	// maxStartTime is how long a request waits for a lease that this process expects. It is
+	// shorter than the time after which the requesting host gives up.
+	maxStartTime  = 500 * time.Millisecond
+	startInterval = 25 * time.Millisecond
+)
+
+// Reserve reserves capacity on an engine that this host owns. When many hosts start at once, some
+// send requests to hosts that are about to be ready; declined there, all calls for adapters
+// that are not loaded would be refused in the meantime.
 func (s *Supplier) Reserve(ctx context.Context, req ReserveRequest) ReserveResponse {
+	s.awaitLease(ctx, req.engine)
 	e := s.fleet.Current().Endpoint(req.engine)
 	if e == nil {
 		return NewDeclined("engine is not known", retryNotOwner)
@@ -89,6 +100,14 @@
 	}
 }
 
+// awaitLease waits for the lease on an engine if this process expects it.
+func (s *Supplier) awaitLease(ctx context.Context, engine string) {
+	ctx, cancel := context.WithTimeout(ctx, maxStartTime)
+	defer cancel()
+	for s.leases.Expects(engine) && sleeper.Sleep(ctx, startInterval) == nil {
+	}
+}
+
 // Reconcile starts a worker for each new engine that this host owns, and stops the
 // workers of engines that have left or were registered anew.
 func (s *Supplier) Reconcile() {
--- a/supplier/supplier_test.go
+++ b/supplier/supplier_test.go
@@ -150,7 +150,9 @@
 	return supplier.Accepted{}
 }
 
-type leases struct{ expired atomic.Bool }
+type leases struct{ expired, expected atomic.Bool }
+
+func (r *leases) Expects(string) bool { return r.expected.Load() }
 
 func (r *leases) Lease(string) (uint64, time.Duration, bool) {
 	return 7, time.Minute, !r.expired.Load()
@@ -368,3 +370,28 @@
 		is.Equal(e.loads, 1)
 	})
 }
+
+// Guards against calls that are refused while all hosts start at once, because the owner of their
+// engine is about to obtain its lease.
+func TestLeaseExpected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, _, leases := newSupplier(newEngine())
+		defer s.Close()
+		leases.expired.Store(true)
+		leases.expected.Store(true)
+		time.AfterFunc(400*time.Millisecond, func() {
+			leases.expired.Store(false)
+			leases.expected.Store(false)
+		})
+		_, ok := s.Reserve(t.Context(), request(1)).(supplier.Granted)
+		is.True(ok)
+
+		// A lease that does not come delays the answer for less than the request may take.
+		leases.expected.Store(true)
+		ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+		defer cancel()
+		_ = s.Reserve(ctx, supplier.NewReserveRequest("unknown", model(1)))
+		is.NoErr(ctx.Err())
+	})
+}
