supplier: schedule calls for held models before the lease is taken

A host that started while the store was away answered "not the owner" for engines whose rows name it.

Such an owner now schedules calls for held models from the engine's report; only orders need the lease.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -301,6 +301,11 @@
 	return ownership.Token(), ownership.Remaining(), ok
 }
 
+func (r leases) Named(engine string) bool {
+	owner, ok := r.members.View().Owner(engine)
+	return ok && owner.Host() == r.members.Self()
+}
+
 func (r leases) Expects(engine string) bool { return r.members.Expects(engine) }
 
 // crashObserver implements relayer.CrashObserver.
--- a/supplier/message.go
+++ b/supplier/message.go
@@ -263,6 +263,9 @@
 	// Lease returns the fencing token and the remaining time of this host's lease
 	// on an engine.
 	Lease(engine string) (token uint64, remaining time.Duration, ok bool)
+	// Named reports whether this host is the last known owner of an engine, with a lease or
+	// without.
+	Named(engine string) bool
 	// Expects reports whether this process has just started and is about to obtain a lease
 	// on an engine that its host owned before.
 	Expects(engine string) bool
--- a/supplier/supplier.go
+++ b/supplier/supplier.go
@@ -78,7 +78,9 @@
 			return resp
 		}
 	}
-	if !owns {
+	// A host that starts while the store is away has no lease. Without a calendar, all calls
+	// for the models that the engine holds would be sent at once.
+	if !owns && !s.leases.Named(req.engine) {
 		return NotOwner{}
 	}
 	w := s.worker(e)
--- a/supplier/supplier_test.go
+++ b/supplier/supplier_test.go
@@ -150,7 +150,9 @@
 	return supplier.Accepted{}
 }
 
-type leases struct{ expired, expected atomic.Bool }
+type leases struct{ expired, expected, other atomic.Bool }
+
+func (r *leases) Named(string) bool { return !r.other.Load() }
 
 func (r *leases) Expects(string) bool { return r.expected.Load() }
 
@@ -371,6 +373,36 @@
 	})
 }
 
+// Guards against calls that all are sent to an engine at once, because its owner has started
+// while the store is away, and against orders from such a host.
+func TestNoLeaseYet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngine()
+		e.resident[model(1)] = 1
+		s, _, r := newSupplier(e)
+		defer s.Close()
+		r.expired.Store(true)
+		held := supplier.NewReserveRequest("e1", model(1), supplier.WithSize(100, 100, time.Second))
+		granted := 0
+		for range 10 * jobs {
+			if _, ok := s.Reserve(t.Context(), held).(supplier.Granted); ok {
+				granted++
+			}
+		}
+		is.True(granted >= jobs)
+		is.True(granted < 10*jobs)
+		is.Equal(s.Reserve(t.Context(), request(2)), supplier.NotOwner{})
+		is.Equal(e.loads, 0)
+
+		another, _, named := newSupplier(e)
+		defer another.Close()
+		named.expired.Store(true)
+		named.other.Store(true) // another host owns the engine
+		is.Equal(another.Reserve(t.Context(), request(1)), supplier.NotOwner{})
+	})
+}
+
 // Guards against calls that are refused while all hosts start at once, because the owner of their
 // engine is about to obtain its lease.
 func TestLeaseExpected(t *testing.T) {
--- a/supplier/worker.go
+++ b/supplier/worker.go
@@ -221,7 +221,7 @@
 	w.mergeRecentUse()
 	w.state.completeLoads(now)
 	if !w.mayOrder() {
-		return NotOwner{}
+		return w.reserveWithoutLease(ctx, req, now)
 	}
 	if !w.ensureReport(ctx) {
 		return NewDeclined("engine does not answer its owner", retryDeclined)
@@ -249,6 +249,18 @@
 	return w.scheduleLoad(ctx, req)
 }
 
+// reserveWithoutLease schedules a call for a model that the engine holds. Only orders need a lease.
+func (w *engineWorker) reserveWithoutLease(ctx context.Context, req ReserveRequest, now time.Time) ReserveResponse {
+	if req.modelMissing || !w.ensureReport(ctx) {
+		return NotOwner{}
+	}
+	version, resident := w.state.resident[req.model]
+	if !resident || version < req.minVersion || w.state.unloading[req.model] {
+		return NotOwner{}
+	}
+	return w.reserve(req, version, now, now)
+}
+
 // correctMissing corrects the state after the engine refused a call because it does not
 // hold the call's model: its load is late, or the state is out of date.
 func (w *engineWorker) correctMissing(ctx context.Context, req ReserveRequest, now time.Time) {
