subscriber: copy the tables from seeds while the store does not answer

The platform names up to three other machines to each process. If the store does not list the hosts within a second, a host that starts asks these seeds and takes the youngest copy of the tables, of any age; the configuration follows from the heartbeats of its data centre. Seeds that have ended cost the host nothing but their timeout.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -238,7 +238,7 @@
 // data centre reads from the store; the others read it from that host.
 func (h *Host) followThroughPeers(table string, wait, pause, maxAge time.Duration, log *logger.Logger) *follower.Follower {
 	feed := subscriber.New(table, h.store.Table(table), h.messenger, subscriber.NewPeer(h.members.Self(), "", h.settings.Load().LinkMbps()), h.neighbours, maxAge, log,
-		subscriber.WithStartPeers(h.startNeighbours))
+		subscriber.WithStartPeers(h.startNeighbours), subscriber.WithSeeds(h.seeds()))
 	return follower.New(table, feed, h.mirrors[table], wait, pause, log)
 }
 
--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -28,7 +28,7 @@
 	"claim-lost", "claim-uncertain", "engines-claimed", "lease-not-renewed", "lease-taken", "owner-changed",
 	"key-missing", "key-unknown", "key-not-checked", "configuration-not-read", "configuration-copied", "configuration-not-copied",
 	"configuration-in-force", "version-named", "operator-row-not-read", "entry-not-read",
-	"dependency-lost", "dependency-regained", "history-lost", "source-passed-over",
+	"dependency-lost", "dependency-regained", "history-lost", "source-passed-over", "table-copied-from-seed",
 	"connection-refused",
 	"endpoint-arrived", "endpoint-draining", "endpoint-gone", "endpoint-lapsed", "endpoint-leaving", "endpoint-limit-lowered", "endpoint-paused",
 	"host-silent", "evidence-not-told", "engine-speed-changed",
--- a/assembler/neighbours.go
+++ b/assembler/neighbours.go
@@ -48,6 +48,15 @@
 	return h.listed
 }
 
+// seeds returns the hosts of the settings that may have copies of the tables when this host starts.
+func (h *Host) seeds() []subscriber.Peer {
+	var list []subscriber.Peer
+	for _, address := range h.settings.Load().Seeds() {
+		list = append(list, subscriber.NewPeer(address, address, 0))
+	}
+	return list
+}
+
 // neighbourAddresses returns the addresses on which the other hosts of the data
 // centre receive heartbeats.
 func (h *Host) neighbourAddresses() []netip.AddrPort {
--- a/configurer/entry.go
+++ b/configurer/entry.go
@@ -56,6 +56,7 @@
 func checkEntry(d *decoder, doc *entryDocument) {
 	checkEntryNode(d, doc)
 	checkEntryAddresses(d, doc)
+	checkEntrySeeds(d, doc)
 	checkEntryDurations(d, doc)
 	checkEntryNumbers(d, doc)
 	if !slices.Contains(adaptiveValues, doc.Endpoints.Adaptive) {
@@ -98,6 +99,14 @@
 	}
 }
 
+func checkEntrySeeds(d *decoder, doc *entryDocument) {
+	for i, v := range doc.Seeds {
+		if _, err := netip.ParseAddrPort(v); err != nil {
+			d.reject(fmt.Sprintf("seeds[%d]", i), "an IP address and port such as 10.0.0.1:8443")
+		}
+	}
+}
+
 func checkEntryDurations(d *decoder, doc *entryDocument) {
 	for field, v := range map[string]duration{
 		"lease.renew": doc.Lease.Renew, "lease.time": doc.Lease.Time, "lease.guard": doc.Lease.Guard,
@@ -234,6 +243,19 @@
 // MemoryMB returns the memory limit of the process in MiB.
 func (e *Entry) MemoryMB() int64 { return e.doc.Limits.MemoryMB }
 
+// Seeds returns the addresses at which other hosts that may run accept connections of hosts.
+func (e *Entry) Seeds() []string {
+	own := netip.MustParseAddrPort(e.doc.Listen.Peers)
+	var list []string
+	for _, text := range e.doc.Seeds {
+		seed := netip.MustParseAddrPort(text).Addr()
+		if seed != own.Addr() {
+			list = append(list, netip.AddrPortFrom(seed, own.Port()).String())
+		}
+	}
+	return list
+}
+
 // LinkMbps returns the bandwidth of the host's network link, or 0 if unknown.
 func (e *Entry) LinkMbps() uint64 { return uint64(e.doc.Limits.LinkMbps) }
 
--- a/configurer/entry_document.go
+++ b/configurer/entry_document.go
@@ -7,6 +7,7 @@
 	Node        entryNodeDocument     `json:"node"`
 	Listen      entryListenDocument   `json:"listen"`
 	DataCentres []dataCentreDocument  `json:"data_centres"`
+	Seeds       []string              `json:"seeds"` // addresses of other hosts
 	Store       entryStoreDocument    `json:"store"`
 	Lease       entryLeaseDocument    `json:"lease"`
 	Repeats     entryRepeatDocument   `json:"repeats"`
--- a/configurer/entry_test.go
+++ b/configurer/entry_test.go
@@ -44,6 +44,9 @@
 	is.NoErr(err)
 	is.True(e.Urgency())
 	is.Equal(e.OutputToken(), 14*time.Millisecond) // default
+	e, err = configurer.ParseEntry([]byte(strings.Replace(entrySettings, `"stop"`, `"seeds": ["10.0.0.1:9", "10.0.0.2:9"], "stop"`, 1)))
+	is.NoErr(err)
+	is.Equal(e.Seeds(), []string{"10.0.0.2:4"}) // without this host, at the port for hosts
 }
 
 // Guards against accepting settings that cannot work.
@@ -72,6 +75,7 @@
 		{"negative quota slack", `"stop"`, `"quotas": {"slack": -1}, "stop"`, "quotas.slack"},
 		{"urgency is a number", `"stop"`, `"engines": {"urgency": 1}, "stop"`, "engines.urgency"},
 		{"link is a truth value", `10.0}`, `true}`, "limits.link_mbps"},
+		{"seed without a port", `"stop"`, `"seeds": ["10.0.0.2:1", "10.0.0.3"], "stop"`, "seeds[1]"},
 		{"unknown field", `"stop"`, `"stopp"`, "stopp"},
 	}
 	for _, tt := range tests {
@@ -110,6 +114,7 @@
 		`{{platform_config.address}}`: "10.0.0.9:1", `{{limits.memory_mb}}`: "284", `{{limits.link_mbps}}`: "10.0", `{{limits.max_fds}}`: "4100",
 		`{{bounds.lease_ms}}`: "3000", `{{bounds.budget_ratio}}`: "0.2", `{{bounds.retry_slack}}`: "56",
 		`{{bounds.budget_window_s}}`: "10", `{{bounds.grace_s}}`: "8", `{{bounds.quota_window_s}}`: "5", `{{bounds.quota_over}}`: "0.1", `{{bounds.quota_slack}}`: "11000", `{{heartbeat_ms}}`: "1200",
+		`{{#seeds}} "{{.}}" {{,}}{{/seeds}}`:                                `"10.0.0.2:9"`,
 		`{{#zones}} { "name": "{{@}}", "region": "{{.}}" } {{,}}{{/zones}}`: `{ "name": "z", "region": "r" }`,
 	} {
 		text = strings.ReplaceAll(text, from, to)
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -71,6 +71,7 @@
 	peers  func() []Peer // live hosts of the data centre without this one
 	// startPeers returns those hosts before any is known to be alive; nil if unknown.
 	startPeers func(context.Context) []Peer
+	seeds      []Peer
 	maxAge     time.Duration
 	log        *logger.Logger
 	skippedAt  map[string]time.Time // by host; used only by the follower's goroutine
@@ -93,6 +94,10 @@
 	return func(s *Subscriber) { s.startPeers = list }
 }
 
+// WithSeeds sets hosts that are asked for a copy of any age before the first read of the table
+// if the store does not answer. They may have ended.
+func WithSeeds(seeds []Peer) Option { return func(s *Subscriber) { s.seeds = seeds } }
+
 // New returns a feed of a table. MaxAge is the maximum age of a copy from another
 // host.
 func New(table string, store storer.Feed, remote Remote, self Peer, peers func() []Peer, maxAge time.Duration, log *logger.Logger, opts ...Option) *Subscriber {
@@ -148,7 +153,13 @@
 
 // Snapshot implements storer.Feed.
 func (s *Subscriber) Snapshot(ctx context.Context) (storer.Changes, error) {
-	peers := s.candidates(ctx)
+	peers, stored := s.candidates(ctx)
+	if !stored {
+		if changes, ok := s.copyFromSeeds(ctx); ok {
+			s.hasRead = true
+			return changes, nil
+		}
+	}
 	if p, ok := s.chooseSource(peers); ok {
 		copied, took, err := s.readCopy(ctx, p, len(peers) >= MaxFollowers)
 		if changes, ok := s.accept(p, copied, err); ok {
@@ -167,15 +178,17 @@
 
 // candidates returns the other hosts of the data centre that may have a copy. Before the
 // first read, few or none are known to be alive. In a small data centre, each host then reads
-// the store, which is faster than to wait for another host that may be starting, too.
-func (s *Subscriber) candidates(ctx context.Context) []Peer {
+// the store, which is faster than to wait for another host that may be starting, too. Stored is
+// false if the store did not list the hosts.
+func (s *Subscriber) candidates(ctx context.Context) (peers []Peer, stored bool) {
 	if s.hasRead || s.startPeers == nil {
-		return s.peers()
+		return s.peers(), true
 	}
-	if listed := s.startPeers(ctx); len(listed) >= MaxFollowers {
-		return listed
+	listed := s.startPeers(ctx)
+	if len(listed) >= MaxFollowers {
+		return listed, true
 	}
-	return s.peers()
+	return s.peers(), listed != nil
 }
 
 // readCopy reads the whole copy of another host. In a large data centre it waits for it: if
