authenticator: read the configuration before a revoked key is refused

A key that was revoked and is issued again got 401 until the host's copy of the configuration had the new version, because a call with a revoked key was refused without a read.

The first such call now causes a read as a call with an unknown key does, and the call is judged by the table then in force. While that read is pending, and for a second after it began, other calls with revoked keys get 401 at once: they cause at most one of the four reads a second and take none of the places of calls that wait.

--- a/authenticator/authenticator.go
+++ b/authenticator/authenticator.go
@@ -86,15 +86,23 @@
 // Apply assigns a call to the workspace of its key. It refuses a call without a key,
 // and one with a key that the store's configuration does not contain.
 func (a *Authenticator) Apply(ctx context.Context, r *router.Routed) (*router.Routed, error) {
+	var err error
 	switch v := judge(r).(type) {
 	case admitted:
 		return v.call, nil
 	case missing:
 		return nil, a.refuseMissing(r)
 	case revoked:
-		return nil, a.refuseUnknown(r)
+		// The key may have been issued again. Other calls with revoked keys do not wait for
+		// this read, so that they cannot take the places of those with new keys.
+		next := a.reads.joinForRevoked()
+		if next == nil {
+			return nil, a.refuseUnknown(r)
+		}
+		err = await(ctx, r, next.wait)
+	case unknown:
+		err = a.refresh(ctx, r)
 	}
-	err := a.refresh(ctx, r)
 	if ctx.Err() != nil {
 		return nil, classifier.NewCanceled("the caller went away")
 	}
@@ -108,8 +116,6 @@
 		return v.call, nil
 	case missing:
 		return nil, a.refuseMissing(r)
-	case revoked:
-		return nil, a.refuseUnknown(r)
 	}
 	if err != nil && !a.reads.confirmed(r.Received()) {
 		return nil, a.refuseUnchecked(r, err)
@@ -117,9 +123,7 @@
 	return nil, a.refuseUnknown(again)
 }
 
-// refuseUnknown refuses a call whose key the configuration does not contain. A revoked key
-// needs no read: callers that go on with one would cause a read of each host four times a
-// second, and a key that is given out again arrives with its configuration.
+// refuseUnknown refuses a call whose key the configuration does not contain.
 func (a *Authenticator) refuseUnknown(r *router.Routed) error {
 	a.log.Info("key-unknown", logger.Request(r.ID()), logger.With(logger.KeyVersion, r.Table().Version()))
 	return classifier.NewUnauthorized("the key is not known")
@@ -132,9 +136,14 @@
 	if a.waiting.Add(1) > maxWaiting {
 		return errTooManyWaiting
 	}
+	return await(ctx, r, func(ctx context.Context) error { return a.reads.await(ctx, r.Received()) })
+}
+
+// await waits for a read of the configuration for as long as the call may.
+func await(ctx context.Context, r *router.Routed, wait func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, min(maxWait, r.Remaining()))
 	defer cancel()
-	return a.reads.await(ctx, r.Received())
+	return wait(ctx)
 }
 
 func (a *Authenticator) refuseMissing(r *router.Routed) error {
--- a/authenticator/reads.go
+++ b/authenticator/reads.go
@@ -24,14 +24,28 @@
 	readInterval = 250 * time.Millisecond
 	// readTimeout bounds one read. While a read gets no answer, no other one begins.
 	readTimeout = time.Second
+	// revokedInterval is the time between the beginnings of two reads that calls with
+	// revoked keys cause, so that these take at most one in four of the reads.
+	revokedInterval = time.Second
 )
 
 var errTooManyWaiting = eris.New("too many calls wait for the configuration")
 
 // read is one read of the configuration that several calls wait for.
 type read struct {
-	done chan struct{} // closed when the read has ended
-	err  error         // valid after done is closed
+	begun time.Time     // zero until the read begins; guarded by the mutex of reads
+	done  chan struct{} // closed when the read has ended
+	err   error         // valid after done is closed
+}
+
+// wait returns once the read has ended.
+func (n *read) wait(ctx context.Context) error {
+	select {
+	case <-n.done:
+		return n.err
+	case <-ctx.Done():
+		return fmt.Errorf("wait for the configuration: %w", ctx.Err())
+	}
 }
 
 // reads runs the reads of the configuration one after the other. A configuration that is
@@ -43,6 +57,7 @@
 
 	mu          sync.Mutex
 	next        *read     // has not begun; nil if no call waits for one
+	forRevoked  *read     // the latest one that a call with a revoked key caused
 	running     bool      // the goroutine runs
 	begun       time.Time // beginning of the latest read
 	confirmedAt time.Time // beginning of the latest read that succeeded
@@ -60,19 +75,30 @@
 	if r.confirmed(since) {
 		return nil
 	}
-	n := r.join()
-	select {
-	case <-n.done:
-		return n.err
-	case <-ctx.Done():
-		return fmt.Errorf("wait for the configuration: %w", ctx.Err())
-	}
+	return r.join().wait(ctx)
 }
 
 // join returns the next read that begins.
 func (r *reads) join() *read {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.joinLocked()
+}
+
+// joinForRevoked returns the next read that begins, for a call with a revoked key. It
+// returns nil if another such call waits for one or caused one within revokedInterval.
+func (r *reads) joinForRevoked() *read {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n := r.forRevoked; n != nil && (n.begun.IsZero() || time.Since(n.begun) < revokedInterval) {
+		return nil
+	}
+	r.forRevoked = r.joinLocked()
+	return r.forRevoked
+}
+
+// joinLocked returns the next read that begins. It requires mu.
+func (r *reads) joinLocked() *read {
 	if r.next == nil {
 		r.next = &read{done: make(chan struct{})}
 	}
@@ -112,6 +138,7 @@
 		return nil, wait
 	}
 	n := r.next
+	n.begun = now
 	r.next, r.begun = nil, now
 	return n, 0
 }
