assembler: bound the connections of other hosts

The connections that other hosts open (drpc) were not counted against the descriptor limit. drpcserver accepts any number of them and never closes one, so that hosts that are frozen or unreachable, or anything else that connects to the port, could take the descriptors of callers.

acceptor.Limited counts the open connections of a listener and closes a new one over the limit; it never closes an established one. The limit is 3/32 of limits.max_fds, within the quarter that is not for calls. Because a refusal frees nothing, connections that are of no use have to end: messenger closes those on which no call begins for 60 s (other hosts keep an unused one for 20 s), and transporter.Listen sets keep-alive and TCP_USER_TIMEOUT on accepted connections. New cause peer-connections and gauge peer_connections.

The wiring in assembler is compiled and vetted, and its tests were not run.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -1,7 +1,7 @@
 // Package acceptor accepts the connections of clients for a http.Server and bounds
 // what they may take: their number, the size of and the time for a request's header,
 // and the time without a request. All limits may change while the server runs, which
-// those of http.Server may not.
+// those of http.Server may not. Limited bounds the number of connections of other servers.
 package acceptor
 
 import (
@@ -20,11 +20,12 @@
 
 // Causes. They are values of a metric label.
 const (
-	CauseConnections  Cause = "connections"    // refused: too many are open
-	CauseEvicted      Cause = "evicted"        // closed for a new connection: it waited without a complete request
-	CauseHeaderBytes  Cause = "header-bytes"   // its header is too long
-	CauseHeaderMemory Cause = "header-memory"  // the headers of all connections take too much memory
-	CauseHeaderTime   Cause = "header-timeout" // its header did not arrive in time
+	CauseConnections     Cause = "connections"      // refused: too many are open
+	CausePeerConnections Cause = "peer-connections" // refused by Limited: too many are open
+	CauseEvicted         Cause = "evicted"          // closed for a new connection: it waited without a complete request
+	CauseHeaderBytes     Cause = "header-bytes"     // its header is too long
+	CauseHeaderMemory    Cause = "header-memory"    // the headers of all connections take too much memory
+	CauseHeaderTime      Cause = "header-timeout"   // its header did not arrive in time
 )
 
 // Limits are the limits on connections. A function is called at each use, so that its
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -183,3 +183,54 @@
 	is.True(d.has(acceptor.CauseEvicted))
 	is.True(d.Open() <= connections)
 }
+
+// Guards against more connections than the limit, against an established one that is closed
+// for a new one, and against one that is counted after its end or subtracted twice.
+func TestLimited(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	refused := make(chan acceptor.Cause, 1)
+	l := acceptor.NewLimited(inner, connections, func(c acceptor.Cause) { refused <- c })
+	defer func() { _ = l.Close() }()
+	accepted := make(chan net.Conn)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		t.Cleanup(func() { _ = conn.Close() })
+		is.NoErr(conn.SetDeadline(time.Now().Add(10 * time.Second)))
+		return conn
+	}
+	var clients, servers []net.Conn
+	for range connections {
+		clients = append(clients, dial())
+		servers = append(servers, <-accepted)
+	}
+	for range 2 {
+		_, err = dial().Read(make([]byte, 1))
+		is.True(err != nil)
+		is.Equal(<-refused, acceptor.CausePeerConnections)
+		is.Equal(l.Open(), connections)
+	}
+	for i, conn := range servers {
+		_, err = conn.Write([]byte("x"))
+		is.NoErr(err)
+		_, err = io.ReadFull(clients[i], make([]byte, 1))
+		is.NoErr(err)
+	}
+	is.NoErr(servers[0].Close())
+	is.True(servers[0].Close() != nil) // already closed
+	is.Equal(l.Open(), connections-1)
+	_ = dial()
+	<-accepted
+	is.Equal(l.Open(), connections)
+}
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -134,6 +134,7 @@
 	listed            []subscriber.Peer // hosts of the data centre that the store listed at the start
 	capacity          capacity
 	callers           atomic.Pointer[acceptor.Acceptor]
+	peerListener      atomic.Pointer[acceptor.Limited]
 }
 
 // New returns a host that is not yet running.
--- a/assembler/capacity.go
+++ b/assembler/capacity.go
@@ -18,6 +18,7 @@
 	headers     *reserver.Reserver
 	connections int // of callers
 	others      int // connections of each of the other ports
+	peers       int // connections of other hosts
 }
 
 // Divisors of the memory of the host.
@@ -43,10 +44,13 @@
 )
 
 // Descriptors. Each call in flight needs one for its caller and one for its endpoint; the
-// remaining quarter is for hosts, the store and the other ports.
+// remaining quarter is for hosts, the store and the other ports. Of 4,100 descriptors, other
+// hosts may take 384, six for each of 62, and 257 are left for the store and for the
+// connections to other hosts, of which messenger keeps 256 at most.
 const (
 	callerFiles = 3.0 / 8
 	otherFiles  = 1.0 / 32 // for each of the three other ports
+	peerFiles   = 3.0 / 32
 )
 
 func newCapacity(settings *configurer.Entry) capacity {
@@ -59,6 +63,7 @@
 		headers:     reserver.New(headers, headers/reservedPart, smallHeader),
 		connections: int(max(connections, minConnections)),
 		others:      max(int(files*otherFiles), minConnections),
+		peers:       max(int(files*peerFiles), minConnections),
 	}
 }
 
--- a/assembler/clients.go
+++ b/assembler/clients.go
@@ -28,16 +28,18 @@
 	bodyBytes   tally.Gauge
 	headerBytes tally.Gauge
 	connections tally.Gauge
+	peers       tally.Gauge
 }
 
 func newClientMetrics(scope tally.Scope) *clientMetrics {
 	return &clientMetrics{
 		refusals: meter.NewCounters(scope, "client_refusals", "cause", causeBodyBytes, causeBodyMemory, causeBodyTime,
-			string(acceptor.CauseConnections), string(acceptor.CauseEvicted), string(acceptor.CauseHeaderBytes),
-			string(acceptor.CauseHeaderMemory), string(acceptor.CauseHeaderTime)),
+			string(acceptor.CauseConnections), string(acceptor.CausePeerConnections), string(acceptor.CauseEvicted),
+			string(acceptor.CauseHeaderBytes), string(acceptor.CauseHeaderMemory), string(acceptor.CauseHeaderTime)),
 		bodyBytes:   scope.Gauge("body_bytes_held"),
 		headerBytes: scope.Gauge("header_bytes_held"),
 		connections: scope.Gauge("caller_connections"),
+		peers:       scope.Gauge("peer_connections"),
 	}
 }
 
@@ -69,6 +71,9 @@
 		if a := h.callers.Load(); a != nil {
 			h.clientMetrics.connections.Update(float64(a.Open()))
 		}
+		if l := h.peerListener.Load(); l != nil {
+			h.clientMetrics.peers.Update(float64(l.Open()))
+		}
 	}
 }
 
--- a/assembler/run.go
+++ b/assembler/run.go
@@ -20,6 +20,7 @@
 	"github.com/dragonflyford/dragonflyford/platform"
 	"github.com/dragonflyford/dragonflyford/referrer"
 	"github.com/dragonflyford/dragonflyford/sleeper"
+	"github.com/dragonflyford/dragonflyford/transporter"
 )
 
 const (
@@ -31,6 +32,9 @@
 	// exitReserve is the part of the grace time that is reserved for the
 	// process to exit.
 	exitReserve = 300 * time.Millisecond
+	// peerAckTimeout is how long a connection of another host stays open, and counts, while
+	// that host acknowledges nothing. The other end gives up earlier (messenger).
+	peerAckTimeout = 5 * time.Second
 )
 
 // Run serves until ctx is done and then performs a planned stop. For each value
@@ -75,13 +79,14 @@
 
 // servePeers serves the other hosts until ctx ends.
 func (h *Host) servePeers(ctx context.Context, running *sync.WaitGroup) error {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", h.settings.Load().Peers())
+	listener, err := transporter.Listen(ctx, h.settings.Load().Peers(), peerAckTimeout)
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
+	peers := acceptor.NewLimited(listener, h.capacity.peers, h.recordConnection)
+	h.peerListener.Store(peers)
 	running.Go(func() {
-		if err := h.messenger.Serve(ctx, listener); err != nil && ctx.Err() == nil {
+		if err := h.messenger.Serve(ctx, peers); err != nil && ctx.Err() == nil {
 			h.log.Error("peers-not-served", logger.Err(err))
 		}
 	})
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
@@ -19,7 +20,10 @@
 )
 
 const (
-	idleTimeout           = 20 * time.Second
+	idleTimeout = 20 * time.Second
+	// inactivityTimeout is when a connection of another host is closed on which no call
+	// begins. A host that runs closes it after idleTimeout, but one that is frozen does not.
+	inactivityTimeout     = 3 * idleTimeout
 	maxConnections        = 256 // total over all hosts
 	maxConnectionsPerHost = 8
 	ackTimeout            = 1500 * time.Millisecond // a host that acknowledges no data for this long is unreachable
@@ -48,7 +52,8 @@
 
 // Serve serves other hosts until ctx is done.
 func (m *Messenger) Serve(ctx context.Context, listener net.Listener) error {
-	if err := drpcserver.New(m.mux).Serve(ctx, listener); err != nil {
+	server := drpcserver.NewWithOptions(m.mux, drpcserver.Options{Manager: drpcmanager.Options{InactivityTimeout: inactivityTimeout}})
+	if err := server.Serve(ctx, listener); err != nil {
 		return fmt.Errorf("serve peers: %w", err)
 	}
 	return nil
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/dragonflyford/dragonflyford/acceptor"
 	"github.com/dragonflyford/dragonflyford/accountant"
 	"github.com/dragonflyford/dragonflyford/allotter"
 	"github.com/dragonflyford/dragonflyford/connector"
@@ -128,15 +132,21 @@
 
 func connect(t *testing.T, h *handler) (*messenger.Messenger, string) {
 	t.Helper()
-	server, err := messenger.New(h)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	client, err := messenger.New(&handler{})
+	return connectThrough(t, h, l)
+}
+
+// connectThrough returns a client of a server that uses the listener.
+func connectThrough(t *testing.T, h *handler, l net.Listener) (*messenger.Messenger, string) {
+	t.Helper()
+	server, err := messenger.New(h)
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	client, err := messenger.New(&handler{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -236,6 +246,85 @@
 	is.True(err != nil)
 }
 
+// Guards against connections of other hosts beyond the limit, against a refusal that breaks an
+// established one, and against one that counts after its end.
+func TestConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var refused atomic.Int64
+	l := acceptor.NewLimited(inner, 2, func(acceptor.Cause) { refused.Add(1) })
+	client, address := connectThrough(t, &handler{}, l)
+	is.NoErr(client.SendLimits(t.Context(), address, nil))
+	silent, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = silent.Close() }()
+	eventually(t, func() bool { return l.Open() == 2 })
+
+	other, err := messenger.New(&handler{})
+	is.NoErr(err)
+	defer func() { is.NoErr(other.Close()) }()
+	is.True(other.SendLimits(t.Context(), address, nil) != nil)
+	eventually(t, func() bool { return refused.Load() == 1 })
+	is.Equal(l.Open(), 2)
+	is.NoErr(client.SendLimits(t.Context(), address, nil)) // on the connection that is kept
+	is.Equal(refused.Load(), int64(1))
+
+	is.NoErr(silent.Close())
+	eventually(t, func() bool { return l.Open() == 1 })
+	is.NoErr(other.SendLimits(t.Context(), address, nil))
+	is.Equal(l.Open(), 2)
+}
+
+// pipeListener is a listener with one connection.
+type pipeListener struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	if conn, ok := <-l.conns; ok {
+		return conn, nil
+	}
+	return nil, net.ErrClosed
+}
+
+func (l pipeListener) Close() error {
+	close(l.conns)
+	return nil
+}
+
+// Guards against connections on which no call begins and that count against the limit until
+// their host ends, and against the end of one that other hosts would still use.
+func TestInactiveConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		server, err := messenger.New(&handler{})
+		is.NoErr(err)
+		l := pipeListener{conns: make(chan net.Conn, 1)}
+		client, accepted := net.Pipe()
+		l.conns <- accepted
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- server.Serve(ctx, l) }()
+		began := time.Now()
+		_, err = client.Read(make([]byte, 1))
+		is.True(errors.Is(err, io.EOF))
+		is.Equal(time.Since(began), time.Minute) // other hosts keep an unused connection for 20 s
+		cancel()
+		is.NoErr(<-done)
+	})
+}
+
+func eventually(t *testing.T, reached func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !reached(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the state is not reached")
+		}
+	}
+}
+
 // Guards against limits and turns that change on their way between hosts.
 func TestLimits(t *testing.T) {
 	is := is.New(t)
--- a/transporter/client.go
+++ b/transporter/client.go
@@ -75,11 +75,7 @@
 
 // TCP keep-alive of idle connections. Nothing else shows that a peer has
 // disappeared without a reset.
-const (
-	keepAliveIdle     = time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 3
-)
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 
 // Dial connects to a host and port. The connection breaks when data or
 // keep-alive probes stay unacknowledged for unackedTime. Closing it discards
@@ -88,7 +84,7 @@
 	d := net.Dialer{
 		Timeout:         dialTimeout,
 		Control:         socketControl(unackedTime),
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+		KeepAliveConfig: keepAlive,
 	}
 	inner, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -103,6 +99,18 @@
 	return inner, nil
 }
 
+// Listen listens on a host and port. An accepted connection breaks when data or
+// keep-alive probes stay unacknowledged for unackedTime.
+func Listen(ctx context.Context, address string, unackedTime time.Duration) (net.Listener, error) {
+	// Linux passes the socket's timeout on to accepted connections.
+	config := net.ListenConfig{Control: socketControl(unackedTime), KeepAliveConfig: keepAlive}
+	l, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return l, nil
+}
+
 func socketControl(unackedTime time.Duration) func(_, _ string, raw syscall.RawConn) error {
 	return func(_, _ string, raw syscall.RawConn) error {
 		var optErr error
