relayer: name the longest wait at an endpoint

`patience` in relayer is now maxEndpointWait, the flag and the method that extend it waitsLonger and extendWait. The tests in stresser and assembler that wrote wire header names themselves take the head of a call and of a response from platform/emulator, which the requests of its callers are built from, too; the bytes of the call are the same, and the response has the usual signature.

--- a/assembler/slowreader_test.go
+++ b/assembler/slowreader_test.go
@@ -30,7 +30,7 @@
 		}
 		defer func() { _ = conn.Close() }()
 		_, _ = conn.Read(make([]byte, 4096)) // the request
-		_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: unread\r\nX-Server-Seal: s\r\nContent-Length: 1000000000\r\n\r\n")
+		_, err = conn.Write(emulator.ResponseHead("unread", 1_000_000_000))
 		for err == nil {
 			_, err = io.WriteString(conn, strings.Repeat("x", 1<<16))
 		}
--- a/procurer/procurer_test.go
+++ b/procurer/procurer_test.go
@@ -97,6 +97,17 @@
 	return fleet.Current().Endpoint("e1")
 }
 
+// hostBesideOwner returns a host that knows another one, "owner", as the owner of engine e1.
+func hostBesideOwner(t *testing.T) *enroller.Enroller {
+	t.Helper()
+	rows := &membershipTable{}
+	owner, self := host(rows, "owner"), host(rows, "self")
+	claim(t, owner)
+	self.Apply(rows.rows)
+	self.Contact(9, 0, 0)
+	return self
+}
+
 var (
 	first  = connector.NewModel("base", "a1", "")
 	second = connector.NewModel("base", "a2", "")
@@ -107,11 +118,7 @@
 func TestModelsInUse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		rows, remote := &membershipTable{}, &recorder{}
-		owner, self := host(rows, "owner"), host(rows, "self")
-		claim(t, owner)
-		self.Apply(rows.rows)
-		self.Contact(9, 0, 0)
+		self, remote := hostBesideOwner(t), &recorder{}
 		p := procurer.New(local{&recorder{}}, remote, self, &samples{})
 		release := p.Use("e1", first)
 		ended := p.Use("e1", second)
@@ -135,11 +142,7 @@
 func TestSlowdownIsReportedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		rows, remote := &membershipTable{}, &recorder{}
-		owner, self := host(rows, "owner"), host(rows, "self")
-		claim(t, owner)
-		self.Apply(rows.rows)
-		self.Contact(9, 0, 0)
+		self, remote := hostBesideOwner(t), &recorder{}
 		p := procurer.New(local{&recorder{}}, remote, self, &samples{})
 		defer p.Close()
 		reported := func() int {
@@ -166,11 +169,7 @@
 func TestSamples(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		rows, remote := &membershipTable{}, &recorder{}
-		owner, self := host(rows, "owner"), host(rows, "self")
-		claim(t, owner)
-		self.Apply(rows.rows)
-		self.Contact(9, 0, 0)
+		self, remote := hostBesideOwner(t), &recorder{}
 		known := &samples{list: []estimator.Sample{estimator.NewPrefill(100, time.Millisecond)}}
 		p := procurer.New(local{&recorder{}}, remote, self, known)
 		_, err := p.Reserve(t.Context(), engine(), first)
--- a/relayer/callstate.go
+++ b/relayer/callstate.go
@@ -58,7 +58,7 @@
 	queues            int                     // engines at which the load of the model would have had to wait for others
 	unreached         []*tracker.Endpoint     // endpoints that got no byte of the call
 	limited           []*tracker.Endpoint     // endpoints whose next turn was too late for the call
-	patient           bool                    // the call waits longer, because no endpoint can take it soon
+	waitsLonger       bool                    // the call waits longer, because no endpoint can take it soon
 	cancelSend        context.CancelCauseFunc // of the latest send
 	missingAt         *tracker.Endpoint       // engine that refused the call because the model is not loaded
 	releaseModel      func()                  // ends the use of the model at the latest endpoint
@@ -119,7 +119,7 @@
 	if chooseErr != nil && c.allowAnySoftware() {
 		choice, chooseErr = c.choose()
 	}
-	if chooseErr != nil && c.becomePatient() {
+	if chooseErr != nil && c.extendWait() {
 		choice, chooseErr = c.choose()
 	}
 	if chooseErr != nil {
--- a/relayer/reserve.go
+++ b/relayer/reserve.go
@@ -26,7 +26,7 @@
 	firstLoadShare = 0.4
 	// If no endpoint can take the call soon, it may wait at one for the objective, or for
 	// this share of its remaining time if that is longer.
-	patienceShare = 0.1
+	maxEndpointWaitShare = 0.1
 
 	// maxFullTime is the maximum time that an engine which declined a call counts as
 	// full.
@@ -50,11 +50,11 @@
 		return choice, declined
 	}
 	c.shortestQueue = selector.Choice{}
-	patience := c.patience()
-	if wait > patience {
+	maxWait := c.maxEndpointWait()
+	if wait > maxWait {
 		return choice, classifier.NewOverloaded("too many adapters are on their way", classifier.RetryAfter(c.retryAfter(wait)))
 	}
-	return choice, c.reserveWithin(choice, patience, true)
+	return choice, c.reserveWithin(choice, maxWait, true)
 }
 
 // reserveWithin obtains all that the call needs at an endpoint, and waits for its turn.
@@ -85,7 +85,7 @@
 		return time.Now().Add(granted.Wait()), nil
 	}
 	c.excluded[e] = true
-	if !c.patient {
+	if !c.waitsLonger {
 		c.limited = append(c.limited, e)
 	}
 	e.RecordTurn(declined.Wait())
@@ -107,19 +107,19 @@
 // maxLimitWait returns how long the call may wait for a turn at an endpoint that accepts a
 // limited rate of requests: a short time while others may be faster, then longer.
 func (c *callState) maxLimitWait() time.Duration {
-	if c.patient {
-		return c.patience()
+	if c.waitsLonger {
+		return c.maxEndpointWait()
 	}
 	return c.maxTurnWait()
 }
 
-// becomePatient makes the endpoints available again that the call left out because their
+// extendWait makes the endpoints available again that the call left out because their
 // next turn was late. It reports false if there are none, or if it did so before.
-func (c *callState) becomePatient() bool {
-	if c.patient || !c.relayer.chooser.AnyLimited(c.call.Routed) {
+func (c *callState) extendWait() bool {
+	if c.waitsLonger || !c.relayer.chooser.AnyLimited(c.call.Routed) {
 		return false
 	}
-	c.patient = true
+	c.waitsLonger = true
 	for _, e := range c.limited {
 		delete(c.excluded, e)
 	}
@@ -194,9 +194,9 @@
 	return time.Duration(share * float64(c.call.Route().Objective()))
 }
 
-// patience returns how long the call may wait at an endpoint if no other one is faster.
-func (c *callState) patience() time.Duration {
-	return max(c.call.Route().Objective(), time.Duration(patienceShare*float64(c.call.Remaining())))
+// maxEndpointWait returns how long the call may wait at an endpoint if no other one is faster.
+func (c *callState) maxEndpointWait() time.Duration {
+	return max(c.call.Route().Objective(), time.Duration(maxEndpointWaitShare*float64(c.call.Remaining())))
 }
 
 func (c *callState) logReservation(choice selector.Choice, response supplier.ReserveResponse, err error, took time.Duration) {
--- a/relayer/room.go
+++ b/relayer/room.go
@@ -86,8 +86,8 @@
 func (c *callState) awaitRoom(expected time.Duration) bool {
 	now := time.Now()
 	if c.roomUntil.IsZero() {
-		patience := max(c.maxTurnWait(), time.Duration(patienceShare*float64(c.call.Remaining())))
-		c.roomUntil = now.Add(min(patience, c.call.Remaining()-minRemaining))
+		maxWait := max(c.maxTurnWait(), time.Duration(maxEndpointWaitShare*float64(c.call.Remaining())))
+		c.roomUntil = now.Add(min(maxWait, c.call.Remaining()-minRemaining))
 	}
 	turn := expected
 	if c.queuedFor == nil {
--- a/stresser/clients_test.go
+++ b/stresser/clients_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/dragonflyford/dragonflyford/platform/emulator"
 )
 
 // kind is a kind of clients that exceed the limits. send writes to the connection and
@@ -30,10 +32,12 @@
 	slowPause     = 30 * time.Millisecond
 	endlessPause  = 10 * time.Millisecond
 	writeDeadline = 15 * time.Second
+	callTime      = 20 * time.Second
 )
 
 func requestHead(n int, fields string) []byte {
-	return fmt.Appendf(nil, "POST /post/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: client-%d\r\nX-Deadline-Ms: 20000\r\n%s", n, fields)
+	call := emulator.NewCall(fmt.Sprint("client-", n), "h", "/post/x", "", callTime, "")
+	return append(call.Head(), fields...)
 }
 
 // headerLines are field lines with short distinct names, which take far more memory
