accountant, tracker: fold repeated code

No behaviour changes.

go test -race passed for accountant, acceptor, allotter, bundler, leaser, runner and tracker.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -6,8 +6,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -188,11 +190,7 @@
 func (a *Acceptor) list() []*Conn {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	list := make([]*Conn, 0, len(a.conns))
-	for c := range a.conns {
-		list = append(list, c)
-	}
-	return list
+	return slices.Collect(maps.Keys(a.conns))
 }
 
 func (a *Acceptor) remove(c *Conn) {
--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -162,46 +162,41 @@
 
 // Return gives the cost of calls that did not run back to a workspace.
 func (a *Accountant) Return(workspace string, cost float64, now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if b := a.buckets[workspace]; b != nil {
-		a.refill(b, b.terms, NewPart(b.share, 0), now)
-		b.level = min(b.level+cost, b.terms.burst)
-	}
+	a.adjust(workspace, now, func(b *bucket) float64 { return min(b.level+cost, b.terms.burst) })
 }
 
 // ReturnLate gives the cost of calls that did not run and took long to end back to a workspace.
 // The bucket has filled up since they were charged, so that it may grant the same tokens
 // twice; what is given back in a window is limited to half of what the bounds allow.
 func (a *Accountant) ReturnLate(workspace string, cost float64, now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if b := a.buckets[workspace]; b != nil {
-		a.refill(b, b.terms, NewPart(b.share, 0), now)
-		cost = b.takeCredit(cost, lateShare*a.bounds.Allowance(b.terms), a.bounds.window, now)
-		b.level = min(b.level+cost, b.terms.burst)
-	}
+	a.adjust(workspace, now, func(b *bucket) float64 {
+		credit := b.takeCredit(cost, lateShare*a.bounds.Allowance(b.terms), a.bounds.window, now)
+		return min(b.level+credit, b.terms.burst)
+	})
 }
 
 // Charge takes what another bucket granted in place of this one. It overdraws the bucket by
 // chargeShare of its burst at most, so that calls do not wait long for what was granted before.
 func (a *Accountant) Charge(workspace string, cost float64, now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if b := a.buckets[workspace]; b != nil {
-		a.refill(b, b.terms, NewPart(b.share, 0), now)
-		b.level = max(b.level-cost, min(b.level, -chargeShare*b.terms.burst))
-	}
+	a.adjust(workspace, now, func(b *bucket) float64 {
+		return max(b.level-cost, min(b.level, -chargeShare*b.terms.burst))
+	})
 }
 
 // Limit lowers the level of a workspace's bucket to a share of its burst. It is for a host
 // that becomes the owner of a quota again, while others may have granted it.
 func (a *Accountant) Limit(workspace string, share float64, now time.Time) {
+	a.adjust(workspace, now, func(b *bucket) float64 { return min(b.level, share*b.terms.burst) })
+}
+
+// adjust sets the level of a workspace's bucket, if there is one, to what level returns for
+// the bucket as it is at now.
+func (a *Accountant) adjust(workspace string, now time.Time, level func(*bucket) float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if b := a.buckets[workspace]; b != nil {
 		a.refill(b, b.terms, NewPart(b.share, 0), now)
-		b.level = min(b.level, share*b.terms.burst)
+		b.level = level(b)
 	}
 }
 
--- a/bundler/parser.go
+++ b/bundler/parser.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"reflect"
 	"slices"
 	"strconv"
@@ -255,7 +256,7 @@
 	if _, _, err := d.token(field); err != nil {
 		return err
 	}
-	for _, name := range sortedNames(fields) {
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
 		if fields[name].required && !seen[name] {
 			d.addFault(start, joinPath(field, name), "", "present")
 		}
@@ -272,7 +273,7 @@
 	path := joinPath(field, name)
 	info, known := fields[name]
 	if !known {
-		d.addFault(start, path, strconv.Quote(name), "one of the fields "+strings.Join(sortedNames(fields), ", "))
+		d.addFault(start, path, strconv.Quote(name), "one of the fields "+strings.Join(slices.Sorted(maps.Keys(fields)), ", "))
 	}
 	if seen[name] {
 		d.addFault(start, path, strconv.Quote(name), "given once")
@@ -309,15 +310,6 @@
 	return fields
 }
 
-func sortedNames(fields map[string]fieldInfo) []string {
-	all := make([]string, 0, len(fields))
-	for name := range fields {
-		all = append(all, name)
-	}
-	slices.Sort(all)
-	return all
-}
-
 // nearestOffset returns the offset of a field or, if it is absent, of the
 // innermost value around it.
 func (d *decoder) nearestOffset(field string) int {
--- a/leaser/assignment.go
+++ b/leaser/assignment.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -266,12 +267,7 @@
 
 // assignedNames returns the names of the engines that have an owner, sorted.
 func (p *planner) assignedNames() []string {
-	names := make([]string, 0, len(p.owners))
-	for name := range p.owners {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
+	return slices.Sorted(maps.Keys(p.owners))
 }
 
 // assign gives each unassigned engine to the receiver that lacks the most.
--- a/runner/localviews.go
+++ b/runner/localviews.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/dragonflyford/dragonflyford/forwarder"
@@ -41,11 +43,7 @@
 func (l *localViews) engines() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	names := make([]string, 0, len(l.views))
-	for name := range l.views {
-		names = append(names, name)
-	}
-	return names
+	return slices.Collect(maps.Keys(l.views))
 }
 
 // since returns the views that changed after a version. It returns all views if an
--- a/tracker/pacing.go
+++ b/tracker/pacing.go
@@ -243,25 +243,23 @@
 // Pace returns how long work takes at the endpoint at present as a multiple of the usual
 // time. It is 1 without adaptive limits.
 func (e *Endpoint) Pace(now time.Time) float64 {
-	if e.pacing == nil {
-		return 1
-	}
-	m := e.pacing.at(now, 0)
-	e.pacing.mu.Lock()
-	defer e.pacing.mu.Unlock()
-	return e.pacing.pacer.Pace(m)
+	return e.pace(now, (*pacer.Pacer).Pace)
 }
 
 // ReportedPace is Pace if the endpoint reports it itself, else 1. The durations of an
 // engine's calls differ with their prompts and outputs, and do not show its pace.
 func (e *Endpoint) ReportedPace(now time.Time) float64 {
+	return e.pace(now, (*pacer.Pacer).ReportedPace)
+}
+
+func (e *Endpoint) pace(now time.Time, kind func(*pacer.Pacer, pacer.Moment) float64) float64 {
 	if e.pacing == nil {
 		return 1
 	}
 	m := e.pacing.at(now, 0)
 	e.pacing.mu.Lock()
 	defer e.pacing.mu.Unlock()
-	return e.pacing.pacer.ReportedPace(m)
+	return kind(e.pacing.pacer, m)
 }
 
 // AdaptiveLimit returns how many calls this host may have in flight at the endpoint, or false
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -240,11 +241,7 @@
 func (t *Tracker) IDs() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	ids := make([]string, 0, len(t.records))
-	for id := range t.records {
-		ids = append(ids, id)
-	}
-	return ids
+	return slices.Collect(maps.Keys(t.records))
 }
 
 // publishAfter publishes a new snapshot if any of the events changes it. A lapsed
