allotter, authenticator: share the set-up of tests

Nine tests of allotter built and settled a cluster themselves, and three cut all hosts off from each other; both are one function now. The two floods of authenticator's tests share their clients, so that the wait of calls with revoked keys is bounded as that of unknown ones is. All assertions and cases remain.

--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -55,16 +55,24 @@
 	}
 }
 
+// inCluster runs a test in virtual time on a cluster that has settled.
+func inCluster(t *testing.T, n int, test func(c *cluster), list ...*router.Workspace) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, n, list...)
+		settle()
+		test(c)
+	})
+}
+
 // Guards against a workspace that exceeds its quota when its load rises to 12 times its usual
 // one from one second to the next, and against refusals of others that stay under theirs.
 func TestSuddenLoad(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		var list []*router.Workspace
-		for i := range 16 {
-			list = append(list, workspace(fmt.Sprint("w", i), rate, burst))
-		}
-		c := newCluster(t, hostCount, list...)
-		settle()
+	var list []*router.Workspace
+	for i := range 16 {
+		list = append(list, workspace(fmt.Sprint("w", i), rate, burst))
+	}
+	inCluster(t, hostCount, func(c *cluster) {
 		began := time.Now()
 		const duration = 16 * time.Second
 		go c.load("w0", duration, func(at time.Duration) float64 {
@@ -85,15 +93,13 @@
 				c.checkNoneLost(name)
 			}
 		}
-	})
+	}, list...)
 }
 
 // Guards against refusals and against too many grants when the whole demand moves to another
 // region within a second, as when callers lose a region.
 func TestDemandMoves(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, hostCount, workspace("w", rate, burst), workspace("surge", rate, burst))
-		settle()
+	inCluster(t, hostCount, func(c *cluster) {
 		began := time.Now()
 		const duration, stay = 16 * time.Second, 4 * time.Second
 		wanted := func(h *host, at time.Duration) bool { return h.region == int(at/stay)%regionCount }
@@ -103,7 +109,14 @@
 		c.checkBound("w", rate, burst, began)
 		c.checkNoneLost("w")
 		c.checkBound("surge", rate, burst, began)
-	})
+	}, workspace("w", rate, burst), workspace("surge", rate, burst))
+}
+
+// isolateAll cuts all hosts off from each other and from the store.
+func (c *cluster) isolateAll() {
+	for i, name := range c.names(everyone) {
+		c.cut(i, true, name)
+	}
 }
 
 // loseStore cuts hosts off from the store, but not from other hosts, until some time after these
@@ -165,11 +178,7 @@
 			time.Sleep(time.Second)
 		}
 	}, false},
-	{"all hosts are cut off from each other", func(c *cluster) {
-		for i, name := range c.names(everyone) {
-			c.cut(i, true, name)
-		}
-	}, false},
+	{"all hosts are cut off from each other", (*cluster).isolateAll, false},
 	{"one message in twenty gets no answer", func(c *cluster) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -177,9 +186,7 @@
 	}, false},
 	{"all hosts are cut off from each other at the end of a window", func(c *cluster) {
 		time.Sleep(window - 2200*time.Millisecond) // began 2 s ago
-		for i, name := range c.names(everyone) {
-			c.cut(i, true, name)
-		}
+		c.isolateAll()
 	}, false},
 	{"hosts join", func(c *cluster) {
 		for i := range 20 {
@@ -204,9 +211,7 @@
 func TestFailures(t *testing.T) {
 	for _, tt := range failures {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := newCluster(t, hostCount, workspace("w", rate, burst))
-				settle()
+			inCluster(t, hostCount, func(c *cluster) {
 				most, half := c.sameOwner("w", "most"), c.sameOwner("w", "half")
 				c.configure(2, workspace("w", rate, burst), workspace(most, rate, burst), workspace(half, rate, burst))
 				settle()
@@ -224,7 +229,7 @@
 				if tt.keeps {
 					c.checkNoneLost(half)
 				}
-			})
+			}, workspace("w", rate, burst))
 		})
 	}
 }
@@ -238,9 +243,7 @@
 		// The rows of the hosts expire 4 to 10 s after they lose the store.
 		for before := 2 * time.Second; before <= 9*time.Second; before += time.Second {
 			t.Run(fmt.Sprintf("region %t, %v before the load", whole, before), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					c := newCluster(t, hostCount, workspace("w", rate, burst))
-					settle()
+				inCluster(t, hostCount, func(c *cluster) {
 					cut := []string{c.owner("w").name}
 					if whole {
 						cut = c.names(inRegion(c.owner("w").region))
@@ -254,7 +257,7 @@
 					c.cut(0, false, cut...)
 					time.Sleep(2*window + patience)
 					c.checkBound("w", rate, burst, began)
-				})
+				}, workspace("w", rate, burst))
 			})
 		}
 	}
@@ -274,9 +277,7 @@
 		{"two of three regions", func(h *host) bool { return h.region > 0 }},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := newCluster(t, hostCount, workspace("w", rate, burst))
-				settle()
+			inCluster(t, hostCount, func(c *cluster) {
 				c.cut(1, true, c.names(tt.cut)...)
 				const before = 14 * time.Second
 				go c.load("w", before, constant(usual/4), nil)
@@ -285,7 +286,7 @@
 				go c.load("w", 2*window, constant(surge), nil)
 				time.Sleep(2*window + patience)
 				c.checkBound("w", rate, burst, began)
-			})
+			}, workspace("w", rate, burst))
 		})
 	}
 }
--- a/allotter/calls_test.go
+++ b/allotter/calls_test.go
@@ -18,13 +18,9 @@
 func TestOneCallEach(t *testing.T) {
 	const small = 2000.0
 	for _, isolated := range []bool{false, true} {
-		synctest.Test(t, func(t *testing.T) {
-			c := newCluster(t, hostCount, workspace("w", small, small))
-			settle()
+		inCluster(t, hostCount, func(c *cluster) {
 			if isolated {
-				for i, name := range c.names(everyone) {
-					c.cut(i, true, name)
-				}
+				c.isolateAll()
 			}
 			began := time.Now()
 			for _, h := range c.running() {
@@ -32,17 +28,15 @@
 			}
 			time.Sleep(2 * patience)
 			c.checkBound("w", small, small, began)
-		})
+		}, workspace("w", small, small))
 	}
 }
 
 // Guards against a limit that is lowered far below the demand and is not kept one window after
 // all hosts are connected again, and against hosts that go on with the old one for long.
 func TestLoweredLimit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	inCluster(t, hostCount, func(c *cluster) {
 		const lowered, connectTime = rate / 10, 4 * time.Second
-		c := newCluster(t, hostCount, workspace("w", rate, burst))
-		settle()
 		go c.load("w", 30*time.Second, constant(surge), nil)
 		for region := range regionCount {
 			c.cut(region, region > 0, c.names(inRegion(region))...)
@@ -55,18 +49,16 @@
 		time.Sleep(22 * time.Second)
 		c.checkBound("w", lowered, lowered, healed.Add(connectTime+window))
 		if after := c.mostInWindow("w", healed.Add(connectTime)); after > (lowered*window.Seconds()+lowered)*(1+over)+slack {
-			t.Logf("%.0f in a window that begins when all hosts have been connected for %v", after, connectTime)
+			c.t.Logf("%.0f in a window that begins when all hosts have been connected for %v", after, connectTime)
 		}
-	})
+	}, workspace("w", rate, burst))
 }
 
 // Guards against tokens that are lost with calls that did not run, on the host of the bucket and
 // on others, and against calls that may have run and get theirs back.
 func TestReturns(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newCluster(t, 3, workspace("w", 1, 1000))
-		settle()
+	inCluster(t, 3, func(c *cluster) {
+		is := is.New(c.t)
 		owner, notRun := c.owner("w"), classifier.NewUnavailable("no endpoint")
 		attempt := func(h *host, fault error) error {
 			c.mu.Lock()
@@ -93,16 +85,14 @@
 		is.Equal(attempt(owner, mayHaveRun), mayHaveRun)
 		time.Sleep(2 * time.Second)
 		is.True(refused(attempt(owner, nil)))
-	})
+	}, workspace("w", 1, 1000))
 }
 
 // Guards against a message for each refused call, against a small call that is refused because a
 // large one was, and against a refusal that outlasts the empty bucket.
 func TestRecentRefusal(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newCluster(t, 3, workspace("w", 1000, 1000))
-		settle()
+	inCluster(t, 3, func(c *cluster) {
+		is := is.New(c.t)
 		var h *host
 		for _, one := range c.running() {
 			if one != c.owner("w") {
@@ -122,7 +112,7 @@
 		is.Equal(c.sources[allotter.Owner{}], 4) // asked again
 		time.Sleep(time.Second)
 		is.NoErr(c.try(h, "w", 800))
-	})
+	}, workspace("w", 1000, 1000))
 }
 
 // Guards against a stage that counts calls without a workspace or without a quota.
--- a/authenticator/authenticator_test.go
+++ b/authenticator/authenticator_test.go
@@ -57,6 +57,29 @@
 	return nil
 }
 
+// respond sets how the store answers from now on.
+func (s *store) respond(delay time.Duration, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay, s.down = delay, down
+}
+
+// flood starts 300 clients that send calls until end. It fails the test if a call waits for
+// longer than 0.3 s or ends otherwise than allowed.
+func (s *store) flood(is *is.I, a *authenticator.Authenticator, clients *sync.WaitGroup, end time.Time, key func(client, call int) string, allowed func(error) bool) {
+	for c := range 300 {
+		clients.Go(func() {
+			for i := 0; time.Now().Before(end); i++ {
+				began := time.Now()
+				_, err := s.apply(a, "/x", key(c, i))
+				is.True(allowed(err))
+				is.True(time.Since(began) <= 300*time.Millisecond)
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+}
+
 func (s *store) set(t *router.Table) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -192,9 +215,7 @@
 		time.Sleep(50 * time.Millisecond)
 		s.set(table(2, "k1", "k2"))
 		began := time.Now()
-		s.mu.Lock()
-		s.delay = 30 * time.Millisecond
-		s.mu.Unlock()
+		s.respond(30*time.Millisecond, false)
 		workspace, err := s.apply(a, "/x", "k2")
 		is.NoErr(err)
 		is.Equal(workspace, "ana")
@@ -224,27 +245,15 @@
 				s.delay, s.down = tt.delay, tt.down
 				answers := !tt.down && tt.delay < time.Second
 				var clients sync.WaitGroup
-				end := time.Now().Add(4 * time.Second)
-				for c := range 300 {
-					clients.Go(func() {
-						for i := 0; time.Now().Before(end); i++ {
-							began := time.Now()
-							_, err := s.apply(a, "/x", fmt.Sprint("random-", c, "-", i))
-							is.True(isRetryable(err) || answers && isUnauthorized(err))
-							is.True(time.Since(began) <= 300*time.Millisecond)
-							time.Sleep(50 * time.Millisecond)
-						}
-					})
-				}
+				s.flood(is, a, &clients, time.Now().Add(4*time.Second), func(client, call int) string { return fmt.Sprint("random-", client, "-", call) },
+					func(err error) bool { return isRetryable(err) || answers && isUnauthorized(err) })
 				clients.Wait()
 				time.Sleep(5 * time.Second) // no read goes on
 				is.True(len(s.reads) >= tt.reads)
 				for i, at := range s.reads[min(4, len(s.reads)):] {
 					is.True(at.Sub(s.reads[i]) >= time.Second) // at most four in any second
 				}
-				s.mu.Lock()
-				s.delay, s.down = 20*time.Millisecond, false
-				s.mu.Unlock()
+				s.respond(20*time.Millisecond, false)
 				s.set(table(2, "k2"))
 				workspace, err := s.apply(a, "/x", "k2")
 				is.NoErr(err)
@@ -308,29 +317,17 @@
 				s, a := newHostWithRevoked("revoked")
 				s.delay, s.down = tt.delay, tt.down
 				var clients sync.WaitGroup
-				start := func(end time.Time, allowed func(error) bool) {
-					for range 300 {
-						clients.Go(func() {
-							for time.Now().Before(end) {
-								_, err := s.apply(a, "/x", "revoked")
-								is.True(allowed(err))
-								time.Sleep(50 * time.Millisecond)
-							}
-						})
-					}
-				}
-				start(time.Now().Add(4*time.Second), func(err error) bool { return isUnauthorized(err) || tt.down && isRetryable(err) })
+				revoked := func(int, int) string { return "revoked" }
+				s.flood(is, a, &clients, time.Now().Add(4*time.Second), revoked, func(err error) bool { return isUnauthorized(err) || tt.down && isRetryable(err) })
 				clients.Wait()
 				is.Equal(len(s.reads), 4)
 				for i, at := range s.reads[1:] {
 					is.True(at.Sub(s.reads[i]) >= time.Second)
 				}
 
-				s.mu.Lock()
-				s.delay, s.down = 20*time.Millisecond, false
-				s.mu.Unlock()
+				s.respond(20*time.Millisecond, false)
 				end := time.Now().Add(4 * time.Second)
-				start(end, isUnauthorized)
+				s.flood(is, a, &clients, end, revoked, isUnauthorized)
 				for version := int64(3); time.Now().Before(end); version++ {
 					key := fmt.Sprint("new-", version)
 					s.set(table(version, "k1", key))
@@ -366,9 +363,7 @@
 		is.Equal(workspace, "ana")
 		time.Sleep(5 * time.Second)
 		is.True(a.Refresh(t.Context(), time.Now()) != nil)
-		s.mu.Lock()
-		s.delay = time.Millisecond
-		s.mu.Unlock()
+		s.respond(time.Millisecond, false)
 		is.NoErr(a.Refresh(t.Context(), time.Now()))
 	})
 }
