assembler: give other hosts the descriptors that callers cannot use

At 300 hosts, 384 of 4,100 descriptors leave 1.3 connections for each other host. Callers are bounded by memory on small hosts, so that descriptors are left.

--- a/assembler/capacity.go
+++ b/assembler/capacity.go
@@ -44,9 +44,10 @@
 )
 
 // Descriptors. Each call in flight needs one for its caller and one for its endpoint; the
-// remaining quarter is for hosts, the store and the other ports. Of 4,100 descriptors, other
-// hosts may take 384, six for each of 62, and 257 are left for the store and for the
-// connections to other hosts, of which messenger keeps 256 at most.
+// remaining quarter is for hosts, the store and the other ports. Other hosts also get what
+// callers cannot use for lack of memory: a host of 184 MB takes 1,177 callers, and 1,104 of 4,100
+// descriptors are for other hosts, three for each of 300. 257 are left for the store and for
+// the connections to other hosts, of which messenger keeps 256 at most.
 const (
 	callerFiles = 3.0 / 8
 	otherFiles  = 1.0 / 32 // for each of the three other ports
@@ -57,13 +58,14 @@
 	memory := settings.MemoryMB() << 20
 	files := float64(maxFiles(settings.MaxFiles()))
 	connections := min(int64(files*callerFiles), memory/connectionPart/connectionCost)
+	unused := 2 * (files*callerFiles - float64(connections))
 	bodies, headers := max(memory/bodyPart, minBodies), memory/headerPart
 	return capacity{
 		bodies:      reserver.New(bodies, bodies/reservedPart, smallBody),
 		headers:     reserver.New(headers, headers/reservedPart, smallHeader),
 		connections: int(max(connections, minConnections)),
 		others:      max(int(files*otherFiles), minConnections),
-		peers:       max(int(files*peerFiles), minConnections),
+		peers:       max(int(files*peerFiles+unused), minConnections),
 	}
 }
 
