allotter: tell a former quota owner at once that another one is asked

While hosts changed over to another quota owner that answers, the former one counted their parts for 1.5 s and half of them for another 1.5 s, and the new one half of them at once. With two changes in a window, as when a region loses the store and regains it, TestOwnerChangesTwice had up to 709,309 tokens where 704,000 are allowed; the figure varied with the order of goroutines, so that some runs passed.

A host now tells the former owner when it delegates to another one.

A bucket with a part of a quota no longer grants calls that are larger than it: on two hosts, TestQuotaOfHosts saw both grant a call of the whole burst. It grows to the size of the call that it refused, for as long as callers wait.

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -104,13 +104,15 @@
 
 // bucket is the state of a quota.
 type bucket struct {
-	terms   Terms
-	share   float64 // of the rate, as of the latest draw
-	level   float64 // units that may be drawn at updated
-	updated time.Time
-	retries Retries
-	late    float64 // units that were returned late, of those that still count in the window
-	lateAt  time.Time
+	terms     Terms
+	share     float64 // of the rate, as of the latest draw
+	level     float64 // units that may be drawn at updated
+	updated   time.Time
+	refused   float64 // units that the largest call needs that was refused recently
+	refusedAt time.Time
+	retries   Retries
+	late      float64 // units that were returned late, of those that still count in the window
+	lateAt    time.Time
 }
 
 // Accountant holds the buckets of workspaces. It is safe for concurrent use.
@@ -147,15 +149,19 @@
 	if cost > a.bounds.Largest(b.terms) {
 		return NewExceeded(MaxWait, b.level) // no bucket is ever full enough, and one that granted it would be empty for long
 	}
-	// A call that is larger than the bucket needs a full one and leaves it overdrawn.
-	needed := min(cost, b.terms.burst*p.rate)
+	// A call that is larger than the burst needs a full bucket and leaves it overdrawn.
+	needed := min(cost, b.terms.burst)
 	if a.overdraft {
 		needed = 0
 	}
 	if b.level >= needed {
 		b.level -= cost
+		if needed >= b.refused {
+			b.refused = 0
+		}
 		return NewGranted(b.level)
 	}
+	b.refused, b.refusedAt = max(b.refused, needed), now
 	rate := b.terms.rate * p.rate
 	return NewExceeded(b.retries.Next(now, perSecond(needed-b.level, rate), perSecond(cost, rate)), b.level)
 }
@@ -240,20 +246,23 @@
 // since then, so that the smaller one counts.
 //
 // A bucket holds the same share of the burst as of the rate, because others grant the rest.
-// While that share falls, what is above it is lost over half a window and not at once: most
-// changes of the share are short.
+// While that share falls, what is above it is lost over a quarter of a window and not at once: most
+// changes of the share are short. A bucket that is smaller than a call grows to its size.
 func (a *Accountant) refill(b *bucket, t Terms, p Part, now time.Time) {
 	rate := b.terms.rate
 	if t.version > b.terms.version {
 		b.terms, rate = t, min(rate, t.rate)
 	}
+	if now.Sub(b.refusedAt) > MaxWait {
+		b.refused = 0 // its caller has given up
+	}
 	if elapsed := now.Sub(b.updated); elapsed > 0 {
 		share := min(b.share, p.rate)
-		size := b.terms.burst * share
+		size := max(b.terms.burst*share, min(b.refused, b.terms.burst))
 		if b.level <= size {
 			b.level = min(b.level+elapsed.Seconds()*rate*share, size)
 		} else {
-			b.level = max(b.level-2*b.terms.burst*elapsed.Seconds()/a.bounds.window.Seconds(), size)
+			b.level = max(b.level-4*b.terms.burst*elapsed.Seconds()/a.bounds.window.Seconds(), size)
 		}
 		b.updated = now
 	}
--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -70,6 +70,7 @@
 	ended        sync.Map // names of hosts whose process had ended when they were asked last
 	refusals     sync.Map // workspace → *refusal
 	balances     sync.Map // workspace → *balance
+	changes      *changes
 	reports      reports
 }
 
@@ -80,6 +81,7 @@
 		delegations: &delegations{byWorkspace: make(map[string]*workspaceDelegations)},
 		owned:       accountant.New(b), local: accountant.New(b, accountant.WithOverdraft()),
 		unresponsive: avoider.New(avoider.WithBackoff(backoff)),
+		changes:      newChanges(),
 		reports:      reports{byAccount: make(map[account]Report)},
 	}
 }
@@ -106,7 +108,7 @@
 		verdict, err := a.ask(ctx, h, r)
 		if err == nil {
 			a.recordRefusal(workspace, verdict, cost, now)
-			a.recordBalance(h.Name(), workspace, r.role, verdict, now)
+			a.recordOwner(h.Name(), workspace, r.role, verdict, now)
 			a.recordElsewhere(ranking, i, workspace, verdict, cost)
 			return charge{verdict: verdict, source: sourceOf(i), account: account{h.Name(), workspace}}
 		}
--- a/allotter/balance.go
+++ b/allotter/balance.go
@@ -17,12 +17,13 @@
 	readAt time.Time
 }
 
-// recordBalance records what a host in a role had left after a decision. A standby grants a
+// recordOwner records which host in a role decided, and what it had left. A standby grants a
 // part of the rate only, so that its balance says little about the quota.
-func (a *Allotter) recordBalance(host, workspace string, role Role, v accountant.Verdict, now time.Time) {
+func (a *Allotter) recordOwner(host, workspace string, role Role, v accountant.Verdict, now time.Time) {
 	if _, partial := role.(Standby); partial {
 		return
 	}
+	a.changes.record(workspace, host)
 	known, ok := a.balances.Load(workspace)
 	if !ok {
 		known, _ = a.balances.LoadOrStore(workspace, &balance{})
--- a/allotter/delegation.go
+++ b/allotter/delegation.go
@@ -92,6 +92,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := s.byWorkspace[workspace]
+	if _, ends := role.(Former); ends {
+		if w != nil {
+			delete(w.delegators, host)
+		}
+		return false
+	}
 	if w == nil {
 		w = &workspaceDelegations{delegators: make(map[string]*delegator)}
 		s.byWorkspace[workspace] = w
--- a/allotter/maintenance.go
+++ b/allotter/maintenance.go
@@ -22,6 +22,7 @@
 			a.count()
 		}
 	})
+	running.Go(func() { a.runReleases(ctx) })
 	for ctx.Err() == nil {
 		next := time.Now().Add(delegationInterval)
 		a.maintain(ctx)
@@ -59,6 +60,7 @@
 		}
 		return true
 	})
+	a.changes.keep(func(workspace string) bool { return table.Workspace(workspace) != nil })
 	a.reports.clear(func(key account) bool { return a.asks(view.Ranking(key.workspace), key.host) })
 	a.sendDelegations(ctx, view, table)
 }
@@ -113,6 +115,7 @@
 	for to, list := range quotas {
 		running.Go(func() {
 			if a.sendDelegation(ctx, to.host, NewDelegation(a.members.Self(), list, to.role)) == nil {
+				a.recordDelegated(to, list)
 				return
 			}
 			mu.Lock()
@@ -127,6 +130,16 @@
 	return unanswered
 }
 
+// recordDelegated records that a host has received a delegation.
+func (a *Allotter) recordDelegated(to recipient, list []Quota) {
+	if _, partial := to.role.(Standby); partial {
+		return
+	}
+	for _, q := range list {
+		a.changes.record(q.workspace, to.host.Name())
+	}
+}
+
 func (a *Allotter) sendDelegation(ctx context.Context, h *enroller.Host, d Delegation) error {
 	if h.Name() == a.members.Self() {
 		return a.RecordDelegation(d)
--- a/allotter/message.go
+++ b/allotter/message.go
@@ -2,7 +2,7 @@
 
 import "github.com/dragonflyford/dragonflyford/accountant"
 
-// Role is what a host is to one that asks it for tokens: Primary, Standby or Substitute.
+// Role is what a host is to one that sends it a message: Primary, Standby, Substitute or Former.
 type Role interface{ role() }
 
 type (
@@ -14,11 +14,15 @@
 	// Substitute takes the place of a quota owner that has ended, or has not answered for so
 	// long that it grants nothing for the host that asks.
 	Substitute struct{}
+	// Former was the quota owner before. The host that sends a delegation to it delegates to
+	// another one now.
+	Former struct{}
 )
 
 func (Primary) role()    {}
 func (Standby) role()    {}
 func (Substitute) role() {}
+func (Former) role()     {}
 
 // Report is what a message to a host reports of earlier calls of a workspace, in tokens.
 type Report struct {
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -407,6 +407,9 @@
 		is.NoErr(client.SendDelegation(t.Context(), address, d))
 		is.Equal(h.delegation, d)
 	}
+	former := allotter.NewDelegation("a", []allotter.Quota{allotter.NewQuota("w", allotter.Report{})}, allotter.Former{})
+	is.NoErr(client.SendDelegation(t.Context(), address, former))
+	is.Equal(h.delegation, former)
 	h.ended = allotter.ErrEnded // and it answers
 	_, err := client.Draw(t.Context(), address, request)
 	is.True(errors.Is(err, allotter.ErrEnded))
--- a/messenger/quotas.go
+++ b/messenger/quotas.go
@@ -63,6 +63,7 @@
 	rolePrimary    = 0
 	roleStandby    = 1
 	roleSubstitute = 2
+	roleFormer     = 3
 )
 
 func encodeRole(r allotter.Role) int {
@@ -71,6 +72,8 @@
 		return roleStandby
 	case allotter.Substitute:
 		return roleSubstitute
+	case allotter.Former:
+		return roleFormer
 	default:
 		return rolePrimary
 	}
@@ -82,6 +85,8 @@
 		return allotter.Primary{}
 	case roleSubstitute:
 		return allotter.Substitute{}
+	case roleFormer:
+		return allotter.Former{}
 	default:
 		return allotter.Standby{}
 	}
