follower: read a restored store without waiting for the pause

TestLeaseAfterRestore failed in 2 of 30 runs, 6 processes at a time beside 5 busy processes (load 22 to 30 on 7 cores): the first call after the restore got 503 at the only host.

The logs of both runs show which table was late. The follower of the endpoints read the new era, and told the others by EndEra. The follower of the hosts read it 2.1 and 2.3 s later. Until then each renewal of the host's row failed with "the store has been restored from a copy since", 8 times in a row, and the lease of 2 s ended 0.5 s before the table was read. A host whose lease has ended when it learns of a restore gives no orders for 2.5 s, and the call came within that time.

EndEra did not end the pause of 1.2 s between two calls. The signal then stayed pending and ended the next call, which was the one that would have shown the new era, and another pause followed. A store that fails was moreover called without a pause after EndEra, as the end of the era was not taken into account while it failed.

The end of the era now ends the pause, the signal does not end the call that follows it, and a call that it ends is repeated at once.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -137,7 +137,8 @@
 }
 
 // EndEra requests a new call that the store answers at once, because it has been restored.
-// A call that waits for changes since a version of the earlier era may miss some.
+// A call that waits for changes since a version of the earlier era may miss some. EndEra also
+// ends the pause between two calls: until the rows are read again, this host cannot renew its own.
 func (f *Follower) EndEra() {
 	f.eraEnded.Store(true)
 	select {
@@ -156,7 +157,7 @@
 		select {
 		case <-minAge.C:
 		case <-f.endEra:
-			cancel(errRefresh)
+			cancel(errEraEnded)
 			return
 		case <-ctx.Done():
 			return
@@ -165,14 +166,17 @@
 		case <-f.refresh:
 			cancel(errRefresh)
 		case <-f.endEra:
-			cancel(errRefresh)
+			cancel(errEraEnded)
 		case <-ctx.Done():
 		}
 	}()
 	return ctx, func() { cancel(nil) }
 }
 
-var errRefresh = eris.New("long poll was ended by a refresh")
+var (
+	errRefresh  = eris.New("long poll was ended by a refresh")
+	errEraEnded = eris.New("long poll was ended because the store has been restored")
+)
 
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
@@ -182,15 +186,32 @@
 			f.failed(err)
 			pause = f.retryPause()
 		}
-		if f.synced && f.eraEnded.Load() {
-			pause = 0 // the handler may have rows that the store has lost
-		}
-		if sleeper.Sleep(ctx, pause) != nil {
+		if f.sleep(ctx, pause) != nil {
 			return
 		}
 	}
 }
 
+// sleep blocks for the pause before the next call. The end of the era ends the pause, because
+// the handler may have rows that the store has lost; but not while the whole table is to be
+// read after a failure, which many hosts may do at once.
+func (f *Follower) sleep(ctx context.Context, pause time.Duration) error {
+	if !f.synced {
+		return sleeper.Sleep(ctx, pause)
+	}
+	if f.eraEnded.Load() {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.endEra:
+	case <-ctx.Done():
+	}
+	return ctx.Err()
+}
+
 // retryPause returns the time until the next call after a failure. Hosts whose reads of the
 // whole table fail again and again may be too many for the store, and spread over a longer
 // time.
@@ -223,6 +244,10 @@
 		f.refreshAge = min(2*f.refreshAge, maxRefreshAge)
 		return nil // the next call follows after the normal pause
 	}
+	if errors.Is(err, errEraEnded) {
+		f.eraEnded.Store(true) // the next call follows at once, and does not wait for changes
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -265,15 +290,15 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	if f.synced {
-		ctx, cancel := f.untilRefresh(ctx)
-		defer cancel()
 		wait := f.wait
-		if f.failing || f.eraEnded.Swap(false) {
+		if f.takeEndOfEra() || f.failing {
 			wait = 0 // the answer shows at once whether the store has been restored
 		}
+		ctx, cancel := f.untilRefresh(ctx)
+		defer cancel()
 		changes, err := f.feed.Follow(ctx, f.version, wait)
-		if errors.Is(context.Cause(ctx), errRefresh) {
-			return storer.Changes{}, errRefresh
+		if cause := context.Cause(ctx); errors.Is(cause, errRefresh) || errors.Is(cause, errEraEnded) {
+			return storer.Changes{}, cause
 		}
 		if err != nil {
 			return storer.Changes{}, fmt.Errorf("follow table %s: %w", f.name, err)
@@ -287,6 +312,19 @@
 	return changes, f.checkVersion(changes)
 }
 
+// takeEndOfEra reports whether the era has ended since the last call. The call that follows
+// shows it, so that the pending signal must not end that call.
+func (f *Follower) takeEndOfEra() bool {
+	if !f.eraEnded.Swap(false) {
+		return false
+	}
+	select {
+	case <-f.endEra:
+	default: // the signal has ended a pause or a long poll
+	}
+	return true
+}
+
 func (f *Follower) checkVersion(c storer.Changes) error {
 	if c.Version() < f.version {
 		return fmt.Errorf("got table version %d of era %d after version %d of era %d: %w",
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -17,9 +17,10 @@
 
 // feed returns the responses of a list of steps and then no more changes.
 type feed struct {
-	mu    sync.Mutex
-	steps []step
-	calls []string
+	mu      sync.Mutex
+	steps   []step
+	calls   []string
+	latency time.Duration // of each response
 }
 
 type step struct {
@@ -29,6 +30,11 @@
 }
 
 func (f *feed) next(ctx context.Context, call string, wait time.Duration) (storer.Changes, error) {
+	select {
+	case <-ctx.Done():
+		return storer.Changes{}, ctx.Err()
+	case <-time.After(f.latency):
+	}
 	f.mu.Lock()
 	f.calls = append(f.calls, call)
 	if len(f.steps) == 0 {
@@ -149,28 +155,62 @@
 }
 
 // Guards against a host that misses what was written since a restore of the store because
-// its long poll, for changes since a version of the earlier era, goes on.
+// its long poll, for changes since a version of the earlier era, goes on; and against one whose
+// lease ends because it does not read the restored rows until its pauses between calls are over.
 func TestEndEra(t *testing.T) {
+	tests := []struct {
+		name string
+		at   time.Duration // the end of the era
+	}{
+		{"in a long poll that has just begun", time.Minute + 100*time.Millisecond},
+		{"in a long poll", 2 * time.Minute},
+		{"in the pause between two calls", time.Second},
+		{"in a read of the whole table", 10 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				old, restored := storer.NewVersion(1, 90), storer.NewVersion(2, 95)
+				f := &feed{steps: []step{{keys: []string{"a"}, version: old}}, latency: 20 * time.Millisecond}
+				h := &handler{}
+				fol := follower.New("t", f, h, time.Hour, time.Minute, logger.Nop())
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() { fol.Run(ctx); close(done) }()
+				time.Sleep(tt.at)
+				f.mu.Lock()
+				f.steps = append(f.steps, step{version: restored}, step{keys: []string{"b"}, version: restored})
+				f.mu.Unlock()
+				fol.EndEra()
+				time.Sleep(100 * time.Millisecond)
+				h.mu.Lock()
+				is.Equal(h.received, []string{"=a", "restored", "=b"})
+				h.mu.Unlock()
+				cancel()
+				<-done
+			})
+		})
+	}
+}
+
+// Guards against a store that is called without a pause while it fails, because it has been
+// restored before.
+func TestEndEraOfFailingStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		old, restored := storer.NewVersion(1, 90), storer.NewVersion(2, 95)
-		f := &feed{steps: []step{{keys: []string{"a"}, version: old}}}
-		h := &handler{}
-		fol := follower.New("t", f, h, time.Hour, time.Minute, logger.Nop())
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() { fol.Run(ctx); close(done) }()
-		time.Sleep(time.Minute + 100*time.Millisecond) // the long poll has just begun
+		f := &feed{steps: []step{{keys: []string{"a"}, version: 10}}, latency: 20 * time.Millisecond}
+		for range 1000 {
+			f.steps = append(f.steps, step{err: errors.New("down")})
+		}
+		fol := follower.New("t", f, &handler{}, time.Second, time.Second, logger.Nop())
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		time.AfterFunc(5*time.Second, fol.EndEra)
+		fol.Run(ctx)
 		f.mu.Lock()
-		f.steps = []step{{version: restored}, {keys: []string{"b"}, version: restored}}
-		f.mu.Unlock()
-		fol.EndEra()
-		time.Sleep(100 * time.Millisecond)
-		h.mu.Lock()
-		is.Equal(h.received, []string{"=a", "restored", "=b"})
-		h.mu.Unlock()
-		cancel()
-		<-done
+		defer f.mu.Unlock()
+		is.True(len(f.calls) < 60) // some 9 s with a call and a delay of 220 ms
 	})
 }
 
