--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -248,14 +248,15 @@
 // since then, so that the smaller one counts.
 //
 // A bucket holds the same share of the burst as of the rate, because others grant the rest.
-// When that share falls, the bucket loses what is above it over time. A bucket that is smaller than a call grows to its size.
+// When that share falls, the bucket loses what is above it over time. A bucket that is smaller
+// than a call grows to its size.
 func (a *Accountant) refill(b *bucket, t Terms, p Part, now time.Time) {
 	rate := b.terms.rate
 	if t.version > b.terms.version {
 		b.terms, rate = t, min(rate, t.rate)
 	}
 	if now.Sub(b.refusedAt) > MaxWait {
-		b.refused = 0 // its caller has given up
+		b.refused = 0 // its caller does not retry any more
 	}
 	if elapsed := now.Sub(b.updated); elapsed > 0 {
 		share := min(b.share, p.rate)
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -85,7 +85,7 @@
 		for i := 2; i < 16; i++ {
 			go c.load(fmt.Sprint("w", i), duration, constant(usual), nil)
 		}
-		time.Sleep(duration + patience)
+		time.Sleep(duration + callerTimeout)
 		for i := range 16 {
 			name := fmt.Sprint("w", i)
 			c.checkBound(name, rate, burst, began)
@@ -105,7 +105,7 @@
 		wanted := func(h *host, at time.Duration) bool { return h.region == int(at/stay)%regionCount }
 		go c.load("w", duration, constant(0.9*rate), wanted)
 		go c.load("surge", duration, constant(surge), wanted)
-		time.Sleep(duration + patience)
+		time.Sleep(duration + callerTimeout)
 		c.checkBound("w", rate, burst, began)
 		c.checkNoneLost("w")
 		c.checkBound("surge", rate, burst, began)
@@ -222,7 +222,7 @@
 				go c.load(half, duration, constant(usual), nil)
 				time.Sleep(2 * time.Second)
 				tt.event(c)
-				time.Sleep(duration + patience - time.Since(began))
+				time.Sleep(duration + callerTimeout - time.Since(began))
 				for _, name := range []string{"w", most, half} {
 					c.checkBound(name, rate, burst, began)
 				}
@@ -255,7 +255,7 @@
 					go c.load("w", 2*window, constant(surge), nil)
 					time.Sleep(away - before)
 					c.cut(0, false, cut...)
-					time.Sleep(2*window + patience)
+					time.Sleep(2*window + callerTimeout)
 					c.checkBound("w", rate, burst, began)
 				}, workspace("w", rate, burst))
 			})
@@ -284,7 +284,7 @@
 				time.Sleep(before)
 				began := time.Now()
 				go c.load("w", 2*window, constant(surge), nil)
-				time.Sleep(2*window + patience)
+				time.Sleep(2*window + callerTimeout)
 				c.checkBound("w", rate, burst, began)
 			}, workspace("w", rate, burst))
 		})
--- a/allotter/balance.go
+++ b/allotter/balance.go
@@ -7,7 +7,8 @@
 	"github.com/dragonflyford/dragonflyford/accountant"
 )
 
-// balance is what a quota owner had left of a workspace's quota by its latest answer to this host. The next quota owner continues from there: with a burst of its own, each change of the
+// balance is what a quota owner had left of a workspace's quota by its latest answer to this
+// host. The next quota owner continues from there: with a burst of its own, each change of the
 // owner would add to what a workspace may use in a window.
 type balance struct {
 	mu     sync.Mutex
--- a/allotter/calls_test.go
+++ b/allotter/calls_test.go
@@ -26,7 +26,7 @@
 			for _, h := range c.running() {
 				go c.call(h, "w", meanTokens)
 			}
-			time.Sleep(2 * patience)
+			time.Sleep(2 * callerTimeout)
 			c.checkBound("w", small, small, began)
 		}, workspace("w", small, small))
 	}
--- a/allotter/harness_test.go
+++ b/allotter/harness_test.go
@@ -31,11 +31,11 @@
 )
 
 const (
-	regionCount = 3
-	nearLatency = 2 * time.Millisecond // one way, within a region
-	farLatency  = 20 * time.Millisecond
-	storeLag    = 400 * time.Millisecond // until another host reads a row
-	patience    = 6 * time.Second        // of callers
+	regionCount   = 3
+	nearLatency   = 2 * time.Millisecond // one way, within a region
+	farLatency    = 20 * time.Millisecond
+	storeLag      = 400 * time.Millisecond // until another host reads a row
+	callerTimeout = 6 * time.Second        // of callers
 )
 
 var errCut = errors.New("the other host is cut off")
@@ -310,7 +310,7 @@
 			return
 		}
 		wait := classifier.Of(err).RetryAfter()
-		if left := patience - time.Since(began); wait > left/3 {
+		if left := callerTimeout - time.Since(began); wait > left/3 {
 			break
 		}
 		time.Sleep(wait)
--- a/allotter/release.go
+++ b/allotter/release.go
@@ -8,7 +8,7 @@
 )
 
 // ownerChanges records to which host this one delegates each quota, and which former owners have
-// not been told of the change.
+// not been notified of the change.
 type ownerChanges struct {
 	mu       sync.Mutex
 	owners   map[string]string // by workspace
@@ -40,7 +40,7 @@
 	}
 }
 
-// take returns the workspaces of former owners that have not been told, by host, and forgets them.
+// take returns the workspaces of former owners that have not been notified, by host, and forgets them.
 func (c *ownerChanges) take() map[string][]Quota {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -63,7 +63,7 @@
 	}
 }
 
-// runReleases tells former quota owners that this host delegates its parts to others, until ctx is
+// runReleases notifies former quota owners that this host delegates its parts to others, until ctx is
 // done. They would otherwise count these parts for another retainTime, and the new owners count
 // at least half of them at once.
 func (a *Allotter) runReleases(ctx context.Context) {
--- a/inspector/property.go
+++ b/inspector/property.go
@@ -65,9 +65,9 @@
 		return property{name, "idempotent", "a call may run more than once"}
 	case router.Stream:
 		if p.Resumable() {
-			return property{name, "resumable stream", "a stream that breaks off goes on at another endpoint"}
+			return property{name, "resumable stream", "an interrupted stream resumes at another endpoint"}
 		}
-		return property{name, "stream", "a stream that breaks off does not go on at another endpoint"}
+		return property{name, "stream", "an interrupted stream does not resume at another endpoint"}
 	default:
 		return property{name, "at most once", "a call runs once at most, and one that may have run is not repeated"}
 	}
--- a/relayer/harness_test.go
+++ b/relayer/harness_test.go
@@ -109,8 +109,8 @@
 	sent         []string
 	resumed      []string
 	outbounds    []*exchanger.Outbound
-	maxWaits     []time.Duration    // told to owners
-	workspaces   []sharer.Workspace // told to owners
+	maxWaits     []time.Duration    // sent to owners
+	workspaces   []sharer.Workspace // sent to owners
 	breaks       int
 	outputs      int
 	turns        map[string]limiter.Verdict // by endpoint; granted at once if there is none
--- a/supplier/supplier.go
+++ b/supplier/supplier.go
@@ -55,7 +55,7 @@
 
 const (
 	// maxStartTime is how long a request waits for a lease that this process expects. It is
-	// shorter than the time after which the requesting host gives up.
+	// shorter than the timeout of the requesting host.
 	maxStartTime  = 500 * time.Millisecond
 	startInterval = 25 * time.Millisecond
 )
