screener: tell calls apart whose prompts differ and whose bodies do not

Cause: the fingerprint covers the method, host, target, model and body, not the prompt parts. All calls of the case have one body, so that a sound call has the marks of the crashing ones.

Evidence: call 78 of front-2 with the parts a001, b003, f00d was refused with three marks that were made under a001, dead, f00d.

Change: the parts that calls share are in the fingerprint. A call that is sent again has the same prompt and is stopped as before.

TestPromptsWithTheSameBody failed before and passes.

--- a/screener/screener.go
+++ b/screener/screener.go
@@ -130,12 +130,20 @@
 	s.applyMarks(marks, true)
 }
 
+// fingerprint covers the parts of the prompt besides the body: calls whose prompts differ
+// are not the same call, although their bodies may be alike.
 func fingerprint(c *router.Call) Fingerprint {
 	h := xxhash.New()
-	for _, part := range []string{c.Method(), c.Host(), c.Target(), c.Model().Base(), c.Model().Adapter()} {
-		_, _ = h.WriteString(part) // writing to a hash does not fail
+	write := func(text string) {
+		_, _ = h.WriteString(text) // writing to a hash does not fail
 		_, _ = h.Write([]byte{0})
 	}
+	for _, text := range []string{c.Method(), c.Host(), c.Target(), c.Model().Base(), c.Model().Adapter()} {
+		write(text)
+	}
+	for _, part := range c.SharedPromptParts() {
+		write(string(part))
+	}
 	_, _ = h.Write(c.Body())
 	return Fingerprint(h.Sum64())
 }
--- a/screener/screener_test.go
+++ b/screener/screener_test.go
@@ -140,3 +140,19 @@
 		}
 	})
 }
+
+// Guards against a call that is refused as a repeat of one that crashed endpoints, although
+// its prompt is another one, because both have the same body.
+func TestPromptsWithTheSameBody(t *testing.T) {
+	is := is.New(t)
+	s := screener.New(logger.Nop())
+	crashing, err := s.Apply(t.Context(), routedWithParts(t, "first", "dead"))
+	is.NoErr(err)
+	for _, endpoint := range []string{"e1", "e2", "e3"} {
+		s.RecordCrash(screener.NewMark(crashing.Fingerprint(), endpoint))
+	}
+	_, err = s.Apply(t.Context(), routedWithParts(t, "first", "dead"))
+	is.True(err != nil)
+	_, err = s.Apply(t.Context(), routedWithParts(t, "first", "other"))
+	is.NoErr(err)
+}
