quarantiner, screener, registrar: end the quarantine of sound prompt parts

Cause: a host that serves another route had seen no output with a part that all calls of the route share, and put it in quarantine in place of the fatal one. Its row bound all hosts, also those that had seen outputs with the part a moment before, and since all calls with the part were refused, nothing could show it to be sound.

Evidence: part-quarantined f00d with the reason "crashes" at front-3 only, with "row" at front-1 and front-2, no part-released until the end.

Change: a host releases a part and deletes its row if the output of a call with it began there after all crashes under it. As long as several parts explain the crashes alike, calls that have all of them are refused, and one of the others at a time is sent as a probe, after doubling pauses; its output releases the part on all hosts, its crash rules out the parts that it lacks. Rows name these signatures for hosts that start later. The release of a part keeps the crashes against the other parts of the calls.

--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -24,7 +24,7 @@
 // docs/OPERATIONS.md lists those that increase when a guarantee is at risk.
 var countedEvents = []string{
 	"adapter-load-ordered", "adapter-unload-ordered", "base-load-ordered", "load-given-up", "report-failed",
-	"call-stopped", "crash-marked", "limit-changed", "limit-not-told", "quota-owner-unresponsive", "turn-asked", "part-quarantined", "part-released", "quarantine-not-stored", "calls-cut", "place-asked", "reservation-over-share", "send-lost", "send-not-made", "send-refused", "stream-broken", "stream-lost", "stream-resumed",
+	"call-stopped", "crash-marked", "limit-changed", "limit-not-told", "quota-owner-unresponsive", "turn-asked", "part-probed", "part-quarantined", "part-released", "quarantine-not-stored", "calls-cut", "place-asked", "reservation-over-share", "send-lost", "send-not-made", "send-refused", "stream-broken", "stream-lost", "stream-resumed",
 	"claim-lost", "claim-uncertain", "engines-claimed", "lease-not-renewed", "lease-taken", "owner-changed",
 	"key-missing", "key-unknown", "key-not-checked", "configuration-not-read", "configuration-copied", "configuration-not-copied",
 	"configuration-in-force", "version-named", "operator-row-not-read", "entry-not-read",
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -35,33 +36,41 @@
 // crash is the end of one endpoint process, with the prompts of the calls that were
 // lost before their output began.
 type crash struct {
-	at      time.Time
-	outputs int64 // that had begun at this host when it first heard of the crash
-	prompts [][]router.PromptPart
+	at        time.Time
+	outputs   int64 // that had begun at this host when it first heard of the crash
+	prompts   [][]router.PromptPart
+	positions map[router.PromptPart]int // last position of each part that the crash counts against
+	released  []router.PromptPart       // parts that it no longer counts against
+}
+
+func newCrash(at time.Time, outputs int64) *crash {
+	return &crash{at: at, outputs: outputs, positions: make(map[router.PromptPart]int)}
 }
 
 func (c *crash) add(prompt []router.PromptPart) {
 	known := slices.ContainsFunc(c.prompts, func(p []router.PromptPart) bool { return slices.Equal(p, prompt) })
-	if !known && len(c.prompts) < maxLossesPerCrash {
-		c.prompts = append(c.prompts, prompt)
+	if known || len(c.prompts) >= maxLossesPerCrash {
+		return
 	}
-}
-
-// positions returns the parts of the lost prompts, each with its last position.
-func (c *crash) positions() map[router.PromptPart]int {
-	list := make(map[router.PromptPart]int)
-	for _, prompt := range c.prompts {
-		for i, part := range prompt {
-			list[part] = max(list[part], i)
+	c.prompts = append(c.prompts, prompt)
+	for i, part := range prompt {
+		if !slices.Contains(c.released, part) {
+			c.positions[part] = max(c.positions[part], i)
 		}
 	}
-	return list
+}
+
+// release makes the crash count against a part no longer.
+func (c *crash) release(part router.PromptPart) {
+	c.released = append(c.released, part)
+	delete(c.positions, part)
 }
 
 // hold is the quarantine of one part.
 type hold struct {
-	since  time.Time
-	stored bool // the store has a row of it, which ends it
+	since      time.Time
+	stored     bool        // the store has a row of it, which ends it
+	signatures []Signature // of the row
 }
 
 // Quarantiner holds the crashes that count and the parts in quarantine. It is not safe
@@ -87,7 +96,7 @@
 	c := q.crashes[process]
 	if c == nil {
 		q.dropOldest()
-		c = &crash{at: at, outputs: q.history.Outputs()}
+		c = newCrash(at, q.history.Outputs())
 		q.crashes[process] = c
 	}
 	if at.Before(c.at) {
@@ -105,25 +114,83 @@
 	return released
 }
 
-// Hold puts a part in quarantine because the store has a row of it.
-func (q *Quarantiner) Hold(part router.PromptPart, now time.Time) {
+// Hold puts a part in quarantine because the store has a row of it, with the signatures
+// of the row.
+func (q *Quarantiner) Hold(part router.PromptPart, signatures []Signature, now time.Time) {
+	if len(q.crashesUnder(part)) < crashLimit {
+		q.recordRow(part, signatures, now)
+	}
 	h, held := q.held[part]
 	switch {
 	case held:
-		h.stored = true
+		h.stored, h.signatures = true, signatures
 		q.held[part] = h
 	case len(q.held) < maxHeld:
-		q.held[part] = hold{since: now, stored: true}
+		q.held[part] = hold{since: now, stored: true, signatures: signatures}
 	}
 }
 
-// Release ends the quarantine of a part and forgets the crashes under it.
+// recordRow records the crashes that a row stands for, as its signatures describe them. A
+// host that started after them judges the other parts by them if the part proves sound.
+func (q *Quarantiner) recordRow(part router.PromptPart, signatures []Signature, now time.Time) {
+	for i, s := range signatures {
+		for n := range crashLimit {
+			process := fmt.Sprintf("row %s, signature %d, crash %d", part, i, n)
+			q.RecordLoss(process, s, now.Add(-time.Duration(n)*incidentGap))
+		}
+	}
+}
+
+// Release ends the quarantine of a part. The crashes under it still count against the
+// other parts of their calls, of which one may be the cause.
 func (q *Quarantiner) Release(part router.PromptPart) {
 	delete(q.held, part)
-	maps.DeleteFunc(q.crashes, func(_ string, c *crash) bool {
-		_, has := c.positions()[part]
-		return has
-	})
+	for _, c := range q.crashesUnder(part) {
+		c.release(part)
+	}
+}
+
+// ReleaseRefuted ends the quarantine of the parts that this host knows to be sound, and
+// returns them: the output of a call with them began here after all crashes under them.
+// The host that found them may not have seen that output.
+func (q *Quarantiner) ReleaseRefuted() []router.PromptPart {
+	var list []router.PromptPart
+	for part := range q.held {
+		if q.refuted(part) {
+			list = append(list, part)
+			delete(q.held, part)
+		}
+	}
+	return list
+}
+
+// refuted requires as many crashes as a quarantine does: a host that knows of fewer
+// lacks what the quarantine is based on.
+func (q *Quarantiner) refuted(part router.PromptPart) bool {
+	crashes := q.crashesUnder(part)
+	for _, c := range crashes {
+		if !q.begunSince(part, c.at) {
+			return false
+		}
+	}
+	return len(crashes) >= crashLimit
+}
+
+// begunSince reports whether the output of a call with a part began at a time or later.
+func (q *Quarantiner) begunSince(part router.PromptPart, at time.Time) bool {
+	begun, known := q.history.LastBegun(part)
+	return known && !at.After(begun)
+}
+
+// crashesUnder returns the crashes that count against a part.
+func (q *Quarantiner) crashesUnder(part router.PromptPart) []*crash {
+	var list []*crash
+	for _, c := range q.crashes {
+		if _, has := c.positions[part]; has {
+			list = append(list, c)
+		}
+	}
+	return list
 }
 
 // Held returns the parts in quarantine.
@@ -207,13 +274,13 @@
 func (q *Quarantiner) suspects(now time.Time) map[router.PromptPart]*suspect {
 	list := make(map[router.PromptPart]*suspect)
 	for _, c := range q.unexplained(now) {
-		for part, position := range c.positions() {
-			begun, sound := q.history.LastBegun(part)
-			if sound && !c.at.After(begun) {
+		for part, position := range c.positions {
+			if q.begunSince(part, c.at) {
 				continue
 			}
 			s := list[part]
 			if s == nil {
+				_, sound := q.history.LastBegun(part)
 				s = &suspect{part: part, sound: sound, alone: q.history.Outputs()-c.outputs < minOutputs}
 				list[part] = s
 			}
@@ -237,7 +304,7 @@
 }
 
 func (q *Quarantiner) explained(c *crash) bool {
-	for part := range c.positions() {
+	for part := range c.positions {
 		if _, held := q.held[part]; held {
 			return true
 		}
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -136,8 +136,8 @@
 	is.Equal(len(q.Held()), 0)
 
 	q = find()
-	q.Hold("fatal", now)
-	q.Hold("other", now)
+	q.Hold("fatal", nil, now)
+	q.Hold("other", nil, now)
 	q.Judge(now.Add(time.Hour))
 	is.Equal(len(q.Held()), 2) // the store ends them
 }
@@ -150,7 +150,7 @@
 	for i := range 5000 {
 		now = now.Add(time.Millisecond)
 		part := router.PromptPart(fmt.Sprint("part-", i))
-		q.Hold(part, now)
+		q.Hold(part, nil, now)
 		for j := range 3 {
 			q.RecordLoss(fmt.Sprint("p", i, j), prompt(part+"x"), now)
 		}
@@ -181,3 +181,109 @@
 	_, ok = h.LastBegun("popular")
 	is.True(!ok)
 }
+
+// observe applies crashes and outputs in order, and returns the time after the last one.
+func observe(q *quarantiner.Quarantiner, h *quarantiner.History, steps []step) time.Time {
+	slices.SortStableFunc(steps, func(a, b step) int { return a.at - b.at })
+	now := time.Unix(0, 0)
+	for _, s := range steps {
+		now = time.Unix(0, 0).Add(time.Duration(s.at) * time.Millisecond)
+		if s.process != "" {
+			q.RecordLoss(s.process, s.parts, now)
+			continue
+		}
+		h.RecordOutput(s.parts, now)
+	}
+	return now.Add(time.Second)
+}
+
+// Guards against a sound part that stays in quarantine at a host which knows better than
+// the one that found it, and against the release of one by what says nothing.
+func TestReleaseRefuted(t *testing.T) {
+	lost := prompt("first", "fatal", "last")
+	tests := []struct {
+		name     string
+		steps    []step
+		released bool
+	}{
+		{"outputs began after all crashes", slices.Concat(crashes(0, 3, 1000, lost), begins(500, 2500, 500, "first", "last")), true},
+		{"outputs began before the last crash only", slices.Concat(crashes(0, 3, 1000, lost), begins(500, 1500, 500, "first", "last")), false},
+		{"no output with the part began", slices.Concat(crashes(0, 3, 1000, lost), begins(500, 2500, 500, "first")), false},
+		{"fewer crashes are known than the quarantine took", slices.Concat(crashes(0, 2, 1000, lost), begins(500, 2500, 500, "last")), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := quarantiner.NewHistory(time.Unix(0, 0))
+			q := quarantiner.New(h)
+			now := observe(q, h, tt.steps)
+			q.Hold("last", nil, now)
+			released := q.ReleaseRefuted()
+			is.Equal(slices.Contains(released, "last"), tt.released)
+			is.Equal(slices.Contains(q.Held(), "last"), !tt.released)
+		})
+	}
+}
+
+// Guards against calls that are refused for good although they could show which of several
+// parts crashes the endpoints, and against the sending of those that look like the calls
+// under which endpoints crashed.
+func TestSignatures(t *testing.T) {
+	lost := prompt("first", "fatal", "last")
+	tests := []struct {
+		name  string
+		steps []step
+		row   []quarantiner.Signature
+		want  []quarantiner.Signature
+	}{
+		{"all parts explain the crashes alike", crashes(0, 3, 1000, lost), nil, []quarantiner.Signature{lost}},
+		{"outputs refuted one of them", slices.Concat(crashes(0, 3, 1000, lost), begins(2500, 2500, 1, "first")), nil, []quarantiner.Signature{{"fatal", "last"}}},
+		{"no other part is in all crashes", slices.Concat(crashes(0, 1, 1, prompt("a", "last")), crashes(1000, 1, 1, prompt("b", "last")), crashes(2000, 1, 1, prompt("c", "last"))), nil, []quarantiner.Signature{{"last"}}},
+		{"two other parts crash endpoints by turns", slices.Concat(crashes(0, 3, 1000, prompt("x", "last")), crashes(100, 3, 1000, prompt("y", "last"))), nil, []quarantiner.Signature{{"x", "last"}, {"y", "last"}}},
+		{"another call, which may be the cause, was lost in each crash", crashes(0, 3, 1000, lost, prompt("first", "other")), nil, []quarantiner.Signature{{"first", "fatal", "other", "last"}}},
+		{"another host knows that no other part is the cause", crashes(0, 3, 1000, lost), []quarantiner.Signature{{"last"}}, []quarantiner.Signature{{"last"}}},
+		{"only the row is known", nil, []quarantiner.Signature{{"fatal", "last"}}, []quarantiner.Signature{{"fatal", "last"}}},
+		{"nothing is known", nil, nil, []quarantiner.Signature{{"last"}}},
+		{"the row has too many", nil, manySignatures(9, 2), []quarantiner.Signature{{"last"}}},
+		{"the row has too long ones", nil, manySignatures(1, 17), []quarantiner.Signature{{"last"}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := quarantiner.NewHistory(time.Unix(0, 0))
+			q := quarantiner.New(h)
+			q.Hold("last", tt.row, observe(q, h, tt.steps))
+			got := q.Signatures("last")
+			slices.SortFunc(got, slices.Compare)
+			is.Equal(got, tt.want)
+		})
+	}
+}
+
+// manySignatures returns n different signatures of the part "last" with length parts each.
+func manySignatures(n, length int) []quarantiner.Signature {
+	var list []quarantiner.Signature
+	for i := range n {
+		s := quarantiner.Signature{"last"}
+		for j := range length - 1 {
+			s = append(s, router.PromptPart(fmt.Sprint(i, "-", j)))
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+// Guards against a host that knows only the row of a sound part, and forgets with its
+// release which calls crashed the endpoints.
+func TestRowNamesAlternatives(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	h := quarantiner.NewHistory(now)
+	q := quarantiner.New(h)
+	q.Hold("last", []quarantiner.Signature{{"first", "fatal", "last"}}, now)
+	now = now.Add(time.Second)
+	h.RecordOutput(prompt("first", "other", "last"), now)
+	is.True(q.RecordBegun("last", now))
+	q.Release("last")
+	is.Equal(q.Judge(now.Add(time.Second)), prompt("fatal"))
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -13,6 +13,7 @@
 
 	"github.com/dragonflyford/dragonflyford/encoder"
 	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/quarantiner"
 	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/screener"
 	"github.com/dragonflyford/dragonflyford/storer"
@@ -41,7 +42,7 @@
 // Quarantine holds the parts in quarantine at this host.
 type Quarantine interface {
 	Holds() []screener.Hold
-	Hold(part router.PromptPart)
+	Hold(part router.PromptPart, signatures []quarantiner.Signature)
 	Release(part router.PromptPart)
 	// TakeReleased returns the parts whose rows this host has to delete.
 	TakeReleased() []router.PromptPart
@@ -49,7 +50,8 @@
 
 // document is the value of a row.
 type document struct {
-	Renewals int `cbor:"1,keyasint,omitempty"`
+	Renewals   int                     `cbor:"1,keyasint,omitempty"`
+	Signatures []quarantiner.Signature `cbor:"2,keyasint,omitempty"`
 }
 
 type row struct {
@@ -153,7 +155,7 @@
 		return
 	}
 	delete(r.deleted, part)
-	r.quarantine.Hold(part)
+	r.quarantine.Hold(part, doc.Signatures)
 	if !known {
 		r.log.Info("part-quarantined", logger.With(logger.KeyParts, part), logger.With(logger.KeyReason, "row"))
 	}
@@ -180,9 +182,9 @@
 		stored, ok := r.rows[h.Part()]
 		switch {
 		case !ok && (h.Lost() || now.Sub(h.Since()) > otherHosts):
-			writes = append(writes, put(h.Part(), document{}, 0))
+			writes = append(writes, put(h.Part(), document{Signatures: h.Signatures()}, 0))
 		case ok && h.Refused().After(stored.seen) && now.Sub(stored.seen) > rowLifetime/2 && stored.renewals < maxRenewals:
-			writes = append(writes, put(h.Part(), document{Renewals: stored.renewals + 1}, stored.version))
+			writes = append(writes, put(h.Part(), document{Renewals: stored.renewals + 1, Signatures: h.Signatures()}, stored.version))
 		}
 	}
 	maps.DeleteFunc(r.deleted, func(_ router.PromptPart, at time.Time) bool { return now.Sub(at) > deletionMemory })
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -215,3 +215,26 @@
 	is.Equal(len(s.Holds()), 0)
 	is.Equal(len(r.Parts()), 0)
 }
+
+// Guards against the row of a sound part, which one host wrote that saw no output of calls
+// with it, and which stays in force at hosts that saw them.
+func TestRefutedRowIsDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tb := &table{rows: make(map[string]storer.Row)}
+		finder, other := tb.newHost(), tb.newHost()
+		finder.crash("sound")
+		other.Learn(finder.TakeUnsent())
+		call := router.NewCall("id", "POST", "h", "/x", "/x", nil, nil, router.WithSharedPromptParts([]router.PromptPart{"sound"}))
+		other.RecordOutput(call)
+		finder.Synchronise(t.Context())
+		is.Equal(len(tb.rows), 1)
+		is.Equal(other.held(), nil)
+		other.Synchronise(t.Context())
+		is.Equal(len(tb.rows), 0)
+		is.Equal(finder.held(), nil)
+		finder.Judge()
+		finder.Synchronise(t.Context())
+		is.Equal(len(tb.rows), 0)
+	})
+}
--- a/screener/quarantine.go
+++ b/screener/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -14,19 +15,29 @@
 
 const (
 	// Judging takes time in proportion to the crashes that count, so it is done less
-	// often while there are no new ones.
+	// often while there are no new ones and no part is released.
 	quietAfter    = 30 * time.Second
 	quietInterval = 10 * time.Second
 	// maxLost limits the parts of lost calls that a host keeps.
 	maxLost = 4096
+	// A host that has sent a probe of a part sends the next one after probeInterval, which
+	// doubles with each up to maxProbeInterval: if the part is fatal, a probe costs an
+	// endpoint process.
+	probeInterval    = time.Second
+	maxProbeInterval = time.Minute
+	maxProbeShift    = 6 // doublings that exceed maxProbeInterval
+	// probeSpread is the time over which hosts that lost no call with a part begin to
+	// probe it, so that most of them learn the result of another host's probe before.
+	probeSpread = time.Second
 )
 
 // Hold is a part in quarantine.
 type Hold struct {
-	part    router.PromptPart
-	since   time.Time
-	lost    bool
-	refused time.Time
+	part       router.PromptPart
+	since      time.Time
+	lost       bool
+	refused    time.Time
+	signatures []quarantiner.Signature
 }
 
 // Part returns the part.
@@ -42,15 +53,47 @@
 // Refused returns when this host last refused a call with the part, or the zero time.
 func (h Hold) Refused() time.Time { return h.refused }
 
+// Signatures returns what calls look like that are refused because of the part.
+func (h Hold) Signatures() []quarantiner.Signature { return h.signatures }
+
 // heldPart is the part of a Hold that calls update.
 type heldPart struct {
-	since   time.Time
-	lost    bool
-	refused atomic.Int64 // Unix nanoseconds; 0 for never
+	since      time.Time
+	lost       bool
+	refused    atomic.Int64 // Unix nanoseconds; 0 for never
+	signatures atomic.Pointer[[]quarantiner.Signature]
+	probes     atomic.Int32 // probes that were sent
+	probeAt    atomic.Int64 // time of the next probe, Unix nanoseconds
+}
+
+func newHeldPart(now time.Time, lost bool) *heldPart {
+	h := &heldPart{since: now, lost: lost}
+	if !lost {
+		now = now.Add(rand.N(probeSpread))
+	}
+	h.probeAt.Store(now.UnixNano())
+	return h
+}
+
+// takeProbe reports whether a call with the part may be sent although the part is in
+// quarantine, as a probe: it matches no signature, and no other probe was sent lately.
+func (h *heldPart) takeProbe(prompt []router.PromptPart, now time.Time) bool {
+	for _, s := range *h.signatures.Load() {
+		if s.Matches(prompt) {
+			return false
+		}
+	}
+	at := h.probeAt.Load()
+	interval := min(probeInterval<<min(h.probes.Load(), maxProbeShift), maxProbeInterval)
+	if now.UnixNano() < at || !h.probeAt.CompareAndSwap(at, now.Add(interval).UnixNano()) {
+		return false
+	}
+	h.probes.Add(1)
+	return true
 }
 
 func (h *heldPart) hold(part router.PromptPart) Hold {
-	hold := Hold{part: part, since: h.since, lost: h.lost}
+	hold := Hold{part: part, since: h.since, lost: h.lost, signatures: *h.signatures.Load()}
 	if at := h.refused.Load(); at != 0 {
 		hold.refused = time.Unix(0, at)
 	}
@@ -68,7 +111,7 @@
 	lost     map[router.PromptPart]time.Time // parts of calls that this host lost
 	released []router.PromptPart             // whose rows this host has to delete
 	lastLoss time.Time
-	judged   time.Time
+	judged   time.Time // zero if another part may have to take the place of a released one
 }
 
 func newQuarantine(now time.Time) *quarantine {
@@ -79,19 +122,32 @@
 	return q
 }
 
-// check returns a fault if a part of the call's prompt is in quarantine.
-func (q *quarantine) check(c *router.Call) error {
+// check returns a fault if a part of the call's prompt is in quarantine, unless the call
+// is sent as a probe of that part.
+func (q *quarantine) check(c *router.Call, log *logger.Logger) error {
 	held := *q.held.Load()
 	if len(held) == 0 {
 		return nil
 	}
-	for _, part := range c.SharedPromptParts() {
-		if h := held[part]; h != nil {
-			h.refused.Store(time.Now().UnixNano())
-			return classifier.NewStopped(fmt.Sprintf("endpoints crash on the prompt part %s", part), classifier.RetryAfter(stoppedRetryAfter))
+	now := time.Now()
+	prompt := c.SharedPromptParts()
+	var found []router.PromptPart
+	for _, part := range prompt {
+		if held[part] != nil {
+			found = append(found, part)
 		}
 	}
-	return nil
+	if len(found) == 0 {
+		return nil
+	}
+	if len(found) == 1 && held[found[0]].takeProbe(prompt, now) {
+		log.Info("part-probed", logger.Request(c.ID()), logger.With(logger.KeyParts, found[0]))
+		return nil
+	}
+	for _, part := range found {
+		held[part].refused.Store(now.UnixNano())
+	}
+	return classifier.NewStopped(fmt.Sprintf("endpoints crash on the prompt part %s", found[0]), classifier.RetryAfter(stoppedRetryAfter))
 }
 
 func (q *quarantine) recordLoss(m Mark, local bool, now time.Time) {
@@ -118,8 +174,10 @@
 	for _, part := range q.judge.Held() {
 		if held[part] = old[part]; held[part] == nil {
 			_, lost := q.lost[part]
-			held[part] = &heldPart{since: now, lost: lost}
+			held[part] = newHeldPart(now, lost)
 		}
+		signatures := q.judge.Signatures(part)
+		held[part].signatures.Store(&signatures)
 	}
 	q.held.Store(&held)
 	watched := make(map[router.PromptPart]struct{})
@@ -151,6 +209,7 @@
 	q := s.quarantine
 	released := q.judge.RecordBegun(part, now)
 	if released {
+		q.judged = time.Time{}
 		s.log.Info("part-released", logger.With(logger.KeyParts, part), logger.With(logger.KeyReason, "output began"))
 	}
 	if local {
@@ -172,6 +231,7 @@
 		return
 	}
 	q.judged = now
+	s.releaseRefuted()
 	for _, part := range q.judge.Judge(now) {
 		s.log.Warn("part-quarantined", logger.With(logger.KeyParts, part), logger.With(logger.KeyReason, "crashes"))
 	}
@@ -187,12 +247,23 @@
 	return list
 }
 
-// Hold puts a part in quarantine that another host found, or found earlier.
-func (s *Screener) Hold(part router.PromptPart) {
+// releaseRefuted ends the quarantine of the parts that this host knows to be sound. It
+// requires mu.
+func (s *Screener) releaseRefuted() {
+	for _, part := range s.quarantine.judge.ReleaseRefuted() {
+		s.log.Info("part-released", logger.With(logger.KeyParts, part), logger.With(logger.KeyReason, "output began after the crashes"))
+		s.quarantine.released = append(s.quarantine.released, part)
+	}
+}
+
+// Hold puts a part in quarantine that another host found, or found earlier, unless this
+// host knows it to be sound.
+func (s *Screener) Hold(part router.PromptPart, signatures []quarantiner.Signature) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.quarantine.judge.Hold(part, now)
+	s.quarantine.judge.Hold(part, signatures, now)
+	s.releaseRefuted()
 	s.quarantine.publish(now)
 }
 
@@ -201,11 +272,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.quarantine.judge.Release(part)
+	s.quarantine.judged = time.Time{}
 	s.quarantine.publish(time.Now())
 }
 
 // TakeReleased returns the parts whose quarantine ended because this host saw the
-// output of a call with them begin, and clears the list.
+// output of a call with them begin, also before it learned of the quarantine, and clears
+// the list.
 func (s *Screener) TakeReleased() []router.PromptPart {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/screener/screener.go
+++ b/screener/screener.go
@@ -97,7 +97,7 @@
 // Apply refuses a call that has crashed too many endpoint processes, or whose prompt
 // has a part that is found to crash them.
 func (s *Screener) Apply(_ context.Context, r *router.Routed) (*Screened, error) {
-	if err := s.quarantine.check(r.Call); err != nil {
+	if err := s.quarantine.check(r.Call, s.log); err != nil {
 		return nil, err
 	}
 	f := fingerprint(r.Call)
--- a/screener/screener_test.go
+++ b/screener/screener_test.go
@@ -156,3 +156,28 @@
 	_, err = s.Apply(t.Context(), routedWithParts(t, "first", "other"))
 	is.NoErr(err)
 }
+
+// Guards against probes of a part in quarantine that crash one endpoint after another, and
+// against probes by calls that look like those that did.
+func TestProbesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := screener.New(logger.Nop())
+		for i, endpoint := range []string{"e1", "e2", "e3"} {
+			s.RecordCrash(screener.NewMark(screener.Fingerprint(i), endpoint, "first", "dead", "last"))
+			time.Sleep(1200 * time.Millisecond)
+		}
+		s.Judge()
+		is.Equal(len(s.Holds()), 1)
+		sent := 0
+		for range 600 {
+			time.Sleep(100 * time.Millisecond)
+			_, err := s.Apply(t.Context(), routedWithParts(t, "first", "dead", "last"))
+			is.True(err != nil)
+			if _, err := s.Apply(t.Context(), routedWithParts(t, "first", "other", "last")); err == nil {
+				sent++
+			}
+		}
+		is.Equal(sent, 6) // at 0, 1, 3, 7, 15 and 31 s
+	})
+}
