platform, relayer: write answers that are ready as their calls end

Cause: the end of the call was the write deadline of every answer. One that an endpoint gives as the time of the call ends, or that a busy host reads a moment late, could not be written any more. net/http sends the last bytes after the handler has returned and drops the error, so that the host logged the call as served or failed.

--- a/exchanger/message.go
+++ b/exchanger/message.go
@@ -216,6 +216,8 @@
 	length int64
 	// unframed is whether only the end of the connection ends the body.
 	unframed bool
+	// buffered is whether the whole body is in memory.
+	buffered bool
 	// roundTrip is the duration of a round trip to the endpoint, or 0.
 	roundTrip time.Duration
 }
@@ -282,11 +284,15 @@
 		a.body = prefixedBody{Reader: io.MultiReader(&buf, a.body), Closer: a.body}
 		return nil
 	}
-	a.length = n
+	a.length, a.buffered = n, true
 	a.body = prefixedBody{Reader: &buf, Closer: a.body}
 	return nil
 }
 
+// Buffered reports whether the whole body is in memory, so that the endpoint has no part in
+// the call any more.
+func (a *Answer) Buffered() bool { return a.buffered }
+
 // prefixedBody is a body whose first bytes are in memory.
 type prefixedBody struct {
 	io.Reader
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -19,6 +19,7 @@
 	endpoint  string
 	sends     int
 	streaming bool
+	buffered  bool
 	deadline  time.Time
 }
 
@@ -41,8 +42,12 @@
 // Sends returns how many times the call was sent.
 func (a *Answer) Sends() int { return a.sends }
 
-// Deadline returns when the call ends. The body must be closed by then, also if the caller
-// does not read it.
+// Buffered reports whether the whole body is in memory, so that no endpoint has to wait for
+// the caller to read it.
+func (a *Answer) Buffered() bool { return a.buffered }
+
+// Deadline returns when the call ends. A body that is not buffered must be closed by then,
+// also if the caller does not read it.
 func (a *Answer) Deadline() time.Time { return a.deadline }
 
 // Streaming reports whether the body is a stream, whose data must be flushed to the
@@ -52,7 +57,7 @@
 func newAnswer(a *exchanger.Answer, body io.ReadCloser, endpoint string, sends int, streaming bool) *Answer {
 	return &Answer{
 		status: a.Status(), header: a.Header(), length: a.Length(), body: body,
-		endpoint: endpoint, sends: sends, streaming: streaming,
+		endpoint: endpoint, sends: sends, streaming: streaming, buffered: a.Buffered(),
 	}
 }
 
--- a/relayer/harness_test.go
+++ b/relayer/harness_test.go
@@ -218,7 +218,7 @@
 	routes.Adopt(router.NewTable(1, []*router.Route{
 		router.NewRoute("r", "h", "/", kind, 5*time.Second, time.Second, 1, attempts, []router.Target{router.NewTarget("svc", 1)}),
 	}, []*router.Service{router.NewService("svc", 100, engines)}))
-	opts = append(opts, router.WithModel(m), router.WithMaxWait(4*time.Second))
+	opts = append([]router.CallOption{router.WithModel(m), router.WithMaxWait(4 * time.Second)}, opts...)
 	call := router.NewCall("id", "POST", "h", "/x", "/x", http.Header{}, nil, opts...)
 	routed, err := routes.Apply(t.Context(), call)
 	if err != nil {
