acceptor: read once more before an idle connection is closed

A request whose bytes have arrived at a busy host that has not read them yet was thrown away without an answer, because its connection counted as idle for too long or was closed for a new one.

Cause: the phase was read, the lock released and the connection closed; the bytes in the socket were not seen.

Change: an idle connection expires. That wakes its read, which reads once more what the socket holds; the connection goes on if a request has arrived, and is closed by the server otherwise. One that is to be closed for another one counts again if it goes on. Connections that end while idle are counted (client_refusals, cause idle).

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -25,6 +25,7 @@
 	CauseConnections     Cause = "connections"      // refused: too many are open
 	CausePeerConnections Cause = "peer-connections" // refused by Limited: too many are open
 	CauseEvicted         Cause = "evicted"          // closed for a new connection: it waited without a complete request
+	CauseIdle            Cause = "idle"             // closed: no request came for too long
 	CauseHeaderBytes     Cause = "header-bytes"     // its header is too long
 	CauseHeaderMemory    Cause = "header-memory"    // the headers of all connections take too much memory
 	CauseHeaderTime      Cause = "header-timeout"   // its header did not arrive in time
@@ -134,12 +135,22 @@
 	a.conns[conn] = struct{}{}
 	a.mu.Unlock()
 	if evicted != nil {
-		evicted.shut()
+		if !evicted.expire(expiredEvicted) {
+			evicted.shut()
+		}
 		a.onClose(CauseEvicted)
 	}
 	return conn
 }
 
+// readmit counts a connection again that was to be closed for another one and on which a
+// request had arrived. There may be more connections than the limit until one of them ends.
+func (a *Acceptor) readmit(c *Conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conns[c] = struct{}{}
+}
+
 // leastNeeded returns the connection to close first: one whose response has been sent,
 // then the one that is idle for longest, then the one that is stalled for longest. It
 // requires mu. It looks at all connections, which happens only while too many are open.
@@ -175,13 +186,13 @@
 	}
 }
 
-// Run closes connections that are idle for too long, until ctx is done.
+// Run ends connections that are idle for too long, until ctx is done.
 func (a *Acceptor) Run(ctx context.Context) {
 	for sleeper.Sleep(ctx, checkInterval) == nil {
 		limit := a.limits.idleTime()
 		for _, c := range a.list() {
 			if phase, age := c.waiting(); phase == phaseIdle && age > limit {
-				_ = c.Close() // the server notices it
+				c.expire(expiredIdle)
 			}
 		}
 	}
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -36,6 +36,15 @@
 	}
 }
 
+// expiry is why an idle connection ends unless a request has arrived on it.
+type expiry int
+
+const (
+	notExpired     expiry = iota
+	expiredIdle           // no request came for too long
+	expiredEvicted        // another connection takes its place, so that it does not count any more
+)
+
 // Conn is a connection of a client. A nil Conn ignores all marks.
 type Conn struct {
 	net.Conn
@@ -50,6 +59,7 @@
 	headers     reserver.Share
 	headerEnd   time.Time // deadline of the header; zero outside phaseHeader
 	requested   time.Time // read deadline that the server has set
+	expiry      expiry
 	interrupted bool
 	closed      bool
 }
@@ -69,8 +79,14 @@
 	lingerTime = 500 * time.Millisecond
 	// answerTime bounds the writing of a refusal.
 	answerTime = 100 * time.Millisecond
+	// lastReadTime bounds the last read of an expired connection, which returns what the
+	// socket holds.
+	lastReadTime = 5 * time.Millisecond
 )
 
+// expiredDeadline is a read deadline that has passed.
+var expiredDeadline = time.Unix(1, 0)
+
 const (
 	answerTooLong  = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 	answerNoMemory = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -82,50 +98,94 @@
 		return 0, os.ErrDeadlineExceeded
 	}
 	n, err := c.Conn.Read(p)
+	if n == 0 {
+		n, err = c.readLast(p, err)
+	}
 	if n == 0 {
 		if c.headerExpired(err) {
 			c.acceptor.onClose(CauseHeaderTime)
 		}
 		return n, err //nolint:wrapcheck // http.Server checks the type
 	}
-	answer, cause := c.countRead(p[:n])
-	if answer == "" {
+	refusal, readmit := c.countRead(p[:n])
+	if readmit {
+		c.acceptor.readmit(c)
+	}
+	if refusal.answer == "" {
 		return n, err //nolint:wrapcheck // as above
 	}
 	// A bufio.Reader that has part of a line drops an error and reads again.
 	c.refused.Store(true)
-	c.acceptor.onClose(cause)
+	c.acceptor.onClose(refusal.cause)
 	c.Linger()
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(answerTime))
-	_, _ = io.WriteString(c.Conn, answer) // the client may be gone
-	return 0, os.ErrDeadlineExceeded      // on a timeout, http.Server sends no response of its own
+	_, _ = io.WriteString(c.Conn, refusal.answer) // the client may be gone
+	return 0, os.ErrDeadlineExceeded              // on a timeout, http.Server sends no response of its own
+}
+
+// expire makes an idle connection end, unless the bytes of a request have arrived that the
+// server has not read yet: a busy host reads them late. It reports false if the connection
+// is not idle.
+func (c *Conn) expire(why expiry) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != phaseIdle {
+		return false
+	}
+	c.expiry = max(c.expiry, why)               // an evicted connection stays so
+	_ = c.Conn.SetReadDeadline(expiredDeadline) // wakes the server's read
+	return true
+}
+
+// readLast reads what the socket of an expired connection holds. For other connections it
+// returns the error of the read before. The server closes the connection after a timeout.
+func (c *Conn) readLast(p []byte, err error) (int, error) {
+	c.mu.Lock()
+	why := c.expiry
+	c.mu.Unlock()
+	if why == notExpired || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return 0, err
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lastReadTime))
+	n, err := c.Conn.Read(p)
+	if n == 0 && why == expiredIdle {
+		c.acceptor.onClose(CauseIdle)
+	}
+	return n, err //nolint:wrapcheck // http.Server checks the type
+}
+
+// headerRefusal is the answer to a header that exceeds a limit.
+type headerRefusal struct {
+	answer string
+	cause  Cause
 }
 
-// countRead counts bytes of a header. It returns the answer to a header that exceeds a
-// limit.
-func (c *Conn) countRead(p []byte) (answer string, cause Cause) {
+// countRead counts bytes of a header. It returns the refusal of one that exceeds a limit, and
+// whether the bytes arrived on a connection that was to be closed for another one.
+func (c *Conn) countRead(p []byte) (r headerRefusal, readmit bool) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.since = now
 	if c.phase == phaseIdle {
-		c.phase, c.headerBytes, c.headerLines = phaseHeader, 0, 0
+		readmit = c.expiry == expiredEvicted
+		c.phase, c.headerBytes, c.headerLines, c.expiry = phaseHeader, 0, 0, notExpired
 		c.headerEnd = now.Add(c.acceptor.limits.headerTimeout())
 		_ = c.Conn.SetReadDeadline(earliest(c.requested, c.headerEnd))
 	}
 	if c.phase != phaseHeader {
-		return "", ""
+		return headerRefusal{}, readmit
 	}
 	c.headerBytes += len(p)
 	c.headerLines += bytes.Count(p, []byte("\n"))
 	if c.headerBytes > c.acceptor.limits.headerBytes()+headerSlack {
-		return answerTooLong, CauseHeaderBytes
+		return headerRefusal{answerTooLong, CauseHeaderBytes}, readmit
 	}
 	cost := int64(max(c.headerBytes*byteCost+c.headerLines*fieldCost-freeCost, 0))
 	if !c.headers.Grow(cost - c.headers.Held()) {
-		return answerNoMemory, CauseHeaderMemory
+		return headerRefusal{answerNoMemory, CauseHeaderMemory}, readmit
 	}
-	return "", ""
+	return headerRefusal{}, readmit
 }
 
 func (c *Conn) headerExpired(err error) bool {
@@ -139,7 +199,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requested = t
-	if c.interrupted {
+	if c.interrupted || c.expiry != notExpired {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(earliest(t, c.headerEnd)) //nolint:wrapcheck // of the embedded connection
@@ -212,7 +272,7 @@
 	defer c.mu.Unlock()
 	if c.phase == phaseBody {
 		c.interrupted = true
-		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		_ = c.Conn.SetReadDeadline(expiredDeadline)
 	}
 }
 
--- a/assembler/clients.go
+++ b/assembler/clients.go
@@ -34,7 +34,7 @@
 func newClientMetrics(scope tally.Scope) *clientMetrics {
 	return &clientMetrics{
 		refusals: meter.NewCounters(scope, "client_refusals", "cause", causeBodyBytes, causeBodyMemory, causeBodyTime,
-			string(acceptor.CauseConnections), string(acceptor.CausePeerConnections), string(acceptor.CauseEvicted),
+			string(acceptor.CauseConnections), string(acceptor.CausePeerConnections), string(acceptor.CauseEvicted), string(acceptor.CauseIdle),
 			string(acceptor.CauseHeaderBytes), string(acceptor.CauseHeaderMemory), string(acceptor.CauseHeaderTime)),
 		bodyBytes:   scope.Gauge("body_bytes_held"),
 		headerBytes: scope.Gauge("header_bytes_held"),
@@ -55,9 +55,13 @@
 	}
 }
 
-// recordConnection counts and logs a connection that was refused or closed.
+// recordConnection counts a connection that was refused or closed, and logs it unless it was
+// only idle, as most are in the end.
 func (h *Host) recordConnection(cause acceptor.Cause) {
 	h.clientMetrics.refusals.Inc(string(cause))
+	if cause == acceptor.CauseIdle {
+		return
+	}
 	h.log.Info("connection-refused", logger.With(logger.KeyReason, string(cause)))
 }
 
