acceptor, assembler: read once more before connections end in a stop

At the end of a planned stop, http.Server.Shutdown closes idle connections without a last read, so that a request that has arrived and was not read yet gets no answer.

Cause: the same as for connections that are idle for too long: a check and the close that depends on it are two steps.

TestRequestOnExpiredConnection has the case; it uses a method that is new.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -47,6 +47,8 @@
 
 const (
 	checkInterval = 500 * time.Millisecond
+	// expiryTime is how long the server has to notice that connections have expired.
+	expiryTime = 10 * lastReadTime
 	// stallTime is how long a client may pause within a request before its connection
 	// may be closed for another one. Packets that are lost once take less.
 	stallTime = time.Second
@@ -198,6 +200,16 @@
 	}
 }
 
+// ExpireIdle ends all idle connections and returns once the server has had time to read the
+// requests that had arrived on them. The Shutdown method of http.Server, which closes idle
+// connections without a last read, is to be called next.
+func (a *Acceptor) ExpireIdle(ctx context.Context) {
+	for _, c := range a.list() {
+		c.expire(expiredIdle)
+	}
+	_ = sleeper.Sleep(ctx, expiryTime) // Shutdown ends the rest
+}
+
 func (a *Acceptor) list() []*Conn {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/acceptor/expiry_test.go
+++ b/acceptor/expiry_test.go
@@ -55,25 +55,36 @@
 	return c.Conn.Close()
 }
 
+// expiryLimits are limits of one connection, which may be idle for a time.
+func expiryLimits(idle time.Duration) acceptor.Limits {
+	return acceptor.NewLimits(1, func() int { return 1000 }, func() time.Duration { return time.Minute }, func() time.Duration { return idle })
+}
+
 // Guards against a whole request that has arrived, and is thrown away without an answer,
-// because its connection counts as idle: too long, or for a new connection.
+// because its connection counts as idle: too long, for a new connection, or in a stop.
 func TestRequestOnExpiredConnection(t *testing.T) {
-	const connections = 1
-	for _, evict := range []bool{false, true} {
-		name := "idle"
-		if evict {
-			name = "evicted"
-		}
-		t.Run(name, func(t *testing.T) {
+	const arrivalTime = 50 * time.Millisecond
+	tests := []struct {
+		name   string
+		idle   time.Duration
+		expire func(address string, a *acceptor.Acceptor, s *http.Server) error
+	}{
+		{"idle for too long", 2 * arrivalTime, func(string, *acceptor.Acceptor, *http.Server) error { return nil }},
+		{"evicted", time.Minute, func(address string, _ *acceptor.Acceptor, _ *http.Server) error {
+			_, err := net.Dial("tcp", address)
+			return err
+		}},
+		{"the server stops", time.Minute, func(_ string, a *acceptor.Acceptor, s *http.Server) error {
+			a.ExpireIdle(t.Context())
+			return s.Shutdown(t.Context())
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			is.NoErr(err)
-			limit := 100 * time.Millisecond
-			if evict {
-				limit = time.Minute
-			}
-			limits := acceptor.NewLimits(connections, func() int { return 1000 }, func() time.Duration { return time.Minute }, func() time.Duration { return limit })
-			accept := acceptor.New(busyListener{l}, limits, reserver.New(200_000, 0, 0), func(acceptor.Cause) {})
+			accept := acceptor.New(busyListener{l}, expiryLimits(tt.idle), reserver.New(200_000, 0, 0), func(acceptor.Cause) {})
 			s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })}
 			accept.Attach(s)
 			go func() { _ = s.Serve(accept) }()
@@ -85,12 +96,8 @@
 			is.NoErr(conn.SetDeadline(time.Now().Add(10 * time.Second)))
 			answered := make(chan int, 1)
 			go func() { answered <- status(conn, request) }()
-			if evict {
-				time.Sleep(50 * time.Millisecond) // the request arrives
-				other, err := net.Dial("tcp", l.Addr().String())
-				is.NoErr(err)
-				defer func() { _ = other.Close() }()
-			}
+			time.Sleep(arrivalTime)
+			is.NoErr(tt.expire(l.Addr().String(), accept, s))
 			is.Equal(<-answered, http.StatusOK)
 		})
 	}
@@ -103,8 +110,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	causes := make(chan acceptor.Cause, 1)
-	limits := acceptor.NewLimits(10, func() int { return 1000 }, func() time.Duration { return time.Minute }, func() time.Duration { return 100 * time.Millisecond })
-	accept := acceptor.New(l, limits, reserver.New(200_000, 0, 0), func(c acceptor.Cause) { causes <- c })
+	accept := acceptor.New(l, expiryLimits(100*time.Millisecond), reserver.New(200_000, 0, 0), func(c acceptor.Cause) { causes <- c })
 	s := &http.Server{Handler: http.NotFoundHandler()}
 	accept.Attach(s)
 	go func() { _ = s.Serve(accept) }()
--- a/assembler/run.go
+++ b/assembler/run.go
@@ -253,6 +253,7 @@
 	cancel()
 	_ = sleeper.Sleep(ctx, acceptDuration-time.Since(start)) // ctx is not canceled before stop returns
 	h.frontEnd.CloseIntake()
+	h.callers.Load().ExpireIdle(ctx)
 	limited, cancel = context.WithTimeout(ctx, grace-time.Since(start))
 	defer cancel()
 	for _, s := range servers {
