router, assembler: keep the limits of replaced configurations for 5 s

A lower idle timeout, header timeout or size took effect at once, also for callers that still went by the configuration before, so that connections were closed which these callers could use.

Cause: the limits were read from the current table only.

Change: for 5 s after a change the loosest of the limits that were in force holds. Callers have 4 s to go by a new configuration.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -274,23 +274,6 @@
 	return nil
 }
 
-// maxBodyBytes returns the maximum size of a call's body: the limit of the
-// configuration, or that of the settings if the configuration has none.
-func (h *Host) maxBodyBytes() int64 {
-	if t := h.router.Current(); t != nil && t.Limits().BodyBytes() > 0 {
-		return t.Limits().BodyBytes()
-	}
-	return h.settings.Load().BodyBytes()
-}
-
-// idleTimeout returns how long a caller's connection may be idle.
-func (h *Host) idleTimeout() time.Duration {
-	if t := h.router.Current(); t != nil && t.Limits().IdleTimeout() > 0 {
-		return t.Limits().IdleTimeout()
-	}
-	return h.settings.Load().IdleTimeout()
-}
-
 // ready reports whether the host can serve calls.
 func (h *Host) ready() bool { return !h.draining.Load() && h.awaiter.Ready() }
 
--- a/assembler/capacity.go
+++ b/assembler/capacity.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"cmp"
 	"math"
 	"syscall"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/dragonflyford/dragonflyford/collector"
 	"github.com/dragonflyford/dragonflyford/configurer"
 	"github.com/dragonflyford/dragonflyford/reserver"
+	"github.com/dragonflyford/dragonflyford/router"
 )
 
 // capacity is what clients may take of the host's memory and descriptors. The rest of
@@ -85,20 +87,41 @@
 	return min(settings, process)
 }
 
+// loosest returns the largest value of a limit in the configurations that callers may go
+// by. Where one has no such limit, that of the settings counts.
+func loosest[T cmp.Ordered](h *Host, value func(router.Limits) T, unset T) T {
+	var none, largest T
+	for l := range h.router.RecentLimits() {
+		v := value(l)
+		if v <= none {
+			v = unset
+		}
+		largest = max(largest, v)
+	}
+	if largest == none {
+		return unset // no configuration is known yet
+	}
+	return largest
+}
+
+// maxBodyBytes returns the maximum size of a call's body.
+func (h *Host) maxBodyBytes() int64 {
+	return loosest(h, router.Limits.BodyBytes, h.settings.Load().BodyBytes())
+}
+
+// idleTimeout returns how long a caller's connection may be idle.
+func (h *Host) idleTimeout() time.Duration {
+	return loosest(h, router.Limits.IdleTimeout, h.settings.Load().IdleTimeout())
+}
+
 // headerBytes returns the maximum size of a call's header.
 func (h *Host) headerBytes() int {
-	if t := h.router.Current(); t != nil && t.Limits().HeaderBytes() > 0 {
-		return t.Limits().HeaderBytes()
-	}
-	return h.settings.Load().HeaderBytes()
+	return loosest(h, router.Limits.HeaderBytes, h.settings.Load().HeaderBytes())
 }
 
 // headerTimeout returns the time in which a call's header must arrive.
 func (h *Host) headerTimeout() time.Duration {
-	if t := h.router.Current(); t != nil && t.Limits().HeaderTimeout() > 0 {
-		return t.Limits().HeaderTimeout()
-	}
-	return h.settings.Load().ReadTimeout()
+	return loosest(h, router.Limits.HeaderTimeout, h.settings.Load().ReadTimeout())
 }
 
 // bodyLimits returns the limits on a call's body.
--- a/router/router.go
+++ b/router/router.go
@@ -67,8 +67,9 @@
 // Router is the stage of the request pipeline that assigns calls to routes. It is
 // safe for concurrent use.
 type Router struct {
-	current atomic.Pointer[Table]
-	mu      sync.Mutex // serialises Adopt
+	current  atomic.Pointer[Table]
+	replaced atomic.Pointer[[]replacedLimits] // the latest first
+	mu       sync.Mutex                       // serialises Adopt
 }
 
 // New returns a router without a routing table.
@@ -89,6 +90,9 @@
 	if old != nil && (len(old.workspaceByKey) > 0 || len(old.revokedKeys) > 0) {
 		t = t.succeeding(old)
 	}
+	if old != nil {
+		r.recordReplaced(old, t)
+	}
 	r.current.Store(t)
 	return true
 }
