acceptor: end connections in a stop as soon as they are idle

Change: once idle connections have expired, those that become idle expire at once, so that they end right after their response.

TestConnectionEndsWithResponseInStop fails before.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/reserver"
@@ -60,6 +61,8 @@
 	limits  Limits
 	headers *reserver.Reserver
 	onClose func(Cause)
+	// stopping is whether connections end as soon as they are idle.
+	stopping atomic.Bool
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -200,10 +203,12 @@
 	}
 }
 
-// ExpireIdle ends all idle connections and returns once the server has had time to read the
-// requests that had arrived on them. The Shutdown method of http.Server, which closes idle
-// connections without a last read, is to be called next.
+// ExpireIdle ends all idle connections, from now on also those that become idle, and returns
+// once the server has had time to read the requests that had arrived on them. The Shutdown
+// method of http.Server, which closes idle connections without a last read, is to be called
+// next.
 func (a *Acceptor) ExpireIdle(ctx context.Context) {
+	a.stopping.Store(true)
 	for _, c := range a.list() {
 		c.expire(expiredIdle)
 	}
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -240,6 +240,9 @@
 
 func (c *Conn) becomeIdle() {
 	c.enter(phaseIdle)
+	if c.acceptor.stopping.Load() {
+		c.expire(expiredIdle)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.headers.Release()
--- a/acceptor/expiry_test.go
+++ b/acceptor/expiry_test.go
@@ -126,3 +126,19 @@
 	is.Equal(<-causes, acceptor.CauseIdle)
 	is.Equal(accept.Open(), 0)
 }
+
+// Guards against a connection that becomes idle in a stop, and is closed later while its
+// client sends the next request on it.
+func TestConnectionEndsWithResponseInStop(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	conn := d.dial(t)
+	answered := make(chan int, 1)
+	go func() { answered <- status(conn, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n") }()
+	time.Sleep(slowAnswer / 3) // until the call is in progress
+	d.ExpireIdle(t.Context())
+	is.Equal(<-answered, http.StatusOK)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(slowAnswer)))
+	_, err := conn.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
