acceptor, platform, screener: split files that have grown

The front end, the connections of clients and the quarantine each held two concerns in one file: decoding of calls and outcomes move to platform/call.go and outcome.go, the expiry of idle connections to acceptor/expiry.go, parts in quarantine and their probes to screener/hold.go. The tests of expiry share their set-up. No code changes.

--- a/acceptor/expiry_test.go
+++ b/acceptor/expiry_test.go
@@ -55,9 +55,18 @@
 	return c.Conn.Close()
 }
 
-// expiryLimits are limits of one connection, which may be idle for a time.
-func expiryLimits(idle time.Duration) acceptor.Limits {
-	return acceptor.NewLimits(1, func() int { return 1000 }, func() time.Duration { return time.Minute }, func() time.Duration { return idle })
+// startServer starts a server behind an acceptor of one connection, which may be idle for a
+// time. It answers with "ok".
+func startServer(t *testing.T, l net.Listener, idle time.Duration, onClose func(acceptor.Cause)) (*acceptor.Acceptor, *http.Server) {
+	t.Helper()
+	limits := acceptor.NewLimits(1, func() int { return 1000 }, func() time.Duration { return time.Minute }, func() time.Duration { return idle })
+	accept := acceptor.New(l, limits, reserver.New(200_000, 0, 0), onClose)
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })}
+	accept.Attach(s)
+	go func() { _ = s.Serve(accept) }()
+	t.Cleanup(func() { _ = s.Close() })
+	go accept.Run(t.Context())
+	return accept, s
 }
 
 // Guards against a whole request that has arrived, and is thrown away without an answer,
@@ -84,12 +93,7 @@
 			is := is.New(t)
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			is.NoErr(err)
-			accept := acceptor.New(busyListener{l}, expiryLimits(tt.idle), reserver.New(200_000, 0, 0), func(acceptor.Cause) {})
-			s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })}
-			accept.Attach(s)
-			go func() { _ = s.Serve(accept) }()
-			defer func() { _ = s.Close() }()
-			go accept.Run(t.Context())
+			accept, s := startServer(t, busyListener{l}, tt.idle, func(acceptor.Cause) {})
 			conn, err := net.Dial("tcp", l.Addr().String())
 			is.NoErr(err)
 			defer func() { _ = conn.Close() }()
@@ -110,17 +114,12 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	causes := make(chan acceptor.Cause, 1)
-	accept := acceptor.New(l, expiryLimits(100*time.Millisecond), reserver.New(200_000, 0, 0), func(c acceptor.Cause) { causes <- c })
-	s := &http.Server{Handler: http.NotFoundHandler()}
-	accept.Attach(s)
-	go func() { _ = s.Serve(accept) }()
-	defer func() { _ = s.Close() }()
-	go accept.Run(t.Context())
+	accept, _ := startServer(t, l, 100*time.Millisecond, func(c acceptor.Cause) { causes <- c })
 	conn, err := net.Dial("tcp", l.Addr().String())
 	is.NoErr(err)
 	defer func() { _ = conn.Close() }()
 	is.NoErr(conn.SetDeadline(time.Now().Add(10 * time.Second)))
-	is.Equal(status(conn, request), http.StatusNotFound)
+	is.Equal(status(conn, request), http.StatusOK)
 	_, err = conn.Read(make([]byte, 1))
 	is.Equal(err, io.EOF)
 	is.Equal(<-causes, acceptor.CauseIdle)
--- a/screener/quarantine.go
+++ b/screener/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -20,86 +19,8 @@
 	quietInterval = 10 * time.Second
 	// maxLost limits the parts of lost calls that a host keeps.
 	maxLost = 4096
-	// A host that has sent a probe of a part sends the next one after probeInterval, which
-	// doubles with each up to maxProbeInterval: if the part is fatal, a probe costs an
-	// endpoint process.
-	probeInterval    = time.Second
-	maxProbeInterval = time.Minute
-	maxProbeShift    = 6 // doublings that exceed maxProbeInterval
-	// probeSpread is the time over which hosts that lost no call with a part begin to
-	// probe it, so that most of them learn the result of another host's probe before.
-	probeSpread = time.Second
 )
 
-// Hold is a part in quarantine.
-type Hold struct {
-	part       router.PromptPart
-	since      time.Time
-	lost       bool
-	refused    time.Time
-	signatures []quarantiner.Signature
-}
-
-// Part returns the part.
-func (h Hold) Part() router.PromptPart { return h.part }
-
-// Since returns when this host put the part in quarantine.
-func (h Hold) Since() time.Time { return h.since }
-
-// Lost reports whether this host lost a call with the part, so that it is one of the
-// few hosts that found it.
-func (h Hold) Lost() bool { return h.lost }
-
-// Refused returns when this host last refused a call with the part, or the zero time.
-func (h Hold) Refused() time.Time { return h.refused }
-
-// Signatures returns what calls look like that are refused because of the part.
-func (h Hold) Signatures() []quarantiner.Signature { return h.signatures }
-
-// heldPart is the part of a Hold that calls update.
-type heldPart struct {
-	since      time.Time
-	lost       bool
-	refused    atomic.Int64 // Unix nanoseconds; 0 for never
-	signatures atomic.Pointer[[]quarantiner.Signature]
-	probes     atomic.Int32 // probes that were sent
-	probeAt    atomic.Int64 // time of the next probe, Unix nanoseconds
-}
-
-func newHeldPart(now time.Time, lost bool) *heldPart {
-	h := &heldPart{since: now, lost: lost}
-	if !lost {
-		now = now.Add(rand.N(probeSpread))
-	}
-	h.probeAt.Store(now.UnixNano())
-	return h
-}
-
-// takeProbe reports whether a call with the part may be sent although the part is in
-// quarantine, as a probe: it matches no signature, and no other probe was sent lately.
-func (h *heldPart) takeProbe(prompt []router.PromptPart, now time.Time) bool {
-	for _, s := range *h.signatures.Load() {
-		if s.Matches(prompt) {
-			return false
-		}
-	}
-	at := h.probeAt.Load()
-	interval := min(probeInterval<<min(h.probes.Load(), maxProbeShift), maxProbeInterval)
-	if now.UnixNano() < at || !h.probeAt.CompareAndSwap(at, now.Add(interval).UnixNano()) {
-		return false
-	}
-	h.probes.Add(1)
-	return true
-}
-
-func (h *heldPart) hold(part router.PromptPart) Hold {
-	hold := Hold{part: part, since: h.since, lost: h.lost, signatures: *h.signatures.Load()}
-	if at := h.refused.Load(); at != 0 {
-		hold.refused = time.Unix(0, at)
-	}
-	return hold
-}
-
 // quarantine holds the parts whose calls are refused. Calls read its snapshots; the
 // rest requires the screener's mutex.
 type quarantine struct {
