--- a/screener/hold.go
+++ b/screener/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -65,14 +66,14 @@
 	return h
 }
 
-// takeProbe reports whether a call with the part may be sent although the part is in
-// quarantine, as a probe: it matches no signature, and no other probe was sent lately.
-func (h *heldPart) takeProbe(prompt []router.PromptPart, now time.Time) bool {
-	for _, s := range *h.signatures.Load() {
-		if s.Matches(prompt) {
-			return false
-		}
-	}
+// matches reports whether a call looks like those that crashed endpoints.
+func (h *heldPart) matches(prompt []router.PromptPart) bool {
+	return slices.ContainsFunc(*h.signatures.Load(), func(s quarantiner.Signature) bool { return s.Matches(prompt) })
+}
+
+// takeProbe reports whether a call with the part may be sent as a probe now. It returns true
+// to one caller at a time.
+func (h *heldPart) takeProbe(now time.Time) bool {
 	at := h.probeAt.Load()
 	interval := min(probeInterval<<min(h.probes.Load(), maxProbeShift), maxProbeInterval)
 	if now.UnixNano() < at || !h.probeAt.CompareAndSwap(at, now.Add(interval).UnixNano()) {
--- a/screener/quarantine.go
+++ b/screener/quarantine.go
@@ -43,8 +43,8 @@
 	return q
 }
 
-// check returns a fault if a part of the call's prompt is in quarantine, unless the call
-// is sent as a probe of that part.
+// check returns a fault if parts of the call's prompt are in quarantine, unless the call is
+// sent as a probe of them.
 func (q *quarantine) check(c *router.Call, log *logger.Logger) error {
 	held := *q.held.Load()
 	if len(held) == 0 {
@@ -53,16 +53,18 @@
 	now := time.Now()
 	prompt := c.SharedPromptParts()
 	var found []router.PromptPart
+	matches := false
 	for _, part := range prompt {
-		if held[part] != nil {
+		if h := held[part]; h != nil {
 			found = append(found, part)
+			matches = matches || h.matches(prompt)
 		}
 	}
 	if len(found) == 0 {
 		return nil
 	}
-	if len(found) == 1 && held[found[0]].takeProbe(prompt, now) {
-		log.Info("part-probed", logger.Request(c.ID()), logger.With(logger.KeyParts, found[0]))
+	if !matches && held[found[0]].takeProbe(now) {
+		log.Info("part-probed", logger.Request(c.ID()), logger.With(logger.KeyParts, found))
 		return nil
 	}
 	for _, part := range found {
--- a/screener/screener_test.go
+++ b/screener/screener_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/dragonflyford/dragonflyford/classifier"
 	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/quarantiner"
 	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/screener"
 )
@@ -181,3 +182,25 @@
 		is.Equal(sent, 6) // at 0, 1, 3, 7, 15 and 31 s
 	})
 }
+
+// Guards against two sound parts in quarantine that keep each other there, because no call
+// has only one of them.
+func TestProbeOfTwoParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := screener.New(logger.Nop())
+		s.Hold("first", []quarantiner.Signature{{"first", "dead"}})
+		s.Hold("last", []quarantiner.Signature{{"dead", "last"}})
+		time.Sleep(time.Second)
+		sound := routedWithParts(t, "first", "other", "last")
+		_, err := s.Apply(t.Context(), sound)
+		is.NoErr(err)
+		s.RecordOutput(sound.Call)
+		s.Judge()
+		is.Equal(len(s.Holds()), 1)
+		_, err = s.Apply(t.Context(), sound)
+		is.NoErr(err)
+		_, err = s.Apply(t.Context(), routedWithParts(t, "first", "dead", "last"))
+		is.True(err != nil)
+	})
+}
