allotter: let callers end before a test does

Cause: the harness waits 2 s after a test for messages on their way. A caller that was refused just before the end waits for up to a third of its time, which is 2 s as well, tries once more, and waits for the latency of that message: the stack shows such a caller in its draw.

Change: the harness waits for the whole time of a caller. No assertion changes; only virtual time passes.

--- a/allotter/harness_test.go
+++ b/allotter/harness_test.go
@@ -94,7 +94,9 @@
 		for _, h := range c.running() {
 			h.stop()
 		}
-		time.Sleep(2 * time.Second) // messages on their way end
+		// Messages on their way end, and callers, which wait for up to a third of this time
+		// and then find that the test is over.
+		time.Sleep(callerTimeout)
 	})
 	return c
 }
