--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -37,7 +37,7 @@
 // lost before their output began.
 type crash struct {
 	at        time.Time
-	outputs   int64 // that had begun at this host when it first heard of the crash
+	outputs   int64 // that had begun at this host when it first learned of the crash
 	prompts   [][]router.PromptPart
 	positions map[router.PromptPart]int // last position of each part that the crash counts against
 	released  []router.PromptPart       // parts that it no longer counts against
@@ -88,7 +88,7 @@
 
 // RecordLoss records that an endpoint process broke off under a call before the call's
 // output began. Prompt holds the parts that the call shares with others. Losses at other
-// hosts are heard of some time after at.
+// hosts become known some time after at.
 func (q *Quarantiner) RecordLoss(process string, prompt []router.PromptPart, at time.Time) {
 	if len(prompt) == 0 {
 		return
