--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -46,7 +46,7 @@
 // connection is closed.
 type serve func(w net.Conn, id string, n int) bool
 
-func newPeer(t *testing.T, s serve) (*peer, *tracker.Endpoint) {
+func newPeer(t testing.TB, s serve) (*peer, *tracker.Endpoint) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -83,7 +83,7 @@
 		p.mu.Lock()
 		p.calls = append(p.calls, id)
 		p.mu.Unlock()
-		if req.ContentLength < 1<<16 {
+		if req.ContentLength <= 1<<16 {
 			_, _ = io.Copy(io.Discard, req.Body)
 		}
 		if !s(c, id, n) {
