exchanger, transporter: require proof of ends that a reset may cause

Callers saw: a 200 without a length whose endpoint sent a part of the body and reset the connection, beside an upload that was still being written, reached them as a complete answer; on a route that streams, as a complete stream.

Cause: the kernel reports a reset of a connection once, to the read or to the write. If the write gets it, the read finds the end that a proper close leaves, which is all that ends a body without a length. net/http, under transporter, reads and writes concurrently in the same way, so that replies of plain services to `dragonflyford serve` were cut likewise.

Change: io.EOF ends a body without a length only once the call has been written without an error. exchanger waits for its write; transporter's connections return ErrEnd in place of io.EOF if the request could not be written, so that all clients of engines, services and stores have it. The wait ends with the call's context. The order of the two errors no longer matters, since either of them ends the answer.

--- /dev/null
+++ b/assembler/broken_test.go
@@ -0,0 +1,69 @@
+package assembler_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dragonflyford/dragonflyford/platform/emulator"
+)
+
+// newBrokenDeployment returns a running deployment of one host. Each kind of route leads to a
+// service with one endpoint, which answers calls with raw bytes.
+func newBrokenDeployment(t *testing.T, answer func(conn *net.TCPConn, id string)) (d *deployment, bad *emulator.Endpoint) {
+	t.Helper()
+	d = newDeployment(t)
+	bad = emulator.NewEndpoint("i-broken", emulator.NewServiceOptions(time.Millisecond))
+	bad.Inject(emulator.NewAnswersRaw(answer))
+	d.addEndpoint(bad, "broken")
+	d.store.Set("op", "config", []byte(`{"version":2,"routes":[
+		{"name":"stream","host":"h","prefix":"/stream/","route_type":"streaming","timeout_ms":3000,"target_latency_ms":1000,"service":"broken","max_attempts":1,"gap_aim_ms":300},
+		{"name":"resume","host":"h","prefix":"/resume/","route_type":"streaming","timeout_ms":3000,"target_latency_ms":1000,"service":"broken","max_attempts":2,"can_resume":true,"gap_aim_ms":300},
+		{"name":"once","host":"h","prefix":"/post/","route_type":"unsafe","timeout_ms":3000,"target_latency_ms":1000,"service":"broken","max_attempts":2},
+		{"name":"look","host":"h","prefix":"/look/","route_type":"safe","timeout_ms":3000,"target_latency_ms":1000,"service":"broken","max_attempts":2},
+		{"name":"sound","host":"h","prefix":"/sound/","route_type":"safe","timeout_ms":3000,"target_latency_ms":1000,"service":"ledger","max_attempts":2}],
+		"services":[{"name":"broken","max_conns":100},{"name":"ledger","max_conns":100}],"limits":{"max_body_bytes":4000000,"idle_timeout_ms":6000}}`))
+	d.start(hostA)
+	d.eventually(func() bool {
+		status, _, err := d.call(http.DefaultClient, hostA, fmt.Sprint("first", time.Now().UnixNano()), "/sound/x", "")
+		return status == http.StatusOK && err == nil
+	})
+	return d, bad
+}
+
+// upload sends a call with a body of 2 MB.
+func (d *deployment) upload(id, path string) (status int, body string, err error) {
+	const length = 2 << 20 // bytes
+	return d.send(http.DefaultClient, hostA, emulator.NewCall(id, "h", path, strings.Repeat("x", length), 5*time.Second, ""))
+}
+
+// Guards against the beginning of an answer that reaches a caller as the whole one, because
+// the endpoint reset the connection while it was still being sent the call.
+func TestResetBesideUpload(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d, bad := newBrokenDeployment(t, func(conn *net.TCPConn, id string) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+emulator.ResponseFields(id)+"\r\nid: 0\ndata: 0\n\n")
+		_ = conn.SetLinger(0)
+	})
+	for i, path := range []string{"/post/x", "/look/x", "/stream/x", "/resume/x"} {
+		for n := range 3 {
+			id := fmt.Sprint("reset-", i, "-", n)
+			status, body, err := d.upload(id, path)
+			t.Logf("%s: status %d, body %q, error %v", path, status, body, err)
+			if strings.HasPrefix(path, "/post") || strings.HasPrefix(path, "/look") {
+				is.NoErr(err)
+				is.Equal(status, http.StatusBadGateway)
+			} else {
+				is.True(err != nil || status == http.StatusBadGateway) // a stream whose head was sent is cut
+			}
+			is.True(bad.Runs()[id] <= 1 || !strings.HasPrefix(path, "/post"))
+		}
+	}
+}
--- a/exchanger/exchange.go
+++ b/exchanger/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/dragonflyford/dragonflyford/tracker"
+	"github.com/dragonflyford/dragonflyford/transporter"
 )
 
 const (
@@ -212,8 +213,9 @@
 		x.conn.refused = append(x.conn.refused, id)
 		x.closeAfter = x.closeAfter || len(x.conn.refused) >= maxRefused
 	}
-	a := NewAnswer(resp.StatusCode, resp.Header, meta, &body{exchange: x, inner: resp.Body}, resp.ContentLength)
-	if isUnframed(resp) {
+	unframed := isUnframed(resp)
+	a := NewAnswer(resp.StatusCode, resp.Header, meta, &body{exchange: x, inner: resp.Body, unframed: unframed}, resp.ContentLength)
+	if unframed {
 		a = a.AsUnframed()
 	}
 	a.roundTrip = time.Duration(x.pool.roundTrip.Load())
@@ -255,20 +257,43 @@
 	}
 }
 
+// awaitWrite waits until the write of the call has ended and returns its error. The write
+// ends at the latest with the context of the call.
+func (x *exchange) awaitWrite() error {
+	<-x.written
+	return x.writeErr
+}
+
 // body is the body of a response.
 type body struct {
 	exchange *exchange
 	inner    io.Reader
+	unframed bool // only the end of the connection ends it
 }
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.inner.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = b.checkEnd()
+	}
 	if err != nil {
 		b.exchange.finish(errors.Is(err, io.EOF))
 	}
 	return n, err
 }
 
+// checkEnd returns io.EOF if the body is complete. The kernel reports a reset of the
+// connection only once: if the write of the call gets it, the read finds a proper end.
+func (b *body) checkEnd() error {
+	if !b.unframed {
+		return io.EOF
+	}
+	if err := b.exchange.awaitWrite(); err != nil {
+		return fmt.Errorf("%w: %w", transporter.ErrEnd, err)
+	}
+	return io.EOF
+}
+
 // Close ends the exchange. It closes the connection unless the body was read to
 // its end.
 func (b *body) Close() error {
--- a/transporter/client.go
+++ b/transporter/client.go
@@ -41,7 +41,7 @@
 type Client struct {
 	scheme    string
 	address   string
-	transport *http.Transport
+	transport *Transport
 }
 
 // schemeHTTP is the only supported scheme, because writes are tracked on the
@@ -55,22 +55,16 @@
 	if before, after, ok := strings.Cut(address, "://"); ok {
 		scheme, address = before, strings.TrimSuffix(after, "/")
 	}
-	return &Client{scheme: scheme, address: address, transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-		// The head of a response is kept in memory.
-		MaxResponseHeaderBytes: maxResponseHead,
-	}}
+	return &Client{scheme: scheme, address: address, transport: newTransport(dialTracked)}
 }
 
-func dial(ctx context.Context, _, address string) (net.Conn, error) {
+// dialTracked opens a connection whose writes are recorded for the current request.
+func dialTracked(ctx context.Context, address string) (net.Conn, error) {
 	inner, err := Dial(ctx, address, unackedTimeout)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: inner}, nil
+	return &conn{checkedConn: newCheckedConn(inner)}, nil
 }
 
 // TCP keep-alive of idle connections. Nothing else shows that a peer has
--- /dev/null
+++ b/transporter/transport.go
@@ -0,0 +1,56 @@
+package transporter
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// Transport is an http.RoundTripper over plain TCP. Beyond net/http, it requires proof that
+// a response is complete which ends with its connection.
+type Transport struct{ inner *http.Transport }
+
+// NewTransport returns a transport.
+func NewTransport() *Transport {
+	return newTransport(func(ctx context.Context, address string) (net.Conn, error) {
+		inner, err := Dial(ctx, address, unackedTimeout)
+		if err != nil {
+			return nil, err
+		}
+		return newCheckedConn(inner), nil
+	})
+}
+
+// newTransport returns a transport whose connections embed a checkedConn.
+func newTransport(dial func(ctx context.Context, address string) (net.Conn, error)) *Transport {
+	return &Transport{inner: &http.Transport{
+		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+		// The head of a response is kept in memory.
+		MaxResponseHeaderBytes: maxResponseHead,
+	}}
+}
+
+// CloseIdleConnections closes the idle connections.
+func (t *Transport) CloseIdleConnections() { t.inner.CloseIdleConnections() }
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var bodies uploads
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(interface{ setUpload(*upload) }); ok {
+			c.setUpload(bodies.latest.Load())
+		}
+	}}
+	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+	bodies.track(r)
+	resp, err := t.inner.RoundTrip(r)
+	if err != nil {
+		return nil, fmt.Errorf("send request: %w", err)
+	}
+	return resp, nil
+}
