exchanger, transporter: reject statuses outside 100 to 599

Callers saw: after a head with status 000, the bytes that followed it as the answer: a 200 that was not the endpoint's, or a 503 that says not run for a call which had run. A status from 600 on reached them as it was.

Cause: net/http accepts each status of three digits, signs included, and exchanger skipped all heads with a status below 200 as interim ones. net/http's transport returns such heads as answers, and 101 too, which no request of ours asks for.

Change: each head that is read, also a skipped one, is checked by CheckHead. transporter closes the connection of a rejected response itself, because net/http keeps it for the next request if the response has no body.

Result: the tests pass; each call gets 502, is sent once, and its connection is not used again. Interim heads from 100 on are skipped as before.

--- a/assembler/broken_test.go
+++ b/assembler/broken_test.go
@@ -67,3 +67,43 @@
 		}
 	}
 }
+
+// Guards against an answer with a malformed head that reaches a caller, or that hides the
+// bytes of another answer which then does. The endpoint may have run the call.
+func TestMalformedHeads(t *testing.T) {
+	t.Parallel()
+	// sound returns a complete answer.
+	sound := func(id string) string { return string(emulator.ResponseHead(id, 3)) + "bad" }
+	const refusal = "HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\nRetry-After: 1\r\n"
+	tests := []struct {
+		name   string
+		answer func(id string) string
+	}{
+		{"status 000", func(id string) string {
+			return strings.Replace(sound(id), "200", "000", 1)
+		}},
+		{"status 000 before an answer", func(id string) string { return "HTTP/1.1 000 x\r\n\r\n" + sound(id) }},
+		{"status 099 before a refusal", func(id string) string {
+			return "HTTP/1.1 099 x\r\n\r\n" + refusal + emulator.ResponseFields(id) + "Content-Length: 0\r\n\r\n"
+		}},
+		{"status 600", func(id string) string { return strings.Replace(sound(id), "200", "600", 1) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d, bad := newBrokenDeployment(t, func(conn *net.TCPConn, id string) {
+				_, _ = io.WriteString(conn, tt.answer(id))
+				_, _ = io.Copy(io.Discard, conn)
+			})
+			for _, path := range []string{"/post/x", "/look/x", "/stream/x", "/resume/x"} {
+				id := strings.NewReplacer("/", "-", " ", "-").Replace(tt.name + path)
+				status, body, err := d.call(http.DefaultClient, hostA, id, path, "")
+				t.Logf("%s: status %d, body %q, error %v", path, status, body, err)
+				is.NoErr(err)
+				is.Equal(status, http.StatusBadGateway)
+				is.Equal(bad.Runs()[id], 1)
+			}
+		})
+	}
+}
--- a/exchanger/broken_test.go
+++ b/exchanger/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 
 	"github.com/dragonflyford/dragonflyford/exchanger"
 	"github.com/dragonflyford/dragonflyford/tracker"
+	"github.com/dragonflyford/dragonflyford/transporter"
 )
 
 // uploadLength is in bytes; such a body is still being written when an early answer is read.
@@ -115,3 +117,49 @@
 		})
 	}
 }
+
+// checkBroken makes two calls to an endpoint whose answer is broken. Both must fail, and
+// the connection of the first one must not be used again.
+func checkBroken(t *testing.T, answer string, want error) {
+	t.Helper()
+	is := is.New(t)
+	p, e := newPeer(t, func(w net.Conn, id string, _ int) bool {
+		return write(w, strings.ReplaceAll(answer, "ID", id))
+	})
+	c := exchanger.New(dialect{})
+	defer c.Close()
+	for i := range 2 {
+		got := do(t, c, e, fmt.Sprint("call-", i), "body")
+		t.Logf("error: %v", got.err)
+		is.True(got.err != nil)
+		is.True(got.sent)
+		if want != nil {
+			is.True(errors.Is(got.err, want))
+		}
+	}
+	conns, calls := p.counts()
+	is.Equal(conns, 2)
+	is.Equal(calls, 2) // a call is never sent twice
+	is.Equal(e.Outstanding(), 0)
+}
+
+// okAnswer is a complete answer, also to a call that another answer came before.
+const okAnswer = okHead + "Content-Length: 3\r\n\r\nbad"
+
+// Guards against an answer whose status is none, and against the bytes after it that are
+// taken for the answer.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "999", "-00", "+99", "0", "00", "0000", "2 0", "abc"} {
+		head := strings.Replace(okHead, "200 OK", status+" x", 1)
+		t.Run(status, func(t *testing.T) {
+			var want error
+			if len(status) == 3 && !strings.ContainsAny(status, " a") {
+				want = transporter.ErrStatus
+			}
+			checkBroken(t, head+"\r\n"+okAnswer, want)
+			checkBroken(t, head+"Content-Length: 3\r\n\r\nbad", want)
+			checkBroken(t, strings.Replace(head, "Id: ID\r\n", "", 1)+"\r\n"+okAnswer, want)
+			checkBroken(t, strings.Replace(head, "Id: ID", "Id: other", 1)+"Content-Length: 3\r\n\r\nbad"+okAnswer, want)
+		})
+	}
+}
--- a/exchanger/exchange.go
+++ b/exchanger/exchange.go
@@ -162,6 +162,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
+		if err := transporter.CheckHead(resp.StatusCode); err != nil {
+			return nil, fmt.Errorf("read response: %w", err)
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
--- a/transporter/broken_test.go
+++ b/transporter/broken_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -111,3 +112,51 @@
 		})
 	}
 }
+
+// newKeepingPeer starts a server that answers each request on its connections with the same
+// bytes, and counts its connections.
+func newKeepingPeer(t *testing.T, response string) (address string, conns *atomic.Int64) {
+	t.Helper()
+	conns = new(atomic.Int64)
+	address = newEarlyPeer(t, func(conn *net.TCPConn, req *http.Request) {
+		conns.Add(1)
+		r := bufio.NewReader(conn)
+		for err := error(nil); err == nil; req, err = http.ReadRequest(r) {
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(conn, response)
+		}
+	})
+	return address, conns
+}
+
+// checkBroken sends two requests to a server whose response is broken. Neither must have an
+// answer, and the connection of the first one must not be used again.
+func checkBroken(t *testing.T, response string, want error) {
+	t.Helper()
+	is := is.New(t)
+	address, conns := newKeepingPeer(t, response)
+	c := transporter.New(address)
+	defer c.Close()
+	for range 2 {
+		_, err := post(t, c, 1)
+		t.Logf("error: %v", err)
+		is.True(errors.Is(err, transporter.ErrNoAnswer))
+		is.True(want == nil || errors.Is(err, want))
+	}
+	is.Equal(conns.Load(), int64(2))
+}
+
+// Guards against a response whose status is none, or belongs to no final response.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101", "600", "999", "-00", "+99", "0", "0000", "abc"} {
+		t.Run(status, func(t *testing.T) {
+			var want error
+			if len(status) == 3 && status != "abc" { // net/http rejects the others
+				want = transporter.ErrStatus
+			}
+			checkBroken(t, "HTTP/1.1 "+status+" x\r\nContent-Length: 4\r\n\r\nbody", want)
+			checkBroken(t, "HTTP/1.1 "+status+" x\r\nContent-Length: 0\r\n\r\n", want)
+			checkBroken(t, "HTTP/1.1 "+status+" x\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", want)
+		})
+	}
+}
--- a/transporter/transport.go
+++ b/transporter/transport.go
@@ -8,8 +8,8 @@
 	"net/http/httptrace"
 )
 
-// Transport is an http.RoundTripper over plain TCP. Beyond net/http, it requires proof that
-// a response is complete which ends with its connection.
+// Transport is an http.RoundTripper over plain TCP. Beyond net/http, it rejects malformed
+// heads and requires proof that a response is complete which ends with its connection.
 type Transport struct{ inner *http.Transport }
 
 // NewTransport returns a transport.
@@ -41,7 +41,9 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var bodies uploads
+	var latest net.Conn // that the request was sent on
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		latest = info.Conn
 		if c, ok := info.Conn.(interface{ setUpload(*upload) }); ok {
 			c.setUpload(bodies.latest.Load())
 		}
@@ -52,5 +54,23 @@
 	if err != nil {
 		return nil, fmt.Errorf("send request: %w", err)
 	}
+	if err := checkFinalHead(resp); err != nil {
+		_ = resp.Body.Close()
+		_ = latest.Close() // net/http would use it again after a response without a body
+		return nil, fmt.Errorf("read response: %w", err)
+	}
 	return resp, nil
 }
+
+// checkFinalHead returns an error if the head of a response is malformed or an interim one.
+// net/http skips interim heads, but for one that switches the protocol, which no request
+// asks for.
+func checkFinalHead(resp *http.Response) error {
+	if err := CheckHead(resp.StatusCode); err != nil {
+		return err
+	}
+	if resp.StatusCode < http.StatusOK {
+		return fmt.Errorf("%w: %d is not final", ErrStatus, resp.StatusCode)
+	}
+	return nil
+}
