exchanger, transporter: reject heads and trailers with malformed field names

Callers saw: an answer with a blank in the name of a field, or before its colon, as a sound 200, or as a 503 that says not run for a call which may have run. If the field was Content-Length or Transfer-Encoding, the body was not the endpoint's, or the host waited for its end until the call's deadline.

Cause: net/http accepts blanks in names, as the only characters that are no token, and passes over such fields. A commit of rows counted as done, and an order as accepted, by such an answer.

Change: CheckHead checks the names of each head that is read, and CheckFields those of trailers, by golang.org/x/net/http/httpguts. transporter sees interim heads by a hook of net/http, which from then on does not bound their length, so that interimHeads does. In exchanger, a field that net/http itself rejects has the same error, ErrField, unless the head was cut off. Announced trailers, values and folded lines are as before (TestSoundHeads, which passes before and after).

Result: the tests pass.

--- a/assembler/broken_test.go
+++ b/assembler/broken_test.go
@@ -87,6 +87,15 @@
 			return "HTTP/1.1 099 x\r\n\r\n" + refusal + emulator.ResponseFields(id) + "Content-Length: 0\r\n\r\n"
 		}},
 		{"status 600", func(id string) string { return strings.Replace(sound(id), "200", "600", 1) }},
+		{"blank in a field name", func(id string) string { return strings.Replace(sound(id), "\r\n", "\r\nX Y: 1\r\n", 1) }},
+		{"blank before the colon", func(id string) string { return strings.Replace(sound(id), "Content-Length:", "Content-Length :", 1) }},
+		{"control byte in a field name", func(id string) string { return strings.Replace(sound(id), "\r\n", "\r\nX\x01Y: 1\r\n", 1) }},
+		{"blank in a field name of an interim head", func(id string) string {
+			return "HTTP/1.1 103 x\r\nX Y: 1\r\n\r\n" + sound(id)
+		}},
+		{"blank in a field name of a refusal", func(id string) string {
+			return refusal + "X Y: 1\r\n" + emulator.ResponseFields(id) + "Content-Length: 0\r\n\r\n"
+		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/exchanger/bound.go
+++ b/exchanger/bound.go
@@ -15,6 +15,7 @@
 	io.Reader
 	bounded bool
 	left    int
+	ended   bool // the connection ended or failed
 }
 
 // bound lets the reader return at most n bytes from now on.
@@ -24,13 +25,14 @@
 func (b *boundedReader) unbound() { b.bounded = false }
 
 func (b *boundedReader) Read(p []byte) (int, error) {
-	if !b.bounded {
-		return b.Reader.Read(p)
-	}
-	if b.left == 0 {
+	if b.bounded && b.left == 0 {
 		return 0, ErrTooLong
 	}
-	n, err := b.Reader.Read(p[:min(len(p), b.left)])
+	if b.bounded {
+		p = p[:min(len(p), b.left)]
+	}
+	n, err := b.Reader.Read(p)
 	b.left -= n
+	b.ended = b.ended || err != nil
 	return n, err
 }
--- a/exchanger/broken_test.go
+++ b/exchanger/broken_test.go
@@ -163,3 +163,77 @@
 		})
 	}
 }
+
+// Guards against an answer in whose head the name of a field is none: the line may be
+// another field that a proxy before the endpoint reads, such as the length of the body.
+func TestInvalidFieldName(t *testing.T) {
+	const (
+		ok      = "HTTP/1.1 200 OK\r\n"
+		fields  = "Id: ID\r\nSigned: 1\r\nContent-Length: 3\r\n"
+		chunked = "Id: ID\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n"
+	)
+	lines := []struct {
+		name string
+		line string
+	}{
+		{"blank inside", "X Y: 1\r\n"},
+		{"blank before the colon", "X-Y : 1\r\n"},
+		{"length with a blank before the colon", "Content-Length : 1\r\n"},
+		{"coding with a blank before the colon", "Transfer-Encoding : chunked\r\n"},
+		{"blanks only", "Connection: close\r\nX  : 1\r\n"},
+		{"tab inside", "X\tY: 1\r\n"},
+		{"tab before the colon", "X-Y\t: 1\r\n"},
+		{"control byte", "X\x01Y: 1\r\n"},
+		{"NUL byte", "X\x00Y: 1\r\n"},
+		{"delete byte", "X\x7fY: 1\r\n"},
+		{"carriage return", "X\rY: 1\r\n"},
+		{"no token character", "X(Y): 1\r\n"},
+		{"byte above ASCII", "X\xe9Y: 1\r\n"},
+		{"empty", ": 1\r\n"},
+	}
+	for _, tt := range lines {
+		answers := []struct{ name, text string }{
+			{"first in the head", ok + tt.line + fields + "\r\nbad"},
+			{"last in the head", ok + fields + tt.line + "\r\nbad"},
+			{"without a length", ok + tt.line + "Id: ID\r\nSigned: 1\r\n\r\nbad"},
+			{"interim head", "HTTP/1.1 103 Early Hints\r\n" + tt.line + "\r\n" + okAnswer},
+			{"answer to another call", ok + "Id: other\r\nSigned: 1\r\nContent-Length: 0\r\n" + tt.line + "\r\n" + okAnswer},
+			{"error", "HTTP/1.1 500 Error\r\n" + tt.line + fields + "\r\nbad"},
+			{"refusal", "HTTP/1.1 503 Unavailable\r\nRefused: 1\r\n" + tt.line + fields + "\r\nbad"},
+			{"trailer", ok + chunked + "\r\n3\r\nbad\r\n0\r\n" + tt.line + "\r\n"},
+		}
+		for _, a := range answers {
+			t.Run(tt.name+", "+a.name, func(t *testing.T) {
+				checkBroken(t, a.text, transporter.ErrField)
+			})
+		}
+	}
+}
+
+// Guards against sound answers that the checks of heads reject.
+func TestSoundHeads(t *testing.T) {
+	const allTokens = "!#$%&'*+-.^_`|~09azAZ"
+	tests := []struct{ name, text string }{
+		{"token characters", okHead + allTokens + ": 1\r\nContent-Length: 4\r\n\r\ngood"},
+		{"token characters in an interim head", "HTTP/1.1 103 Early Hints\r\n" + allTokens + ": 1\r\n\r\n" + okHead + "Content-Length: 4\r\n\r\ngood"},
+		{"token characters in a trailer", okHead + "Transfer-Encoding: chunked\r\nTrailer: X Y, Z\r\n\r\n4\r\ngood\r\n0\r\n" + allTokens + ": 1\r\n\r\n"},
+		{"several interim heads", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 199 x\r\n\r\n" + okHead + "Content-Length: 4\r\n\r\ngood"},
+		{"values", okHead + "X: a b\tc : \xe9\r\n folded\r\nY:\r\nContent-Length:4\r\n\r\ngood"},
+		{"highest status", strings.Replace(okHead, "200", "599", 1) + "Content-Length: 4\r\n\r\ngood"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			_, e := newPeer(t, func(w net.Conn, id string, _ int) bool {
+				return write(w, strings.ReplaceAll(tt.text, "ID", id))
+			})
+			c := exchanger.New(dialect{})
+			defer c.Close()
+			for i := range 2 {
+				got := do(t, c, e, fmt.Sprint("call-", i), "body")
+				is.NoErr(got.err)
+				is.Equal(got.body, "good")
+			}
+		})
+	}
+}
--- a/exchanger/exchange.go
+++ b/exchanger/exchange.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/textproto"
 	"net/url"
 	"sync"
 	"sync/atomic"
@@ -160,9 +161,9 @@
 	for range maxResponses {
 		resp, err := http.ReadResponse(x.conn.reader, req)
 		if err != nil {
-			return nil, fmt.Errorf("read response: %w", err)
+			return nil, fmt.Errorf("read response: %w", x.headError(err))
 		}
-		if err := transporter.CheckHead(resp.StatusCode); err != nil {
+		if err := transporter.CheckHead(resp.StatusCode, resp.Header); err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
 		if resp.StatusCode < http.StatusOK {
@@ -183,6 +184,25 @@
 	return nil, errWrongCall
 }
 
+// headError returns the error of a head that net/http could not read. A head that was cut
+// off may end inside a field and is not malformed.
+func (x *exchange) headError(err error) error {
+	if x.conn.source.ended {
+		return err
+	}
+	return wrapFieldError(err)
+}
+
+// wrapFieldError adds transporter.ErrField to an error of net/http that reports a malformed
+// field.
+func wrapFieldError(err error) error {
+	var malformed textproto.ProtocolError
+	if errors.As(err, &malformed) {
+		return fmt.Errorf("%w: %w", transporter.ErrField, err)
+	}
+	return err
+}
+
 // discardBody reads the body of a response to another call.
 func discardBody(resp *http.Response) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBody))
@@ -216,9 +236,8 @@
 		x.conn.refused = append(x.conn.refused, id)
 		x.closeAfter = x.closeAfter || len(x.conn.refused) >= maxRefused
 	}
-	unframed := isUnframed(resp)
-	a := NewAnswer(resp.StatusCode, resp.Header, meta, &body{exchange: x, inner: resp.Body, unframed: unframed}, resp.ContentLength)
-	if unframed {
+	a := NewAnswer(resp.StatusCode, resp.Header, meta, &body{exchange: x, response: resp}, resp.ContentLength)
+	if isUnframed(resp) {
 		a = a.AsUnframed()
 	}
 	a.roundTrip = time.Duration(x.pool.roundTrip.Load())
@@ -270,25 +289,30 @@
 // body is the body of a response.
 type body struct {
 	exchange *exchange
-	inner    io.Reader
-	unframed bool // only the end of the connection ends it
+	response *http.Response
 }
 
 func (b *body) Read(p []byte) (int, error) {
-	n, err := b.inner.Read(p)
-	if errors.Is(err, io.EOF) {
+	n, err := b.response.Body.Read(p)
+	switch {
+	case err == nil:
+		return n, nil
+	case errors.Is(err, io.EOF):
 		err = b.checkEnd()
+	default:
+		err = wrapFieldError(err)
 	}
-	if err != nil {
-		b.exchange.finish(errors.Is(err, io.EOF))
-	}
+	b.exchange.finish(errors.Is(err, io.EOF))
 	return n, err
 }
 
 // checkEnd returns io.EOF if the body is complete. The kernel reports a reset of the
 // connection only once: if the write of the call gets it, the read finds a proper end.
 func (b *body) checkEnd() error {
-	if !b.unframed {
+	if err := transporter.CheckFields(b.response.Trailer); err != nil {
+		return fmt.Errorf("read trailer: %w", err)
+	}
+	if !isUnframed(b.response) {
 		return io.EOF
 	}
 	if err := b.exchange.awaitWrite(); err != nil {
--- a/transporter/broken_test.go
+++ b/transporter/broken_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -48,7 +50,9 @@
 
 // post sends a request with a body of some bytes and returns the body of the response.
 func post(t *testing.T, c *transporter.Client, length int) (string, error) {
-	resp, err := c.Do(t.Context(), transporter.NewRequest(http.MethodPost, "/x", make([]byte, length)))
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	resp, err := c.Do(ctx, transporter.NewRequest(http.MethodPost, "/x", make([]byte, length)))
 	if err != nil {
 		return "", fmt.Errorf("send: %w", err)
 	}
@@ -160,3 +164,58 @@
 		})
 	}
 }
+
+// Guards against a response with a field whose name is none, in whose place another reader
+// may find the length of the body.
+func TestInvalidFieldName(t *testing.T) {
+	lines := []struct {
+		name, line string
+		want       error // nil if net/http rejects the line
+	}{
+		{"blank inside", "X Y: 1\r\n", transporter.ErrField},
+		{"blank before the colon", "X-Y : 1\r\n", transporter.ErrField},
+		{"length with a blank before the colon", "Content-Length : 1\r\n", transporter.ErrField},
+		{"coding with a blank before the colon", "Transfer-Encoding : chunked\r\n", transporter.ErrField},
+		{"tab inside", "X\tY: 1\r\n", nil},
+		{"control byte", "X\x01Y: 1\r\n", nil},
+		{"empty", ": 1\r\n", nil},
+	}
+	for _, tt := range lines {
+		responses := []struct{ name, text string }{
+			{"first in the head", "HTTP/1.1 200 OK\r\n" + tt.line + "Content-Length: 4\r\n\r\nbody"},
+			{"last in the head", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + tt.line + "\r\nbody"},
+			{"without a body", "HTTP/1.1 204 No Content\r\n" + tt.line + "\r\n"},
+			{"interim head", "HTTP/1.1 103 Early Hints\r\n" + tt.line + "\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"},
+			{"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + tt.line + "\r\n"},
+		}
+		for _, r := range responses {
+			t.Run(tt.name+", "+r.name, func(t *testing.T) { checkBroken(t, r.text, tt.want) })
+		}
+	}
+}
+
+// Guards against sound responses that the checks of heads reject.
+func TestSoundHeads(t *testing.T) {
+	const tokens = "!#$%&'*+-.^_`|~09azAZ: 1\r\n"
+	tests := []struct{ name, text string }{
+		{"token characters", "HTTP/1.1 200 OK\r\n" + tokens + "Content-Length: 4\r\n\r\ngood"},
+		{"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X Y, Z\r\n\r\n4\r\ngood\r\n0\r\n" + tokens + "\r\n"},
+		{"interim heads", strings.Repeat("HTTP/1.1 102 Processing\r\n"+tokens+"\r\n", 20) + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"},
+		{"values", "HTTP/1.1 200 OK\r\nX: a b\tc : \xe9\r\n folded\r\nY:\r\nContent-Length:4\r\n\r\ngood"},
+		{"highest status", "HTTP/1.1 599 x\r\nContent-Length: 4\r\n\r\ngood"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			address, conns := newKeepingPeer(t, tt.text)
+			c := transporter.New(address)
+			defer c.Close()
+			for range 2 {
+				body, err := post(t, c, 1)
+				is.NoErr(err)
+				is.Equal(body, "good")
+			}
+			is.Equal(conns.Load(), int64(1))
+		})
+	}
+}
--- a/transporter/transport.go
+++ b/transporter/transport.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
 )
 
 // Transport is an http.RoundTripper over plain TCP. Beyond net/http, it rejects malformed
@@ -41,13 +47,17 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var bodies uploads
+	var interim interimHeads
 	var latest net.Conn // that the request was sent on
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		latest = info.Conn
-		if c, ok := info.Conn.(interface{ setUpload(*upload) }); ok {
-			c.setUpload(bodies.latest.Load())
-		}
-	}}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			latest = info.Conn
+			if c, ok := info.Conn.(interface{ setUpload(*upload) }); ok {
+				c.setUpload(bodies.latest.Load())
+			}
+		},
+		Got1xxResponse: interim.add,
+	}
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	bodies.track(r)
 	resp, err := t.inner.RoundTrip(r)
@@ -59,6 +69,9 @@
 		_ = latest.Close() // net/http would use it again after a response without a body
 		return nil, fmt.Errorf("read response: %w", err)
 	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &trailedBody{ReadCloser: resp.Body, response: resp, conn: latest}
+	}
 	return resp, nil
 }
 
@@ -66,7 +79,7 @@
 // net/http skips interim heads, but for one that switches the protocol, which no request
 // asks for.
 func checkFinalHead(resp *http.Response) error {
-	if err := CheckHead(resp.StatusCode); err != nil {
+	if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
 		return err
 	}
 	if resp.StatusCode < http.StatusOK {
@@ -74,3 +87,46 @@
 	}
 	return nil
 }
+
+// interimHeads are the interim heads before a response. net/http bounds only those that it
+// reports to nobody.
+type interimHeads struct{ size atomic.Int64 }
+
+// add returns an error if a head is malformed or the heads are too long.
+func (h *interimHeads) add(status int, fields textproto.MIMEHeader) error {
+	if err := CheckHead(status, http.Header(fields)); err != nil {
+		return err
+	}
+	size := len("HTTP/1.1 100\r\n\r\n")
+	for name, values := range fields {
+		for _, v := range values {
+			size += len(name) + len(v) + len(":\r\n")
+		}
+	}
+	if h.size.Add(int64(size)) > maxResponseHead {
+		return errInterimHeads
+	}
+	return nil
+}
+
+var errInterimHeads = eris.New("interim heads of the response exceed the maximum length")
+
+// trailedBody is a response body that a trailer may follow. It ends with io.EOF only if the
+// trailer is well-formed.
+type trailedBody struct {
+	io.ReadCloser
+	response *http.Response
+	conn     net.Conn
+}
+
+func (b *trailedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if err := CheckFields(b.response.Trailer); err != nil {
+		_ = b.conn.Close() // net/http would use it again
+		return n, fmt.Errorf("read trailer: %w", err)
+	}
+	return n, io.EOF
+}
