relayer: count answers that break off in their bodies as failures

Callers saw: an endpoint that broke off a stream which cannot be resumed, or an answer longer than the buffer, went on to get calls like a sound one.

Cause: its answer counts as a success once its head is read. Only resumable streams recorded the loss when their bodies broke off afterwards.

Evidence: on TestBrokenBodyIsFailure fails for such streams and for long answers and errors; the failure rate of the endpoint stays 0.

Change: monitoredBody records the loss as resumer does, which includes the ejection for an event without end, and passedBody does so for bodies that are no streams. A line answer-lost tells of the latter.

Result: the test passes.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -8,6 +8,7 @@
 
 	"github.com/dragonflyford/dragonflyford/exchanger"
 	"github.com/dragonflyford/dragonflyford/logger"
+	"github.com/dragonflyford/dragonflyford/tracker"
 )
 
 // Answer is an endpoint's response to a call. Its body must be closed.
@@ -79,9 +80,29 @@
 // two seconds or more.
 const stallThreshold = 1500 * time.Millisecond
 
-// monitoredBody is the body of a stream that cannot be resumed. It fails if the stream
-// ends inside an event or an event exceeds the maximum size, and records a failure of the endpoint if it is closed while the
-// stream is stalled.
+// passedBody is a body that is passed on while it arrives and is no stream. It records the
+// loss if the body breaks off.
+type passedBody struct {
+	io.ReadCloser
+	call     *callState
+	endpoint *tracker.Endpoint
+	lost     bool
+}
+
+func (b *passedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == nil || errors.Is(err, io.EOF) || b.lost || b.call.ctx.Err() != nil {
+		return n, err
+	}
+	b.lost = true
+	b.call.logEvent("answer-lost", b.endpoint, logger.Err(err))
+	b.call.recordLoss(b.endpoint, err, false)
+	return n, err
+}
+
+// monitoredBody is the body of a stream that cannot be resumed. It fails if the stream ends
+// inside an event or an event exceeds the maximum size. It records the loss if the stream
+// breaks off, and a failure of the endpoint if it is closed while the stream is stalled.
 type monitoredBody struct {
 	io.ReadCloser
 	*pace
@@ -99,7 +120,6 @@
 	}
 	switch {
 	case err == nil && !b.lost && b.scanner.size > maxEvent:
-		b.endpoint.ConnectionFailed()
 		err = errEventTooLong
 	case err == nil || b.ended || b.lost:
 		return n, err
@@ -129,9 +149,7 @@
 		return
 	}
 	b.call.logEvent("stream-lost", b.endpoint, logger.With(logger.KeyCount, b.scanner.events), logger.Err(cause), b.call.promptParts())
-	if b.scanner.events == 0 && !endless(cause) {
-		b.call.recordCrash(b.endpoint)
-	}
+	b.call.recordLoss(b.endpoint, cause, b.scanner.events == 0)
 }
 
 func (b *monitoredBody) Close() error {
--- a/relayer/outcome.go
+++ b/relayer/outcome.go
@@ -59,7 +59,11 @@
 	if a.Status() < http.StatusMultipleChoices {
 		c.recordOutput()
 	}
-	return newAnswer(a, a.Body(), e.ID(), c.sends, streaming)
+	body := a.Body()
+	if !a.Buffered() {
+		body = &passedBody{ReadCloser: body, call: c, endpoint: e}
+	}
+	return newAnswer(a, body, e.ID(), c.sends, streaming)
 }
 
 // recordLoss records that a call was lost at an endpoint, and whether that was before its
--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,6 +16,7 @@
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/exchanger"
 	"github.com/dragonflyford/dragonflyford/router"
+	"github.com/dragonflyford/dragonflyford/transporter"
 )
 
 // eventData returns the data of all events of a stream.
@@ -251,6 +253,40 @@
 	}
 }
 
+// Guards against an endpoint that breaks an answer off in its body and counts as sound.
+func TestBrokenBodyIsFailure(t *testing.T) {
+	const longer = exchanger.MaxBuffered * 2 // bytes; such a body is passed on while it arrives
+	long := func(status int) endpointFunc {
+		return func(_ context.Context, out *exchanger.Outbound) (*exchanger.Answer, error) {
+			return answer(status, out, false, io.MultiReader(strings.NewReader(strings.Repeat("x", longer)), failing{transporter.ErrEnd}), -1), nil
+		}
+	}
+	tests := []struct {
+		name   string
+		kind   router.RepeatPolicy
+		answer endpointFunc
+	}{
+		{"stream", router.NewStream(false), streams(0, 1, transporter.ErrEnd)},
+		{"resumable stream", router.NewStream(true), streams(0, 1, transporter.ErrEnd)},
+		{"error in place of a stream", router.NewStream(false), long(404)},
+		{"long answer", router.AtMostOnce{}, long(200)},
+		{"long idempotent answer", router.Idempotent{}, long(200)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newHarness(map[string][]endpointFunc{"e1": {tt.answer}})
+			a, err := r.Apply(t.Context(), screenedCall(t, tt.kind, 1, connector.Model{}))
+			is.NoErr(err)
+			_, err = io.ReadAll(a.Body())
+			is.True(errors.Is(err, transporter.ErrEnd))
+			is.NoErr(a.Body().Close())
+			is.True(r.fleet.Current().Endpoint("e1").FailureRate() > 0)
+			is.Equal(r.breaks, 0) // its output had begun
+		})
+	}
+}
+
 // Guards against ending a stream because its endpoint pauses.
 func TestPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
