relayer: buffer errors on routes that stream

Callers saw: an error in place of a stream whose body broke off as a cut connection, where the host could have answered 502.

Cause: no answer on a route that streams was buffered, although an error is no stream.

Evidence: on TestBrokenErrorInPlaceOfStream fails: the call has an answer, of which only a part can be read.

Change: answers with a status from 400 on are buffered like those of other routes, up to MaxBuffered.

Result: the test passes.

--- a/relayer/send.go
+++ b/relayer/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"net/http"
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/exchanger"
@@ -92,7 +93,7 @@
 		return refused{answer}
 	}
 	c.sent[e], c.mayHaveRun = true, true
-	if _, streaming := c.call.Route().RepeatPolicy().(router.Stream); !streaming {
+	if _, streaming := c.call.Route().RepeatPolicy().(router.Stream); !streaming || answer.Status() >= http.StatusBadRequest {
 		if err := answer.Buffer(exchanger.MaxBuffered); err != nil {
 			return lost{err}
 		}
--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dragonflyford/dragonflyford/classifier"
 	"github.com/dragonflyford/dragonflyford/connector"
 	"github.com/dragonflyford/dragonflyford/exchanger"
 	"github.com/dragonflyford/dragonflyford/router"
@@ -287,6 +288,20 @@
 	}
 }
 
+// Guards against a short error in place of a stream of which a caller gets a part, although
+// the call can still be answered with one that the host knows to be whole.
+func TestBrokenErrorInPlaceOfStream(t *testing.T) {
+	for _, resumable := range []bool{true, false} {
+		is := is.New(t)
+		r := newHarness(map[string][]endpointFunc{"e1": {func(_ context.Context, out *exchanger.Outbound) (*exchanger.Answer, error) {
+			return answer(404, out, false, io.MultiReader(strings.NewReader("part"), failing{transporter.ErrEnd}), -1), nil
+		}}})
+		_, err := r.Apply(t.Context(), screenedCall(t, router.NewStream(resumable), 1, connector.Model{}))
+		is.True(err != nil)
+		is.Equal(classifier.Of(err).Outcome(), classifier.Unknown{})
+	}
+}
+
 // Guards against ending a stream because its endpoint pauses.
 func TestPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
