relayer: tell malformed answers from crashes, and name why an answer broke

Callers saw: a call whose endpoint answered with an invalid status or a malformed field got a crash mark, as if the endpoint had ended, and the endpoint got the next call, too. The log named the cause only within the text of an error.

Cause: only bytes without end were known to be no crash.

Change: the relayer treats malformed heads and trailers like bytes without end: the endpoint is ejected at once and the call gets no mark. A head that was cut off may still be a crash. Lines about lost sends, streams and answers have a reason: reset, status or field.

--- a/assembler/broken_test.go
+++ b/assembler/broken_test.go
@@ -43,6 +43,16 @@
 	return d.send(http.DefaultClient, hostA, emulator.NewCall(id, "h", path, strings.Repeat("x", length), 5*time.Second, ""))
 }
 
+// hasReason reports whether a log line of a call names a reason.
+func (d *deployment) hasReason(id, reason string) bool {
+	for _, line := range d.logs.lines(id) {
+		if line["reason"] == reason {
+			return true
+		}
+	}
+	return false
+}
+
 // Guards against the beginning of an answer that reaches a caller as the whole one, because
 // the endpoint reset the connection while it was still being sent the call.
 func TestResetBesideUpload(t *testing.T) {
@@ -64,6 +74,7 @@
 				is.True(err != nil || status == http.StatusBadGateway) // a stream whose head was sent is cut
 			}
 			is.True(bad.Runs()[id] <= 1 || !strings.HasPrefix(path, "/post"))
+			is.True(d.hasReason(id, "reset"))
 		}
 	}
 }
@@ -77,23 +88,24 @@
 	const refusal = "HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\nRetry-After: 1\r\n"
 	tests := []struct {
 		name   string
+		reason string // in the log
 		answer func(id string) string
 	}{
-		{"status 000", func(id string) string {
+		{"status 000", "status", func(id string) string {
 			return strings.Replace(sound(id), "200", "000", 1)
 		}},
-		{"status 000 before an answer", func(id string) string { return "HTTP/1.1 000 x\r\n\r\n" + sound(id) }},
-		{"status 099 before a refusal", func(id string) string {
+		{"status 000 before an answer", "status", func(id string) string { return "HTTP/1.1 000 x\r\n\r\n" + sound(id) }},
+		{"status 099 before a refusal", "status", func(id string) string {
 			return "HTTP/1.1 099 x\r\n\r\n" + refusal + emulator.ResponseFields(id) + "Content-Length: 0\r\n\r\n"
 		}},
-		{"status 600", func(id string) string { return strings.Replace(sound(id), "200", "600", 1) }},
-		{"blank in a field name", func(id string) string { return strings.Replace(sound(id), "\r\n", "\r\nX Y: 1\r\n", 1) }},
-		{"blank before the colon", func(id string) string { return strings.Replace(sound(id), "Content-Length:", "Content-Length :", 1) }},
-		{"control byte in a field name", func(id string) string { return strings.Replace(sound(id), "\r\n", "\r\nX\x01Y: 1\r\n", 1) }},
-		{"blank in a field name of an interim head", func(id string) string {
+		{"status 600", "status", func(id string) string { return strings.Replace(sound(id), "200", "600", 1) }},
+		{"blank in a field name", "field", func(id string) string { return strings.Replace(sound(id), "\r\n", "\r\nX Y: 1\r\n", 1) }},
+		{"blank before the colon", "field", func(id string) string { return strings.Replace(sound(id), "Content-Length:", "Content-Length :", 1) }},
+		{"control byte in a field name", "field", func(id string) string { return strings.Replace(sound(id), "\r\n", "\r\nX\x01Y: 1\r\n", 1) }},
+		{"blank in a field name of an interim head", "field", func(id string) string {
 			return "HTTP/1.1 103 x\r\nX Y: 1\r\n\r\n" + sound(id)
 		}},
-		{"blank in a field name of a refusal", func(id string) string {
+		{"blank in a field name of a refusal", "field", func(id string) string {
 			return refusal + "X Y: 1\r\n" + emulator.ResponseFields(id) + "Content-Length: 0\r\n\r\n"
 		}},
 	}
@@ -112,6 +124,7 @@
 				is.NoErr(err)
 				is.Equal(status, http.StatusBadGateway)
 				is.Equal(bad.Runs()[id], 1)
+				is.True(d.hasReason(id, tt.reason))
 			}
 		})
 	}
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -95,7 +95,7 @@
 		return n, err
 	}
 	b.lost = true
-	b.call.logEvent("answer-lost", b.endpoint, logger.Err(err))
+	b.call.logEvent("answer-lost", b.endpoint, logger.Err(err), lossReason(err))
 	b.call.recordLoss(b.endpoint, err, false)
 	return n, err
 }
@@ -148,7 +148,7 @@
 	if b.call.ctx.Err() != nil {
 		return
 	}
-	b.call.logEvent("stream-lost", b.endpoint, logger.With(logger.KeyCount, b.scanner.events), logger.Err(cause), b.call.promptParts())
+	b.call.logEvent("stream-lost", b.endpoint, logger.With(logger.KeyCount, b.scanner.events), logger.Err(cause), lossReason(cause), b.call.promptParts())
 	b.call.recordLoss(b.endpoint, cause, b.scanner.events == 0)
 }
 
--- a/relayer/callstate.go
+++ b/relayer/callstate.go
@@ -268,6 +268,6 @@
 	case unsent:
 		c.logEvent("send-not-made", e, append(fields, logger.Err(res.cause))...)
 	case lost:
-		c.logEvent("send-lost", e, append(fields, logger.Err(res.cause), c.promptParts())...)
+		c.logEvent("send-lost", e, append(fields, logger.Err(res.cause), lossReason(res.cause), c.promptParts())...)
 	}
 }
--- a/relayer/outcome.go
+++ b/relayer/outcome.go
@@ -10,10 +10,12 @@
 
 	"github.com/dragonflyford/dragonflyford/classifier"
 	"github.com/dragonflyford/dragonflyford/exchanger"
+	"github.com/dragonflyford/dragonflyford/logger"
 	"github.com/dragonflyford/dragonflyford/router"
 	"github.com/dragonflyford/dragonflyford/screener"
 	"github.com/dragonflyford/dragonflyford/sleeper"
 	"github.com/dragonflyford/dragonflyford/tracker"
+	"github.com/dragonflyford/dragonflyford/transporter"
 )
 
 const (
@@ -67,10 +69,10 @@
 }
 
 // recordLoss records that a call was lost at an endpoint, and whether that was before its
-// output began. An endpoint that sends bytes without end is ejected at once, because the
+// output began. An endpoint whose answer is malformed is ejected at once, because the
 // network cannot be the cause. It has not crashed, so that the call gets no crash mark.
 func (c *callState) recordLoss(e *tracker.Endpoint, cause error, beforeOutput bool) {
-	if endless(cause) {
+	if malformed(cause) {
 		e.ConnectionFailed()
 		return
 	}
@@ -80,9 +82,32 @@
 	}
 }
 
-// endless reports whether an endpoint sent a head or an event without end.
-func endless(cause error) bool {
-	return errors.Is(cause, exchanger.ErrTooLong) || errors.Is(cause, errEventTooLong)
+// malformed reports whether an endpoint sent bytes that are no answer, such as a head or an
+// event without end.
+func malformed(cause error) bool {
+	return errors.Is(cause, exchanger.ErrTooLong) || errors.Is(cause, errEventTooLong) ||
+		errors.Is(cause, transporter.ErrStatus) || errors.Is(cause, transporter.ErrField)
+}
+
+// Reasons why an answer is broken, in log lines.
+const (
+	reasonReset  = "reset" // the connection ended while the call was being written
+	reasonStatus = "status"
+	reasonField  = "field"
+)
+
+// lossReason is the log field that names in one word why an answer is broken. Other losses
+// have none.
+func lossReason(cause error) logger.Field {
+	switch {
+	case errors.Is(cause, transporter.ErrEnd):
+		return logger.With(logger.KeyReason, reasonReset)
+	case errors.Is(cause, transporter.ErrStatus):
+		return logger.With(logger.KeyReason, reasonStatus)
+	case errors.Is(cause, transporter.ErrField):
+		return logger.With(logger.KeyReason, reasonField)
+	}
+	return logger.Field{}
 }
 
 // recordCrash records that an endpoint broke off before the output of the call began.
--- a/relayer/resumer.go
+++ b/relayer/resumer.go
@@ -151,7 +151,7 @@
 	if r.lastID >= 0 {
 		c.lastEventID = strconv.FormatInt(r.lastID, 10)
 	}
-	c.logEvent("stream-broken", r.endpoint, logger.With(logger.KeyCount, r.lastID), logger.Err(cause), c.promptParts())
+	c.logEvent("stream-broken", r.endpoint, logger.With(logger.KeyCount, r.lastID), logger.Err(cause), lossReason(cause), c.promptParts())
 	answer, err := c.run()
 	if err != nil {
 		return errors.Join(cause, err)
--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -196,9 +196,17 @@
 	return answer(200, out, false, letters{new(int)}, -1), nil
 }
 
-// Guards against an endpoint that sends bytes without end and gets the next call, too.
-func TestEndlessIsEjected(t *testing.T) {
-	for _, f := range []endpointFunc{endlessHead, endlessEvent} {
+// malformedHead returns a function that fails as a malformed head does.
+func malformedHead(cause error) endpointFunc {
+	return func(context.Context, *exchanger.Outbound) (*exchanger.Answer, error) {
+		return nil, exchanger.NewCallError(true, fmt.Errorf("read response: %w", cause))
+	}
+}
+
+// Guards against an endpoint that sends bytes without end, or a malformed head, and gets the
+// next call, too.
+func TestMalformedIsEjected(t *testing.T) {
+	for _, f := range []endpointFunc{endlessHead, endlessEvent, malformedHead(transporter.ErrStatus), malformedHead(transporter.ErrField)} {
 		for _, resumable := range []bool{true, false} {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
@@ -237,6 +245,9 @@
 		{"head without end", router.NewStream(true), endlessHead, 0, 0},
 		{"event without end", router.NewStream(false), endlessEvent, 0, 0},
 		{"event without end, resumable", router.NewStream(true), endlessEvent, 0, 0},
+		{"invalid status", router.NewStream(false), malformedHead(transporter.ErrStatus), 0, 0},
+		{"malformed field", router.NewStream(true), malformedHead(transporter.ErrField), 0, 0},
+		{"end not proven", router.NewStream(false), streams(0, -1, transporter.ErrEnd), 1, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
