requester, commander: check the answers of nodes

Callers saw: the load tool and the demo counted a call as done by an answer with status 000, a blank in a field name, or an end that a reset had caused beside the upload.

Cause: they used net/http's transport, with the same leniency and the same end of a body without a length as in transporter before.

Change: requester and demonstrator use transporter.Transport; commander, which reads JSON documents over TLS, checks the heads.

--- a/commander/operators.go
+++ b/commander/operators.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/dragonflyford/dragonflyford/transporter"
 )
 
 // OperatorAddress is the URL of a node's operator listener.
@@ -139,6 +141,9 @@
 		return doc, fmt.Errorf("query node: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := transporter.CheckHead(resp.StatusCode, resp.Header); err != nil {
+		return doc, fmt.Errorf("query node: %w", err)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return doc, responseError(resp)
 	}
--- a/demonstrator/transport.go
+++ b/demonstrator/transport.go
@@ -6,17 +6,21 @@
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/sleeper"
+	"github.com/dragonflyford/dragonflyford/transporter"
 )
 
+// unackedTimeout is the time without an acknowledgement after which a node is unreachable.
+const unackedTimeout = 10 * time.Second
+
 // delayedTransport adds the one-way latency between callers and their data
 // centre to requests and to the start of responses.
 type delayedTransport struct {
-	http.Transport
+	*transporter.Transport
 	latency time.Duration
 }
 
 func newDelayedTransport(latency time.Duration) *delayedTransport {
-	return &delayedTransport{latency: latency}
+	return &delayedTransport{Transport: transporter.NewTransport(unackedTimeout), latency: latency}
 }
 
 // RoundTrip sends a request.
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -11,6 +11,7 @@
 
 	"github.com/dragonflyford/dragonflyford/classifier"
 	"github.com/dragonflyford/dragonflyford/sleeper"
+	"github.com/dragonflyford/dragonflyford/transporter"
 )
 
 // Requester sends requests on behalf of one caller.
@@ -34,12 +35,17 @@
 	return func(r *Requester) { r.http.Transport = t }
 }
 
-const defaultAttempts = 4
+const (
+	defaultAttempts = 4
+	// unackedTimeout is the time without an acknowledgement after which a node is
+	// unreachable.
+	unackedTimeout = 10 * time.Second
+)
 
 // New returns a requester that starts with the given entry addresses. The seed
 // determines the jitter between attempts.
 func New(caller string, entries []string, seed uint64, opts ...Option) *Requester {
-	client := &http.Client{}
+	client := &http.Client{Transport: transporter.NewTransport(unackedTimeout)}
 	r := &Requester{
 		directory: &directory{seeds: entries, http: client},
 		http:      client,
--- a/transporter/transport.go
+++ b/transporter/transport.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -18,10 +19,11 @@
 // heads and requires proof that a response is complete which ends with its connection.
 type Transport struct{ inner *http.Transport }
 
-// NewTransport returns a transport.
-func NewTransport() *Transport {
+// NewTransport returns a transport. Its connections break when data stays unacknowledged for
+// unackedTime.
+func NewTransport(unackedTime time.Duration) *Transport {
 	return newTransport(func(ctx context.Context, address string) (net.Conn, error) {
-		inner, err := Dial(ctx, address, unackedTimeout)
+		inner, err := Dial(ctx, address, unackedTime)
 		if err != nil {
 			return nil, err
 		}
