--- a/exchanger/broken_test.go
+++ b/exchanger/broken_test.go
@@ -1,7 +1,6 @@
 package exchanger_test
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dragonflyford/dragonflyford/emulator"
 	"github.com/dragonflyford/dragonflyford/exchanger"
 	"github.com/dragonflyford/dragonflyford/tracker"
 	"github.com/dragonflyford/dragonflyford/transporter"
@@ -22,30 +22,15 @@
 const uploadLength = 4 << 20
 
 // newEarlyPeer starts an endpoint that answers each call once its head has been read.
-// When answer returns, the connection is closed.
 func newEarlyPeer(t *testing.T, answer func(conn *net.TCPConn, req *http.Request)) *tracker.Endpoint {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := emulator.NewRawServer(answer)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					answer(conn.(*net.TCPConn), req)
-				}
-			}()
-		}
-	}()
+	t.Cleanup(server.Close)
 	fleet := tracker.New(nil)
-	fleet.Upsert(tracker.NewEntry("e1", "svc", l.Addr().String(), "z", 4, false, 1, nil))
+	fleet.Upsert(tracker.NewEntry("e1", "svc", server.Address(), "z", 4, false, 1, nil))
 	return fleet.Current().Endpoint("e1")
 }
 
--- a/requester/broken_test.go
+++ b/requester/broken_test.go
@@ -1,7 +1,6 @@
 package requester_test
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -12,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dragonflyford/dragonflyford/classifier"
+	"github.com/dragonflyford/dragonflyford/emulator"
 	"github.com/dragonflyford/dragonflyford/requester"
 )
 
@@ -19,33 +19,22 @@
 // If it resets the connection, it does so at once.
 func newRawNode(t *testing.T, answer string, resets bool) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := emulator.NewRawServer(func(conn *net.TCPConn, req *http.Request) {
+		if req.Method != http.MethodPost {
+			return // the request for the entry addresses
+		}
+		_, _ = io.WriteString(conn, answer)
+		if resets {
+			_ = conn.SetLinger(0)
+			return
+		}
+		_, _ = io.Copy(io.Discard, conn)
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				req, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil || req.Method != http.MethodPost {
-					return
-				}
-				_, _ = io.WriteString(conn, answer)
-				if resets {
-					_ = conn.(*net.TCPConn).SetLinger(0)
-					return
-				}
-				_, _ = io.Copy(io.Discard, conn)
-			}()
-		}
-	}()
-	return l.Addr().String()
+	t.Cleanup(server.Close)
+	return server.Address()
 }
 
 // Guards against a broken answer that counts as one of a call which is done.
--- a/transporter/broken_test.go
+++ b/transporter/broken_test.go
@@ -9,12 +9,12 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/dragonflyford/dragonflyford/emulator"
 	"github.com/dragonflyford/dragonflyford/transporter"
 )
 
@@ -22,30 +22,15 @@
 // read.
 const uploadLength = 4 << 20
 
-// newEarlyPeer starts a server that responds to each request once its head has been read.
-// When respond returns, the connection is closed.
-func newEarlyPeer(t *testing.T, respond func(conn *net.TCPConn, req *http.Request)) (address string) {
+// newRawServer starts a server that responds to each request once its head has been read.
+func newRawServer(t *testing.T, respond func(conn *net.TCPConn, req *http.Request)) *emulator.RawServer {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := emulator.NewRawServer(respond)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					respond(conn.(*net.TCPConn), req)
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
+	t.Cleanup(server.Close)
+	return server
 }
 
 // post sends a request with a body of some bytes and returns the body of the response.
@@ -74,10 +59,10 @@
 	for _, tt := range ends {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			c := transporter.New(newEarlyPeer(t, func(conn *net.TCPConn, _ *http.Request) {
+			c := transporter.New(newRawServer(t, func(conn *net.TCPConn, _ *http.Request) {
 				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
 				tt.end(conn)
-			}))
+			}).Address())
 			defer c.Close()
 			for range 10 {
 				_, err := post(t, c, uploadLength)
@@ -100,13 +85,13 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			c := transporter.New(newEarlyPeer(t, func(conn *net.TCPConn, req *http.Request) {
+			c := transporter.New(newRawServer(t, func(conn *net.TCPConn, req *http.Request) {
 				_, _ = io.CopyN(io.Discard, req.Body, uploadLength/4)
 				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\ngood")
 				tt.after(conn)
 				time.Sleep(20 * time.Millisecond) // the response is read before the rest of the request
 				_, _ = io.Copy(io.Discard, req.Body)
-			}))
+			}).Address())
 			defer c.Close()
 			for range 3 {
 				body, err := post(t, c, uploadLength)
@@ -117,20 +102,17 @@
 	}
 }
 
-// newKeepingPeer starts a server that answers each request on its connections with the same
-// bytes, and counts its connections.
-func newKeepingPeer(t *testing.T, response string) (address string, conns *atomic.Int64) {
+// newKeepingServer starts a server that answers each request on its connections with the
+// same bytes.
+func newKeepingServer(t *testing.T, response string) *emulator.RawServer {
 	t.Helper()
-	conns = new(atomic.Int64)
-	address = newEarlyPeer(t, func(conn *net.TCPConn, req *http.Request) {
-		conns.Add(1)
+	return newRawServer(t, func(conn *net.TCPConn, req *http.Request) {
 		r := bufio.NewReader(conn)
 		for err := error(nil); err == nil; req, err = http.ReadRequest(r) {
 			_, _ = io.Copy(io.Discard, req.Body)
 			_, _ = io.WriteString(conn, response)
 		}
 	})
-	return address, conns
 }
 
 // checkBroken sends two requests to a server whose response is broken. Neither must have an
@@ -138,8 +120,8 @@
 func checkBroken(t *testing.T, response string, want error) {
 	t.Helper()
 	is := is.New(t)
-	address, conns := newKeepingPeer(t, response)
-	c := transporter.New(address)
+	server := newKeepingServer(t, response)
+	c := transporter.New(server.Address())
 	defer c.Close()
 	for range 2 {
 		_, err := post(t, c, 1)
@@ -147,7 +129,7 @@
 		is.True(errors.Is(err, transporter.ErrNoAnswer))
 		is.True(want == nil || errors.Is(err, want))
 	}
-	is.Equal(conns.Load(), int64(2))
+	is.Equal(server.Connections(), 2)
 }
 
 // Guards against a response whose status is none, or belongs to no final response.
@@ -207,15 +189,15 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			address, conns := newKeepingPeer(t, tt.text)
-			c := transporter.New(address)
+			server := newKeepingServer(t, tt.text)
+			c := transporter.New(server.Address())
 			defer c.Close()
 			for range 2 {
 				body, err := post(t, c, 1)
 				is.NoErr(err)
 				is.Equal(body, "good")
 			}
-			is.Equal(conns.Load(), int64(1))
+			is.Equal(server.Connections(), 1)
 		})
 	}
 }
