exchanger: check the trailers of skipped answers

Callers saw: nothing yet; found by looking for the same cause.

Cause: an answer to another call whose trailer is malformed was skipped like a sound one, and what follows it taken for the answer.

Evidence: the new case of TestInvalidFieldName fails before: without an error for lines with a blank, without ErrField for the others.

Change: discardBody checks the trailer like the body of an answer does.

Result: the test passes.

--- a/exchanger/broken_test.go
+++ b/exchanger/broken_test.go
@@ -185,6 +185,7 @@
 			{"answer to another call", ok + "Id: other\r\nSigned: 1\r\nContent-Length: 0\r\n" + tt.line + "\r\n" + okAnswer},
 			{"error", "HTTP/1.1 500 Error\r\n" + tt.line + fields + "\r\nbad"},
 			{"refusal", "HTTP/1.1 503 Unavailable\r\nRefused: 1\r\n" + tt.line + fields + "\r\nbad"},
+			{"trailer of an answer to another call", ok + "Id: other\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + tt.line + "\r\n" + okAnswer},
 			{"trailer", ok + chunked + "\r\n3\r\nbad\r\n0\r\n" + tt.line + "\r\n"},
 		}
 		for _, a := range answers {
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -84,11 +84,20 @@
 func discardBody(resp *http.Response) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBody))
 	if err != nil {
-		return fmt.Errorf("%w: %w", errWrongCall, err)
+		return fmt.Errorf("%w: %w", errWrongCall, wrapFieldError(err))
 	}
 	if n == maxSkippedBody || isUnframed(resp) {
 		return errWrongCall // too long, or delimited only by the end of the connection
 	}
+	return checkTrailer(resp)
+}
+
+// checkTrailer returns an error if the trailer of a response that was read to its end is
+// malformed.
+func checkTrailer(resp *http.Response) error {
+	if err := transporter.CheckFields(resp.Trailer); err != nil {
+		return fmt.Errorf("read trailer: %w", err)
+	}
 	return nil
 }
 
@@ -144,8 +153,8 @@
 // checkEnd returns io.EOF if the body is complete. The kernel reports a reset of the
 // connection only once: if the write of the call gets it, the read finds a proper end.
 func (b *body) checkEnd() error {
-	if err := transporter.CheckFields(b.response.Trailer); err != nil {
-		return fmt.Errorf("read trailer: %w", err)
+	if err := checkTrailer(b.response); err != nil {
+		return err
 	}
 	if !isUnframed(b.response) {
 		return io.EOF
