transporter: wait for the write that net/http reports, reject 101 at once

A head with status 101 was skipped by exchanger like an interim one, though what follows it is another protocol, for which no call asks. The new case of TestInvalidStatus fails before. CheckHead rejects it for both packages.

--- a/exchanger/broken_test.go
+++ b/exchanger/broken_test.go
@@ -134,7 +134,7 @@
 // Guards against an answer whose status is none, and against the bytes after it that are
 // taken for the answer.
 func TestInvalidStatus(t *testing.T) {
-	for _, status := range []string{"000", "001", "099", "600", "999", "-00", "+99", "0", "00", "0000", "2 0", "abc"} {
+	for _, status := range []string{"000", "001", "099", "101", "600", "999", "-00", "+99", "0", "00", "0000", "2 0", "abc"} {
 		head := strings.Replace(okHead, "200 OK", status+" x", 1)
 		t.Run(status, func(t *testing.T) {
 			var want error
--- a/transporter/head.go
+++ b/transporter/head.go
@@ -31,8 +31,11 @@
 // CheckHead returns an error if a head of a response, which may be an interim one, is
 // malformed. net/http accepts each status of three digits.
 func CheckHead(status int, fields http.Header) error {
-	if status < minStatus || status > maxStatus {
+	switch {
+	case status < minStatus || status > maxStatus:
 		return fmt.Errorf("%w: %03d is not from %d to %d", ErrStatus, status, minStatus, maxStatus)
+	case status == http.StatusSwitchingProtocols:
+		return fmt.Errorf("%w: %d, and the request did not ask for another protocol", ErrStatus, status)
 	}
 	return CheckFields(fields)
 }
--- a/transporter/transport.go
+++ b/transporter/transport.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -48,46 +49,62 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	var bodies uploads
 	var interim interimHeads
-	var latest net.Conn // that the request was sent on
-	trace := &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			latest = info.Conn
-			if c, ok := info.Conn.(interface{ setUpload(*upload) }); ok {
-				c.setUpload(bodies.latest.Load())
-			}
-		},
+	var sent sentOn
+	r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn:        func(info httptrace.GotConnInfo) { sent.begin(info.Conn) },
+		WroteRequest:   func(httptrace.WroteRequestInfo) { sent.end() },
 		Got1xxResponse: interim.add,
-	}
-	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
-	bodies.track(r)
+	}))
 	resp, err := t.inner.RoundTrip(r)
 	if err != nil {
 		return nil, fmt.Errorf("send request: %w", err)
 	}
-	if err := checkFinalHead(resp); err != nil {
+	if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
 		_ = resp.Body.Close()
-		_ = latest.Close() // net/http would use it again after a response without a body
+		sent.close()
 		return nil, fmt.Errorf("read response: %w", err)
 	}
 	if len(resp.TransferEncoding) > 0 {
-		resp.Body = &trailedBody{ReadCloser: resp.Body, response: resp, conn: latest}
+		resp.Body = &trailedBody{ReadCloser: resp.Body, response: resp, sent: &sent}
 	}
 	return resp, nil
 }
 
-// checkFinalHead returns an error if the head of a response is malformed or an interim one.
-// net/http skips interim heads, but for one that switches the protocol, which no request
-// asks for.
-func checkFinalHead(resp *http.Response) error {
-	if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
-		return err
+// sentOn is the connection that a request was sent on, and the write of the request there.
+// net/http may send it again on another connection, and report the end of an earlier write
+// late. This only shortens a wait, as each connection keeps the error of its own writes.
+type sentOn struct {
+	mu    sync.Mutex
+	conn  net.Conn
+	write *requestWrite
+}
+
+func (s *sentOn) begin(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conn, s.write = conn, newRequestWrite()
+	if c, ok := conn.(interface{ beginRequest(*requestWrite) }); ok {
+		c.beginRequest(s.write)
 	}
-	if resp.StatusCode < http.StatusOK {
-		return fmt.Errorf("%w: %d is not final", ErrStatus, resp.StatusCode)
+}
+
+func (s *sentOn) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.write != nil {
+		s.write.end()
+	}
+}
+
+// close closes the connection after a malformed response. net/http may hold it ready for
+// the next request already.
+func (s *sentOn) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil {
+		_ = s.conn.Close()
 	}
-	return nil
 }
 
 // interimHeads are the interim heads before a response. net/http bounds only those that it
@@ -118,7 +135,7 @@
 type trailedBody struct {
 	io.ReadCloser
 	response *http.Response
-	conn     net.Conn
+	sent     *sentOn
 }
 
 func (b *trailedBody) Read(p []byte) (int, error) {
@@ -127,7 +144,7 @@
 		return n, err
 	}
 	if err := CheckFields(b.response.Trailer); err != nil {
-		_ = b.conn.Close() // net/http would use it again
+		b.sent.close()
 		return n, fmt.Errorf("read trailer: %w", err)
 	}
 	return n, io.EOF
