relayer: name a reset in the log whichever way the host learns of it

Cause: beside load the read of an answer often gets the reset before the write does. The loss was recorded, but its line had no reason.

Evidence: TestResetBesideUpload of assembler failed at the reason in one or more of 5 runs beside 6 busy processes, after calls that got their 502.

Result: TestResetBesideUpload and TestMalformedHeads pass in 12 of 12 runs beside 8 busy processes, with the race detector.

--- a/relayer/outcome.go
+++ b/relayer/outcome.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/dragonflyford/dragonflyford/classifier"
@@ -91,7 +92,7 @@
 
 // Reasons why an answer is broken, in log lines.
 const (
-	reasonReset  = "reset" // the connection ended while the call was being written
+	reasonReset  = "reset" // also an end that a reset may have caused
 	reasonStatus = "status"
 	reasonField  = "field"
 )
@@ -100,7 +101,7 @@
 // have none.
 func lossReason(cause error) logger.Field {
 	switch {
-	case errors.Is(cause, transporter.ErrEnd):
+	case errors.Is(cause, transporter.ErrEnd), errors.Is(cause, syscall.ECONNRESET):
 		return logger.With(logger.KeyReason, reasonReset)
 	case errors.Is(cause, transporter.ErrStatus):
 		return logger.With(logger.KeyReason, reasonStatus)
