relayer: do not read refusals that end with their connection

Callers saw: nothing yet. A refusal without a length beside an upload now waits for the end of the upload, as its end alone proves nothing.

Cause: the body of a refusal is read so that its connection can be used again, which a body without a length never allows. What says that the call did not run is the head.

Evidence: TestRefusalWithoutEnd takes 4 s, the time of the call, without the change, and none with it.

--- a/relayer/outcome.go
+++ b/relayer/outcome.go
@@ -140,9 +140,11 @@
 }
 
 // discard closes a response. It reads a short body to its end first, so that the
-// connection can be reused.
+// connection can be reused, unless the connection ends with the body.
 func discard(a *exchanger.Answer) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body(), maxDiscard)) // best effort; the body is closed below
+	if !a.Unframed() {
+		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body(), maxDiscard)) // best effort; the body is closed below
+	}
 	_ = a.Body().Close()
 }
 
--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -265,7 +265,7 @@
 	}
 }
 
-// Guards against an endpoint that breaks an answer off in its body and counts as sound.
+// Guards against an endpoint that truncates the bodies of its answers and counts as sound.
 func TestBrokenBodyIsFailure(t *testing.T) {
 	const longer = exchanger.MaxBuffered * 2 // bytes; such a body is passed on while it arrives
 	long := func(status int) endpointFunc {
@@ -313,6 +313,23 @@
 	}
 }
 
+// Guards against a refusal without a length that delays its call until the connection ends,
+// although no other call can use that connection.
+func TestRefusalWithoutEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newHarness(map[string][]endpointFunc{"e1": {func(ctx context.Context, out *exchanger.Outbound) (*exchanger.Answer, error) {
+			pipe, w := io.Pipe()
+			context.AfterFunc(ctx, func() { _ = w.CloseWithError(ctx.Err()) })
+			return answer(503, out, true, pipe, -1).AsUnframed(), nil
+		}}})
+		began := time.Now()
+		_, err := r.Apply(t.Context(), screenedCall(t, router.AtMostOnce{}, 1, connector.Model{}))
+		is.Equal(classifier.Of(err).Outcome(), classifier.NotRun{})
+		is.Equal(time.Since(began), time.Duration(0))
+	})
+}
+
 // Guards against ending a stream because its endpoint pauses.
 func TestPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
