--- a/assembler/broken_test.go
+++ b/assembler/broken_test.go
@@ -85,7 +85,6 @@
 	t.Parallel()
 	// sound returns a complete answer.
 	sound := func(id string) string { return string(emulator.ResponseHead(id, 3)) + "bad" }
-	const refusal = "HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\nRetry-After: 1\r\n"
 	tests := []struct {
 		name   string
 		reason string // in the log
@@ -96,7 +95,7 @@
 		}},
 		{"status 000 before an answer", "status", func(id string) string { return "HTTP/1.1 000 x\r\n\r\n" + sound(id) }},
 		{"status 099 before a refusal", "status", func(id string) string {
-			return "HTTP/1.1 099 x\r\n\r\n" + refusal + emulator.ResponseFields(id) + "Content-Length: 0\r\n\r\n"
+			return "HTTP/1.1 099 x\r\n\r\n" + emulator.RefusalHead(id) + "Content-Length: 0\r\n\r\n"
 		}},
 		{"status 600", "status", func(id string) string { return strings.Replace(sound(id), "200", "600", 1) }},
 		{"blank in a field name", "field", func(id string) string { return strings.Replace(sound(id), "\r\n", "\r\nX Y: 1\r\n", 1) }},
@@ -106,7 +105,7 @@
 			return "HTTP/1.1 103 x\r\nX Y: 1\r\n\r\n" + sound(id)
 		}},
 		{"blank in a field name of a refusal", "field", func(id string) string {
-			return refusal + "X Y: 1\r\n" + emulator.ResponseFields(id) + "Content-Length: 0\r\n\r\n"
+			return emulator.RefusalHead(id) + "X Y: 1\r\nContent-Length: 0\r\n\r\n"
 		}},
 	}
 	for _, tt := range tests {
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -81,7 +81,7 @@
 const stallThreshold = 1500 * time.Millisecond
 
 // passedBody is a body that is passed on while it arrives and is no stream. It records the
-// loss if the body breaks off.
+// loss if the body is truncated.
 type passedBody struct {
 	io.ReadCloser
 	call     *callState
@@ -102,7 +102,7 @@
 
 // monitoredBody is the body of a stream that cannot be resumed. It fails if the stream ends
 // inside an event or an event exceeds the maximum size. It records the loss if the stream
-// breaks off, and a failure of the endpoint if it is closed while the stream is stalled.
+// is truncated, and a failure of the endpoint if it is closed while the stream is stalled.
 type monitoredBody struct {
 	io.ReadCloser
 	*pace
