--- a/relayer/broken_test.go
+++ b/relayer/broken_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -160,3 +161,28 @@
 		is.Equal(time.Since(began), time.Duration(0))
 	})
 }
+
+// Guards against an answer that the front end cannot encode, and whose caller gets neither it
+// nor another answer.
+func TestMalformedAnswerAtFrontEnd(t *testing.T) {
+	tests := []struct {
+		name   string
+		status int
+		header http.Header
+	}{
+		{"status 0", 0, nil},
+		{"status 99", 99, nil},
+		{"status 600", 600, nil},
+		{"blank in a field name", 200, http.Header{"X Y": {"1"}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newHarness(map[string][]endpointFunc{"e1": {func(_ context.Context, out *exchanger.Outbound) (*exchanger.Answer, error) {
+				return exchanger.NewAnswer(tt.status, tt.header, exchanger.NewMeta(out.Call().ID(), false, true), io.NopCloser(strings.NewReader("body")), 4), nil
+			}}})
+			status, _, _ := callFrontEnd(t, r, router.AtMostOnce{}, time.Second)
+			is.Equal(status, http.StatusBadGateway)
+		})
+	}
+}
--- a/relayer/lateanswer_test.go
+++ b/relayer/lateanswer_test.go
@@ -47,23 +47,31 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			r := newHarness(map[string][]endpointFunc{"e": {tt.endpoint}})
-			path := chainer.Func[*router.Call, *relayer.Answer](func(ctx context.Context, _ *router.Call) (*relayer.Answer, error) {
-				return r.Apply(ctx, screenedCall(t, tt.kind, 1, connector.Model{}, router.WithMaxWait(maxWait)))
-			})
-			bodies := collector.New(reserver.New(1000, 0, 0), func() collector.Limits { return collector.NewLimits(1000, time.Minute, 0) }, func() {})
-			ended := make(chan platform.Outcome, 1)
-			server := httptest.NewServer(platform.NewFrontEnd(path, bodies, func() bool { return false }, func(o platform.Outcome) { ended <- o }))
-			defer server.Close()
-			req, err := emulator.NewCall("id", "h", "/x", "body", maxWait, "").Request(t.Context(), strings.TrimPrefix(server.URL, "http://"))
-			is.NoErr(err)
-			resp, err := http.DefaultClient.Do(req)
-			is.NoErr(err)
-			defer func() { _ = resp.Body.Close() }()
-			body, err := io.ReadAll(resp.Body)
-			is.NoErr(err)
-			is.Equal(resp.StatusCode, tt.status)
-			is.Equal(string(body), tt.body)
-			is.NoErr((<-ended).BodyError())
+			status, body, ended := callFrontEnd(t, r, tt.kind, maxWait)
+			is.Equal(status, tt.status)
+			is.Equal(body, tt.body)
+			is.NoErr(ended.BodyError())
 		})
 	}
 }
+
+// callFrontEnd sends a call through a front end and returns the answer and how the call ended.
+func callFrontEnd(t *testing.T, r *harness, kind router.RepeatPolicy, maxWait time.Duration) (status int, body string, ended platform.Outcome) {
+	t.Helper()
+	is := is.New(t)
+	path := chainer.Func[*router.Call, *relayer.Answer](func(ctx context.Context, _ *router.Call) (*relayer.Answer, error) {
+		return r.Apply(ctx, screenedCall(t, kind, 1, connector.Model{}, router.WithMaxWait(maxWait)))
+	})
+	bodies := collector.New(reserver.New(1000, 0, 0), func() collector.Limits { return collector.NewLimits(1000, time.Minute, 0) }, func() {})
+	outcomes := make(chan platform.Outcome, 1)
+	server := httptest.NewServer(platform.NewFrontEnd(path, bodies, func() bool { return false }, func(o platform.Outcome) { outcomes <- o }))
+	defer server.Close()
+	req, err := emulator.NewCall("id", "h", "/x", "body", maxWait, "").Request(t.Context(), strings.TrimPrefix(server.URL, "http://"))
+	is.NoErr(err)
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	return resp.StatusCode, string(data), <-outcomes
+}
