assembler, transporter: use one raw stand-in and one timeout of callers

The test of assembler answers with emulator.RawServer like those of the other packages, in place of a fault of the fake endpoints. The timeout of callers' connections stands once, in transporter. Plainer comments. No change of behaviour, and the checks of the tests are the same.

--- a/assembler/broken_test.go
+++ b/assembler/broken_test.go
@@ -6,22 +6,51 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	fakes "github.com/dragonflyford/dragonflyford/emulator"
 	"github.com/dragonflyford/dragonflyford/platform/emulator"
 )
 
+// runCounter counts the executions of calls by id.
+type runCounter struct {
+	mu   sync.Mutex
+	byID map[string]int
+}
+
+func (c *runCounter) add(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.byID[id]++
+}
+
+func (c *runCounter) of(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.byID[id]
+}
+
 // newBrokenDeployment returns a running deployment of one host. Each kind of route leads to a
-// service with one endpoint, which answers calls with raw bytes.
-func newBrokenDeployment(t *testing.T, answer func(conn *net.TCPConn, id string)) (d *deployment, bad *emulator.Endpoint) {
+// service with one endpoint, which answers calls with raw bytes once it has read their heads.
+func newBrokenDeployment(t *testing.T, answer func(conn *net.TCPConn, id string)) (d *deployment, runs *runCounter) {
 	t.Helper()
-	d = newDeployment(t)
-	bad = emulator.NewEndpoint("i-broken", emulator.NewServiceOptions(time.Millisecond))
-	bad.Inject(emulator.NewAnswersRaw(answer))
-	d.addEndpoint(bad, "broken")
+	d, runs = newDeployment(t), &runCounter{byID: make(map[string]int)}
+	server, err := fakes.NewRawServer(func(conn *net.TCPConn, req *http.Request) {
+		id := emulator.CallID(req.Header)
+		runs.add(id)
+		answer(conn, id)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	bad := emulator.NewEndpoint("i-broken", emulator.NewServiceOptions(time.Millisecond))
+	d.address[bad.ID()] = server.Address()
+	d.setEntry(bad, "broken", "ready")
 	d.store.Set("op", "config", []byte(`{"version":2,"routes":[
 		{"name":"stream","host":"h","prefix":"/stream/","route_type":"streaming","timeout_ms":3000,"target_latency_ms":1000,"service":"broken","max_attempts":1,"gap_aim_ms":300},
 		{"name":"resume","host":"h","prefix":"/resume/","route_type":"streaming","timeout_ms":3000,"target_latency_ms":1000,"service":"broken","max_attempts":2,"can_resume":true,"gap_aim_ms":300},
@@ -34,7 +63,7 @@
 		status, _, err := d.call(http.DefaultClient, hostA, fmt.Sprint("first", time.Now().UnixNano()), "/sound/x", "")
 		return status == http.StatusOK && err == nil
 	})
-	return d, bad
+	return d, runs
 }
 
 // upload sends a call with a body of 2 MB.
@@ -58,7 +87,7 @@
 func TestResetBesideUpload(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	d, bad := newBrokenDeployment(t, func(conn *net.TCPConn, id string) {
+	d, runs := newBrokenDeployment(t, func(conn *net.TCPConn, id string) {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+emulator.ResponseFields(id)+"\r\nid: 0\ndata: 0\n\n")
 		_ = conn.SetLinger(0)
 	})
@@ -73,7 +102,7 @@
 			} else {
 				is.True(err != nil || status == http.StatusBadGateway) // a stream whose head was sent is cut
 			}
-			is.True(bad.Runs()[id] <= 1 || !strings.HasPrefix(path, "/post"))
+			is.True(runs.of(id) <= 1 || !strings.HasPrefix(path, "/post"))
 			is.True(d.hasReason(id, "reset"))
 		}
 	}
@@ -112,7 +141,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			d, bad := newBrokenDeployment(t, func(conn *net.TCPConn, id string) {
+			d, runs := newBrokenDeployment(t, func(conn *net.TCPConn, id string) {
 				_, _ = io.WriteString(conn, tt.answer(id))
 				_, _ = io.Copy(io.Discard, conn)
 			})
@@ -122,7 +151,7 @@
 				t.Logf("%s: status %d, body %q, error %v", path, status, body, err)
 				is.NoErr(err)
 				is.Equal(status, http.StatusBadGateway)
-				is.Equal(bad.Runs()[id], 1)
+				is.Equal(runs.of(id), 1)
 				is.True(d.hasReason(id, tt.reason))
 			}
 		})
--- a/demonstrator/transport.go
+++ b/demonstrator/transport.go
@@ -9,9 +9,6 @@
 	"github.com/dragonflyford/dragonflyford/transporter"
 )
 
-// unackedTimeout is the time without an acknowledgement after which a node is unreachable.
-const unackedTimeout = 10 * time.Second
-
 // delayedTransport adds the one-way latency between callers and their data
 // centre to requests and to the start of responses.
 type delayedTransport struct {
@@ -20,7 +17,7 @@
 }
 
 func newDelayedTransport(latency time.Duration) *delayedTransport {
-	return &delayedTransport{Transport: transporter.NewTransport(unackedTimeout), latency: latency}
+	return &delayedTransport{Transport: transporter.NewTransport(), latency: latency}
 }
 
 // RoundTrip sends a request.
--- a/emulator/rawserver.go
+++ b/emulator/rawserver.go
@@ -10,7 +10,7 @@
 )
 
 // RawServer reads the heads of HTTP requests and leaves the rest to a function, which can
-// answer as a server in trouble does.
+// answer with raw bytes as a faulty server does.
 type RawServer struct {
 	listener net.Listener
 	respond  func(conn *net.TCPConn, req *http.Request)
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -143,7 +143,7 @@
 	}
 }
 
-// broken records that the endpoint broke the stream off.
+// broken records that the endpoint ended the stream early.
 func (b *monitoredBody) broken(cause error) {
 	if b.call.ctx.Err() != nil {
 		return
--- a/relayer/outcome.go
+++ b/relayer/outcome.go
@@ -111,7 +111,7 @@
 	return logger.Field{}
 }
 
-// recordCrash records that an endpoint broke off before the output of the call began.
+// recordCrash records that an endpoint may have crashed before the output of the call began.
 func (c *callState) recordCrash(e *tracker.Endpoint) {
 	process := fmt.Sprintf("%s/%d", e.ID(), e.Born())
 	c.relayer.crashes.RecordCrash(e, screener.NewMark(c.call.Fingerprint(), process, c.call.SharedPromptParts()...))
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -35,17 +35,12 @@
 	return func(r *Requester) { r.http.Transport = t }
 }
 
-const (
-	defaultAttempts = 4
-	// unackedTimeout is the time without an acknowledgement after which a node is
-	// unreachable.
-	unackedTimeout = 10 * time.Second
-)
+const defaultAttempts = 4
 
 // New returns a requester that starts with the given entry addresses. The seed
 // determines the jitter between attempts.
 func New(caller string, entries []string, seed uint64, opts ...Option) *Requester {
-	client := &http.Client{Transport: transporter.NewTransport(unackedTimeout)}
+	client := &http.Client{Transport: transporter.NewTransport()}
 	r := &Requester{
 		directory: &directory{seeds: entries, http: client},
 		http:      client,
--- a/transporter/transport.go
+++ b/transporter/transport.go
@@ -20,11 +20,14 @@
 // heads and requires proof that a response is complete which ends with its connection.
 type Transport struct{ inner *http.Transport }
 
-// NewTransport returns a transport. Its connections break when data stays unacknowledged for
-// unackedTime.
-func NewTransport(unackedTime time.Duration) *Transport {
+// callerUnackedTimeout is the time without an acknowledgement after which a node is
+// unreachable for its callers.
+const callerUnackedTimeout = 10 * time.Second
+
+// NewTransport returns a transport for callers of nodes.
+func NewTransport() *Transport {
 	return newTransport(func(ctx context.Context, address string) (net.Conn, error) {
-		inner, err := Dial(ctx, address, unackedTime)
+		inner, err := Dial(ctx, address, callerUnackedTimeout)
 		if err != nil {
 			return nil, err
 		}
